--- /dev/null
+++ b/src/hillstack/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the back ends: requests, cache events and load."""
--- /dev/null
+++ b/src/hillstack/backends/http_client.py
@@ -0,0 +1,118 @@
+"""HTTP to back ends, with an account of how far each attempt got.
+
+An attempt counts as ``BYTES_MAY_HAVE_LEFT`` from the moment it has a connection: from then on the
+request may be in the kernel's hands. Until then it provably did not reach the back end.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator, Mapping
+from types import SimpleNamespace
+
+import aiohttp
+
+from hillstack.core.attempt import Attempt, AttemptState
+from hillstack.errors import BackendBrokenError, BackendRefusedError
+
+MAX_KEEP_ALIVE_SECONDS = 15.0
+
+
+class BackendClient:
+    """Sends requests to back ends.
+
+    Engines are reached over kept connections. Applications get a new connection for each
+    request: a kept one may be closed by the other side just as the request leaves, which would
+    make the outcome of a non-repeatable request unknown for no reason.
+
+    Args:
+        connect_timeout: Limit for a TCP connection in seconds.
+        silence_timeout: Longest wait for the next piece of an answer in seconds.
+    """
+
+    def __init__(self, connect_timeout: float, silence_timeout: float) -> None:
+        self._connect_timeout = connect_timeout
+        self._silence_timeout = silence_timeout
+        self._kept = self._session(force_close=False)
+        self._single_use = self._session(force_close=True)
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """The session with kept connections, for status and load pages."""
+        return self._kept
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._kept.close()
+        await self._single_use.close()
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self,
+        attempt: Attempt,
+        method: str,
+        url: str,
+        body: bytes,
+        headers: Mapping[str, str],
+        *,
+        single_use: bool = False,
+        timeout: float | None = None,
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Send a request and yield its response once the headers are in.
+
+        The connection is closed, not reused, unless the body was read to its end.
+
+        Raises:
+            BackendRefusedError: No connection; the request did not leave.
+            BackendBrokenError: The connection broke or fell silent.
+        """
+        session = self._single_use if single_use else self._kept
+        attempt.advance(AttemptState.CONNECTING)
+        limits = aiohttp.ClientTimeout(
+            total=timeout, sock_connect=self._connect_timeout, sock_read=self._silence_timeout
+        )
+        try:
+            async with session.request(
+                method,
+                url,
+                data=body,
+                headers=headers,
+                timeout=limits,
+                allow_redirects=False,
+                trace_request_ctx=attempt,
+            ) as response:
+                yield response
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise _translate(error, attempt, url) from error
+
+    def _session(self, *, force_close: bool) -> aiohttp.ClientSession:
+        trace = aiohttp.TraceConfig()
+        trace.on_connection_create_end.append(_on_connection)
+        trace.on_connection_reuseconn.append(_on_connection)
+        if force_close:
+            connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        else:
+            connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=MAX_KEEP_ALIVE_SECONDS)
+        return aiohttp.ClientSession(
+            connector=connector,
+            trace_configs=[trace],
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        )
+
+
+async def _on_connection(
+    session: aiohttp.ClientSession, context: SimpleNamespace, params: object
+) -> None:
+    attempt = context.trace_request_ctx
+    if isinstance(attempt, Attempt):
+        attempt.advance(AttemptState.BYTES_MAY_HAVE_LEFT)
+
+
+def _translate(
+    error: Exception, attempt: Attempt, url: str
+) -> BackendRefusedError | BackendBrokenError:
+    if attempt.state < AttemptState.BYTES_MAY_HAVE_LEFT:
+        return BackendRefusedError(repr(error), step="connect", peer=url)
+    return BackendBrokenError(repr(error), step="read answer", peer=url)
--- /dev/null
+++ b/src/hillstack/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/hillstack/cli/exits.py
@@ -0,0 +1,58 @@
+"""Exit codes and the reporting of errors."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import typer
+
+from hillstack.errors import (
+    BundleError,
+    HillstackError,
+    PlatformError,
+    PlatformOutcomeUnknownError,
+    RolloutConflictError,
+    SettingsError,
+    SignatureError,
+)
+
+
+class ExitCode(enum.IntEnum):
+    """What the process's exit code means."""
+
+    OK = 0
+    FAILED = 1
+    INVALID = 2
+    UNSIGNED = 3
+    CONFLICT = 4
+    PLATFORM = 5
+    OUTCOME_UNKNOWN = 6
+    INCOMPLETE = 7
+
+
+def exit_code_of(error: HillstackError) -> ExitCode:
+    """Return the exit code of an error."""
+    by_kind: list[tuple[type[HillstackError], ExitCode]] = [
+        (SettingsError, ExitCode.INVALID),
+        (RolloutConflictError, ExitCode.CONFLICT),
+        (SignatureError, ExitCode.UNSIGNED),
+        (BundleError, ExitCode.INVALID),
+        (PlatformOutcomeUnknownError, ExitCode.OUTCOME_UNKNOWN),
+        (PlatformError, ExitCode.PLATFORM),
+    ]
+    for kind, code in by_kind:
+        if isinstance(error, kind):
+            return code
+    return ExitCode.FAILED
+
+
+@contextmanager
+def errors_to_exit_codes() -> Iterator[None]:
+    """Print errors to standard error and end with their exit code."""
+    try:
+        yield
+    except HillstackError as error:
+        typer.echo(f"error: {error}", err=True)
+        raise typer.Exit(exit_code_of(error)) from error
--- /dev/null
+++ b/src/hillstack/core/admission.py
@@ -0,0 +1,139 @@
+"""Weighted fair admission by cost in tokens.
+
+While the estimated wait is below a target, everything is admitted, so no capacity is left idle.
+Above it, a tenant is admitted only while its recent use is below its share of what all active
+tenants use. A request that cannot meet its deadline is refused at once. Every refusal says when
+to come back.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+USAGE_HALF_LIFE_SECONDS = 5.0
+MIN_RETRY_AFTER_SECONDS = 1.0
+MAX_RETRY_AFTER_SECONDS = 60.0
+ACTIVE_TOKENS = 1.0
+
+
+class RefusalReason(enum.StrEnum):
+    """Why a request was not admitted."""
+
+    OVER_SHARE = "over_share"
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline_unreachable"
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that was not admitted.
+
+    Attributes:
+        retry_after: Seconds after which the request is expected to be admitted.
+    """
+
+    reason: RefusalReason
+    retry_after: float
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionRequest:
+    """What admission needs to know of a request.
+
+    Attributes:
+        cost_tokens: Expected work: uncached prompt tokens plus output tokens.
+        estimated_wait: Seconds until the best engine would start it.
+        deadline_in: Seconds until its deadline.
+        urgent: Whether it is exempt from fairness below the hard limit.
+    """
+
+    tenant: str
+    cost_tokens: float
+    estimated_wait: float
+    deadline_in: float
+    urgent: bool = False
+
+
+@dataclass(slots=True)
+class _Usage:
+    tokens: float
+    updated_at: float
+
+    def decayed(self, now: float) -> float:
+        elapsed = max(0.0, now - self.updated_at)
+        return self.tokens * math.exp2(-elapsed / USAGE_HALF_LIFE_SECONDS)
+
+
+class Admission:
+    """Fair admission over tenants.
+
+    Args:
+        weights: Share of each tenant, relative to the others.
+        target_wait: Estimated wait, in seconds, above which shares are enforced.
+        max_wait: Estimated wait above which nothing is admitted.
+    """
+
+    def __init__(self, weights: Mapping[str, float], target_wait: float, max_wait: float) -> None:
+        self._weights = dict(weights)
+        self._target_wait = target_wait
+        self._max_wait = max_wait
+        self._usage: dict[str, _Usage] = {}
+
+    def reconfigure(
+        self, weights: Mapping[str, float], target_wait: float, max_wait: float
+    ) -> None:
+        """Take over the limits of a new bundle; recorded use is kept."""
+        self._weights = dict(weights)
+        self._target_wait = target_wait
+        self._max_wait = max_wait
+
+    def try_admit(self, request: AdmissionRequest, now: float) -> Refusal | None:
+        """Admit and record a request, or return the refusal."""
+        refusal = self._refusal(request, now)
+        if refusal is None:
+            self._record(request.tenant, request.cost_tokens, now)
+        return refusal
+
+    def _refusal(self, request: AdmissionRequest, now: float) -> Refusal | None:
+        wait = request.estimated_wait
+        if wait >= request.deadline_in:
+            return Refusal(RefusalReason.DEADLINE, _bounded(wait - self._target_wait))
+        if wait >= self._max_wait:
+            return Refusal(RefusalReason.OVERLOADED, _bounded(wait - self._target_wait))
+        if request.urgent or wait < self._target_wait:
+            return None
+        return self._over_share(request, now)
+
+    def _over_share(self, request: AdmissionRequest, now: float) -> Refusal | None:
+        active = {name: usage.decayed(now) for name, usage in self._usage.items()}
+        used = active.get(request.tenant, 0.0)
+        total = sum(active.values())
+        fair = total * self._share(request.tenant, active)
+        if used <= fair or total <= ACTIVE_TOKENS:
+            return None
+        until_fair = USAGE_HALF_LIFE_SECONDS * math.log2(used / fair) if fair > 0 else 0.0
+        return Refusal(RefusalReason.OVER_SHARE, _bounded(until_fair))
+
+    def _share(self, tenant: str, active: Mapping[str, float]) -> float:
+        own = self._weights.get(tenant, 0.0)
+        others = sum(
+            self._weights.get(name, 0.0)
+            for name, tokens in active.items()
+            if name != tenant and tokens >= ACTIVE_TOKENS
+        )
+        return own / (own + others) if own + others > 0 else 0.0
+
+    def _record(self, tenant: str, tokens: float, now: float) -> None:
+        usage = self._usage.get(tenant)
+        if usage is None:
+            self._usage[tenant] = _Usage(tokens, now)
+            return
+        usage.tokens = usage.decayed(now) + tokens
+        usage.updated_at = now
+
+
+def _bounded(seconds: float) -> float:
+    return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, seconds))
--- /dev/null
+++ b/src/hillstack/core/fleet.py
@@ -0,0 +1,204 @@
+"""The back ends as this node sees them: state, reported load and work in flight."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+SUSPECT_FIRST_SECONDS = 0.5
+SUSPECT_MAX_SECONDS = 5.0
+DEFAULT_PROMPT_TOKENS = 2_000.0
+MEAN_WEIGHT = 0.05
+
+
+class BackendKind(enum.StrEnum):
+    """What a back end serves."""
+
+    ENGINE = "engine"
+    APPLICATION = "application"
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """An entry of the machine list.
+
+    Attributes:
+        address: HTTP address.
+        events_address: Address of the cache event stream; empty for applications.
+        replay_address: Address that replays cache events; empty for applications.
+        leaving: Whether the platform announced its end.
+    """
+
+    machine_id: str
+    kind: BackendKind
+    pool: str
+    zone: str
+    address: str
+    events_address: str = ""
+    replay_address: str = ""
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """An engine's own account of its load.
+
+    Attributes:
+        waiting_tokens: Prompt tokens waiting; None when the engine does not say.
+    """
+
+    running: int
+    waiting: int
+    cache_usage: float
+    waiting_tokens: float | None = None
+
+
+@dataclass(slots=True)
+class InFlight:
+    """A request that this node sent: its uncached tokens until the first token comes."""
+
+    pending_tokens: float
+    sent_at: float
+
+
+@dataclass(slots=True)
+class Backend:
+    """One back end."""
+
+    machine: Machine
+    incarnation: str = ""
+    weights_version: int = 0
+    draining: bool = False
+    failures: int = 0
+    suspect_until: float = 0.0
+    report: LoadReport = field(default_factory=lambda: LoadReport(0, 0, 0.0))
+    reported_at: float = float("-inf")
+    in_flight: dict[str, InFlight] = field(default_factory=dict)
+    mean_prompt_tokens: float = DEFAULT_PROMPT_TOKENS
+
+    def accepts_work(self, now: float) -> bool:
+        """Return whether new work may be sent there."""
+        return not self.draining and not self.machine.leaving and now >= self.suspect_until
+
+    def queued_tokens(self, now: float, prefill_rate: float) -> float:
+        """Return the estimated prompt tokens waiting for prefill.
+
+        The report is aged by the prefill rate and raised by what this node has sent since. It is
+        never below what this node itself still waits for.
+        """
+        own = sum(entry.pending_tokens for entry in self.in_flight.values())
+        sent_since = sum(
+            entry.pending_tokens
+            for entry in self.in_flight.values()
+            if entry.sent_at >= self.reported_at
+        )
+        reported = self.report.waiting_tokens
+        if reported is None:
+            reported = self.report.waiting * self.mean_prompt_tokens
+        aged = max(0.0, reported - prefill_rate * max(0.0, now - self.reported_at))
+        return max(own, aged + sent_since)
+
+    def running(self) -> int:
+        """Return the estimated number of requests there, waiting ones included."""
+        sent_since = sum(1 for e in self.in_flight.values() if e.sent_at >= self.reported_at)
+        reported = self.report.running + self.report.waiting
+        return max(len(self.in_flight), reported + sent_since)
+
+
+class Fleet:
+    """All back ends known to this node."""
+
+    def __init__(self) -> None:
+        self._backends: dict[str, Backend] = {}
+
+    def get(self, backend_id: str) -> Backend | None:
+        """Return a back end by identifier."""
+        return self._backends.get(backend_id)
+
+    def all(self) -> list[Backend]:
+        """Return all back ends."""
+        return list(self._backends.values())
+
+    def accepting(self, pool: str, now: float) -> list[Backend]:
+        """Return the back ends of a pool that take new work."""
+        return [
+            backend
+            for backend in self._backends.values()
+            if backend.machine.pool == pool and backend.accepts_work(now)
+        ]
+
+    def update_machines(self, machines: Iterable[Machine]) -> list[str]:
+        """Take over a machine list and return the identifiers that vanished from it.
+
+        Drain marks from other sources are kept: the list lags.
+        """
+        listed = {machine.machine_id: machine for machine in machines}
+        for machine_id, machine in listed.items():
+            backend = self._backends.get(machine_id)
+            if backend is None or backend.machine.address != machine.address:
+                self._backends[machine_id] = Backend(machine)
+            else:
+                backend.machine = machine
+        vanished = [machine_id for machine_id in self._backends if machine_id not in listed]
+        for machine_id in vanished:
+            del self._backends[machine_id]
+        return vanished
+
+    def observe_status(
+        self, backend_id: str, incarnation: str, weights_version: int, draining: bool
+    ) -> None:
+        """Note what a back end says of itself; a new incarnation is no longer draining."""
+        backend = self._backends.get(backend_id)
+        if backend is None:
+            return
+        if backend.incarnation != incarnation:
+            backend.incarnation = incarnation
+            backend.draining = False
+        backend.weights_version = weights_version
+        backend.draining = backend.draining or draining
+        backend.failures = 0
+        backend.suspect_until = 0.0
+
+    def observe_load(self, backend_id: str, report: LoadReport, now: float) -> None:
+        """Note a load report."""
+        backend = self._backends.get(backend_id)
+        if backend is not None:
+            backend.report = report
+            backend.reported_at = now
+
+    def observe_failure(self, backend_id: str, now: float) -> None:
+        """Suspect a back end for a while, longer with each failure in a row."""
+        backend = self._backends.get(backend_id)
+        if backend is None:
+            return
+        pause = min(SUSPECT_MAX_SECONDS, SUSPECT_FIRST_SECONDS * 2.0**backend.failures)
+        backend.failures += 1
+        backend.suspect_until = now + pause
+
+    def observe_draining(self, backend_id: str) -> None:
+        """Note that a back end leaves, from whichever source says so first."""
+        backend = self._backends.get(backend_id)
+        if backend is not None:
+            backend.draining = True
+
+    def sent(self, backend_id: str, attempt_id: str, tokens: float, now: float) -> None:
+        """Note an attempt sent with its uncached prompt tokens."""
+        backend = self._backends.get(backend_id)
+        if backend is None:
+            return
+        backend.in_flight[attempt_id] = InFlight(tokens, now)
+        change = MEAN_WEIGHT * (tokens - backend.mean_prompt_tokens)
+        backend.mean_prompt_tokens += change
+
+    def first_token(self, backend_id: str, attempt_id: str) -> None:
+        """Note that an attempt's prefill is over."""
+        backend = self._backends.get(backend_id)
+        if backend is not None and attempt_id in backend.in_flight:
+            backend.in_flight[attempt_id].pending_tokens = 0.0
+
+    def finished(self, backend_id: str, attempt_id: str) -> None:
+        """Note that an attempt ended."""
+        backend = self._backends.get(backend_id)
+        if backend is not None:
+            backend.in_flight.pop(attempt_id, None)
--- /dev/null
+++ b/src/hillstack/core/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement policies, one a file, behind one interface."""
--- /dev/null
+++ b/src/hillstack/core/placement/round_robin.py
@@ -0,0 +1,23 @@
+"""Baseline: engines in turn."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from random import Random
+
+from hillstack.core.placement.base import EngineView, PlacementPolicy, PlacementRequest
+
+
+class RoundRobin(PlacementPolicy):
+    """Takes the engines in turn, whatever their load and caches."""
+
+    def __init__(self) -> None:
+        self._next = 0
+
+    def choose(
+        self, request: PlacementRequest, engines: Sequence[EngineView], rng: Random
+    ) -> EngineView:
+        """Return the next engine by identifier."""
+        ordered = sorted(engines, key=lambda engine: engine.engine_id)
+        self._next += 1
+        return ordered[self._next % len(ordered)]
--- /dev/null
+++ b/src/hillstack/core/prefix.py
@@ -0,0 +1,57 @@
+"""Block hashes of a prompt prefix.
+
+A block hash covers its parent hash and its tokens, so equal hashes mean equal prefixes. The root
+hash covers tenant, model, weights version and adapter: prefixes of another tenant or of older
+weights have other hashes and can never match.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from xxhash import xxh3_64_intdigest
+
+
+@dataclass(frozen=True, slots=True)
+class PrefixScope:
+    """What must be equal for two prompts to share cached blocks."""
+
+    tenant: str
+    model: str
+    weights_version: int
+    adapter: str = ""
+    adapter_version: int = 0
+
+    def cache_salt(self) -> str:
+        """Return the salt sent to engines, which keeps tenants apart there as well."""
+        parts = (
+            self.tenant,
+            self.model,
+            str(self.weights_version),
+            self.adapter,
+            str(self.adapter_version),
+        )
+        return "/".join(parts)
+
+
+def root_hash(cache_salt: str) -> int:
+    """Return the hash that is the parent of a prompt's first block."""
+    return xxh3_64_intdigest(cache_salt.encode())
+
+
+def block_hashes(tokens: bytes, block_tokens: int, width: int, cache_salt: str) -> list[int]:
+    """Return the hash of each full block of a prompt, first block first.
+
+    Args:
+        tokens: The tokens, ``width`` bytes each.
+        block_tokens: Tokens in a block.
+        width: Bytes in a token.
+        cache_salt: The salt of the prompt's scope.
+    """
+    size = block_tokens * width
+    parent = root_hash(cache_salt)
+    hashes = []
+    for start in range(0, len(tokens) - size + 1, size):
+        parent = xxh3_64_intdigest(tokens[start : start + size], parent)
+        hashes.append(parent)
+    return hashes
--- /dev/null
+++ b/src/hillstack/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The router process: wiring, transports and lifecycle."""
--- /dev/null
+++ b/src/hillstack/daemon/bundle_sync.py
@@ -0,0 +1,160 @@
+"""Keeps the newest accepted bundle in force on a node.
+
+Bundles come from other nodes, asked at the start and whenever one announces a higher version, and
+from the key-value service. Only a few nodes of a zone watch and poll the service; the rest hear of
+new versions through gossip.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Callable, Sequence
+from random import Random
+
+from hillstack.config.signing import SignedBundle, parse_signed_bundle
+from hillstack.core.membership import Membership
+from hillstack.core.rendezvous import ranked
+from hillstack.core.rollout import BundleAdopter
+from hillstack.daemon.peer_transport import PeerClient
+from hillstack.errors import BundleError, HillstackError, PeerError, PlatformError
+from hillstack.logs import error_fields
+from hillstack.messages.types import BundleReply, BundleRequest
+from hillstack.platform.bundle_store import HEAD_KEY, BundleStore, parse_head
+from hillstack.platform.key_value import KeyValueClient
+
+logger = logging.getLogger(__name__)
+
+WATCHERS_PER_ZONE = 2
+PEER_TIMEOUT_SECONDS = 3.0
+FIRST_BUNDLE_RETRY_SECONDS = 0.3
+WATCH_ROLE = "bundle-watch"
+
+
+class BundleSync:
+    """Fetches bundles and hands them to the adopter.
+
+    Args:
+        on_adopted: Called after a bundle came into force.
+        poll_interval: Seconds between reads of the head.
+    """
+
+    def __init__(
+        self,
+        adopter: BundleAdopter,
+        membership: Membership,
+        peers: PeerClient,
+        key_value: KeyValueClient,
+        on_adopted: Callable[[], None],
+        poll_interval: float,
+        clock: Callable[[], float],
+        rng: Random,
+    ) -> None:
+        self._adopter = adopter
+        self._membership = membership
+        self._peers = peers
+        self._key_value = key_value
+        self._store = BundleStore(key_value)
+        self._on_adopted = on_adopted
+        self._poll_interval = poll_interval
+        self._clock = clock
+        self._rng = rng
+        self._fetching: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def first_bundle(self, seeds: Sequence[str]) -> None:
+        """Ask peers and the key-value service until some bundle is in force."""
+        while self._adopter.version == 0:
+            tasks = [asyncio.create_task(self._fetch_from(seed)) for seed in seeds]
+            tasks.append(asyncio.create_task(self._fetch_from_store()))
+            for task in tasks:
+                self._track(task)
+            await self._wait_for_any(tasks)
+            if self._adopter.version == 0:
+                pause = FIRST_BUNDLE_RETRY_SECONDS * (0.5 + self._rng.random())
+                await asyncio.sleep(pause)
+
+    def on_announced(self, address: str, version: int) -> None:
+        """Fetch the bundle from a node that announced a version, if it is newer."""
+        if version <= self._adopter.version or address in self._fetching:
+            return
+        self._track(asyncio.create_task(self._fetch_from(address)))
+
+    def consider(self, signed: SignedBundle, source: str) -> None:
+        """Adopt a bundle if it is newer and valid; a bad one is logged and dropped."""
+        try:
+            adopted = self._adopter.consider(signed, self._clock())
+        except BundleError as error:
+            logger.error("bundle refused", extra=error_fields(error) | {"source": source})
+            return
+        if adopted:
+            fields = {"version": self._adopter.version, "source": source}
+            logger.info("bundle in force", extra=fields)
+            self._on_adopted()
+
+    async def poll(self) -> None:
+        """Read the head now and then, as one of the zone's watchers."""
+        while True:
+            await asyncio.sleep(self._poll_interval * (0.5 + self._rng.random()))
+            if self._is_watcher():
+                await self._fetch_from_store()
+
+    async def watch(self) -> None:
+        """Follow the head by a watch, as one of the zone's watchers."""
+        while True:
+            if self._is_watcher():
+                with contextlib.suppress(PlatformError, BundleError):
+                    await self._follow_head()
+            await asyncio.sleep(self._poll_interval * (0.5 + self._rng.random()))
+
+    async def _follow_head(self) -> None:
+        async for value in self._key_value.watch(HEAD_KEY):
+            if value and parse_head(value).version > self._adopter.version:
+                await self._fetch_from_store()
+
+    async def _fetch_from_store(self) -> None:
+        try:
+            head = await self._store.head()
+            if head is None or head.version <= self._adopter.version:
+                return
+            signed = await self._store.bundle(head.version)
+        except (PlatformError, BundleError) as error:
+            logger.debug("platform not read", extra=error_fields(error))
+            return
+        if signed is not None:
+            self.consider(signed, "platform")
+
+    async def _fetch_from(self, address: str) -> None:
+        self._fetching.add(address)
+        try:
+            request = BundleRequest(self._adopter.version)
+            reply = await self._peers.call(address, request, PEER_TIMEOUT_SECONDS)
+            if isinstance(reply, BundleReply) and reply.signed_bundle:
+                self.consider(parse_signed_bundle(reply.signed_bundle, address), address)
+        except (PeerError, BundleError) as error:
+            logger.debug("peer gave no bundle", extra=error_fields(error))
+        finally:
+            self._fetching.discard(address)
+
+    async def _wait_for_any(self, tasks: list[asyncio.Task[None]]) -> None:
+        pending: set[asyncio.Task[None]] = set(tasks)
+        while pending and self._adopter.version == 0:
+            _, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+
+    def _is_watcher(self) -> bool:
+        own = self._membership.own
+        nodes = self._membership.by_zone().get(own.zone, [])
+        return own.node_id in ranked(WATCH_ROLE, nodes)[:WATCHERS_PER_ZONE]
+
+    def _track(self, task: asyncio.Task[None]) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._log_failure)
+
+    def _log_failure(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        fields = error_fields(error) if isinstance(error, HillstackError) else {}
+        logger.error("bundle fetch failed", exc_info=error, extra=fields)
--- /dev/null
+++ b/src/hillstack/daemon/claim_coordinator.py
@@ -0,0 +1,147 @@
+"""Carries out claim rounds over the network."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from hillstack.core.claims import ClaimLimits, ClaimRound, ClaimTable, ClaimVerdict, replicas_of
+from hillstack.core.membership import Membership
+from hillstack.daemon.peer_transport import PeerClient
+from hillstack.errors import PeerError
+from hillstack.messages.types import (
+    ClaimComplete,
+    ClaimRelease,
+    ClaimReply,
+    ClaimRequest,
+    StoredAnswer,
+)
+
+logger = logging.getLogger(__name__)
+
+CLAIM_TIMEOUT_SECONDS = 1.0
+COMPLETE_TIMEOUT_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimResult:
+    """The result of a claim round.
+
+    Attributes:
+        answer: The answer of the earlier execution, when it is known.
+        replicas: The replicas asked, for release and completion.
+    """
+
+    verdict: ClaimVerdict
+    answer: StoredAnswer | None
+    replicas: tuple[str, ...]
+
+
+class ClaimCoordinator:
+    """Claims keys at the replicas of all zones.
+
+    Args:
+        membership: Who the replicas are.
+        table: Claims kept on this node.
+        client: Requests to other nodes.
+        wall_clock: Seconds since the epoch.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        table: ClaimTable,
+        client: PeerClient,
+        wall_clock: Callable[[], float],
+    ) -> None:
+        self._membership = membership
+        self._table = table
+        self._client = client
+        self._wall_clock = wall_clock
+        self._background: set[asyncio.Task[Any]] = set()
+
+    async def claim(
+        self, request: ClaimRequest, zones: tuple[str, ...], limits: ClaimLimits
+    ) -> ClaimResult:
+        """Ask a replica in each zone and return as soon as the result is certain."""
+        replicas = replicas_of(request.key, zones, self._membership.by_zone())
+        claim_round = ClaimRound(replicas)
+        asked = {zone: node_id for zone, node_id in replicas.items() if node_id is not None}
+        for zone in replicas.keys() - asked.keys():
+            claim_round.on_reply(zone, None)
+        pending = {
+            asyncio.create_task(self._ask(zone, node_id, request, limits))
+            for zone, node_id in asked.items()
+        }
+        verdict = claim_round.verdict()
+        while verdict is None and pending:
+            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                claim_round.on_reply(*task.result())
+            verdict = claim_round.verdict()
+        self._keep(pending)
+        return ClaimResult(
+            verdict or ClaimVerdict.NO_MAJORITY, claim_round.answer(), tuple(asked.values())
+        )
+
+    def release(self, request: ClaimRequest, result: ClaimResult) -> None:
+        """Give a claim back at all replicas, in the background."""
+        message = ClaimRelease(request.key, request.attempt_id)
+        for node_id in result.replicas:
+            self._keep({asyncio.create_task(self._tell(node_id, message))})
+
+    async def complete(
+        self, request: ClaimRequest, result: ClaimResult, answer: StoredAnswer
+    ) -> None:
+        """Hand the answer to all replicas and wait until a majority has it, or a short time."""
+        message = ClaimComplete(request.key, request.attempt_id, answer)
+        pending = {asyncio.create_task(self._tell(node_id, message)) for node_id in result.replicas}
+        needed = len(result.replicas) // 2 + 1
+        finished = 0
+        while pending and finished < needed:
+            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            finished += len(done)
+        self._keep(pending)
+
+    async def _ask(
+        self, zone: str, node_id: str, request: ClaimRequest, limits: ClaimLimits
+    ) -> tuple[str, ClaimReply | None]:
+        if node_id == self._membership.own.node_id:
+            return zone, self._table.claim(request, self._wall_clock(), limits)
+        address = self._membership.address_of(node_id)
+        if address is None:
+            return zone, None
+        try:
+            reply = await self._client.call(address, request, CLAIM_TIMEOUT_SECONDS)
+        except PeerError as error:
+            logger.info("claim not answered", extra={"peer": error.peer, "step": error.step})
+            return zone, None
+        return zone, reply if isinstance(reply, ClaimReply) else None
+
+    async def _tell(self, node_id: str, message: ClaimRelease | ClaimComplete) -> None:
+        if node_id == self._membership.own.node_id:
+            apply_to_table(self._table, message)
+            return
+        address = self._membership.address_of(node_id)
+        if address is None:
+            return
+        try:
+            await self._client.call(address, message, COMPLETE_TIMEOUT_SECONDS)
+        except PeerError as error:
+            logger.info("claim not updated", extra={"peer": error.peer, "step": error.step})
+
+    def _keep(self, tasks: Iterable[asyncio.Task[Any]]) -> None:
+        for task in tasks:
+            self._background.add(task)
+            task.add_done_callback(self._background.discard)
+
+
+def apply_to_table(table: ClaimTable, message: ClaimRelease | ClaimComplete) -> None:
+    """Apply a release or a completion to a replica's table."""
+    if isinstance(message, ClaimRelease):
+        table.release(message.key, message.attempt_id)
+    else:
+        table.complete(message.key, message.attempt_id, message.answer)
--- /dev/null
+++ b/src/hillstack/daemon/server.py
@@ -0,0 +1,98 @@
+"""The life of a router process: start, serve, planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+
+import uvicorn
+
+from hillstack.addresses import split_address
+from hillstack.config.settings import RouterSettings
+from hillstack.daemon.node import Node
+from hillstack.gateway.app import make_app
+
+logger = logging.getLogger(__name__)
+
+DRAIN_CHECK_SECONDS = 0.05
+LISTEN_BACKLOG = 4_096
+
+
+class ManagedServer(uvicorn.Server):
+    """A uvicorn server whose stop is decided by the router, not by signals."""
+
+    def install_signal_handlers(self) -> None:
+        """Leave signals to the router."""
+
+
+class RouterProcess:
+    """Runs one router until SIGTERM or SIGINT.
+
+    A planned stop goes: not ready and out of the membership; new connections are still taken for
+    a while, since callers learn of the stop with a delay, and every answer asks to close its
+    connection; then the listener closes, idle connections run into the keep-alive limit, and the
+    process ends after the last open request. There is no cut-off.
+    """
+
+    def __init__(self, settings: RouterSettings) -> None:
+        self._settings = settings
+        self._node = Node(settings)
+        self._stop = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until stopped."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        node = self._node
+        await node.start()
+        server = self._make_server()
+        serving = asyncio.create_task(server._serve())
+        logger.info("listening", extra={"callers": self._settings.listen.callers})
+        stopping = asyncio.create_task(self._stop.wait())
+        await asyncio.wait({serving, stopping}, return_when=asyncio.FIRST_COMPLETED)
+        if not serving.done():
+            await self._drain(server)
+        server.should_exit = True
+        await serving
+        await node.stop()
+        logger.info("stopped")
+
+    def _make_server(self) -> ManagedServer:
+        host, port = split_address(self._settings.listen.callers)
+        config = uvicorn.Config(
+            make_app(self._node),
+            host=host,
+            port=port,
+            loop="asyncio",
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            backlog=LISTEN_BACKLOG,
+            timeout_keep_alive=int(max(1.0, self._settings.stop.keep_alive_seconds)),
+            timeout_graceful_shutdown=None,
+        )
+        return ManagedServer(config)
+
+    async def _drain(self, server: ManagedServer) -> None:
+        logger.info("stopping")
+        await self._node.leave()
+        await asyncio.sleep(self._settings.stop.linger_seconds)
+        for listener in server.servers:
+            listener.close()
+        # Each connection ends by itself: after its next answer, or when idle for too long.
+        while server.server_state.connections:  # noqa: ASYNC110 (uvicorn offers no event)
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
+
+
+def run_router(settings: RouterSettings) -> None:
+    """Run a router until it is stopped."""
+
+    async def main() -> None:
+        await RouterProcess(settings).run()
+
+    asyncio.run(main())
--- /dev/null
+++ b/src/hillstack/emulator/engine.py
@@ -0,0 +1,449 @@
+"""The emulated engine: the OpenAI API of vLLM over the engine model, in real time.
+
+Beside vLLM's published interface it has a small surface of its own, for what no standard covers:
+
+- ``X-Resume-From: n`` on a completion: the first ``n`` tokens are skipped.
+- ``GET /status``: incarnation, weights version, role, whether it drains.
+- ``POST /orders/load``: ``{"fence", "weights_version"}``; an order with a lower fence than one
+  already taken is refused with 409.
+- ``POST /kv/export`` and ``POST /kv/import``: ``{"hashes": [...]}``.
+- ``POST /emulator/faults``: changes faults, for tests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import time
+import uuid
+from collections import deque
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, PlainTextResponse, Response
+from starlette.routing import Route
+from starlette.types import Receive, Scope, Send
+
+from hillstack.core.prefix import block_hashes
+from hillstack.core.prompt import ByteTokenizer, ChatMessage, render_chat
+from hillstack.emulator.cache_events import (
+    CacheEventPublisher,
+    cleared_event,
+    removed_event,
+    stored_event,
+)
+from hillstack.emulator.generation import prompt_fingerprint, token_text
+from hillstack.simulation.engine_model import EngineModel, EngineProfile, EngineRequest, StepResult
+
+IMPORT_SECONDS_PER_BLOCK = 0.01
+LOAD_SECONDS = 1.0
+LOAD_LAG_HISTORY = 256
+
+
+class CompletionBody(BaseModel):
+    """The part of an OpenAI completion request that the emulator reads."""
+
+    model_config = ConfigDict(extra="ignore")
+
+    model: str
+    prompt: str | None = None
+    messages: list[dict[str, Any]] | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+    stream_options: dict[str, Any] | None = None
+    priority: int = 0
+    cache_salt: str = ""
+
+
+class Faults(BaseModel):
+    """Faults that tests switch on.
+
+    Attributes:
+        crash_after_tokens: Break each stream off after that many tokens; 0 for never.
+        cross_answers: Answer with the identifier of another request.
+        refuse: Answer 503 to completions.
+    """
+
+    model_config = ConfigDict(extra="forbid")
+
+    crash_after_tokens: int = 0
+    cross_answers: bool = False
+    refuse: bool = False
+    draining: bool = False
+    event_loss: float = 0.0
+    event_delay: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineOptions:
+    """Settings of an emulated engine."""
+
+    model: str
+    address: str
+    events_address: str
+    replay_address: str
+    profile: EngineProfile
+    weights_version: int = 1
+    load_lag: float = 0.2
+    event_delay: float = 0.05
+    event_loss: float = 0.0
+    seed: int = 0
+
+
+@dataclass(slots=True)
+class _Stream:
+    request: EngineRequest
+    tokens: asyncio.Queue[int] = field(default_factory=asyncio.Queue)
+
+
+class EmulatedEngine:
+    """One engine process."""
+
+    def __init__(self, options: EngineOptions) -> None:
+        self.options = options
+        self.incarnation = uuid.uuid4().hex
+        self.weights_version = options.weights_version
+        self.faults = Faults(event_loss=options.event_loss, event_delay=options.event_delay)
+        self.model = EngineModel(options.profile)
+        self._publisher: CacheEventPublisher | None = None
+        self._streams: dict[str, _Stream] = {}
+        self._wake = asyncio.Event()
+        self._fence = 0
+        self._load_history: deque[tuple[float, str]] = deque(maxlen=LOAD_LAG_HISTORY)
+        self.executions: list[dict[str, object]] = []
+
+    def app(self) -> Starlette:
+        """Return the HTTP application."""
+        routes = [
+            Route("/v1/completions", self._completion, methods=["POST"]),
+            Route("/v1/chat/completions", self._completion, methods=["POST"]),
+            Route("/v1/models", self._models),
+            Route("/health", self._health),
+            Route("/status", self._status),
+            Route("/metrics", self._metrics),
+            Route("/orders/load", self._order_load, methods=["POST"]),
+            Route("/kv/export", self._kv_export, methods=["POST"]),
+            Route("/kv/import", self._kv_import, methods=["POST"]),
+            Route("/emulator/faults", self._set_faults, methods=["POST"]),
+            Route("/emulator/executions", self._executions),
+        ]
+        return Starlette(routes=routes, lifespan=self._lifespan)
+
+    @contextlib.asynccontextmanager
+    async def _lifespan(self, app: Starlette) -> AsyncIterator[None]:
+        options = self.options
+        self._publisher = CacheEventPublisher(
+            options.events_address,
+            options.replay_address,
+            options.event_delay,
+            options.event_loss,
+            Random(options.seed),
+        )
+        tasks = [
+            asyncio.create_task(self._publisher.run()),
+            asyncio.create_task(self._run_steps()),
+            asyncio.create_task(self._record_load()),
+        ]
+        yield
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _run_steps(self) -> None:
+        due = time.monotonic()
+        while True:
+            if self.model.is_idle():
+                self._wake.clear()
+                await self._wake.wait()
+                due = time.monotonic()
+            result = self.model.step()
+            due = max(due + result.seconds, time.monotonic() - result.seconds)
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            self._deliver(result)
+
+    def _deliver(self, result: StepResult) -> None:
+        for request in result.emitted:
+            stream = self._streams.get(request.request_id)
+            if stream is not None:
+                stream.tokens.put_nowait(request.emitted - 1)
+        events = []
+        if result.stored:
+            events.append(stored_event(result.stored, None, self.options.profile.block_tokens))
+        if result.removed:
+            events.append(removed_event(result.removed))
+        self._publish(events)
+
+    def _publish(self, events: list[list[object]]) -> None:
+        if self._publisher is not None:
+            self._publisher.publish(events)
+
+    async def _record_load(self) -> None:
+        while True:
+            page = self._load_page()
+            self._load_history.append((time.monotonic(), page))
+            await asyncio.sleep(0.05)
+
+    def _load_page(self) -> str:
+        label = f'{{model_name="{self.options.model}"}}'
+        model = self.model
+        lines = [
+            f"vllm:num_requests_running{label} {model.running}",
+            f"vllm:num_requests_waiting{label} {model.waiting}",
+            f"vllm:kv_cache_usage_perc{label} {model.cache.usage():.4f}",
+            f"emulator:waiting_prompt_tokens{label} {model.waiting_tokens()}",
+        ]
+        return "\n".join(lines) + "\n"
+
+    async def _metrics(self, request: Request) -> Response:
+        due = time.monotonic() - self.options.load_lag
+        page = self._load_page() if not self._load_history else self._load_history[0][1]
+        for recorded_at, recorded in self._load_history:
+            if recorded_at > due:
+                break
+            page = recorded
+        return PlainTextResponse(page)
+
+    async def _models(self, request: Request) -> Response:
+        entry = {"id": self.options.model, "object": "model", "owned_by": "emulator"}
+        return JSONResponse({"object": "list", "data": [entry]})
+
+    async def _health(self, request: Request) -> Response:
+        return Response(status_code=200)
+
+    async def _status(self, request: Request) -> Response:
+        return JSONResponse(
+            {
+                "incarnation": self.incarnation,
+                "model": self.options.model,
+                "weights_version": self.weights_version,
+                "draining": self.faults.draining,
+            }
+        )
+
+    async def _order_load(self, request: Request) -> Response:
+        order = await request.json()
+        fence = int(order["fence"])
+        if fence < self._fence:
+            return _error(409, f"fence {fence} is below {self._fence}")
+        self._fence = fence
+        await asyncio.sleep(LOAD_SECONDS)
+        if int(order["weights_version"]) != self.weights_version:
+            self.weights_version = int(order["weights_version"])
+            self.model.clear_cache()
+            self._publish([cleared_event()])
+        return JSONResponse({"weights_version": self.weights_version})
+
+    async def _kv_export(self, request: Request) -> Response:
+        body = await request.json()
+        present = [block for block in body["hashes"] if block in self.model.cache]
+        return JSONResponse({"hashes": present, "weights_version": self.weights_version})
+
+    async def _kv_import(self, request: Request) -> Response:
+        body = await request.json()
+        hashes = tuple(int(block) for block in body["hashes"])
+        await asyncio.sleep(IMPORT_SECONDS_PER_BLOCK * len(hashes))
+        stored, removed = self.model.import_blocks(hashes)
+        events = [stored_event(stored, None, self.options.profile.block_tokens)] if stored else []
+        if removed:
+            events.append(removed_event(removed))
+        self._publish(events)
+        return JSONResponse({"stored": len(stored)})
+
+    async def _set_faults(self, request: Request) -> Response:
+        try:
+            self.faults = Faults.model_validate_json(await request.body())
+        except ValidationError as error:
+            return _error(400, str(error))
+        if self._publisher is not None:
+            self._publisher.loss = self.faults.event_loss
+            self._publisher.delay = self.faults.event_delay
+        return JSONResponse(self.faults.model_dump())
+
+    async def _executions(self, request: Request) -> Response:
+        return JSONResponse(self.executions)
+
+    async def _completion(self, request: Request) -> Response:
+        if self.faults.refuse or self.faults.draining:
+            return _error(503, "not taking work")
+        try:
+            body = CompletionBody.model_validate_json(await request.body())
+        except ValidationError as error:
+            return _error(400, str(error))
+        if body.model != self.options.model:
+            return _error(404, f"no model {body.model!r}")
+        return _CompletionResponse(self, request, body)
+
+    def submit(self, prompt: str, body: CompletionBody, resume_from: int) -> _Stream:
+        """Queue a completion and return the stream of its token positions."""
+        tokenizer = ByteTokenizer()
+        tokens = tokenizer.encode(prompt)
+        profile = self.options.profile
+        hashes = block_hashes(tokens, profile.block_tokens, tokenizer.width, body.cache_salt)
+        limit = body.max_completion_tokens or body.max_tokens or 16
+        engine_request = EngineRequest(
+            request_id=uuid.uuid4().hex,
+            hashes=tuple(hashes),
+            prompt_tokens=max(1, len(tokens)),
+            output_tokens=limit,
+            priority=body.priority,
+            emitted=resume_from,
+        )
+        stream = _Stream(engine_request)
+        self._streams[engine_request.request_id] = stream
+        self.model.submit(engine_request)
+        self._wake.set()
+        return stream
+
+    def close(self, stream: _Stream) -> None:
+        """Drop a stream; its request is cancelled if it still runs."""
+        self._streams.pop(stream.request.request_id, None)
+        self.model.cancel(stream.request.request_id)
+
+
+class _CompletionResponse(Response):
+    """Generates a completion, streamed or whole."""
+
+    def __init__(self, engine: EmulatedEngine, request: Request, body: CompletionBody) -> None:
+        super().__init__()
+        self._engine = engine
+        self._body = body
+        self._chat = request.url.path.endswith("chat/completions")
+        self._prompt = _prompt_of(body)
+        self._fingerprint = prompt_fingerprint(self._prompt)
+        given_id = request.headers.get("x-request-id", uuid.uuid4().hex)
+        self._echoed_id = "crossed" if engine.faults.cross_answers else given_id
+        self._resume_from = int(request.headers.get("x-resume-from", "0"))
+        prefix = "chatcmpl-" if self._chat else "cmpl-"
+        self._completion_id = prefix + self._echoed_id
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        stream = self._engine.submit(self._prompt, self._body, self._resume_from)
+        generate = self._stream if self._body.stream else self._whole
+        work = asyncio.create_task(generate(stream, send))
+        watch = asyncio.create_task(_wait_for_disconnect(receive))
+        try:
+            await asyncio.wait({work, watch}, return_when=asyncio.FIRST_COMPLETED)
+            if work.done():
+                work.result()
+        finally:
+            work.cancel()
+            watch.cancel()
+            await asyncio.gather(work, watch, return_exceptions=True)
+            self._engine.close(stream)
+
+    async def _stream(self, stream: _Stream, send: Send) -> None:
+        await send(self._start("text/event-stream"))
+        crash_after = self._engine.faults.crash_after_tokens
+        sent = 0
+        position = self._resume_from - 1
+        while position + 1 < stream.request.output_tokens:
+            position = await stream.tokens.get()
+            last = position + 1 >= stream.request.output_tokens
+            await send(_body_part(self._chunk(position, last), more=True))
+            sent += 1
+            if crash_after and sent >= crash_after:
+                raise ConnectionResetError("emulated crash")
+        if (self._body.stream_options or {}).get("include_usage"):
+            usage_chunk = self._envelope([]) | {"usage": self._usage(stream.request)}
+            await send(_body_part(_event(usage_chunk), more=True))
+        await send(_body_part(b"data: [DONE]\n\n", more=False))
+        self._record(stream.request)
+
+    async def _whole(self, stream: _Stream, send: Send) -> None:
+        position = -1
+        while position + 1 < stream.request.output_tokens:
+            position = await stream.tokens.get()
+        texts = [token_text(self._fingerprint, at) for at in range(stream.request.output_tokens)]
+        text = "".join(texts)
+        choice: dict[str, object] = {"index": 0, "finish_reason": "length"}
+        if self._chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        answer = self._envelope([choice]) | {"usage": self._usage(stream.request)}
+        await send(self._start("application/json"))
+        await send(_body_part(json.dumps(answer).encode(), more=False))
+        self._record(stream.request)
+
+    def _record(self, request: EngineRequest) -> None:
+        entry = {
+            "request": self._echoed_id,
+            "salt": self._body.cache_salt,
+            "weights_version": self._engine.weights_version,
+            "from": self._resume_from,
+            "to": request.output_tokens,
+        }
+        self._engine.executions.append(entry)
+
+    def _start(self, content_type: str) -> dict[str, Any]:
+        headers = [
+            (b"content-type", content_type.encode()),
+            (b"x-request-id", self._echoed_id.encode()),
+        ]
+        return {"type": "http.response.start", "status": 200, "headers": headers}
+
+    def _envelope(self, choices: list[dict[str, object]]) -> dict[str, object]:
+        kind = "text_completion"
+        if self._chat:
+            kind = "chat.completion.chunk" if self._body.stream else "chat.completion"
+        return {
+            "id": self._completion_id,
+            "object": kind,
+            "created": int(time.time()),
+            "model": self._body.model,
+            "choices": choices,
+        }
+
+    def _chunk(self, position: int, last: bool) -> bytes:
+        text = token_text(self._fingerprint, position)
+        choice: dict[str, object] = {"index": 0, "finish_reason": "length" if last else None}
+        if self._chat:
+            choice["delta"] = {"content": text}
+        else:
+            choice["text"] = text
+        return _event(self._envelope([choice]))
+
+    def _usage(self, request: EngineRequest) -> dict[str, object]:
+        cached = request.cached_blocks * self._engine.options.profile.block_tokens
+        return {
+            "prompt_tokens": request.prompt_tokens,
+            "completion_tokens": request.output_tokens,
+            "total_tokens": request.prompt_tokens + request.output_tokens,
+            "prompt_tokens_details": {"cached_tokens": min(cached, request.prompt_tokens)},
+        }
+
+
+async def _wait_for_disconnect(receive: Receive) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return
+
+
+def _prompt_of(body: CompletionBody) -> str:
+    if body.messages is None:
+        return body.prompt or ""
+    messages = [
+        ChatMessage(str(entry.get("role", "")), str(entry.get("content", "")))
+        for entry in body.messages
+    ]
+    return render_chat(messages)
+
+
+def _event(content: dict[str, object]) -> bytes:
+    return b"data: " + json.dumps(content, separators=(",", ":")).encode() + b"\n\n"
+
+
+def _body_part(content: bytes, *, more: bool) -> dict[str, Any]:
+    return {"type": "http.response.body", "body": content, "more_body": more}
+
+
+def _error(status: int, message: str) -> JSONResponse:
+    return JSONResponse({"error": {"message": message, "type": "emulator"}}, status_code=status)
--- /dev/null
+++ b/src/hillstack/errors.py
@@ -0,0 +1,76 @@
+"""The exception tree.
+
+Every error names the step at which it arose and, where one is involved, the peer.
+"""
+
+
+class HillstackError(Exception):
+    """Base of all errors raised by hillstack.
+
+    Args:
+        message: What went wrong, for a person.
+        step: The step of the work at which it arose, for example ``"connect"``.
+        peer: The other party, an address or an identifier; empty when none is involved.
+    """
+
+    def __init__(self, message: str, *, step: str, peer: str = "") -> None:
+        super().__init__(message)
+        self.message = message
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        where = f"{self.step} at {self.peer}" if self.peer else self.step
+        return f"{self.message} (step: {where})"
+
+
+class SettingsError(HillstackError):
+    """A settings file or flag is invalid."""
+
+
+class BundleError(HillstackError):
+    """A bundle is invalid, unsigned or out of order."""
+
+
+class SignatureError(BundleError):
+    """A signature is missing, unknown or wrong."""
+
+
+class RolloutConflictError(BundleError):
+    """Another bundle became the head first."""
+
+
+class CodecError(HillstackError):
+    """A peer message is malformed, of another protocol version or not authentic."""
+
+
+class PeerError(HillstackError):
+    """A peer did not answer or answered with an error."""
+
+
+class PlatformError(HillstackError):
+    """The key-value service or the machine list failed."""
+
+
+class PlatformUnavailableError(PlatformError):
+    """The platform could not be reached; the operation did not take effect."""
+
+
+class PlatformOutcomeUnknownError(PlatformError):
+    """The answer was lost; the operation may have taken effect."""
+
+
+class BackendError(HillstackError):
+    """A back end failed."""
+
+
+class BackendRefusedError(BackendError):
+    """The back end did not take the request; no byte of it was processed."""
+
+
+class BackendBrokenError(BackendError):
+    """The back end failed after the request may have reached it."""
+
+
+class CrossedAnswerError(BackendBrokenError):
+    """The back end sent the answer of another request."""
--- /dev/null
+++ b/src/hillstack/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface to callers and operators."""
--- /dev/null
+++ b/src/hillstack/gateway/parsing.py
@@ -0,0 +1,182 @@
+"""Checks and parses what callers send."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import json
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
+from starlette.requests import Request
+
+from hillstack.config.bundle import Model, Priority, Tenant, describe_validation
+from hillstack.config.settings import LimitsSection
+from hillstack.core.bundle_index import BundleIndex
+from hillstack.core.prompt import ChatMessage, render_chat
+from hillstack.gateway.errors import CallerError, ErrorAnswer, bad_request
+
+PRIORITY_HEADER = "x-priority"
+TIMEOUT_HEADER = "x-request-timeout"
+DEFAULT_OUTPUT_TOKENS = 16
+
+
+class CompletionBody(BaseModel):
+    """The part of a completion request that the router reads; the rest is passed on."""
+
+    model_config = ConfigDict(extra="allow")
+
+    model: str
+    prompt: str | None = None
+    messages: list[dict[str, Any]] | None = None
+    stream: bool = False
+    stream_options: dict[str, Any] | None = None
+    max_tokens: int | None = Field(default=None, ge=1)
+    max_completion_tokens: int | None = Field(default=None, ge=1)
+    n: int | None = None
+
+    @field_validator("n")
+    @classmethod
+    def _one_choice(cls, value: int | None) -> int | None:
+        if value is not None and value != 1:
+            raise ValueError("only one choice is supported")
+        return value
+
+    def output_tokens(self) -> int:
+        """Return the most tokens that may be generated."""
+        return self.max_completion_tokens or self.max_tokens or DEFAULT_OUTPUT_TOKENS
+
+    def prompt_text(self) -> str:
+        """Return the prompt as one text."""
+        if self.messages is None:
+            return self.prompt or ""
+        return render_chat([_chat_message(entry) for entry in self.messages])
+
+
+@dataclass(frozen=True, slots=True)
+class ParsedCompletion:
+    """A checked completion request."""
+
+    body: CompletionBody
+    content: dict[str, Any]
+    model: Model
+    prompt: str
+
+
+def authenticate(headers: Mapping[str, str], index: BundleIndex) -> Tenant:
+    """Return the tenant of a bearer token.
+
+    Tokens are looked up by their SHA-256, so the time taken tells nothing useful about a token.
+
+    Raises:
+        CallerError: There is no token or it is no tenant's.
+    """
+    scheme, _, token = headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not token:
+        raise bad_request("missing_key", "a bearer token is needed", 401)
+    key_hash = hashlib.sha256(token.strip().encode()).hexdigest()
+    tenant = index.tenants_by_key_hash.get(key_hash)
+    if tenant is None or not hmac.compare_digest(tenant.key_hash, key_hash):
+        raise bad_request("invalid_key", "the bearer token is unknown", 401)
+    return tenant
+
+
+def request_timeout(headers: Mapping[str, str], limits: LimitsSection) -> float:
+    """Return the seconds that a caller gives the request.
+
+    Raises:
+        CallerError: The header is not a positive number.
+    """
+    text = headers.get(TIMEOUT_HEADER)
+    if text is None:
+        return limits.default_deadline_seconds
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if not math.isfinite(seconds) or seconds <= 0:
+        raise bad_request("bad_deadline", f"{TIMEOUT_HEADER} must be a positive number of seconds")
+    return min(seconds, limits.max_deadline_seconds)
+
+
+def request_priority(headers: Mapping[str, str], index: BundleIndex) -> Priority:
+    """Return the priority class that a caller names, or the last one of the bundle.
+
+    Raises:
+        CallerError: The class is unknown.
+    """
+    name = headers.get(PRIORITY_HEADER)
+    if name is None:
+        return index.default_priority
+    priority = index.priorities.get(name)
+    if priority is None:
+        raise bad_request("unknown_priority", f"no priority {name!r}")
+    return priority
+
+
+async def read_body(request: Request, limits: LimitsSection) -> bytes:
+    """Return the body.
+
+    Raises:
+        CallerError: It is too long.
+    """
+    too_long = bad_request("body_too_long", f"at most {limits.max_body_bytes} bytes", 413)
+    declared = request.headers.get("content-length", "0")
+    if declared.isdigit() and int(declared) > limits.max_body_bytes:
+        raise too_long
+    body = bytearray()
+    async for piece in request.stream():
+        body += piece
+        if len(body) > limits.max_body_bytes:
+            raise too_long
+    return bytes(body)
+
+
+def parse_completion(raw: bytes, chat: bool, index: BundleIndex) -> ParsedCompletion:
+    """Parse a completion request.
+
+    Raises:
+        CallerError: It is malformed or names no model of the bundle.
+    """
+    try:
+        content = json.loads(raw)
+    except (ValueError, RecursionError) as error:
+        raise bad_request("invalid_json", f"the body is not JSON: {error}") from error
+    try:
+        body = CompletionBody.model_validate(content)
+    except ValidationError as error:
+        raise bad_request("invalid_body", describe_validation(error)) from error
+    needed = body.messages if chat else body.prompt
+    if needed is None:
+        name = "messages" if chat else "prompt"
+        raise bad_request("invalid_body", f"{name}: field required")
+    model = index.models.get(body.model)
+    if model is None:
+        raise bad_request("model_not_found", f"no model {body.model!r}", 404)
+    return ParsedCompletion(body, content, model, body.prompt_text())
+
+
+def check_context(prompt_tokens: int, output_tokens: int, model: Model) -> None:
+    """Check that prompt and answer fit the model.
+
+    Raises:
+        CallerError: They do not.
+    """
+    if prompt_tokens + output_tokens > model.max_context_tokens:
+        answer = ErrorAnswer(
+            400,
+            "context_length_exceeded",
+            f"{prompt_tokens} + {output_tokens} tokens exceed {model.max_context_tokens}",
+            step="check request",
+        )
+        raise CallerError(answer)
+
+
+def _chat_message(entry: dict[str, Any]) -> ChatMessage:
+    content = entry.get("content", "")
+    if isinstance(content, list):
+        content = "".join(str(part.get("text", "")) for part in content if isinstance(part, dict))
+    return ChatMessage(str(entry.get("role", "")), str(content))
--- /dev/null
+++ b/src/hillstack/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between nodes and their codec."""
--- /dev/null
+++ b/src/hillstack/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: key-value service and machine list."""
--- /dev/null
+++ b/src/hillstack/platform/key_value.py
@@ -0,0 +1,200 @@
+"""Client of the key-value service over the etcd v3 JSON gateway.
+
+Errors keep apart what matters for a write: a refusal or a failed connection means that it did not
+take effect; a lost answer means that it may have.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+
+from hillstack.errors import PlatformError, PlatformOutcomeUnknownError, PlatformUnavailableError
+
+REFUSED_STATUSES = frozenset({429, 503})
+WATCH_LINE_LIMIT_BYTES = 64 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A key's value and the revision of its last change."""
+
+    key: str
+    value: bytes
+    mod_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """A write inside a transaction."""
+
+    key: str
+    value: bytes
+    lease_id: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ValueIs:
+    """Condition: the key has this value; ``None`` means that the key does not exist."""
+
+    key: str
+    value: bytes | None
+
+
+class KeyValueClient:
+    """Talks to one of several endpoints, and to the next when one fails to connect.
+
+    Args:
+        endpoints: ``IP:PORT`` of each endpoint.
+        session: HTTP session; not closed here.
+        timeout: Limit of one call in seconds.
+    """
+
+    def __init__(
+        self, endpoints: Sequence[str], session: aiohttp.ClientSession, timeout: float = 3.0
+    ) -> None:
+        self._endpoints = list(endpoints)
+        self._session = session
+        self._timeout = aiohttp.ClientTimeout(total=timeout, sock_connect=timeout / 2)
+
+    async def get(self, key: str) -> Entry | None:
+        """Return a key's entry, or None."""
+        answer = await self._call("/v3/kv/range", {"key": _encode(key)}, "read key")
+        entries = [_entry(item) for item in answer.get("kvs", [])]
+        return entries[0] if entries else None
+
+    async def list_prefix(self, prefix: str, limit: int = 0) -> list[Entry]:
+        """Return the entries below a prefix in descending key order."""
+        body = {
+            "key": _encode(prefix),
+            "range_end": _encode(prefix_end(prefix)),
+            "sort_order": "DESCEND",
+            "sort_target": "KEY",
+            "limit": str(limit),
+        }
+        answer = await self._call("/v3/kv/range", body, "list keys")
+        return [_entry(item) for item in answer.get("kvs", [])]
+
+    async def transact(self, conditions: Sequence[ValueIs], puts: Sequence[Put]) -> int | None:
+        """Write all keys if all conditions hold.
+
+        Returns:
+            The revision of the write, or None when a condition did not hold.
+
+        Raises:
+            PlatformUnavailableError: It did not take effect.
+            PlatformOutcomeUnknownError: The answer was lost; it may have taken effect.
+        """
+        body = {
+            "compare": [_condition(condition) for condition in conditions],
+            "success": [{"request_put": _put(put)} for put in puts],
+        }
+        answer = await self._call("/v3/kv/txn", body, "transaction")
+        if not answer.get("succeeded", False):
+            return None
+        return int(answer["header"]["revision"])
+
+    async def grant_lease(self, ttl_seconds: int) -> int:
+        """Make a lease and return its identifier."""
+        answer = await self._call("/v3/lease/grant", {"TTL": str(ttl_seconds)}, "grant lease")
+        return int(answer["ID"])
+
+    async def keep_alive(self, lease_id: int) -> bool:
+        """Renew a lease and return whether it still existed."""
+        answer = await self._call("/v3/lease/keepalive", {"ID": str(lease_id)}, "renew lease")
+        return int(answer.get("result", {}).get("TTL", 0)) > 0
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        """End a lease; its keys are deleted."""
+        await self._call("/v3/lease/revoke", {"ID": str(lease_id)}, "revoke lease")
+
+    async def watch(self, key: str) -> AsyncIterator[bytes]:
+        """Yield each new value of a key until the stream breaks.
+
+        Raises:
+            PlatformError: The watch could not be made or broke.
+        """
+        body = {"create_request": {"key": _encode(key)}}
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._timeout.sock_connect)
+        endpoint = self._endpoints[0]
+        try:
+            async with self._session.post(
+                f"http://{endpoint}/v3/watch",
+                json=body,
+                timeout=timeout,
+                read_bufsize=WATCH_LINE_LIMIT_BYTES,
+            ) as response:
+                if response.status != 200:
+                    raise PlatformUnavailableError("refused", step="watch", peer=endpoint)
+                async for line in response.content:
+                    for event in json.loads(line).get("result", {}).get("events", []):
+                        yield base64.b64decode(event["kv"].get("value", ""))
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            raise PlatformError(repr(error), step="watch", peer=endpoint) from error
+
+    async def _call(self, path: str, body: dict[str, Any], step: str) -> dict[str, Any]:
+        last: PlatformUnavailableError | None = None
+        for _ in range(len(self._endpoints)):
+            try:
+                return await self._call_endpoint(self._endpoints[0], path, body, step)
+            except PlatformUnavailableError as error:
+                last = error
+                self._endpoints.append(self._endpoints.pop(0))
+        raise last or PlatformUnavailableError("no endpoints", step=step)
+
+    async def _call_endpoint(
+        self, endpoint: str, path: str, body: dict[str, Any], step: str
+    ) -> dict[str, Any]:
+        url = f"http://{endpoint}{path}"
+        try:
+            async with self._session.post(url, json=body, timeout=self._timeout) as response:
+                if response.status in REFUSED_STATUSES:
+                    text = f"status {response.status}"
+                    raise PlatformUnavailableError(text, step=step, peer=endpoint)
+                answer: dict[str, Any] = await response.json()
+                if response.status != 200:
+                    text = f"status {response.status}: {answer.get('error')}"
+                    raise PlatformError(text, step=step, peer=endpoint)
+                return answer
+        except aiohttp.ClientConnectorError as error:
+            raise PlatformUnavailableError(str(error), step=step, peer=endpoint) from error
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            raise PlatformOutcomeUnknownError(repr(error), step=step, peer=endpoint) from error
+
+
+def prefix_end(prefix: str) -> str:
+    """Return the end of the range of all keys that start with an ASCII prefix."""
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+
+
+def _encode(text: str | bytes) -> str:
+    data = text.encode() if isinstance(text, str) else text
+    return base64.b64encode(data).decode()
+
+
+def _entry(item: dict[str, Any]) -> Entry:
+    return Entry(
+        base64.b64decode(item["key"]).decode(),
+        base64.b64decode(item.get("value", "")),
+        int(item["mod_revision"]),
+    )
+
+
+def _condition(condition: ValueIs) -> dict[str, str]:
+    key = _encode(condition.key)
+    if condition.value is None:
+        return {"key": key, "target": "CREATE", "result": "EQUAL", "create_revision": "0"}
+    value = _encode(condition.value)
+    return {"key": key, "target": "VALUE", "result": "EQUAL", "value": value}
+
+
+def _put(put: Put) -> dict[str, str]:
+    body = {"key": _encode(put.key), "value": _encode(put.value)}
+    if put.lease_id:
+        body["lease"] = str(put.lease_id)
+    return body
--- /dev/null
+++ b/src/hillstack/platform/machine_list.py
@@ -0,0 +1,66 @@
+"""Client of the machine list."""
+
+from __future__ import annotations
+
+from typing import Any, Literal
+
+import aiohttp
+from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
+
+from hillstack.core.fleet import BackendKind, Machine
+from hillstack.errors import PlatformError, PlatformUnavailableError
+
+LIST_TIMEOUT_SECONDS = 3.0
+
+
+class MachineEntry(BaseModel):
+    """An entry as the platform lists it."""
+
+    model_config = ConfigDict(extra="ignore")
+
+    id: str
+    kind: Literal["engine", "application"]
+    pool: str
+    zone: str
+    address: str
+    events_address: str = ""
+    replay_address: str = ""
+    state: Literal["live", "leaving"] = "live"
+
+    def machine(self) -> Machine:
+        """Return the entry as routing sees it."""
+        return Machine(
+            machine_id=self.id,
+            kind=BackendKind(self.kind),
+            pool=self.pool,
+            zone=self.zone,
+            address=self.address,
+            events_address=self.events_address,
+            replay_address=self.replay_address,
+            leaving=self.state == "leaving",
+        )
+
+
+_ENTRIES = TypeAdapter(list[MachineEntry])
+
+
+async def fetch_machines(session: aiohttp.ClientSession, address: str) -> list[Machine]:
+    """Return the machines listed.
+
+    Raises:
+        PlatformError: The list could not be read.
+    """
+    timeout = aiohttp.ClientTimeout(total=LIST_TIMEOUT_SECONDS)
+    try:
+        async with session.get(f"http://{address}/v1/machines", timeout=timeout) as response:
+            if response.status != 200:
+                text = f"status {response.status}"
+                raise PlatformUnavailableError(text, step="list machines", peer=address)
+            content: dict[str, Any] = await response.json()
+    except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        raise PlatformError(repr(error), step="list machines", peer=address) from error
+    try:
+        entries = _ENTRIES.validate_python(content.get("machines"))
+    except (ValidationError, AttributeError) as error:
+        raise PlatformError(str(error), step="list machines", peer=address) from error
+    return [entry.machine() for entry in entries]
