Unit tests, checks, demonstration and load driver

The relay's check of identifiers was satisfied by an identifier inside another one or inside the text; it now counts whole id fields. Equal weights of waiting and recomputation let a second request start a second fill of a prefix that is being filled (a tie); recomputation now weighs 1.5.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+# Development commands. Each makes the environment first if it is missing.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+DEPLOYMENT ?= tampere
+SEEDS ?= 50
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint bench simulate prove mutate experiment scale clean
+
+$(STAMP): requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --editable .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python tools/demo.py $(DEPLOYMENT)
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+lint: $(STAMP)
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+
+bench: $(STAMP)
+	$(BIN)/python tools/bench.py
+
+simulate: $(STAMP)
+	$(BIN)/python tools/simulate.py --seeds $(SEEDS)
+
+prove: $(STAMP)
+	$(BIN)/python -m pytest -m prove
+
+mutate: $(STAMP)
+	$(BIN)/python tools/mutate.py
+
+experiment: $(STAMP)
+	$(BIN)/python tools/experiments.py
+
+scale: $(STAMP)
+	$(BIN)/python tools/scale.py
+
+clean:
+	rm -rf $(VENV)
--- a/src/hillstack/backends/cache_events.py
+++ b/src/hillstack/backends/cache_events.py
@@ -16,6 +16,7 @@
 import zmq.asyncio
 
 from hillstack.core.cache_index import CacheIndex, SequenceGap
+from hillstack.core.fleet import Machine
 
 logger = logging.getLogger(__name__)
 
@@ -132,6 +133,34 @@
             logger.warning("malformed event batch", extra=fields)
 
 
+class CacheEventFeeds:
+    """Subscriptions to the events of many engines.
+
+    Args:
+        index: Where the beliefs are kept.
+    """
+
+    def __init__(self, index: CacheIndex) -> None:
+        self._index = index
+        self._context = zmq.asyncio.Context()
+
+    async def follow(self, machine: Machine, incarnation: str) -> None:
+        """Feed an engine's events into the index until cancelled."""
+        subscriber = CacheEventSubscriber(
+            machine.machine_id,
+            incarnation,
+            machine.events_address,
+            machine.replay_address,
+            self._index,
+            self._context,
+        )
+        await subscriber.run()
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self._context.destroy(linger=0)
+
+
 def apply_events(
     index: CacheIndex, engine_id: str, incarnation: str, events: Iterable[list[Any]]
 ) -> None:
--- a/src/hillstack/backends/http_client.py
+++ b/src/hillstack/backends/http_client.py
@@ -12,10 +12,14 @@
 
 import aiohttp
 
+from hillstack.backends.status import fetch_load, fetch_status
 from hillstack.core.attempt import Attempt, AttemptState
+from hillstack.core.fleet import LoadReport
+from hillstack.daemon.ports import BackendStatus
 from hillstack.errors import BackendBrokenError, BackendRefusedError
 
 MAX_KEEP_ALIVE_SECONDS = 15.0
+PAGE_TIMEOUT_SECONDS = 2.0
 
 
 class BackendClient:
@@ -85,6 +89,22 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise _translate(error, attempt, url) from error
 
+    async def fetch_status(self, address: str) -> BackendStatus:
+        """Return a back end's status.
+
+        Raises:
+            BackendError: It could not be read.
+        """
+        return await fetch_status(self._kept, address, PAGE_TIMEOUT_SECONDS)
+
+    async def fetch_load(self, address: str) -> LoadReport:
+        """Return an engine's load.
+
+        Raises:
+            BackendError: It could not be read.
+        """
+        return await fetch_load(self._kept, address, PAGE_TIMEOUT_SECONDS)
+
     def _session(self, *, force_close: bool) -> aiohttp.ClientSession:
         trace = aiohttp.TraceConfig()
         trace.on_connection_create_end.append(_on_connection)
--- a/src/hillstack/backends/status.py
+++ b/src/hillstack/backends/status.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 import aiohttp
 from prometheus_client.parser import text_string_to_metric_families
 
 from hillstack.core.fleet import LoadReport
+from hillstack.daemon.ports import BackendStatus
 from hillstack.errors import BackendError
 
 RUNNING = "vllm:num_requests_running"
@@ -16,15 +15,6 @@
 WAITING_TOKENS = "emulator:waiting_prompt_tokens"
 
 
-@dataclass(frozen=True, slots=True)
-class BackendStatus:
-    """What a back end says of itself."""
-
-    incarnation: str
-    weights_version: int
-    draining: bool
-
-
 async def fetch_status(
     session: aiohttp.ClientSession, address: str, timeout: float
 ) -> BackendStatus:
--- a/src/hillstack/config/bundle.py
+++ b/src/hillstack/config/bundle.py
@@ -117,7 +117,7 @@
     """The placement policy and the weights of its cost function."""
 
     policy: Literal["round_robin", "least_loaded", "prefix_hash", "cache_aware", "full"] = "full"
-    recompute_weight: float = Field(default=1.0, ge=0)
+    recompute_weight: float = Field(default=1.5, ge=0)
     wait_weight: float = Field(default=1.0, ge=0)
     eviction_weight: float = Field(default=0.1, ge=0)
     untrusted_discount: float = Field(default=0.5, ge=0, le=1)
--- a/src/hillstack/core/claims.py
+++ b/src/hillstack/core/claims.py
@@ -18,7 +18,14 @@
 from dataclasses import dataclass, field
 
 from hillstack.core.rendezvous import owner
-from hillstack.messages.types import ClaimReply, ClaimRequest, ClaimStatus, StoredAnswer
+from hillstack.messages.types import (
+    ClaimComplete,
+    ClaimRelease,
+    ClaimReply,
+    ClaimRequest,
+    ClaimStatus,
+    StoredAnswer,
+)
 
 UUID_VERSION_WITH_TIME = 7
 MILLISECONDS = 1000.0
@@ -160,6 +167,13 @@
         if record is not None and record.attempt_id == attempt_id:
             record.answer = answer
 
+    def apply(self, message: ClaimRelease | ClaimComplete) -> None:
+        """Apply a release or a completion."""
+        if isinstance(message, ClaimRelease):
+            self.release(message.key, message.attempt_id)
+        else:
+            self.complete(message.key, message.attempt_id, message.answer)
+
     def expire(self, now_wall: float, limits: ClaimLimits) -> None:
         """Forget claims past the horizon."""
         keep_after = now_wall - limits.horizon - 2 * limits.max_clock_skew
--- a/src/hillstack/core/placement/full.py
+++ b/src/hillstack/core/placement/full.py
@@ -28,7 +28,7 @@
     """
 
     wait: float = 1.0
-    recompute: float = 1.0
+    recompute: float = 1.5
     eviction: float = 0.1
     untrusted_discount: float = 0.5
 
--- a/src/hillstack/daemon/bundle_sync.py
+++ b/src/hillstack/daemon/bundle_sync.py
@@ -17,12 +17,11 @@
 from hillstack.core.membership import Membership
 from hillstack.core.rendezvous import ranked
 from hillstack.core.rollout import BundleAdopter
-from hillstack.daemon.peer_transport import PeerClient
+from hillstack.daemon.ports import KeyValue, Peers
 from hillstack.errors import BundleError, HillstackError, PeerError, PlatformError
 from hillstack.logs import error_fields
 from hillstack.messages.types import BundleReply, BundleRequest
 from hillstack.platform.bundle_store import HEAD_KEY, BundleStore, parse_head
-from hillstack.platform.key_value import KeyValueClient
 
 logger = logging.getLogger(__name__)
 
@@ -44,8 +43,8 @@
         self,
         adopter: BundleAdopter,
         membership: Membership,
-        peers: PeerClient,
-        key_value: KeyValueClient,
+        peers: Peers,
+        key_value: KeyValue,
         on_adopted: Callable[[], None],
         poll_interval: float,
         clock: Callable[[], float],
--- a/src/hillstack/daemon/claim_coordinator.py
+++ b/src/hillstack/daemon/claim_coordinator.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from hillstack.core.claims import ClaimLimits, ClaimRound, ClaimTable, ClaimVerdict, replicas_of
-from hillstack.core.membership import Membership
-from hillstack.daemon.peer_transport import PeerClient
+from hillstack.core.claims import ClaimRound, ClaimVerdict, replicas_of
+from hillstack.core.control import ControlState
+from hillstack.daemon.ports import Peers
 from hillstack.errors import PeerError
 from hillstack.messages.types import (
     ClaimComplete,
@@ -44,28 +44,24 @@
     """Claims keys at the replicas of all zones.
 
     Args:
-        membership: Who the replicas are.
-        table: Claims kept on this node.
+        control: Members, and the claims kept on this node.
         client: Requests to other nodes.
         wall_clock: Seconds since the epoch.
     """
 
     def __init__(
         self,
-        membership: Membership,
-        table: ClaimTable,
-        client: PeerClient,
+        control: ControlState,
+        client: Peers,
         wall_clock: Callable[[], float],
     ) -> None:
-        self._membership = membership
-        self._table = table
+        self._control = control
+        self._membership = control.membership
         self._client = client
         self._wall_clock = wall_clock
         self._background: set[asyncio.Task[Any]] = set()
 
-    async def claim(
-        self, request: ClaimRequest, zones: tuple[str, ...], limits: ClaimLimits
-    ) -> ClaimResult:
+    async def claim(self, request: ClaimRequest, zones: tuple[str, ...]) -> ClaimResult:
         """Ask a replica in each zone and return as soon as the result is certain."""
         replicas = replicas_of(request.key, zones, self._membership.by_zone())
         claim_round = ClaimRound(replicas)
@@ -73,14 +69,14 @@
         for zone in replicas.keys() - asked.keys():
             claim_round.on_reply(zone, None)
         pending = {
-            asyncio.create_task(self._ask(zone, node_id, request, limits))
+            asyncio.create_task(self._ask(zone, node_id, request))
             for zone, node_id in asked.items()
         }
         verdict = claim_round.verdict()
         while verdict is None and pending:
             done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-            for task in done:
-                claim_round.on_reply(*task.result())
+            for zone, reply in sorted((task.result() for task in done), key=lambda pair: pair[0]):
+                claim_round.on_reply(zone, reply)
             verdict = claim_round.verdict()
         self._keep(pending)
         return ClaimResult(
@@ -107,10 +103,10 @@
         self._keep(pending)
 
     async def _ask(
-        self, zone: str, node_id: str, request: ClaimRequest, limits: ClaimLimits
+        self, zone: str, node_id: str, request: ClaimRequest
     ) -> tuple[str, ClaimReply | None]:
         if node_id == self._membership.own.node_id:
-            return zone, self._table.claim(request, self._wall_clock(), limits)
+            return zone, self._control.claim(request, self._wall_clock())
         address = self._membership.address_of(node_id)
         if address is None:
             return zone, None
@@ -123,7 +119,7 @@
 
     async def _tell(self, node_id: str, message: ClaimRelease | ClaimComplete) -> None:
         if node_id == self._membership.own.node_id:
-            apply_to_table(self._table, message)
+            self._control.claims.apply(message)
             return
         address = self._membership.address_of(node_id)
         if address is None:
@@ -137,11 +133,3 @@
         for task in tasks:
             self._background.add(task)
             task.add_done_callback(self._background.discard)
-
-
-def apply_to_table(table: ClaimTable, message: ClaimRelease | ClaimComplete) -> None:
-    """Apply a release or a completion to a replica's table."""
-    if isinstance(message, ClaimRelease):
-        table.release(message.key, message.attempt_id)
-    else:
-        table.complete(message.key, message.attempt_id, message.answer)
--- a/src/hillstack/daemon/peer_transport.py
+++ b/src/hillstack/daemon/peer_transport.py
@@ -9,11 +9,11 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import cast
 
 from hillstack.addresses import split_address
+from hillstack.daemon.ports import GossipHandler, RequestHandler
 from hillstack.errors import CodecError, HillstackError, PeerError
 from hillstack.logs import error_fields
 from hillstack.messages.codec import Codec
@@ -26,9 +26,6 @@
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 MAX_DATAGRAM_BYTES = 65_000
 
-RequestHandler = Callable[[Message, str], Awaitable[Message]]
-GossipHandler = Callable[[Message, str], None]
-
 
 class GossipProtocol(asyncio.DatagramProtocol):
     """Receives and sends gossip over UDP; what is not authentic is dropped.
--- /dev/null
+++ b/src/hillstack/daemon/ports.py
@@ -0,0 +1,176 @@
+"""What a node needs from its surroundings.
+
+The daemon implements these over sockets and the system's clocks, the simulation over virtual time
+and a simulated network. The node's code is the same in both.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+from hillstack.core.attempt import Attempt
+from hillstack.core.fleet import LoadReport, Machine
+from hillstack.messages.types import Message
+from hillstack.platform.key_value import Entry, Put, ValueIs
+
+RequestHandler = Callable[[Message, str], Awaitable[Message]]
+GossipHandler = Callable[[Message, str], None]
+
+
+@dataclass(frozen=True, slots=True)
+class BackendStatus:
+    """What a back end says of itself."""
+
+    incarnation: str
+    weights_version: int
+    draining: bool
+
+
+class AnswerContent(Protocol):
+    """The body of an answer."""
+
+    def iter_any(self) -> AsyncIterator[bytes]:
+        """Yield pieces as they arrive."""
+        ...
+
+    async def read(self, n: int = -1) -> bytes:
+        """Return up to ``n`` bytes, or all."""
+        ...
+
+
+class Answer(Protocol):
+    """An answer of a back end, headers in, body to come."""
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        ...
+
+    @property
+    def headers(self) -> Mapping[str, str]:
+        """Headers, by lower-case or any-case name."""
+        ...
+
+    @property
+    def content(self) -> AnswerContent:
+        """The body."""
+        ...
+
+
+class Backends(Protocol):
+    """Requests to back ends."""
+
+    def send(
+        self,
+        attempt: Attempt,
+        method: str,
+        url: str,
+        body: bytes,
+        headers: Mapping[str, str],
+        *,
+        single_use: bool = False,
+        timeout: float | None = None,
+    ) -> AbstractAsyncContextManager[Answer]:
+        """Send a request; see ``hillstack.backends.http_client``."""
+        ...
+
+    async def fetch_status(self, address: str) -> BackendStatus:
+        """Return a back end's status."""
+        ...
+
+    async def fetch_load(self, address: str) -> LoadReport:
+        """Return an engine's load."""
+        ...
+
+
+class KeyValue(Protocol):
+    """The key-value service."""
+
+    async def get(self, key: str) -> Entry | None:
+        """Return a key's entry."""
+        ...
+
+    async def list_prefix(self, prefix: str, limit: int = 0) -> list[Entry]:
+        """Return the entries below a prefix in descending key order."""
+        ...
+
+    async def transact(self, conditions: Sequence[ValueIs], puts: Sequence[Put]) -> int | None:
+        """Write all keys if all conditions hold; return the revision or None."""
+        ...
+
+    def watch(self, key: str) -> AsyncIterator[bytes]:
+        """Yield each new value of a key until the stream breaks."""
+        ...
+
+
+class Peers(Protocol):
+    """Messages to other nodes."""
+
+    def gossip(self, address: str, message: Message) -> None:
+        """Send a datagram; it may be lost."""
+        ...
+
+    async def call(self, address: str, message: Message, timeout: float) -> Message:
+        """Send a request and return its answer; raises ``PeerError``."""
+        ...
+
+
+class CacheEvents(Protocol):
+    """Subscriptions to cache events."""
+
+    async def follow(self, machine: Machine, incarnation: str) -> None:
+        """Feed an engine's events into the cache index until cancelled."""
+        ...
+
+
+class Surroundings(Protocol):
+    """All of it."""
+
+    @property
+    def rng(self) -> Random:
+        """Source of randomness."""
+        ...
+
+    @property
+    def backends(self) -> Backends:
+        """Requests to back ends."""
+        ...
+
+    @property
+    def key_value(self) -> KeyValue:
+        """The key-value service."""
+        ...
+
+    @property
+    def peers(self) -> Peers:
+        """Messages to other nodes."""
+        ...
+
+    @property
+    def cache_events(self) -> CacheEvents:
+        """Subscriptions to cache events."""
+        ...
+
+    def clock(self) -> float:
+        """Return monotonic seconds."""
+        ...
+
+    def wall_clock(self) -> float:
+        """Return seconds since the epoch."""
+        ...
+
+    async def fetch_machines(self) -> list[Machine]:
+        """Return the machine list; raises ``PlatformError``."""
+        ...
+
+    async def listen(self, on_request: RequestHandler, on_gossip: GossipHandler) -> None:
+        """Begin to receive messages of other nodes."""
+        ...
+
+    async def close(self) -> None:
+        """Close all sockets."""
+        ...
--- a/src/hillstack/daemon/server.py
+++ b/src/hillstack/daemon/server.py
@@ -10,6 +10,9 @@
 
 from hillstack.addresses import split_address
 from hillstack.config.settings import RouterSettings
+from hillstack.core.cache_index import CacheIndex
+from hillstack.core.fleet import Fleet
+from hillstack.daemon.network_surroundings import NetworkSurroundings
 from hillstack.daemon.node import Node
 from hillstack.gateway.app import make_app
 
@@ -27,7 +30,7 @@
 
 
 class RouterProcess:
-    """Runs one router until SIGTERM or SIGINT.
+    """Runs one router until SIGTERM or SIGINT; must be made inside a running event loop.
 
     A planned stop goes: not ready and out of the membership; new connections are still taken for
     a while, since callers learn of the stop with a delay, and every answer asks to close its
@@ -37,7 +40,8 @@
 
     def __init__(self, settings: RouterSettings) -> None:
         self._settings = settings
-        self._node = Node(settings)
+        index = CacheIndex()
+        self._node = Node(settings, NetworkSurroundings(settings, index), Fleet(), index)
         self._stop = asyncio.Event()
 
     async def run(self) -> None:
--- a/src/hillstack/emulator/engine.py
+++ b/src/hillstack/emulator/engine.py
@@ -17,7 +17,7 @@
 import json
 import time
 import uuid
-from collections import deque
+from collections import Counter, deque
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from random import Random
@@ -118,6 +118,7 @@
         self._fence = 0
         self._load_history: deque[tuple[float, str]] = deque(maxlen=LOAD_LAG_HISTORY)
         self.executions: list[dict[str, object]] = []
+        self._prefills: Counter[int] = Counter()
 
     def app(self) -> Starlette:
         """Return the HTTP application."""
@@ -133,6 +134,7 @@
             Route("/kv/import", self._kv_import, methods=["POST"]),
             Route("/emulator/faults", self._set_faults, methods=["POST"]),
             Route("/emulator/executions", self._executions),
+            Route("/emulator/prefills", self._list_prefills),
         ]
         return Starlette(routes=routes, lifespan=self._lifespan)
 
@@ -173,6 +175,7 @@
             stream = self._streams.get(request.request_id)
             if stream is not None:
                 stream.tokens.put_nowait(request.emitted - 1)
+        self._prefills.update(result.prefilled)
         events = []
         if result.stored:
             events.append(stored_event(result.stored, None, self.options.profile.block_tokens))
@@ -269,6 +272,9 @@
     async def _executions(self, request: Request) -> Response:
         return JSONResponse(self.executions)
 
+    async def _list_prefills(self, request: Request) -> Response:
+        return JSONResponse(list(self._prefills.items()))
+
     async def _completion(self, request: Request) -> Response:
         if self.faults.refuse or self.faults.draining:
             return _error(503, "not taking work")
--- a/src/hillstack/gateway/app.py
+++ b/src/hillstack/gateway/app.py
@@ -57,7 +57,7 @@
         """Return the Prometheus page."""
         node = self._node
         node.metrics.cached_blocks.set(node.index.total_blocks())
-        node.metrics.claims.set(len(node.claims))
+        node.metrics.claims.set(len(node.control.claims))
         counts = {"alive": 0, "suspect": 0, "dead": 0, "left": 0}
         for member in node.membership.members():
             counts[member.state.name.lower()] += 1
--- a/src/hillstack/gateway/applications.py
+++ b/src/hillstack/gateway/applications.py
@@ -69,7 +69,7 @@
     tenant = authenticate(request.headers, index)
     timeout = request_timeout(request.headers, node.settings.limits)
     body = await read_body(request, node.settings.limits)
-    refuse_if_stale(node, index.bundle)
+    refuse_if_stale(node)
     key = request.headers.get(KEY_HEADER)
     if key is not None and (len(key) > MAX_KEY_LENGTH or not key.isprintable() or not key):
         raise bad_request("bad_key", f"{KEY_HEADER} must be 1 to {MAX_KEY_LENGTH} characters")
@@ -135,7 +135,7 @@
         body_digest=_digest(job),
         created_at=key_created_at(key),
     )
-    result = await node.coordinator.claim(claim, bundle.zones, node.claim_limits(bundle))
+    result = await node.coordinator.claim(claim, bundle.zones)
     if result.verdict is not ClaimVerdict.WON:
         return _not_claimed(node, job, claim, result)
     job.attempts.may_be_repeat = False
--- a/src/hillstack/gateway/completions.py
+++ b/src/hillstack/gateway/completions.py
@@ -10,12 +10,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import aiohttp
 from starlette.requests import Request
 from starlette.responses import JSONResponse
 from starlette.types import Receive, Scope, Send
 
-from hillstack.config.bundle import Bundle, Priority
+from hillstack.config.bundle import Priority
 from hillstack.core.admission import Refusal, RefusalReason
 from hillstack.core.attempt import Attempt, AttemptState, Outcome, RequestAttempts
 from hillstack.core.placement.base import Placement
@@ -23,6 +22,7 @@
 from hillstack.core.prompt import ByteTokenizer
 from hillstack.core.request_router import CompletionRequest, RequestRouter
 from hillstack.daemon.node import Node
+from hillstack.daemon.ports import Answer
 from hillstack.errors import BackendError, BackendRefusedError, CrossedAnswerError
 from hillstack.gateway.errors import CallerError, ErrorAnswer
 from hillstack.gateway.parsing import (
@@ -45,7 +45,7 @@
 KIND = "completion"
 TOKENIZER = ByteTokenizer()
 
-AnswerTaker = Callable[[aiohttp.ClientResponse, Attempt], Awaitable[int | None]]
+AnswerTaker = Callable[[Answer, Attempt], Awaitable[int | None]]
 
 
 @dataclass(slots=True)
@@ -58,6 +58,7 @@
     cache_salt: str
     request_id: str
     path: str
+    chat: bool
     arrived_at: float
     attempts: RequestAttempts
     excluded: set[str] = field(default_factory=set)
@@ -69,9 +70,9 @@
     def __init__(self, node: Node, job: CompletionJob) -> None:
         self._node = node
         self._job = job
-        self._relay = StreamRelay(
-            job.request_id, bool((job.parsed.body.stream_options or {}).get("include_usage"))
-        )
+        stream_options = job.parsed.body.stream_options or {}
+        include_usage = bool(stream_options.get("include_usage"))
+        self._relay = StreamRelay(job.request_id, job.chat, include_usage)
         self._started = False
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -174,9 +175,7 @@
         if not _router(node).retry_budget.try_retry(job.request.tenant, node.clock()):
             raise CallerError(self._failure_answer(error, RETRY_BUDGET_SECONDS)) from error
 
-    async def _relay_stream(
-        self, response: aiohttp.ClientResponse, attempt: Attempt, send: Send
-    ) -> int | None:
+    async def _relay_stream(self, response: Answer, attempt: Attempt, send: Send) -> int | None:
         if response.status != 200:
             raise CallerError(await self._engine_error(response))
         relay = self._relay
@@ -204,9 +203,7 @@
         ]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
 
-    async def _relay_whole(
-        self, response: aiohttp.ClientResponse, attempt: Attempt, send: Send
-    ) -> int | None:
+    async def _relay_whole(self, response: Answer, attempt: Attempt, send: Send) -> int | None:
         body = await self._read_whole(response, attempt)
         if response.status != 200:
             raise CallerError(await self._engine_error(response, body))
@@ -224,7 +221,7 @@
         cached = details.get("cached_tokens")
         return int(cached) if isinstance(cached, int) else None
 
-    async def _read_whole(self, response: aiohttp.ClientResponse, attempt: Attempt) -> bytes:
+    async def _read_whole(self, response: Answer, attempt: Attempt) -> bytes:
         limit = self._node.settings.limits.max_answer_bytes
         body = bytearray()
         async for piece in response.content.iter_any():
@@ -233,13 +230,11 @@
                 raise BackendError("answer too long", step="read answer", peer=attempt.backend_id)
         return bytes(body)
 
-    async def _engine_error(
-        self, response: aiohttp.ClientResponse, body: bytes | None = None
-    ) -> ErrorAnswer:
+    async def _engine_error(self, response: Answer, body: bytes | None = None) -> ErrorAnswer:
         text = body if body is not None else await response.content.read(4_096)
         message = text[:500].decode(errors="replace")
         return ErrorAnswer(
-            response.status, "engine_error", message, Outcome.RAN, "engine", str(response.url.host)
+            response.status, "engine_error", message, Outcome.RAN, "engine", self._last_peer()
         )
 
     def _engine_body(self) -> bytes:
@@ -315,9 +310,8 @@
     arrived_at = node.clock()
     raw = await read_body(request, node.settings.limits)
     parsed = parse_completion(raw, chat, index)
-    bundle = index.bundle
-    refuse_if_stale(node, bundle)
-    job = _make_job(node, request, parsed, priority, tenant.name, arrived_at, timeout)
+    refuse_if_stale(node)
+    job = _make_job(node, request, parsed, priority, tenant.name, chat, arrived_at, timeout)
     check_context(job.request.prompt_tokens, job.request.output_tokens, parsed.model)
     router = _router(node)
     refusal = router.admit(job.request, node.clock())
@@ -334,6 +328,7 @@
     parsed: ParsedCompletion,
     priority: Priority,
     tenant: str,
+    chat: bool,
     arrived_at: float,
     timeout: float,
 ) -> CompletionJob:
@@ -360,6 +355,7 @@
         salt,
         request_id,
         request.url.path,
+        chat,
         arrived_at,
         RequestAttempts(request_id, repeatable=True),
     )
@@ -397,13 +393,13 @@
     return ErrorAnswer(503, "not_ready", "no bundle in force yet", step="admit", retry_after=1.0)
 
 
-def refuse_if_stale(node: Node, bundle: Bundle) -> None:
+def refuse_if_stale(node: Node) -> None:
     """Refuse work if the bundle bids so after a long cut.
 
     Raises:
         CallerError: The node was cut off for longer than the bundle allows.
     """
-    if node.is_too_stale(bundle):
+    if node.control.is_too_stale(node.clock()):
         answer = ErrorAnswer(
             503, "cut_off", "cut off from most zones", step="admit", retry_after=5.0
         )
--- a/src/hillstack/gateway/stream_relay.py
+++ b/src/hillstack/gateway/stream_relay.py
@@ -12,7 +12,8 @@
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
 USAGE_MARK = b'"choices":[]'
-ID_MARK = b'"id":"'
+TEXT_PREFIX = "cmpl-"
+CHAT_PREFIX = "chatcmpl-"
 CACHED_TOKENS_MARK = b'"cached_tokens":'
 MAX_EVENT_BYTES = 1_000_000
 
@@ -22,13 +23,15 @@
 
     Args:
         request_id: Identifier that the caller sees.
+        chat: Whether it is a chat completion.
         include_usage: Whether the caller asked for the usage event.
     """
 
-    def __init__(self, request_id: str, include_usage: bool) -> None:
-        self._request_id = request_id.encode()
+    def __init__(self, request_id: str, chat: bool, include_usage: bool) -> None:
+        self._prefix = CHAT_PREFIX if chat else TEXT_PREFIX
+        self._request_mark = self._id_mark(request_id)
+        self._attempt_mark = b""
         self._include_usage = include_usage
-        self._attempt_id = b""
         self._peer = ""
         self._rest = b""
         self.events_passed = 0
@@ -37,7 +40,7 @@
 
     def start_attempt(self, attempt_id: str, peer: str) -> None:
         """Begin to read the answer of an attempt; half an event of an earlier one is dropped."""
-        self._attempt_id = attempt_id.encode()
+        self._attempt_mark = self._id_mark(attempt_id)
         self._peer = peer
         self._rest = b""
 
@@ -61,7 +64,10 @@
         if USAGE_MARK in whole:
             whole = self._take_usage(whole)
         self.events_passed += whole.count(EVENT_END)
-        return whole.replace(self._attempt_id, self._request_id)
+        return whole.replace(self._attempt_mark, self._request_mark)
+
+    def _id_mark(self, identifier: str) -> bytes:
+        return f'"id":"{self._prefix}{identifier}"'.encode()
 
     def _keep_rest(self, rest: bytes) -> None:
         if len(rest) > MAX_EVENT_BYTES:
@@ -69,8 +75,7 @@
         self._rest = rest
 
     def _check_ids(self, whole: bytes) -> None:
-        events = whole.count(EVENT_END)
-        if whole.count(self._attempt_id) < events or whole.count(ID_MARK) < events:
+        if whole.count(self._attempt_mark) < whole.count(EVENT_END):
             text = "an event lacks the identifier of its attempt"
             raise CrossedAnswerError(text, step="relay", peer=self._peer)
 
--- a/src/hillstack/platform/bundle_store.py
+++ b/src/hillstack/platform/bundle_store.py
@@ -12,12 +12,13 @@
 
 from hillstack.config.bundle import GENESIS_PARENT, Bundle
 from hillstack.config.signing import SignedBundle, parse_signed_bundle
+from hillstack.daemon.ports import KeyValue
 from hillstack.errors import (
     BundleError,
     PlatformOutcomeUnknownError,
     RolloutConflictError,
 )
-from hillstack.platform.key_value import KeyValueClient, Put, ValueIs
+from hillstack.platform.key_value import Put, ValueIs
 
 HEAD_KEY = "/hillstack/head"
 BUNDLE_PREFIX = "/hillstack/bundles/"
@@ -52,7 +53,7 @@
 class BundleStore:
     """Reads and rolls out bundles."""
 
-    def __init__(self, client: KeyValueClient) -> None:
+    def __init__(self, client: KeyValue) -> None:
         self._client = client
 
     async def head(self) -> Head | None:
--- a/src/hillstack/simulation/__init__.py
+++ b/src/hillstack/simulation/__init__.py
@@ -1,1 +1,1 @@
-
+"""Engines, workloads and fleets in virtual time."""
--- /dev/null
+++ b/tests/unit/test_routing.py
@@ -0,0 +1,241 @@
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from hillstack.config.bundle import Routing
+from hillstack.core.admission import Admission, AdmissionRequest, RefusalReason
+from hillstack.core.cache_index import CacheIndex
+from hillstack.core.fleet import BackendKind, Fleet, LoadReport, Machine
+from hillstack.core.placement.base import EngineView, PlacementRequest
+from hillstack.core.placement.registry import make_policy
+from hillstack.core.prefix import PrefixScope, block_hashes
+from hillstack.core.request_router import CompletionRequest, RequestRouter, tenant_shares
+from hillstack.core.retry_budget import RetryBudget
+from tests.builders import make_bundle
+
+VIEW = EngineView(
+    engine_id="engine-0",
+    zone="zone-a",
+    matched_blocks=0,
+    trusted=True,
+    queued_tokens=0.0,
+    waiting=0,
+    running=0,
+    max_running=32,
+    cache_usage=0.5,
+    prefill_rate=1_000.0,
+)
+REQUEST = PlacementRequest(hashes=(1, 2, 3, 4), prompt_tokens=400, block_tokens=100)
+
+
+def choose(policy: str, *engines: EngineView) -> str:
+    return (
+        make_policy(Routing(policy=policy))
+        .choose(  # type: ignore[arg-type]
+            REQUEST, engines, Random(1)
+        )
+        .engine_id
+    )
+
+
+def test_hashes_differ_by_every_part_of_the_scope() -> None:
+    base = PrefixScope("tenant", "model", 1, "adapter", 1)
+    others = [
+        replace(base, tenant="other"),
+        replace(base, model="other"),
+        replace(base, weights_version=2),
+        replace(base, adapter="other"),
+        replace(base, adapter_version=2),
+    ]
+    hashes = {block_hashes(b"x" * 100, 100, 1, scope.cache_salt())[0] for scope in (base, *others)}
+    assert len(hashes) == 6
+
+
+def test_hashes_share_exactly_the_common_prefix() -> None:
+    first = block_hashes(b"a" * 250 + b"b" * 150, 100, 1, "salt")
+    second = block_hashes(b"a" * 250 + b"c" * 150, 100, 1, "salt")
+    assert len(first) == 4
+    assert first[:2] == second[:2]
+    assert not set(first[2:]) & set(second[2:])
+
+
+def test_full_policy_waits_for_a_warm_engine_only_while_that_is_cheaper() -> None:
+    warm = replace(VIEW, engine_id="warm", matched_blocks=4, queued_tokens=200.0)
+    assert choose("full", warm, VIEW) == "warm"
+    busy = replace(warm, queued_tokens=1_000.0)
+    assert choose("full", busy, VIEW) == "engine-0"
+
+
+def test_full_policy_discounts_beliefs_with_a_gap() -> None:
+    doubted = replace(VIEW, engine_id="doubted", matched_blocks=4, trusted=False)
+    sure = replace(VIEW, engine_id="sure", matched_blocks=3)
+    assert choose("full", doubted, sure) == "sure"
+    assert choose("cache_aware", doubted, sure) == "doubted"
+
+
+def test_prefix_hash_leaves_an_overloaded_engine() -> None:
+    engines = [replace(VIEW, engine_id=f"engine-{number}") for number in range(4)]
+    home = choose("prefix_hash", *engines)
+    loaded = [replace(e, running=20) if e.engine_id == home else e for e in engines]
+    assert choose("prefix_hash", *loaded) != home
+
+
+@pytest.mark.parametrize("policy", ["round_robin", "least_loaded"])
+def test_baselines_choose_some_engine(policy: str) -> None:
+    idle = replace(VIEW, engine_id="idle")
+    busy = replace(VIEW, engine_id="busy", queued_tokens=5_000.0)
+    assert choose(policy, idle, busy) in ("idle", "busy")
+
+
+def test_a_new_incarnation_drops_all_beliefs() -> None:
+    index = CacheIndex()
+    index.observe_incarnation("engine", "one")
+    index.stored("engine", "one", [1, 2, 3])
+    assert index.matched_blocks("engine", (1, 2, 3), 0.0) == 3
+    index.observe_incarnation("engine", "two")
+    assert index.matched_blocks("engine", (1, 2, 3), 0.0) == 0
+    index.stored("engine", "one", [1])
+    assert index.matched_blocks("engine", (1, 2, 3), 0.0) == 0
+
+
+def test_a_gap_distrusts_until_it_is_closed() -> None:
+    index = CacheIndex()
+    assert index.observe_sequence("engine", "one", 0) is None
+    gap = index.observe_sequence("engine", "one", 3)
+    assert gap is not None
+    assert (gap.first, gap.end) == (1, 3)
+    partition = index.partition("engine")
+    assert partition is not None
+    assert not partition.trusted
+    index.close_gap("engine")
+    assert partition.trusted
+
+
+def make_router(engines: int = 2) -> tuple[RequestRouter, Fleet, CacheIndex]:
+    fleet, index = Fleet(), CacheIndex()
+    fleet.update_machines(
+        [
+            Machine(f"engine-{n}", BackendKind.ENGINE, "engines", "zone-a", f"10.0.0.{n}:1")
+            for n in range(engines)
+        ]
+    )
+    for number in range(engines):
+        index.observe_incarnation(f"engine-{number}", "one")
+        fleet.observe_status(f"engine-{number}", "one", 1, False)
+        fleet.observe_load(f"engine-{number}", LoadReport(0, 0, 0.0, 0.0), 0.0)
+    return RequestRouter(make_bundle(), fleet, index, "zone-a", Random(1)), fleet, index
+
+
+def make_request(weights_version: int = 1) -> CompletionRequest:
+    model = make_bundle().models[0].model_copy(update={"weights_version": weights_version})
+    return CompletionRequest("tenant-a", model, (1, 2, 3), 300, 10, 60.0)
+
+
+def test_concurrent_requests_follow_a_fill_in_flight() -> None:
+    router, _, _ = make_router(3)
+    first = router.place(make_request(), 0.0)
+    assert first is not None
+    router.started(make_request(), first, "a-1", 0.0)
+    second = router.place(make_request(), 0.0)
+    assert second is not None
+    assert second.engine_id == first.engine_id
+
+
+def test_engines_of_other_weights_get_no_work() -> None:
+    router, fleet, _ = make_router(2)
+    fleet.observe_status("engine-0", "one", 2, False)
+    placement = router.place(make_request(2), 0.0)
+    assert placement is not None
+    assert placement.engine_id == "engine-0"
+    assert router.place(make_request(3), 0.0) is None
+
+
+def test_draining_from_any_source_ends_new_work() -> None:
+    router, fleet, _ = make_router(1)
+    fleet.observe_draining("engine-0")
+    assert router.place(make_request(), 0.0) is None
+    fleet.observe_status("engine-0", "one", 1, False)
+    assert router.place(make_request(), 0.0) is None
+    fleet.observe_status("engine-0", "two", 1, False)
+    assert router.place(make_request(), 0.0) is not None
+
+
+def test_a_suspected_engine_comes_back_after_a_while() -> None:
+    router, fleet, _ = make_router(1)
+    fleet.observe_failure("engine-0", 0.0)
+    assert router.place(make_request(), 0.1) is None
+    assert router.place(make_request(), 1.0) is not None
+
+
+def test_shares_split_by_partner_then_by_weight() -> None:
+    shares = tenant_shares(make_bundle())
+    assert shares == {"tenant-a": 1.0, "tenant-b": 1.0}
+
+
+def admission_request(tenant: str, wait: float, **changes: object) -> AdmissionRequest:
+    fields: dict[str, object] = {
+        "tenant": tenant,
+        "cost_tokens": 100.0,
+        "estimated_wait": wait,
+        "deadline_in": 60.0,
+    }
+    return AdmissionRequest(**(fields | changes))  # type: ignore[arg-type]
+
+
+def test_admission_is_work_conserving_below_the_target() -> None:
+    admission = Admission({"a": 1.0, "b": 1.0}, 1.0, 10.0)
+    for _ in range(100):
+        assert admission.try_admit(admission_request("a", 0.5), 0.0) is None
+
+
+def test_a_flooding_tenant_is_refused_and_the_others_are_not() -> None:
+    admission = Admission({"a": 1.0, "b": 1.0}, 1.0, 10.0)
+    for _ in range(100):
+        admission.try_admit(admission_request("a", 0.5), 0.0)
+    admission.try_admit(admission_request("b", 0.5), 0.0)
+    refusal = admission.try_admit(admission_request("a", 2.0), 0.0)
+    assert refusal is not None
+    assert refusal.reason is RefusalReason.OVER_SHARE
+    assert admission.try_admit(admission_request("b", 2.0), 0.0) is None
+
+
+def test_coming_back_after_retry_after_is_admitted() -> None:
+    admission = Admission({"a": 1.0, "b": 1.0}, 1.0, 10.0)
+    for _ in range(30):
+        admission.try_admit(admission_request("a", 0.5), 0.0)
+    for _ in range(20):
+        admission.try_admit(admission_request("b", 0.5), 0.0)
+    refusal = admission.try_admit(admission_request("a", 2.0), 0.0)
+    assert refusal is not None
+    later = refusal.retry_after
+    for _ in range(20):
+        admission.try_admit(admission_request("b", 0.5), later)
+    assert admission.try_admit(admission_request("a", 2.0), later) is None
+
+
+def test_an_unreachable_deadline_is_refused_at_once() -> None:
+    admission = Admission({"a": 1.0}, 1.0, 10.0)
+    refusal = admission.try_admit(admission_request("a", 3.0, deadline_in=2.0), 0.0)
+    assert refusal is not None
+    assert refusal.reason is RefusalReason.DEADLINE
+
+
+def test_urgent_work_passes_until_the_hard_limit() -> None:
+    admission = Admission({"a": 1.0}, 1.0, 10.0)
+    assert admission.try_admit(admission_request("a", 9.0, urgent=True), 0.0) is None
+    refusal = admission.try_admit(admission_request("a", 11.0, urgent=True), 0.0)
+    assert refusal is not None
+    assert refusal.reason is RefusalReason.OVERLOADED
+
+
+def test_retry_budget_bounds_retries_to_a_share_of_requests() -> None:
+    budget = RetryBudget(ratio=0.1, minimum_per_second=0.0, capacity=1.0)
+    assert budget.try_retry("a", 0.0)
+    granted = 0
+    for _ in range(1_000):
+        budget.on_request("a", 0.0)
+        granted += budget.try_retry("a", 0.0)
+    assert granted <= 100
--- a/tools/make_deployments.py
+++ b/tools/make_deployments.py
@@ -35,7 +35,7 @@
         ("read-booking", "GET", "/bookings", True, "urgent"),
         ("crew-day", "GET", "/crew-days", True, "urgent"),
     ],
-    "routing": {"policy": "full", "wait_weight": 1.0, "recompute_weight": 1.0},
+    "routing": {"policy": "full", "wait_weight": 1.0, "recompute_weight": 1.5},
 }
 
 LAGOS: dict[str, Any] = {
@@ -64,7 +64,7 @@
         ("fee-quote", "POST", "/fee-quotes", False, "urgent"),
         ("read-fee-quote", "GET", "/fee-quotes", True, "urgent"),
     ],
-    "routing": {"policy": "full", "wait_weight": 1.0, "recompute_weight": 1.0},
+    "routing": {"policy": "full", "wait_weight": 1.0, "recompute_weight": 1.5},
 }
 
 
@@ -96,7 +96,7 @@
                 "name": sizes["engine_pool"],
                 "kind": "engine",
                 "max_concurrent_loads": sizes["max_loads"],
-                "prefill_tokens_per_second": 20000.0,
+                "prefill_tokens_per_second": 40000.0,
                 "max_running": 32,
             },
             {"name": sizes["application_pool"], "kind": "application"},
