--- a/src/hillstack/config/signing.py
+++ b/src/hillstack/config/signing.py
@@ -77,6 +77,16 @@
     return private.private_bytes_raw().hex(), private.public_key().public_bytes_raw().hex()
 
 
+def public_key_of(private_key: str) -> str:
+    """Return the public key of a private key, both in hex.
+
+    Raises:
+        ValueError: The private key is malformed.
+    """
+    private = Ed25519PrivateKey.from_private_bytes(bytes.fromhex(private_key))
+    return private.public_key().public_bytes_raw().hex()
+
+
 def sign(content: bytes, partner: str, private_key: str) -> Signature:
     """Sign bytes as a partner.
 
--- /dev/null
+++ b/src/hillstack/simulation/services.py
@@ -0,0 +1,301 @@
+"""Simulated services around the nodes: platform, applications and engines."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from hillstack.core.fleet import LoadReport, Machine
+from hillstack.core.prefix import block_hashes
+from hillstack.daemon.ports import BackendStatus
+from hillstack.emulator.platform import KeyValueStore
+from hillstack.errors import PlatformOutcomeUnknownError, PlatformUnavailableError
+from hillstack.platform.key_value import Entry, Put, ValueIs
+from hillstack.simulation.history import Execute, History, Order, Reuse, Work
+from hillstack.simulation.network import SimProcess
+
+EXECUTION_SECONDS = 0.02
+TOKEN_SECONDS = 0.02
+PREFILL_SECONDS = 0.05
+ENGINE_CACHE_BLOCKS = 64
+BLOCK_TOKENS = 100
+KEY_LENGTH = 12
+
+
+@dataclass(frozen=True, slots=True)
+class HttpCall:
+    """A request to a simulated back end."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HttpReply:
+    """A whole answer of a simulated back end."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class PlatformFaults:
+    """How the platform behaves now.
+
+    Attributes:
+        lose_answers: Share of transactions whose answer is lost after they took effect.
+    """
+
+    outage: bool = False
+    delay: float = 0.0
+    lose_answers: float = 0.0
+
+
+class SimPlatform:
+    """The key-value service and the machine list."""
+
+    def __init__(self, process: SimProcess, rng: Random) -> None:
+        self.process = process
+        self.faults = PlatformFaults()
+        self.store = KeyValueStore()
+        self.machines: dict[str, Machine] = {}
+        self._rng = rng
+        process.on_call = self._on_call
+
+    async def _on_call(self, call: Any, address: str) -> Any:
+        if self.faults.outage:
+            raise PlatformUnavailableError("outage", step="platform")
+        await asyncio.sleep(self.faults.delay)
+        answer = call(self)
+        if call.__name__ == "transact" and self._rng.random() < self.faults.lose_answers:
+            raise PlatformOutcomeUnknownError("answer lost", step="platform")
+        return answer
+
+    def transact(self, conditions: list[ValueIs], puts: list[Put]) -> int | None:
+        """Write all keys if all conditions hold."""
+        for condition in conditions:
+            known = self.store.values.get(condition.key.encode())
+            if (known.value if known else None) != condition.value:
+                return None
+        self.store.revision += 1
+        for put in puts:
+            self.store.put(put.key.encode(), put.value, put.lease_id, self.store.revision)
+        return self.store.revision
+
+    def get(self, key: str) -> Entry | None:
+        """Return a key's entry."""
+        known = self.store.values.get(key.encode())
+        return Entry(key, known.value, known.mod_revision) if known else None
+
+
+@dataclass(slots=True)
+class ApplicationFaults:
+    """How an application behaves now.
+
+    Attributes:
+        lose_answers: Share of executions whose answer never comes.
+        cross_answers: Share of answers that carry another request's identifier and content.
+    """
+
+    lose_answers: float = 0.0
+    cross_answers: float = 0.0
+    delay: float = EXECUTION_SECONDS
+
+
+class SimApplication:
+    """An application that records each execution."""
+
+    def __init__(self, process: SimProcess, history: History, rng: Random) -> None:
+        self.process = process
+        self.faults = ApplicationFaults()
+        self.draining = False
+        self._history = history
+        self._rng = rng
+        self._last = ("", "")
+        process.on_call = self._on_call
+
+    def status(self) -> BackendStatus:
+        """Return the status page."""
+        return BackendStatus(self.process.name, 0, self.draining)
+
+    async def _on_call(self, call: Any, address: str) -> Any:
+        if call == "status":
+            return self.status()
+        assert isinstance(call, HttpCall)
+        now = self.process.loop.time()
+        self._history.add(Work(now, self.process.name))
+        key = call.headers.get("idempotency-key", "")
+        attempt_id = call.headers["x-request-id"]
+        if call.method == "POST":
+            self._history.add(Execute(now, self.process.name, key))
+        await asyncio.sleep(self.faults.delay)
+        if self._rng.random() < self.faults.lose_answers:
+            await asyncio.get_running_loop().create_future()
+        answered, answered_key = attempt_id, key
+        if self._last[0] and self._rng.random() < self.faults.cross_answers:
+            answered, answered_key = self._last
+        self._last = (attempt_id, key)
+        body = json.dumps({"key": answered_key, "path": call.path}).encode()
+        return HttpReply(200, {"x-request-id": answered, "content-type": "application/json"}, body)
+
+
+@dataclass(slots=True)
+class EngineFaults:
+    """How an engine behaves now.
+
+    Attributes:
+        break_streams: Chance per token that the stream breaks off.
+        cross_streams: Chance per stream that its events carry another identifier.
+        end_silently: Chance per token that the stream ends cleanly but without ``[DONE]``.
+    """
+
+    break_streams: float = 0.0
+    cross_streams: float = 0.0
+    end_silently: float = 0.0
+
+
+@dataclass(slots=True)
+class StreamCall:
+    """A streamed completion on its way to the router.
+
+    Attributes:
+        send: Delivers a piece to the router; None ends the body, an exception breaks it.
+        closed: Returns whether the router went away.
+    """
+
+    call: HttpCall
+    send: Callable[[bytes | Exception | None], None]
+    closed: Callable[[], bool]
+
+
+@dataclass(slots=True)
+class _Stored:
+    salt: str
+    incarnation: str
+
+
+class SimEngine:
+    """An engine that streams tokens and reuses cached blocks."""
+
+    def __init__(
+        self, process: SimProcess, history: History, rng: Random, incarnation: str
+    ) -> None:
+        self.process = process
+        self.faults = EngineFaults()
+        self.draining = False
+        self.incarnation = incarnation
+        self.weights_version = 1
+        self.events: list[Callable[[str, list[int], list[int]], None]] = []
+        self._fence = 0
+        self._history = history
+        self._rng = rng
+        self._cache: dict[int, _Stored] = {}
+        self._running = 0
+        process.on_call = self._on_call
+
+    def take_order(self, fence: int, weights_version: int) -> bool:
+        """Take an order to serve other weights, unless a later holder gave one before."""
+        taken = fence >= self._fence
+        now = self.process.loop.time()
+        self._history.add(Order(now, self.process.name, fence, taken))
+        if taken:
+            self._fence = fence
+            if weights_version != self.weights_version:
+                self.weights_version = weights_version
+                self._cache.clear()
+        return taken
+
+    async def _on_call(self, call: Any, address: str) -> Any:
+        if call == "status":
+            return BackendStatus(self.incarnation, self.weights_version, self.draining)
+        if call == "load":
+            return LoadReport(self._running, 0, len(self._cache) / ENGINE_CACHE_BLOCKS, 0.0)
+        if callable(call):
+            return call(self)
+        assert isinstance(call, StreamCall)
+        return await self._stream(call)
+
+    async def _stream(self, stream: StreamCall) -> None:
+        self._history.add(Work(self.process.loop.time(), self.process.name))
+        content = json.loads(stream.call.body)
+        self._reuse_and_store(content)
+        attempt_id = stream.call.headers["x-request-id"]
+        if self._rng.random() < self.faults.cross_streams:
+            attempt_id = "crossed-1"
+        position = int(stream.call.headers.get("x-resume-from", "0"))
+        self._running += 1
+        try:
+            await asyncio.sleep(PREFILL_SECONDS)
+            await self._send_tokens(stream, attempt_id, position, content)
+        finally:
+            self._running -= 1
+
+    async def _send_tokens(
+        self, stream: StreamCall, attempt_id: str, position: int, content: dict[str, Any]
+    ) -> None:
+        faults = self.faults
+        while position < content["max_tokens"] and not stream.closed():
+            if self._rng.random() < faults.break_streams:
+                stream.send(ConnectionResetError("engine broke the stream"))
+                return
+            if self._rng.random() < faults.end_silently:
+                stream.send(None)
+                return
+            stream.send(_token_event(attempt_id, content["prompt"][-KEY_LENGTH:], position))
+            position += 1
+            await asyncio.sleep(TOKEN_SECONDS)
+        stream.send(b"data: [DONE]\n\n")
+        stream.send(None)
+
+    def _reuse_and_store(self, content: dict[str, Any]) -> None:
+        salt = content["cache_salt"]
+        hashes = block_hashes(content["prompt"].encode(), BLOCK_TOKENS, 1, salt)
+        cached = []
+        for block in hashes:
+            if block not in self._cache:
+                break
+            cached.append(block)
+        for block in cached:
+            stored = self._cache[block]
+            now = self.process.loop.time()
+            self._history.add(
+                Reuse(
+                    now,
+                    self.process.name,
+                    self.incarnation,
+                    stored.incarnation,
+                    salt,
+                    stored.salt,
+                )
+            )
+        new = [block for block in hashes if block not in self._cache]
+        for block in new:
+            self._cache[block] = _Stored(salt, self.incarnation)
+        removed = []
+        while len(self._cache) > ENGINE_CACHE_BLOCKS:
+            oldest = next(iter(self._cache))
+            del self._cache[oldest]
+            removed.append(oldest)
+        for publish in self.events:
+            publish(self.incarnation, new, removed)
+
+
+def _token_event(attempt_id: str, key: str, position: int) -> bytes:
+    content = {"id": f"cmpl-{attempt_id}", "choices": [{"text": f"{key}:{position}"}]}
+    return b"data: " + json.dumps(content, separators=(",", ":")).encode() + b"\n\n"
+
+
+@dataclass(slots=True)
+class Services:
+    """All simulated services, by address and by name."""
+
+    platform: SimPlatform
+    applications: dict[str, SimApplication] = field(default_factory=dict)
+    engines: dict[str, SimEngine] = field(default_factory=dict)
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -32,13 +32,8 @@
 
 
 def choose(policy: str, *engines: EngineView) -> str:
-    return (
-        make_policy(Routing(policy=policy))
-        .choose(  # type: ignore[arg-type]
-            REQUEST, engines, Random(1)
-        )
-        .engine_id
-    )
+    routing = Routing.model_validate({"policy": policy})
+    return make_policy(routing).choose(REQUEST, engines, Random(1)).engine_id
 
 
 def test_hashes_differ_by_every_part_of_the_scope() -> None:
