--- a/src/hillstack/simulation/virtual_loop.py
+++ b/src/hillstack/simulation/virtual_loop.py
@@ -16,6 +16,9 @@
 from typing import Any, Protocol, cast
 
 
+CLOSE_ROUNDS = 6
+
+
 class _LoopInternals(Protocol):
     """The parts of ``asyncio.BaseEventLoop`` that a loop of its own must drive."""
 
@@ -87,6 +90,7 @@
     def __init__(self) -> None:
         self.now = 0.0
         self._loops: list[VirtualLoop] = []
+        self._all_loops: list[VirtualLoop] = []
         self._actions: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
 
@@ -98,6 +102,7 @@
         """Add a loop."""
         loop = VirtualLoop(self.clock)
         self._loops.append(loop)
+        self._all_loops.append(loop)
         return loop
 
     def spawn(self, loop: VirtualLoop, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
@@ -131,6 +136,16 @@
                 loop.run_ready()
         self.now = max(self.now, end)
 
+    def close(self) -> None:
+        """Cancel all that is left, so that nothing runs after the simulation."""
+        for _ in range(CLOSE_ROUNDS):
+            for loop in self._all_loops:
+                for task in asyncio.all_tasks(loop):
+                    task.cancel()
+                loop.run_ready()
+        for loop in self._all_loops:
+            loop.close()
+
     def _earliest(self) -> tuple[float | None, VirtualLoop | None]:
         best: float | None = None
         chosen: VirtualLoop | None = None
