--- a/src/hillstack/simulation/network.py
+++ b/src/hillstack/simulation/network.py
@@ -36,7 +36,8 @@
     loop: VirtualLoop
     on_datagram: Callable[[Any, str], None] | None = None
     on_call: Callable[[Any, str], Awaitable[Any]] | None = None
-    exchanges: set[asyncio.Future[Any]] = field(default_factory=set)
+    # A dict keeps the order of insertion; the order of a set of futures differs between runs.
+    exchanges: dict[asyncio.Future[Any], None] = field(default_factory=dict)
 
     @property
     def alive(self) -> bool:
@@ -116,7 +117,7 @@
         try:
             return await future
         finally:
-            target.exchanges.discard(future)
+            target.exchanges.pop(future, None)
 
     async def connect(self, sender: SimProcess, address: str) -> SimProcess:
         """Return the process at an address after a round trip; waits for ever over a cut.
@@ -136,7 +137,7 @@
     def open_exchange(self, sender: SimProcess, target: SimProcess) -> asyncio.Future[Any]:
         """Return a future on the sender's loop that breaks if the target dies."""
         future: asyncio.Future[Any] = sender.loop.create_future()
-        target.exchanges.add(future)
+        target.exchanges[future] = None
         if not target.alive:
             self._break(future, ConnectionBroken(f"{target.name} died"))
         return future
--- a/src/hillstack/simulation/surroundings.py
+++ b/src/hillstack/simulation/surroundings.py
@@ -187,7 +187,7 @@
             yield SimAnswer(200, {}, content)
         finally:
             closed = True
-            target.exchanges.discard(exchange)
+            target.exchanges.pop(exchange, None)
             exchange.cancel()
 
 
--- a/src/hillstack/simulation/virtual_loop.py
+++ b/src/hillstack/simulation/virtual_loop.py
@@ -15,7 +15,6 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol, cast
 
-
 CLOSE_ROUNDS = 6
 
 
