Real processes under test: the whole path, and proofs behind a fault-injecting proxy

Found and mended: a caller that sends too long a body lost its connection before the 413 came (the rest of the body is now read and dropped, within a bound); a router restarted during a platform outage had a bundle but no machine list (it now takes the list of another node).

--- a/src/hillstack/backends/cache_events.py
+++ b/src/hillstack/backends/cache_events.py
@@ -16,7 +16,7 @@
 import zmq.asyncio
 
 from hillstack.core.cache_index import CacheIndex, SequenceGap
-from hillstack.core.fleet import Machine
+from hillstack.messages.types import Machine
 
 logger = logging.getLogger(__name__)
 
--- a/src/hillstack/core/fleet.py
+++ b/src/hillstack/core/fleet.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from hillstack.messages.types import LeavingNotice
+from hillstack.messages.types import LeavingNotice, Machine
 
 SUSPECT_FIRST_SECONDS = 0.5
 SUSPECT_MAX_SECONDS = 5.0
@@ -16,34 +15,6 @@
 MAX_LEAVING_NOTICES = 16
 
 
-class BackendKind(enum.StrEnum):
-    """What a back end serves."""
-
-    ENGINE = "engine"
-    APPLICATION = "application"
-
-
-@dataclass(frozen=True, slots=True)
-class Machine:
-    """An entry of the machine list.
-
-    Attributes:
-        address: HTTP address.
-        events_address: Address of the cache event stream; empty for applications.
-        replay_address: Address that replays cache events; empty for applications.
-        leaving: Whether the platform announced its end.
-    """
-
-    machine_id: str
-    kind: BackendKind
-    pool: str
-    zone: str
-    address: str
-    events_address: str = ""
-    replay_address: str = ""
-    leaving: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """An engine's own account of its load.
--- a/src/hillstack/daemon/backend_watch.py
+++ b/src/hillstack/daemon/backend_watch.py
@@ -4,15 +4,19 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from hillstack.core.cache_index import CacheIndex
-from hillstack.core.fleet import Backend, BackendKind, Fleet
+from hillstack.core.fleet import Backend, Fleet
 from hillstack.daemon.ports import Surroundings
-from hillstack.errors import BackendError, PlatformError
+from hillstack.errors import BackendError, PeerError, PlatformError
 from hillstack.logs import error_fields
+from hillstack.messages.types import BackendKind, Machine, MachineListReply, MachineListRequest
 
 logger = logging.getLogger(__name__)
 
+PEER_TIMEOUT_SECONDS = 2.0
+
 
 class BackendWatch:
     """Keeps fleet and cache index up to date.
@@ -23,6 +27,7 @@
         surroundings: Machine list, status and load pages, cache events, clock.
         machine_interval: Seconds between reads of the list.
         load_interval: Seconds between reads of a status and load page.
+        choose_peer: Returns the address of another node, if there is one.
     """
 
     def __init__(
@@ -32,12 +37,15 @@
         surroundings: Surroundings,
         machine_interval: float,
         load_interval: float,
+        choose_peer: Callable[[], str | None],
     ) -> None:
         self._fleet = fleet
         self._index = index
         self._surroundings = surroundings
         self._machine_interval = machine_interval
         self._load_interval = load_interval
+        self._choose_peer = choose_peer
+        self._read_at: float | None = None
         self._pollers: dict[str, asyncio.Task[None]] = {}
         self._subscribers: dict[str, tuple[str, asyncio.Task[None]]] = {}
 
@@ -56,12 +64,43 @@
             await asyncio.gather(*tasks, return_exceptions=True)
 
     async def read_machines(self) -> None:
-        """Read the machine list once; an outage leaves the list in hand in use."""
+        """Read the machine list once, from the platform or else from another node.
+
+        When neither answers, the list in hand stays in use: an outage must not take back ends
+        away.
+        """
         try:
-            machines = await self._surroundings.fetch_machines()
+            self._apply(await self._surroundings.fetch_machines(), age=0.0)
         except PlatformError as error:
             logger.debug("machine list not read", extra=error_fields(error))
+            await self._read_from_peer()
+
+    def machine_list(self) -> MachineListReply | None:
+        """Return the list in use for another node; None before the first."""
+        if self._read_at is None:
+            return None
+        machines = tuple(backend.machine for backend in self._fleet.all())
+        return MachineListReply(machines, self._surroundings.clock() - self._read_at)
+
+    async def _read_from_peer(self) -> None:
+        address = self._choose_peer()
+        if address is None:
+            return
+        try:
+            reply = await self._surroundings.peers.call(
+                address, MachineListRequest(), PEER_TIMEOUT_SECONDS
+            )
+        except PeerError as error:
+            logger.debug("no machine list from peer", extra=error_fields(error))
+            return
+        if isinstance(reply, MachineListReply):
+            self._apply(list(reply.machines), reply.age)
+
+    def _apply(self, machines: list[Machine], age: float) -> None:
+        read_at = self._surroundings.clock() - age
+        if self._read_at is not None and read_at <= self._read_at:
             return
+        self._read_at = read_at
         for machine_id in self._fleet.update_machines(machines):
             self._stop_watching(machine_id)
         for machine in machines:
--- a/src/hillstack/daemon/network_surroundings.py
+++ b/src/hillstack/daemon/network_surroundings.py
@@ -11,11 +11,10 @@
 from hillstack.backends.http_client import BackendClient
 from hillstack.config.settings import RouterSettings
 from hillstack.core.cache_index import CacheIndex
-from hillstack.core.fleet import Machine
 from hillstack.daemon.peer_transport import GossipProtocol, PeerClient, PeerServer
 from hillstack.daemon.ports import GossipHandler, RequestHandler
 from hillstack.messages.codec import Codec
-from hillstack.messages.types import Message
+from hillstack.messages.types import Machine, Message
 from hillstack.platform.key_value import KeyValueClient
 from hillstack.platform.machine_list import fetch_machines
 
--- a/src/hillstack/daemon/node.py
+++ b/src/hillstack/daemon/node.py
@@ -25,6 +25,8 @@
 from hillstack.logs import error_fields
 from hillstack.messages.types import (
     Ack,
+    Failure,
+    MachineListRequest,
     Member,
     MemberState,
     Message,
@@ -74,6 +76,7 @@
             settings.peers.probe_interval_seconds, settings.peers.suspect_seconds
         )
         self.membership = Membership(self._own_member(), settings.peers.seeds, timing, self.rng)
+        self.started = self.membership.own.incarnation
         self.control = ControlState(self.membership, self.adopter, self.clock())
         self.router: RequestRouter | None = None
         self.bundle_index: BundleIndex | None = None
@@ -96,6 +99,7 @@
             surroundings,
             settings.platform.machine_poll_seconds,
             settings.backends.load_poll_seconds,
+            self._any_peer,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -190,6 +194,10 @@
             pause = SYNC_INTERVAL_SECONDS if any(reached) else FIRST_SYNC_RETRY_SECONDS
             await asyncio.sleep(pause * (0.5 + self.rng.random()))
 
+    def _any_peer(self) -> str | None:
+        targets = self._sync_targets()
+        return targets[0] if targets else None
+
     def _sync_targets(self) -> list[str]:
         own = self.settings.listen.peers
         serving = [member.address for member in self.membership.serving()]
@@ -220,6 +228,8 @@
         self._bundles.on_announced(address, message.sender.bundle_version)
 
     async def _on_peer_request(self, message: Message, address: str) -> Message:
+        if isinstance(message, MachineListRequest):
+            return self._watch.machine_list() or Failure("no machine list yet")
         return self.control.on_request(message, self.clock(), self.wall_clock())
 
     def _send(self, datagrams: list[Datagram]) -> None:
--- a/src/hillstack/daemon/ports.py
+++ b/src/hillstack/daemon/ports.py
@@ -13,8 +13,8 @@
 from typing import Protocol
 
 from hillstack.core.attempt import Attempt
-from hillstack.core.fleet import LoadReport, Machine
-from hillstack.messages.types import Message
+from hillstack.core.fleet import LoadReport
+from hillstack.messages.types import Machine, Message
 from hillstack.platform.key_value import Entry, Put, ValueIs
 
 RequestHandler = Callable[[Message, str], Awaitable[Message]]
--- a/src/hillstack/gateway/app.py
+++ b/src/hillstack/gateway/app.py
@@ -88,7 +88,7 @@
         current = node.adopter.current
         return JSONResponse(
             {
-                "node": _member_fields(node.membership.own),
+                "node": _member_fields(node.membership.own) | {"started": node.started},
                 "ready": node.is_ready(),
                 "bundle": {
                     "version": node.adopter.version,
--- a/src/hillstack/gateway/parsing.py
+++ b/src/hillstack/gateway/parsing.py
@@ -22,6 +22,7 @@
 PRIORITY_HEADER = "x-priority"
 TIMEOUT_HEADER = "x-request-timeout"
 DEFAULT_OUTPUT_TOKENS = 16
+DISCARD_FACTOR = 4
 
 
 class CompletionBody(BaseModel):
@@ -120,18 +121,22 @@
 async def read_body(request: Request, limits: LimitsSection) -> bytes:
     """Return the body.
 
+    Somewhat more than the limit is read and dropped: a caller whose connection closes while it
+    still sends would not see the answer.
+
     Raises:
         CallerError: It is too long.
     """
-    too_long = bad_request("body_too_long", f"at most {limits.max_body_bytes} bytes", 413)
-    declared = request.headers.get("content-length", "0")
-    if declared.isdigit() and int(declared) > limits.max_body_bytes:
-        raise too_long
     body = bytearray()
+    received = 0
     async for piece in request.stream():
-        body += piece
-        if len(body) > limits.max_body_bytes:
-            raise too_long
+        received += len(piece)
+        if received <= limits.max_body_bytes:
+            body += piece
+        elif received > DISCARD_FACTOR * limits.max_body_bytes:
+            break
+    if received > limits.max_body_bytes:
+        raise bad_request("body_too_long", f"at most {limits.max_body_bytes} bytes", 413)
     return bytes(body)
 
 
--- a/src/hillstack/messages/types.py
+++ b/src/hillstack/messages/types.py
@@ -33,6 +33,34 @@
     bundle_version: int = 0
 
 
+class BackendKind(enum.StrEnum):
+    """What a back end serves."""
+
+    ENGINE = "engine"
+    APPLICATION = "application"
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """An entry of the machine list.
+
+    Attributes:
+        address: HTTP address.
+        events_address: Address of the cache event stream; empty for applications.
+        replay_address: Address that replays cache events; empty for applications.
+        leaving: Whether the platform announced its end.
+    """
+
+    machine_id: str
+    kind: BackendKind
+    pool: str
+    zone: str
+    address: str
+    events_address: str = ""
+    replay_address: str = ""
+    leaving: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class LeavingNotice:
     """A node's word that a back end leaves; it holds for one incarnation."""
@@ -101,6 +129,19 @@
     signed_bundle: str
 
 
+@dataclass(frozen=True, slots=True)
+class MachineListRequest:
+    """Asks for the machine list that the receiver uses."""
+
+
+@dataclass(frozen=True, slots=True)
+class MachineListReply:
+    """A machine list and the seconds since it was read from the platform."""
+
+    machines: tuple[Machine, ...]
+    age: float
+
+
 class ClaimStatus(enum.StrEnum):
     """A replica's answer to a claim."""
 
@@ -172,6 +213,8 @@
 
 
 Gossip = Ping | Ack | PingRequest
-PeerRequest = SyncRequest | BundleRequest | ClaimRequest | ClaimRelease | ClaimComplete
-PeerReply = SyncReply | BundleReply | ClaimReply | Done | Failure
+PeerRequest = (
+    SyncRequest | BundleRequest | MachineListRequest | ClaimRequest | ClaimRelease | ClaimComplete
+)
+PeerReply = SyncReply | BundleReply | MachineListReply | ClaimReply | Done | Failure
 Message = Gossip | PeerRequest | PeerReply
--- a/src/hillstack/platform/machine_list.py
+++ b/src/hillstack/platform/machine_list.py
@@ -7,8 +7,8 @@
 import aiohttp
 from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
 
-from hillstack.core.fleet import BackendKind, Machine
 from hillstack.errors import PlatformError, PlatformUnavailableError
+from hillstack.messages.types import BackendKind, Machine
 
 LIST_TIMEOUT_SECONDS = 3.0
 
--- a/src/hillstack/simulation/cluster.py
+++ b/src/hillstack/simulation/cluster.py
@@ -12,10 +12,11 @@
 from hillstack.config.settings import RouterSettings
 from hillstack.config.signing import SignedBundle, public_key_of, sign
 from hillstack.core.cache_index import CacheIndex
-from hillstack.core.fleet import BackendKind, Fleet, Machine
+from hillstack.core.fleet import Fleet
 from hillstack.daemon.node import Node
 from hillstack.daemon.ports import Surroundings
 from hillstack.gateway.app import make_app
+from hillstack.messages.types import BackendKind, Machine
 from hillstack.platform.bundle_store import HEAD_KEY, Head, bundle_key
 from hillstack.platform.key_value import Put
 from hillstack.simulation.asgi import AsgiCall, AsgiReply, run_asgi
@@ -62,7 +63,6 @@
     ) -> None:
         super().__init__(settings, surroundings, fleet, index)
         self._history = history
-        self._first_incarnation = self.membership.own.incarnation
 
     def _on_bundle(self) -> None:
         super()._on_bundle()
@@ -72,7 +72,7 @@
             Adopt(
                 self.clock(),
                 self.settings.node.id,
-                self._first_incarnation,
+                self.started,
                 current.bundle.version,
                 current.digest,
             )
--- a/src/hillstack/simulation/services.py
+++ b/src/hillstack/simulation/services.py
@@ -9,11 +9,12 @@
 from random import Random
 from typing import Any
 
-from hillstack.core.fleet import LoadReport, Machine
+from hillstack.core.fleet import LoadReport
 from hillstack.core.prefix import block_hashes
 from hillstack.daemon.ports import BackendStatus
 from hillstack.emulator.platform import KeyValueStore
 from hillstack.errors import PlatformOutcomeUnknownError, PlatformUnavailableError
+from hillstack.messages.types import Machine
 from hillstack.platform.key_value import Entry, Put, ValueIs
 from hillstack.simulation.history import Execute, History, Order, Reuse, Work
 from hillstack.simulation.network import SimProcess
--- a/src/hillstack/simulation/surroundings.py
+++ b/src/hillstack/simulation/surroundings.py
@@ -10,7 +10,7 @@
 
 from hillstack.core.attempt import Attempt, AttemptState
 from hillstack.core.cache_index import CacheIndex
-from hillstack.core.fleet import LoadReport, Machine
+from hillstack.core.fleet import LoadReport
 from hillstack.daemon.ports import Answer, BackendStatus, GossipHandler, RequestHandler
 from hillstack.errors import (
     BackendBrokenError,
@@ -21,7 +21,7 @@
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
 )
-from hillstack.messages.types import Message
+from hillstack.messages.types import Machine, Message
 from hillstack.platform.key_value import Entry, Put, ValueIs
 from hillstack.simulation.network import (
     ConnectionBroken,
--- /dev/null
+++ b/tests/processes/fault_proxy.py
@@ -0,0 +1,139 @@
+"""A small TCP proxy that injects faults between real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+import socket
+import struct
+import threading
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+PIECE_BYTES = 4_096
+RESET = struct.pack("ii", 1, 0)
+
+
+class Mode(enum.Enum):
+    """What the proxy does to traffic."""
+
+    PASS = "pass"
+    SILENT = "silent"
+    REFUSE = "refuse"
+    RESET_ANSWERS = "reset_answers"
+    DELAY = "delay"
+
+
+@dataclass(slots=True)
+class ProxyState:
+    """The mode of one proxied address.
+
+    Attributes:
+        after_bytes: Bytes of an answer that pass before a reset.
+        delay: Seconds added to each piece.
+    """
+
+    mode: Mode = Mode.PASS
+    after_bytes: int = 0
+    delay: float = 0.0
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+
+class FaultProxy:
+    """Proxies any number of addresses from a thread of its own."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._thread.start()
+        self.states: dict[str, ProxyState] = {}
+
+    def front(self, name: str, address: str) -> str:
+        """Open a proxy before an address and return the proxy's own address."""
+        self.states[name] = ProxyState()
+        return self._run(self._listen(name, address))
+
+    def set(self, name: str, mode: Mode, *, after_bytes: int = 0, delay: float = 0.0) -> None:
+        """Change the mode of one address, for open connections as well."""
+        state = self.states[name]
+        state.mode, state.after_bytes, state.delay = mode, after_bytes, delay
+
+    def close(self) -> None:
+        """Stop the thread."""
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+
+    def _run(self, work: Coroutine[Any, Any, str]) -> str:
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result(10)
+
+    async def _listen(self, name: str, address: str) -> str:
+        host, _, port = address.rpartition(":")
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await self._serve(self.states[name], host, int(port), reader, writer)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    async def _serve(
+        self,
+        state: ProxyState,
+        host: str,
+        port: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if state.mode is Mode.REFUSE:
+            _reset(writer)
+            return
+        try:
+            upstream_reader, upstream_writer = await asyncio.open_connection(host, port)
+        except OSError:
+            _reset(writer)
+            return
+        forward = asyncio.create_task(self._pump(state, reader, upstream_writer, answers=False))
+        back = asyncio.create_task(self._pump(state, upstream_reader, writer, answers=True))
+        await asyncio.wait({forward, back}, return_when=asyncio.FIRST_COMPLETED)
+        if back.done():
+            forward.cancel()
+        else:
+            await asyncio.wait({back}, timeout=30)
+            back.cancel()
+        for each in (writer, upstream_writer):
+            with contextlib.suppress(Exception):
+                each.close()
+
+    async def _pump(
+        self,
+        state: ProxyState,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        answers: bool,
+    ) -> None:
+        passed = 0
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            while piece := await reader.read(PIECE_BYTES):
+                while state.mode is Mode.SILENT:  # noqa: ASYNC110 (set from another thread)
+                    await asyncio.sleep(0.05)
+                if state.mode is Mode.DELAY:
+                    await asyncio.sleep(state.delay)
+                if answers and state.mode is Mode.RESET_ANSWERS:
+                    writer.write(piece[: max(0, state.after_bytes - passed)])
+                    await writer.drain()
+                    passed += len(piece)
+                    if passed >= state.after_bytes:
+                        _reset(writer)
+                        return
+                    continue
+                writer.write(piece)
+                await writer.drain()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    connection = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    writer.transport.abort()
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -8,13 +8,13 @@
 from hillstack.config.bundle import Routing
 from hillstack.core.admission import Admission, AdmissionRequest, RefusalReason
 from hillstack.core.cache_index import CacheIndex
-from hillstack.core.fleet import BackendKind, Fleet, LoadReport, Machine
+from hillstack.core.fleet import Fleet, LoadReport
 from hillstack.core.placement.base import EngineView, PlacementRequest
 from hillstack.core.placement.registry import make_policy
 from hillstack.core.prefix import PrefixScope, block_hashes
 from hillstack.core.request_router import CompletionRequest, RequestRouter, tenant_shares
 from hillstack.core.retry_budget import RetryBudget
-from hillstack.messages.types import LeavingNotice
+from hillstack.messages.types import BackendKind, LeavingNotice, Machine
 from tests.builders import make_bundle
 
 VIEW = EngineView(
--- a/tools/local_fleet.py
+++ b/tools/local_fleet.py
@@ -12,6 +12,7 @@
 import time
 import urllib.error
 import urllib.request
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -96,14 +97,15 @@
     Args:
         deployment: Folder below ``deploy/``.
         engines: Number of engines; the deployment's own when None.
-        peer_links: Peer address that each router announces, by zone, when a proxy stands before
-            it; the router then listens elsewhere.
+        front: Returns the address that the machine list names for a back end, given its name and
+            its own address; a proxy can stand between.
     """
 
     deployment: str
     engines: int | None = None
     event_loss: float = 0.0
     overrides: dict[str, str] = field(default_factory=dict)
+    front: Callable[[str, str], str] = field(default=lambda name, address: address)
     folder: Path = field(init=False)
     plan: dict[str, Any] = field(init=False)
     routers: list[RouterHandle] = field(default_factory=list, init=False)
@@ -247,7 +249,7 @@
             "kind": "engine",
             "pool": self.plan["engine_pool"],
             "zone": zone,
-            "address": http,
+            "address": self.front(name, http),
             "events_address": events,
             "replay_address": replay,
         }
@@ -261,7 +263,7 @@
             "kind": "application",
             "pool": self.plan["application_pool"],
             "zone": zone,
-            "address": address,
+            "address": self.front(name, address),
         }
 
     def _start_routers(self) -> None:
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -81,6 +81,8 @@
         original_sync_consider(self, signed, source)
 
 
+ALWAYS_DONE = property(lambda self: True, lambda self, value: None)
+
 MUTATIONS = [
     Mutation("one grant is enough", "at_most_once", ClaimRound, "majority", lambda self: 1),
     Mutation("replicas always vouch", "at_most_once", ClaimTable, "can_vouch", lambda *_: True),
@@ -112,7 +114,7 @@
         "_check_ids",
         lambda *_: None,
     ),
-    Mutation("a stream's end is not checked", "whole_streams", StreamRelay, "done", True),
+    Mutation("a stream's end is not checked", "whole_streams", StreamRelay, "done", ALWAYS_DONE),
     Mutation(
         "refusals do not say when", "refusals_say_when", ErrorAnswer, "headers", lambda self: {}
     ),
@@ -197,9 +199,6 @@
 def _apply(number: int) -> None:
     logging.disable(logging.CRITICAL)
     mutation = MUTATIONS[number]
-    if mutation.name == "done":
-        StreamRelay.done = property(lambda self: True, lambda self, value: None)
-        return
     setattr(mutation.owner, mutation.name, mutation.replacement)
 
 
