Routing experiments in virtual time; the cost of a prefill grows with the queues

Cause of the collapse: at 80 % load and above, differences in waiting outweighed a prefill, so requests went to cold engines, whose prefills made all queues longer (Tampere at 80 %: hit rate 49 %, p99 16.1 s, 25 % refused; the oracle 84 % and 0.69 s with the same caches). The weight of recomputation now grows with the mean wait. A home engine breaks ties between cold engines (95 % load: p99 2.9 to 2.4 s in Tampere; in Lagos it made p99 worse, 1.6 to 4.1 s, and is off in that bundle). Tried: home discount while another engine is warmer (p95 up to 16 s in Tampere); reverted.

--- a/src/hillstack/config/bundle.py
+++ b/src/hillstack/config/bundle.py
@@ -119,8 +119,11 @@
     policy: Literal["round_robin", "least_loaded", "prefix_hash", "cache_aware", "full"] = "full"
     recompute_weight: float = Field(default=1.5, ge=0)
     wait_weight: float = Field(default=1.0, ge=0)
+    congestion_weight: float = Field(default=10.0, ge=0)
     eviction_weight: float = Field(default=0.1, ge=0)
+    home_discount: float = Field(default=0.2, ge=0, le=1)
     untrusted_discount: float = Field(default=0.5, ge=0, le=1)
+    follow_fills: bool = True
 
 
 class Admission(Strict):
--- a/src/hillstack/core/placement/full.py
+++ b/src/hillstack/core/placement/full.py
@@ -1,4 +1,4 @@
-"""The full policy: waiting, prefill, forced recomputation and distrust of gappy beliefs."""
+"""The full policy: waiting, prefill, what a prefill costs others, and distrust of gappy beliefs."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
     PlacementRequest,
     estimated_wait,
 )
+from hillstack.core.rendezvous import owner
 
 CACHE_PRESSURE_FROM = 0.8
 
@@ -23,13 +24,20 @@
     Attributes:
         wait: Weight of a second of waiting.
         recompute: Weight of a second of prefill of uncached tokens.
+        congestion: How much that weight grows with each second of mean wait over all engines. A
+            prefill delays all who wait behind it, so the longer the queues, the more it costs.
         eviction: Weight of a second of prefill that others must repeat after an eviction.
+        home_discount: Share of the prefill that the home engine of a prefix is spared in the
+            comparison while no engine is warmer, so that nodes that know nothing of each other's
+            fills agree on an engine.
         untrusted_discount: Share of matched blocks that count while a gap stands.
     """
 
     wait: float = 1.0
     recompute: float = 1.5
+    congestion: float = 10.0
     eviction: float = 0.1
+    home_discount: float = 0.2
     untrusted_discount: float = 0.5
 
 
@@ -48,9 +56,19 @@
         self, request: PlacementRequest, engines: Sequence[EngineView], rng: Random
     ) -> EngineView:
         """Return the engine with the lowest weighted cost."""
-        return min(engines, key=lambda engine: (self.cost(request, engine), rng.random()))
+        mean_wait = sum(estimated_wait(engine) for engine in engines) / len(engines)
+        home = _home(request, engines)
+        best_match = max(engine.matched_blocks for engine in engines)
 
-    def cost(self, request: PlacementRequest, engine: EngineView) -> float:
+        def order(engine: EngineView) -> tuple[float, float]:
+            is_home = engine.engine_id == home and engine.matched_blocks >= best_match
+            return self.cost(request, engine, mean_wait, is_home), rng.random()
+
+        return min(engines, key=order)
+
+    def cost(
+        self, request: PlacementRequest, engine: EngineView, mean_wait: float, is_home: bool
+    ) -> float:
         """Return the weighted cost of an engine, in seconds."""
         weights = self._weights
         matched = float(engine.matched_blocks)
@@ -58,10 +76,15 @@
             matched *= weights.untrusted_discount
         uncached = max(1.0, request.prompt_tokens - matched * request.block_tokens)
         prefill = uncached / engine.prefill_rate
+        if is_home:
+            prefill *= 1 - weights.home_discount
         pressure = max(0.0, engine.cache_usage - CACHE_PRESSURE_FROM) / (1 - CACHE_PRESSURE_FROM)
         wait = estimated_wait(engine) + 2 * engine.network_delay
-        return (
-            weights.wait * wait
-            + weights.recompute * prefill
-            + weights.eviction * pressure * prefill
-        )
+        recompute = weights.recompute * (1 + weights.congestion * mean_wait)
+        return weights.wait * wait + (recompute + weights.eviction * pressure) * prefill
+
+
+def _home(request: PlacementRequest, engines: Sequence[EngineView]) -> str | None:
+    if not request.hashes:
+        return None
+    return owner(str(request.hashes[0]), (engine.engine_id for engine in engines))
--- a/src/hillstack/core/placement/registry.py
+++ b/src/hillstack/core/placement/registry.py
@@ -24,7 +24,9 @@
     weights = CostWeights(
         wait=routing.wait_weight,
         recompute=routing.recompute_weight,
+        congestion=routing.congestion_weight,
         eviction=routing.eviction_weight,
+        home_discount=routing.home_discount,
         untrusted_discount=routing.untrusted_discount,
     )
     return Full(weights)
--- a/src/hillstack/core/request_router.py
+++ b/src/hillstack/core/request_router.py
@@ -125,6 +125,8 @@
         """Note that an attempt is being sent to its engine."""
         tokens = placement.uncached_tokens
         self._fleet.sent(placement.engine_id, attempt_id, tokens, now)
+        if not self._bundle.routing.follow_fills:
+            return
         pool = self._pools[request.model.pool]
         prefill = tokens / pool.prefill_tokens_per_second
         until = now + placement.estimated_wait + prefill + EXPECTATION_MARGIN_SECONDS
--- a/src/hillstack/simulation/engine_model.py
+++ b/src/hillstack/simulation/engine_model.py
@@ -155,7 +155,7 @@
         block_tokens = self.profile.block_tokens
         total = 0
         for request in self._waiting:
-            cached = self._matched(request) * block_tokens
+            cached = self.matched_blocks(request) * block_tokens
             total += max(0, request.prompt_tokens - cached)
         for request in self._running:
             total += max(0, request.prompt_tokens - request.computed_tokens)
@@ -242,7 +242,7 @@
             self._start(request)
 
     def _start(self, request: EngineRequest) -> None:
-        matched = self._matched(request)
+        matched = self.matched_blocks(request)
         request.cached_blocks = matched
         request.computed_tokens = matched * self.profile.block_tokens
         # The last token is always computed, so that the first output can be sampled.
@@ -281,7 +281,8 @@
         tokens = request.prompt_tokens + request.output_tokens
         return -(-tokens // self.profile.block_tokens)
 
-    def _matched(self, request: EngineRequest) -> int:
+    def matched_blocks(self, request: EngineRequest) -> int:
+        """Return how many leading blocks of a request are cached."""
         matched = 0
         for block in request.hashes:
             if block not in self.cache:
--- /dev/null
+++ b/src/hillstack/simulation/fleet_simulation.py
@@ -0,0 +1,516 @@
+"""A fleet of engines behind routers, in virtual time, for measuring routing.
+
+Routers decide with the daemon's own request router. Engines are the engine model. Cache events
+come late and with gaps, load pages lag, and the oracle sees everything as it is.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import deque
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+from functools import partial
+from random import Random
+
+from hillstack.config.bundle import Bundle, Routing
+from hillstack.core.cache_index import CacheIndex
+from hillstack.core.fleet import Fleet, LoadReport
+from hillstack.core.placement.base import EngineView, Placement
+from hillstack.core.prefix import PrefixScope
+from hillstack.core.request_router import CompletionRequest, RequestRouter
+from hillstack.messages.types import BackendKind, Machine
+from hillstack.simulation.engine_model import (
+    EngineModel,
+    EngineProfile,
+    EngineRequest,
+    StepResult,
+)
+from hillstack.simulation.experiment_config import ExperimentConfig
+from hillstack.simulation.workload import WORKLOADS, Arrival, WorkloadGenerator
+
+MODEL = "model"
+POOL = "engines"
+REPLAY_SECONDS = 0.1
+FLOOD_FACTOR = 10.0
+LOCAL_DELAY_SECONDS = 0.0002
+MAX_ATTEMPTS = 3
+CRASH_DETECTION_SECONDS = 0.05
+RESTART_SECONDS = 3.0
+
+
+@dataclass(slots=True)
+class RequestRecord:
+    """What became of one request.
+
+    Attributes:
+        first_token_at: When the caller had the first token; None when it was refused or lost.
+    """
+
+    arrival: Arrival
+    cache_salt: str
+    refused_at: float | None = None
+    retry_after: float = 0.0
+    first_token_at: float | None = None
+    finished_at: float | None = None
+    cached_tokens: int = 0
+    prompt_tokens: int = 0
+    attempts: int = 0
+
+
+@dataclass(slots=True)
+class SimulatedEngine:
+    """An engine and its published state."""
+
+    engine_id: str
+    zone: str
+    model: EngineModel
+    incarnation: int = 1
+    stepping: bool = False
+    alive: bool = True
+    sequence: int = 0
+    load_history: deque[tuple[float, LoadReport]] = field(default_factory=lambda: deque(maxlen=64))
+    on_way: int = 0
+
+    def life(self) -> str:
+        """Return the name of the incarnation."""
+        return f"{self.engine_id}/{self.incarnation}"
+
+
+@dataclass(slots=True)
+class SimulatedRouter:
+    """A router's decisions and beliefs."""
+
+    zone: str
+    fleet: Fleet
+    index: CacheIndex
+    decisions: RequestRouter
+    lost: dict[str, list[Callable[[], None]]] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class _InFlight:
+    record: RequestRecord
+    router: SimulatedRouter
+    request: CompletionRequest
+    engine: SimulatedEngine
+    attempt_id: str
+    incarnation: int
+
+
+class OracleRouter(RequestRouter):
+    """A request router that sees engines as they are."""
+
+    engines: dict[str, SimulatedEngine]
+
+    def _views(
+        self, request: CompletionRequest, now: float, excluded: Collection[str]
+    ) -> list[EngineView]:
+        views = []
+        for engine in self.engines.values():
+            if engine.engine_id in excluded or not engine.alive:
+                continue
+            model = engine.model
+            probe = EngineRequest("", request.hashes, request.prompt_tokens, 0)
+            load = model.running + model.waiting + engine.on_way
+            views.append(
+                EngineView(
+                    engine_id=engine.engine_id,
+                    zone=engine.zone,
+                    matched_blocks=model.matched_blocks(probe),
+                    trusted=True,
+                    queued_tokens=float(model.waiting_tokens()),
+                    waiting=max(0, load - model.profile.max_running),
+                    running=min(load, model.profile.max_running),
+                    max_running=model.profile.max_running,
+                    cache_usage=model.cache.usage(),
+                    prefill_rate=model.profile.prefill_rate,
+                )
+            )
+        return views
+
+
+class FleetSimulation:
+    """One run: a policy, a rate and a seed.
+
+    Args:
+        routing: Policy and weights.
+        oracle: Whether decisions see the true state.
+        rate: Requests offered per second.
+    """
+
+    def __init__(
+        self, config: ExperimentConfig, routing: Routing, oracle: bool, rate: float, seed: int
+    ) -> None:
+        self.config = config
+        self.now = 0.0
+        self.records: list[RequestRecord] = []
+        self.computed_again = 0
+        self.computed = 0
+        self._seen_blocks: set[int] = set()
+        self._rng = Random(f"fleet:{seed}")
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self._rate = rate
+        self._seed = seed
+        self._in_flight: dict[str, _InFlight] = {}
+        self.bundle = _bundle(config, routing)
+        self.engines = {
+            f"engine-{number}": SimulatedEngine(
+                f"engine-{number}", f"zone-{number % config.zones}", EngineModel(_profile(config))
+            )
+            for number in range(config.engines)
+        }
+        self._oracle = oracle
+        self.routers = [self._make_router(number) for number in range(config.routers)]
+        self._cut_zone: str | None = None
+        self._event_loss = config.event_loss
+
+    def run(self) -> None:
+        """Run all arrivals and let the last requests finish."""
+        workload = WORKLOADS[self.config.deployment]
+        generator = WorkloadGenerator(workload, self._rate, self._seed)
+        for arrival in self._with_flood(generator):
+            self._at(arrival.at, partial(self._arrive, arrival))
+        for number in range(self.config.routers):
+            self._poll_loads(number)
+        self._record_loads()
+        self._schedule_failure()
+        end = self.config.seconds + self.config.deadline_seconds
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+
+    def _with_flood(self, generator: WorkloadGenerator) -> list[Arrival]:
+        arrivals = list(generator.arrivals(self.config.seconds))
+        tenant = self.config.flood_tenant
+        if not tenant:
+            return arrivals
+        workload = WORKLOADS[self.config.deployment]
+        share = dict(workload.tenants)[tenant]
+        extra = WorkloadGenerator(
+            workload, self._rate * share * (FLOOD_FACTOR - 1), self._seed + 10_000
+        )
+        flood = [
+            extra.as_tenant(arrival, tenant) for arrival in extra.arrivals(self.config.seconds)
+        ]
+        return sorted([*arrivals, *flood], key=lambda arrival: arrival.at)
+
+    def _make_router(self, number: int) -> SimulatedRouter:
+        fleet, index = Fleet(), CacheIndex()
+        fleet.update_machines(
+            Machine(engine.engine_id, BackendKind.ENGINE, POOL, engine.zone, "10.0.0.1:1")
+            for engine in self.engines.values()
+        )
+        zone = f"zone-{number % self.config.zones}"
+        rng = Random(f"router:{self._seed}:{number}")
+        if self._oracle:
+            decisions: RequestRouter = OracleRouter(self.bundle, fleet, index, zone, rng)
+            assert isinstance(decisions, OracleRouter)
+            decisions.engines = self.engines
+        else:
+            decisions = RequestRouter(self.bundle, fleet, index, zone, rng)
+        for engine in self.engines.values():
+            index.observe_incarnation(engine.engine_id, engine.life())
+            fleet.observe_status(engine.engine_id, engine.life(), 1, False)
+        return SimulatedRouter(zone, fleet, index, decisions)
+
+    def _at(self, when: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._queue, (when, next(self._numbers), action))
+
+    def _after(self, delay: float, action: Callable[[], None]) -> None:
+        self._at(self.now + delay, action)
+
+    def _delay(self, first: str, second: str) -> float:
+        return LOCAL_DELAY_SECONDS if first == second else self.config.zone_delay
+
+    def _arrive(self, arrival: Arrival) -> None:
+        scope = PrefixScope(arrival.tenant, MODEL, 1)
+        record = RequestRecord(arrival, scope.cache_salt())
+        self.records.append(record)
+        router = self._rng.choice(self.routers)
+        self._after(self.config.client_delay, lambda: self._admit(record, router))
+
+    def _admit(self, record: RequestRecord, router: SimulatedRouter) -> None:
+        arrival = record.arrival
+        block_tokens = self.config.block_tokens
+        record.prompt_tokens = arrival.prompt_tokens(block_tokens)
+        request = CompletionRequest(
+            tenant=arrival.tenant,
+            model=self.bundle.models[0],
+            hashes=arrival.hashes(record.cache_salt),
+            prompt_tokens=record.prompt_tokens,
+            output_tokens=arrival.output_tokens,
+            deadline=arrival.at + self.config.deadline_seconds,
+            urgent=arrival.request_class.urgent,
+        )
+        refusal = router.decisions.admit(request, self.now)
+        if refusal is not None:
+            record.refused_at = self.now
+            record.retry_after = refusal.retry_after
+            return
+        self._dispatch(record, router, request, ())
+
+    def _dispatch(
+        self,
+        record: RequestRecord,
+        router: SimulatedRouter,
+        request: CompletionRequest,
+        excluded: Collection[str],
+    ) -> None:
+        placement = router.decisions.place(request, self.now, excluded)
+        if placement is None or record.attempts >= MAX_ATTEMPTS:
+            record.refused_at = self.now
+            return
+        record.attempts += 1
+        engine = self.engines[placement.engine_id]
+        attempt_id = f"{id(record)}-{record.attempts}"
+        router.decisions.started(request, placement, attempt_id, self.now)
+        flight = _InFlight(record, router, request, engine, attempt_id, engine.incarnation)
+        self._in_flight[attempt_id] = flight
+        engine.on_way += 1
+        self._after(self._delay(router.zone, engine.zone), lambda: self._submit(flight, placement))
+
+    def _submit(self, flight: _InFlight, placement: Placement) -> None:
+        engine, record = flight.engine, flight.record
+        engine.on_way -= 1
+        if not engine.alive or self._is_cut(flight.router.zone, engine.zone):
+            self._after(CRASH_DETECTION_SECONDS, lambda: self._retry(flight))
+            return
+        flight.incarnation = engine.incarnation
+        engine.model.submit(
+            EngineRequest(
+                request_id=flight.attempt_id,
+                hashes=flight.request.hashes,
+                prompt_tokens=record.prompt_tokens,
+                output_tokens=record.arrival.output_tokens,
+                priority=record.arrival.request_class.level,
+            )
+        )
+        self._step(engine)
+
+    def _retry(self, flight: _InFlight) -> None:
+        self._in_flight.pop(flight.attempt_id, None)
+        router = flight.router
+        engine_id = flight.engine.engine_id
+        router.fleet.observe_failure(engine_id, self.now)
+        router.decisions.finished(flight.request, engine_id, flight.attempt_id)
+        if flight.record.first_token_at is not None:
+            flight.record.first_token_at = None
+        self._dispatch(flight.record, router, flight.request, (engine_id,))
+
+    def _step(self, engine: SimulatedEngine) -> None:
+        if engine.stepping or engine.model.is_idle() or not engine.alive:
+            return
+        engine.stepping = True
+        result = engine.model.step()
+        life = engine.incarnation
+        self._after(result.seconds, lambda: self._step_done(engine, result, life))
+
+    def _step_done(self, engine: SimulatedEngine, result: StepResult, life: int) -> None:
+        if engine.incarnation != life or not engine.alive:
+            return
+        engine.stepping = False
+        self._count_blocks(result)
+        self._publish(engine, result)
+        for request in result.emitted:
+            if request.emitted == 1:
+                self._first_token(engine, request)
+        for request in result.finished:
+            self._finish(engine, request)
+        self._step(engine)
+
+    def _count_blocks(self, result: StepResult) -> None:
+        for block in result.prefilled:
+            self.computed += 1
+            if block in self._seen_blocks:
+                self.computed_again += 1
+            self._seen_blocks.add(block)
+
+    def _first_token(self, engine: SimulatedEngine, request: EngineRequest) -> None:
+        flight = self._in_flight[request.request_id]
+        delay = self._delay(flight.router.zone, engine.zone)
+
+        def arrive() -> None:
+            flight.router.decisions.first_token(engine.engine_id, flight.attempt_id)
+            flight.record.first_token_at = self.now + self.config.client_delay
+
+        self._after(delay, arrive)
+
+    def _finish(self, engine: SimulatedEngine, request: EngineRequest) -> None:
+        flight = self._in_flight.pop(request.request_id)
+        cached = request.cached_blocks * self.config.block_tokens
+
+        def arrive() -> None:
+            flight.router.decisions.finished(
+                flight.request, engine.engine_id, flight.attempt_id, cached
+            )
+            flight.record.cached_tokens = min(cached, flight.record.prompt_tokens)
+            flight.record.finished_at = self.now + self.config.client_delay
+
+        self._after(self._delay(flight.router.zone, engine.zone), arrive)
+
+    def _publish(self, engine: SimulatedEngine, result: StepResult) -> None:
+        if not result.stored and not result.removed:
+            return
+        sequence = engine.sequence
+        engine.sequence += 1
+        life = engine.life()
+        for router in self.routers:
+            self._send_events(router, engine, life, sequence, result)
+
+    def _send_events(
+        self,
+        router: SimulatedRouter,
+        engine: SimulatedEngine,
+        life: str,
+        sequence: int,
+        result: StepResult,
+    ) -> None:
+        def apply() -> None:
+            router.index.stored(engine.engine_id, life, result.stored)
+            router.index.removed(engine.engine_id, life, result.removed)
+
+        def arrive() -> None:
+            partition = router.index.partition(engine.engine_id)
+            if partition is None or partition.incarnation != life:
+                return
+            gap = router.index.observe_sequence(engine.engine_id, life, sequence)
+            if gap is not None:
+                self._after(REPLAY_SECONDS, lambda: self._replay(router, engine.engine_id))
+            apply()
+
+        if self._rng.random() < self._event_loss or self._is_cut(router.zone, engine.zone):
+            router.lost.setdefault(engine.engine_id, []).append(apply)
+            return
+        self._after(self.config.event_delay, arrive)
+
+    def _replay(self, router: SimulatedRouter, engine_id: str) -> None:
+        for apply in router.lost.pop(engine_id, []):
+            apply()
+        router.index.close_gap(engine_id)
+
+    def _record_loads(self) -> None:
+        for engine in self.engines.values():
+            model = engine.model
+            report = LoadReport(
+                model.running,
+                model.waiting,
+                model.cache.usage(),
+                float(model.waiting_tokens()),
+            )
+            engine.load_history.append((self.now, report))
+        if self.now < self.config.seconds + self.config.deadline_seconds:
+            self._after(0.1, self._record_loads)
+
+    def _poll_loads(self, number: int) -> None:
+        router = self.routers[number]
+        due = self.now - self.config.load_lag
+        for engine in self.engines.values():
+            if not engine.alive or self._is_cut(router.zone, engine.zone):
+                router.fleet.observe_failure(engine.engine_id, self.now)
+                continue
+            self._observe_engine(router, engine, due)
+        router.index.expire(self.now)
+        if self.now < self.config.seconds + self.config.deadline_seconds:
+            pause = self.config.load_interval * self._rng.uniform(0.8, 1.2)
+            self._after(pause, lambda: self._poll_loads(number))
+
+    def _observe_engine(self, router: SimulatedRouter, engine: SimulatedEngine, due: float) -> None:
+        if router.index.observe_incarnation(engine.engine_id, engine.life()):
+            router.lost.pop(engine.engine_id, None)
+        router.fleet.observe_status(engine.engine_id, engine.life(), 1, False)
+        reports = [report for at, report in engine.load_history if at <= due]
+        if reports:
+            router.fleet.observe_load(engine.engine_id, reports[-1], due)
+
+    def _schedule_failure(self) -> None:
+        third = self.config.seconds / 3
+        failure = self.config.failure
+        if failure == "engine_crash":
+            self._at(third, self._crash_engine)
+        elif failure == "router_herd":
+            self._at(third, self._restart_routers)
+        elif failure == "event_loss":
+            self._at(third, lambda: setattr(self, "_event_loss", 0.05))
+            self._at(2 * third, lambda: setattr(self, "_event_loss", self.config.event_loss))
+        elif failure == "zone_cut":
+            self._at(third, lambda: setattr(self, "_cut_zone", "zone-0"))
+            self._at(2 * third, lambda: setattr(self, "_cut_zone", None))
+
+    def _is_cut(self, first: str, second: str) -> bool:
+        return first != second and self._cut_zone in (first, second)
+
+    def _crash_engine(self) -> None:
+        engine = self.engines["engine-0"]
+        engine.alive = False
+        for flight in [f for f in self._in_flight.values() if f.engine is engine]:
+            self._after(CRASH_DETECTION_SECONDS, partial(self._retry, flight))
+        self._after(RESTART_SECONDS, lambda: self._restart_engine(engine))
+
+    def _restart_engine(self, engine: SimulatedEngine) -> None:
+        engine.model = EngineModel(_profile(self.config))
+        engine.incarnation += 1
+        engine.sequence = 0
+        engine.stepping = False
+        engine.alive = True
+        engine.load_history.clear()
+
+    def _restart_routers(self) -> None:
+        """Restart all routers but one with empty beliefs; their requests go on at the engines."""
+        for number in range(1, self.config.routers):
+            fresh = self._make_router(number)
+            old = self.routers[number]
+            old.fleet, old.index, old.decisions = fresh.fleet, fresh.index, fresh.decisions
+            old.lost.clear()
+            for engine in self.engines.values():
+                # The replay buffer brings the events back, as on a first subscription.
+                cached = list(engine.model.cache.references)
+                self._after(
+                    REPLAY_SECONDS,
+                    partial(old.index.stored, engine.engine_id, engine.life(), cached),
+                )
+
+
+def _profile(config: ExperimentConfig) -> EngineProfile:
+    return EngineProfile(
+        prefill_rate=config.prefill_rate,
+        max_running=config.max_running,
+        cache_blocks=config.cache_blocks,
+        block_tokens=config.block_tokens,
+    )
+
+
+def _bundle(config: ExperimentConfig, routing: Routing) -> Bundle:
+    tenants = WORKLOADS[config.deployment].tenants
+    return Bundle.model_validate(
+        {
+            "version": 1,
+            "deployment": config.deployment,
+            "zones": tuple(f"zone-{number}" for number in range(config.zones)),
+            "block_tokens": config.block_tokens,
+            "partners": [{"name": "partner", "share": 1.0}],
+            "tenants": [
+                {
+                    "name": name,
+                    "partner": "partner",
+                    "weight": share,
+                    "key_hash": f"{number:064x}",
+                }
+                for number, (name, share) in enumerate(tenants)
+            ],
+            "models": [{"name": MODEL, "pool": POOL, "weights_version": 1}],
+            "pools": [
+                {
+                    "name": POOL,
+                    "kind": "engine",
+                    "prefill_tokens_per_second": config.prefill_rate,
+                    "max_running": config.max_running,
+                }
+            ],
+            "priorities": [{"name": "normal", "level": 10}],
+            "routing": routing.model_dump(),
+            "admission": config.admission.model_dump(),
+        }
+    )
--- a/src/hillstack/simulation/workload.py
+++ b/src/hillstack/simulation/workload.py
@@ -8,7 +8,7 @@
 
 import math
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import accumulate
 from random import Random
 
@@ -144,6 +144,12 @@
             yield self._draw(number, now)
             number += 1
 
+    def as_tenant(self, arrival: Arrival, tenant: str) -> Arrival:
+        """Return an arrival of another tenant, with that tenant's documents."""
+        epoch = int(arrival.at // self._workload.shift_seconds)
+        segments = self._walk(tenant, arrival.request_class, epoch)
+        return replace(arrival, tenant=tenant, segments=segments)
+
     def _draw(self, number: int, now: float) -> Arrival:
         rng, workload = self._rng, self._workload
         tenants = workload.tenants
--- a/tools/make_deployments.py
+++ b/tools/make_deployments.py
@@ -35,7 +35,7 @@
         ("read-booking", "GET", "/bookings", True, "urgent"),
         ("crew-day", "GET", "/crew-days", True, "urgent"),
     ],
-    "routing": {"policy": "full", "wait_weight": 1.0, "recompute_weight": 1.5},
+    "routing": {"policy": "full", "congestion_weight": 10.0, "home_discount": 0.2},
 }
 
 LAGOS: dict[str, Any] = {
@@ -64,7 +64,7 @@
         ("fee-quote", "POST", "/fee-quotes", False, "urgent"),
         ("read-fee-quote", "GET", "/fee-quotes", True, "urgent"),
     ],
-    "routing": {"policy": "full", "wait_weight": 1.0, "recompute_weight": 1.5},
+    "routing": {"policy": "full", "congestion_weight": 10.0, "home_discount": 0.0},
 }
 
 
@@ -169,13 +169,29 @@
     }
 
 
+def experiment_of(sizes: dict[str, Any], delays: tuple[float, float]) -> str:
+    """Return the experiment of a deployment; the routing is the bundle's."""
+    routing = "\n".join(f"{key} = {json.dumps(value)}" for key, value in sizes["routing"].items())
+    return f"""# Routing of the {sizes["name"]} deployment, measured in virtual time.
+
+deployment = "{sizes["name"]}"
+engines = {sizes["engines"]}
+zone_delay = {delays[0]}
+client_delay = {delays[1]}
+
+[routing]
+{routing}
+"""
+
+
 def main() -> None:
     """Write all files."""
-    for sizes in (TAMPERE, LAGOS):
+    for sizes, delays in ((TAMPERE, (0.0015, 0.003)), (LAGOS, (0.001, 0.001))):
         folder = ROOT / sizes["name"]
         folder.mkdir(parents=True, exist_ok=True)
         (folder / "bundle.json").write_text(json.dumps(bundle_of(sizes), indent=2) + "\n")
         (folder / "fleet.json").write_text(json.dumps(fleet_of(sizes), indent=2) + "\n")
+        (folder / "experiment.toml").write_text(experiment_of(sizes, delays))
         for number, zone in enumerate(sizes["zones"]):
             (folder / f"router-{zone}.toml").write_text(settings_of(sizes, number))
 
