Admission refuses by how far a tenant exceeds its share; bounded congestion weight

The bound on congestion lets one hot prefix spread where its own queue raises the mean; unbounded, a pool of two never spread it.

--- a/src/hillstack/core/admission.py
+++ b/src/hillstack/core/admission.py
@@ -1,9 +1,9 @@
 """Weighted fair admission by cost in tokens.
 
-While the estimated wait is below a target, everything is admitted, so no capacity is left idle.
-Above it, a tenant is admitted only while its recent use is below its share of what all active
-tenants use. A request that cannot meet its deadline is refused at once. Every refusal says when
-to come back.
+While nobody waits, everything is admitted, so no capacity is left idle. As queues grow, tenants
+are refused in the order of how far their recent use exceeds their share of what all active tenants
+use: at a hundredth of the target wait those at ten times their share, at the target all above it.
+A request that cannot meet its deadline is refused at once. Every refusal says when to come back.
 """
 
 from __future__ import annotations
@@ -17,6 +17,7 @@
 MIN_RETRY_AFTER_SECONDS = 1.0
 MAX_RETRY_AFTER_SECONDS = 60.0
 ACTIVE_TOKENS = 1.0
+EXCESS_EXPONENT = 2.0
 
 
 class RefusalReason(enum.StrEnum):
@@ -46,6 +47,7 @@
     Attributes:
         cost_tokens: Expected work: uncached prompt tokens plus output tokens.
         estimated_wait: Seconds until the best engine would start it.
+        mean_wait: Estimated wait, mean over the engines.
         deadline_in: Seconds until its deadline.
         urgent: Whether it is exempt from fairness below the hard limit.
     """
@@ -53,6 +55,7 @@
     tenant: str
     cost_tokens: float
     estimated_wait: float
+    mean_wait: float
     deadline_in: float
     urgent: bool = False
 
@@ -72,7 +75,7 @@
 
     Args:
         weights: Share of each tenant, relative to the others.
-        target_wait: Estimated wait, in seconds, above which shares are enforced.
+        target_wait: Mean wait, in seconds, above which every tenant over its share is refused.
         max_wait: Estimated wait above which nothing is admitted.
     """
 
@@ -103,7 +106,7 @@
             return Refusal(RefusalReason.DEADLINE, _bounded(wait - self._target_wait))
         if wait >= self._max_wait:
             return Refusal(RefusalReason.OVERLOADED, _bounded(wait - self._target_wait))
-        if request.urgent or wait < self._target_wait:
+        if request.urgent:
             return None
         return self._over_share(request, now)
 
@@ -114,7 +117,10 @@
         fair = total * self._share(request.tenant, active)
         if used <= fair or total <= ACTIVE_TOKENS:
             return None
-        until_fair = USAGE_HALF_LIFE_SECONDS * math.log2(used / fair) if fair > 0 else 0.0
+        excess = used / fair if fair > 0 else math.inf
+        if request.mean_wait * excess**EXCESS_EXPONENT < self._target_wait:
+            return None
+        until_fair = USAGE_HALF_LIFE_SECONDS * math.log2(excess) if fair > 0 else math.inf
         return Refusal(RefusalReason.OVER_SHARE, _bounded(until_fair))
 
     def _share(self, tenant: str, active: Mapping[str, float]) -> float:
--- a/src/hillstack/core/placement/full.py
+++ b/src/hillstack/core/placement/full.py
@@ -15,6 +15,7 @@
 from hillstack.core.rendezvous import owner
 
 CACHE_PRESSURE_FROM = 0.8
+MAX_CONGESTION = 12.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +81,9 @@
             prefill *= 1 - weights.home_discount
         pressure = max(0.0, engine.cache_usage - CACHE_PRESSURE_FROM) / (1 - CACHE_PRESSURE_FROM)
         wait = estimated_wait(engine) + 2 * engine.network_delay
-        recompute = weights.recompute * (1 + weights.congestion * mean_wait)
+        # The bound lets a single hot prefix spread: its own queue raises the mean as well.
+        congestion = min(MAX_CONGESTION, weights.congestion * mean_wait)
+        recompute = weights.recompute * (1 + congestion)
         return weights.wait * wait + (recompute + weights.eviction * pressure) * prefill
 
 
--- a/src/hillstack/core/request_router.py
+++ b/src/hillstack/core/request_router.py
@@ -85,6 +85,7 @@
             tenant=request.tenant,
             cost_tokens=max(0, uncached) + request.output_tokens,
             estimated_wait=min(waits, default=0.0),
+            mean_wait=sum(waits) / max(1, len(waits)),
             deadline_in=request.deadline - now,
             urgent=request.urgent,
         )
--- a/src/hillstack/simulation/report.py
+++ b/src/hillstack/simulation/report.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 from pathlib import Path
+from typing import Any
 
 from hillstack.simulation.experiment import RunFigures, Summary, summarize
 
@@ -86,13 +87,14 @@
     return path
 
 
-def _new_figure():  # type: ignore[no-untyped-def]
+def _new_figure() -> tuple[Any, Any]:
     import matplotlib
 
     matplotlib.use("Agg")
     from matplotlib import pyplot
 
-    return pyplot.subplots(figsize=(7, 4.5), layout="constrained")
+    figure, axes = pyplot.subplots(figsize=(7, 4.5), layout="constrained")
+    return figure, axes
 
 
 def _cell(name: str, summary: Summary) -> str:
--- a/tools/experiments.py
+++ b/tools/experiments.py
@@ -51,6 +51,7 @@
 def main() -> int:
     """Run all parts."""
     parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--only", help="run one part only")
     parser.add_argument("--plots", type=Path, help="folder for plots")
     arguments = parser.parse_args()
     started = time.monotonic()
@@ -60,7 +61,7 @@
     with ProcessPoolExecutor() as pool:
         capacities = dict(zip(configs, pool.map(calibrate, configs.values()), strict=True))
         for name, config in configs.items():
-            jobs = _jobs(config, capacities[name])
+            jobs = _jobs(config, capacities[name], arguments.only)
             results = list(pool.map(_run, jobs, chunksize=1))
             print(f"\n## {name}: capacity {capacities[name]:.1f} requests a second\n")
             _print_parts(jobs, results)
@@ -75,7 +76,7 @@
     return run_one(job.config, job.policy, job.key)
 
 
-def _jobs(config: ExperimentConfig, capacity: float) -> list[Job]:
+def _jobs(config: ExperimentConfig, capacity: float, only: str | None) -> list[Job]:
     jobs = []
 
     def add(part: str, changed: ExperimentConfig, policy: str, label: str, load: float) -> None:
@@ -99,7 +100,7 @@
     add("flood", flooded, "full", f"flood by {smallest}", FLOOD_LOAD)
     for load in (1.0, 1.5):
         add("overload", config, "full", "full", load)
-    return jobs
+    return [job for job in jobs if only in (None, job.part)]
 
 
 def _of(jobs: Sequence[Job], results: Sequence[RunFigures], part: str) -> list[RunFigures]:
@@ -108,9 +109,12 @@
 
 def _print_parts(jobs: Sequence[Job], results: Sequence[RunFigures]) -> None:
     for part in ("policies", "ablation", "overload"):
-        print(f"### {part}\n\n{table(_of(jobs, results, part))}\n")
-    _print_failures(_of(jobs, results, "failures"))
-    _print_flood(_of(jobs, results, "flood"))
+        if runs := _of(jobs, results, part):
+            print(f"### {part}\n\n{table(runs)}\n")
+    if runs := _of(jobs, results, "failures"):
+        _print_failures(runs)
+    if runs := _of(jobs, results, "flood"):
+        _print_flood(runs)
 
 
 def _print_failures(runs: list[RunFigures]) -> None:
