--- a/src/hillstack/core/control.py
+++ b/src/hillstack/core/control.py
@@ -25,6 +25,8 @@
     SyncRequest,
 )
 
+EXPIRE_INTERVAL_SECONDS = 5.0
+
 
 class ControlState:
     """Joins membership, bundles and claims of one node.
@@ -41,6 +43,8 @@
         self._ownership = OwnershipHistory(membership.own.node_id)
         self.claims = ClaimTable(self._ownership)
         self._refutations = 0
+        self._generation = -1
+        self._claims_expire_at = now
         self._majority_seen_at = now
 
     @property
@@ -78,7 +82,9 @@
     def on_request(self, message: Message, now: float, now_wall: float) -> Message:
         """Answer a request of another node."""
         if isinstance(message, SyncRequest):
-            self.membership.merge(message.members, now)
+            # The sender stands first; its arrival is news for others, the rest of its list is not.
+            self.membership.merge(message.members[:1], now)
+            self.membership.merge(message.members[1:], now, announce=False)
             self._after_membership_change(now, now_wall)
             return SyncReply(self.membership.snapshot(), self.membership.leaving)
         if isinstance(message, BundleRequest):
@@ -109,16 +115,21 @@
             # Others believed this node dead and may have given its keys to another replica.
             self._refutations = membership.refutations
             self._ownership.restart(now_wall)
-        by_zone = membership.by_zone()
-        if membership.is_known_to_zone():
-            self._ownership.record(by_zone.get(membership.own.zone, []), now_wall)
+        if membership.generation != self._generation:
+            self._generation = membership.generation
+            if membership.is_known_to_zone():
+                own_zone = membership.by_zone().get(membership.own.zone, [])
+                self._ownership.record(own_zone, now_wall)
         bundle = self.bundle
         if bundle is None:
             return
-        self._ownership.trim(now_wall - 2 * bundle.claims.horizon_seconds)
-        self.claims.expire(now_wall, claim_limits(bundle))
+        by_zone = membership.by_zone()
         if sum(1 for zone in bundle.zones if by_zone.get(zone)) > len(bundle.zones) // 2:
             self._majority_seen_at = now
+        if now >= self._claims_expire_at:
+            self._claims_expire_at = now + EXPIRE_INTERVAL_SECONDS
+            self._ownership.trim(now_wall - 2 * bundle.claims.horizon_seconds)
+            self.claims.expire(now_wall, claim_limits(bundle))
 
 
 def claim_limits(bundle: Bundle) -> ClaimLimits:
--- a/src/hillstack/core/membership.py
+++ b/src/hillstack/core/membership.py
@@ -93,7 +93,10 @@
         self._timing = timing
         self._rng = rng
         self._members: dict[str, Member] = {}
-        self._changed_at: dict[str, float] = {}
+        # Suspect, dead and left members and the time of that change; all others are alive.
+        self._not_alive: dict[str, float] = {}
+        self._generation = 0
+        self._by_zone: dict[str, list[str]] | None = None
         self._transmits: dict[str, int] = {}
         self._probes: dict[int, _Probe] = {}
         self._relays: dict[int, _Relay] = {}
@@ -112,19 +115,25 @@
         """How often this node refuted a belief that it is suspect or dead."""
         return self._refutations
 
+    @property
+    def generation(self) -> int:
+        """A number that rises whenever a member changes state or a node is heard from first."""
+        return self._generation
+
     def is_known_to_zone(self) -> bool:
         """Return whether a peer gave its member list and all nodes of the zone answered here.
 
         Whoever answered has this node in its own list.
         """
-        zone_peers = (m for m in self.serving() if m.zone == self._own.zone)
-        others = {member.node_id for member in zone_peers} - {self._own.node_id}
+        others = set(self.by_zone().get(self._own.zone, ())) - {self._own.node_id}
         return self._synchronized and others <= self._heard
 
     def on_synchronized(self, members: Iterable[Member], now: float) -> None:
         """Take in the whole member list of a peer."""
-        self._synchronized = True
-        self.merge(members, now)
+        if not self._synchronized:
+            self._synchronized = True
+            self._note_change()
+        self.merge(members, now, announce=False)
 
     @property
     def own(self) -> Member:
@@ -144,10 +153,11 @@
 
     def by_zone(self) -> dict[str, list[str]]:
         """Return the identifiers of serving nodes by zone."""
-        zones: dict[str, list[str]] = {}
-        for member in self.serving():
-            zones.setdefault(member.zone, []).append(member.node_id)
-        return zones
+        if self._by_zone is None:
+            self._by_zone = {}
+            for member in self.serving():
+                self._by_zone.setdefault(member.zone, []).append(member.node_id)
+        return self._by_zone
 
     def address_of(self, node_id: str) -> str | None:
         """Return the peer address of a member."""
@@ -163,6 +173,7 @@
     def leave(self) -> list[Datagram]:
         """Announce that this node leaves, to a few others at once."""
         self._own = replace(self._own, state=MemberState.LEFT)
+        self._note_change()
         alive = [entry for entry in self._members.values() if entry.state is MemberState.ALIVE]
         targets = self._rng.sample(alive, min(len(alive), 2 * HELPERS))
         return [Datagram(target.address, self._ping()) for target in targets]
@@ -186,13 +197,18 @@
             return [self._relay_probe(message, address, now)]
         return self._on_ack(message, now)
 
-    def merge(self, updates: Iterable[Member], now: float) -> None:
-        """Take in what others say about members."""
+    def merge(self, updates: Iterable[Member], now: float, *, announce: bool = True) -> None:
+        """Take in what others say about members.
+
+        Args:
+            announce: Whether to pass changes on. What came as a whole list is not passed on: each
+                node exchanges whole lists itself, and a new node would gossip all of them.
+        """
         for update in updates:
             if update.node_id == self._own.node_id:
                 self._refute(update)
-            else:
-                self._apply(update, now)
+            elif self._apply(update, now) and announce:
+                self._announce(update.node_id)
 
     def snapshot(self) -> tuple[Member, ...]:
         """Return this node and all members, for a full exchange."""
@@ -206,20 +222,37 @@
         if update.state is MemberState.ALIVE and update.incarnation == self._own.incarnation:
             return
         self._refutations += 1
+        self._note_change()
         self._own = replace(self._own, incarnation=update.incarnation + 1)
         self._announce(self._own.node_id)
 
-    def _apply(self, update: Member, now: float) -> None:
+    def _apply(self, update: Member, now: float) -> bool:
+        """Take over an update and return whether it was news."""
         known = self._members.get(update.node_id)
         if known is not None and not _supersedes(update, known):
-            if update.incarnation == known.incarnation:
-                version = max(known.bundle_version, update.bundle_version)
-                if version != known.bundle_version:
-                    self._members[update.node_id] = replace(known, bundle_version=version)
-            return
+            self._raise_bundle_version(known, update)
+            return False
         self._members[update.node_id] = update
-        self._changed_at[update.node_id] = now
-        self._announce(update.node_id)
+        if update.state is MemberState.ALIVE:
+            self._not_alive.pop(update.node_id, None)
+        else:
+            self._not_alive[update.node_id] = now
+        self._note_change()
+        return True
+
+    def _raise_bundle_version(self, known: Member, update: Member) -> None:
+        if update.incarnation == known.incarnation and update.bundle_version > known.bundle_version:
+            raised = replace(known, bundle_version=update.bundle_version)
+            self._members[known.node_id] = raised
+
+    def _change_state(self, member: Member, state: MemberState, now: float) -> None:
+        """Change a member's state by this node's own finding, and pass it on."""
+        self._apply(replace(member, state=state), now)
+        self._announce(member.node_id)
+
+    def _note_change(self) -> None:
+        self._generation += 1
+        self._by_zone = None
 
     def _announce(self, node_id: str) -> None:
         self._transmits[node_id] = 0
@@ -238,17 +271,17 @@
             ping = self._ping()
             self._probes[ping.sequence] = _Probe(target.node_id, now)
             effects.append(Datagram(target.address, ping))
-        lost = self._lost_addresses()
-        if lost and (target is None or self._round % RECONNECT_PROBE_EVERY == 0):
-            effects.append(Datagram(self._rng.choice(lost), self._ping()))
+        if target is None or self._round % RECONNECT_PROBE_EVERY == 0:
+            lost = self._lost_addresses()
+            if lost:
+                effects.append(Datagram(self._rng.choice(lost), self._ping()))
         return effects
 
     def _lost_addresses(self) -> list[str]:
         known = {member.address for member in self._members.values()}
         unmet = [seed for seed in self._seeds if seed not in known]
-        dead = [
-            member.address for member in self._members.values() if member.state is MemberState.DEAD
-        ]
+        gone = [self._members[node_id] for node_id in self._not_alive]
+        dead = [member.address for member in gone if member.state is MemberState.DEAD]
         return unmet + dead
 
     def _next_target(self) -> Member | None:
@@ -296,16 +329,16 @@
 
     def _suspect(self, target: Member | None, now: float) -> None:
         if target is not None and target.state is MemberState.ALIVE:
-            self._apply(replace(target, state=MemberState.SUSPECT), now)
+            self._change_state(target, MemberState.SUSPECT, now)
 
     def _expire(self, now: float) -> None:
-        for node_id, member in list(self._members.items()):
-            age = now - self._changed_at.get(node_id, now)
+        for node_id, changed_at in list(self._not_alive.items()):
+            member, age = self._members[node_id], now - changed_at
             if member.state is MemberState.SUSPECT and age >= self._timing.suspect_timeout:
-                self._apply(replace(member, state=MemberState.DEAD), now)
+                self._change_state(member, MemberState.DEAD, now)
             elif member.state >= MemberState.DEAD and age >= FORGET_DEAD_SECONDS:
                 del self._members[node_id]
-                self._changed_at.pop(node_id, None)
+                del self._not_alive[node_id]
                 self._transmits.pop(node_id, None)
         for sequence, relay in list(self._relays.items()):
             if relay.expires_at <= now:
@@ -318,7 +351,9 @@
         return Datagram(request.target_address, ping)
 
     def _on_ack(self, ack: Ack, now: float) -> list[Datagram]:
-        self._heard.add(ack.sender.node_id)
+        if ack.sender.node_id not in self._heard:
+            self._heard.add(ack.sender.node_id)
+            self._note_change()
         self._probes.pop(ack.sequence, None)
         relay = self._relays.pop(ack.sequence, None)
         if relay is None:
--- a/src/hillstack/daemon/metrics.py
+++ b/src/hillstack/daemon/metrics.py
@@ -63,6 +63,11 @@
             "hillstack_believed_blocks", "Blocks believed cached on engines.", registry=registry
         )
         self.claims = Gauge("hillstack_claims", "Claims kept here.", registry=registry)
+        self.gossip_sent_bytes = Gauge(
+            "hillstack_gossip_sent_bytes",
+            "Bytes of gossip sent since the start.",
+            registry=registry,
+        )
         self.open_requests = Gauge(
             "hillstack_open_requests", "Requests being served.", registry=registry
         )
--- a/src/hillstack/daemon/network_surroundings.py
+++ b/src/hillstack/daemon/network_surroundings.py
@@ -27,6 +27,11 @@
         self.client = PeerClient(codec)
         self.protocol: GossipProtocol | None = None
 
+    @property
+    def gossip_bytes_sent(self) -> int:
+        """Bytes of datagrams sent so far."""
+        return self.protocol.bytes_sent if self.protocol else 0
+
     def gossip(self, address: str, message: Message) -> None:
         """Send a datagram; it may be lost."""
         if self.protocol is not None:
--- a/src/hillstack/daemon/node.py
+++ b/src/hillstack/daemon/node.py
@@ -108,6 +108,11 @@
         """Requests to back ends."""
         return self._surroundings.backends
 
+    @property
+    def gossip_bytes_sent(self) -> int:
+        """Bytes of gossip sent so far."""
+        return self._surroundings.peers.gossip_bytes_sent
+
     @property
     def bundle(self) -> Bundle | None:
         """The bundle in force, if any."""
--- a/src/hillstack/daemon/ports.py
+++ b/src/hillstack/daemon/ports.py
@@ -110,6 +110,11 @@
 class Peers(Protocol):
     """Messages to other nodes."""
 
+    @property
+    def gossip_bytes_sent(self) -> int:
+        """Bytes of datagrams sent so far."""
+        ...
+
     def gossip(self, address: str, message: Message) -> None:
         """Send a datagram; it may be lost."""
         ...
--- a/src/hillstack/gateway/app.py
+++ b/src/hillstack/gateway/app.py
@@ -63,6 +63,7 @@
             counts[member.state.name.lower()] += 1
         for state, count in counts.items():
             node.metrics.members.labels(state).set(count)
+        node.metrics.gossip_sent_bytes.set(node.gossip_bytes_sent)
         page = generate_latest(node.metrics.registry)
         return Response(page, media_type=CONTENT_TYPE_LATEST)
 
--- a/src/hillstack/simulation/surroundings.py
+++ b/src/hillstack/simulation/surroundings.py
@@ -194,6 +194,8 @@
 class SimPeers:
     """Messages between simulated nodes."""
 
+    gossip_bytes_sent = 0
+
     def __init__(self, process: SimProcess, network: SimNetwork) -> None:
         self._process = process
         self._network = network
