Weights are ordered by the node that holds a lease, with its revision as fence

Before, a bundle with new weights left every engine on the old ones, and none of them took requests any more. Prompts are now hashed and salted by the weights that the engine serves, so all engines stay in use during the change and blocks of other weights never match.

--- a/src/hillstack/backends/http_client.py
+++ b/src/hillstack/backends/http_client.py
@@ -17,11 +17,13 @@
 from hillstack.core.attempt import Attempt, AttemptState
 from hillstack.core.fleet import LoadReport
 from hillstack.daemon.ports import BackendStatus
-from hillstack.errors import BackendBrokenError, BackendRefusedError
+from hillstack.errors import BackendBrokenError, BackendError, BackendRefusedError
 
 MAX_KEEP_ALIVE_SECONDS = 15.0
 PAGE_TIMEOUT_SECONDS = 2.0
 CHECKS_PER_SILENCE = 2
+LOAD_TIMEOUT_SECONDS = 600.0
+CONFLICT = 409
 
 
 class BackendClient:
@@ -111,6 +113,27 @@
         """
         return await fetch_load(self._kept, address, PAGE_TIMEOUT_SECONDS)
 
+    async def order_load(self, address: str, fence: int, weights_version: int) -> bool:
+        """Order an engine to load weights and wait until it has.
+
+        Returns:
+            False when the engine has taken an order with a higher fence.
+
+        Raises:
+            BackendError: The engine failed.
+        """
+        order = {"fence": fence, "weights_version": weights_version}
+        limits = aiohttp.ClientTimeout(total=LOAD_TIMEOUT_SECONDS)
+        url = f"http://{address}/orders/load"
+        try:
+            async with self._kept.post(url, json=order, timeout=limits) as response:
+                if response.status == CONFLICT:
+                    return False
+                response.raise_for_status()
+                return True
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise BackendError(repr(error), step="order weights", peer=address) from error
+
     def _session(self, *, force_close: bool) -> aiohttp.ClientSession:
         trace = aiohttp.TraceConfig()
         trace.on_connection_create_end.append(_on_connection)
--- a/src/hillstack/core/placement/base.py
+++ b/src/hillstack/core/placement/base.py
@@ -14,6 +14,7 @@
 
     Attributes:
         matched_blocks: Leading blocks of the prompt believed cached there.
+        weights_version: Version of the weights that it serves.
         trusted: Whether the beliefs have no gap.
         queued_tokens: Prompt tokens waiting for prefill, estimated.
         waiting: Requests waiting for a slot, estimated.
@@ -27,6 +28,7 @@
     engine_id: str
     zone: str
     matched_blocks: int
+    weights_version: int
     trusted: bool
     queued_tokens: float
     waiting: int
@@ -48,11 +50,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """The engine chosen and the estimated seconds until it starts the prefill."""
+    """The engine chosen, the seconds until it starts the prefill, and the weights it serves."""
 
     engine_id: str
     estimated_wait: float
     uncached_tokens: int
+    weights_version: int
 
 
 class PlacementPolicy(ABC):
--- a/src/hillstack/core/prefix.py
+++ b/src/hillstack/core/prefix.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
+from typing import Protocol
 
 from xxhash import xxh3_64_intdigest
 
@@ -55,3 +56,47 @@
         parent = xxh3_64_intdigest(tokens[start : start + size], parent)
         hashes.append(parent)
     return hashes
+
+
+class PromptHashes(Protocol):
+    """The block hashes of one prompt, which differ by weights version."""
+
+    def for_version(self, weights_version: int) -> tuple[int, ...]:
+        """Return the hashes under a weights version."""
+        ...
+
+
+@dataclass(slots=True)
+class TextHashes:
+    """Hashes of a tokenized prompt, made when first asked for.
+
+    Args:
+        tokens: The tokens, ``width`` bytes each.
+        scope: Scope of the prompt; its weights version is replaced by the one asked for.
+    """
+
+    tokens: bytes
+    block_tokens: int
+    width: int
+    scope: PrefixScope
+    _by_version: dict[int, tuple[int, ...]] = field(default_factory=dict)
+
+    def for_version(self, weights_version: int) -> tuple[int, ...]:
+        """Return the hashes under a weights version."""
+        known = self._by_version.get(weights_version)
+        if known is None:
+            salt = replace(self.scope, weights_version=weights_version).cache_salt()
+            known = tuple(block_hashes(self.tokens, self.block_tokens, self.width, salt))
+            self._by_version[weights_version] = known
+        return known
+
+
+@dataclass(frozen=True, slots=True)
+class FixedHashes:
+    """Hashes that do not depend on the version, where only one version is ever in use."""
+
+    hashes: tuple[int, ...]
+
+    def for_version(self, weights_version: int) -> tuple[int, ...]:
+        """Return the hashes."""
+        return self.hashes
--- a/src/hillstack/daemon/node.py
+++ b/src/hillstack/daemon/node.py
@@ -21,6 +21,7 @@
 from hillstack.daemon.claim_coordinator import ClaimCoordinator
 from hillstack.daemon.metrics import RouterMetrics
 from hillstack.daemon.ports import Backends, Surroundings
+from hillstack.daemon.weights_duty import WeightsDuty
 from hillstack.errors import PeerError
 from hillstack.logs import error_fields
 from hillstack.messages.types import (
@@ -101,6 +102,7 @@
             settings.backends.load_poll_seconds,
             self._any_peer,
         )
+        self._weights = WeightsDuty(self.control, fleet, surroundings)
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -129,12 +131,14 @@
         self._spawn(self._bundles.poll())
         self._spawn(self._bundles.watch())
         self._spawn(self._watch.run())
+        self._spawn(self._weights.run())
         self._spawn(self._run_membership())
         self._spawn(self._run_sync())
 
     async def leave(self) -> None:
-        """Tell the others that this node leaves; it keeps serving."""
+        """Hand duties over and tell the others that this node leaves; it keeps serving."""
         self.stopping = True
+        await self._weights.hand_over()
         self._send(self.membership.leave())
 
     async def stop(self) -> None:
--- a/src/hillstack/daemon/ports.py
+++ b/src/hillstack/daemon/ports.py
@@ -86,6 +86,10 @@
         """Return an engine's load."""
         ...
 
+    async def order_load(self, address: str, fence: int, weights_version: int) -> bool:
+        """Order an engine to load weights; return False when its fence refused the order."""
+        ...
+
 
 class KeyValue(Protocol):
     """The key-value service."""
@@ -102,6 +106,18 @@
         """Write all keys if all conditions hold; return the revision or None."""
         ...
 
+    async def grant_lease(self, ttl_seconds: int) -> int:
+        """Make a lease and return its identifier."""
+        ...
+
+    async def keep_alive(self, lease_id: int) -> bool:
+        """Renew a lease and return whether it still existed."""
+        ...
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        """End a lease; its keys are deleted."""
+        ...
+
     def watch(self, key: str) -> AsyncIterator[bytes]:
         """Yield each new value of a key until the stream breaks."""
         ...
--- a/src/hillstack/gateway/completions.py
+++ b/src/hillstack/gateway/completions.py
@@ -7,7 +7,7 @@
 import json
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from starlette.requests import Request
@@ -18,7 +18,7 @@
 from hillstack.core.admission import Refusal, RefusalReason
 from hillstack.core.attempt import Attempt, AttemptState, Outcome, RequestAttempts
 from hillstack.core.placement.base import Placement
-from hillstack.core.prefix import PrefixScope, block_hashes
+from hillstack.core.prefix import PrefixScope, TextHashes
 from hillstack.core.prompt import ByteTokenizer
 from hillstack.core.request_router import CompletionRequest, RequestRouter
 from hillstack.daemon.node import Node
@@ -55,7 +55,7 @@
     request: CompletionRequest
     parsed: ParsedCompletion
     priority: Priority
-    cache_salt: str
+    scope: PrefixScope
     request_id: str
     path: str
     chat: bool
@@ -132,7 +132,7 @@
         try:
             url = f"http://{backend.machine.address}{job.path}"
             async with node.backends.send(
-                attempt, "POST", url, self._engine_body(), self._engine_headers(attempt)
+                attempt, "POST", url, self._engine_body(placement), self._engine_headers(attempt)
             ) as response:
                 if response.status in (429, 500, 502, 503):
                     text = f"status {response.status}"
@@ -140,7 +140,7 @@
                 cached_tokens = await take_answer(response, attempt)
             attempt.advance(AttemptState.ANSWERED)
         finally:
-            router.finished(job.request, placement.engine_id, attempt.attempt_id, cached_tokens)
+            router.finished(job.request, placement, attempt.attempt_id, cached_tokens)
         self._note_tokens(placement, cached_tokens)
 
     def _note_tokens(self, placement: Placement, cached_tokens: int | None) -> None:
@@ -237,10 +237,11 @@
             response.status, "engine_error", message, Outcome.RAN, "engine", self._last_peer()
         )
 
-    def _engine_body(self) -> bytes:
+    def _engine_body(self, placement: Placement) -> bytes:
         job = self._job
         content = dict(job.parsed.content)
-        content["cache_salt"] = job.cache_salt
+        scope = replace(job.scope, weights_version=placement.weights_version)
+        content["cache_salt"] = scope.cache_salt()
         content["priority"] = job.priority.level
         if job.parsed.body.stream:
             content["stream_options"] = {"include_usage": True}
@@ -335,14 +336,12 @@
     bundle = node.bundle
     assert bundle is not None
     scope = PrefixScope(tenant, parsed.model.name, parsed.model.weights_version)
-    salt = scope.cache_salt()
     tokens = TOKENIZER.encode(parsed.prompt)
-    hashes = block_hashes(tokens, bundle.block_tokens, TOKENIZER.width, salt)
     request_id = f"{node.rng.getrandbits(96):024x}"
     completion = CompletionRequest(
         tenant=tenant,
         model=parsed.model,
-        hashes=tuple(hashes),
+        hashes=TextHashes(tokens, bundle.block_tokens, TOKENIZER.width, scope),
         prompt_tokens=max(1, len(tokens) // TOKENIZER.width),
         output_tokens=parsed.body.output_tokens(),
         deadline=arrived_at + timeout,
@@ -352,7 +351,7 @@
         completion,
         parsed,
         priority,
-        salt,
+        scope,
         request_id,
         request.url.path,
         chat,
--- a/src/hillstack/simulation/clients.py
+++ b/src/hillstack/simulation/clients.py
@@ -22,6 +22,7 @@
 KEY_RANDOM_BITS = 80
 STREAM_TOKENS = 12
 SHARED_BLOCKS = 3
+NEW_WEIGHTS_SHARE = 0.3
 
 
 class Callers:
@@ -114,6 +115,12 @@
             except (PlatformError, BundleError):
                 continue
 
+    def _next_model(self, parent: Bundle) -> dict[str, object]:
+        """Return the model, with new weights now and then."""
+        model = parent.models[0]
+        raised = model.weights_version + (self._rng.random() < NEW_WEIGHTS_SHARE)
+        return model.model_dump() | {"weights_version": raised}
+
     async def _roll_out_next(self) -> None:
         latest = await self._store.latest()
         assert latest is not None
@@ -124,6 +131,7 @@
                 "version": parent.version + 1,
                 "parent_digest": parent.digest(),
                 "retries": {"ratio": round(self._rng.uniform(0.2, 0.6), 6)},
+                "models": [self._next_model(parent)],
             }
         )
         await self._store.roll_out(self._cluster.partners.sign(child), child)
--- a/src/hillstack/simulation/services.py
+++ b/src/hillstack/simulation/services.py
@@ -81,6 +81,7 @@
 
     def transact(self, conditions: list[ValueIs], puts: list[Put]) -> int | None:
         """Write all keys if all conditions hold."""
+        self.store.expire(self.process.loop.time())
         for condition in conditions:
             known = self.store.values.get(condition.key.encode())
             if (known.value if known else None) != condition.value:
@@ -90,8 +91,23 @@
             self.store.put(put.key.encode(), put.value, put.lease_id, self.store.revision)
         return self.store.revision
 
+    def grant_lease(self, ttl: int) -> int:
+        """Make a lease."""
+        return self.store.grant(float(ttl), self.process.loop.time()).lease_id
+
+    def keep_alive(self, lease_id: int) -> bool:
+        """Renew a lease and return whether it still existed."""
+        now = self.process.loop.time()
+        self.store.expire(now)
+        lease = self.store.leases.get(lease_id)
+        if lease is None:
+            return False
+        lease.expires_at = now + lease.ttl
+        return True
+
     def get(self, key: str) -> Entry | None:
         """Return a key's entry."""
+        self.store.expire(self.process.loop.time())
         known = self.store.values.get(key.encode())
         return Entry(key, known.value, known.mod_revision) if known else None
 
@@ -219,7 +235,7 @@
         if call == "load":
             return LoadReport(self._running, 0, len(self._cache) / ENGINE_CACHE_BLOCKS, 0.0)
         if callable(call):
-            return call(self)
+            return await call(self)
         assert isinstance(call, StreamCall)
         return await self._stream(call)
 
--- a/src/hillstack/simulation/surroundings.py
+++ b/src/hillstack/simulation/surroundings.py
@@ -35,6 +35,7 @@
 SILENCE_TIMEOUT_SECONDS = 5.0
 PLATFORM_TIMEOUT_SECONDS = 3.0
 PAGE_TIMEOUT_SECONDS = 2.0
+LOAD_SECONDS = 0.5
 
 
 class SimContent:
@@ -136,6 +137,24 @@
         assert isinstance(report, LoadReport)
         return report
 
+    async def order_load(self, address: str, fence: int, weights_version: int) -> bool:
+        """Order an engine to load weights.
+
+        Raises:
+            BackendError: The engine failed.
+        """
+
+        async def order(engine: SimEngine) -> bool:
+            taken = engine.take_order(fence, weights_version)
+            await asyncio.sleep(LOAD_SECONDS)
+            return taken
+
+        try:
+            async with asyncio.timeout(PAGE_TIMEOUT_SECONDS + LOAD_SECONDS):
+                return bool(await self._network.call(self._process, address, order))
+        except (TimeoutError, ConnectionRefused, ConnectionBroken) as error:
+            raise BackendError(repr(error), step="order weights", peer=address) from error
+
     async def _page(self, address: str, name: str) -> Any:
         try:
             async with asyncio.timeout(PAGE_TIMEOUT_SECONDS):
@@ -251,6 +270,18 @@
         assert revision is None or isinstance(revision, int)
         return revision
 
+    async def grant_lease(self, ttl_seconds: int) -> int:
+        """Make a lease."""
+        return int(await self._call(lambda platform: platform.grant_lease(ttl_seconds)))
+
+    async def keep_alive(self, lease_id: int) -> bool:
+        """Renew a lease."""
+        return bool(await self._call(lambda platform: platform.keep_alive(lease_id)))
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        """End a lease."""
+        await self._call(lambda platform: platform.store.revoke(lease_id))
+
     async def watch(self, key: str) -> AsyncIterator[bytes]:
         """Yield new values, by asking often: simulated watches are no faster."""
         last: bytes | None = None
--- a/tools/scale.py
+++ b/tools/scale.py
@@ -31,7 +31,7 @@
 from hillstack.core.claims import ClaimLimits, ClaimTable, OwnershipHistory
 from hillstack.core.fleet import Fleet, LoadReport
 from hillstack.core.membership import Datagram, Membership, MembershipTiming
-from hillstack.core.prefix import block_hashes
+from hillstack.core.prefix import FixedHashes, block_hashes
 from hillstack.core.request_router import CompletionRequest, RequestRouter
 from hillstack.core.rollout import BundleAdopter
 from hillstack.daemon.peer_transport import GossipProtocol
@@ -220,7 +220,7 @@
         index.stored(machine.machine_id, "life", hashes[:6])
     bundle = make_bundle(8)
     router = RequestRouter(bundle, fleet, index, "zone-0", Random(1))
-    request = CompletionRequest("tenant-0", bundle.models[0], hashes, 12_000, 100, 1e9)
+    request = CompletionRequest("tenant-0", bundle.models[0], FixedHashes(hashes), 12_000, 100, 1e9)
     rounds = max(50, 4_000 // engines)
     hashing = _time(lambda: block_hashes(prompt, 1_000, 1, "salt"), 2_000)
     admitting = _time(lambda: router.admit(request, 1.0), rounds)
