--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import pytest
+from make_configuration_page import PAGE, render
 from typer.testing import CliRunner
 
 from hillstack.cli.main import app
@@ -89,3 +90,7 @@
 def test_every_command_has_help(command: list[str]) -> None:
     result = CliRunner().invoke(app, [*command, "--help"])
     assert result.exit_code == 0
+
+
+def test_the_configuration_page_is_up_to_date() -> None:
+    assert PAGE.read_text() == render(), "run tools/make_configuration_page.py"
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -1,7 +1,8 @@
 """Measures what a router costs beside a direct call to the same emulated engine.
 
-Two figures: the time that it adds to the first token, from calls in turn (direct, routed, direct,
-...), and the processor time that it spends on each token that it relays.
+The time that it adds to the first token, from calls in turn (direct, routed, direct, ...); the
+processor time that it spends on each token that it relays; the memory that callers who do not read
+cost it; and the time from its start to its first answer, with the platform up and down.
 """
 
 from __future__ import annotations
@@ -13,10 +14,11 @@
 import statistics
 import sys
 import time
+import urllib.request
 from pathlib import Path
 
 import aiohttp
-from local_fleet import LocalFleet, RouterHandle
+from local_fleet import LocalFleet, RouterHandle, post_json
 
 from hillstack.simulation.workload import percentile
 
@@ -24,6 +26,10 @@
 STREAMS = 96
 TOKENS_PER_STREAM = 400
 PROMPT = "p" * 3_000
+SLOW_CALLERS = 64
+SLOW_TOKENS = 20_000
+SLOW_SECONDS = 12.0
+EVENT_BYTES = 180
 MILLISECONDS = 1_000.0
 MICROSECONDS = 1_000_000.0
 
@@ -35,6 +41,8 @@
     arguments = parser.parse_args()
     with LocalFleet("tampere", engines=4) as fleet:
         figures = asyncio.run(measure(fleet))
+        figures |= asyncio.run(measure_slow_callers(fleet))
+        figures |= measure_restarts(fleet)
     if arguments.output == "json":
         print(json.dumps(figures))
         return 0
@@ -68,6 +76,66 @@
     }
 
 
+async def measure_slow_callers(fleet: LocalFleet) -> dict[str, float]:
+    """Return the memory that streams cost whose callers do not read."""
+    router = fleet.routers[0]
+    process = router.process.process
+    assert process is not None
+    token = fleet.token(fleet.plan["tenants"][0])
+    host, _, port = router.callers.rpartition(":")
+    before = _resident_bytes(process.pid)
+    writers = []
+    for number in range(SLOW_CALLERS):
+        _, writer = await asyncio.open_connection(host, int(port), limit=1_024)
+        body = json.dumps(_body(fleet, f"{PROMPT}slow{number}", SLOW_TOKENS)).encode()
+        head = (
+            f"POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {token}\r\n"
+            f"x-request-timeout: 120\r\ncontent-length: {len(body)}\r\n\r\n"
+        )
+        writer.write(head.encode() + body)
+        await writer.drain()
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        writers.append(writer)
+    await asyncio.sleep(SLOW_SECONDS)
+    grown = _resident_bytes(process.pid) - before
+    for writer in writers:
+        writer.transport.abort()
+    return {
+        "slow callers": float(SLOW_CALLERS),
+        "KB of router memory for each": grown / SLOW_CALLERS / 1_000,
+        "KB that each stream would be in all": SLOW_TOKENS * EVENT_BYTES / 1_000,
+    }
+
+
+def measure_restarts(fleet: LocalFleet) -> dict[str, float]:
+    """Return the seconds from the start of a router to its first answer."""
+    figures = {}
+    for name, outage in (("platform up", False), ("platform down", True)):
+        post_json(fleet.platform, "/emulator/faults", {"outage": outage})
+        router = fleet.routers[1]
+        router.process.kill()
+        started = time.perf_counter()
+        router.process.start()
+        while not _serves(fleet, router):
+            time.sleep(0.02)
+        figures[f"start to first answer, {name} (s)"] = time.perf_counter() - started
+    post_json(fleet.platform, "/emulator/faults", {})
+    return figures
+
+
+def _serves(fleet: LocalFleet, router: RouterHandle) -> bool:
+    body = json.dumps(_body(fleet, "restarted", 1)).encode()
+    headers = {"authorization": f"Bearer {fleet.token(fleet.plan['tenants'][0])}"}
+    request = urllib.request.Request(
+        f"http://{router.callers}/v1/completions", data=body, headers=headers
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=5) as response:
+            return bool(response.status == 200)
+    except OSError:
+        return False
+
+
 async def _first_tokens(
     session: aiohttp.ClientSession, fleet: LocalFleet, router: RouterHandle, token: str
 ) -> tuple[list[float], list[float]]:
@@ -137,6 +205,11 @@
     }
 
 
+def _resident_bytes(pid: int) -> int:
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
 def _cpu_seconds(pid: int) -> float:
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
--- /dev/null
+++ b/tools/make_configuration_page.py
@@ -0,0 +1,110 @@
+"""Writes docs/CONFIGURATION.md from the schemas, so that the page cannot go out of date."""
+
+from __future__ import annotations
+
+import inspect
+import sys
+from pathlib import Path
+
+from pydantic import BaseModel
+from pydantic.fields import FieldInfo
+from pydantic_core import PydanticUndefined
+
+from hillstack.config import bundle
+from hillstack.config.settings import RouterSettings
+from hillstack.simulation.experiment_config import ExperimentConfig
+
+PAGE = Path(__file__).resolve().parent.parent / "docs" / "CONFIGURATION.md"
+BUNDLE_PARTS: tuple[type[BaseModel], ...] = (
+    bundle.Bundle,
+    bundle.Partner,
+    bundle.Tenant,
+    bundle.Model,
+    bundle.Adapter,
+    bundle.Pool,
+    bundle.Priority,
+    bundle.Route,
+    bundle.Routing,
+    bundle.Admission,
+    bundle.Retries,
+    bundle.Claims,
+    bundle.Staleness,
+    bundle.Keyset,
+)
+
+INTRODUCTION = """# Configuration
+
+Written by `tools/make_configuration_page.py` from the schemas; a test compares them.
+
+A router reads one TOML file (`hillstack router --settings FILE`); `--set section.name=value`
+overrides a value. Nothing is read from the environment. Addresses are IP numbers. An unknown key
+or a bad value ends the program with exit code 2 and a line that names file, key and reason.
+
+All that the operators decide together stands in the bundle instead, and changes only by a new
+version that the partners have signed.
+"""
+
+
+def main() -> int:
+    """Write the page."""
+    PAGE.write_text(render())
+    return 0
+
+
+def render() -> str:
+    """Return the page."""
+    parts = [INTRODUCTION, "## Settings of a router\n"]
+    for name, field in RouterSettings.model_fields.items():
+        section = field.annotation
+        assert isinstance(section, type)
+        parts.append(f"### `[{name}]`\n\n{_summary(section)}\n\n{_table(section)}\n")
+    parts.append("## Bundle\n")
+    parts += [_part(kind) for kind in BUNDLE_PARTS]
+    parts.append("## Experiment\n")
+    parts.append(_part(ExperimentConfig))
+    return "\n".join(parts)
+
+
+def _part(kind: type[BaseModel]) -> str:
+    text = inspect.cleandoc(kind.__doc__ or "")
+    for heading in ("Args:", "Attributes:"):
+        text = text.replace(f"{heading}\n", "\n")
+    lines = [line.strip() for line in text.splitlines()]
+    return f"### {kind.__name__}\n\n" + "\n".join(lines) + f"\n\n{_table(kind)}\n"
+
+
+def _summary(kind: type[object]) -> str:
+    return inspect.cleandoc(kind.__doc__ or "").splitlines()[0]
+
+
+def _table(kind: type[object]) -> str:
+    assert issubclass(kind, BaseModel)
+    lines = ["| key | type | default | meaning |", "|---|---|---|---|"]
+    for name, field in kind.model_fields.items():
+        meaning = field.description or ""
+        lines.append(f"| `{name}` | {_type(field)} | {_default(field)} | {meaning} |")
+    return "\n".join(lines)
+
+
+def _type(field: FieldInfo) -> str:
+    annotation = field.annotation
+    text = annotation.__name__ if isinstance(annotation, type) else str(annotation)
+    if text.startswith("tuple") or "[" in str(annotation):
+        text = str(annotation)
+    for noise in ("typing.", "hillstack.config.bundle.", "hillstack.config.settings."):
+        text = text.replace(noise, "")
+    if "Annotated[" in text:
+        text = text.split("Annotated[", 1)[0] + "str" + ", ...]" * text.startswith("tuple")
+    return f"`{text}`".replace("|", "or")
+
+
+def _default(field: FieldInfo) -> str:
+    if field.default is PydanticUndefined:
+        return "required"
+    if isinstance(field.default, BaseModel):
+        return "see below"
+    return f"`{field.default}`"
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tools/scale.py
+++ b/tools/scale.py
@@ -306,9 +306,9 @@
         context = multiprocessing.get_context("spawn")
         processes = []
         if hollow:
-            share = hollow // HOLLOW_PROCESSES
+            ports = free_ports(hollow)
             for number in range(HOLLOW_PROCESSES):
-                arguments = (number, share, seeds, key)
+                arguments = (number, ports[number::HOLLOW_PROCESSES], seeds, key)
                 process = context.Process(target=run_hollow, args=arguments, daemon=True)
                 process.start()
                 processes.append(process)
@@ -333,16 +333,16 @@
         }
 
 
-def run_hollow(process_number: int, count: int, seeds: list[str], key: str) -> None:
+def run_hollow(process_number: int, ports: list[int], seeds: list[str], key: str) -> None:
     """Run hollow nodes, each with a membership and a UDP socket of its own."""
-    asyncio.run(_run_hollow(process_number, count, seeds, bytes.fromhex(key)))
+    asyncio.run(_run_hollow(process_number, ports, seeds, bytes.fromhex(key)))
 
 
-async def _run_hollow(process_number: int, count: int, seeds: list[str], key: bytes) -> None:
+async def _run_hollow(process_number: int, ports: list[int], seeds: list[str], key: bytes) -> None:
     codec = Codec(key)
     loop = asyncio.get_running_loop()
     nodes = []
-    for number, port in enumerate(free_ports(count)):
+    for number, port in enumerate(ports):
         address = f"127.0.0.1:{port}"
         name = f"hollow-{process_number}-{number}"
         zone = f"zone-{number % ZONES}"
@@ -426,20 +426,24 @@
 def main() -> int:
     """Measure all parts."""
     parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--part", default="", help="measure only parts with this in their title")
     parser.add_argument("--json", type=Path, help="also write the figures to this file")
     arguments = parser.parse_args()
-    figures = {
-        "membership (simulated, real codec)": [measure_membership(size) for size in SIZES],
-        "cache events": [measure_events()],
-        "decision": [measure_decision(engines) for engines in (4, 16, 64, 256)],
-        "bundle": [measure_bundle(tenants) for tenants in (8, 100, 1_000, 7_400)],
-        "claims": [measure_claims()],
+    parts: dict[str, Callable[[], list[dict[str, float]]]] = {
+        "membership (simulated, real codec)": lambda: [measure_membership(n) for n in SIZES],
+        "cache events": lambda: [measure_events()],
+        "decision": lambda: [measure_decision(engines) for engines in (4, 16, 64, 256)],
+        "bundle": lambda: [measure_bundle(tenants) for tenants in (8, 100, 1_000, 7_400)],
+        "claims": lambda: [measure_claims()],
+        "a real router beside hollow nodes (real sockets)": lambda: [
+            measure_real_router(count) for count in (0, *HOLLOW_SIZES)
+        ],
     }
-    for title, rows in figures.items():
-        print_table(title, rows)
-    hollow = [measure_real_router(count) for count in (0, *HOLLOW_SIZES)]
-    print_table("a real router beside hollow nodes (real sockets)", hollow)
-    figures["real router"] = hollow
+    figures = {}
+    for title, measure in parts.items():
+        if arguments.part in title:
+            figures[title] = measure()
+            print_table(title, figures[title])
     if arguments.json:
         arguments.json.write_text(json.dumps(figures, indent=2))
     return 0
