--- a/src/hillstack/cli/emulator.py
+++ b/src/hillstack/cli/emulator.py
@@ -26,6 +26,9 @@
     prefill_rate: Annotated[float, typer.Option(help="Prompt tokens a second.")] = 8_000.0,
     max_running: Annotated[int, typer.Option(help="Requests in the batch.")] = 32,
     weights_version: Annotated[int, typer.Option(help="Weights version at the start.")] = 1,
+    adapter: Annotated[
+        list[str] | None, typer.Option(help="Adapter served as a model. May stand often.")
+    ] = None,
     load_lag: Annotated[float, typer.Option(help="Age of the load page in seconds.")] = 0.2,
     event_delay: Annotated[float, typer.Option(help="Delay of events in seconds.")] = 0.05,
     event_loss: Annotated[float, typer.Option(help="Share of event batches lost.")] = 0.0,
@@ -43,6 +46,7 @@
         replay_address=replay,
         profile=profile,
         weights_version=weights_version,
+        adapters=tuple(adapter or ()),
         load_lag=load_lag,
         event_delay=event_delay,
         event_loss=event_loss,
--- a/src/hillstack/config/bundle.py
+++ b/src/hillstack/config/bundle.py
@@ -192,7 +192,8 @@
         _require_unique("partner", [partner.name for partner in self.partners])
         _require_unique("tenant", [tenant.name for tenant in self.tenants])
         _require_unique("tenant key_hash", [tenant.key_hash for tenant in self.tenants])
-        _require_unique("model", [model.name for model in self.models])
+        adapters = [adapter.name for model in self.models for adapter in model.adapters]
+        _require_unique("model", [model.name for model in self.models] + adapters)
         _require_unique("pool", [pool.name for pool in self.pools])
         _require_unique("priority", [priority.name for priority in self.priorities])
         _require_unique("route", [f"{route.method} {route.path}" for route in self.routes])
--- a/src/hillstack/core/bundle_index.py
+++ b/src/hillstack/core/bundle_index.py
@@ -4,7 +4,29 @@
 
 from dataclasses import dataclass
 
-from hillstack.config.bundle import Bundle, Model, Priority, Route, Tenant
+from hillstack.config.bundle import Adapter, Bundle, Model, Priority, Route, Tenant
+from hillstack.core.prefix import PrefixScope
+
+
+@dataclass(frozen=True, slots=True)
+class ServedModel:
+    """What a model name in a request stands for: a model, or an adapter on top of it."""
+
+    name: str
+    model: Model
+    adapter: Adapter | None = None
+
+    def scope(self, tenant: str) -> PrefixScope:
+        """Return the scope of a tenant's prompts."""
+        if self.adapter is None:
+            return PrefixScope(tenant, self.model.name, self.model.weights_version)
+        return PrefixScope(
+            tenant,
+            self.model.name,
+            self.model.weights_version,
+            self.adapter.name,
+            self.adapter.version,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -13,7 +35,7 @@
 
     bundle: Bundle
     tenants_by_key_hash: dict[str, Tenant]
-    models: dict[str, Model]
+    models: dict[str, ServedModel]
     priorities: dict[str, Priority]
     default_priority: Priority
 
@@ -32,11 +54,19 @@
     return BundleIndex(
         bundle=bundle,
         tenants_by_key_hash={tenant.key_hash: tenant for tenant in bundle.tenants},
-        models={model.name: model for model in bundle.models},
+        models=_served_models(bundle),
         priorities={priority.name: priority for priority in bundle.priorities},
         default_priority=max(bundle.priorities, key=lambda priority: priority.level),
     )
 
 
+def _served_models(bundle: Bundle) -> dict[str, ServedModel]:
+    served = {model.name: ServedModel(model.name, model) for model in bundle.models}
+    for model in bundle.models:
+        for adapter in model.adapters:
+            served[adapter.name] = ServedModel(adapter.name, model, adapter)
+    return served
+
+
 def _contains(route_path: str, path: str) -> bool:
     return path == route_path or path.startswith(route_path.rstrip("/") + "/")
--- a/src/hillstack/emulator/engine.py
+++ b/src/hillstack/emulator/engine.py
@@ -91,6 +91,7 @@
     replay_address: str
     profile: EngineProfile
     weights_version: int = 1
+    adapters: tuple[str, ...] = ()
     load_lag: float = 0.2
     event_delay: float = 0.05
     event_loss: float = 0.0
@@ -282,7 +283,7 @@
             body = CompletionBody.model_validate_json(await request.body())
         except ValidationError as error:
             return _error(400, str(error))
-        if body.model != self.options.model:
+        if body.model not in (self.options.model, *self.options.adapters):
             return _error(404, f"no model {body.model!r}")
         return _CompletionResponse(self, request, body)
 
--- a/src/hillstack/gateway/app.py
+++ b/src/hillstack/gateway/app.py
@@ -110,8 +110,8 @@
         except CallerError as error:
             return error.answer.response()
         models = [
-            {"id": model.name, "object": "model", "created": 0, "owned_by": index.bundle.deployment}
-            for model in index.bundle.models
+            {"id": name, "object": "model", "created": 0, "owned_by": index.bundle.deployment}
+            for name in index.models
         ]
         return JSONResponse({"object": "list", "data": models})
 
--- a/src/hillstack/gateway/completions.py
+++ b/src/hillstack/gateway/completions.py
@@ -313,7 +313,7 @@
     parsed = parse_completion(raw, chat, index)
     refuse_if_stale(node)
     job = _make_job(node, request, parsed, priority, tenant.name, chat, arrived_at, timeout)
-    check_context(job.request.prompt_tokens, job.request.output_tokens, parsed.model)
+    check_context(job.request.prompt_tokens, job.request.output_tokens, parsed.served.model)
     router = _router(node)
     refusal = router.admit(job.request, node.clock())
     if refusal is not None:
@@ -335,12 +335,12 @@
 ) -> CompletionJob:
     bundle = node.bundle
     assert bundle is not None
-    scope = PrefixScope(tenant, parsed.model.name, parsed.model.weights_version)
+    scope = parsed.served.scope(tenant)
     tokens = TOKENIZER.encode(parsed.prompt)
     request_id = f"{node.rng.getrandbits(96):024x}"
     completion = CompletionRequest(
         tenant=tenant,
-        model=parsed.model,
+        model=parsed.served.model,
         hashes=TextHashes(tokens, bundle.block_tokens, TOKENIZER.width, scope),
         prompt_tokens=max(1, len(tokens) // TOKENIZER.width),
         output_tokens=parsed.body.output_tokens(),
--- a/src/hillstack/gateway/parsing.py
+++ b/src/hillstack/gateway/parsing.py
@@ -15,7 +15,7 @@
 
 from hillstack.config.bundle import Model, Priority, Tenant, describe_validation
 from hillstack.config.settings import LimitsSection
-from hillstack.core.bundle_index import BundleIndex
+from hillstack.core.bundle_index import BundleIndex, ServedModel
 from hillstack.core.prompt import ChatMessage, render_chat
 from hillstack.gateway.errors import CallerError, ErrorAnswer, bad_request
 
@@ -63,7 +63,7 @@
 
     body: CompletionBody
     content: dict[str, Any]
-    model: Model
+    served: ServedModel
     prompt: str
 
 
@@ -158,10 +158,10 @@
     if needed is None:
         name = "messages" if chat else "prompt"
         raise bad_request("invalid_body", f"{name}: field required")
-    model = index.models.get(body.model)
-    if model is None:
+    served = index.models.get(body.model)
+    if served is None:
         raise bad_request("model_not_found", f"no model {body.model!r}", 404)
-    return ParsedCompletion(body, content, model, body.prompt_text())
+    return ParsedCompletion(body, content, served, body.prompt_text())
 
 
 def check_context(prompt_tokens: int, output_tokens: int, model: Model) -> None:
--- a/tests/unit/test_gateway.py
+++ b/tests/unit/test_gateway.py
@@ -9,6 +9,7 @@
 from hillstack.config.settings import LimitsSection
 from hillstack.core.attempt import AttemptState, Outcome, RequestAttempts
 from hillstack.core.bundle_index import index_bundle
+from hillstack.core.prefix import PrefixScope
 from hillstack.errors import CodecError, CrossedAnswerError
 from hillstack.gateway.errors import CallerError
 from hillstack.gateway.parsing import authenticate, parse_completion, request_timeout
@@ -97,6 +98,15 @@
         assert isinstance(parsed.prompt, str)
 
 
+def test_an_adapter_is_asked_for_by_name_and_has_a_scope_of_its_own() -> None:
+    adapters = [{"name": "forms", "version": 3}]
+    model = {"name": "model", "pool": "engines", "weights_version": 2, "adapters": adapters}
+    index = index_bundle(make_bundle(models=[model]))
+    parsed = parse_completion(b'{"model": "forms", "prompt": "x"}', chat=False, index=index)
+    assert parsed.served.model.name == "model"
+    assert parsed.served.scope("tenant-a") == PrefixScope("tenant-a", "model", 2, "forms", 3)
+
+
 @pytest.mark.parametrize("value", ["", "abc", "-1", "0", "nan", "inf"])
 def test_bad_deadlines_are_refused(value: str) -> None:
     with pytest.raises(CallerError):
