--- a/src/hillstack/gateway/app.py
+++ b/src/hillstack/gateway/app.py
@@ -12,8 +12,9 @@
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
 from hillstack.daemon.node import Node
+from hillstack.gateway.answers import not_ready_answer
 from hillstack.gateway.applications import handle_application
-from hillstack.gateway.completions import handle_completion, not_ready_answer
+from hillstack.gateway.completions import handle_completion
 from hillstack.gateway.errors import CallerError, ErrorAnswer
 from hillstack.gateway.parsing import authenticate
 from hillstack.messages.types import Member
--- a/src/hillstack/gateway/applications.py
+++ b/src/hillstack/gateway/applications.py
@@ -13,7 +13,6 @@
 from hillstack.config.bundle import Bundle, Route, Tenant
 from hillstack.core.attempt import Attempt, AttemptState, Outcome, RequestAttempts
 from hillstack.core.claims import ClaimVerdict, key_created_at, make_key
-from hillstack.core.request_router import RequestRouter
 from hillstack.daemon.claim_coordinator import ClaimResult
 from hillstack.daemon.node import Node
 from hillstack.errors import (
@@ -22,7 +21,7 @@
     BackendRefusedError,
     CrossedAnswerError,
 )
-from hillstack.gateway.completions import not_ready_answer, refuse_if_stale
+from hillstack.gateway.answers import not_ready_answer, refuse_if_stale, router_of
 from hillstack.gateway.errors import CallerError, ErrorAnswer, bad_request
 from hillstack.gateway.parsing import authenticate, read_body, request_timeout
 from hillstack.logs import error_fields
@@ -179,7 +178,7 @@
     bundle = node.bundle
     assert bundle is not None
     excluded: set[str] = set()
-    router = _router(node)
+    router = router_of(node)
     router.retry_budget.on_request(job.tenant.name, node.clock())
     while True:
         backend_id = router.place_application(job.route.pool, node.clock(), excluded)
@@ -201,7 +200,7 @@
         return False
     if len(job.attempts.attempts) >= bundle.retries.max_attempts:
         return False
-    return _router(node).retry_budget.try_retry(job.tenant.name, node.clock())
+    return router_of(node).retry_budget.try_retry(job.tenant.name, node.clock())
 
 
 async def _attempt(node: Node, job: ApplicationJob, attempt: Attempt) -> StoredAnswer:
@@ -267,8 +266,3 @@
         node.metrics.crossed_answers.inc()
     fields = error_fields(error) | {"request": job.request_id, "tenant": job.tenant.name}
     logger.warning("attempt failed", extra=fields)
-
-
-def _router(node: Node) -> RequestRouter:
-    assert node.router is not None
-    return node.router
--- /dev/null
+++ b/src/hillstack/gateway/completion_job.py
@@ -0,0 +1,27 @@
+"""A completion on its way through a router."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from hillstack.config.bundle import Priority
+from hillstack.core.attempt import RequestAttempts
+from hillstack.core.prefix import PrefixScope
+from hillstack.core.request_router import CompletionRequest
+from hillstack.gateway.parsing import ParsedCompletion
+
+
+@dataclass(slots=True)
+class CompletionJob:
+    """A completion on its way."""
+
+    request: CompletionRequest
+    parsed: ParsedCompletion
+    priority: Priority
+    scope: PrefixScope
+    request_id: str
+    path: str
+    chat: bool
+    arrived_at: float
+    attempts: RequestAttempts
+    excluded: set[str] = field(default_factory=set)
--- /dev/null
+++ b/tests/unit/test_lease.py
@@ -0,0 +1,108 @@
+"""The duty lease: a paused holder stops by its own clock, and its fence is the older one."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass, field
+
+from hillstack.emulator.platform import KeyValueStore
+from hillstack.platform.key_value import Entry, Put, ValueIs
+from hillstack.platform.lease import DutyLease
+
+TTL = 8
+
+
+@dataclass
+class MemoryKeyValue:
+    """The emulated key-value service without a network."""
+
+    now: float = 0.0
+    store: KeyValueStore = field(default_factory=KeyValueStore)
+
+    async def get(self, key: str) -> Entry | None:
+        self.store.expire(self.now)
+        known = self.store.values.get(key.encode())
+        return Entry(key, known.value, known.mod_revision) if known else None
+
+    async def list_prefix(self, prefix: str, limit: int = 0) -> list[Entry]:
+        raise NotImplementedError
+
+    async def transact(self, conditions: Sequence[ValueIs], puts: Sequence[Put]) -> int | None:
+        self.store.expire(self.now)
+        for condition in conditions:
+            known = self.store.values.get(condition.key.encode())
+            if (known.value if known else None) != condition.value:
+                return None
+        self.store.revision += 1
+        for put in puts:
+            self.store.put(put.key.encode(), put.value, put.lease_id, self.store.revision)
+        return self.store.revision
+
+    async def grant_lease(self, ttl_seconds: int) -> int:
+        return self.store.grant(float(ttl_seconds), self.now).lease_id
+
+    async def keep_alive(self, lease_id: int) -> bool:
+        self.store.expire(self.now)
+        lease = self.store.leases.get(lease_id)
+        if lease is not None:
+            lease.expires_at = self.now + lease.ttl
+        return lease is not None
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        self.store.revoke(lease_id)
+
+    async def watch(self, key: str) -> AsyncIterator[bytes]:
+        raise NotImplementedError
+        yield b""
+
+
+def make_lease(service: MemoryKeyValue, name: str) -> DutyLease:
+    return DutyLease(service, "/duty", name, TTL, lambda: service.now)
+
+
+def test_only_one_node_holds_the_duty() -> None:
+    service = MemoryKeyValue()
+    first, second = make_lease(service, "first"), make_lease(service, "second")
+    asyncio.run(first.renew_or_acquire())
+    asyncio.run(second.renew_or_acquire())
+    assert first.fence() is not None
+    assert second.fence() is None
+
+
+def test_renewal_keeps_the_fence() -> None:
+    service = MemoryKeyValue()
+    lease = make_lease(service, "first")
+    asyncio.run(lease.renew_or_acquire())
+    fence = lease.fence()
+    for _ in range(5):
+        service.now += 4.0
+        asyncio.run(lease.renew_or_acquire())
+    assert lease.fence() == fence
+
+
+def test_a_paused_holder_stops_before_its_lease_ends_and_its_fence_is_older() -> None:
+    service = MemoryKeyValue()
+    paused, other = make_lease(service, "paused"), make_lease(service, "other")
+    asyncio.run(paused.renew_or_acquire())
+    old_fence = paused.fence()
+    service.now += TTL * 0.8
+    assert paused.fence() is None
+    asyncio.run(other.renew_or_acquire())
+    assert other.fence() is None, "the lease has not ended yet"
+    service.now += TTL
+    asyncio.run(other.renew_or_acquire())
+    new_fence = other.fence()
+    assert old_fence is not None
+    assert new_fence is not None
+    assert new_fence > old_fence
+
+
+def test_giving_up_lets_another_take_over_at_once() -> None:
+    service = MemoryKeyValue()
+    first, second = make_lease(service, "first"), make_lease(service, "second")
+    asyncio.run(first.renew_or_acquire())
+    asyncio.run(first.give_up())
+    asyncio.run(second.renew_or_acquire())
+    assert first.fence() is None
+    assert second.fence() is not None
