--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEEDS ?= 50
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint bench simulate prove mutate experiment scale clean
+.PHONY: demo test lint bench simulate prove mutate experiment scale storm clean
 
 $(STAMP): requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -45,5 +45,8 @@
 scale: $(STAMP)
 	$(BIN)/python tools/scale.py
 
+storm: $(STAMP)
+	$(BIN)/python tools/retry_storm.py
+
 clean:
 	rm -rf $(VENV)
--- a/tools/retry_storm.py
+++ b/tools/retry_storm.py
@@ -43,10 +43,8 @@
 def main() -> int:
     """Run both cases and print them."""
     logging.disable(logging.CRITICAL)
-    print(
-        "| failing | case | seed | completions | attempts | attempts per completion | served whole |"
-    )
-    print("|---|---|---|---|---|---|---|")
+    titles = ("failing", "case", "seed", "completions", "attempts", "attempts each", "served whole")
+    print("| " + " | ".join(titles) + " |\n" + "|---" * len(titles) + "|")
     for failing, (label, ratio), seed in itertools.product(FAILING, BUDGETS.items(), SEEDS):
         figures = run(seed, ratio, failing)
         per_request = figures.attempts / figures.requests
