--- a/src/hillstack/simulation/experiment_config.py
+++ b/src/hillstack/simulation/experiment_config.py
@@ -24,6 +24,7 @@
         event_loss: Share of event batches lost; a replay closes the gap later.
         failure: What fails in the middle third of the run.
         flood_tenant: Tenant that sends ten times its rate.
+        obey_retry_after: Whether callers who are refused come back once, when they were told to.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -57,6 +58,7 @@
     deadline_seconds: float = Field(default=30.0, gt=0)
     failure: FailureName = "none"
     flood_tenant: str = ""
+    obey_retry_after: bool = False
     admission: Admission = Admission()
     routing: Routing = Routing()
 
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -190,6 +190,34 @@
     assert digests == {json.loads(won.stdout)["digest"]}
 
 
+def test_new_weights_are_loaded_on_all_engines_while_requests_go_on(fleet: LocalFleet) -> None:
+    source, target = fleet.folder / "now.json", fleet.folder / "weights.json"
+    fleet.cli("bundle", "fetch", str(source), "--platform", fleet.platform)
+    fleet.cli("bundle", "next", str(source), str(target))
+    content = json.loads(target.read_text())
+    content["models"][0]["weights_version"] = 2
+    target.write_text(json.dumps(content))
+    assert fleet.rollout(target).returncode == 0
+    body = {"model": fleet.plan["model"], "prompt": "w" * 3_200, "max_tokens": 3}
+    statuses = []
+
+    def all_loaded() -> bool:
+        statuses.append(call(fleet, 0, "/v1/completions", body)[0])
+        pages = [get_json(fleet.addresses[name], "/status") for name in fleet.engine_ids()]
+        return all(page["weights_version"] == 2 for page in pages)
+
+    wait_until(all_loaded, "all engines serve weights 2")
+    assert set(statuses) == {200}
+    executed = [
+        entry
+        for name in fleet.engine_ids()
+        for entry in get_json(fleet.addresses[name], "/emulator/executions")
+    ]
+    # Nothing was cached under the salt of the new weights by an engine that served older ones.
+    assert not [e for e in executed if "/2/" in e["salt"] and e["weights_version"] < 2]
+    assert [e for e in executed if "/2/" in e["salt"]]
+
+
 def serves(fleet: LocalFleet, router: RouterHandle) -> bool:
     number = fleet.routers.index(router)
     if get_json(router.callers, "/status") is None:
