--- a/src/hillstack/config/bundle.py
+++ b/src/hillstack/config/bundle.py
@@ -124,6 +124,7 @@
     home_discount: float = Field(default=0.2, ge=0, le=1)
     untrusted_discount: float = Field(default=0.5, ge=0, le=1)
     follow_fills: bool = True
+    share_fills: bool = True
 
 
 class Admission(Strict):
--- a/src/hillstack/core/fleet.py
+++ b/src/hillstack/core/fleet.py
@@ -50,6 +50,7 @@
     report: LoadReport = field(default_factory=lambda: LoadReport(0, 0, 0.0))
     reported_at: float = float("-inf")
     in_flight: dict[str, InFlight] = field(default_factory=dict)
+    peer_work: list[InFlight] = field(default_factory=list)
     mean_prompt_tokens: float = DEFAULT_PROMPT_TOKENS
 
     def accepts_work(self, now: float) -> bool:
@@ -72,7 +73,16 @@
         if reported is None:
             reported = self.report.waiting * self.mean_prompt_tokens
         aged = max(0.0, reported - prefill_rate * max(0.0, now - self.reported_at))
-        return max(own, aged + sent_since)
+        return max(own, aged + sent_since + self._peer_tokens(now, prefill_rate))
+
+    def _peer_tokens(self, now: float, prefill_rate: float) -> float:
+        """Return the tokens that other nodes sent since the report, less what was prefilled."""
+        self.peer_work = [entry for entry in self.peer_work if entry.sent_at >= self.reported_at]
+        if not self.peer_work:
+            return 0.0
+        tokens = sum(entry.pending_tokens for entry in self.peer_work)
+        elapsed = now - self.peer_work[0].sent_at
+        return max(0.0, tokens - prefill_rate * max(0.0, elapsed))
 
     def running(self) -> int:
         """Return the estimated number of requests there, waiting ones included."""
@@ -202,6 +212,12 @@
         change = MEAN_WEIGHT * (tokens - backend.mean_prompt_tokens)
         backend.mean_prompt_tokens += change
 
+    def sent_by_peer(self, backend_id: str, tokens: float, now: float) -> None:
+        """Note work that another node says it has sent."""
+        backend = self._backends.get(backend_id)
+        if backend is not None:
+            backend.peer_work.append(InFlight(tokens, now))
+
     def first_token(self, backend_id: str, attempt_id: str) -> None:
         """Note that an attempt's prefill is over."""
         backend = self._backends.get(backend_id)
--- a/src/hillstack/core/request_router.py
+++ b/src/hillstack/core/request_router.py
@@ -20,9 +20,13 @@
 from hillstack.core.placement.registry import make_policy
 from hillstack.core.prefix import PromptHashes
 from hillstack.core.retry_budget import RetryBudget
+from hillstack.messages.types import FillNotice
 
 EXPECTATION_MARGIN_SECONDS = 5.0
 VIEW_REUSE_SECONDS = 0.005
+MIN_NOTICE_BLOCKS = 2
+MAX_NOTICE_BLOCKS = 32
+MAX_PEERS_TOLD = 12
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,6 +152,21 @@
         hashes = request.hashes.for_version(placement.weights_version)
         self._index.expect(placement.engine_id, hashes, until)
 
+    def fill_of(self, request: CompletionRequest, placement: Placement) -> FillNotice | None:
+        """Return what other nodes should know of an attempt just sent; None if it is little."""
+        blocks = placement.uncached_tokens // self._bundle.block_tokens
+        if blocks < MIN_NOTICE_BLOCKS or not self._bundle.routing.share_fills:
+            return None
+        hashes = request.hashes.for_version(placement.weights_version)
+        new = hashes[max(0, len(hashes) - blocks) :][:MAX_NOTICE_BLOCKS]
+        return FillNotice(placement.engine_id, placement.uncached_tokens, new)
+
+    def observe_fill(self, notice: FillNotice, now: float) -> None:
+        """Note a fill that another node started: it queues there, and its blocks will be there."""
+        self._fleet.sent_by_peer(notice.engine_id, notice.tokens, now)
+        until = now + EXPECTATION_MARGIN_SECONDS
+        self._index.expect(notice.engine_id, notice.hashes, until)
+
     def first_token(self, engine_id: str, attempt_id: str) -> None:
         """Note that an attempt's first token came."""
         self._fleet.first_token(engine_id, attempt_id)
--- a/src/hillstack/daemon/node.py
+++ b/src/hillstack/daemon/node.py
@@ -14,7 +14,8 @@
 from hillstack.core.control import ControlState
 from hillstack.core.fleet import Fleet
 from hillstack.core.membership import Datagram, Membership, MembershipTiming
-from hillstack.core.request_router import RequestRouter
+from hillstack.core.placement.base import Placement
+from hillstack.core.request_router import MAX_PEERS_TOLD, CompletionRequest, RequestRouter
 from hillstack.core.rollout import BundleAdopter
 from hillstack.daemon.backend_watch import BackendWatch
 from hillstack.daemon.bundle_sync import BundleSync
@@ -27,6 +28,7 @@
 from hillstack.messages.types import (
     Ack,
     Failure,
+    FillNotice,
     MachineListRequest,
     Member,
     MemberState,
@@ -121,6 +123,18 @@
         """The bundle in force, if any."""
         return self.control.bundle
 
+    def announce_fill(self, request: CompletionRequest, placement: Placement) -> None:
+        """Tell some other nodes of a prefill just sent, those of the own zone first."""
+        notice = self.router.fill_of(request, placement) if self.router else None
+        if notice is None:
+            return
+        own = self.membership.own
+        peers = [member for member in self.membership.serving() if member.node_id != own.node_id]
+        self.rng.shuffle(peers)
+        peers.sort(key=lambda member: member.zone != own.zone)
+        for member in peers[:MAX_PEERS_TOLD]:
+            self._surroundings.peers.gossip(member.address, notice)
+
     def is_ready(self) -> bool:
         """Return whether requests can be served."""
         return self.router is not None and not self.stopping
@@ -247,6 +261,8 @@
         return True
 
     def _on_gossip(self, message: Message, address: str) -> None:
+        if isinstance(message, FillNotice) and self.router is not None:
+            self.router.observe_fill(message, self.clock())
         if not isinstance(message, Ping | Ack | PingRequest):
             return
         effects = self.control.on_gossip(message, address, self.clock(), self.wall_clock())
--- a/src/hillstack/gateway/completion_response.py
+++ b/src/hillstack/gateway/completion_response.py
@@ -96,6 +96,7 @@
         if backend is None:
             raise BackendRefusedError("engine gone", step="place", peer=placement.engine_id)
         router.started(job.request, placement, attempt.attempt_id, node.clock())
+        node.announce_fill(job.request, placement)
         node.metrics.attempts.labels(KIND).inc()
         cached_tokens: int | None = None
         try:
--- a/src/hillstack/messages/types.py
+++ b/src/hillstack/messages/types.py
@@ -219,6 +219,20 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class FillNotice:
+    """Tells other nodes of a prefill just sent, so that they follow it and do not repeat it.
+
+    Attributes:
+        tokens: Prompt tokens that the engine has to prefill.
+        hashes: Hashes of the blocks that it will store.
+    """
+
+    engine_id: str
+    tokens: int
+    hashes: tuple[int, ...]
+
+
 Gossip = Ping | Ack | PingRequest
 PeerRequest = (
     SyncDigest
@@ -230,4 +244,4 @@
     | ClaimComplete
 )
 PeerReply = SyncDigest | SyncReply | BundleReply | MachineListReply | ClaimReply | Done | Failure
-Message = Gossip | PeerRequest | PeerReply
+Message = Gossip | FillNotice | PeerRequest | PeerReply
--- a/src/hillstack/simulation/fleet_simulation.py
+++ b/src/hillstack/simulation/fleet_simulation.py
@@ -20,8 +20,8 @@
 from hillstack.core.fleet import Fleet, LoadReport
 from hillstack.core.placement.base import EngineView, Placement
 from hillstack.core.prefix import FixedHashes, PrefixScope
-from hillstack.core.request_router import CompletionRequest, RequestRouter
-from hillstack.messages.types import BackendKind, Machine
+from hillstack.core.request_router import MAX_PEERS_TOLD, CompletionRequest, RequestRouter
+from hillstack.messages.types import BackendKind, FillNotice, Machine
 from hillstack.simulation.engine_model import (
     EngineModel,
     EngineProfile,
@@ -153,6 +153,7 @@
         self.records: list[RequestRecord] = []
         self.computed_again = 0
         self.computed = 0
+        self.notices = 0
         self._seen_blocks: set[int] = set()
         self._rng = Random(f"fleet:{seed}")
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -281,6 +282,7 @@
         engine = self.engines[placement.engine_id]
         attempt_id = f"{id(record)}-{record.attempts}"
         router.decisions.started(request, placement, attempt_id, self.now)
+        self._tell_others(router, request, placement)
         flight = _InFlight(
             record, router, request, engine, attempt_id, placement, engine.incarnation
         )
@@ -288,6 +290,24 @@
         engine.on_way += 1
         self._after(self._delay(router.zone, engine.zone), lambda: self._submit(flight))
 
+    def _tell_others(
+        self, router: SimulatedRouter, request: CompletionRequest, placement: Placement
+    ) -> None:
+        notice = router.decisions.fill_of(request, placement)
+        if notice is None:
+            return
+        others = [other for other in self.routers if other is not router]
+        told = self._rng.sample(others, min(MAX_PEERS_TOLD, len(others)))
+        for other in told:
+            if not self._is_cut(router.zone, other.zone):
+                self.notices += 1
+                self._after(
+                    self._delay(router.zone, other.zone), partial(self._hear, other, notice)
+                )
+
+    def _hear(self, router: SimulatedRouter, notice: FillNotice) -> None:
+        router.decisions.observe_fill(notice, self.now)
+
     def _submit(self, flight: _InFlight) -> None:
         engine, record = flight.engine, flight.record
         engine.on_way -= 1
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -142,6 +142,29 @@
     assert second.engine_id == first.engine_id
 
 
+def test_a_node_follows_the_fill_of_another_node() -> None:
+    first, _, _ = make_router(3)
+    second, _, _ = make_router(3)
+    placement = first.place(make_request(), 0.0)
+    assert placement is not None
+    notice = first.fill_of(make_request(), placement)
+    assert notice is not None
+    second.observe_fill(notice, 0.0)
+    followed = second.place(make_request(), 0.001)
+    assert followed is not None
+    assert followed.engine_id == placement.engine_id
+    assert followed.uncached_tokens == 1
+    assert followed.estimated_wait > 0
+
+
+def test_a_small_fill_is_not_worth_a_notice() -> None:
+    router, _, index = make_router(1)
+    index.stored("engine-0", "one", [1, 2])
+    placement = router.place(make_request(), 0.0)
+    assert placement is not None
+    assert router.fill_of(make_request(), placement) is None
+
+
 def test_blocks_of_other_weights_never_match() -> None:
     router, fleet, index = make_router(2)
     scope = PrefixScope("tenant-a", "model", 2)
--- a/tools/experiments.py
+++ b/tools/experiments.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import argparse
+import itertools
 import statistics
 import sys
 import time
@@ -100,9 +101,11 @@
     flooded = config.model_copy(update={"flood_tenant": smallest})
     add("flood", config, "full", "calm", FLOOD_LOAD)
     add("flood", flooded, "full", f"flood by {smallest}", FLOOD_LOAD)
-    for routers in ROUTER_COUNTS:
-        changed = config.model_copy(update={"routers": routers})
-        add("routers", changed, "full", f"{routers} routers", ABLATION_LOAD)
+    for routers, shared in itertools.product(ROUTER_COUNTS, (False, True)):
+        routing = config.routing.model_copy(update={"share_fills": shared})
+        changed = config.model_copy(update={"routers": routers, "routing": routing})
+        label = f"{routers} routers, fills {'shared' if shared else 'not shared'}"
+        add("routers", changed, "full", label, ABLATION_LOAD)
     obedient = config.model_copy(update={"obey_retry_after": True})
     add("retry", obedient, "full", "callers obey", RETRY_LOAD)
     for load in (1.0, 1.5):
