--- a/src/hillstack/cli/bundle.py
+++ b/src/hillstack/cli/bundle.py
@@ -15,7 +15,7 @@
 from pydantic import ValidationError
 
 from hillstack.cli.exits import ExitCode, errors_to_exit_codes
-from hillstack.cli.output import Output, OutputOption, print_table
+from hillstack.cli.output import Output, OutputOption, emit, print_table
 from hillstack.cli.status import fetch_status_page
 from hillstack.config.bundle import (
     Bundle,
@@ -56,6 +56,7 @@
     path: Annotated[Path, typer.Argument(help="File to write.")],
     deployment: Annotated[str, typer.Option(help="Name of the deployment.")],
     zones: Annotated[str, typer.Option(help="Zones, separated by commas.")],
+    output: OutputOption = Output.TEXT,
 ) -> None:
     """Write a first bundle to start from."""
     with errors_to_exit_codes():
@@ -75,7 +76,7 @@
         except ValidationError as error:
             raise BundleError(describe_validation(error), step="init") from error
         write_bundle(path, bundle)
-    typer.echo(f"{path}: written")
+    emit(output, {"path": str(path), "version": 1}, f"{path}: written")
 
 
 @app.command()
@@ -92,10 +93,8 @@
         except OSError as error:
             raise BundleError(str(error.strerror), step="keygen", peer=str(private)) from error
         private.write_text(private_key + "\n")
-    if output is Output.JSON:
-        typer.echo(json.dumps({"partner": partner, "public_key": public_key}))
-    else:
-        typer.echo(f"{partner} {public_key}")
+    fields = {"partner": partner, "public_key": public_key}
+    emit(output, fields, f"{partner} {public_key}")
 
 
 @app.command()
@@ -104,10 +103,7 @@
     with errors_to_exit_codes():
         bundle = read_bundle(path)
     fields = {"version": bundle.version, "digest": bundle.digest(), "valid": True}
-    if output is Output.JSON:
-        typer.echo(json.dumps(fields))
-    else:
-        typer.echo(f"{path}: valid, version {bundle.version}, digest {bundle.digest()}")
+    emit(output, fields, f"{path}: valid, version {bundle.version}, digest {bundle.digest()}")
 
 
 @app.command()
@@ -124,16 +120,15 @@
             texts[0].splitlines(), texts[1].splitlines(), str(old), str(new), lineterm="", n=2
         )
     )
-    if output is Output.JSON:
-        typer.echo(json.dumps({"equal": not lines, "diff": lines}))
-    else:
-        typer.echo("\n".join(lines) or "no difference")
+    text = "\n".join(lines) or "no difference"
+    emit(output, {"equal": not lines, "diff": lines}, text)
 
 
 @app.command("next")
 def make_next(
     path: BundleFile,
     target: Annotated[Path, typer.Argument(help="File to write.")],
+    output: OutputOption = Output.TEXT,
 ) -> None:
     """Write the child of a bundle: next version, parent digest set, content the same."""
     with errors_to_exit_codes():
@@ -146,7 +141,8 @@
             }
         )
         write_bundle(target, child)
-    typer.echo(f"{target}: version {child.version}")
+    fields = {"path": str(target), "version": child.version}
+    emit(output, fields, f"{target}: version {child.version}")
 
 
 @app.command("sign")
@@ -158,6 +154,7 @@
     keysets: Annotated[
         Path | None, typer.Option(help="Signed keysets since the root (JSON list).")
     ] = None,
+    output: OutputOption = Output.TEXT,
 ) -> None:
     """Add a partner's signature to a bundle."""
     with errors_to_exit_codes():
@@ -171,7 +168,9 @@
         chain = _read_keysets(keysets) if keysets else known.keysets
         signed = SignedBundle(payload=payload, signatures=(*others, signature), keysets=chain)
         signed_path.write_text(signed.model_dump_json() + "\n")
-    typer.echo(f"{signed_path}: signed by {', '.join(s.partner for s in signed.signatures)}")
+    signers = [entry.partner for entry in signed.signatures]
+    fields = {"path": str(signed_path), "signed_by": signers}
+    emit(output, fields, f"{signed_path}: signed by {', '.join(signers)}")
 
 
 @app.command()
@@ -198,13 +197,10 @@
         "in_force_everywhere": not behind if router else None,
         "behind": behind,
     }
-    if output is Output.JSON:
-        typer.echo(json.dumps(fields))
-    else:
-        typer.echo(f"version {bundle.version} accepted ({bundle.digest()[:12]})")
-        if router:
-            text = f"not yet in force on: {', '.join(behind)}" if behind else "in force everywhere"
-            typer.echo(text)
+    text = f"version {bundle.version} accepted ({bundle.digest()[:12]})"
+    if router:
+        text += f"\nnot yet in force on: {', '.join(behind)}" if behind else "\nin force everywhere"
+    emit(output, fields, text)
     if behind:
         raise typer.Exit(ExitCode.INCOMPLETE)
 
@@ -215,24 +211,24 @@
     with errors_to_exit_codes():
         head = asyncio.run(_with_store(platform, lambda store: store.head()))
     fields = {"version": head.version if head else 0, "digest": head.digest if head else ""}
-    if output is Output.JSON:
-        typer.echo(json.dumps(fields))
-    else:
-        typer.echo(f"accepted: version {fields['version']} ({str(fields['digest'])[:12]})")
+    emit(output, fields, f"accepted: version {fields['version']} ({str(fields['digest'])[:12]})")
 
 
 @app.command()
 def fetch(
     target: Annotated[Path, typer.Argument(help="File to write the bundle to.")],
     platform: Platform,
+    output: OutputOption = Output.TEXT,
 ) -> None:
     """Write the accepted bundle to a file."""
     with errors_to_exit_codes():
         signed = asyncio.run(_with_store(platform, lambda store: store.latest()))
         if signed is None:
             raise BundleError("no bundle was accepted yet", step="fetch")
-        write_bundle(target, signed.bundle())
-    typer.echo(f"{target}: written")
+        bundle = signed.bundle()
+        write_bundle(target, bundle)
+    fields = {"path": str(target), "version": bundle.version}
+    emit(output, fields, f"{target}: written")
 
 
 @app.command()
--- a/src/hillstack/cli/output.py
+++ b/src/hillstack/cli/output.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import json
 from collections.abc import Sequence
 from typing import Annotated
 
@@ -19,6 +20,11 @@
 OutputOption = Annotated[Output, typer.Option("--output", help="Form of the output.")]
 
 
+def emit(output: Output, fields: object, text: str) -> None:
+    """Print the fields as JSON or the text, as the caller of the command chose."""
+    typer.echo(json.dumps(fields) if output is Output.JSON else text)
+
+
 def print_table(header: Sequence[str], rows: Sequence[Sequence[object]]) -> None:
     """Print aligned columns."""
     cells = [[str(cell) for cell in row] for row in [header, *rows]]
--- a/src/hillstack/emulator/platform.py
+++ b/src/hillstack/emulator/platform.py
@@ -11,7 +11,7 @@
 import contextlib
 import json
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -21,6 +21,8 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
+from hillstack.platform.key_value import Entry, Put, ValueIs
+
 COMPARE_FIELDS = {"VERSION": "version", "CREATE": "create_revision", "MOD": "mod_revision"}
 LEASE_CHECK_SECONDS = 0.1
 GRPC_UNAVAILABLE = 14
@@ -110,6 +112,22 @@
             self.leases[lease].keys.add(key)
         self._notify("PUT", entry)
 
+    def transact(self, conditions: Sequence[ValueIs], puts: Sequence[Put]) -> int | None:
+        """Write all keys if all conditions hold; return the revision, or None if one does not."""
+        for condition in conditions:
+            known = self.values.get(condition.key.encode())
+            if (known.value if known else None) != condition.value:
+                return None
+        self.revision += 1
+        for put in puts:
+            self.put(put.key.encode(), put.value, put.lease_id, self.revision)
+        return self.revision
+
+    def entry(self, key: str) -> Entry | None:
+        """Return a key's entry as the client of the service sees it."""
+        known = self.values.get(key.encode())
+        return Entry(key, known.value, known.mod_revision) if known else None
+
     def delete(self, start: bytes, end: bytes, revision: int) -> int:
         """Delete a range and return the number of keys deleted."""
         doomed = self.range(start, end)
--- a/src/hillstack/simulation/experiment.py
+++ b/src/hillstack/simulation/experiment.py
@@ -8,7 +8,8 @@
 
 from hillstack.config.bundle import Routing
 from hillstack.simulation.experiment_config import ExperimentConfig
-from hillstack.simulation.fleet_simulation import FleetSimulation, RequestRecord
+from hillstack.simulation.fleet_parts import RequestRecord
+from hillstack.simulation.fleet_simulation import FleetSimulation
 from hillstack.simulation.workload import percentile
 
 CALIBRATION_RATE_PER_ENGINE = 14.0
--- a/src/hillstack/simulation/fleet_simulation.py
+++ b/src/hillstack/simulation/fleet_simulation.py
@@ -8,9 +8,7 @@
 
 import heapq
 import itertools
-from collections import deque
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
 from functools import partial
 from random import Random
 
@@ -18,7 +16,7 @@
 from hillstack.core.admission import Refusal
 from hillstack.core.cache_index import CacheIndex
 from hillstack.core.fleet import Fleet, LoadReport
-from hillstack.core.placement.base import EngineView, Placement
+from hillstack.core.placement.base import Placement
 from hillstack.core.prefix import FixedHashes, PrefixScope
 from hillstack.core.request_router import MAX_PEERS_TOLD, CompletionRequest, RequestRouter
 from hillstack.messages.types import BackendKind, FillNotice, Machine
@@ -29,6 +27,13 @@
     StepResult,
 )
 from hillstack.simulation.experiment_config import ExperimentConfig
+from hillstack.simulation.fleet_parts import (
+    Flight,
+    OracleRouter,
+    RequestRecord,
+    SimulatedEngine,
+    SimulatedRouter,
+)
 from hillstack.simulation.workload import WORKLOADS, Arrival, WorkloadGenerator
 
 MODEL = "model"
@@ -41,101 +46,6 @@
 RESTART_SECONDS = 3.0
 
 
-@dataclass(slots=True)
-class RequestRecord:
-    """What became of one request.
-
-    Attributes:
-        first_token_at: When the caller had the first token; None when it was refused or lost.
-    """
-
-    arrival: Arrival
-    cache_salt: str
-    refused_at: float | None = None
-    retry_after: float = 0.0
-    came_back: bool = False
-    admitted_on_return: bool = False
-    first_token_at: float | None = None
-    finished_at: float | None = None
-    cached_tokens: int = 0
-    prompt_tokens: int = 0
-    attempts: int = 0
-
-
-@dataclass(slots=True)
-class SimulatedEngine:
-    """An engine and its published state."""
-
-    engine_id: str
-    zone: str
-    model: EngineModel
-    incarnation: int = 1
-    stepping: bool = False
-    alive: bool = True
-    sequence: int = 0
-    load_history: deque[tuple[float, LoadReport]] = field(default_factory=lambda: deque(maxlen=64))
-    on_way: int = 0
-
-    def life(self) -> str:
-        """Return the name of the incarnation."""
-        return f"{self.engine_id}/{self.incarnation}"
-
-
-@dataclass(slots=True)
-class SimulatedRouter:
-    """A router's decisions and beliefs."""
-
-    zone: str
-    fleet: Fleet
-    index: CacheIndex
-    decisions: RequestRouter
-    lost: dict[str, list[Callable[[], None]]] = field(default_factory=dict)
-
-
-@dataclass(slots=True)
-class _InFlight:
-    record: RequestRecord
-    router: SimulatedRouter
-    request: CompletionRequest
-    engine: SimulatedEngine
-    attempt_id: str
-    placement: Placement
-    incarnation: int
-
-
-class OracleRouter(RequestRouter):
-    """A request router that sees engines as they are."""
-
-    engines: dict[str, SimulatedEngine]
-
-    def _views(
-        self, request: CompletionRequest, now: float, excluded: Collection[str]
-    ) -> list[EngineView]:
-        views = []
-        for engine in self.engines.values():
-            if engine.engine_id in excluded or not engine.alive:
-                continue
-            model = engine.model
-            probe = EngineRequest("", request.hashes.for_version(1), request.prompt_tokens, 0)
-            load = model.running + model.waiting + engine.on_way
-            views.append(
-                EngineView(
-                    engine_id=engine.engine_id,
-                    zone=engine.zone,
-                    matched_blocks=model.matched_blocks(probe),
-                    weights_version=1,
-                    trusted=True,
-                    queued_tokens=float(model.waiting_tokens()),
-                    waiting=max(0, load - model.profile.max_running),
-                    running=min(load, model.profile.max_running),
-                    max_running=model.profile.max_running,
-                    cache_usage=model.cache.usage(),
-                    prefill_rate=model.profile.prefill_rate,
-                )
-            )
-        return views
-
-
 class FleetSimulation:
     """One run: a policy, a rate and a seed.
 
@@ -160,7 +70,7 @@
         self._numbers = itertools.count()
         self._rate = rate
         self._seed = seed
-        self._in_flight: dict[str, _InFlight] = {}
+        self._in_flight: dict[str, Flight] = {}
         self.bundle = _bundle(config, routing)
         self.engines = {
             f"engine-{number}": SimulatedEngine(
@@ -283,9 +193,7 @@
         attempt_id = f"{id(record)}-{record.attempts}"
         router.decisions.started(request, placement, attempt_id, self.now)
         self._tell_others(router, request, placement)
-        flight = _InFlight(
-            record, router, request, engine, attempt_id, placement, engine.incarnation
-        )
+        flight = Flight(record, router, request, engine, attempt_id, placement, engine.incarnation)
         self._in_flight[attempt_id] = flight
         engine.on_way += 1
         self._after(self._delay(router.zone, engine.zone), lambda: self._submit(flight))
@@ -308,7 +216,7 @@
     def _hear(self, router: SimulatedRouter, notice: FillNotice) -> None:
         router.decisions.observe_fill(notice, self.now)
 
-    def _submit(self, flight: _InFlight) -> None:
+    def _submit(self, flight: Flight) -> None:
         engine, record = flight.engine, flight.record
         engine.on_way -= 1
         if not engine.alive or self._is_cut(flight.router.zone, engine.zone):
@@ -326,7 +234,7 @@
         )
         self._step(engine)
 
-    def _retry(self, flight: _InFlight) -> None:
+    def _retry(self, flight: Flight) -> None:
         self._in_flight.pop(flight.attempt_id, None)
         router = flight.router
         engine_id = flight.engine.engine_id
--- a/src/hillstack/simulation/services.py
+++ b/src/hillstack/simulation/services.py
@@ -82,14 +82,7 @@
     def transact(self, conditions: list[ValueIs], puts: list[Put]) -> int | None:
         """Write all keys if all conditions hold."""
         self.store.expire(self.process.loop.time())
-        for condition in conditions:
-            known = self.store.values.get(condition.key.encode())
-            if (known.value if known else None) != condition.value:
-                return None
-        self.store.revision += 1
-        for put in puts:
-            self.store.put(put.key.encode(), put.value, put.lease_id, self.store.revision)
-        return self.store.revision
+        return self.store.transact(conditions, puts)
 
     def grant_lease(self, ttl: int) -> int:
         """Make a lease."""
@@ -108,8 +101,7 @@
     def get(self, key: str) -> Entry | None:
         """Return a key's entry."""
         self.store.expire(self.process.loop.time())
-        known = self.store.values.get(key.encode())
-        return Entry(key, known.value, known.mod_revision) if known else None
+        return self.store.entry(key)
 
 
 @dataclass(slots=True)
--- a/tests/unit/test_lease.py
+++ b/tests/unit/test_lease.py
@@ -22,22 +22,14 @@
 
     async def get(self, key: str) -> Entry | None:
         self.store.expire(self.now)
-        known = self.store.values.get(key.encode())
-        return Entry(key, known.value, known.mod_revision) if known else None
+        return self.store.entry(key)
 
     async def list_prefix(self, prefix: str, limit: int = 0) -> list[Entry]:
         raise NotImplementedError
 
     async def transact(self, conditions: Sequence[ValueIs], puts: Sequence[Put]) -> int | None:
         self.store.expire(self.now)
-        for condition in conditions:
-            known = self.store.values.get(condition.key.encode())
-            if (known.value if known else None) != condition.value:
-                return None
-        self.store.revision += 1
-        for put in puts:
-            self.store.put(put.key.encode(), put.value, put.lease_id, self.store.revision)
-        return self.store.revision
+        return self.store.transact(conditions, puts)
 
     async def grant_lease(self, ttl_seconds: int) -> int:
         return self.store.grant(float(ttl_seconds), self.now).lease_id
--- a/tools/make_deployments.py
+++ b/tools/make_deployments.py
@@ -64,7 +64,12 @@
         ("fee-quote", "POST", "/fee-quotes", False, "urgent"),
         ("read-fee-quote", "GET", "/fee-quotes", True, "urgent"),
     ],
-    "routing": {"policy": "full", "congestion_weight": 10.0, "home_discount": 0.0},
+    "routing": {
+        "policy": "full",
+        "congestion_weight": 10.0,
+        "home_discount": 0.0,
+        "share_fills": False,
+    },
 }
 
 
