A slow reader no longer loses an answer that is complete

Cause: the guard against silence took buffered bytes of a finished answer for a back end that fell silent, and broke the answer off. It now asks whether the answer has ended or reading is paused, by public interfaces. Found by reading, shown by a test that failed before.

--- a/src/hillstack/backends/http_client.py
+++ b/src/hillstack/backends/http_client.py
@@ -184,8 +184,15 @@
         self._handle = self._loop.call_later(self._interval, self._check)
 
     def _is_held_back(self) -> bool:
-        """Return whether the silence is ours: a slow caller has not taken what came."""
-        return not self._response.content.is_eof() and bool(self._response.content._buffer)
+        """Return whether the silence is ours: a slow caller has not taken what came.
+
+        The library stops reading from the connection while its buffer is full.
+        """
+        if self._response.content.is_eof():
+            return True
+        connection = self._response.connection
+        transport = connection.transport if connection is not None else None
+        return isinstance(transport, asyncio.Transport) and not transport.is_reading()
 
 
 async def _on_connection(
--- /dev/null
+++ b/tests/unit/test_http_client.py
@@ -0,0 +1,87 @@
+"""The client of the back ends against small servers: silence, slow readers, refused connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from hillstack.backends.http_client import BackendClient
+from hillstack.core.attempt import Attempt, AttemptState
+from hillstack.errors import BackendBrokenError, BackendRefusedError
+
+SILENCE_SECONDS = 0.2
+HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 300000\r\n\r\n"
+BODY = b"x" * 300_000
+
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+Use = Callable[[BackendClient, Attempt, str], Awaitable[None]]
+
+
+def run_against(serve: Serve, use: Use) -> Attempt:
+    async def main() -> Attempt:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = BackendClient(connect_timeout=5.0, silence_timeout=SILENCE_SECONDS)
+        attempt = Attempt("r-1", "backend")
+        try:
+            await use(client, attempt, f"http://127.0.0.1:{port}/")
+        finally:
+            await client.close()
+            server.close()
+        return attempt
+
+    return asyncio.run(main())
+
+
+async def answer_in_full(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(HEAD + BODY)
+    await writer.drain()
+
+
+async def answer_half(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(HEAD + BODY[:1_000])
+    await writer.drain()
+    await reader.read()
+
+
+def test_a_slow_reader_gets_the_whole_answer() -> None:
+    async def read_slowly(client: BackendClient, attempt: Attempt, url: str) -> None:
+        received = 0
+        async with client.send(attempt, "POST", url, b"", {}) as answer:
+            async for piece in answer.content.iter_any():
+                received += len(piece)
+                await asyncio.sleep(3 * SILENCE_SECONDS)
+        assert received == len(BODY)
+
+    run_against(answer_in_full, read_slowly)
+
+
+def test_a_silent_back_end_is_broken_off() -> None:
+    async def read_all(client: BackendClient, attempt: Attempt, url: str) -> None:
+        async with client.send(attempt, "POST", url, b"", {}) as answer:
+            await answer.content.read()
+
+    with pytest.raises(BackendBrokenError) as caught:
+        run_against(answer_half, read_all)
+    assert caught.value.step == "read answer"
+    assert caught.value.peer
+
+
+def test_a_refused_connection_leaves_the_attempt_before_any_byte() -> None:
+    attempt = Attempt("r-1", "backend")
+
+    async def main() -> None:
+        client = BackendClient(connect_timeout=5.0, silence_timeout=SILENCE_SECONDS)
+        try:
+            async with client.send(attempt, "POST", "http://127.0.0.1:1/", b"", {}):
+                pass
+        finally:
+            await client.close()
+
+    with pytest.raises(BackendRefusedError):
+        asyncio.run(main())
+    assert attempt.state is AttemptState.CONNECTING
