A resumed stream must be confirmed by its engine

The engine's answer must now say from where it resumed; otherwise the attempt counts as failed. Options of a stream that the caller sets are passed on.

--- a/src/hillstack/emulator/engine.py
+++ b/src/hillstack/emulator/engine.py
@@ -2,7 +2,8 @@
 
 Beside vLLM's published interface it has a small surface of its own, for what no standard covers:
 
-- ``X-Resume-From: n`` on a completion: the first ``n`` tokens are skipped.
+- ``X-Resume-From: n`` on a completion: the first ``n`` tokens are skipped, and the answer carries
+  ``X-Resumed-From: n``.
 - ``GET /status``: incarnation, weights version, role, whether it drains.
 - ``POST /orders/load``: ``{"fence", "weights_version"}``; an order with a lower fence than one
   already taken is refused with 409.
@@ -400,6 +401,8 @@
             (b"content-type", content_type.encode()),
             (b"x-request-id", self._echoed_id.encode()),
         ]
+        if self._resume_from:
+            headers.append((b"x-resumed-from", str(self._resume_from).encode()))
         return {"type": "http.response.start", "status": 200, "headers": headers}
 
     def _envelope(self, choices: list[dict[str, object]]) -> dict[str, object]:
--- a/src/hillstack/gateway/completion_response.py
+++ b/src/hillstack/gateway/completion_response.py
@@ -29,6 +29,8 @@
 RETRY_BUDGET_SECONDS = 2.0
 DEADLINE_RETRY_SECONDS = 1.0
 KIND = "completion"
+RESUME_HEADER = "x-resume-from"
+RESUMED_HEADER = "x-resumed-from"
 
 AnswerTaker = Callable[[Answer, Attempt], Awaitable[int | None]]
 
@@ -149,6 +151,7 @@
         if response.status != 200:
             raise CallerError(await self._engine_error(response))
         relay = self._relay
+        self._require_resume(response, attempt)
         relay.start_attempt(attempt.attempt_id, attempt.backend_id)
         async for piece in response.content.iter_any():
             passed = relay.feed(piece)
@@ -161,6 +164,17 @@
             raise BackendError(text, step="relay", peer=attempt.backend_id)
         return relay.cached_tokens
 
+    def _require_resume(self, response: Answer, attempt: Attempt) -> None:
+        """Check that an engine asked to resume says that it does, or the caller gets tokens twice.
+
+        Raises:
+            BackendError: The engine starts from the first token.
+        """
+        passed = self._relay.events_passed
+        if passed and response.headers.get(RESUMED_HEADER) != str(passed):
+            text = "the engine does not resume streams"
+            raise BackendError(text, step="resume", peer=attempt.backend_id)
+
     async def _start_stream(self, send: Send, attempt: Attempt) -> None:
         self._started = True
         node, job = self._node, self._job
@@ -214,13 +228,14 @@
         content["cache_salt"] = scope.cache_salt()
         content["priority"] = job.priority.level
         if job.parsed.body.stream:
-            content["stream_options"] = {"include_usage": True}
+            options = job.parsed.body.stream_options or {}
+            content["stream_options"] = options | {"include_usage": True}
         return json.dumps(content).encode()
 
     def _engine_headers(self, attempt: Attempt) -> dict[str, str]:
         headers = {"content-type": "application/json", "x-request-id": attempt.attempt_id}
         if self._relay.events_passed:
-            headers["x-resume-from"] = str(self._relay.events_passed)
+            headers[RESUME_HEADER] = str(self._relay.events_passed)
         return headers
 
     def _deadline_answer(self) -> ErrorAnswer:
--- a/src/hillstack/simulation/chaos.py
+++ b/src/hillstack/simulation/chaos.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import partial
 from random import Random
 
 from hillstack.simulation.checker import Violation, check
@@ -204,15 +205,18 @@
         self._at(end, name, "restart", restart)
 
     def _bad_streams(self, start: float, end: float) -> None:
-        engine = self._cluster.services.engines[self._any_engine()]
         faults = EngineFaults(
             break_streams=self._rng.choice((0.0, 0.1)),
             cross_streams=self._rng.choice((0.0, 0.3)),
             end_silently=self._rng.choice((0.0, 0.1)),
+            ignore_resume=self._rng.choice((False, True)),
         )
-        name = engine.process.name
-        self._at(start, name, f"{faults}", lambda: setattr(engine, "faults", faults))
-        self._at(end, name, "streams well", lambda: setattr(engine, "faults", EngineFaults()))
+        engines = sorted(self._cluster.services.engines)
+        for name in self._rng.choice((engines, [self._rng.choice(engines)])):
+            engine = self._cluster.services.engines[name]
+            self._at(start, name, f"{faults}", partial(setattr, engine, "faults", faults))
+            well = partial(setattr, engine, "faults", EngineFaults())
+            self._at(end, name, "streams well", well)
 
     def _bad_applications(self, start: float, end: float) -> None:
         faults = ApplicationFaults(
@@ -221,13 +225,8 @@
             delay=self._rng.choice((0.02, 1.0)),
         )
         for name, application in self._cluster.services.applications.items():
-
-            def begin(app: object = application) -> None:
-                setattr(app, "faults", faults)  # noqa: B010 (one helper for all kinds)
-
-            def finish(app: object = application) -> None:
-                setattr(app, "faults", ApplicationFaults())  # noqa: B010
-
+            begin = partial(setattr, application, "faults", faults)
+            finish = partial(setattr, application, "faults", ApplicationFaults())
             self._at(start, name, f"{faults}", begin)
             self._at(end, name, "application well", finish)
 
@@ -251,6 +250,3 @@
         self._at(start, name, "leaves", begin)
         self._at(start + MACHINE_LIST_LAG_SECONDS, name, "listed as leaving", list_leaving)
         self._at(own_word_at, name, "says that it leaves", say_so)
-
-    def _any_engine(self) -> str:
-        return self._rng.choice(sorted(self._cluster.services.engines))
--- a/src/hillstack/simulation/services.py
+++ b/src/hillstack/simulation/services.py
@@ -163,11 +163,13 @@
         break_streams: Chance per token that the stream breaks off.
         cross_streams: Chance per stream that its events carry another identifier.
         end_silently: Chance per token that the stream ends cleanly but without ``[DONE]``.
+        ignore_resume: Start at the first token whatever the router asks for, and do not say so.
     """
 
     break_streams: float = 0.0
     cross_streams: float = 0.0
     end_silently: float = 0.0
+    ignore_resume: bool = False
 
 
 @dataclass(slots=True)
@@ -240,6 +242,8 @@
             attempt_id = "crossed-1"
             content["prompt"] = "crossed".ljust(KEY_LENGTH, "!")
         position = int(stream.call.headers.get("x-resume-from", "0"))
+        if self.faults.ignore_resume:
+            position = 0
         self._running += 1
         try:
             await asyncio.sleep(PREFILL_SECONDS)
--- a/src/hillstack/simulation/surroundings.py
+++ b/src/hillstack/simulation/surroundings.py
@@ -155,6 +155,19 @@
         except (TimeoutError, ConnectionRefused, ConnectionBroken) as error:
             raise BackendError(repr(error), step="order weights", peer=address) from error
 
+    async def _stream_headers(self, target: SimProcess, call: HttpCall) -> dict[str, str]:
+        """Return the headers that an engine sends before its stream."""
+
+        async def ignores(engine: SimEngine) -> bool:
+            return engine.faults.ignore_resume
+
+        try:
+            engine_ignores = await self._network.call(self._process, target.address, ignores)
+        except (ConnectionRefused, ConnectionBroken) as error:
+            text = repr(error)
+            raise BackendBrokenError(text, step="read answer", peer=target.address) from error
+        return _resume_headers(bool(engine_ignores), call)
+
     async def _page(self, address: str, name: str) -> Any:
         try:
             async with asyncio.timeout(PAGE_TIMEOUT_SECONDS):
@@ -203,13 +216,20 @@
 
         self._network.transmit(self._process, target, arrive)
         try:
-            yield SimAnswer(200, {}, content)
+            yield SimAnswer(200, await self._stream_headers(target, call), content)
         finally:
             closed = True
             target.exchanges.pop(exchange, None)
             exchange.cancel()
 
 
+def _resume_headers(engine_ignores: bool, call: HttpCall) -> dict[str, str]:
+    resumed_from = call.headers.get("x-resume-from")
+    if resumed_from is None or engine_ignores:
+        return {}
+    return {"x-resumed-from": resumed_from}
+
+
 class SimPeers:
     """Messages between simulated nodes."""
 
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -20,6 +20,7 @@
 from hillstack.core.rollout import BundleAdopter
 from hillstack.daemon.bundle_sync import BundleSync
 from hillstack.gateway import applications
+from hillstack.gateway.completion_response import CompletionResponse
 from hillstack.gateway.errors import ErrorAnswer
 from hillstack.gateway.stream_relay import StreamRelay
 from hillstack.platform import bundle_store
@@ -115,6 +116,13 @@
         lambda *_: None,
     ),
     Mutation("a stream's end is not checked", "whole_streams", StreamRelay, "done", ALWAYS_DONE),
+    Mutation(
+        "a resume need not be confirmed",
+        "whole_streams",
+        CompletionResponse,
+        "_require_resume",
+        lambda *_: None,
+    ),
     Mutation(
         "refusals do not say when", "refusals_say_when", ErrorAnswer, "headers", lambda self: {}
     ),
