--- a/src/hillstack/config/settings.py
+++ b/src/hillstack/config/settings.py
@@ -91,9 +91,11 @@
         default=8_000_000, gt=0, description="Largest whole answer of a back end."
     )
     default_deadline_seconds: float = Field(
-        default=60.0, gt=0, description="Deadline of a request that names none."
+        default=600.0,
+        gt=0,
+        description="Deadline of a request that names none, the end of its stream included.",
     )
-    max_deadline_seconds: float = Field(default=600.0, gt=0, description="Longest deadline.")
+    max_deadline_seconds: float = Field(default=3_600.0, gt=0, description="Longest deadline.")
 
 
 class StopSection(Section):
