--- a/src/hillstack/gateway/answers.py
+++ b/src/hillstack/gateway/answers.py
@@ -9,6 +9,8 @@
 from hillstack.core.attempt import Outcome
 from hillstack.core.request_router import RequestRouter
 from hillstack.daemon.node import Node
+from hillstack.daemon.ports import Answer
+from hillstack.errors import BackendBrokenError
 from hillstack.gateway.errors import CallerError, ErrorAnswer
 
 
@@ -45,6 +47,20 @@
         raise CallerError(answer)
 
 
+async def read_whole(answer: Answer, limit: int, backend_id: str) -> bytes:
+    """Return the whole body of a back end's answer, of at most ``limit`` bytes.
+
+    Raises:
+        BackendBrokenError: It is longer than the limit, or the connection broke.
+    """
+    body = bytearray()
+    async for piece in answer.content.iter_any():
+        body += piece
+        if len(body) > limit:
+            raise BackendBrokenError("answer too long", step="read answer", peer=backend_id)
+    return bytes(body)
+
+
 async def send_json(send: Send, answer: ErrorAnswer, request_id: str) -> None:
     """Send an error answer over ASGI."""
     response = JSONResponse(
--- a/src/hillstack/gateway/applications.py
+++ b/src/hillstack/gateway/applications.py
@@ -21,7 +21,7 @@
     BackendRefusedError,
     CrossedAnswerError,
 )
-from hillstack.gateway.answers import not_ready_answer, refuse_if_stale, router_of
+from hillstack.gateway.answers import not_ready_answer, read_whole, refuse_if_stale, router_of
 from hillstack.gateway.errors import CallerError, ErrorAnswer, bad_request
 from hillstack.gateway.parsing import authenticate, read_body, request_timeout
 from hillstack.logs import error_fields
@@ -212,11 +212,12 @@
     headers = job.headers | {"x-request-id": attempt.attempt_id}
     url = f"http://{backend.machine.address}{job.target}"
     remaining = max(0.001, job.deadline - node.clock())
+    limit = node.settings.limits.max_answer_bytes
     try:
         async with node.backends.send(
             attempt, job.method, url, job.body, headers, single_use=True, timeout=remaining
         ) as response:
-            body = await response.content.read(-1)
+            body = await read_whole(response, limit, attempt.backend_id)
             content_type = response.headers.get("content-type", "application/octet-stream")
             answer = StoredAnswer(response.status, content_type, body)
             _check_echo(job, attempt, response.headers.get("x-request-id"))
--- a/src/hillstack/gateway/completion_response.py
+++ b/src/hillstack/gateway/completion_response.py
@@ -17,7 +17,7 @@
 from hillstack.daemon.node import Node
 from hillstack.daemon.ports import Answer
 from hillstack.errors import BackendError, BackendRefusedError, CrossedAnswerError
-from hillstack.gateway.answers import router_of, send_json
+from hillstack.gateway.answers import read_whole, router_of, send_json
 from hillstack.gateway.completion_job import CompletionJob
 from hillstack.gateway.errors import CallerError, ErrorAnswer
 from hillstack.gateway.stream_relay import DONE_EVENT, StreamRelay
@@ -188,7 +188,8 @@
         await send({"type": "http.response.start", "status": 200, "headers": headers})
 
     async def _relay_whole(self, response: Answer, attempt: Attempt, send: Send) -> int | None:
-        body = await self._read_whole(response, attempt)
+        limit = self._node.settings.limits.max_answer_bytes
+        body = await read_whole(response, limit, attempt.backend_id)
         if response.status != 200:
             raise CallerError(await self._engine_error(response, body))
         answer = _parse_answer(body, attempt)
@@ -205,15 +206,6 @@
         cached = details.get("cached_tokens")
         return int(cached) if isinstance(cached, int) else None
 
-    async def _read_whole(self, response: Answer, attempt: Attempt) -> bytes:
-        limit = self._node.settings.limits.max_answer_bytes
-        body = bytearray()
-        async for piece in response.content.iter_any():
-            body += piece
-            if len(body) > limit:
-                raise BackendError("answer too long", step="read answer", peer=attempt.backend_id)
-        return bytes(body)
-
     async def _engine_error(self, response: Answer, body: bytes | None = None) -> ErrorAnswer:
         text = body if body is not None else await response.content.read(4_096)
         message = text[:500].decode(errors="replace")
--- a/tests/unit/test_http_client.py
+++ b/tests/unit/test_http_client.py
@@ -10,6 +10,7 @@
 from hillstack.backends.http_client import BackendClient
 from hillstack.core.attempt import Attempt, AttemptState
 from hillstack.errors import BackendBrokenError, BackendRefusedError
+from hillstack.gateway.answers import read_whole
 
 SILENCE_SECONDS = 0.2
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 300000\r\n\r\n"
@@ -71,6 +72,15 @@
     assert caught.value.peer
 
 
+def test_an_answer_over_the_limit_is_broken_off() -> None:
+    async def read_limited(client: BackendClient, attempt: Attempt, url: str) -> None:
+        async with client.send(attempt, "POST", url, b"", {}) as answer:
+            await read_whole(answer, len(BODY) - 1, "backend")
+
+    with pytest.raises(BackendBrokenError, match="too long"):
+        run_against(answer_in_full, read_limited)
+
+
 def test_a_refused_connection_leaves_the_attempt_before_any_byte() -> None:
     attempt = Attempt("r-1", "backend")
 
