--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -15,7 +15,7 @@
 
 from hillstack.core.attempt import Outcome, RequestAttempts
 from hillstack.core.claims import ClaimRound, ClaimTable
-from hillstack.core.fleet import Backend, Fleet
+from hillstack.core.fleet import Backend
 from hillstack.core.prefix import PrefixScope
 from hillstack.core.rollout import BundleAdopter
 from hillstack.daemon.bundle_sync import BundleSync
@@ -66,10 +66,6 @@
     return now >= self.suspect_until
 
 
-def _no_heartbeat(self: Fleet, now: float) -> bool:
-    return False
-
-
 async def _believe_lost_answers(self: BundleStore, own: Any) -> None:
     return None
 
