A repeat gets the answer that a slower replica has

Cause, found by reading a test that could flake: a claim round ended with the first reply that said held, also when that replica lacked the answer and another had it.

--- a/src/hillstack/core/claims.py
+++ b/src/hillstack/core/claims.py
@@ -232,13 +232,15 @@
             return ClaimVerdict.NO_MAJORITY
         return None
 
-    def granted_zones(self) -> list[str]:
-        """Return the zones whose replicas granted, which a loser must release."""
-        return [
-            zone
-            for zone, reply in self.replies.items()
-            if reply is not None and reply.status is ClaimStatus.GRANTED
-        ]
+    def is_settled(self) -> bool:
+        """Return whether outstanding replies cannot change what the caller is told.
+
+        A replica that holds the claim may lack the answer, which another one has.
+        """
+        verdict = self.verdict()
+        if verdict is ClaimVerdict.HELD:
+            return self.answer() is not None
+        return verdict is not None
 
     def answer(self) -> StoredAnswer | None:
         """Return the answer of the earlier execution, if a replica has kept it."""
--- a/src/hillstack/daemon/claim_coordinator.py
+++ b/src/hillstack/daemon/claim_coordinator.py
@@ -72,12 +72,11 @@
             asyncio.create_task(self._ask(zone, node_id, request))
             for zone, node_id in asked.items()
         }
-        verdict = claim_round.verdict()
-        while verdict is None and pending:
+        while pending and not claim_round.is_settled():
             done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
             for zone, reply in sorted((task.result() for task in done), key=lambda pair: pair[0]):
                 claim_round.on_reply(zone, reply)
-            verdict = claim_round.verdict()
+        verdict = claim_round.verdict()
         self._keep(pending)
         return ClaimResult(
             verdict or ClaimVerdict.NO_MAJORITY, claim_round.answer(), tuple(asked.values())
