Remove what nothing reads, and one server class too many

Behaviour is the same. The server's own class overrode a method that is not called, since the router runs the server without its signal handling. Counters and constants that nothing read are gone. A peer's word of a leaving back end goes through the same method as other sources. The percentile stands in a module of its own.

--- a/src/hillstack/core/fleet.py
+++ b/src/hillstack/core/fleet.py
@@ -126,7 +126,7 @@
         for notice in notices:
             backend = self._backends.get(notice.machine_id)
             if backend is not None and backend.incarnation in ("", notice.incarnation):
-                backend.draining = True
+                self.observe_draining(notice.machine_id)
 
     def _paused(self, now: float) -> bool:
         return self._heartbeat_at is not None and now - self._heartbeat_at > PAUSE_SECONDS
--- a/src/hillstack/daemon/peer_transport.py
+++ b/src/hillstack/daemon/peer_transport.py
@@ -40,7 +40,6 @@
         self._handler = handler
         self._transport: asyncio.DatagramTransport | None = None
         self.bytes_sent = 0
-        self.rejected = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -53,7 +52,6 @@
         try:
             message = self._codec.decode(data, peer)
         except CodecError as error:
-            self.rejected += 1
             logger.debug("datagram rejected", extra=error_fields(error))
             return
         self._handler(message, peer)
--- a/src/hillstack/daemon/server.py
+++ b/src/hillstack/daemon/server.py
@@ -22,13 +22,6 @@
 LISTEN_BACKLOG = 4_096
 
 
-class ManagedServer(uvicorn.Server):
-    """A uvicorn server whose stop is decided by the router, not by signals."""
-
-    def install_signal_handlers(self) -> None:
-        """Leave signals to the router."""
-
-
 class RouterProcess:
     """Runs one router until SIGTERM or SIGINT; must be made inside a running event loop.
 
@@ -52,6 +45,7 @@
         node = self._node
         await node.start()
         server = self._make_server()
+        # Unlike ``serve``, ``_serve`` leaves signals alone: the router decides when it ends.
         serving = asyncio.create_task(server._serve())
         logger.info("listening", extra={"callers": self._settings.listen.callers})
         stopping = asyncio.create_task(self._stop.wait())
@@ -63,7 +57,7 @@
         await node.stop()
         logger.info("stopped")
 
-    def _make_server(self) -> ManagedServer:
+    def _make_server(self) -> uvicorn.Server:
         host, port = split_address(self._settings.listen.callers)
         config = uvicorn.Config(
             make_app(self._node),
@@ -80,9 +74,9 @@
             timeout_keep_alive=int(max(1.0, self._settings.stop.keep_alive_seconds)),
             timeout_graceful_shutdown=None,
         )
-        return ManagedServer(config)
+        return uvicorn.Server(config)
 
-    async def _drain(self, server: ManagedServer) -> None:
+    async def _drain(self, server: uvicorn.Server) -> None:
         logger.info("stopping")
         await self._node.leave()
         await asyncio.sleep(self._settings.stop.linger_seconds)
--- a/src/hillstack/gateway/app.py
+++ b/src/hillstack/gateway/app.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
-
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -22,7 +20,6 @@
 METHODS = ["GET", "POST", "PUT", "DELETE"]
 CHAT_PATH = "/v1/chat/completions"
 COMPLETION_PATHS = frozenset({"/v1/completions", CHAT_PATH})
-Handler = Callable[[Request], Awaitable[Response]]
 
 
 def make_app(node: Node) -> ASGIApp:
--- a/src/hillstack/gateway/completions.py
+++ b/src/hillstack/gateway/completions.py
@@ -7,7 +7,7 @@
 from hillstack.config.bundle import Priority
 from hillstack.core.attempt import RequestAttempts
 from hillstack.core.prefix import TextHashes
-from hillstack.core.prompt import ByteTokenizer
+from hillstack.core.prompt import ByteTokenizer, Tokenizer
 from hillstack.core.request_router import CompletionRequest
 from hillstack.daemon.node import Node
 from hillstack.gateway.answers import (
@@ -29,7 +29,7 @@
     request_timeout,
 )
 
-TOKENIZER = ByteTokenizer()
+TOKENIZER: Tokenizer = ByteTokenizer()
 
 
 async def handle_completion(node: Node, request: Request, chat: bool) -> CompletionResponse:
--- a/src/hillstack/simulation/experiment.py
+++ b/src/hillstack/simulation/experiment.py
@@ -10,7 +10,7 @@
 from hillstack.simulation.experiment_config import ExperimentConfig
 from hillstack.simulation.fleet_parts import RequestRecord
 from hillstack.simulation.fleet_simulation import FleetSimulation
-from hillstack.simulation.workload import percentile
+from hillstack.simulation.statistics import percentile
 
 CALIBRATION_RATE_PER_ENGINE = 14.0
 CALIBRATION_SECONDS = 40.0
--- a/src/hillstack/simulation/fleet_simulation.py
+++ b/src/hillstack/simulation/fleet_simulation.py
@@ -62,8 +62,6 @@
         self.now = 0.0
         self.records: list[RequestRecord] = []
         self.computed_again = 0
-        self.computed = 0
-        self.notices = 0
         self._seen_blocks: set[int] = set()
         self._rng = Random(f"fleet:{seed}")
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -208,7 +206,6 @@
         told = self._rng.sample(others, min(MAX_PEERS_TOLD, len(others)))
         for other in told:
             if not self._is_cut(router.zone, other.zone):
-                self.notices += 1
                 self._after(
                     self._delay(router.zone, other.zone), partial(self._hear, other, notice)
                 )
@@ -267,7 +264,6 @@
 
     def _count_blocks(self, result: StepResult) -> None:
         for block in result.prefilled:
-            self.computed += 1
             if block in self._seen_blocks:
                 self.computed_again += 1
             self._seen_blocks.add(block)
--- a/src/hillstack/simulation/workload.py
+++ b/src/hillstack/simulation/workload.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-import math
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from itertools import accumulate
 from random import Random
@@ -276,12 +275,3 @@
 )
 
 WORKLOADS = {workload.name: workload for workload in (TAMPERE, LAGOS)}
-
-
-def percentile(values: Sequence[float], percent: float) -> float:
-    """Return the nearest-rank percentile; not a number for no values."""
-    if not values:
-        return math.nan
-    ordered = sorted(values)
-    rank = math.ceil(percent / 100 * len(ordered))
-    return ordered[max(0, rank - 1)]
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -21,7 +21,7 @@
 import aiohttp
 from local_fleet import LocalFleet, RouterHandle, get_json, post_json
 
-from hillstack.simulation.workload import percentile
+from hillstack.simulation.statistics import percentile
 
 PAIRS = 300
 STREAMS = 96
