--- a/src/hillstack/cli/bundle.py
+++ b/src/hillstack/cli/bundle.py
@@ -35,8 +35,8 @@
     verify_bundle,
 )
 from hillstack.errors import BundleError, PeerError
-from hillstack.platform.bundle_store import BundleStore
-from hillstack.platform.key_value import KeyValueClient
+from hillstack.etcd.bundle_store import BundleStore
+from hillstack.etcd.key_value import KeyValueClient
 
 app = typer.Typer(help="Make, sign and roll out bundles.", no_args_is_help=True)
 
--- a/src/hillstack/daemon/bundle_sync.py
+++ b/src/hillstack/daemon/bundle_sync.py
@@ -20,9 +20,9 @@
 from hillstack.core.rollout import BundleAdopter
 from hillstack.daemon.ports import KeyValue, Peers
 from hillstack.errors import BundleError, HillstackError, PeerError, PlatformError
+from hillstack.etcd.bundle_store import HEAD_KEY, BundleStore, parse_head
 from hillstack.logs import error_fields
 from hillstack.messages.types import BundleReply, BundleRequest
-from hillstack.platform.bundle_store import HEAD_KEY, BundleStore, parse_head
 
 logger = logging.getLogger(__name__)
 
--- a/src/hillstack/daemon/network_surroundings.py
+++ b/src/hillstack/daemon/network_surroundings.py
@@ -13,10 +13,10 @@
 from hillstack.core.cache_index import CacheIndex
 from hillstack.daemon.peer_transport import GossipProtocol, PeerClient, PeerServer
 from hillstack.daemon.ports import GossipHandler, RequestHandler
+from hillstack.etcd.key_value import KeyValueClient
+from hillstack.etcd.machine_list import fetch_machines
 from hillstack.messages.codec import Codec
 from hillstack.messages.types import Machine, Message
-from hillstack.platform.key_value import KeyValueClient
-from hillstack.platform.machine_list import fetch_machines
 
 
 class NetworkPeers:
--- a/src/hillstack/daemon/ports.py
+++ b/src/hillstack/daemon/ports.py
@@ -14,8 +14,8 @@
 
 from hillstack.core.attempt import Attempt
 from hillstack.core.fleet import LoadReport
+from hillstack.etcd.key_value import Entry, Put, ValueIs
 from hillstack.messages.types import Machine, Message
-from hillstack.platform.key_value import Entry, Put, ValueIs
 
 RequestHandler = Callable[[Message, str], Awaitable[Message]]
 GossipHandler = Callable[[Message, str], None]
--- a/src/hillstack/daemon/weights_duty.py
+++ b/src/hillstack/daemon/weights_duty.py
@@ -11,8 +11,8 @@
 from hillstack.core.weights import LoadOrder, next_orders
 from hillstack.daemon.ports import Surroundings
 from hillstack.errors import BackendError, PlatformError
+from hillstack.etcd.lease import DutyLease
 from hillstack.logs import error_fields
-from hillstack.platform.lease import DutyLease
 
 logger = logging.getLogger(__name__)
 
--- a/src/hillstack/platform/bundle_store.py
+++ b/src/hillstack/etcd/bundle_store.py
@@ -18,7 +18,7 @@
     PlatformOutcomeUnknownError,
     RolloutConflictError,
 )
-from hillstack.platform.key_value import Put, ValueIs
+from hillstack.etcd.key_value import Put, ValueIs
 
 HEAD_KEY = "/hillstack/head"
 BUNDLE_PREFIX = "/hillstack/bundles/"
--- a/src/hillstack/platform/lease.py
+++ b/src/hillstack/etcd/lease.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from hillstack.daemon.ports import KeyValue
-from hillstack.platform.key_value import Put, ValueIs
+from hillstack.etcd.key_value import Put, ValueIs
 
 SAFETY_SHARE = 0.25
 
--- a/src/hillstack/simulation/clients.py
+++ b/src/hillstack/simulation/clients.py
@@ -9,7 +9,7 @@
 from hillstack.config.bundle import Bundle
 from hillstack.core.claims import make_key
 from hillstack.errors import BundleError, PlatformError
-from hillstack.platform.bundle_store import BundleStore
+from hillstack.etcd.bundle_store import BundleStore
 from hillstack.simulation.asgi import AsgiCall, AsgiReply
 from hillstack.simulation.cluster import MODEL, TENANTS, SimCluster, tenant_token
 from hillstack.simulation.history import Accept, Invoke, Return
--- a/src/hillstack/simulation/cluster.py
+++ b/src/hillstack/simulation/cluster.py
@@ -15,10 +15,10 @@
 from hillstack.core.fleet import Fleet
 from hillstack.daemon.node import Node
 from hillstack.daemon.ports import Surroundings
+from hillstack.etcd.bundle_store import HEAD_KEY, Head, bundle_key
+from hillstack.etcd.key_value import Put
 from hillstack.gateway.app import make_app
 from hillstack.messages.types import BackendKind, Machine
-from hillstack.platform.bundle_store import HEAD_KEY, Head, bundle_key
-from hillstack.platform.key_value import Put
 from hillstack.simulation.asgi import AsgiCall, AsgiReply, run_asgi
 from hillstack.simulation.history import Adopt, History
 from hillstack.simulation.network import SimNetwork, SimProcess
--- a/src/hillstack/simulation/services.py
+++ b/src/hillstack/simulation/services.py
@@ -14,8 +14,8 @@
 from hillstack.daemon.ports import BackendStatus
 from hillstack.emulator.platform import KeyValueStore
 from hillstack.errors import PlatformOutcomeUnknownError, PlatformUnavailableError
+from hillstack.etcd.key_value import Entry, Put, ValueIs
 from hillstack.messages.types import Machine
-from hillstack.platform.key_value import Entry, Put, ValueIs
 from hillstack.simulation.history import Execute, History, Order, Reuse, Work
 from hillstack.simulation.network import SimProcess
 
--- a/src/hillstack/simulation/surroundings.py
+++ b/src/hillstack/simulation/surroundings.py
@@ -21,8 +21,8 @@
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
 )
+from hillstack.etcd.key_value import Entry, Put, ValueIs
 from hillstack.messages.types import Machine, Message
-from hillstack.platform.key_value import Entry, Put, ValueIs
 from hillstack.simulation.network import (
     ConnectionBroken,
     ConnectionRefused,
--- a/tests/unit/test_lease.py
+++ b/tests/unit/test_lease.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 
 from hillstack.emulator.platform import KeyValueStore
-from hillstack.platform.key_value import Entry, Put, ValueIs
-from hillstack.platform.lease import DutyLease
+from hillstack.etcd.key_value import Entry, Put, ValueIs
+from hillstack.etcd.lease import DutyLease
 
 TTL = 8
 
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -19,12 +19,12 @@
 from hillstack.core.prefix import PrefixScope
 from hillstack.core.rollout import BundleAdopter
 from hillstack.daemon.bundle_sync import BundleSync
+from hillstack.etcd import bundle_store
+from hillstack.etcd.bundle_store import BundleStore
 from hillstack.gateway import applications
 from hillstack.gateway.completion_response import CompletionResponse
 from hillstack.gateway.errors import ErrorAnswer
 from hillstack.gateway.stream_relay import StreamRelay
-from hillstack.platform import bundle_store
-from hillstack.platform.bundle_store import BundleStore
 from hillstack.simulation.chaos import run_seed
 
 SEEDS = 240
