--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -14,6 +14,7 @@
 SUSPECT_MAX_SECONDS = 4.0
 SHED_SECONDS = 0.12
 LOADING_SECONDS = 1.2
+CLOSING_SECONDS = 1.0
 PEER_LOAD_SECONDS = 2.0
 DEFAULT_PREFILL_RATE = 38_000.0
 
@@ -40,11 +41,16 @@
 
 @dataclass(slots=True)
 class OwnAttempt:
-    """An attempt of this node at a runner."""
+    """An attempt of this node at a runner.
+
+    Attributes:
+        long: Whether it is expected to run so long that it holds up a load of weights.
+    """
 
     prefill_tokens: int
     total_tokens: int
     sent_at: float
+    long: bool = False
     started: bool = False
 
 
@@ -53,6 +59,7 @@
     """Load that a peer has put on a runner."""
 
     running: int
+    long_running: int
     committed_tokens: int
     reported_at: float
 
@@ -74,6 +81,7 @@
     suspected_until: float = 0.0
     shed_until: float = 0.0
     loading_until: float = 0.0
+    closing_until: float = 0.0
     leaving: bool = False
     failures: int = 0
 
@@ -101,6 +109,11 @@
         """Return the requests believed to be at it."""
         return len(self.attempts) + sum(load.running for load in self._fresh_loads(now))
 
+    def long_running(self, now: float) -> int:
+        """Return the long streams believed to be at it."""
+        own = sum(1 for attempt in self.attempts.values() if attempt.long)
+        return own + sum(load.long_running for load in self._fresh_loads(now))
+
     def committed_tokens(self, now: float) -> int:
         """Return the memory that the requests at it may come to use, in tokens."""
         own = sum(attempt.total_tokens for attempt in self.attempts.values())
@@ -161,6 +174,7 @@
             return False
         runner.weights[model] = version
         runner.loading_until = 0.0
+        runner.closing_until = 0.0
         return True
 
     def correct_weights(self, runner: Runner, model: str, version: int) -> None:
@@ -210,6 +224,10 @@
         """Note that a runner is about to load weights, or is loading them."""
         runner.loading_until = now + LOADING_SECONDS
 
+    def note_closing(self, runner: Runner, now: float) -> None:
+        """Note that a runner loads weights soon and should get no long streams."""
+        runner.closing_until = now + CLOSING_SECONDS
+
     def note_peer_load(self, runner: Runner, peer: str, load: PeerLoad) -> None:
         """Take over what a peer says of its load on a runner."""
         if load.running or load.committed_tokens:
--- a/src/hillstack/core/weights_versions.py
+++ b/src/hillstack/core/weights_versions.py
@@ -51,13 +51,17 @@
             allowed = announcement.version
         return allowed
 
-    def deadline(self, model: str, version: int) -> float:
-        """Return when runners older than the next version above ``version`` must not be used."""
+    def named_after(self, model: str, version: int) -> float:
+        """Return when the next version above ``version`` was named; infinite when none was."""
         for announcement in self._announced.get(model, ()):
             if announcement.version > version:
-                return announcement.not_before + self._grace
+                return announcement.not_before
         return float("inf")
 
+    def deadline(self, model: str, version: int) -> float:
+        """Return when runners older than the next version above ``version`` must not be used."""
+        return self.named_after(model, version) + self._grace
+
     def models(self) -> list[str]:
         """Return the models for which versions were named."""
         return list(self._announced)
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -40,9 +40,10 @@
 VERSION_MARGIN_SECONDS = 0.4
 LISTEN_BACKLOG = 2_048
 KEEP_ALIVE_SECONDS = 120
-MIN_LINGER_SECONDS = 3.2
+MIN_LINGER_SECONDS = 3.0
 STOP_MARGIN_SECONDS = 0.6
 STOP_CHECK_SECONDS = 0.05
+UNUSED_CONNECTION_SECONDS = 3.0
 
 
 class FleetNode:
@@ -169,9 +170,12 @@
         limit = started_at + self._settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
         await self._duty.hand_over()
         while self._clock() < limit:
-            lingered = self._clock() - started_at >= MIN_LINGER_SECONDS
-            if lingered and self._pipeline.active == 0:
-                break
+            elapsed = self._clock() - started_at
+            if elapsed >= MIN_LINGER_SECONDS:
+                self._pipeline.stop_accepting()
+                if self._pipeline.active == 0:
+                    break
+            _end_idle_connections(callers, also_unused=elapsed >= UNUSED_CONNECTION_SECONDS)
             await asyncio.sleep(STOP_CHECK_SECONDS)
         logger.info("drained", extra={"active": self._pipeline.active})
 
@@ -184,6 +188,19 @@
         await self._store_session.close()
 
 
+def _end_idle_connections(server: uvicorn.Server, *, also_unused: bool) -> None:
+    """Close connections that have had their answer; callers then reach another node.
+
+    Args:
+        server: The server.
+        also_unused: Whether connections without any request yet are closed too.
+    """
+    for connection in list(server.server_state.connections):
+        cycle = getattr(connection, "cycle", None)
+        if cycle is not None or also_unused:
+            connection.shutdown()
+
+
 def _log_failure(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
         logger.error("background task failed", exc_info=task.exception())
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -21,6 +21,7 @@
     NodeNotice,
     PlacementNotice,
     WeightsNotice,
+    WeightsPhase,
 )
 
 logger = logging.getLogger(__name__)
@@ -140,6 +141,7 @@
             LoadNotice(
                 runner.runner_id,
                 len(runner.attempts),
+                sum(1 for attempt in runner.attempts.values() if attempt.long),
                 sum(attempt.total_tokens for attempt in runner.attempts.values()),
             )
             for runner in self._changed.values()
@@ -161,15 +163,17 @@
     def _take_load(self, node_id: str, load: LoadNotice, now: float) -> None:
         runner = self._state.pool.get(load.runner_id)
         if runner is not None:
-            peer_load = PeerLoad(load.running, load.committed_tokens, now)
+            peer_load = PeerLoad(load.running, load.long_running, load.committed_tokens, now)
             self._state.pool.note_peer_load(runner, node_id, peer_load)
 
     def _take_weights(self, notice: WeightsNotice, now: float) -> None:
         runner = self._state.pool.get(notice.runner_id)
         if runner is None:
             return
-        if notice.loading:
+        if notice.phase is WeightsPhase.LOADING:
             self._state.pool.note_loading(runner, now)
+        elif notice.phase is WeightsPhase.CLOSING:
+            self._state.pool.note_closing(runner, now)
         elif self._state.pool.observe_weights(runner, notice.model, notice.version):
             fields = {"runner": notice.runner_id, "version": notice.version, "source": "peer"}
             logger.info("weights served", extra=fields)
--- a/src/hillstack/daemon/rollout_duty.py
+++ b/src/hillstack/daemon/rollout_duty.py
@@ -8,14 +8,14 @@
 from random import Random
 
 from hillstack.core.runner_pool import Runner
-from hillstack.core.weights_rollout import runners_to_load
+from hillstack.core.weights_rollout import RolloutPlan, RolloutView
 from hillstack.daemon.duty_lease import DutyLease
 from hillstack.daemon.fleet_state import FleetState
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.weights_orders import OrderOutcome, OrderSender, WeightsOrder
 from hillstack.errors import BackendError, PlatformError
 from hillstack.logs import error_fields
-from hillstack.messages.peer_notices import WeightsNotice
+from hillstack.messages.peer_notices import WeightsNotice, WeightsPhase
 
 logger = logging.getLogger(__name__)
 
@@ -24,8 +24,10 @@
 ACQUIRE_JITTER_SECONDS = 0.25
 ANNOUNCE_SECONDS = 0.03
 POLL_SECONDS = 0.12
-LOAD_LIMIT_SECONDS = 4.0
+LOAD_LIMIT_SECONDS = 6.0
 RETRY_SECONDS = 0.3
+REST_SECONDS = 0.5
+CLOSING_REPEAT_SECONDS = 0.3
 
 
 class RolloutDuty:
@@ -63,6 +65,9 @@
         self._held = False
         self._orders_taken: dict[str, int] = {}
         self._loading: dict[str, asyncio.Task[None]] = {}
+        self._resting_until: dict[str, float] = {}
+        self._plans: dict[str, RolloutPlan] = {}
+        self._closing_told_at = 0.0
         self._stopping = False
 
     async def keep_lease(self) -> None:
@@ -121,30 +126,51 @@
 
     def _begin_loads(self) -> None:
         now = self._clock()
+        resting = {runner for runner, until in self._resting_until.items() if now < until}
         for model in self._state.versions.models():
-            version = self._state.versions.newest(model)
-            for service in self._state.engine_services(model):
-                runners = self._state.pool.of_service(service)
-                for runner in runners_to_load(runners, model, version, self._loading, now):
-                    self._begin(runner, model, version)
-
-    def _begin(self, runner: Runner, model: str, version: int) -> None:
-        task = asyncio.create_task(self._load(runner, model, version))
+            runners = [
+                runner
+                for service in self._state.engine_services(model)
+                for runner in self._state.pool.of_service(service)
+            ]
+            view = RolloutView(runners, self._loading, resting, now)
+            plan = self._plans.setdefault(model, RolloutPlan(model, self._state.versions))
+            for runner in plan.next_loads(view):
+                self._begin(runner, model)
+            self._tell_closing(plan, model, now)
+
+    def _tell_closing(self, plan: RolloutPlan, model: str, now: float) -> None:
+        """Tell all nodes, this one too, which runners should get no long streams."""
+        if now - self._closing_told_at < CLOSING_REPEAT_SECONDS:
+            return
+        for runner_id in plan.closing():
+            runner = self._state.pool.get(runner_id)
+            if runner is None or runner_id in self._loading:
+                continue
+            self._closing_told_at = now
+            self._state.pool.note_closing(runner, now)
+            self._peers.weights(WeightsNotice(runner_id, model, 0, WeightsPhase.CLOSING))
+
+    def _begin(self, runner: Runner, model: str) -> None:
+        task = asyncio.create_task(self._load(runner, model))
         self._loading[runner.runner_id] = task
         task.add_done_callback(lambda _: self._loading.pop(runner.runner_id, None))
 
-    async def _load(self, runner: Runner, model: str, version: int) -> None:
-        """Bring one runner to a version, or leave it for a later try."""
+    async def _load(self, runner: Runner, model: str) -> None:
+        """Bring one runner to the newest version, or leave it for a later try."""
+        version = self._state.versions.newest(model)
         self._announce(runner, model, version, loading=True)
         await asyncio.sleep(ANNOUNCE_SECONDS)
         try:
-            taken = await self._order(runner, model, version)
-            if taken and await self._await_loaded(runner, model, version):
+            under_way = await self._order(runner, model, version)
+            if under_way and await self._await_loaded(runner, model, version):
                 self._announce(runner, model, version, loading=False)
                 return
         except BackendError as error:
             fields = error_fields(error) | {"runner": runner.runner_id, "version": version}
             logger.warning("order without an answer", extra=fields)
+            self._resting_until[runner.runner_id] = self._clock() + REST_SECONDS
+            return
         await asyncio.sleep(RETRY_SECONDS)
 
     async def _order(self, runner: Runner, model: str, version: int) -> bool:
@@ -208,4 +234,5 @@
         elif self._state.pool.observe_weights(runner, model, version):
             fields = {"runner": runner.runner_id, "version": version, "source": "report"}
             logger.info("weights served", extra=fields)
-        self._peers.weights(WeightsNotice(runner.runner_id, model, version, loading))
+        phase = WeightsPhase.LOADING if loading else WeightsPhase.SERVED
+        self._peers.weights(WeightsNotice(runner.runner_id, model, version, phase))
--- a/src/hillstack/messages/peer_notices.py
+++ b/src/hillstack/messages/peer_notices.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 import ormsgpack
 
@@ -37,16 +39,31 @@
 
     runner_id: str
     running: int
+    long_running: int
     committed_tokens: int
 
 
+class WeightsPhase(enum.IntEnum):
+    """Where a runner stands in a rollout of weights.
+
+    Attributes:
+        CLOSING: It loads soon and should get no long streams.
+        LOADING: It takes no work.
+        SERVED: It serves the version.
+    """
+
+    CLOSING = 0
+    LOADING = 1
+    SERVED = 2
+
+
 class WeightsNotice(msgspec.Struct, array_like=True, frozen=True):
-    """A runner is about to load weights, or is loading them, or serves a version."""
+    """A runner's phase in a rollout, told by the node that gives the orders."""
 
     runner_id: str
     model: str
     version: int
-    loading: bool
+    phase: WeightsPhase
 
 
 class NodeNotice(msgspec.Struct, array_like=True, frozen=True):
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -34,6 +34,7 @@
 MAX_SENDS = 4
 MIN_REMAINING_SECONDS = 0.02
 STALE_RETRY_SECONDS = 1.0
+STOPPING_RETRY_SECONDS = 0.05
 NOT_READY_RETRY_SECONDS = 1.0
 NO_RUNNER_RETRY_SECONDS = 0.5
 FIRST_EVENT_LIMIT_SECONDS = 1.5
@@ -74,7 +75,6 @@
         client: Sends attempts to runners.
         placement: Chooses runners.
         clock: Monotonic seconds.
-        tell_time: Seconds of the event loop that correspond to the clock's, for time limits.
     """
 
     def __init__(
@@ -89,6 +89,11 @@
         self._placement = placement
         self._clock = clock
         self.active = 0
+        self._accepting = True
+
+    def stop_accepting(self) -> None:
+        """Refuse all further requests: the node ends before it could finish them."""
+        self._accepting = False
 
     async def serve(self, request: ServingRequest, sink: ResponseSink) -> None:
         """Serve a request.
@@ -109,6 +114,10 @@
             self.active -= 1
 
     def _admit(self, request: ServingRequest) -> Job:
+        if not self._accepting:
+            raise RejectedError(
+                Verdict.UNAVAILABLE, "stopping", step="admit", retry_after=STOPPING_RETRY_SECONDS
+            )
         table = self._state.table
         if table is None:
             text = "no configuration yet"
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -28,6 +28,7 @@
 RATE_RANGE = (5_000.0, 200_000.0)
 VERSION_MARGIN_SECONDS = 0.3
 MIN_NOTICE_TOKENS = 400
+LONG_OUTPUT_TOKENS = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +74,8 @@
         """Note an attempt that is being sent, and tell the peers."""
         shape = job.request.shape
         total = shape.total_tokens if shape is not None and placed.salt is not None else 0
-        attempt = OwnAttempt(placed.prefill_tokens, total, now)
+        is_long = shape is not None and shape.output_tokens > LONG_OUTPUT_TOKENS
+        attempt = OwnAttempt(placed.prefill_tokens, total, now, is_long)
         self._state.pool.sent(placed.runner, attempt_id, attempt, self.prefill_rate(job.service))
         self._peers.load_changed(placed.runner)
         if shape is None or placed.salt is None:
@@ -150,6 +152,9 @@
         around = Surroundings(
             self._zone, engine, self.prefill_rate(job.service), self._store(), now
         )
+        if shape.output_tokens > LONG_OUTPUT_TOKENS:
+            staying = [c for c in candidates if now >= c.runner.closing_until]
+            candidates = staying or candidates
         choice = self._policy.choose(shape, candidates, around, accepting)
         return self._placed(choice, model, around.store) if choice is not None else None
 
