--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -81,6 +81,7 @@
     suspected_until: float = 0.0
     shed_until: float = 0.0
     loading_until: float = 0.0
+    closing_since: float | None = None
     closing_until: float = 0.0
     leaving: bool = False
     failures: int = 0
@@ -175,6 +176,7 @@
         runner.weights[model] = version
         runner.loading_until = 0.0
         runner.closing_until = 0.0
+        runner.closing_since = None
         return True
 
     def correct_weights(self, runner: Runner, model: str, version: int) -> None:
@@ -226,6 +228,8 @@
 
     def note_closing(self, runner: Runner, now: float) -> None:
         """Note that a runner loads weights soon and should get no long streams."""
+        if runner.closing_since is None or now > runner.closing_until + CLOSING_SECONDS:
+            runner.closing_since = now
         runner.closing_until = now + CLOSING_SECONDS
 
     def note_peer_load(self, runner: Runner, peer: str, load: PeerLoad) -> None:
--- a/src/hillstack/core/weights_rollout.py
+++ b/src/hillstack/core/weights_rollout.py
@@ -1,10 +1,13 @@
 """Which runners load the newest weights next.
 
-Half of the runners, a batch, come first, then the others. A runner of the batch gets no long streams
-any more, while it still serves short requests; when its long streams have ended, or time presses, it
-loads. So a runner is out of use only for its last short requests and the load itself, and the other
-half serves on. A version that is named meanwhile replaces the one before for all runners that have
-not begun to load.
+Half of the runners, a batch, come first, then the others. A runner of the batch gets no long
+streams any more, while it still serves short requests; when its long streams have ended, or time
+presses, it loads. So a runner is out of use only for its last short requests and the load itself,
+and the other half serves on. A version that is named meanwhile replaces the one before for all
+runners that have not begun to load.
+
+What is closing is known to all nodes, so a node that takes the duty over goes on where the last
+holder was.
 """
 
 from __future__ import annotations
@@ -16,10 +19,11 @@
 from hillstack.core.runner_pool import Runner
 from hillstack.core.weights_versions import WeightsVersions
 
-START_DELAY_SECONDS = 0.5
-CLOSING_LIMIT_SECONDS = 2.2
+START_DELAY_SECONDS = 0.3
+CLOSING_LIMIT_SECONDS = 1.8
 URGENT_SECONDS = 2.0
 CONCURRENT_SHARE = 1 / 3
+URGENT_SHARE = 1 / 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +43,14 @@
     now: float
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutStep:
+    """What to do now: runners to close for long streams, and runners to load."""
+
+    close: list[Runner]
+    load: list[Runner]
+
+
 class RolloutPlan:
     """The plan for one model.
 
@@ -50,41 +62,37 @@
     def __init__(self, model: str, versions: WeightsVersions) -> None:
         self._model = model
         self._versions = versions
-        self._closing_since: dict[str, float] = {}
-
-    def closing(self) -> list[str]:
-        """Return the runners that should get no long streams."""
-        return list(self._closing_since)
 
-    def next_loads(self, view: RolloutView) -> list[Runner]:
-        """Return the runners that should begin to load the newest version now."""
+    def step(self, view: RolloutView) -> RolloutStep:
+        """Return what to do now."""
+        now = view.now
         staying = [runner for runner in view.runners if self._stays(runner, view)]
         behind = [runner for runner in staying if self._is_behind(runner)]
         waiting = [runner for runner in behind if runner.runner_id not in view.loading]
-        self._choose_batch(staying, behind, view)
-        ready = [runner for runner in waiting if self._is_ready(runner, view.now)]
-        ready.sort(key=lambda runner: self._order(runner, view.now))
-        urgent = sum(1 for runner in waiting if self._is_urgent(runner, view.now))
+        close = self._to_close(staying, waiting, now)
+        ready = [runner for runner in waiting if self._is_ready(runner, now)]
+        ready.sort(key=lambda runner: self._order(runner, now))
         loading = sum(1 for runner in staying if runner.runner_id in view.loading)
-        room = max(1, math.ceil(len(staying) * CONCURRENT_SHARE - 1e-9)) - loading
-        return ready[: max(0, room, urgent)]
-
-    def _choose_batch(
-        self, staying: Sequence[Runner], behind: Sequence[Runner], view: RolloutView
-    ) -> None:
-        behind_ids = {runner.runner_id for runner in behind}
-        for runner_id in list(self._closing_since):
-            if runner_id not in behind_ids:
-                del self._closing_since[runner_id]
-        for runner in behind:
-            if self._is_urgent(runner, view.now):
-                self._closing_since.setdefault(runner.runner_id, view.now)
-        if self._closing_since:
-            return
-        due = [runner for runner in behind if self._is_due(runner, view.now)]
-        due.sort(key=lambda runner: self._order(runner, view.now))
-        for runner in due[: max(1, math.ceil(len(staying) / 2))]:
-            self._closing_since[runner.runner_id] = view.now
+        share = CONCURRENT_SHARE
+        if any(self._is_urgent(runner, now) for runner in waiting):
+            share = URGENT_SHARE
+        room = max(1, math.ceil(len(staying) * share - 1e-9)) - loading
+        unusable = sum(1 for runner in waiting if self._is_unusable(runner, now))
+        return RolloutStep(close, ready[: max(0, room, unusable)])
+
+    def _to_close(
+        self, staying: Sequence[Runner], waiting: Sequence[Runner], now: float
+    ) -> list[Runner]:
+        """Return the runners that are closing, or should begin to."""
+        closing = [r for r in waiting if r.closing_since is not None or self._is_urgent(r, now)]
+        if closing:
+            return closing
+        up_to_date = len(staying) > sum(1 for runner in staying if self._is_behind(runner))
+        if len(waiting) < len(staying) and not up_to_date:
+            return []
+        due = [runner for runner in waiting if self._is_due(runner, now)]
+        due.sort(key=lambda runner: self._order(runner, now))
+        return due[: max(1, math.ceil(len(staying) / 2))]
 
     def _stays(self, runner: Runner, view: RolloutView) -> bool:
         if runner.leaving or runner.entry.draining:
@@ -99,16 +107,22 @@
         return now >= self._versions.named_after(self._model, version) + START_DELAY_SECONDS
 
     def _is_ready(self, runner: Runner, now: float) -> bool:
-        since = self._closing_since.get(runner.runner_id)
-        if since is None:
+        if self._is_unusable(runner, now):
+            return True
+        if runner.closing_since is None:
             return False
-        if now - since >= CLOSING_LIMIT_SECONDS or self._is_urgent(runner, now):
+        if now - runner.closing_since >= CLOSING_LIMIT_SECONDS or self._is_urgent(runner, now):
             return True
-        return now > since and runner.long_running(now) == 0
+        return now > runner.closing_since and runner.long_running(now) == 0
 
     def _is_urgent(self, runner: Runner, now: float) -> bool:
-        version = runner.weights_version(self._model)
-        return self._versions.deadline(self._model, version) - now < URGENT_SECONDS
+        return self._deadline(runner) - now < URGENT_SECONDS
+
+    def _is_unusable(self, runner: Runner, now: float) -> bool:
+        return self._deadline(runner) <= now
+
+    def _deadline(self, runner: Runner) -> float:
+        return self._versions.deadline(self._model, runner.weights_version(self._model))
 
     def _order(self, runner: Runner, now: float) -> tuple[int, int, int, str]:
         version = runner.weights_version(self._model)
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -41,7 +41,7 @@
 LISTEN_BACKLOG = 2_048
 KEEP_ALIVE_SECONDS = 120
 MIN_LINGER_SECONDS = 3.0
-STOP_MARGIN_SECONDS = 0.6
+STOP_MARGIN_SECONDS = 0.7
 STOP_CHECK_SECONDS = 0.05
 UNUSED_CONNECTION_SECONDS = 3.0
 
@@ -168,7 +168,6 @@
         started_at = self._clock()
         logger.info("stopping", extra={"active": self._pipeline.active})
         limit = started_at + self._settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
-        await self._duty.hand_over()
         while self._clock() < limit:
             elapsed = self._clock() - started_at
             if elapsed >= MIN_LINGER_SECONDS:
@@ -177,6 +176,7 @@
                     break
             _end_idle_connections(callers, also_unused=elapsed >= UNUSED_CONNECTION_SECONDS)
             await asyncio.sleep(STOP_CHECK_SECONDS)
+        await self._duty.hand_over()
         logger.info("drained", extra={"active": self._pipeline.active})
 
     async def _close(self) -> None:
--- a/src/hillstack/daemon/rollout_duty.py
+++ b/src/hillstack/daemon/rollout_duty.py
@@ -25,7 +25,7 @@
 ANNOUNCE_SECONDS = 0.03
 POLL_SECONDS = 0.12
 LOAD_LIMIT_SECONDS = 6.0
-RETRY_SECONDS = 0.3
+REPORT_LAG_SECONDS = 0.3
 REST_SECONDS = 0.5
 CLOSING_REPEAT_SECONDS = 0.3
 
@@ -135,21 +135,21 @@
             ]
             view = RolloutView(runners, self._loading, resting, now)
             plan = self._plans.setdefault(model, RolloutPlan(model, self._state.versions))
-            for runner in plan.next_loads(view):
+            step = plan.step(view)
+            for runner in step.load:
                 self._begin(runner, model)
-            self._tell_closing(plan, model, now)
+            self._tell_closing(step.close, model, now)
 
-    def _tell_closing(self, plan: RolloutPlan, model: str, now: float) -> None:
+    def _tell_closing(self, runners: list[Runner], model: str, now: float) -> None:
         """Tell all nodes, this one too, which runners should get no long streams."""
         if now - self._closing_told_at < CLOSING_REPEAT_SECONDS:
             return
-        for runner_id in plan.closing():
-            runner = self._state.pool.get(runner_id)
-            if runner is None or runner_id in self._loading:
+        for runner in runners:
+            if runner.runner_id in self._loading:
                 continue
             self._closing_told_at = now
             self._state.pool.note_closing(runner, now)
-            self._peers.weights(WeightsNotice(runner_id, model, 0, WeightsPhase.CLOSING))
+            self._peers.weights(WeightsNotice(runner.runner_id, model, 0, WeightsPhase.CLOSING))
 
     def _begin(self, runner: Runner, model: str) -> None:
         task = asyncio.create_task(self._load(runner, model))
@@ -158,30 +158,38 @@
 
     async def _load(self, runner: Runner, model: str) -> None:
         """Bring one runner to the newest version, or leave it for a later try."""
-        version = self._state.versions.newest(model)
-        self._announce(runner, model, version, loading=True)
+        limit = self._clock() + LOAD_LIMIT_SECONDS
+        self._announce(runner, model, self._state.versions.newest(model), WeightsPhase.LOADING)
         await asyncio.sleep(ANNOUNCE_SECONDS)
         try:
-            under_way = await self._order(runner, model, version)
-            if under_way and await self._await_loaded(runner, model, version):
-                self._announce(runner, model, version, loading=False)
-                return
+            while self._clock() < limit and self._lease.fence() is not None:
+                version = self._state.versions.newest(model)
+                if await self._advance(runner, model, version):
+                    self._announce(runner, model, version, WeightsPhase.SERVED)
+                    return
+                self._announce(runner, model, version, WeightsPhase.LOADING)
         except BackendError as error:
-            fields = error_fields(error) | {"runner": runner.runner_id, "version": version}
+            fields = error_fields(error) | {"runner": runner.runner_id}
             logger.warning("order without an answer", extra=fields)
             self._resting_until[runner.runner_id] = self._clock() + REST_SECONDS
-            return
-        await asyncio.sleep(RETRY_SECONDS)
 
-    async def _order(self, runner: Runner, model: str, version: int) -> bool:
-        """Give the order; return whether the load is under way or done."""
+    async def _advance(self, runner: Runner, model: str, version: int) -> bool:
+        """Look at a runner and order it if it is idle; return whether it serves the version."""
+        if runner.weights_version(model) >= version:
+            return True
         report = await self._sender.report(runner.runner_id, runner.address)
         if report.weights.get(model, 0) >= version:
             return True
         fence = self._lease.fence()
-        if fence is None or report.busy:
-            return report.busy
-        expected = max(report.orders_taken, self._orders_taken.get(runner.runner_id, 0))
+        if not report.busy and fence is not None:
+            expected = max(report.orders_taken, self._orders_taken.get(runner.runner_id, 0))
+            await self._order(runner, model, version, fence, expected)
+        await asyncio.sleep(POLL_SECONDS)
+        return False
+
+    async def _order(
+        self, runner: Runner, model: str, version: int, fence: int, expected: int
+    ) -> None:
         order = WeightsOrder(
             runner.runner_id,
             runner.address,
@@ -194,7 +202,8 @@
         self._peers.ordered_at = self._clock()
         outcome = await self._sender.order_weights(order)
         self._take_outcome(runner, order, outcome)
-        return outcome in (OrderOutcome.DONE, OrderOutcome.TAKEN)
+        # The report tells of the order only after its lag.
+        await asyncio.sleep(REPORT_LAG_SECONDS)
 
     def _take_outcome(self, runner: Runner, order: WeightsOrder, outcome: OrderOutcome) -> None:
         fields = {
@@ -215,24 +224,11 @@
             case _:
                 pass
 
-    async def _await_loaded(self, runner: Runner, model: str, version: int) -> bool:
-        limit = self._clock() + LOAD_LIMIT_SECONDS
-        while self._clock() < limit:
-            await asyncio.sleep(POLL_SECONDS)
-            if runner.weights_version(model) >= version:
-                return True
-            report = await self._sender.report(runner.runner_id, runner.address)
-            if report.weights.get(model, 0) >= version:
-                return True
-            self._announce(runner, model, version, loading=True)
-        return False
-
-    def _announce(self, runner: Runner, model: str, version: int, *, loading: bool) -> None:
+    def _announce(self, runner: Runner, model: str, version: int, phase: WeightsPhase) -> None:
         now = self._clock()
-        if loading:
+        if phase is WeightsPhase.LOADING:
             self._state.pool.note_loading(runner, now)
         elif self._state.pool.observe_weights(runner, model, version):
             fields = {"runner": runner.runner_id, "version": version, "source": "report"}
             logger.info("weights served", extra=fields)
-        phase = WeightsPhase.LOADING if loading else WeightsPhase.SERVED
         self._peers.weights(WeightsNotice(runner.runner_id, model, version, phase))
