--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -13,6 +13,7 @@
 SUSPECT_SECONDS = 0.6
 SUSPECT_MAX_SECONDS = 4.0
 SHED_SECONDS = 0.12
+SILENCE_SECONDS = 0.4
 LOADING_SECONDS = 1.2
 CLOSING_SECONDS = 1.0
 PEER_LOAD_SECONDS = 2.0
@@ -44,12 +45,14 @@
     """An attempt of this node at a runner.
 
     Attributes:
+        due_at: When the first bytes of its answer should surely be there.
         long: Whether it is expected to run so long that it holds up a load of weights.
     """
 
     prefill_tokens: int
     total_tokens: int
     sent_at: float
+    due_at: float
     long: bool = False
     started: bool = False
 
@@ -85,6 +88,7 @@
     closing_until: float = 0.0
     leaving: bool = False
     failures: int = 0
+    last_heard_at: float = float("-inf")
 
     @property
     def runner_id(self) -> str:
@@ -102,6 +106,12 @@
             return False
         return now >= max(self.suspected_until, self.loading_until)
 
+    def is_silent(self, now: float) -> bool:
+        """Return whether it owes bytes to some attempt and has sent none for a while."""
+        if not self.attempts or now - self.last_heard_at < SILENCE_SECONDS:
+            return False
+        return any(attempt.started or now > attempt.due_at for attempt in self.attempts.values())
+
     def weights_version(self, model: str) -> int:
         """Return the version of a model's weights that it is believed to serve."""
         return self.weights.get(model, 0)
@@ -213,6 +223,18 @@
         pause = min(SUSPECT_MAX_SECONDS, SUSPECT_SECONDS * 2 ** (runner.failures - 1))
         runner.suspected_until = max(runner.suspected_until, now + pause)
 
+    def heard(self, runner: Runner, now: float) -> None:
+        """Note bytes from a runner: it is alive."""
+        runner.last_heard_at = now
+        if runner.suspected_until > now:
+            runner.suspected_until = now
+            runner.failures = 0
+
+    def suspected_by_peer(self, runner: Runner, now: float) -> None:
+        """Take over a peer's suspicion, unless this node has heard from the runner just now."""
+        if now - runner.last_heard_at >= SILENCE_SECONDS:
+            runner.suspected_until = max(runner.suspected_until, now + SUSPECT_SECONDS)
+
     def succeeded(self, runner: Runner) -> None:
         """Note an answer: the runner is alive."""
         runner.failures = 0
--- a/src/hillstack/core/weights_rollout.py
+++ b/src/hillstack/core/weights_rollout.py
@@ -20,7 +20,7 @@
 from hillstack.core.weights_versions import WeightsVersions
 
 START_DELAY_SECONDS = 0.3
-CLOSING_LIMIT_SECONDS = 1.8
+CLOSING_LIMIT_SECONDS = 3.5
 URGENT_SECONDS = 2.0
 CONCURRENT_SHARE = 1 / 3
 URGENT_SHARE = 1 / 2
@@ -76,7 +76,7 @@
         share = CONCURRENT_SHARE
         if any(self._is_urgent(runner, now) for runner in waiting):
             share = URGENT_SHARE
-        room = max(1, math.ceil(len(staying) * share - 1e-9)) - loading
+        room = max(1, int(len(staying) * share + 1e-9)) - loading
         unusable = sum(1 for runner in waiting if self._is_unusable(runner, now))
         return RolloutStep(close, ready[: max(0, room, unusable)])
 
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -23,6 +23,7 @@
 from hillstack.daemon.fleet_state import FleetState
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.rollout_duty import RolloutDuty
+from hillstack.daemon.runner_monitor import RunnerMonitor
 from hillstack.daemon.store_sync import StoreSync
 from hillstack.errors import SettingsError
 from hillstack.logs import error_fields
@@ -36,7 +37,7 @@
 
 logger = logging.getLogger(__name__)
 
-LEASE_TTL_SECONDS = 1.5
+LEASE_TTL_SECONDS = 2.0
 VERSION_MARGIN_SECONDS = 0.4
 LISTEN_BACKLOG = 2_048
 KEEP_ALIVE_SECONDS = 120
@@ -101,6 +102,7 @@
             self._peers.run(),
             self._duty.keep_lease(),
             self._duty.run(),
+            RunnerMonitor(self._state, self._peers, self._clock).run(),
         ):
             self._start(work)
         logger.info("started", extra={"zone": settings.node.zone, "node": settings.node.id})
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -48,6 +48,7 @@
         self._placements: list[PlacementNotice] = []
         self._changed: dict[str, Runner] = {}
         self._weights: dict[str, WeightsNotice] = {}
+        self._suspected: list[str] = []
         self._flush_handle: asyncio.TimerHandle | None = None
         self._on_placement: PlacementHandler | None = None
         self.ordered_at: float | None = None
@@ -82,6 +83,11 @@
         self._weights[notice.runner_id] = notice
         self.flush()
 
+    def suspected(self, runner: Runner) -> None:
+        """Tell that a runner is silent, at once."""
+        self._suspected.append(runner.runner_id)
+        self.flush()
+
     async def run(self) -> None:
         """Repeat this node's loads now and then, until cancelled."""
         while True:
@@ -119,6 +125,10 @@
             self._take_load(notice.node_id, load, now)
         for weights in notice.weights:
             self._take_weights(weights, now)
+        for runner_id in notice.suspected:
+            runner = self._state.pool.get(runner_id)
+            if runner is not None:
+                self._state.pool.suspected_by_peer(runner, now)
         if self._on_placement is not None:
             for placement in notice.placements:
                 self._on_placement(placement, now)
@@ -156,8 +166,9 @@
             loads,
             list(self._weights.values()),
             ago,
+            self._suspected,
         )
-        self._placements, self._changed, self._weights = [], {}, {}
+        self._placements, self._changed, self._weights, self._suspected = [], {}, {}, []
         return notice
 
     def _take_load(self, node_id: str, load: LoadNotice, now: float) -> None:
--- a/src/hillstack/daemon/rollout_duty.py
+++ b/src/hillstack/daemon/rollout_duty.py
@@ -21,6 +21,7 @@
 
 TICK_SECONDS = 0.05
 RENEW_SECONDS = 0.4
+RENEW_RETRY_SECONDS = 0.1
 ACQUIRE_JITTER_SECONDS = 0.25
 ANNOUNCE_SECONDS = 0.03
 POLL_SECONDS = 0.12
@@ -72,8 +73,10 @@
 
     async def keep_lease(self) -> None:
         """Renew the lease, or try to get it while nobody holds it, until cancelled."""
+        pause = RENEW_SECONDS
         while True:
-            await asyncio.sleep(RENEW_SECONDS)
+            await asyncio.sleep(pause)
+            pause = RENEW_SECONDS
             held = self._lease.fence() is not None
             if not held and not await self._may_acquire():
                 self._note_held(False)
@@ -82,6 +85,8 @@
                 await self._lease.renew_or_acquire()
             except PlatformError as error:
                 logger.info("duty lease not renewed", extra=error_fields(error))
+                pause = RENEW_RETRY_SECONDS
+                continue
             self._note_held(self._lease.fence() is not None)
 
     async def run(self) -> None:
--- /dev/null
+++ b/src/hillstack/daemon/runner_monitor.py
@@ -0,0 +1,50 @@
+"""Finds runners that owe this node an answer and are silent, and tells the peers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from hillstack.core.runner_pool import Runner
+from hillstack.daemon.fleet_state import FleetState
+from hillstack.daemon.peer_exchange import PeerExchange
+
+logger = logging.getLogger(__name__)
+
+CHECK_SECONDS = 0.1
+
+
+class RunnerMonitor:
+    """Looks at all runners that have requests of this node.
+
+    Args:
+        state: What the node knows.
+        peers: Where peers are told.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(self, state: FleetState, peers: PeerExchange, clock: Callable[[], float]) -> None:
+        self._state = state
+        self._peers = peers
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Look now and then until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            now = self._clock()
+            for runner in self._state.pool.all():
+                if runner.is_silent(now) and now >= runner.suspected_until:
+                    self._suspect(runner, now)
+
+    def _suspect(self, runner: Runner, now: float) -> None:
+        self._state.pool.failed(runner, now)
+        self._peers.suspected(runner)
+        fields = {
+            "runner": runner.runner_id,
+            "silent_seconds": round(now - runner.last_heard_at, 2),
+            "attempts": len(runner.attempts),
+            "pause_seconds": round(runner.suspected_until - now, 2),
+        }
+        logger.info("runner suspected", extra=fields)
--- a/src/hillstack/messages/peer_notices.py
+++ b/src/hillstack/messages/peer_notices.py
@@ -70,6 +70,7 @@
     """What a node tells its peers at one time.
 
     Attributes:
+        suspected: Runners that owe the sender an answer and are silent.
         ordered_ago_ms: Time since the sender last gave an order for weights; negative for never.
     """
 
@@ -79,6 +80,7 @@
     loads: list[LoadNotice] = []
     weights: list[WeightsNotice] = []
     ordered_ago_ms: int = -1
+    suspected: list[str] = []
 
 
 def encode(notice: NodeNotice) -> bytes:
--- a/src/hillstack/platform/store.py
+++ b/src/hillstack/platform/store.py
@@ -30,6 +30,7 @@
 CONDITION_FAILED = 412
 REFUSED = frozenset({429, 503})
 CALL_LIMIT_SECONDS = 1.5
+LEASE_CALL_LIMIT_SECONDS = 0.5
 
 Body = TypeVar("Body")
 
@@ -144,13 +145,16 @@
     async def grant_lease(self, ttl_seconds: float) -> int:
         """Return the identifier of a new lease."""
         body = {"ttl_ms": int(ttl_seconds * 1000)}
-        raw = await self._call("POST", names.LEASE_PATH, "grant lease", body=body)
+        raw = await self._call(
+            "POST", names.LEASE_PATH, "grant lease", body=body, limit=LEASE_CALL_LIMIT_SECONDS
+        )
         return self._decode(raw, LeaseBody).lease
 
     async def keep_alive(self, lease_id: int) -> bool:
         """Renew a lease; return False if it is over."""
         try:
-            await self._call("POST", f"{names.KEEP_PATH}/{lease_id}", "renew lease")
+            path = f"{names.KEEP_PATH}/{lease_id}"
+            await self._call("POST", path, "renew lease", limit=LEASE_CALL_LIMIT_SECONDS)
         except _StatusError as error:
             if error.status == NOT_FOUND:
                 return False
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -37,9 +37,8 @@
 STOPPING_RETRY_SECONDS = 0.05
 NOT_READY_RETRY_SECONDS = 1.0
 NO_RUNNER_RETRY_SECONDS = 0.5
-FIRST_EVENT_LIMIT_SECONDS = 1.5
-EVENT_GAP_LIMIT_SECONDS = 1.2
-WHOLE_ANSWER_LIMIT_SECONDS = 1.0
+SILENCE_CHECK_SECONDS = 0.15
+SILENCE_LIMIT_SECONDS = 0.7
 SERVER_ERROR = 500
 SUCCESS = range(200, 300)
 
@@ -204,7 +203,8 @@
         logger.info("attempt", extra=_attempt_fields(job, placed, dispatch))
         answer: RunnerAnswer | None = None
         try:
-            answer = await self._head(job, dispatch)
+            answer = await self._head(job, placed, dispatch)
+            self._state.pool.heard(placed.runner, self._clock())
             return await self._relay(job, placed, attempt_id, answer, sink)
         finally:
             self._placement.finished(placed, attempt_id)
@@ -225,19 +225,24 @@
             last_event_id=job.framing.last_event_id,
         )
 
-    async def _head(self, job: Job, dispatch: Dispatch) -> RunnerAnswer:
-        """Return the head of the answer, from a repeatable attempt within a limit."""
+    async def _head(self, job: Job, placed: PlacedAttempt, dispatch: Dispatch) -> RunnerAnswer:
+        """Return the head of the answer; leave a silent runner if another may be tried."""
         if not self._may_hurry(job):
             return await self._client.send(job.request, dispatch)
-        stream = job.route.kind is RouteKind.STREAM
-        limit = FIRST_EVENT_LIMIT_SECONDS if stream else WHOLE_ANSWER_LIMIT_SECONDS
+        sending = asyncio.ensure_future(self._client.send(job.request, dispatch))
         try:
-            async with asyncio.timeout(limit):
-                return await self._client.send(job.request, dispatch)
-        except TimeoutError:
-            raise BackendBrokenError(
-                "no answer in time", step="await answer", peer=dispatch.runner_id
-            ) from None
+            while True:
+                await asyncio.wait({sending}, timeout=SILENCE_CHECK_SECONDS)
+                if sending.done():
+                    return sending.result()
+                self._check_silence(placed.runner, "await answer")
+        finally:
+            sending.cancel()
+
+    def _check_silence(self, runner: Runner, step: str) -> None:
+        now = self._clock()
+        if runner.is_silent(now) and now - runner.last_heard_at >= SILENCE_LIMIT_SECONDS:
+            raise BackendBrokenError("the runner is silent", step=step, peer=runner.runner_id)
 
     def _may_hurry(self, job: Job) -> bool:
         """Return whether a silent attempt would be followed by another one."""
@@ -299,6 +304,7 @@
             piece = await self._next_piece(job, placed, answer)
             if not piece:
                 break
+            self._state.pool.heard(placed.runner, self._clock())
             events = job.framing.feed(piece, placed.runner.runner_id)
             if not events:
                 continue
@@ -318,17 +324,14 @@
         await sink.finish()
 
     async def _next_piece(self, job: Job, placed: PlacedAttempt, answer: RunnerAnswer) -> bytes:
-        if not self._may_hurry(job) and not (job.runs < job.route.max_attempts):
-            return await answer.next_piece()
-        if not job.route.repeatable:
+        if not self._may_run_again(job):
             return await answer.next_piece()
-        try:
-            async with asyncio.timeout(EVENT_GAP_LIMIT_SECONDS):
-                return await answer.next_piece()
-        except TimeoutError:
-            raise BackendBrokenError(
-                "the stream stalled", step="relay", peer=placed.runner.runner_id
-            ) from None
+        while True:
+            try:
+                async with asyncio.timeout(SILENCE_CHECK_SECONDS):
+                    return await answer.next_piece()
+            except TimeoutError:
+                self._check_silence(placed.runner, "relay")
 
     def _refused(self, job: Job, runner: Runner, error: RunnerRefusedError) -> None:
         now = self._clock()
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -29,6 +29,8 @@
 VERSION_MARGIN_SECONDS = 0.3
 MIN_NOTICE_TOKENS = 400
 LONG_OUTPUT_TOKENS = 100
+DUE_SECONDS = 0.4
+DUE_FACTOR = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +77,8 @@
         shape = job.request.shape
         total = shape.total_tokens if shape is not None and placed.salt is not None else 0
         is_long = shape is not None and shape.output_tokens > LONG_OUTPUT_TOKENS
-        attempt = OwnAttempt(placed.prefill_tokens, total, now, is_long)
+        due_at = now + DUE_SECONDS + DUE_FACTOR * placed.delay
+        attempt = OwnAttempt(placed.prefill_tokens, total, now, due_at, is_long)
         self._state.pool.sent(placed.runner, attempt_id, attempt, self.prefill_rate(job.service))
         self._peers.load_changed(placed.runner)
         if shape is None or placed.salt is None:
