--- a/src/hillstack/core/placement/expected_delay.py
+++ b/src/hillstack/core/placement/expected_delay.py
@@ -1,12 +1,16 @@
-"""Placement by the expected time to the first event.
+"""Placement by the expected time to the first event, and by what it does to other streams.
 
 For each runner: the prefills that are ahead, the move of cached parts from where they are kept, the
 prefill of what is left, and penalties where slots or memory run out. Ties go to the runner that a
 hash of the last shared part names, so that nodes which know little agree on a home for each part.
+
+A long prefill slows the steps of all streams at its runner, so that they pause. Long streams are
+therefore kept together on few runners, and long prefills away from them.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
@@ -24,6 +28,16 @@
 SHED_PENALTY_SECONDS = 0.5
 REMOTE_PENALTY_SECONDS = 0.002
 HASH_RANGE = float(2**64)
+LATE_PENALTY_SECONDS = 1.0
+LATE_SOFTNESS = 0.1
+PAUSE_SHARE = 0.7
+PAUSE_PENALTY_SECONDS = 0.08
+SLOWDOWN_SHARE = 0.02
+LONG_OUTPUT_TOKENS = 100
+GATHER_BONUS_SECONDS = 0.06
+GATHER_FULL = 4
+GATHER_SLOT_SHARE = 0.3
+GATHER_MEMORY_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +62,11 @@
         """Return the memory that the request may come to use, in tokens."""
         return self.prompt_tokens + self.output_tokens
 
+    @property
+    def is_long(self) -> bool:
+        """Return whether it is expected to generate for long."""
+        return self.output_tokens > LONG_OUTPUT_TOKENS
+
     @property
     def shared(self) -> tuple[PromptPart, ...]:
         """Return the parts that other prompts may have too."""
@@ -84,13 +103,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Surroundings:
-    """What is the same for all candidates of one decision."""
+    """What is the same for all candidates of one decision.
+
+    Attributes:
+        target_seconds: Objective for the first event.
+        gap_seconds: Shortest allowed pause of the service's streams.
+    """
 
     zone: str
     engine: EngineProfile
     prefill_rate: float
     store: KeptCacheStore | None
     now: float
+    target_seconds: float
+    gap_seconds: float
 
 
 class ExpectedDelayPlacement:
@@ -118,7 +144,7 @@
         best_cost = float("inf")
         for candidate in candidates:
             choice = self._evaluate(shape, candidate, surroundings, holders)
-            cost = choice.delay - self._home_bonus(shape, candidate)
+            cost = self._cost(shape, choice, surroundings)
             if cost < best_cost:
                 best, best_cost = choice, cost
         return best
@@ -138,6 +164,37 @@
         delay += self._pressure(shape, runner, around)
         return Choice(candidate, delay, missing, matched, source, moved)
 
+    def _cost(self, shape: PromptShape, choice: Choice, around: Surroundings) -> float:
+        runner = choice.candidate.runner
+        cost = choice.delay + lateness(choice.delay, around.target_seconds)
+        cost += self._harm(choice, runner, around)
+        if shape.is_long:
+            return cost - self._gather_bonus(shape, runner, around)
+        return cost - self._home_bonus(shape, choice.candidate)
+
+    def _harm(self, choice: Choice, runner: Runner, around: Surroundings) -> float:
+        """Return the cost of what the prefill does to the long streams at the runner."""
+        prefill = choice.prefill_tokens / around.prefill_rate
+        streams = runner.long_running(around.now)
+        if not streams:
+            return 0.0
+        busy = runner.prefill_wait(around.now) + prefill
+        harm = SLOWDOWN_SHARE * prefill * streams
+        if busy > PAUSE_SHARE * around.gap_seconds:
+            harm += PAUSE_PENALTY_SECONDS * streams
+        return harm
+
+    def _gather_bonus(self, shape: PromptShape, runner: Runner, around: Surroundings) -> float:
+        """Return the bonus of a runner that has long streams and room for more."""
+        streams = runner.long_running(around.now)
+        engine = around.engine
+        committed = runner.committed_tokens(around.now) + shape.total_tokens
+        if streams >= GATHER_SLOT_SHARE * engine.slots:
+            return 0.0
+        if committed > GATHER_MEMORY_SHARE * engine.kv_capacity_tokens:
+            return 0.0
+        return GATHER_BONUS_SECONDS * min(1.0, streams / GATHER_FULL)
+
     def _pressure(self, shape: PromptShape, runner: Runner, around: Surroundings) -> float:
         penalty = 0.0
         excess = runner.running(around.now) + 1 - around.engine.slots
@@ -213,3 +270,13 @@
     bits = tokens * around.engine.kv_token_bytes * 8
     seconds = MOVE_SETUP_SECONDS + bits / (rate * 1e6)
     return seconds if source_zone == zone else seconds * REMOTE_MOVE_FACTOR
+
+
+def lateness(delay: float, target: float) -> float:
+    """Return the cost of a delay near or over the objective: a soft step."""
+    if target <= 0:
+        return 0.0
+    over = (delay - 0.9 * target) / (LATE_SOFTNESS * target)
+    if over < -8.0:
+        return 0.0
+    return LATE_PENALTY_SECONDS / (1.0 + math.exp(-min(over, 8.0)))
--- a/src/hillstack/core/routing_table.py
+++ b/src/hillstack/core/routing_table.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -46,6 +47,7 @@
         public: Whether it needs no key.
         sticky: Whether its requests name the parts of their prompt.
         resumable: Whether a broken stream may go on at another runner.
+        gap_seconds: Longest pause between two events that is still in time; None for no limit.
     """
 
     name: str
@@ -60,6 +62,7 @@
     sticky: bool
     resumable: bool
     shares: tuple[ServiceShare, ...]
+    gap_seconds: float | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -137,6 +140,7 @@
     tenants_by_key: dict[str, TenantEntry] | None
     limits: RequestLimits
     _routes_by_host: dict[str, tuple[Route, ...]] = field(default_factory=dict)
+    _gaps: dict[str, float] = field(default_factory=dict)
 
     @classmethod
     def build(
@@ -156,7 +160,8 @@
             for host, entries in by_host.items()
         }
         by_name = {service.name: service for service in services}
-        return cls(version, by_name, tenants_by_key, limits, ordered)
+        gaps = _shortest_gaps(route for entries in by_host.values() for route in entries)
+        return cls(version, by_name, tenants_by_key, limits, ordered, gaps)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest prefix that begins the path."""
@@ -169,6 +174,20 @@
         """Return all routes."""
         return [route for routes in self._routes_by_host.values() for route in routes]
 
+    def shortest_gap(self, service: str) -> float:
+        """Return the shortest allowed pause of any route of a service; infinite for none."""
+        return self._gaps.get(service, math.inf)
+
     def kept_cache_stores(self) -> list[KeptCacheStore]:
         """Return all stores of KV cache."""
         return [s.kept_cache for s in self.services.values() if s.kept_cache is not None]
+
+
+def _shortest_gaps(routes: Iterable[Route]) -> dict[str, float]:
+    gaps: dict[str, float] = {}
+    for route in routes:
+        if route.gap_seconds is None:
+            continue
+        for share in route.shares:
+            gaps[share.service] = min(gaps.get(share.service, math.inf), route.gap_seconds)
+    return gaps
--- a/src/hillstack/platform/formats.py
+++ b/src/hillstack/platform/formats.py
@@ -66,6 +66,7 @@
     public: bool = False
     sticky: bool = False
     resumable: bool = False
+    gap_target_ms: float | None = None
 
 
 class ModelName(msgspec.Struct):
@@ -295,6 +296,7 @@
         sticky=body.sticky,
         resumable=body.resumable,
         shares=shares,
+        gap_seconds=body.gap_target_ms / 1000 if body.gap_target_ms else None,
     )
 
 
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -63,6 +63,9 @@
     runs: int = 0
     may_have_run: bool = False
     head_sent: bool = False
+    first_event_at: float | None = None
+    last_event_at: float | None = None
+    longest_gap: float = 0.0
     excluded: set[str] = field(default_factory=set)
 
 
@@ -308,6 +311,7 @@
             events = job.framing.feed(piece, placed.runner.runner_id)
             if not events:
                 continue
+            self._note_event(job)
             if not started:
                 started = True
                 self._placement.started(job, placed, attempt_id, self._clock())
@@ -323,6 +327,14 @@
             await sink.start(answer.status, answer.headers)
         await sink.finish()
 
+    def _note_event(self, job: Job) -> None:
+        now = self._clock()
+        if job.first_event_at is None:
+            job.first_event_at = now
+        if job.last_event_at is not None:
+            job.longest_gap = max(job.longest_gap, now - job.last_event_at)
+        job.last_event_at = now
+
     async def _next_piece(self, job: Job, placed: PlacedAttempt, answer: RunnerAnswer) -> bytes:
         if not self._may_run_again(job):
             return await answer.next_piece()
@@ -382,12 +394,13 @@
         "cached": placed.matched_tokens,
         "fetch": dispatch.fetch_from,
         "weights": dispatch.weights_version,
+        "out": job.request.shape.output_tokens if job.request.shape is not None else 0,
         "left_ms": round(dispatch.remaining_seconds * 1000),
     }
 
 
 def _log_outcome(job: Job, runner: Runner, outcome: str, weights: int = 0) -> None:
-    fields = {
+    fields: dict[str, object] = {
         "request": job.request.request_id,
         "attempt": job.sends,
         "runner": runner.runner_id,
@@ -395,4 +408,7 @@
     }
     if weights:
         fields["weights"] = weights
+    if job.first_event_at is not None:
+        fields["first_event_ms"] = round((job.first_event_at - job.request.arrived_at) * 1000, 1)
+        fields["longest_gap_ms"] = round(job.longest_gap * 1000, 1)
     logger.info("attempt ended", extra=fields)
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -28,7 +28,6 @@
 RATE_RANGE = (5_000.0, 200_000.0)
 VERSION_MARGIN_SECONDS = 0.3
 MIN_NOTICE_TOKENS = 400
-LONG_OUTPUT_TOKENS = 100
 DUE_SECONDS = 0.4
 DUE_FACTOR = 1.5
 
@@ -76,7 +75,7 @@
         """Note an attempt that is being sent, and tell the peers."""
         shape = job.request.shape
         total = shape.total_tokens if shape is not None and placed.salt is not None else 0
-        is_long = shape is not None and shape.output_tokens > LONG_OUTPUT_TOKENS
+        is_long = shape is not None and shape.is_long
         due_at = now + DUE_SECONDS + DUE_FACTOR * placed.delay
         attempt = OwnAttempt(placed.prefill_tokens, total, now, due_at, is_long)
         self._state.pool.sent(placed.runner, attempt_id, attempt, self.prefill_rate(job.service))
@@ -152,15 +151,26 @@
             for runner in accepting
             if runner.runner_id not in job.excluded
         ]
-        around = Surroundings(
-            self._zone, engine, self.prefill_rate(job.service), self._store(), now
-        )
-        if shape.output_tokens > LONG_OUTPUT_TOKENS:
+        if shape.is_long:
             staying = [c for c in candidates if now >= c.runner.closing_until]
             candidates = staying or candidates
+        around = self._surroundings(job, engine, now)
         choice = self._policy.choose(shape, candidates, around, accepting)
         return self._placed(choice, model, around.store) if choice is not None else None
 
+    def _surroundings(self, job: Job, engine: EngineProfile, now: float) -> Surroundings:
+        table = self._state.table
+        assert table is not None
+        return Surroundings(
+            zone=self._zone,
+            engine=engine,
+            prefill_rate=self.prefill_rate(job.service),
+            store=self._store(),
+            now=now,
+            target_seconds=job.route.target_seconds,
+            gap_seconds=table.shortest_gap(job.service),
+        )
+
     def _placed(self, choice: Choice, model: str, store: KeptCacheStore | None) -> PlacedAttempt:
         runner = choice.candidate.runner
         return PlacedAttempt(
