--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -12,9 +12,10 @@
 
 SUSPECT_SECONDS = 0.6
 SUSPECT_MAX_SECONDS = 4.0
+UNREACHABLE_SECONDS = 3.0
 SHED_SECONDS = 0.12
 SILENCE_SECONDS = 0.4
-LOADING_SECONDS = 1.2
+LOADING_SECONDS = 0.7
 CLOSING_SECONDS = 1.0
 PEER_LOAD_SECONDS = 2.0
 DEFAULT_PREFILL_RATE = 38_000.0
@@ -223,6 +224,11 @@
         pause = min(SUSPECT_MAX_SECONDS, SUSPECT_SECONDS * 2 ** (runner.failures - 1))
         runner.suspected_until = max(runner.suspected_until, now + pause)
 
+    def unreachable(self, runner: Runner, now: float) -> None:
+        """Note that a runner takes no connections: its process is gone or cut off."""
+        runner.failures += 1
+        runner.suspected_until = max(runner.suspected_until, now + UNREACHABLE_SECONDS)
+
     def heard(self, runner: Runner, now: float) -> None:
         """Note bytes from a runner: it is alive."""
         runner.last_heard_at = now
--- a/src/hillstack/core/weights_rollout.py
+++ b/src/hillstack/core/weights_rollout.py
@@ -22,7 +22,7 @@
 START_DELAY_SECONDS = 0.3
 CLOSING_LIMIT_SECONDS = 3.5
 URGENT_SECONDS = 2.0
-CONCURRENT_SHARE = 1 / 3
+CONCURRENT_SHARE = 0.4
 URGENT_SHARE = 1 / 2
 
 
@@ -72,14 +72,18 @@
         close = self._to_close(staying, waiting, now)
         ready = [runner for runner in waiting if self._is_ready(runner, now)]
         ready.sort(key=lambda runner: self._order(runner, now))
-        loading = sum(1 for runner in staying if runner.runner_id in view.loading)
-        share = CONCURRENT_SHARE
-        if any(self._is_urgent(runner, now) for runner in waiting):
-            share = URGENT_SHARE
-        room = max(1, int(len(staying) * share + 1e-9)) - loading
+        room = self._room(staying, waiting, view)
         unusable = sum(1 for runner in waiting if self._is_unusable(runner, now))
         return RolloutStep(close, ready[: max(0, room, unusable)])
 
+    def _room(self, staying: Sequence[Runner], waiting: Sequence[Runner], view: RolloutView) -> int:
+        """Return how many more may load now, so that enough of those alive serve on."""
+        alive = [runner for runner in staying if view.now >= runner.suspected_until]
+        loading = sum(1 for runner in alive if runner.runner_id in view.loading)
+        urgent = any(self._is_urgent(runner, view.now) for runner in waiting)
+        share = URGENT_SHARE if urgent else CONCURRENT_SHARE
+        return max(1, int(len(alive) * share + 1e-9)) - loading
+
     def _to_close(
         self, staying: Sequence[Runner], waiting: Sequence[Runner], now: float
     ) -> list[Runner]:
@@ -124,7 +128,8 @@
     def _deadline(self, runner: Runner) -> float:
         return self._versions.deadline(self._model, runner.weights_version(self._model))
 
-    def _order(self, runner: Runner, now: float) -> tuple[int, int, int, str]:
+    def _order(self, runner: Runner, now: float) -> tuple[bool, int, int, int, str]:
         version = runner.weights_version(self._model)
         running = runner.committed_tokens(now)
-        return version, runner.long_running(now), running, runner.runner_id
+        suspected = now < runner.suspected_until
+        return suspected, version, runner.long_running(now), running, runner.runner_id
--- a/src/hillstack/platform/runners.py
+++ b/src/hillstack/platform/runners.py
@@ -19,10 +19,10 @@
 )
 
 REFUSALS = frozenset({429, 503})
-NOT_FOUND = 400
+OK = 200
 MISDIRECTED = 421
-REPORT_LIMIT_SECONDS = 0.6
-ORDER_LIMIT_SECONDS = 0.8
+REPORT_LIMIT_SECONDS = 0.4
+ORDER_LIMIT_SECONDS = 0.4
 ORDER_OUTCOMES = {
     200: OrderOutcome.DONE,
     202: OrderOutcome.TAKEN,
@@ -133,7 +133,12 @@
         Raises:
             BackendError: It can't be had.
         """
-        raw, _ = await self._ask("GET", address, names.REPORT_PATH, None, {}, REPORT_LIMIT_SECONDS)
+        headers = {names.EXPECT_INSTANCE: runner_id}
+        raw, status = await self._ask(
+            "GET", address, names.REPORT_PATH, None, headers, REPORT_LIMIT_SECONDS
+        )
+        if status != OK:
+            raise BackendError(f"status {status}", step="report", peer=runner_id)
         try:
             body = msgspec.json.decode(raw, type=ReportBody)
         except msgspec.MsgspecError as error:
--- a/src/hillstack/serving/peers.py
+++ b/src/hillstack/serving/peers.py
@@ -18,3 +18,7 @@
     def load_changed(self, runner: Runner) -> None:
         """Tell the load that this node has on a runner."""
         ...
+
+    def suspected(self, runner: Runner) -> None:
+        """Tell that a runner is silent or takes no connections."""
+        ...
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -351,7 +351,8 @@
         job.excluded.add(runner.runner_id)
         match error.cause:
             case RefusalCause.UNREACHABLE:
-                pool.failed(runner, now)
+                pool.unreachable(runner, now)
+                self._placement.lost(runner)
             case RefusalCause.FULL:
                 pool.shed(runner, now)
             case RefusalCause.OTHER_INSTANCE:
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -102,6 +102,10 @@
         self._state.pool.finished(placed.runner, attempt_id)
         self._peers.load_changed(placed.runner)
 
+    def lost(self, runner: Runner) -> None:
+        """Tell the peers of a runner that takes no connections."""
+        self._peers.suspected(runner)
+
     def observe_placement(self, notice: PlacementNotice, now: float) -> None:
         """Take over what a peer has sent."""
         runner = self._state.pool.get(notice.runner_id)
