Requests that have not begun when newer weights are due are taken back

Ruled out: placement on too old a version (7.6 s allowed, sent at 6.6 s). Placement now counts the expected delay twice, and the attempt is ended at the deadline.

--- a/src/hillstack/core/placement/expected_delay.py
+++ b/src/hillstack/core/placement/expected_delay.py
@@ -28,6 +28,8 @@
 SHED_PENALTY_SECONDS = 0.5
 REMOTE_PENALTY_SECONDS = 0.002
 HASH_RANGE = float(2**64)
+BEGIN_FACTOR = 2.0
+BEGIN_MARGIN_SECONDS = 0.4
 LATE_PENALTY_SECONDS = 1.0
 LATE_SOFTNESS = 0.1
 PAUSE_SHARE = 0.7
@@ -75,10 +77,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A runner that may take the request, and the salt that its weights ask for."""
+    """A runner that may take the request, and the salt that its weights ask for.
+
+    Attributes:
+        begin_before: When a request must have begun at the latest, since newer weights are due.
+    """
 
     runner: Runner
     salt: str
+    begin_before: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,6 +151,9 @@
         best_cost = float("inf")
         for candidate in candidates:
             choice = self._evaluate(shape, candidate, surroundings, holders)
+            begins_at = surroundings.now + BEGIN_FACTOR * choice.delay + BEGIN_MARGIN_SECONDS
+            if begins_at > candidate.begin_before:
+                continue
             cost = self._cost(shape, choice, surroundings)
             if cost < best_cost:
                 best, best_cost = choice, cost
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -229,8 +229,12 @@
         )
 
     async def _head(self, job: Job, placed: PlacedAttempt, dispatch: Dispatch) -> RunnerAnswer:
-        """Return the head of the answer; leave a silent runner if another may be tried."""
-        if not self._may_hurry(job):
+        """Return the head of the answer.
+
+        A silent runner is left if another may be tried, and a request that has not begun when
+        newer weights are due is taken back.
+        """
+        if dispatch.weights_version is None and not self._may_hurry(job):
             return await self._client.send(job.request, dispatch)
         sending = asyncio.ensure_future(self._client.send(job.request, dispatch))
         try:
@@ -238,10 +242,21 @@
                 await asyncio.wait({sending}, timeout=SILENCE_CHECK_SECONDS)
                 if sending.done():
                     return sending.result()
-                self._check_silence(placed.runner, "await answer")
+                if self._may_hurry(job):
+                    self._check_silence(placed.runner, "await answer")
+                self._check_weights(job, placed.runner, dispatch)
         finally:
             sending.cancel()
 
+    def _check_weights(self, job: Job, runner: Runner, dispatch: Dispatch) -> None:
+        if dispatch.weights_version is None:
+            return
+        model = job.request.model
+        due = self._state.versions.deadline(model, dispatch.weights_version)
+        if self._clock() >= due - SILENCE_CHECK_SECONDS:
+            text = "not begun before newer weights were due"
+            raise BackendBrokenError(text, step="await answer", peer=runner.runner_id)
+
     def _check_silence(self, runner: Runner, step: str) -> None:
         now = self._clock()
         if runner.is_silent(now) and now - runner.last_heard_at >= SILENCE_LIMIT_SECONDS:
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -119,6 +119,10 @@
         if store is not None:
             self._state.index.note(store.address, notice.salt, parts)
 
+    def begin_before(self, model: str, runner: Runner) -> float:
+        """Return when a request must have begun on the weights that the runner has."""
+        return self._state.versions.deadline(model, runner.weights_version(model))
+
     def prefill_rate(self, service: str) -> float:
         """Return the tokens a second that runners of a service are seen to prefill."""
         return self._rates.get(service, DEFAULT_PREFILL_RATE)
@@ -151,7 +155,7 @@
             if runner.weights_version(model) >= oldest
         ]
         candidates = [
-            Candidate(runner, self._salt(job, runner))
+            Candidate(runner, self._salt(job, runner), self.begin_before(model, runner))
             for runner in accepting
             if runner.runner_id not in job.excluded
         ]
