--- a/src/hillstack/platform/names.py
+++ b/src/hillstack/platform/names.py
@@ -60,6 +60,7 @@
 )
 SET_BY_ROUTER = frozenset(
     {
+        b"request-id",
         b"x-api-key",
         b"deadline-ms",
         b"tenant",
--- a/src/hillstack/platform/runners.py
+++ b/src/hillstack/platform/runners.py
@@ -223,6 +223,7 @@
 
 def _headers(request: ServingRequest, dispatch: Dispatch) -> list[tuple[str, str]]:
     headers = [(name.decode("latin-1"), value.decode("latin-1")) for name, value in request.headers]
+    headers.append((names.REQUEST_ID, request.request_id))
     headers.append((names.DEADLINE, str(max(1, int(dispatch.remaining_seconds * 1000)))))
     headers.append((names.EXPECT_INSTANCE, dispatch.runner_id))
     optional = (
