Parts are a source for others only once they are read; small placements are told to peers too

Cause: a part was fetched from a runner that was still reading it, which reads it twice; placements of less than 400 tokens were not told, so each node read small shared parts for itself.

--- a/src/hillstack/core/part_index.py
+++ b/src/hillstack/core/part_index.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
@@ -23,23 +24,36 @@
 PartKey = tuple[str, str]
 
 
+@dataclass(frozen=True, slots=True)
+class _Kept:
+    tokens: int
+    ready_at: float
+
+
 class _Holder:
     def __init__(self, capacity_tokens: int) -> None:
         self.capacity = capacity_tokens
         self.total = 0
-        self.parts: OrderedDict[PartKey, int] = OrderedDict()
+        self.parts: OrderedDict[PartKey, _Kept] = OrderedDict()
 
-    def put(self, key: PartKey, tokens: int) -> None:
-        self.total += tokens - self.parts.pop(key, 0)
-        self.parts[key] = tokens
+    def put(self, key: PartKey, tokens: int, ready_at: float) -> None:
+        known = self.parts.pop(key, None)
+        if known is not None:
+            self.total -= known.tokens
+            if known.tokens >= tokens:
+                ready_at = min(ready_at, known.ready_at)
+        self.total += tokens
+        self.parts[key] = _Kept(tokens, ready_at)
 
     def remove(self, key: PartKey) -> None:
-        self.total -= self.parts.pop(key, 0)
+        known = self.parts.pop(key, None)
+        if known is not None:
+            self.total -= known.tokens
 
     def evict(self, limit: int) -> None:
         while self.total > limit and self.parts:
-            _, tokens = self.parts.popitem(last=False)
-            self.total -= tokens
+            _, kept = self.parts.popitem(last=False)
+            self.total -= kept.tokens
 
 
 class PartIndex:
@@ -67,21 +81,27 @@
             self._holders[holder_id] = _Holder(holder.capacity)
 
     def note(
-        self, holder_id: str, salt: str, parts: Iterable[PromptPart], reserved_tokens: int = 0
+        self,
+        holder_id: str,
+        salt: str,
+        parts: Iterable[PromptPart],
+        reserved_tokens: int = 0,
+        ready_at: float = -math.inf,
     ) -> None:
-        """Note that a holder keeps the parts now, used most recently.
+        """Note that a holder keeps the parts, used most recently.
 
         Args:
             holder_id: A known holder; an unknown one is passed over.
             salt: Salt under which they are kept.
             parts: The parts, in the order of the prompt.
             reserved_tokens: Memory that running requests hold and that parts can't use.
+            ready_at: When they are expected to be read, and can be fetched from there.
         """
         holder = self._holders.get(holder_id)
         if holder is None:
             return
         for part in parts:
-            holder.put((salt, part.part_id), part.tokens)
+            holder.put((salt, part.part_id), part.tokens, ready_at)
         holder.evict(max(0, holder.capacity - reserved_tokens))
 
     def remove(self, holder_id: str, salt: str, part_id: str) -> None:
@@ -90,18 +110,31 @@
         if holder is not None:
             holder.remove((salt, part_id))
 
-    def matched_tokens(self, holder_id: str, salt: str, parts: Sequence[PromptPart]) -> int:
-        """Return the tokens of the leading parts that the holder is believed to keep."""
+    def matched_tokens(
+        self,
+        holder_id: str,
+        salt: str,
+        parts: Sequence[PromptPart],
+        ready_by: float = math.inf,
+    ) -> int:
+        """Return the tokens of the leading parts that the holder is believed to keep.
+
+        Args:
+            holder_id: The holder.
+            salt: Salt under which they are kept.
+            parts: The parts, in the order of the prompt.
+            ready_by: Parts that are not read by then do not count.
+        """
         holder = self._holders.get(holder_id)
         if holder is None:
             return 0
         matched = 0
         for part in parts:
             kept = holder.parts.get((salt, part.part_id))
-            if kept is None:
+            if kept is None or kept.ready_at > ready_by:
                 break
-            matched += min(kept, part.tokens)
-            if kept < part.tokens:
+            matched += min(kept.tokens, part.tokens)
+            if kept.tokens < part.tokens:
                 break
         return matched
 
--- a/src/hillstack/core/placement/expected_delay.py
+++ b/src/hillstack/core/placement/expected_delay.py
@@ -235,13 +235,17 @@
         for holder in holders:
             if holder is here:
                 continue
-            kept = self._index.matched_tokens(holder.runner_id, candidate.salt, shape.shared)
+            kept = self._index.matched_tokens(
+                holder.runner_id, candidate.salt, shape.shared, around.now
+            )
             best, best_gain = self._better(
                 best, best_gain, kept - matched, holder.address, holder.entry.zone, here, around
             )
         store = around.store
         if store is not None:
-            kept = self._index.matched_tokens(store.address, candidate.salt, shape.shared)
+            kept = self._index.matched_tokens(
+                store.address, candidate.salt, shape.shared, around.now
+            )
             best, best_gain = self._better(
                 best, best_gain, kept - matched, store.address, store.zone, here, around
             )
--- a/src/hillstack/messages/peer_notices.py
+++ b/src/hillstack/messages/peer_notices.py
@@ -18,16 +18,18 @@
 
 
 class PlacementNotice(msgspec.Struct, array_like=True, frozen=True):
-    """A request with a large prefill was sent to a runner.
+    """A request was sent to a runner that has much of it, or shared parts of it, to read.
 
     Attributes:
         parts: Identifier and tokens of the shared parts that the runner will keep.
+        delay_ms: Expected time until they are read.
     """
 
     runner_id: str
     salt: str
     parts: list[tuple[str, int]]
     prefill_tokens: int
+    delay_ms: int = 0
 
     def prompt_parts(self) -> list[PromptPart]:
         """Return the parts."""
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -28,6 +28,8 @@
 RATE_RANGE = (5_000.0, 200_000.0)
 VERSION_MARGIN_SECONDS = 0.3
 MIN_NOTICE_TOKENS = 400
+READY_MARGIN_SECONDS = 0.05
+STORED_MARGIN_SECONDS = 0.1
 DUE_SECONDS = 0.4
 DUE_FACTOR = 1.5
 
@@ -83,10 +85,14 @@
         if shape is None or placed.salt is None:
             return
         self._note_parts(placed, shape, now)
-        if placed.prefill_tokens >= MIN_NOTICE_TOKENS:
+        shared_tokens = shape.prompt_tokens - shape.parts[-1].tokens
+        if placed.prefill_tokens >= MIN_NOTICE_TOKENS or placed.matched_tokens < shared_tokens:
             shared = [(part.part_id, part.tokens) for part in shape.shared]
+            delay_ms = int(placed.delay * 1000)
             self._peers.placed(
-                PlacementNotice(placed.runner.runner_id, placed.salt, shared, placed.prefill_tokens)
+                PlacementNotice(
+                    placed.runner.runner_id, placed.salt, shared, placed.prefill_tokens, delay_ms
+                )
             )
 
     def started(self, job: Job, placed: PlacedAttempt, attempt_id: str, now: float) -> None:
@@ -206,9 +212,12 @@
     def _note_parts(self, placed: PlacedAttempt, shape: PromptShape, now: float) -> None:
         assert placed.salt is not None
         reserved = placed.runner.committed_tokens(now)
-        self._state.index.note(placed.runner.runner_id, placed.salt, shape.parts, reserved)
+        index = self._state.index
+        ready_at = now + placed.delay + READY_MARGIN_SECONDS
+        index.note(placed.runner.runner_id, placed.salt, shape.parts, reserved, ready_at)
         if placed.save_to is not None:
-            self._state.index.note(placed.save_to, placed.salt, shape.parts)
+            stored_at = ready_at + STORED_MARGIN_SECONDS
+            index.note(placed.save_to, placed.salt, shape.parts, ready_at=stored_at)
 
     def _learn_rate(
         self, service: str, placed: PlacedAttempt, attempt: OwnAttempt, now: float
