--- a/src/hillstack/core/weights_rollout.py
+++ b/src/hillstack/core/weights_rollout.py
@@ -24,6 +24,8 @@
 URGENT_SECONDS = 2.0
 CONCURRENT_SHARE = 0.4
 URGENT_SHARE = 1 / 2
+PACE_SAFETY_SECONDS = 1.2
+MIN_PACE_SECONDS = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,12 +36,14 @@
         runners: All runners of the services that serve the model.
         loading: Runners that finish their work or load.
         resting: Runners that were not reached just now, and are tried again later.
+        load_seconds: Time that a runner is out of use for a load, as seen lately.
         now: Time on the node's clock.
     """
 
     runners: Sequence[Runner]
     loading: Collection[str]
     resting: Collection[str]
+    load_seconds: float
     now: float
 
 
@@ -82,7 +86,14 @@
         loading = sum(1 for runner in alive if runner.runner_id in view.loading)
         urgent = any(self._is_urgent(runner, view.now) for runner in waiting)
         share = URGENT_SHARE if urgent else CONCURRENT_SHARE
-        return max(1, int(len(alive) * share + 1e-9)) - loading
+        most = max(1, int(len(alive) * share + 1e-9))
+        return min(most, self._pace(waiting, loading, view)) - loading
+
+    def _pace(self, waiting: Sequence[Runner], loading: int, view: RolloutView) -> int:
+        """Return how many must load at a time to be done before the first deadline."""
+        first = min((self._deadline(runner) for runner in waiting), default=math.inf)
+        left = max(MIN_PACE_SECONDS, first - view.now - PACE_SAFETY_SECONDS)
+        return max(1, math.ceil((len(waiting) + loading) * view.load_seconds / left - 0.1))
 
     def _to_close(
         self, staying: Sequence[Runner], waiting: Sequence[Runner], now: float
--- a/src/hillstack/daemon/rollout_duty.py
+++ b/src/hillstack/daemon/rollout_duty.py
@@ -29,6 +29,8 @@
 REPORT_LAG_SECONDS = 0.3
 REST_SECONDS = 0.5
 CLOSING_REPEAT_SECONDS = 0.3
+INITIAL_LOAD_SECONDS = 1.3
+LOAD_SMOOTHING = 0.2
 
 
 class RolloutDuty:
@@ -67,6 +69,7 @@
         self._orders_taken: dict[str, int] = {}
         self._loading: dict[str, asyncio.Task[None]] = {}
         self._resting_until: dict[str, float] = {}
+        self._load_seconds = INITIAL_LOAD_SECONDS
         self._plans: dict[str, RolloutPlan] = {}
         self._closing_told_at = 0.0
         self._stopping = False
@@ -138,7 +141,7 @@
                 for service in self._state.engine_services(model)
                 for runner in self._state.pool.of_service(service)
             ]
-            view = RolloutView(runners, self._loading, resting, now)
+            view = RolloutView(runners, self._loading, resting, self._load_seconds, now)
             plan = self._plans.setdefault(model, RolloutPlan(model, self._state.versions))
             step = plan.step(view)
             for runner in step.load:
@@ -163,7 +166,8 @@
 
     async def _load(self, runner: Runner, model: str) -> None:
         """Bring one runner to the newest version, or leave it for a later try."""
-        limit = self._clock() + LOAD_LIMIT_SECONDS
+        began_at = self._clock()
+        limit = began_at + LOAD_LIMIT_SECONDS
         self._announce(runner, model, self._state.versions.newest(model), WeightsPhase.LOADING)
         await asyncio.sleep(ANNOUNCE_SECONDS)
         try:
@@ -171,6 +175,8 @@
                 version = self._state.versions.newest(model)
                 if await self._advance(runner, model, version):
                     self._announce(runner, model, version, WeightsPhase.SERVED)
+                    seconds = self._clock() - began_at
+                    self._load_seconds += LOAD_SMOOTHING * (seconds - self._load_seconds)
                     return
                 self._announce(runner, model, version, WeightsPhase.LOADING)
         except BackendError as error:
