The daemon over loopback before stand-ins of the store and the runners; metrics; boundary of the adapter checked

14 scenarios with real processes: whole answers, resume, at most once, caller leaves, promises, rollout under one fence, failover with a higher one, planned stop, revoked key, outage, draining, readiness, reload, metrics.

--- /dev/null
+++ b/src/hillstack/daemon/fleet_metrics.py
@@ -0,0 +1,69 @@
+"""Counters and histograms of a fleet's node, and the server that tells them as text."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+from starlette.types import Receive, Scope, Send
+
+LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.5, 3, 6, 12)
+PAUSE_BUCKETS = (0.05, 0.1, 0.2, 0.5, 1, 2, 4)
+METRICS_PATH = "/metrics"
+
+
+class FleetMetrics:
+    """All metrics of one node, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = self._counter("requests", "Requests by result.", "result")
+        self.attempts = self._counter("attempts", "Attempts by outcome.", "outcome")
+        self.tokens = self._counter("prompt_tokens", "Prompt tokens sent, by source.", "source")
+        self.store_errors = self._counter("store_errors", "Failed calls to the store.", "step")
+        self.orders = self._counter("weights_orders", "Orders for weights by outcome.", "outcome")
+        self.first_event = self._histogram(
+            "first_event_seconds", "From arrival to the first event.", LATENCY_BUCKETS
+        )
+        self.answer = self._histogram(
+            "answer_seconds", "From arrival to the end of the answer.", LATENCY_BUCKETS
+        )
+        self.longest_pause = self._histogram(
+            "longest_pause_seconds", "Longest pause between two events of a stream.", PAUSE_BUCKETS
+        )
+
+    def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Tell a value that is read when the metrics are asked for."""
+        Gauge(f"hillstack_{name}", text, registry=self.registry).set_function(read)
+
+    def text(self) -> bytes:
+        """Return all metrics as text."""
+        return generate_latest(self.registry)
+
+    def _counter(self, name: str, text: str, label: str) -> Counter:
+        return Counter(f"hillstack_{name}", text, [label], registry=self.registry)
+
+    def _histogram(self, name: str, text: str, buckets: tuple[float, ...]) -> Histogram:
+        return Histogram(f"hillstack_{name}", text, buckets=buckets, registry=self.registry)
+
+
+class MetricsPage:
+    """The application that tells the metrics."""
+
+    def __init__(self, metrics: FleetMetrics) -> None:
+        self._metrics = metrics
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one question."""
+        if scope["type"] != "http":
+            return
+        found = scope["path"] == METRICS_PATH
+        body = self._metrics.text() if found else b""
+        headers = [
+            (b"content-type", CONTENT_TYPE_LATEST.encode()),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        status = 200 if found else 404
+        await send({"type": "http.response.start", "status": status, "headers": headers})
+        await send({"type": "http.response.body", "body": body})
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -20,13 +20,14 @@
 from hillstack.core.shared_retry_budget import SharedRetryBudget
 from hillstack.core.weights_versions import WeightsVersions
 from hillstack.daemon.duty_lease import DutyLease
+from hillstack.daemon.fleet_metrics import FleetMetrics, MetricsPage
 from hillstack.daemon.fleet_state import FleetState
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.rollout_duty import RolloutDuty
 from hillstack.daemon.runner_monitor import RunnerMonitor
 from hillstack.daemon.store_sync import StoreSync
 from hillstack.errors import SettingsError
-from hillstack.logs import error_fields
+from hillstack.logs import dropped_lines, error_fields
 from hillstack.platform.connections import make_runner_session
 from hillstack.platform.ingress import Ingress, Readiness
 from hillstack.platform.names import DUTY_KEY
@@ -77,7 +78,10 @@
         self._peers = PeerExchange(self._state, self._clock)
         placement = RunnerPlacement(self._state, self._peers, settings.node.zone, rng)
         self._peers.handle_placements(placement.observe_placement)
-        self._pipeline = RequestPipeline(self._state, runners, placement, self._clock)
+        self._metrics = FleetMetrics()
+        self._pipeline = RequestPipeline(
+            self._state, runners, placement, self._clock, self._metrics
+        )
         own_address = f"{settings.node.address}:{settings.listen.peers_port}"
         self._sync = StoreSync(store, self._state, own_address, self._clock, rng)
         lease = DutyLease(store, DUTY_KEY, settings.node.id, LEASE_TTL_SECONDS, self._clock)
@@ -95,8 +99,13 @@
             settings.listen.callers,
         )
         readiness = self._make_server(Readiness(self._is_ready), settings.listen.readiness)
+        servers = [callers, readiness]
+        if settings.listen.metrics_port is not None:
+            self._add_gauges()
+            address = f"{settings.node.address}:{settings.listen.metrics_port}"
+            servers.append(self._make_server(MetricsPage(self._metrics), address))
         # Unlike ``serve``, ``_serve`` leaves signals alone: the node decides when it ends.
-        serving = [asyncio.create_task(server._serve()) for server in (callers, readiness)]
+        serving = [asyncio.create_task(server._serve()) for server in servers]
         for work in (
             self._sync.run(),
             self._peers.run(),
@@ -105,16 +114,41 @@
             RunnerMonitor(self._state, self._peers, self._clock).run(),
         ):
             self._start(work)
-        logger.info("started", extra={"zone": settings.node.zone, "node": settings.node.id})
+        logger.info(
+            "started", extra={"zone": settings.node.zone, "callers": settings.listen.callers}
+        )
         await self._stop.wait()
         await self._drain(callers)
-        for server in (callers, readiness):
+        for server in servers:
             server.should_exit = True
             server.force_exit = True
         await asyncio.gather(*serving, return_exceptions=True)
         await self._close()
         logger.info("stopped")
 
+    def _add_gauges(self) -> None:
+        state, metrics = self._state, self._metrics
+
+        def accepting() -> float:
+            now = self._clock()
+            return sum(1 for runner in state.pool.all() if runner.accepts(now))
+
+        def version() -> float:
+            return state.table.version if state.table is not None else 0
+
+        metrics.gauge("configuration_version", "Configuration in force.", version)
+        metrics.gauge(
+            "store_age_seconds",
+            "Age of what is known of the store.",
+            lambda: state.freshness.age(self._clock()),
+        )
+        metrics.gauge("runners_accepting", "Runners that may get new work.", accepting)
+        metrics.gauge(
+            "believed_parts", "Prompt parts believed cached.", lambda: state.index.part_count()
+        )
+        metrics.gauge("active_requests", "Requests being served.", lambda: self._pipeline.active)
+        metrics.gauge("log_lines_dropped", "Log lines over the rate.", dropped_lines)
+
     def _is_ready(self) -> bool:
         state = self._state
         return state.table is not None and state.directory_known and not self._stopping
--- /dev/null
+++ b/src/hillstack/emulator/fleet_runner.py
@@ -0,0 +1,150 @@
+"""A small stand-in of a runner, for tests of a fleet's node.
+
+It records what it ran, answers with a signature, streams events, takes orders for weights, and
+plays faults. The names of the protocol come from the adapter.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response, StreamingResponse
+from starlette.routing import Route
+
+from hillstack.platform import names
+from hillstack.platform.formats import ModelVersion, OrderBody, ReportBody, RunnerBody
+
+EVENT_PAUSE_SECONDS = 0.02
+MISDIRECTED = 421
+
+
+@dataclass(slots=True)
+class RunnerFaults:
+    """Faults that tests switch on.
+
+    Attributes:
+        hang: Run requests and never answer.
+        status: Status of its answers.
+        break_after: Break a stream off after so many events; None for never.
+        shed: Refuse requests as not run.
+    """
+
+    hang: bool = False
+    status: int = 200
+    break_after: int | None = None
+    shed: bool = False
+
+
+@dataclass(slots=True)
+class FleetRunner:
+    """One runner.
+
+    Attributes:
+        ran: Identifiers of the requests that it ran, in order.
+        left: Identifiers of the requests whose caller left before the end.
+    """
+
+    runner_id: str
+    service: str
+    zone: str = "zone-a"
+    model: str = ""
+    weights: int = 1
+    events: int = 5
+    faults: RunnerFaults = field(default_factory=RunnerFaults)
+    ran: list[str] = field(default_factory=list)
+    left: list[str] = field(default_factory=list)
+    seen_headers: list[dict[str, str]] = field(default_factory=list)
+    orders: list[OrderBody] = field(default_factory=list)
+    fence: int = 0
+
+    def entry(self, address: str, state: str = "ready") -> bytes:
+        """Return its entry in the directory."""
+        models = [ModelVersion(self.model, self.weights)] if self.model else []
+        body = RunnerBody(self.service, address, self.zone, 8, state, models)
+        return msgspec.json.encode(body)
+
+    def app(self) -> Starlette:
+        """Return the HTTP application."""
+        return Starlette(
+            routes=[
+                Route(names.REPORT_PATH, self._report),
+                Route(names.ORDER_PATH, self._order, methods=["POST"]),
+                Route("/{path:path}", self._run, methods=["GET", "POST"]),
+            ]
+        )
+
+    async def _report(self, request: Request) -> Response:
+        if self._is_misdirected(request):
+            return self._misdirected()
+        models = [ModelVersion(self.model, self.weights)]
+        body = ReportBody(models, busy=False, seq=len(self.orders))
+        return Response(msgspec.json.encode(body), media_type="application/json")
+
+    async def _order(self, request: Request) -> Response:
+        if self._is_misdirected(request):
+            return self._misdirected()
+        order = msgspec.json.decode(await request.body(), type=OrderBody)
+        if order.fence < self.fence:
+            return Response(status_code=412)
+        if order.expected_count is not None and order.expected_count != len(self.orders):
+            return Response(status_code=409)
+        self.fence = order.fence
+        self.orders.append(order)
+        self.weights = order.version
+        return Response(status_code=202)
+
+    async def _run(self, request: Request) -> Response:
+        request_id = request.headers.get(names.REQUEST_ID, "")
+        if self._is_misdirected(request):
+            return self._misdirected()
+        if self.faults.shed:
+            headers = {names.NOT_EXECUTED: "1", names.REQUEST_ID: request_id}
+            return Response(status_code=503, headers=headers)
+        self.ran.append(request_id)
+        self.seen_headers.append(dict(request.headers))
+        body = await request.body()
+        if self.faults.hang:
+            await self._hang(request, request_id)
+        headers = {names.REQUEST_ID: request_id, names.SIGNATURE: f"{self.runner_id}.{request_id}"}
+        if not self.model or self.faults.status != 200:
+            content = self.runner_id.encode() + b":" + body
+            return Response(content, status_code=self.faults.status, headers=headers)
+        headers[names.VERSIONS] = str(self.weights)
+        after = int(request.headers.get(names.LAST_EVENT_ID, "0"))
+        return StreamingResponse(
+            self._stream(request_id, after), headers=headers, media_type="text/event-stream"
+        )
+
+    async def _hang(self, request: Request, request_id: str) -> None:
+        try:
+            while (await request.receive())["type"] != "http.disconnect":
+                pass
+        finally:
+            self.left.append(request_id)
+
+    async def _stream(self, request_id: str, after: int) -> AsyncIterator[bytes]:
+        sent = 0
+        try:
+            for number in range(after + 1, self.events + 1):
+                if self.faults.break_after is not None and sent >= self.faults.break_after:
+                    raise ConnectionAbortedError("fault: broken off")
+                yield f"id: {number}\ndata: {self.runner_id}\n\n".encode()
+                sent += 1
+                await asyncio.sleep(EVENT_PAUSE_SECONDS)
+        except asyncio.CancelledError:
+            self.left.append(request_id)
+            raise
+
+    def _is_misdirected(self, request: Request) -> bool:
+        expected = request.headers.get(names.EXPECT_INSTANCE, self.runner_id)
+        version = request.headers.get(names.EXPECT_VERSION, str(self.weights))
+        return expected != self.runner_id or version != str(self.weights)
+
+    def _misdirected(self) -> Response:
+        headers = {names.INSTANCE: self.runner_id, names.VERSIONS: str(self.weights)}
+        return Response(status_code=MISDIRECTED, headers=headers)
--- /dev/null
+++ b/src/hillstack/emulator/fleet_store.py
@@ -0,0 +1,196 @@
+"""A small stand-in of the platform's metadata store, for tests of a fleet's node.
+
+It keeps items, revisions, leases and a history, and plays faults: down, lost answers, lost history.
+The names of the protocol come from the adapter.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from hillstack.platform import names
+from hillstack.platform.formats import (
+    LeaseBody,
+    LeaseRequest,
+    RangeBody,
+    StoreItem,
+    TxnBody,
+    TxnRequest,
+    WatchBody,
+)
+
+EXPIRY_CHECK_SECONDS = 0.05
+WATCH_POLL_SECONDS = 0.01
+UNAVAILABLE = 503
+
+
+@dataclass(slots=True)
+class _Lease:
+    ttl_seconds: float
+    ends_at: float
+
+
+class FleetStore:
+    """The store.
+
+    Attributes:
+        down: Whether it refuses every call.
+        lose_answers: Whether it does what is asked and never answers.
+        calls: Number of calls, refused ones too.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._items: dict[str, StoreItem] = {}
+        self._history: list[StoreItem] = []
+        self._forgotten = 0
+        self._leases: dict[int, _Lease] = {}
+        self.revision = 1
+        self.down = False
+        self.lose_answers = False
+        self.calls = 0
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write an item; return its revision."""
+        self.revision += 1
+        known = self._items.get(key)
+        created = known.created if known is not None else self.revision
+        text = base64.b64encode(value).decode()
+        item = StoreItem(key, self.revision, text, created=created, lease=lease)
+        self._items[key] = item
+        self._history.append(item)
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        if self._items.pop(key, None) is not None:
+            self.revision += 1
+            self._history.append(StoreItem(key, self.revision, gone=True))
+
+    def value(self, key: str) -> bytes | None:
+        """Return an item's value, or None."""
+        self._expire()
+        item = self._items.get(key)
+        return base64.b64decode(item.value) if item is not None else None
+
+    def keys(self, prefix: str) -> list[str]:
+        """Return the keys below a prefix."""
+        self._expire()
+        return sorted(key for key in self._items if key.startswith(prefix))
+
+    def forget_history(self) -> None:
+        """Lose all changes so far."""
+        self._forgotten = self.revision
+        self._history.clear()
+
+    def app(self) -> Starlette:
+        """Return the HTTP application."""
+        keep_path = names.KEEP_PATH + "/{lease:int}"
+        end_path = names.LEASE_END_PATH + "/{lease:int}"
+        return Starlette(
+            routes=[
+                Route(names.RANGE_PATH, self._guarded(self._range)),
+                Route(names.KEY_PATH, self._guarded(self._read)),
+                Route(names.WATCH_PATH, self._guarded(self._watch)),
+                Route(names.TXN_PATH, self._guarded(self._transact), methods=["POST"]),
+                Route(names.LEASE_PATH, self._guarded(self._grant), methods=["POST"]),
+                Route(keep_path, self._guarded(self._keep), methods=["POST"]),
+                Route(end_path, self._guarded(self._end), methods=["DELETE"]),
+            ]
+        )
+
+    def _guarded(self, handler: Callable[[Request], object]) -> Callable[[Request], object]:
+        async def guarded(request: Request) -> Response:
+            self.calls += 1
+            if self.down:
+                return Response(status_code=UNAVAILABLE)
+            self._expire()
+            answer = handler(request)
+            if asyncio.iscoroutine(answer):
+                answer = await answer
+            if self.lose_answers:
+                await asyncio.Event().wait()
+            assert isinstance(answer, Response)
+            return answer
+
+        return guarded
+
+    def _expire(self) -> None:
+        now = self._clock()
+        for lease_id in [n for n, lease in self._leases.items() if now >= lease.ends_at]:
+            self._drop_lease(lease_id)
+
+    def _drop_lease(self, lease_id: int) -> None:
+        self._leases.pop(lease_id, None)
+        for key in [item.key for item in self._items.values() if item.lease == lease_id]:
+            self.remove(key)
+
+    def _range(self, request: Request) -> Response:
+        prefix = request.query_params.get(names.PREFIX_PARAMETER, "")
+        items = [self._items[key] for key in self.keys(prefix)]
+        return _json(RangeBody(items, False, self.revision))
+
+    def _read(self, request: Request) -> Response:
+        item = self._items.get(request.query_params[names.KEY_PARAMETER])
+        return _json(item) if item is not None else Response(status_code=404)
+
+    async def _watch(self, request: Request) -> Response:
+        query = request.query_params
+        after = int(query[names.AFTER_PARAMETER])
+        prefix = query.get(names.PREFIX_PARAMETER, "")
+        ends_at = self._clock() + int(query.get(names.WAIT_PARAMETER, "0")) / 1000
+        while True:
+            if self.down:
+                return Response(status_code=UNAVAILABLE)
+            if after < self._forgotten:
+                return Response(status_code=410)
+            self._expire()
+            events = [i for i in self._history if i.rev > after and i.key.startswith(prefix)]
+            if events or self._clock() >= ends_at:
+                return _json(WatchBody(events, self.revision))
+            await asyncio.sleep(WATCH_POLL_SECONDS)
+
+    async def _transact(self, request: Request) -> Response:
+        body = msgspec.json.decode(await request.body(), type=TxnRequest)
+        for condition in body.expected_count:
+            known = self._items.get(condition.key)
+            if (known.rev if known is not None else 0) != condition.rev:
+                return Response(status_code=412)
+        if any(put.lease and put.lease not in self._leases for put in body.put):
+            return Response(status_code=404)
+        for put in body.put:
+            self.put(put.key, base64.b64decode(put.value), put.lease)
+        for key in body.remove:
+            self.remove(key)
+        return _json(TxnBody(self.revision))
+
+    async def _grant(self, request: Request) -> Response:
+        ttl = msgspec.json.decode(await request.body(), type=LeaseRequest).ttl_ms / 1000
+        self.revision += 1
+        self._leases[self.revision] = _Lease(ttl, self._clock() + ttl)
+        return _json(LeaseBody(self.revision, ttl * 1000))
+
+    def _keep(self, request: Request) -> Response:
+        lease = self._leases.get(request.path_params["lease"])
+        if lease is None:
+            return Response(status_code=404)
+        lease.ends_at = self._clock() + lease.ttl_seconds
+        return _json(LeaseBody(request.path_params["lease"], lease.ttl_seconds * 1000))
+
+    def _end(self, request: Request) -> Response:
+        self._drop_lease(request.path_params["lease"])
+        return Response()
+
+
+def _json(body: object) -> Response:
+    return Response(msgspec.json.encode(body), media_type="application/json")
--- a/src/hillstack/logs.py
+++ b/src/hillstack/logs.py
@@ -68,11 +68,13 @@
         self._refilled_at = clock()
         self._unsent = b""
         self.dropped = 0
+        self.dropped_in_all = 0
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a record, or drop it."""
         if not self._take_token() or not self._write_unsent():
             self.dropped += 1
+            self.dropped_in_all += 1
             return
         if self.dropped:
             record.dropped = self.dropped
@@ -119,6 +121,12 @@
     return handler
 
 
+def dropped_lines() -> int:
+    """Return how many lines the bounded handler has dropped since the start."""
+    handlers = logging.getLogger().handlers
+    return sum(h.dropped_in_all for h in handlers if isinstance(h, BoundedHandler))
+
+
 def error_fields(error: HillstackError) -> dict[str, str]:
     """Return the log fields of an error: the step and the peer."""
     return {"step": error.step, "peer": error.peer, "error": error.message}
--- a/src/hillstack/platform/formats.py
+++ b/src/hillstack/platform/formats.py
@@ -155,6 +155,8 @@
     rev: int
     value: str = ""
     gone: bool = False
+    created: int = 0
+    lease: int = 0
 
 
 class RangeBody(msgspec.Struct):
@@ -179,6 +181,47 @@
     ttl_ms: float = 0.0
 
 
+class LeaseRequest(msgspec.Struct):
+    """A wish for a lease."""
+
+    ttl_ms: int
+
+
+class KeyRevision(msgspec.Struct):
+    """Condition of a transaction: the key has this revision, 0 when it is absent."""
+
+    key: str
+    rev: int
+
+
+class PutBody(msgspec.Struct):
+    """A write of a transaction."""
+
+    key: str
+    value: str
+    lease: int = 0
+
+
+class TxnRequest(msgspec.Struct):
+    """A transaction."""
+
+    expected_count: list[KeyRevision] = []
+    put: list[PutBody] = []
+    remove: list[str] = []
+
+
+class OrderBody(msgspec.Struct, omit_defaults=True):
+    """An order to a runner to load weights."""
+
+    op: str
+    model: str
+    version: int
+    mode: str
+    holder: str
+    fence: int
+    expected_count: int | None = None
+
+
 class TxnBody(msgspec.Struct):
     """The revision of a transaction."""
 
--- a/src/hillstack/platform/names.py
+++ b/src/hillstack/platform/names.py
@@ -36,6 +36,14 @@
 KEEP_PATH = "/kv-keep"
 LEASE_END_PATH = "/kv-lease-end"
 
+PREFIX_PARAMETER = "path_prefix"
+AFTER_PARAMETER = "after"
+WAIT_PARAMETER = "wait_ms"
+KEY_PARAMETER = "key"
+
+WEIGHTS_OPERATION = "version"
+FINISH_RUNS_FIRST = "block"
+
 CONFIGURATION_KEY = "op/config"
 WEIGHTS_PREFIX = "op/version/"
 RUNNERS_PREFIX = "servers/"
--- a/src/hillstack/platform/runners.py
+++ b/src/hillstack/platform/runners.py
@@ -9,7 +9,7 @@
 from hillstack.daemon.weights_orders import OrderOutcome, RunnerReport, WeightsOrder
 from hillstack.errors import BackendBrokenError, BackendError
 from hillstack.platform import names
-from hillstack.platform.formats import ReportBody
+from hillstack.platform.formats import OrderBody, ReportBody
 from hillstack.serving.types import (
     Dispatch,
     HeaderList,
@@ -152,15 +152,15 @@
         Raises:
             BackendError: The order may or may not have been taken.
         """
-        body = {
-            "op": "version",
-            "model": order.model,
-            "version": order.version,
-            "mode": "block",
-            "holder": order.holder,
-            "fence": order.fence,
-            "expected_count": order.expected_orders,
-        }
+        body = OrderBody(
+            op=names.WEIGHTS_OPERATION,
+            model=order.model,
+            version=order.version,
+            mode=names.FINISH_RUNS_FIRST,
+            holder=order.holder,
+            fence=order.fence,
+            expected_count=order.expected_orders,
+        )
         headers = {
             "Content-Type": "application/json",
             names.EXPECT_INSTANCE: order.runner_id,
--- a/src/hillstack/platform/store.py
+++ b/src/hillstack/platform/store.py
@@ -21,10 +21,14 @@
 )
 from hillstack.platform import names
 from hillstack.platform.formats import (
+    KeyRevision,
     LeaseBody,
+    LeaseRequest,
+    PutBody,
     RangeBody,
     StoreItem,
     TxnBody,
+    TxnRequest,
     WatchBody,
     to_event,
 )
@@ -81,7 +85,7 @@
         after = ""
         revision: int | None = None
         while True:
-            query = {"path_prefix": ""} | ({"after": after} if after else {})
+            query = {names.PREFIX_PARAMETER: ""} | ({names.AFTER_PARAMETER: after} if after else {})
             raw = await self._call("GET", names.RANGE_PATH, "list", query=query)
             page = self._decode(raw, RangeBody)
             revision = page.at if revision is None else revision
@@ -101,9 +105,9 @@
             PlatformError: The call failed.
         """
         query = {
-            "path_prefix": "",
-            "after": str(revision),
-            "wait_ms": str(int(wait_seconds * 1000)),
+            names.PREFIX_PARAMETER: "",
+            names.AFTER_PARAMETER: str(revision),
+            names.WAIT_PARAMETER: str(int(wait_seconds * 1000)),
         }
         limit = wait_seconds + CALL_LIMIT_SECONDS
         raw = await self._call("GET", names.WATCH_PATH, "watch", query=query, limit=limit)
@@ -120,7 +124,9 @@
     async def get(self, key: str) -> Entry | None:
         """Return a key's entry, or None."""
         try:
-            raw = await self._call("GET", names.KEY_PATH, "read key", query={"key": key})
+            raw = await self._call(
+                "GET", names.KEY_PATH, "read key", query={names.KEY_PARAMETER: key}
+            )
         except _StatusError as error:
             if error.status == NOT_FOUND:
                 return None
@@ -130,11 +136,10 @@
 
     async def transact(self, conditions: Sequence[ValueIs], puts: Sequence[Put]) -> int | None:
         """Write if all keys of the conditions are absent; return the revision or None."""
-        body = {
-            "expected_count": [{"key": condition.key, "rev": 0} for condition in conditions],
-            "put": [_put(put) for put in puts],
-            "remove": [],
-        }
+        body = TxnRequest(
+            [KeyRevision(condition.key, 0) for condition in conditions],
+            [_put(put) for put in puts],
+        )
         try:
             raw = await self._call("POST", names.TXN_PATH, "transact", body=body)
         except _StatusError as error:
@@ -145,7 +150,7 @@
 
     async def grant_lease(self, ttl_seconds: float) -> int:
         """Return the identifier of a new lease."""
-        body = {"ttl_ms": int(ttl_seconds * 1000)}
+        body = LeaseRequest(int(ttl_seconds * 1000))
         raw = await self._call(
             "POST", names.LEASE_PATH, "grant lease", body=body, limit=LEASE_CALL_LIMIT_SECONDS
         )
@@ -219,6 +224,5 @@
         self.status = status
 
 
-def _put(put: Put) -> dict[str, object]:
-    value = base64.b64encode(put.value).decode()
-    return {"key": put.key, "value": value, "lease": put.lease_id}
+def _put(put: Put) -> PutBody:
+    return PutBody(put.key, base64.b64encode(put.value).decode(), put.lease_id)
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -14,6 +14,7 @@
 
 from hillstack.core.routing_table import Route, RouteKind, RoutingTable, TenantEntry
 from hillstack.core.runner_pool import Runner
+from hillstack.daemon.fleet_metrics import FleetMetrics
 from hillstack.daemon.fleet_state import FleetState
 from hillstack.errors import BackendBrokenError
 from hillstack.serving.event_framing import EventFraming
@@ -77,6 +78,7 @@
         client: Sends attempts to runners.
         placement: Chooses runners.
         clock: Monotonic seconds.
+        metrics: Where results and latencies are counted.
     """
 
     def __init__(
@@ -85,7 +87,9 @@
         client: RunnerClient,
         placement: RunnerPlacement,
         clock: Callable[[], float],
+        metrics: FleetMetrics | None = None,
     ) -> None:
+        self._metrics = metrics or FleetMetrics()
         self._state = state
         self._client = client
         self._placement = placement
@@ -105,15 +109,37 @@
             StreamCutError: Its answer has begun and can't be completed.
         """
         self.active += 1
+        result = "left"
         try:
             job = self._admit(request)
             await self._run(job, sink)
+            result = "served"
         except RejectedError as error:
-            fields = {"request": request.request_id, "verdict": error.verdict, "step": error.step}
-            logger.info("rejected: " + error.message, extra=fields)
+            result = error.verdict.value
+            self._log_rejection(request, error)
+            raise
+        except StreamCutError:
+            result = "cut"
             raise
         finally:
             self.active -= 1
+            self._metrics.requests.labels(result).inc()
+            self._metrics.answer.observe(self._clock() - request.arrived_at)
+            if result == "left":
+                logger.info("caller left", extra={"request": request.request_id})
+
+    def _log_rejection(self, request: ServingRequest, error: RejectedError) -> None:
+        now = self._clock()
+        fields = {
+            "request": request.request_id,
+            "verdict": error.verdict,
+            "step": error.step,
+            "held_ms": round((now - request.arrived_at) * 1000, 1),
+            "retry_after": error.retry_after,
+            "store_age_ms": round(min(self._state.freshness.age(now), 1e6) * 1000),
+            "configuration": self._state.table.version if self._state.table is not None else None,
+        }
+        logger.info("rejected: " + error.message, extra=fields)
 
     def _admit(self, request: ServingRequest) -> Job:
         if not self._accepting:
@@ -204,6 +230,7 @@
         dispatch = self._dispatch(job, placed, now)
         self._placement.sent(job, placed, attempt_id, now)
         logger.info("attempt", extra=_attempt_fields(job, placed, dispatch))
+        self._count_tokens(job, placed)
         answer: RunnerAnswer | None = None
         job.runs += 1
         try:
@@ -215,6 +242,15 @@
             if answer is not None:
                 answer.close()
 
+    def _count_tokens(self, job: Job, placed: PlacedAttempt) -> None:
+        shape = job.request.shape
+        if shape is None or placed.salt is None:
+            return
+        fetched = shape.prompt_tokens - placed.matched_tokens - placed.prefill_tokens
+        self._metrics.tokens.labels("cached").inc(placed.matched_tokens)
+        self._metrics.tokens.labels("fetched").inc(max(0, fetched))
+        self._metrics.tokens.labels("prefilled").inc(placed.prefill_tokens)
+
     def _dispatch(self, job: Job, placed: PlacedAttempt, now: float) -> Dispatch:
         return Dispatch(
             runner_id=placed.runner.runner_id,
@@ -283,6 +319,7 @@
             raise BackendBrokenError("unsigned answer", step="relay", peer=runner.runner_id)
         if answer.status >= SERVER_ERROR and self._may_follow(job):
             job.excluded.add(runner.runner_id)
+            self._metrics.attempts.labels("error").inc()
             _log_outcome(job, runner, f"retry after status {answer.status}")
             return False
         if job.head_sent and answer.status not in SUCCESS:
@@ -292,6 +329,9 @@
         else:
             await self._relay_whole(job, answer, sink)
         self._state.pool.succeeded(runner)
+        self._metrics.attempts.labels("answered").inc()
+        if job.first_event_at is not None:
+            self._metrics.longest_pause.observe(job.longest_gap)
         _log_outcome(job, runner, f"status {answer.status}")
         return True
 
@@ -341,6 +381,7 @@
         now = self._clock()
         if job.first_event_at is None:
             job.first_event_at = now
+            self._metrics.first_event.observe(now - job.request.arrived_at)
         if job.last_event_at is not None:
             job.longest_gap = max(job.longest_gap, now - job.last_event_at)
         job.last_event_at = now
@@ -359,6 +400,7 @@
         now = self._clock()
         pool = self._state.pool
         job.runs -= 1
+        self._metrics.attempts.labels(error.cause.value).inc()
         job.excluded.add(runner.runner_id)
         match error.cause:
             case RefusalCause.UNREACHABLE:
@@ -380,6 +422,7 @@
         job.may_have_run = True
         job.excluded.add(runner.runner_id)
         self._state.pool.failed(runner, self._clock())
+        self._metrics.attempts.labels("broken").inc()
         _log_outcome(job, runner, f"broken at {error.step}: {error.message}")
         if not self._may_run_again(job):
             raise self._gave_up(job, Verdict.FAILED, error.message) from error
--- /dev/null
+++ b/tests/fleet/test_node_process.py
@@ -0,0 +1,252 @@
+"""The real daemon over loopback, before stand-ins of the store and the runners."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import aiohttp
+
+from hillstack.platform import names
+from hillstack.platform.formats import TenantBody
+from tests.fleet.builders import APPLICATION, ENGINES, HOST, KEY
+from tests.fleet.deployment import Deployment, deployment, until
+
+Scenario = Callable[[Deployment], Awaitable[None]]
+
+
+def play(folder: Path, scenario: Scenario) -> None:
+    async def main() -> None:
+        async with deployment(folder) as running:
+            await scenario(running)
+
+    asyncio.run(main())
+
+
+def test_a_request_is_served_whole_with_the_runners_words(tmp_path: Path) -> None:
+    async def scenario(running: Deployment) -> None:
+        runner = await running.add_runner("i-1")
+        node = await running.add_node("node-1")
+        answer = await running.call(node, "/safe/x?a=%20b")
+        assert (answer.status, answer.body) == (200, b"i-1:body")
+        assert answer.headers[names.SIGNATURE] == "i-1.r-1"
+        headers = runner.seen_headers[0]
+        assert names.API_KEY.lower() not in headers
+        assert headers[names.TENANT.lower()] == "tenant-1"
+        assert headers[names.EXPECT_INSTANCE.lower()] == "i-1"
+        assert (await running.call(node, "/none/")).status == 404
+        stranger = await running.call(node, "/safe/x", **{names.API_KEY: "stranger"})
+        assert stranger.status == 401
+        assert runner.ran == ["r-1"]
+
+    play(tmp_path, scenario)
+
+
+def test_a_stream_that_breaks_goes_on_at_another_runner(tmp_path: Path) -> None:
+    async def scenario(running: Deployment) -> None:
+        runners = [await running.add_runner(name, ENGINES) for name in ("i-1", "i-2")]
+        node = await running.add_node("node-1")
+        for runner in runners:
+            runner.faults.break_after = 3
+        answer = await running.call(node, "/stream/x")
+        ids = [line for line in answer.body.decode().splitlines() if line.startswith("id:")]
+        assert ids == [f"id: {number}" for number in range(1, 6)]
+        assert [len(runner.ran) for runner in runners] == [1, 1]
+
+    play(tmp_path, scenario)
+
+
+def test_a_request_that_may_run_once_is_sent_once(tmp_path: Path) -> None:
+    async def scenario(running: Deployment) -> None:
+        runners = [await running.add_runner(name) for name in ("i-1", "i-2")]
+        node = await running.add_node("node-1")
+        for runner in runners:
+            runner.faults.hang = True
+        answer = await running.call(node, "/once/x", **{names.DEADLINE: "700"})
+        assert answer.status == 504
+        await until(lambda: sum(len(r.left) for r in runners) == 1, "the runner is let go")
+        assert sum(len(runner.ran) for runner in runners) == 1
+
+    play(tmp_path, scenario)
+
+
+def test_a_caller_that_leaves_frees_the_runner(tmp_path: Path) -> None:
+    async def scenario(running: Deployment) -> None:
+        runner = await running.add_runner("i-1")
+        node = await running.add_node("node-1")
+        runner.faults.hang = True
+        call = asyncio.create_task(running.call(node, "/once/x"))
+        await until(lambda: runner.ran == ["r-1"], "the request runs")
+        call.cancel()
+        await until(lambda: runner.left == ["r-1"], "the runner is let go")
+
+    play(tmp_path, scenario)
+
+
+def test_refusals_that_promise_name_a_time(tmp_path: Path) -> None:
+    async def scenario(running: Deployment) -> None:
+        runner = await running.add_runner("i-1")
+        node = await running.add_node("node-1")
+        runner.faults.shed = True
+        answer = await running.call(node, "/once/x")
+        assert answer.status == 503 and float(answer.headers[names.RETRY_AFTER]) > 0
+        assert runner.ran == []
+
+    play(tmp_path, scenario)
+
+
+def test_new_weights_reach_all_runners_under_one_fence(tmp_path: Path) -> None:
+    async def scenario(running: Deployment) -> None:
+        runners = [await running.add_runner(f"i-{n}", ENGINES) for n in range(3)]
+        nodes = [await running.add_node(f"node-{n}") for n in range(2)]
+        await until(lambda: running.store.value(names.DUTY_KEY) is not None, "a holder")
+        running.name_weights(2)
+        await until(lambda: all(runner.weights == 2 for runner in runners), "version 2")
+        running.name_weights(3)
+        await until(lambda: all(runner.weights == 3 for runner in runners), "version 3")
+        fences = {order.fence for runner in runners for order in runner.orders}
+        holders = {order.holder for runner in runners for order in runner.orders}
+        assert len(fences) == len(holders) == 1
+        assert (await running.call(nodes[0], "/stream/x")).status == 200
+
+    play(tmp_path, scenario)
+
+
+def test_the_duty_goes_to_another_node_with_a_higher_fence(tmp_path: Path) -> None:
+    async def scenario(running: Deployment) -> None:
+        runner = await running.add_runner("i-1", ENGINES)
+        nodes = [await running.add_node(f"node-{n}") for n in range(2)]
+        await until(lambda: running.store.value(names.DUTY_KEY) is not None, "a holder")
+        running.name_weights(2)
+        await until(lambda: runner.weights == 2, "version 2")
+        holder = runner.orders[-1].holder
+        first_fence = runner.orders[-1].fence
+        next(node for node in nodes if node.name == holder).process.kill()
+        running.name_weights(3)
+        await until(lambda: runner.weights == 3, "version 3 by the other node")
+        assert runner.orders[-1].holder != holder
+        assert runner.orders[-1].fence > first_fence
+
+    play(tmp_path, scenario)
+
+
+def test_a_planned_stop_cuts_no_stream_and_leaves_the_entry(tmp_path: Path) -> None:
+    async def scenario(running: Deployment) -> None:
+        runner = await running.add_runner("i-1", ENGINES)
+        runner.events = 60
+        node = await running.add_node("node-1")
+        call = asyncio.create_task(running.call(node, "/stream/x"))
+        await until(lambda: runner.ran == ["r-1"], "the stream runs")
+        running.stop_node(node)
+        await running.wait_ready(node, status=503)
+        answer = await call
+        assert answer.status == 200 and answer.body.count(b"id: ") == 60
+        late = await running.call(node, "/stream/x", request_id="r-2")
+        assert late.headers.get("Connection", "").lower() == "close"
+        assert await running.ended(node) == 0
+        assert running.store.value(names.DUTY_KEY) is None
+        assert node.messages()[-1] == "stopped"
+
+    play(tmp_path, scenario)
+
+
+def test_a_revoked_key_is_refused_and_an_outage_fails_closed(tmp_path: Path) -> None:
+    async def scenario(running: Deployment) -> None:
+        runner = await running.add_runner("i-1")
+        node = await running.add_node("node-1", revoke_ms=1_500)
+        running.configure(tenants=[TenantBody("tenant-1", ["other"])])
+        await until(lambda: "configuration in force" in node.messages()[-1:], "version 2")
+        assert (await running.call(node, "/safe/x")).status == 401
+        running.configure(tenants=[TenantBody("tenant-1", [KEY])])
+        await running.call_until(node, "/safe/x", 200)
+        running.store.down = True
+        await until(lambda: "store lost" in node.messages(), "the node notices")
+        refusal = await running.call_until(node, "/safe/x", 503)
+        assert names.RETRY_AFTER in refusal.headers
+        ran = len(runner.ran)
+        running.store.down = False
+        await running.call_until(node, "/safe/x", 200)
+        assert len(runner.ran) == ran + 1
+        assert "store regained" in node.messages()
+
+    play(tmp_path, scenario)
+
+
+def test_a_draining_runner_gets_no_new_work(tmp_path: Path) -> None:
+    async def scenario(running: Deployment) -> None:
+        leaving, staying = [await running.add_runner(name) for name in ("i-1", "i-2")]
+        node = await running.add_node("node-1")
+        running.list_runner("i-1", state="draining")
+        await until(
+            lambda: any(line.get("draining") for line in node.log()), "the node knows of it"
+        )
+        for number in range(6):
+            await running.call(node, "/safe/x", request_id=f"r-{number}")
+        assert leaving.ran == [] and len(staying.ran) == 6
+
+    play(tmp_path, scenario)
+
+
+def test_a_node_is_not_ready_before_it_knows_a_configuration(tmp_path: Path) -> None:
+    async def scenario(running: Deployment) -> None:
+        await running.add_runner("i-1")
+        running.store.down = True
+        node = running.launch("node-1")
+        await running.wait_ready(node, status=503)
+        answer = await running.call(node, "/safe/x")
+        assert answer.status == 503
+        running.store.down = False
+        await running.wait_ready(node)
+        assert (await running.call(node, "/safe/x")).status == 200
+
+    play(tmp_path, scenario)
+
+
+def test_settings_are_read_again_and_bad_ones_refused(tmp_path: Path) -> None:
+    async def scenario(running: Deployment) -> None:
+        await running.add_runner("i-1")
+        node = await running.add_node("node-1")
+        path = tmp_path / "node-1.toml"
+        good = path.read_text()
+        path.write_text(good.replace("[node]", "[node"))
+        running.stop_node(node, signal.SIGHUP)
+        await until(lambda: any(m.startswith("settings kept") for m in node.messages()), "refusal")
+        path.write_text(good)
+        running.stop_node(node, signal.SIGHUP)
+        await until(lambda: "settings read again" in node.messages(), "reload")
+        assert (await running.call(node, "/safe/x")).status == 200
+
+    play(tmp_path, scenario)
+
+
+def test_metrics_tell_of_requests_attempts_and_beliefs(tmp_path: Path) -> None:
+    async def scenario(running: Deployment) -> None:
+        await running.add_runner("i-1", ENGINES)
+        node = await running.add_node("node-1")
+        await running.call(node, "/stream/x")
+        await running.call(node, "/none/")
+        url = f"http://127.0.0.1:{node.metrics_port}/metrics"
+        async with aiohttp.ClientSession() as session, session.get(url) as response:
+            text = await response.text()
+        for line in (
+            'hillstack_requests_total{result="served"} 1.0',
+            'hillstack_requests_total{result="no_route"} 1.0',
+            'hillstack_attempts_total{outcome="answered"} 1.0',
+            "hillstack_first_event_seconds_count 1.0",
+            "hillstack_configuration_version 1.0",
+        ):
+            assert line in text
+
+    play(tmp_path, scenario)
+
+
+def test_hosts_are_told_apart(tmp_path: Path) -> None:
+    async def scenario(running: Deployment) -> None:
+        await running.add_runner("i-1", APPLICATION)
+        node = await running.add_node("node-1")
+        assert (await running.call(node, "/safe/x", Host="other.example")).status == 404
+        assert (await running.call(node, "/safe/x", Host=HOST.upper())).status == 200
+
+    play(tmp_path, scenario)
