A new holder of the duty waits only for the runners ordered lately; stopping nodes leave it to others

Change: the wait holds for each runner by itself; SIGTERM ends candidacy; a runner that was ordered and not reported is tried with the ordered version, which it refuses if it has another.

--- a/src/hillstack/core/placement/expected_delay.py
+++ b/src/hillstack/core/placement/expected_delay.py
@@ -80,11 +80,13 @@
     """A runner that may take the request, and the salt that its weights ask for.
 
     Attributes:
+        weights_version: Version that the request asks for.
         begin_before: When a request must have begun at the latest, since newer weights are due.
     """
 
     runner: Runner
     salt: str
+    weights_version: int = 0
     begin_before: float = math.inf
 
 
--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -77,6 +77,8 @@
     Attributes:
         prefill_done_at: When the prefills sent so far are expected to be done.
         suspected_until: It gets no new request before.
+        ordered_weights: Versions that it was ordered to load, by model.
+        peer_ordered_at: When a peer is last known to have ordered it.
         unlisted_until: The directory dropped it, but it may be used until then; None if listed.
     """
 
@@ -88,6 +90,8 @@
     suspected_until: float = 0.0
     shed_until: float = 0.0
     loading_until: float = 0.0
+    ordered_weights: dict[str, int] = field(default_factory=dict)
+    peer_ordered_at: float = float("-inf")
     closing_since: float | None = None
     closing_until: float = 0.0
     leaving: bool = False
@@ -123,9 +127,20 @@
         return any(attempt.started or now > attempt.due_at for attempt in self.attempts.values())
 
     def weights_version(self, model: str) -> int:
-        """Return the version of a model's weights that it is believed to serve."""
+        """Return the version of a model's weights that it is known to serve."""
         return self.weights.get(model, 0)
 
+    def likely_weights(self, model: str, now: float) -> int:
+        """Return the version that it most likely serves.
+
+        A runner that was ordered to load, and of which no end of the load was told, has probably
+        loaded. A request names the version that it wants, so a wrong guess is refused, not run.
+        """
+        known = self.weights.get(model, 0)
+        if now < self.loading_until:
+            return known
+        return max(known, self.ordered_weights.get(model, 0))
+
     def running(self, now: float) -> int:
         """Return the requests believed to be at it."""
         return len(self.attempts) + sum(load.running for load in self._fresh_loads(now))
@@ -240,6 +255,7 @@
     def correct_weights(self, runner: Runner, model: str, version: int) -> None:
         """Take over the version that a runner named when it refused another."""
         runner.weights[model] = version
+        runner.ordered_weights.pop(model, None)
 
     def sent(self, runner: Runner, attempt_id: str, attempt: OwnAttempt, rate: float) -> None:
         """Note an attempt that is being sent."""
@@ -297,9 +313,10 @@
         """Note that a runner refused a request because it is full or loading."""
         runner.shed_until = now + SHED_SECONDS
 
-    def note_loading(self, runner: Runner, now: float) -> None:
+    def note_loading(self, runner: Runner, model: str, version: int, now: float) -> None:
         """Note that a runner is about to load weights, or is loading them."""
         runner.loading_until = now + LOADING_SECONDS
+        runner.ordered_weights[model] = version
 
     def note_closing(self, runner: Runner, now: float) -> None:
         """Note that a runner loads weights soon and should get no long streams."""
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -205,6 +205,7 @@
         self._stopping = True
         started_at = self._clock()
         logger.info("stopping", extra={"active": self._pipeline.active})
+        self._duty.stop_acquiring()
         limit = started_at + self._settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
         while self._clock() < limit:
             elapsed = self._clock() - started_at
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -207,7 +207,8 @@
         if runner is None:
             return
         if notice.phase is WeightsPhase.LOADING:
-            self._state.pool.note_loading(runner, now)
+            self._state.pool.note_loading(runner, notice.model, notice.version, now)
+            runner.peer_ordered_at = now
         elif notice.phase is WeightsPhase.CLOSING:
             self._state.pool.note_closing(runner, now)
         elif self._state.pool.observe_weights(runner, notice.model, notice.version):
--- a/src/hillstack/daemon/rollout_duty.py
+++ b/src/hillstack/daemon/rollout_duty.py
@@ -64,7 +64,6 @@
         self._clock = clock
         self._rng = rng
         self._started_at = clock()
-        self._orders_from = 0.0
         self._held = False
         self._orders_taken: dict[str, int] = {}
         self._loading: dict[str, asyncio.Task[None]] = {}
@@ -96,9 +95,14 @@
         """Give orders while the lease is held, until cancelled."""
         while True:
             await asyncio.sleep(TICK_SECONDS)
-            if self._lease.fence() is not None and self._clock() >= self._orders_from:
+            # A node that has just started does not know whom others have ordered lately.
+            if self._lease.fence() is not None and self._clock() >= self._started_at + self._turn:
                 self._begin_loads()
 
+    def stop_acquiring(self) -> None:
+        """Leave the duty to others from now on, unless it is held already."""
+        self._stopping = True
+
     async def hand_over(self) -> None:
         """Give the duty up before a planned stop."""
         self._stopping = True
@@ -120,21 +124,18 @@
             return
         self._held = held
         if held:
-            self._orders_from = self._first_order_at()
             self._state.duty_holder = self._state.node_id
-        wait = round(max(0.0, self._orders_from - self._clock()), 2)
-        fields = {"fence": self._lease.fence(), "wait_seconds": wait}
+        fields = {"fence": self._lease.fence()}
         logger.info("duty lease held" if held else "duty lease lost", extra=fields)
 
-    def _first_order_at(self) -> float:
-        """Return when the last order of any other holder is surely long enough ago."""
-        known_since = self._started_at
-        heard = self._peers.peer_ordered_at
-        return self._turn + (known_since if heard is None else max(known_since, heard))
-
     def _begin_loads(self) -> None:
         now = self._clock()
         resting = {runner for runner, until in self._resting_until.items() if now < until}
+        resting.update(
+            runner.runner_id
+            for runner in self._state.pool.all()
+            if now < runner.peer_ordered_at + self._turn
+        )
         for model in self._state.versions.models():
             runners = [
                 runner
@@ -238,7 +239,7 @@
     def _announce(self, runner: Runner, model: str, version: int, phase: WeightsPhase) -> None:
         now = self._clock()
         if phase is WeightsPhase.LOADING:
-            self._state.pool.note_loading(runner, now)
+            self._state.pool.note_loading(runner, model, version, now)
         elif self._state.pool.observe_weights(runner, model, version):
             fields = {"runner": runner.runner_id, "version": version, "source": "report"}
             logger.info("weights served", extra=fields)
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -125,10 +125,6 @@
         if store is not None:
             self._state.index.note(store.address, notice.salt, parts)
 
-    def begin_before(self, model: str, runner: Runner) -> float:
-        """Return when a request must have begun on the weights that the runner has."""
-        return self._state.versions.deadline(model, runner.weights_version(model))
-
     def prefill_rate(self, service: str) -> float:
         """Return the tokens a second that runners of a service are seen to prefill."""
         return self._rates.get(service, DEFAULT_PREFILL_RATE)
@@ -158,10 +154,10 @@
         accepting = [
             runner
             for runner in self._state.pool.accepting(job.service, now)
-            if runner.weights_version(model) >= oldest
+            if runner.likely_weights(model, now) >= oldest
         ]
         candidates = [
-            Candidate(runner, self._salt(job, runner), self.begin_before(model, runner))
+            self._candidate(job, runner, now)
             for runner in accepting
             if runner.runner_id not in job.excluded
         ]
@@ -170,7 +166,13 @@
             candidates = staying or candidates
         around = self._surroundings(job, engine, now)
         choice = self._policy.choose(shape, candidates, around, accepting)
-        return self._placed(choice, model, around.store) if choice is not None else None
+        return self._placed(choice, around.store) if choice is not None else None
+
+    def _candidate(self, job: Job, runner: Runner, now: float) -> Candidate:
+        model = job.request.model
+        version = runner.likely_weights(model, now)
+        due = self._state.versions.deadline(model, version)
+        return Candidate(runner, self._salt(job, version), version, due)
 
     def _surroundings(self, job: Job, engine: EngineProfile, now: float) -> Surroundings:
         table = self._state.table
@@ -185,7 +187,7 @@
             gap_seconds=table.shortest_gap(job.service),
         )
 
-    def _placed(self, choice: Choice, model: str, store: KeptCacheStore | None) -> PlacedAttempt:
+    def _placed(self, choice: Choice, store: KeptCacheStore | None) -> PlacedAttempt:
         runner = choice.candidate.runner
         return PlacedAttempt(
             runner=runner,
@@ -193,16 +195,15 @@
             prefill_tokens=choice.prefill_tokens,
             matched_tokens=choice.matched_tokens,
             salt=choice.candidate.salt,
-            weights_version=runner.weights_version(model),
+            weights_version=choice.candidate.weights_version,
             fetch_from=choice.fetch_from,
             save_to=store.address if store is not None else None,
         )
 
-    def _salt(self, job: Job, runner: Runner) -> str:
+    def _salt(self, job: Job, version: int) -> str:
         tenant = job.tenant
         wall = f"t:{tenant.name}" if tenant is not None and tenant.isolated else SHARED_SALT
-        model = job.request.model
-        return f"{wall}|{model}|{runner.weights_version(model)}"
+        return f"{wall}|{job.request.model}|{version}"
 
     def _store(self) -> KeptCacheStore | None:
         table = self._state.table
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -37,7 +37,7 @@
     shared: PromptPart = SHARED,
 ) -> Choice | None:
     around = Surroundings("zone-a", ENGINE, RATE, store, 0.0, 0.6, 0.5)
-    candidates = [Candidate(runner, SALT, begin_before) for runner in runners]
+    candidates = [Candidate(runner, SALT, 1, begin_before) for runner in runners]
     shape = PromptShape((shared, OWN), output)
     return ExpectedDelayPlacement(index).choose(shape, candidates, around, runners)
 
--- a/tests/fleet/test_runner_pool.py
+++ b/tests/fleet/test_runner_pool.py
@@ -88,7 +88,7 @@
 
 def test_versions_rise_by_what_is_seen_and_fall_only_by_the_runners_word() -> None:
     pool, runner = make_pool()
-    pool.note_loading(runner, 0.0)
+    pool.note_loading(runner, MODEL, 3, 0.0)
     assert not runner.accepts(LOADING_SECONDS / 2)
     assert pool.observe_weights(runner, MODEL, 3)
     assert runner.accepts(LOADING_SECONDS / 2)
@@ -119,3 +119,13 @@
     assert runner.prefill_wait(0.2) > 0
     pool.started(runner, "b", 1_000.0, 0.4)
     assert runner.prefill_wait(0.4) == 0.0
+
+
+def test_a_runner_whose_load_was_not_told_to_have_ended_probably_has_loaded() -> None:
+    pool, runner = make_pool()
+    pool.note_loading(runner, MODEL, 4, 0.0)
+    assert runner.likely_weights(MODEL, LOADING_SECONDS / 2) == 1
+    assert runner.likely_weights(MODEL, LOADING_SECONDS) == 4
+    assert runner.weights_version(MODEL) == 1
+    pool.correct_weights(runner, MODEL, 2)
+    assert runner.likely_weights(MODEL, LOADING_SECONDS) == 2
