--- a/src/hillstack/cli/main.py
+++ b/src/hillstack/cli/main.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from hillstack.cli import bundle, emulator, experiment, router, status
+from hillstack.cli import bundle, emulator, experiment, fleet, router, status
 
 app = typer.Typer(
     help="hillstack: a router for language-model traffic with long shared prompts.",
@@ -17,6 +17,7 @@
 app.add_typer(bundle.app, name="bundle")
 app.add_typer(emulator.app, name="emulator")
 app.add_typer(experiment.app, name="experiment")
+app.add_typer(fleet.app, name="fleet")
 
 
 def run() -> None:
--- a/src/hillstack/daemon/fleet_main.py
+++ b/src/hillstack/daemon/fleet_main.py
@@ -10,7 +10,7 @@
 import sys
 from pathlib import Path
 
-from hillstack.config.fleet_settings import load_fleet_settings
+from hillstack.config.fleet_settings import FleetSettings, load_fleet_settings
 from hillstack.daemon.fleet_node import FleetNode
 from hillstack.errors import SettingsError
 from hillstack.logs import configure_bounded_logging
@@ -27,6 +27,11 @@
     except SettingsError as error:
         print(f"error: {error}", file=sys.stderr)
         raise SystemExit(EXIT_INVALID_SETTINGS) from None
+    run_node(settings, path)
+
+
+def run_node(settings: FleetSettings, path: Path) -> None:
+    """Run a node with settings that were read from a file."""
     configure_bounded_logging(settings.log.level, settings.node.id, settings.log.lines_per_second)
 
     async def run() -> None:
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -10,7 +10,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 
 from hillstack.core.routing_table import Route, RouteKind, RoutingTable, TenantEntry
 from hillstack.core.runner_pool import Runner
@@ -210,6 +210,9 @@
             raise self._gave_up(job, Verdict.UNAVAILABLE, "no further attempt allowed")
         placed = self._placement.choose(job, now)
         if placed is None:
+            fields: dict[str, object] = {"request": job.request.request_id, "service": job.service}
+            fields |= asdict(self._placement.census(job, now))
+            logger.info("no runner", extra=fields)
             raise self._gave_up(job, Verdict.UNAVAILABLE, "no runner takes work")
         return placed
 
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -48,6 +48,27 @@
     save_to: str | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class RunnerCensus:
+    """Why the runners of a service do or do not take a request; a runner counts once.
+
+    Attributes:
+        known: All runners.
+        leaving: They drain, or are gone.
+        suspected: They failed or were silent.
+        loading: They load weights.
+        too_old: Their weights must not be used any more.
+        tried: They were tried for this request.
+    """
+
+    known: int = 0
+    leaving: int = 0
+    suspected: int = 0
+    loading: int = 0
+    too_old: int = 0
+    tried: int = 0
+
+
 class RunnerPlacement:
     """Placement for one node.
 
@@ -73,6 +94,25 @@
             return self._choose_application(job, now)
         return self._choose_engine(job, job.request.shape, engine, now)
 
+    def census(self, job: Job, now: float) -> RunnerCensus:
+        """Return why runners do not take the request, for the log."""
+        model = job.request.model
+        oldest = self._state.versions.oldest_allowed(model, now + VERSION_MARGIN_SECONDS)
+        counts = dict.fromkeys(("leaving", "suspected", "loading", "too_old", "tried"), 0)
+        runners = self._state.pool.of_service(job.service)
+        for runner in runners:
+            if runner.leaving or runner.entry.draining:
+                counts["leaving"] += 1
+            elif now < runner.suspected_until:
+                counts["suspected"] += 1
+            elif now < runner.loading_until:
+                counts["loading"] += 1
+            elif model and runner.likely_weights(model, now) < oldest:
+                counts["too_old"] += 1
+            elif runner.runner_id in job.excluded:
+                counts["tried"] += 1
+        return RunnerCensus(known=len(runners), **counts)
+
     def sent(self, job: Job, placed: PlacedAttempt, attempt_id: str, now: float) -> None:
         """Note an attempt that is being sent, and tell the peers."""
         shape = job.request.shape
--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -402,3 +402,19 @@
     assert runner is not None and runner.prefill_wait(0.0) > 0
     matched = other.state.index.matched_tokens("i-1", notice.salt, notice.prompt_parts())
     assert matched == 2_000
+
+
+def test_the_log_says_why_no_runner_took_a_request(caplog: pytest.LogCaptureFixture) -> None:
+    bench = make_bench(i_1=refuses(RefusalCause.FULL), i_22=answers(b"x"), i_333=answers(b"x"))
+    for name, change in (("i-22", "draining"), ("i-333", "suspected")):
+        runner = bench.state.pool.get(name)
+        assert runner is not None
+        if change == "draining":
+            runner.leaving = True
+        else:
+            runner.suspected_until = 100.0
+    with caplog.at_level("INFO"):
+        bench.serve(make_request())
+    line = next(record for record in caplog.records if record.message == "no runner")
+    told = {key: getattr(line, key) for key in ("known", "leaving", "suspected", "tried")}
+    assert told == {"known": 3, "leaving": 1, "suspected": 1, "tried": 1}
