--- a/src/hillstack/daemon/rollout_duty.py
+++ b/src/hillstack/daemon/rollout_duty.py
@@ -13,7 +13,7 @@
 from hillstack.daemon.fleet_state import FleetState
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.weights_orders import OrderOutcome, OrderSender, WeightsOrder
-from hillstack.errors import BackendError, PlatformError
+from hillstack.errors import BackendError, PlatformError, PlatformUnavailableError
 from hillstack.logs import error_fields
 from hillstack.messages.peer_notices import WeightsNotice, WeightsPhase
 
@@ -22,6 +22,7 @@
 TICK_SECONDS = 0.05
 RENEW_SECONDS = 0.4
 RENEW_RETRY_SECONDS = 0.1
+RENEW_REFUSED_SECONDS = 0.3
 ACQUIRE_JITTER_SECONDS = 0.25
 ANNOUNCE_SECONDS = 0.03
 POLL_SECONDS = 0.12
@@ -87,7 +88,7 @@
                 await self._lease.renew_or_acquire()
             except PlatformError as error:
                 logger.info("duty lease not renewed", extra=error_fields(error))
-                pause = RENEW_RETRY_SECONDS
+                pause = renewal_pause(error)
                 continue
             self._note_held(self._lease.fence() is not None)
 
@@ -244,3 +245,14 @@
             fields = {"runner": runner.runner_id, "version": version, "source": "report"}
             logger.info("weights served", extra=fields)
         self._peers.weights(WeightsNotice(runner.runner_id, model, version, phase))
+
+
+def renewal_pause(error: PlatformError) -> float:
+    """Return the pause before a lease is renewed again.
+
+    A lost answer may have been one of its kind, and the lease runs: ask again at once. A store that
+    refuses will refuse again, and each call costs.
+    """
+    if isinstance(error, PlatformUnavailableError):
+        return RENEW_REFUSED_SECONDS
+    return RENEW_RETRY_SECONDS
