--- a/src/hillstack/config/fleet_settings.py
+++ b/src/hillstack/config/fleet_settings.py
@@ -8,7 +8,7 @@
 import math
 import tomllib
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -26,6 +26,8 @@
     """Who this node is.
 
     Attributes:
+        id: Name of the node, unique in the deployment.
+        zone: Zone of the node.
         address: IP number at which peers reach it.
     """
 
@@ -41,7 +43,7 @@
         callers: ``IP:PORT`` for callers.
         readiness: ``IP:PORT`` for the readiness question.
         peers_port: UDP port for other nodes.
-        metrics_port: TCP port for metrics, None for none.
+        metrics_port: TCP port for metrics; none by default.
     """
 
     callers: Text
@@ -51,13 +53,29 @@
 
 
 class StoreSection(msgspec.Struct, frozen=True):
-    """Where the metadata store is."""
+    """Where the metadata store is.
+
+    Attributes:
+        address: ``IP:PORT``.
+    """
 
     address: Text
 
 
 class BoundsSection(msgspec.Struct, frozen=True):
-    """Bounds that the operator sets, in the unit that the name says."""
+    """Bounds that the operator sets, in the unit that the name says.
+
+    Attributes:
+        fail_closed: Whether requests with a key are refused when the store has not answered lately.
+        revoke_ms: Time after which a removed key must not be served any more.
+        contact_ms: Time after a start in which a node is not held to bounds.
+        lease_ms: Time that must lie between the orders of two holders of a duty to one runner.
+        version_ms: Time after which a version of weights that was named must be in use.
+        grace_seconds: Time between SIGTERM and the end of the process.
+        retry_ratio: Further attempts allowed for each request to a service.
+        retry_slack: Further attempts allowed in a window beyond the ratio, over all nodes.
+        retry_window_seconds: Length of that window.
+    """
 
     fail_closed: bool = False
     revoke_ms: PositiveFloat = 5_000.0
@@ -74,15 +92,16 @@
     """Logs.
 
     Attributes:
+        level: Least severe level that is logged.
         lines_per_second: Most lines written in a second; more are dropped and counted.
     """
 
-    level: str = "INFO"
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
     lines_per_second: PositiveInt = 300
 
 
 class FleetSettings(msgspec.Struct, frozen=True):
-    """All settings of a node of the fleet."""
+    """All settings of ``hillstack fleet run``."""
 
     node: NodeSection
     listen: ListenSection
--- a/tools/make_configuration_page.py
+++ b/tools/make_configuration_page.py
@@ -5,12 +5,15 @@
 import inspect
 import sys
 from pathlib import Path
+from typing import get_args
 
+import msgspec
 from pydantic import BaseModel
 from pydantic.fields import FieldInfo
 from pydantic_core import PydanticUndefined
 
 from hillstack.config import bundle
+from hillstack.config.fleet_settings import FleetSettings
 from hillstack.config.settings import RouterSettings
 from hillstack.simulation.experiment_config import ExperimentConfig
 
@@ -45,6 +48,13 @@
 """
 
 
+FLEET_INTRODUCTION = """## Settings of a fleet's node
+
+`hillstack fleet run --settings FILE`. Unknown keys are passed over, since the platform that fills
+the file may add some; a bad value is an error as above.
+"""
+
+
 def main() -> int:
     """Write the page."""
     PAGE.write_text(render())
@@ -58,6 +68,9 @@
         section = field.annotation
         assert isinstance(section, type)
         parts.append(f"### `[{name}]`\n\n{_summary(section)}\n\n{_table(section)}\n")
+    parts.append(FLEET_INTRODUCTION)
+    for entry in msgspec.structs.fields(FleetSettings):
+        parts.append(_struct_section(entry.name, entry.type))
     parts.append("## Bundle\n")
     parts += [_part(kind) for kind in BUNDLE_PARTS]
     parts.append("## Experiment\n")
@@ -65,6 +78,28 @@
     return "\n".join(parts)
 
 
+def _struct_section(name: str, kind: type[msgspec.Struct]) -> str:
+    """Return the table of a section whose keys are described in its doc comment."""
+    meanings = _attribute_texts(kind)
+    lines = ["| key | type | default | meaning |", "|---|---|---|---|"]
+    for entry in msgspec.structs.fields(kind):
+        default = "required" if entry.required else f"`{entry.default}`"
+        plain = (get_args(entry.type) or (entry.type,))[0]
+        plain = (get_args(plain) or (plain,))[0]
+        shown = type(plain).__name__ if isinstance(plain, str) else plain.__name__
+        lines.append(f"| `{entry.name}` | `{shown}` | {default} | {meanings[entry.name]} |")
+    return f"### `[{name}]` (fleet)\n\n{_summary(kind)}\n\n" + "\n".join(lines) + "\n"
+
+
+def _attribute_texts(kind: type[object]) -> dict[str, str]:
+    text = inspect.cleandoc(kind.__doc__ or "").partition("Attributes:\n")[2]
+    texts: dict[str, str] = {}
+    for line in text.splitlines():
+        name, _, meaning = line.strip().partition(": ")
+        texts[name] = meaning
+    return texts
+
+
 def _part(kind: type[BaseModel]) -> str:
     text = inspect.cleandoc(kind.__doc__ or "")
     for heading in ("Args:", "Attributes:"):
