--- a/src/hillstack/daemon/rollout_duty.py
+++ b/src/hillstack/daemon/rollout_duty.py
@@ -173,7 +173,7 @@
         self._announce(runner, model, self._state.versions.newest(model), WeightsPhase.LOADING)
         await asyncio.sleep(ANNOUNCE_SECONDS)
         try:
-            while self._clock() < limit and self._lease.fence() is not None:
+            while self._may_go_on(runner, limit):
                 version = self._state.versions.newest(model)
                 if await self._advance(runner, model, version):
                     self._announce(runner, model, version, WeightsPhase.SERVED)
@@ -183,9 +183,15 @@
                 self._announce(runner, model, version, WeightsPhase.LOADING)
         except BackendError as error:
             fields = error_fields(error) | {"runner": runner.runner_id}
-            logger.warning("order without an answer", extra=fields)
+            logger.warning("runner not reached", extra=fields)
+            self._state.pool.failed(runner, self._clock())
             self._resting_until[runner.runner_id] = self._clock() + REST_SECONDS
 
+    def _may_go_on(self, runner: Runner, limit: float) -> bool:
+        if runner.leaving or self._lease.fence() is None:
+            return False
+        return self._clock() < limit
+
     async def _advance(self, runner: Runner, model: str, version: int) -> bool:
         """Look at a runner and order it if it is idle; return whether it serves the version."""
         if runner.weights_version(model) >= version:
@@ -213,7 +219,14 @@
             expected,
         )
         self._peers.ordered_at = self._clock()
-        outcome = await self._sender.order_weights(order)
+        try:
+            outcome = await self._sender.order_weights(order)
+        except BackendError as error:
+            # It may have been taken, or may be carried out later: the next report tells, and the
+            # expected number of orders lets at most one of both take effect.
+            fields = error_fields(error) | {"runner": runner.runner_id, "version": version}
+            logger.warning("order without an answer", extra=fields)
+            return
         self._take_outcome(runner, order, outcome)
         # The report tells of the order only after its lag.
         await asyncio.sleep(REPORT_LAG_SECONDS)
--- a/tests/fleet/test_rollout_duty.py
+++ b/tests/fleet/test_rollout_duty.py
@@ -98,6 +98,7 @@
     busy_until: dict[str, float] = field(default_factory=dict)
     target: dict[str, int] = field(default_factory=dict)
     orders: list[tuple[float, WeightsOrder]] = field(default_factory=list)
+    replaced: set[str] = field(default_factory=set)
     lose: int = 0
     late: float | None = None
     loading_most: int = 0
@@ -125,6 +126,8 @@
     def _take(self, order: WeightsOrder) -> OrderOutcome:
         runner_id = order.runner_id
         self._settle(runner_id)
+        if runner_id in self.replaced:
+            return OrderOutcome.OTHER_INSTANCE
         if order.fence < self.fences.get(runner_id, 0):
             return OrderOutcome.FENCED
         if order.expected_orders != self.taken.get(runner_id, 0):
@@ -306,3 +309,16 @@
     lost = PlatformOutcomeUnknownError("timeout", step="renew", peer="store")
     assert renewal_pause(refused) == RENEW_REFUSED_SECONDS > RENEW_RETRY_SECONDS
     assert renewal_pause(lost) == RENEW_RETRY_SECONDS
+
+
+def test_a_runner_whose_address_has_another_process_is_ordered_once() -> None:
+    bench = Bench()
+    node = bench.add_node("node-1")
+    bench.run(4.0)
+    bench.runners.replaced.add("i-0")
+    bench.name_weights(2, node)
+    bench.run(10.0)
+    assert [order.runner_id for _, order in bench.runners.orders].count("i-0") == 1
+    others = {runner: version for runner, version in settled(bench).items() if runner != "i-0"}
+    assert set(others.values()) == {2}
+    bench.scheduler.close()
