--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 
 mutate: $(STAMP)
 	$(BIN)/python tools/mutate.py
+	$(BIN)/python tools/mutate_fleet.py
 
 experiment: $(STAMP)
 	$(BIN)/python tools/experiments.py
--- /dev/null
+++ b/src/hillstack/serving/job.py
@@ -0,0 +1,113 @@
+"""A request on its way through the pipeline, and what the log tells of its attempts."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass, field
+
+from hillstack.core.routing_table import Route, TenantEntry
+from hillstack.core.runner_pool import Runner
+from hillstack.serving.event_framing import EventFraming
+from hillstack.serving.types import Dispatch, RejectedError, ServingRequest, StreamCutError, Verdict
+
+logger = logging.getLogger(__name__)
+
+NO_RUNNER_RETRY_SECONDS = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class PlacedAttempt:
+    """A runner for an attempt, and what placement expects of it."""
+
+    runner: Runner
+    delay: float = 0.0
+    prefill_tokens: int = 0
+    matched_tokens: int = 0
+    salt: str | None = None
+    weights_version: int | None = None
+    fetch_from: str | None = None
+    save_to: str | None = None
+
+
+@dataclass(slots=True)
+class Job:
+    """A request on its way.
+
+    Attributes:
+        may_have_run: Whether some runner may have begun work on it.
+        excluded: Runners that are not tried again.
+    """
+
+    request: ServingRequest
+    route: Route
+    service: str
+    tenant: TenantEntry | None
+    priority: int
+    deadline: float
+    framing: EventFraming
+    sends: int = 0
+    runs: int = 0
+    may_have_run: bool = False
+    head_sent: bool = False
+    first_event_at: float | None = None
+    last_event_at: float | None = None
+    longest_gap: float = 0.0
+    excluded: set[str] = field(default_factory=set)
+
+    def may_run_again(self) -> bool:
+        """Return whether another runner may run it, although one may have."""
+        return self.route.repeatable and self.runs < self.route.max_attempts
+
+    def note_event(self, now: float) -> bool:
+        """Note that events were passed on; return whether they are the first ones."""
+        first = self.first_event_at is None
+        if first:
+            self.first_event_at = now
+        if self.last_event_at is not None:
+            self.longest_gap = max(self.longest_gap, now - self.last_event_at)
+        self.last_event_at = now
+        return first
+
+    def gave_up(self, verdict: Verdict, reason: str) -> RejectedError | StreamCutError:
+        """Return the error that ends it: a promise only if nothing may have run."""
+        if self.head_sent:
+            return StreamCutError(reason, step="relay")
+        if self.may_have_run or (verdict is Verdict.TIMED_OUT and self.sends):
+            final = Verdict.TIMED_OUT if verdict is Verdict.TIMED_OUT else Verdict.FAILED
+            return RejectedError(final, reason, step="attempt")
+        return RejectedError(
+            Verdict.UNAVAILABLE, reason, step="place", retry_after=NO_RUNNER_RETRY_SECONDS
+        )
+
+
+def attempt_fields(job: Job, placed: PlacedAttempt, dispatch: Dispatch) -> dict[str, object]:
+    """Return the log fields of an attempt that is being sent."""
+    return {
+        "request": job.request.request_id,
+        "route": job.route.name,
+        "attempt": job.sends,
+        "runner": placed.runner.runner_id,
+        "delay_ms": round(placed.delay * 1000, 1),
+        "prefill": placed.prefill_tokens,
+        "cached": placed.matched_tokens,
+        "fetch": dispatch.fetch_from,
+        "weights": dispatch.weights_version,
+        "out": job.request.shape.output_tokens if job.request.shape is not None else 0,
+        "left_ms": round(dispatch.remaining_seconds * 1000),
+    }
+
+
+def log_outcome(job: Job, runner: Runner, outcome: str, weights: int = 0) -> None:
+    """Log the end of an attempt."""
+    fields: dict[str, object] = {
+        "request": job.request.request_id,
+        "attempt": job.sends,
+        "runner": runner.runner_id,
+        "outcome": outcome,
+    }
+    if weights:
+        fields["weights"] = weights
+    if job.first_event_at is not None:
+        fields["first_event_ms"] = round((job.first_event_at - job.request.arrived_at) * 1000, 1)
+        fields["longest_gap_ms"] = round(job.longest_gap * 1000, 1)
+    logger.info("attempt ended", extra=fields)
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -10,15 +10,16 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict
 
-from hillstack.core.routing_table import Route, RouteKind, RoutingTable, TenantEntry
+from hillstack.core.routing_table import RouteKind
 from hillstack.core.runner_pool import Runner
 from hillstack.daemon.fleet_metrics import FleetMetrics
 from hillstack.daemon.fleet_state import FleetState
 from hillstack.errors import BackendBrokenError
-from hillstack.serving.event_framing import EventFraming
-from hillstack.serving.placement import PlacedAttempt, RunnerPlacement
+from hillstack.serving.admission import RequestAdmission
+from hillstack.serving.job import Job, PlacedAttempt, attempt_fields, log_outcome
+from hillstack.serving.placement import RunnerPlacement
 from hillstack.serving.ports import ResponseSink, RunnerAnswer, RunnerClient
 from hillstack.serving.types import (
     Dispatch,
@@ -34,42 +35,12 @@
 
 MAX_SENDS = 4
 MIN_REMAINING_SECONDS = 0.02
-STALE_RETRY_SECONDS = 1.0
-STOPPING_RETRY_SECONDS = 0.05
-NOT_READY_RETRY_SECONDS = 1.0
-NO_RUNNER_RETRY_SECONDS = 0.5
 SILENCE_CHECK_SECONDS = 0.15
 SILENCE_LIMIT_SECONDS = 0.7
 SERVER_ERROR = 500
 SUCCESS = range(200, 300)
 
 
-@dataclass(slots=True)
-class Job:
-    """A request on its way.
-
-    Attributes:
-        may_have_run: Whether some runner may have begun work on it.
-        excluded: Runners that are not tried again.
-    """
-
-    request: ServingRequest
-    route: Route
-    service: str
-    tenant: TenantEntry | None
-    priority: int
-    deadline: float
-    framing: EventFraming
-    sends: int = 0
-    runs: int = 0
-    may_have_run: bool = False
-    head_sent: bool = False
-    first_event_at: float | None = None
-    last_event_at: float | None = None
-    longest_gap: float = 0.0
-    excluded: set[str] = field(default_factory=set)
-
-
 class RequestPipeline:
     """Serves requests of one node.
 
@@ -94,12 +65,12 @@
         self._client = client
         self._placement = placement
         self._clock = clock
+        self._admission = RequestAdmission(state, clock)
         self.active = 0
-        self._accepting = True
 
     def stop_accepting(self) -> None:
         """Refuse all further requests: the node ends before it could finish them."""
-        self._accepting = False
+        self._admission.stop_accepting()
 
     async def serve(self, request: ServingRequest, sink: ResponseSink) -> None:
         """Serve a request.
@@ -109,9 +80,9 @@
             StreamCutError: Its answer has begun and can't be completed.
         """
         self.active += 1
-        result = "left"
+        result = "error"
         try:
-            job = self._admit(request)
+            job = self._admission.admit(request)
             await self._run(job, sink)
             result = "served"
         except RejectedError as error:
@@ -121,12 +92,17 @@
         except StreamCutError:
             result = "cut"
             raise
+        except asyncio.CancelledError:
+            result = "left"
+            logger.info("caller left", extra={"request": request.request_id})
+            raise
+        except Exception:
+            logger.exception("request failed", extra={"request": request.request_id})
+            raise
         finally:
             self.active -= 1
             self._metrics.requests.labels(result).inc()
             self._metrics.answer.observe(self._clock() - request.arrived_at)
-            if result == "left":
-                logger.info("caller left", extra={"request": request.request_id})
 
     def _log_rejection(self, request: ServingRequest, error: RejectedError) -> None:
         now = self._clock()
@@ -141,54 +117,12 @@
         }
         logger.info("rejected: " + error.message, extra=fields)
 
-    def _admit(self, request: ServingRequest) -> Job:
-        if not self._accepting:
-            raise RejectedError(
-                Verdict.UNAVAILABLE, "stopping", step="admit", retry_after=STOPPING_RETRY_SECONDS
-            )
-        table = self._state.table
-        if table is None:
-            text = "no configuration yet"
-            raise RejectedError(
-                Verdict.UNAVAILABLE, text, step="admit", retry_after=NOT_READY_RETRY_SECONDS
-            )
-        route = table.match(request.host, request.path)
-        if route is None:
-            raise RejectedError(Verdict.NO_ROUTE, "no route", step="route")
-        tenant = self._authenticate(request, route, table)
-        patience = request.patience_seconds
-        limit = route.timeout_seconds
-        limit = limit if patience is None else min(limit, patience)
-        service = self._state.split.choose(route)
-        self._state.budget.on_request(service, self._clock())
-        priority = route.priority
-        if tenant is not None and tenant.priority is not None:
-            priority = tenant.priority
-        framing = EventFraming(request.last_event_id)
-        deadline = request.arrived_at + limit
-        return Job(request, route, service, tenant, priority, deadline, framing)
-
-    def _authenticate(
-        self, request: ServingRequest, route: Route, table: RoutingTable
-    ) -> TenantEntry | None:
-        if table.tenants_by_key is None or route.public:
-            return None
-        if not self._state.freshness.is_fresh(self._clock()):
-            text = "keys can't be checked: the store has not answered"
-            raise RejectedError(
-                Verdict.UNAVAILABLE, text, step="authenticate", retry_after=STALE_RETRY_SECONDS
-            )
-        tenant = table.tenants_by_key.get(request.key) if request.key is not None else None
-        if tenant is None:
-            raise RejectedError(Verdict.UNAUTHENTICATED, "unknown key", step="authenticate")
-        return tenant
-
     async def _run(self, job: Job, sink: ResponseSink) -> None:
         try:
             async with asyncio.timeout(max(0.0, job.deadline - self._clock())):
                 await self._attempt_until_done(job, sink)
         except TimeoutError:
-            raise self._gave_up(job, Verdict.TIMED_OUT, "the deadline passed") from None
+            raise job.gave_up(Verdict.TIMED_OUT, "the deadline passed") from None
 
     async def _attempt_until_done(self, job: Job, sink: ResponseSink) -> None:
         while True:
@@ -207,32 +141,29 @@
     def _place(self, job: Job) -> PlacedAttempt:
         now = self._clock()
         if job.sends and not self._may_send_again(job, now):
-            raise self._gave_up(job, Verdict.UNAVAILABLE, "no further attempt allowed")
+            raise job.gave_up(Verdict.UNAVAILABLE, "no further attempt allowed")
         placed = self._placement.choose(job, now)
         if placed is None:
             fields: dict[str, object] = {"request": job.request.request_id, "service": job.service}
             fields |= asdict(self._placement.census(job, now))
             logger.info("no runner", extra=fields)
-            raise self._gave_up(job, Verdict.UNAVAILABLE, "no runner takes work")
+            raise job.gave_up(Verdict.UNAVAILABLE, "no runner takes work")
         return placed
 
     def _may_send_again(self, job: Job, now: float) -> bool:
         if job.sends >= MAX_SENDS or job.deadline - now < MIN_REMAINING_SECONDS:
             return False
-        if job.may_have_run and not self._may_run_again(job):
+        if job.may_have_run and not job.may_run_again():
             return False
         return self._state.budget.try_retry(job.service, now)
 
-    def _may_run_again(self, job: Job) -> bool:
-        return job.route.repeatable and job.runs < job.route.max_attempts
-
     async def _attempt(self, job: Job, placed: PlacedAttempt, sink: ResponseSink) -> bool:
         """Send one attempt and relay its answer; return False if another one should follow."""
         now = self._clock()
         attempt_id = f"{job.request.request_id}/{job.sends}"
         dispatch = self._dispatch(job, placed, now)
         self._placement.sent(job, placed, attempt_id, now)
-        logger.info("attempt", extra=_attempt_fields(job, placed, dispatch))
+        logger.info("attempt", extra=attempt_fields(job, placed, dispatch))
         self._count_tokens(job, placed)
         answer: RunnerAnswer | None = None
         job.runs += 1
@@ -304,7 +235,7 @@
 
     def _may_follow(self, job: Job) -> bool:
         """Return whether an attempt that is given up now would be followed by another one."""
-        if not self._may_run_again(job):
+        if not job.may_run_again():
             return False
         return self._state.budget.allowed(job.service, self._clock()) >= 1.0
 
@@ -323,7 +254,7 @@
         if answer.status >= SERVER_ERROR and self._may_follow(job):
             job.excluded.add(runner.runner_id)
             self._metrics.attempts.labels("error").inc()
-            _log_outcome(job, runner, f"retry after status {answer.status}")
+            log_outcome(job, runner, f"retry after status {answer.status}")
             return False
         if job.head_sent and answer.status not in SUCCESS:
             raise BackendBrokenError("resume refused", step="resume", peer=runner.runner_id)
@@ -335,7 +266,7 @@
         self._metrics.attempts.labels("answered").inc()
         if job.first_event_at is not None:
             self._metrics.longest_pause.observe(job.longest_gap)
-        _log_outcome(job, runner, f"status {answer.status}")
+        log_outcome(job, runner, f"status {answer.status}")
         return True
 
     async def _relay_whole(self, job: Job, answer: RunnerAnswer, sink: ResponseSink) -> None:
@@ -364,7 +295,8 @@
             events = job.framing.feed(piece, placed.runner.runner_id)
             if not events:
                 continue
-            self._note_event(job)
+            if job.note_event(self._clock()):
+                self._metrics.first_event.observe(self._clock() - job.request.arrived_at)
             if not started:
                 started = True
                 self._placement.started(job, placed, attempt_id, self._clock())
@@ -380,17 +312,8 @@
             await sink.start(answer.status, answer.headers)
         await sink.finish()
 
-    def _note_event(self, job: Job) -> None:
-        now = self._clock()
-        if job.first_event_at is None:
-            job.first_event_at = now
-            self._metrics.first_event.observe(now - job.request.arrived_at)
-        if job.last_event_at is not None:
-            job.longest_gap = max(job.longest_gap, now - job.last_event_at)
-        job.last_event_at = now
-
     async def _next_piece(self, job: Job, placed: PlacedAttempt, answer: RunnerAnswer) -> bytes:
-        if not self._may_run_again(job):
+        if not job.may_run_again():
             return await answer.next_piece()
         while True:
             try:
@@ -419,54 +342,13 @@
                     job.excluded.discard(runner.runner_id)
                 else:
                     pool.shed(runner, now)
-        _log_outcome(job, runner, f"not run: {error.cause}", error.weights_version)
+        log_outcome(job, runner, f"not run: {error.cause}", error.weights_version)
 
     def _broken(self, job: Job, runner: Runner, error: BackendBrokenError) -> None:
         job.may_have_run = True
         job.excluded.add(runner.runner_id)
         self._state.pool.failed(runner, self._clock())
         self._metrics.attempts.labels("broken").inc()
-        _log_outcome(job, runner, f"broken at {error.step}: {error.message}")
-        if not self._may_run_again(job):
-            raise self._gave_up(job, Verdict.FAILED, error.message) from error
-
-    def _gave_up(self, job: Job, verdict: Verdict, reason: str) -> RejectedError | StreamCutError:
-        if job.head_sent:
-            return StreamCutError(reason, step="relay")
-        if job.may_have_run or (verdict is Verdict.TIMED_OUT and job.sends):
-            final = Verdict.TIMED_OUT if verdict is Verdict.TIMED_OUT else Verdict.FAILED
-            return RejectedError(final, reason, step="attempt")
-        return RejectedError(
-            Verdict.UNAVAILABLE, reason, step="place", retry_after=NO_RUNNER_RETRY_SECONDS
-        )
-
-
-def _attempt_fields(job: Job, placed: PlacedAttempt, dispatch: Dispatch) -> dict[str, object]:
-    return {
-        "request": job.request.request_id,
-        "route": job.route.name,
-        "attempt": job.sends,
-        "runner": placed.runner.runner_id,
-        "delay_ms": round(placed.delay * 1000, 1),
-        "prefill": placed.prefill_tokens,
-        "cached": placed.matched_tokens,
-        "fetch": dispatch.fetch_from,
-        "weights": dispatch.weights_version,
-        "out": job.request.shape.output_tokens if job.request.shape is not None else 0,
-        "left_ms": round(dispatch.remaining_seconds * 1000),
-    }
-
-
-def _log_outcome(job: Job, runner: Runner, outcome: str, weights: int = 0) -> None:
-    fields: dict[str, object] = {
-        "request": job.request.request_id,
-        "attempt": job.sends,
-        "runner": runner.runner_id,
-        "outcome": outcome,
-    }
-    if weights:
-        fields["weights"] = weights
-    if job.first_event_at is not None:
-        fields["first_event_ms"] = round((job.first_event_at - job.request.arrived_at) * 1000, 1)
-        fields["longest_gap_ms"] = round(job.longest_gap * 1000, 1)
-    logger.info("attempt ended", extra=fields)
+        log_outcome(job, runner, f"broken at {error.step}: {error.message}")
+        if not job.may_run_again():
+            raise job.gave_up(Verdict.FAILED, error.message) from error
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -4,7 +4,6 @@
 
 from dataclasses import dataclass
 from random import Random
-from typing import TYPE_CHECKING
 
 from hillstack.core.placement.expected_delay import (
     Candidate,
@@ -17,11 +16,9 @@
 from hillstack.core.runner_pool import DEFAULT_PREFILL_RATE, OwnAttempt, Runner
 from hillstack.daemon.fleet_state import FleetState
 from hillstack.messages.peer_notices import PlacementNotice
+from hillstack.serving.job import Job, PlacedAttempt
 from hillstack.serving.peers import PeerNotices
 
-if TYPE_CHECKING:
-    from hillstack.serving.pipeline import Job
-
 SHARED_SALT = "shared"
 RATE_SMOOTHING = 0.1
 RATE_MIN_TOKENS = 1500
@@ -34,20 +31,6 @@
 DUE_FACTOR = 1.5
 
 
-@dataclass(frozen=True, slots=True)
-class PlacedAttempt:
-    """A runner for an attempt, and what placement expects of it."""
-
-    runner: Runner
-    delay: float = 0.0
-    prefill_tokens: int = 0
-    matched_tokens: int = 0
-    salt: str | None = None
-    weights_version: int | None = None
-    fetch_from: str | None = None
-    save_to: str | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class RunnerCensus:
     """Why the runners of a service do or do not take a request; a runner counts once.
--- /dev/null
+++ b/tools/mutate_fleet.py
@@ -0,0 +1,195 @@
+"""Switches mechanisms of a fleet's node off, one at a time; some test must then fail.
+
+Each mutation replaces one piece of the sources in a copy, and runs the tests without processes
+there. A mutation that no test notices ends the tool with an error, and so does one that does not
+apply. The tests must pass without a mutation.
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+WORKERS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Mutation:
+    """One mechanism, and the replacement that switches it off."""
+
+    name: str
+    path: str
+    old: str
+    new: str
+
+
+MUTATIONS = (
+    Mutation(
+        "an unsafe request is sent again after it may have run",
+        "serving/job.py",
+        "return self.route.repeatable and self.runs < self.route.max_attempts",
+        "return self.runs < 9",
+    ),
+    Mutation(
+        "refusals promise although it may have run",
+        "serving/job.py",
+        "if self.may_have_run or (verdict is Verdict.TIMED_OUT and self.sends):",
+        "if False:",
+    ),
+    Mutation(
+        "unsigned answers pass",
+        "serving/pipeline.py",
+        "if answer.status in SUCCESS and not answer.signed:",
+        "if False:",
+    ),
+    Mutation(
+        "stale keys are served",
+        "serving/admission.py",
+        "if not self._state.freshness.is_fresh(self._clock()):",
+        "if False:",
+    ),
+    Mutation(
+        "the retry budget is not asked",
+        "core/shared_retry_budget.py",
+        "if self.allowed(service, now) < 1.0:",
+        "if False:",
+    ),
+    Mutation(
+        "each node takes the whole slack",
+        "core/shared_retry_budget.py",
+        "self._slack / self._node_count",
+        "self._slack",
+    ),
+    Mutation(
+        "half events are passed on",
+        "serving/event_framing.py",
+        "end = data.rfind(EVENT_END)",
+        "end = len(data) - 2",
+    ),
+    Mutation(
+        "streams that begin again are joined",
+        "serving/event_framing.py",
+        "if previous is not None and newest <= previous:",
+        "if False:",
+    ),
+    Mutation(
+        "the salt forgets the version",
+        "serving/placement.py",
+        'return f"{wall}|{job.request.model}|{version}"',
+        'return f"{wall}|{job.request.model}"',
+    ),
+    Mutation(
+        "isolated tenants share",
+        "serving/placement.py",
+        "tenant is not None and tenant.isolated",
+        "False",
+    ),
+    Mutation(
+        "draining runners get work",
+        "core/runner_pool.py",
+        "if self.leaving or self.entry.draining:",
+        "if False:",
+    ),
+    Mutation(
+        "entries go back",
+        "core/runner_pool.py",
+        "if entry.revision <= runner.entry.revision:",
+        "if False:",
+    ),
+    Mutation(
+        "requests wait on old weights",
+        "serving/pipeline.py",
+        "if self._clock() >= due - SILENCE_CHECK_SECONDS:",
+        "if False:",
+    ),
+    Mutation(
+        "orders do not name what they expect",
+        "daemon/rollout_duty.py",
+        "expected = max(report.orders_taken, self._orders_taken.get(runner.runner_id, 0))",
+        "expected = 0",
+    ),
+    Mutation(
+        "a holder does not wait for runners ordered lately",
+        "daemon/rollout_duty.py",
+        "if now < runner.peer_ordered_at + self._turn",
+        "if False",
+    ),
+    Mutation(
+        "everything loads at once",
+        "core/weights_rollout.py",
+        "return min(most, self._pace(waiting, loading, view)) - loading",
+        "return 99",
+    ),
+    Mutation(
+        "an own allowance is told to peers",
+        "daemon/peer_exchange.py",
+        "int((now - entry.acknowledged_after) * 1000)",
+        "int((now - entry.not_before) * 1000)",
+    ),
+    Mutation(
+        "crossed answers are taken",
+        "platform/connections.py",
+        "if answered is None or self._expected_id is None or answered == self._expected_id:",
+        "if True:",
+    ),
+    Mutation(
+        "a reset looks like an end",
+        "platform/connections.py",
+        "if exc is not None and payload is not None and not payload.is_eof():",
+        "if False:",
+    ),
+    Mutation(
+        "the library repeats requests",
+        "platform/connections.py",
+        "session._retry_connection = False",
+        "pass",
+    ),
+)
+
+
+def main() -> int:
+    """Try all mutations; return 0 when each was noticed."""
+    if is_noticed(Mutation("none", "__init__.py", "", "")):
+        print("the tests fail without a mutation")
+        return 1
+    with ThreadPoolExecutor(WORKERS) as pool:
+        results = list(pool.map(is_noticed, MUTATIONS))
+    for mutation, noticed in zip(MUTATIONS, results, strict=True):
+        print(f"{'noticed' if noticed else 'MISSED '}  {mutation.name}")
+    print(f"{sum(results)} of {len(results)} noticed")
+    return 0 if all(results) else 1
+
+
+def is_noticed(mutation: Mutation) -> bool:
+    """Return whether some test fails with the mutation."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder)
+        shutil.copytree(ROOT / "src", copy / "src")
+        shutil.copytree(ROOT / "tests", copy / "tests")
+        shutil.copy(ROOT / "pyproject.toml", copy)
+        path = copy / "src" / "hillstack" / mutation.path
+        text = path.read_text()
+        if mutation.old and text.count(mutation.old) != 1:
+            raise SystemExit(f"{mutation.name}: does not apply to {mutation.path}")
+        if mutation.old:
+            path.write_text(text.replace(mutation.old, mutation.new))
+        command = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider"]
+        command += ["tests/fleet", "-k", "not process and not settings and not adapter"]
+        environment = os.environ | {"PYTHONPATH": str(copy / "src")}
+        finished = subprocess.run(
+            command, cwd=copy, env=environment, capture_output=True, timeout=300, check=False
+        )
+        if finished.returncode not in (0, 1):
+            raise SystemExit(f"{mutation.name}: {finished.stdout.decode()[-2000:]}")
+        return finished.returncode == 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
