--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -30,6 +30,7 @@
 FLUSH_SECONDS = 0.05
 REFRESH_SECONDS = 0.8
 MAX_PLACEMENTS = 40
+PEERS_AT_FULL_RATE = 12
 
 PlacementHandler = Callable[[PlacementNotice, float], None]
 
@@ -93,7 +94,7 @@
     async def run(self) -> None:
         """Repeat this node's loads now and then, until cancelled."""
         while True:
-            await asyncio.sleep(REFRESH_SECONDS)
+            await asyncio.sleep(max(REFRESH_SECONDS, self.flush_seconds()))
             self.repeat_loads()
 
     def repeat_loads(self) -> None:
@@ -130,6 +131,14 @@
             if node_id != self._state.node_id:
                 self._transport.sendto(datagram, split_address(address))
 
+    def flush_seconds(self) -> float:
+        """Return how long changes are collected: longer with more peers.
+
+        So the datagrams a second that a node sends and takes do not grow with the deployment.
+        """
+        peers = len(self._state.node_addresses)
+        return FLUSH_SECONDS * max(1.0, peers / PEERS_AT_FULL_RATE)
+
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         """Take a peer's notice."""
         try:
@@ -167,7 +176,7 @@
     def _schedule(self) -> None:
         if self._flush_handle is None:
             loop = asyncio.get_running_loop()
-            self._flush_handle = loop.call_later(FLUSH_SECONDS, self.flush)
+            self._flush_handle = loop.call_later(self.flush_seconds(), self.flush)
 
     def _take(self) -> NodeNotice:
         loads = [
--- a/tests/fleet/test_peer_exchange.py
+++ b/tests/fleet/test_peer_exchange.py
@@ -151,3 +151,12 @@
     exchange.repeat_loads()
     deliver(transport, other)
     assert other_state.versions.named_after(MODEL, 1) == 95.0
+
+
+def test_datagrams_a_second_do_not_grow_with_the_deployment() -> None:
+    state, exchange, _ = make_node()
+    small = len(state.node_addresses) / exchange.flush_seconds()
+    for number in range(300):
+        state.apply(NodeListed(f"node-{number}", f"10.0.1.{number % 250}:{number + 1}"), 0.0)
+    assert len(state.node_addresses) / exchange.flush_seconds() <= 12 / 0.05 + 1
+    assert small <= 12 / 0.05
