--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from dataclasses import asdict
 
+from hillstack.core.overload import overload_retry_after
 from hillstack.core.routing_table import RouteKind
 from hillstack.core.runner_pool import Runner
 from hillstack.daemon.fleet_metrics import FleetMetrics
@@ -148,8 +149,18 @@
             fields |= asdict(self._placement.census(job, now))
             logger.info("no runner", extra=fields)
             raise job.gave_up(Verdict.UNAVAILABLE, "no runner takes work")
+        self._check_overload(job, placed)
         return placed
 
+    def _check_overload(self, job: Job, placed: PlacedAttempt) -> None:
+        """Refuse a request that has not been sent anywhere if it would surely be late."""
+        if job.sends or placed.salt is None:
+            return
+        retry_after = overload_retry_after(placed.delay, job.route.target_seconds)
+        if retry_after is not None:
+            text = f"expected after {placed.delay:.2f} s"
+            raise RejectedError(Verdict.OVERLOADED, text, step="place", retry_after=retry_after)
+
     def _may_send_again(self, job: Job, now: float) -> bool:
         if job.sends >= MAX_SENDS or job.deadline - now < MIN_REMAINING_SECONDS:
             return False
