--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from hillstack.core.freshness import Freshness
+from hillstack.core.overload import MAX_RETRY_SECONDS, MIN_RETRY_SECONDS, overload_retry_after
 from hillstack.core.part_index import PartIndex, PromptPart
 from hillstack.core.routing_table import RouteKind, ServiceShare
 from hillstack.core.shared_retry_budget import SharedRetryBudget
@@ -162,3 +163,17 @@
     assert [entry.not_before for entry in versions.announcements("m")] == [1.0, 6.0]
     versions.narrow("m", 2, 2.0)
     assert [entry.not_before for entry in versions.announcements("m")] == [2.0, 6.0]
+
+
+@pytest.mark.parametrize(("delay", "target"), [(0.1, 0.6), (0.6, 0.6), (50.0, 0.0)])
+def test_what_may_be_in_time_or_has_no_objective_is_not_refused(
+    delay: float, target: float
+) -> None:
+    assert overload_retry_after(delay, target) is None
+
+
+@given(st.floats(0.1, 5.0), st.floats(1.5, 50.0))
+def test_what_would_surely_be_late_is_told_when_to_come_back(target: float, factor: float) -> None:
+    retry_after = overload_retry_after(target * factor, target)
+    assert retry_after is not None
+    assert MIN_RETRY_SECONDS <= retry_after <= MAX_RETRY_SECONDS
--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -418,3 +418,16 @@
     line = next(record for record in caplog.records if record.message == "no runner")
     told = {key: getattr(line, key) for key in ("known", "leaving", "suspected", "tried")}
     assert told == {"known": 3, "leaving": 1, "suspected": 1, "tried": 1}
+
+
+def test_in_an_overload_a_request_is_refused_at_once_with_a_time() -> None:
+    bench = make_stream_bench(i_1=answers(*EVENTS))
+    runner = bench.state.pool.get("i-1")
+    assert runner is not None
+    runner.prefill_done_at = 3.0
+    _, error = bench.serve(stream_request())
+    refusal = assert_rejected(error, Verdict.OVERLOADED)
+    assert refusal.retry_after is not None and 1.0 < refusal.retry_after < 3.0
+    assert not bench.client.dispatches
+    sink, error = bench.serve(stream_request())
+    assert error is None and sink.finished
