--- a/src/hillstack/core/planned_stop.py
+++ b/src/hillstack/core/planned_stop.py
@@ -1,9 +1,9 @@
 """What a node does at which time of a planned stop.
 
-A request that is sent later than ``LATE_REQUEST_SECONDS`` after the signal must be answered in full,
-however long it runs; one that is sent earlier may be cut when the grace period ends. So the node
-refuses new work a little before that time: a request is on its way for a while, and a look at the
-clock comes with a delay.
+A request that is sent later than ``LATE_REQUEST_SECONDS`` after the signal must be answered in
+full, however long it runs; one that is sent earlier may be cut when the grace period ends. So the
+node refuses new work a little before that time: a request is on its way for a while, and a look at
+the clock comes with a delay.
 """
 
 from __future__ import annotations
