--- a/src/hillstack/core/overload.py
+++ b/src/hillstack/core/overload.py
@@ -1,25 +1,26 @@
-"""Refuses a request whose first event would surely be late, and says when to come back.
+"""Refuses a request that would wait too long behind others, and says when to come back.
 
-In an overload everything waits, and so everything is late. Refusing what would be late anyway keeps
-the queues as short as the objective allows, so that the others are in time; and a caller that comes
-back when told may be in time too.
+In an overload everything waits, and so everything is late. Refusing what would wait longer than the
+objective keeps the queues short, so that the others are in time; and a caller that comes back when
+told may be in time too. Only the wait counts, not the request's own work: a long prompt must not be
+refused more often than a short one.
 """
 
 from __future__ import annotations
 
-LATE_FACTOR = 1.3
+WAIT_FACTOR = 1.0
 TARGET_SHARE = 0.5
 MIN_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 5.0
 
 
-def overload_retry_after(delay: float, target: float) -> float | None:
+def overload_retry_after(waiting: float, target: float) -> float | None:
     """Return when to come back if the request should be refused, else None.
 
     Args:
-        delay: Expected seconds to the first event at the best runner.
+        waiting: Expected seconds until the best runner begins with the request's own work.
         target: Objective for the first event; 0 for none.
     """
-    if target <= 0 or delay <= LATE_FACTOR * target:
+    if target <= 0 or waiting <= WAIT_FACTOR * target:
         return None
-    return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, delay - TARGET_SHARE * target))
+    return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, waiting - TARGET_SHARE * target))
--- a/src/hillstack/core/placement/expected_delay.py
+++ b/src/hillstack/core/placement/expected_delay.py
@@ -96,6 +96,7 @@
 
     Attributes:
         delay: Expected seconds to the first event.
+        waiting: Part of the delay that is spent behind other requests.
         prefill_tokens: Tokens that the runner will have to prefill.
         matched_tokens: Tokens believed cached at the runner.
         fetch_from: Address to fetch cached parts from; None when there is nothing to fetch.
@@ -104,6 +105,7 @@
 
     candidate: Candidate
     delay: float
+    waiting: float
     prefill_tokens: int
     matched_tokens: int
     fetch_from: str | None
@@ -172,9 +174,9 @@
         matched = self._index.matched_tokens(runner.runner_id, candidate.salt, shape.parts)
         source, moved, move_time = self._best_source(shape, candidate, matched, around, holders)
         missing = max(1, shape.prompt_tokens - matched - moved)
-        delay = runner.prefill_wait(around.now) + move_time + missing / around.prefill_rate
-        delay += self._pressure(shape, runner, around)
-        return Choice(candidate, delay, missing, matched, source, moved)
+        waiting = runner.prefill_wait(around.now) + self._pressure(shape, runner, around)
+        delay = waiting + move_time + missing / around.prefill_rate
+        return Choice(candidate, delay, waiting, missing, matched, source, moved)
 
     def _cost(self, shape: PromptShape, choice: Choice, around: Surroundings) -> float:
         runner = choice.candidate.runner
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -21,6 +21,7 @@
 
     runner: Runner
     delay: float = 0.0
+    waiting: float = 0.0
     prefill_tokens: int = 0
     matched_tokens: int = 0
     salt: str | None = None
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -156,9 +156,9 @@
         """Refuse a request that has not been sent anywhere if it would surely be late."""
         if job.sends or placed.salt is None:
             return
-        retry_after = overload_retry_after(placed.delay, job.route.target_seconds)
+        retry_after = overload_retry_after(placed.waiting, job.route.target_seconds)
         if retry_after is not None:
-            text = f"expected after {placed.delay:.2f} s"
+            text = f"would wait {placed.waiting:.2f} s"
             raise RejectedError(Verdict.OVERLOADED, text, step="place", retry_after=retry_after)
 
     def _may_send_again(self, job: Job, now: float) -> bool:
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -215,6 +215,7 @@
         return PlacedAttempt(
             runner=runner,
             delay=choice.delay,
+            waiting=choice.waiting,
             prefill_tokens=choice.prefill_tokens,
             matched_tokens=choice.matched_tokens,
             salt=choice.candidate.salt,
--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -431,3 +431,11 @@
     assert not bench.client.dispatches
     sink, error = bench.serve(stream_request())
     assert error is None and sink.finished
+
+
+def test_a_long_prompt_is_not_refused_for_its_own_work() -> None:
+    # Gate of Lagos scale-1: of the largest tenth 0.39 were served, of all 0.91.
+    bench = make_stream_bench(i_1=answers(*EVENTS))
+    request = make_request("/gen/x", parts=(("shared", 50), ("own", 60_000)))
+    sink, error = bench.serve(request)
+    assert error is None and sink.finished
