--- a/tests/fleet/deployment.py
+++ b/tests/fleet/deployment.py
@@ -97,7 +97,9 @@
     _servers: list[tuple[uvicorn.Server, asyncio.Task[None]]] = field(default_factory=list)
 
     async def start(self) -> None:
-        self.session = aiohttp.ClientSession()
+        # Each call has a connection of its own: a stopping node closes those that rest, and a call
+        # that crosses that close would be repeated by a real caller.
+        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True))
         self.store_address = await self._serve(self.store.app())
         self.configure()
         self.name_weights(1)
