--- a/src/hillstack/core/placement/expected_delay.py
+++ b/src/hillstack/core/placement/expected_delay.py
@@ -40,6 +40,7 @@
 GATHER_FULL = 4
 GATHER_SLOT_SHARE = 0.3
 GATHER_MEMORY_SHARE = 0.5
+REPEATED_PREFILL_SECONDS_PER_TOKEN = 0.0003
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +102,7 @@
         matched_tokens: Tokens believed cached at the runner.
         fetch_from: Address to fetch cached parts from; None when there is nothing to fetch.
         moved_tokens: Tokens that the fetch would move.
+        repeated_tokens: Tokens of the prefill that some runner has read or is reading already.
     """
 
     candidate: Candidate
@@ -110,6 +112,7 @@
     matched_tokens: int
     fetch_from: str | None
     moved_tokens: int
+    repeated_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,12 +179,25 @@
         missing = max(1, shape.prompt_tokens - matched - moved)
         waiting = runner.prefill_wait(around.now) + self._pressure(shape, runner, around)
         delay = waiting + move_time + missing / around.prefill_rate
-        return Choice(candidate, delay, waiting, missing, matched, source, moved)
+        known = self._known_tokens(shape, candidate, holders)
+        repeated = max(0, known - matched - moved)
+        return Choice(candidate, delay, waiting, missing, matched, source, moved, repeated)
+
+    def _known_tokens(
+        self, shape: PromptShape, candidate: Candidate, holders: Collection[Runner]
+    ) -> int:
+        """Return the shared tokens that some runner has read, or is reading."""
+        matched = (
+            self._index.matched_tokens(holder.runner_id, candidate.salt, shape.shared)
+            for holder in holders
+        )
+        return max(matched, default=0)
 
     def _cost(self, shape: PromptShape, choice: Choice, around: Surroundings) -> float:
         runner = choice.candidate.runner
         cost = choice.delay + lateness(choice.delay, around.target_seconds)
         cost += self._harm(choice, runner, around)
+        cost += REPEATED_PREFILL_SECONDS_PER_TOKEN * choice.repeated_tokens
         if shape.is_long:
             return cost - self._gather_bonus(shape, runner, around)
         return cost - self._home_bonus(shape, choice.candidate)
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -143,10 +143,13 @@
         rate = self.prefill_rate(runner.entry.service)
         self._state.pool.add_prefill(runner, notice.prefill_tokens, rate, now)
         parts = notice.prompt_parts()
-        self._state.index.note(notice.runner_id, notice.salt, parts, runner.committed_tokens(now))
+        reserved = runner.committed_tokens(now)
+        ready_at = now + notice.delay_ms / 1000 + READY_MARGIN_SECONDS
+        self._state.index.note(notice.runner_id, notice.salt, parts, reserved, ready_at)
         store = self._store()
         if store is not None:
-            self._state.index.note(store.address, notice.salt, parts)
+            stored_at = ready_at + STORED_MARGIN_SECONDS
+            self._state.index.note(store.address, notice.salt, parts, ready_at=stored_at)
 
     def prefill_rate(self, service: str) -> float:
         """Return the tokens a second that runners of a service are seen to prefill."""
--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -12,6 +12,7 @@
 from hillstack.core.routing_table import RouteKind, ServiceShare, TenantEntry
 from hillstack.daemon.fleet_state import FleetState, RunnerListed, WeightsNamed
 from hillstack.errors import BackendBrokenError
+from hillstack.messages.peer_notices import PlacementNotice
 from hillstack.serving.pipeline import RequestPipeline
 from hillstack.serving.placement import RunnerPlacement
 from hillstack.serving.types import (
@@ -404,6 +405,18 @@
     assert matched == 2_000
 
 
+def test_what_a_peer_has_sent_is_a_source_only_once_it_is_read() -> None:
+    # F17: the expected time was told and not used, so fetches came too early and missed.
+    bench = make_stream_bench(i_1=answers(*EVENTS))
+    notice = PlacementNotice("i-1", "salt", [("shared", 2_000)], 2_500, delay_ms=400)
+    bench.placement.observe_placement(notice, 10.0)
+    matched = [
+        bench.state.index.matched_tokens("i-1", "salt", notice.prompt_parts(), ready_by)
+        for ready_by in (10.1, 10.6)
+    ]
+    assert matched == [0, 2_000]
+
+
 def test_the_log_says_why_no_runner_took_a_request(caplog: pytest.LogCaptureFixture) -> None:
     bench = make_bench(i_1=refuses(RefusalCause.FULL), i_22=answers(b"x"), i_333=answers(b"x"))
     for name, change in (("i-22", "draining"), ("i-333", "suspected")):
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -115,6 +115,26 @@
     assert choice is not None and choice.candidate.runner is free
 
 
+def test_a_prompt_waits_for_a_part_that_is_being_read_rather_than_reading_it_again() -> None:
+    index = make_index("i-1", "i-2")
+    reading, idle = make_runner("i-1"), make_runner("i-2")
+    index.note("i-1", SALT, [SHARED], ready_at=0.4)
+    reading.prefill_done_at = 0.35
+    choice = choose(index, [reading, idle])
+    assert choice is not None and choice.candidate.runner is reading
+    assert choice.repeated_tokens == 0
+
+
+def test_a_part_is_read_again_rather_than_waited_for_too_long() -> None:
+    index = make_index("i-1", "i-2")
+    reading, idle = make_runner("i-1"), make_runner("i-2")
+    index.note("i-1", SALT, [SHARED], ready_at=9.0)
+    reading.prefill_done_at = 9.0
+    choice = choose(index, [reading, idle])
+    assert choice is not None and choice.candidate.runner is idle
+    assert choice.repeated_tokens == SHARED.tokens
+
+
 def test_no_runner_is_chosen_that_would_begin_too_late() -> None:
     index = make_index("i-1")
     runner = make_runner("i-1")
