Streams go on under new weights; loads no longer wait for them

Cause: a load waited for the runs at its runner to end. Requests then waited behind the rest or were refused. Change: orders ask that runs go on; what becomes of runs is a field of the order, the adapter only spells it. Nothing is closed any more: that phase, its notices and its state are gone. Parts are a source for fetches once the first event shows that they were read, and in the kept store once they can have been moved; peers are told. Beside it, no change of behaviour: the state moved to serving/, metrics apart from their page, one way to make a server, dead fields removed, sources found once a salt.

--- a/src/hillstack/core/placement/expected_delay.py
+++ b/src/hillstack/core/placement/expected_delay.py
@@ -41,6 +41,8 @@
 GATHER_SLOT_SHARE = 0.3
 GATHER_MEMORY_SHARE = 0.5
 REPEATED_PREFILL_SECONDS_PER_TOKEN = 0.0003
+SUPERSEDED_SECONDS = 1.5
+SUPERSEDED_PENALTY_SECONDS = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +77,11 @@
         """Return the parts that other prompts may have too."""
         return self.parts[:-1]
 
+    @property
+    def shared_tokens(self) -> int:
+        """Return the tokens of the shared parts."""
+        return sum(part.tokens for part in self.shared)
+
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
@@ -83,12 +90,14 @@
     Attributes:
         weights_version: Version that the request asks for.
         begin_before: When a request must have begun at the latest, since newer weights are due.
+        superseded_at: When newer weights were named; infinite if these are the newest.
     """
 
     runner: Runner
     salt: str
     weights_version: int = 0
     begin_before: float = math.inf
+    superseded_at: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +142,37 @@
     gap_seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Source:
+    """A holder from which shared parts can be fetched now, and how much of them."""
+
+    holder_id: str
+    address: str
+    zone: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class _KeptParts:
+    """Who keeps the shared parts of a prompt.
+
+    Attributes:
+        known_tokens: The most that any runner has read or is reading.
+    """
+
+    known_tokens: int
+    sources: list[_Source]
+
+
+@dataclass(frozen=True, slots=True)
+class _Move:
+    """A fetch of cached parts; without an address there is none."""
+
+    address: str | None = None
+    tokens: int = 0
+    seconds: float = 0.0
+
+
 class ExpectedDelayPlacement:
     """Chooses the runner with the least expected time to the first event."""
 
@@ -156,8 +196,13 @@
         """
         best: Choice | None = None
         best_cost = float("inf")
+        kept_by_salt: dict[str, _KeptParts] = {}
         for candidate in candidates:
-            choice = self._evaluate(shape, candidate, surroundings, holders)
+            kept = kept_by_salt.get(candidate.salt)
+            if kept is None:
+                kept = self._kept_parts(shape, candidate.salt, surroundings, holders)
+                kept_by_salt[candidate.salt] = kept
+            choice = self._evaluate(shape, candidate, surroundings, kept)
             begins_at = surroundings.now + BEGIN_FACTOR * choice.delay + BEGIN_MARGIN_SECONDS
             if begins_at > candidate.begin_before:
                 continue
@@ -166,38 +211,48 @@
                 best, best_cost = choice, cost
         return best
 
+    def _kept_parts(
+        self, shape: PromptShape, salt: str, around: Surroundings, holders: Collection[Runner]
+    ) -> _KeptParts:
+        """Return who keeps, or is reading, how much of the shared parts under a salt."""
+        index, now = self._index, around.now
+        known = 0
+        sources: list[_Source] = []
+        for holder in holders:
+            matched = index.matched_tokens(holder.runner_id, salt, shape.shared)
+            if matched == 0:
+                continue
+            known = max(known, matched)
+            read = index.matched_tokens(holder.runner_id, salt, shape.shared, now)
+            sources.append(_Source(holder.runner_id, holder.address, holder.entry.zone, read))
+        if around.store is not None:
+            address, zone = around.store.address, around.store.zone
+            read = index.matched_tokens(address, salt, shape.shared, now)
+            sources.append(_Source(address, address, zone, read))
+        return _KeptParts(known, sources)
+
     def _evaluate(
-        self,
-        shape: PromptShape,
-        candidate: Candidate,
-        around: Surroundings,
-        holders: Collection[Runner],
+        self, shape: PromptShape, candidate: Candidate, around: Surroundings, kept: _KeptParts
     ) -> Choice:
         runner = candidate.runner
         matched = self._index.matched_tokens(runner.runner_id, candidate.salt, shape.parts)
-        source, moved, move_time = self._best_source(shape, candidate, matched, around, holders)
-        missing = max(1, shape.prompt_tokens - matched - moved)
+        move = _best_move(kept, candidate, matched, around)
+        missing = max(1, shape.prompt_tokens - matched - move.tokens)
         waiting = runner.prefill_wait(around.now) + self._pressure(shape, runner, around)
-        delay = waiting + move_time + missing / around.prefill_rate
-        known = self._known_tokens(shape, candidate, holders)
-        repeated = max(0, known - matched - moved)
-        return Choice(candidate, delay, waiting, missing, matched, source, moved, repeated)
-
-    def _known_tokens(
-        self, shape: PromptShape, candidate: Candidate, holders: Collection[Runner]
-    ) -> int:
-        """Return the shared tokens that some runner has read, or is reading."""
-        matched = (
-            self._index.matched_tokens(holder.runner_id, candidate.salt, shape.shared)
-            for holder in holders
+        delay = waiting + move.seconds + missing / around.prefill_rate
+        repeated = max(0, kept.known_tokens - matched - move.tokens)
+        return Choice(
+            candidate, delay, waiting, missing, matched, move.address, move.tokens, repeated
         )
-        return max(matched, default=0)
 
     def _cost(self, shape: PromptShape, choice: Choice, around: Surroundings) -> float:
         runner = choice.candidate.runner
         cost = choice.delay + lateness(choice.delay, around.target_seconds)
         cost += self._harm(choice, runner, around)
         cost += REPEATED_PREFILL_SECONDS_PER_TOKEN * choice.repeated_tokens
+        begins_at = around.now + choice.delay
+        if begins_at > choice.candidate.superseded_at + SUPERSEDED_SECONDS:
+            cost += SUPERSEDED_PENALTY_SECONDS
         if shape.is_long:
             return cost - self._gather_bonus(shape, runner, around)
         return cost - self._home_bonus(shape, choice.candidate)
@@ -240,55 +295,6 @@
             penalty += REMOTE_PENALTY_SECONDS
         return penalty
 
-    def _best_source(
-        self,
-        shape: PromptShape,
-        candidate: Candidate,
-        matched: int,
-        around: Surroundings,
-        holders: Collection[Runner],
-    ) -> tuple[str | None, int, float]:
-        """Return the address, the tokens and the seconds of the best move; None for none."""
-        best: tuple[str | None, int, float] = (None, 0, 0.0)
-        best_gain = 0.0
-        here = candidate.runner
-        for holder in holders:
-            if holder is here:
-                continue
-            kept = self._index.matched_tokens(
-                holder.runner_id, candidate.salt, shape.shared, around.now
-            )
-            best, best_gain = self._better(
-                best, best_gain, kept - matched, holder.address, holder.entry.zone, here, around
-            )
-        store = around.store
-        if store is not None:
-            kept = self._index.matched_tokens(
-                store.address, candidate.salt, shape.shared, around.now
-            )
-            best, best_gain = self._better(
-                best, best_gain, kept - matched, store.address, store.zone, here, around
-            )
-        return best
-
-    def _better(
-        self,
-        best: tuple[str | None, int, float],
-        best_gain: float,
-        tokens: int,
-        address: str,
-        zone: str,
-        here: Runner,
-        around: Surroundings,
-    ) -> tuple[tuple[str | None, int, float], float]:
-        if tokens < MIN_MOVE_TOKENS:
-            return best, best_gain
-        seconds = move_seconds(tokens, zone, here.entry.zone, around)
-        gain = tokens / around.prefill_rate - seconds
-        if best[0] is None or gain > best_gain:
-            return (address, tokens, seconds), gain
-        return best, best_gain
-
     def _home_bonus(self, shape: PromptShape, candidate: Candidate) -> float:
         if not shape.shared:
             return 0.0
@@ -296,6 +302,21 @@
         return HOME_BONUS_SECONDS * home / HASH_RANGE
 
 
+def _best_move(kept: _KeptParts, candidate: Candidate, matched: int, around: Surroundings) -> _Move:
+    """Return the move that saves the most time to a runner that has some tokens itself."""
+    here = candidate.runner
+    best, best_gain = _Move(), float("-inf")
+    for source in kept.sources:
+        tokens = source.tokens - matched
+        if tokens < MIN_MOVE_TOKENS or source.holder_id == here.runner_id:
+            continue
+        seconds = move_seconds(tokens, source.zone, here.entry.zone, around)
+        gain = tokens / around.prefill_rate - seconds
+        if gain > best_gain:
+            best, best_gain = _Move(source.address, tokens, seconds), gain
+    return best
+
+
 def move_seconds(tokens: int, source_zone: str, zone: str, around: Surroundings) -> float:
     """Return the seconds that a move of cached tokens is expected to take."""
     rate = around.engine.link_megabits
--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -18,7 +18,6 @@
 BUSY_SILENCE_SECONDS = 0.9
 UNLISTED_MEMORY_SECONDS = 15.0
 LOADING_SECONDS = 0.7
-CLOSING_SECONDS = 1.0
 PEER_LOAD_SECONDS = 2.0
 DEFAULT_PREFILL_RATE = 38_000.0
 
@@ -104,8 +103,6 @@
     loading_until: float = 0.0
     ordered_weights: dict[str, int] = field(default_factory=dict)
     peer_ordered_at: float = float("-inf")
-    closing_since: float | None = None
-    closing_until: float = 0.0
     leaving: bool = False
     unlisted_until: float | None = None
     failures: int = 0
@@ -269,8 +266,6 @@
             return False
         runner.weights[model] = version
         runner.loading_until = 0.0
-        runner.closing_until = 0.0
-        runner.closing_since = None
         return True
 
     def correct_weights(self, runner: Runner, model: str, version: int) -> None:
@@ -287,7 +282,7 @@
         """Note prefill work, of this node or of a peer."""
         runner.prefill_done_at = max(runner.prefill_done_at, now) + tokens / rate
 
-    def started(self, runner: Runner, attempt_id: str, rate: float, now: float) -> None:
+    def started(self, runner: Runner, attempt_id: str, now: float) -> None:
         """Note the first event of an attempt: its prefill, and those before it, are done."""
         attempt = runner.attempts.get(attempt_id)
         if attempt is None or attempt.started:
@@ -339,12 +334,6 @@
         runner.loading_until = now + LOADING_SECONDS
         runner.ordered_weights[model] = version
 
-    def note_closing(self, runner: Runner, now: float) -> None:
-        """Note that a runner loads weights soon and should get no long streams."""
-        if runner.closing_since is None or now > runner.closing_until + CLOSING_SECONDS:
-            runner.closing_since = now
-        runner.closing_until = now + CLOSING_SECONDS
-
     def note_peer_load(self, runner: Runner, peer: str, load: PeerLoad) -> None:
         """Take over what a peer says of its load on a runner."""
         if load.running or load.committed_tokens:
--- a/src/hillstack/core/weights_rollout.py
+++ b/src/hillstack/core/weights_rollout.py
@@ -1,13 +1,9 @@
 """Which runners load the newest weights next.
 
-Half of the runners, a batch, come first, then the others. A runner of the batch gets no long
-streams any more, while it still serves short requests; when its long streams have ended, or time
-presses, it loads. So a runner is out of use only for its last short requests and the load itself,
-and the other half serves on. A version that is named meanwhile replaces the one before for all
-runners that have not begun to load.
-
-What is closing is known to all nodes, so a node that takes the duty over goes on where the last
-holder was.
+A load takes a runner out of use for about a second and pauses the streams that run there; they go
+on under the new weights. Loads are paced so that all runners are done before requests must not
+begin on the older weights any more, and so that enough of the runners that are alive serve on. A
+version that is named meanwhile replaces the one before for all runners that have not begun to load.
 """
 
 from __future__ import annotations
@@ -20,7 +16,6 @@
 from hillstack.core.weights_versions import WeightsVersions
 
 START_DELAY_SECONDS = 0.3
-CLOSING_LIMIT_SECONDS = 3.5
 URGENT_SECONDS = 2.0
 CONCURRENT_SHARE = 0.4
 URGENT_SHARE = 1 / 2
@@ -34,7 +29,7 @@
 
     Attributes:
         runners: All runners of the services that serve the model.
-        loading: Runners that finish their work or load.
+        loading: Runners that load.
         resting: Runners that were not reached just now, and are tried again later.
         load_seconds: Time that a runner is out of use for a load, as seen lately.
         now: Time on the node's clock.
@@ -47,14 +42,6 @@
     now: float
 
 
-@dataclass(frozen=True, slots=True)
-class RolloutStep:
-    """What to do now: runners to close for long streams, and runners to load."""
-
-    close: list[Runner]
-    load: list[Runner]
-
-
 class RolloutPlan:
     """The plan for one model.
 
@@ -67,17 +54,14 @@
         self._model = model
         self._versions = versions
 
-    def step(self, view: RolloutView) -> RolloutStep:
-        """Return what to do now."""
-        now = view.now
+    def next_loads(self, view: RolloutView) -> list[Runner]:
+        """Return the runners that should load now."""
         staying = [runner for runner in view.runners if self._stays(runner, view)]
         behind = [runner for runner in staying if self._is_behind(runner)]
         waiting = [runner for runner in behind if runner.runner_id not in view.loading]
-        close = self._to_close(staying, waiting, now)
-        ready = [runner for runner in waiting if self._is_ready(runner, now)]
-        ready.sort(key=lambda runner: self._order(runner, now))
-        room = self._room(staying, waiting, view)
-        return RolloutStep(close, ready[: max(0, room)])
+        due = [runner for runner in waiting if self._is_due(runner, view.now)]
+        due.sort(key=lambda runner: self._order(runner, view.now))
+        return due[: max(0, self._room(staying, waiting, view))]
 
     def _room(self, staying: Sequence[Runner], waiting: Sequence[Runner], view: RolloutView) -> int:
         """Return how many more may load now, so that enough of those alive serve on."""
@@ -94,20 +78,6 @@
         left = max(MIN_PACE_SECONDS, first - view.now - PACE_SAFETY_SECONDS)
         return max(1, math.ceil((len(waiting) + loading) * view.load_seconds / left - 0.1))
 
-    def _to_close(
-        self, staying: Sequence[Runner], waiting: Sequence[Runner], now: float
-    ) -> list[Runner]:
-        """Return the runners that are closing, or should begin to."""
-        closing = [r for r in waiting if r.closing_since is not None or self._is_urgent(r, now)]
-        if closing:
-            return closing
-        up_to_date = len(staying) > sum(1 for runner in staying if self._is_behind(runner))
-        if len(waiting) < len(staying) and not up_to_date:
-            return []
-        due = [runner for runner in waiting if self._is_due(runner, now)]
-        due.sort(key=lambda runner: self._order(runner, now))
-        return due[: max(1, math.ceil(len(staying) / 2))]
-
     def _stays(self, runner: Runner, view: RolloutView) -> bool:
         if runner.leaving or runner.entry.draining:
             return False
@@ -120,21 +90,9 @@
         version = runner.weights_version(self._model)
         return now >= self._versions.named_after(self._model, version) + START_DELAY_SECONDS
 
-    def _is_ready(self, runner: Runner, now: float) -> bool:
-        if self._is_unusable(runner, now):
-            return True
-        if runner.closing_since is None:
-            return False
-        if now - runner.closing_since >= CLOSING_LIMIT_SECONDS or self._is_urgent(runner, now):
-            return True
-        return now > runner.closing_since and runner.long_running(now) == 0
-
     def _is_urgent(self, runner: Runner, now: float) -> bool:
         return self._deadline(runner) - now < URGENT_SECONDS
 
-    def _is_unusable(self, runner: Runner, now: float) -> bool:
-        return self._deadline(runner) <= now
-
     def _deadline(self, runner: Runner) -> float:
         return self._versions.deadline(self._model, runner.weights_version(self._model))
 
--- a/src/hillstack/core/weights_versions.py
+++ b/src/hillstack/core/weights_versions.py
@@ -97,6 +97,16 @@
                 return announcement.not_before
         return float("inf")
 
+    def superseded_at(self, model: str, version: int) -> float:
+        """Return when a version above ``version`` was first named; infinite when none was.
+
+        Unlike ``named_after`` it does not move when bounds begin again after an outage.
+        """
+        for announcement in self._announced.get(model, ()):
+            if announcement.version > version:
+                return announcement.acknowledged_after
+        return math.inf
+
     def deadline(self, model: str, version: int) -> float:
         """Return when runners older than the next version above ``version`` must not be used."""
         return self.named_after(model, version) + self.grace
--- a/src/hillstack/daemon/cache_follower.py
+++ b/src/hillstack/daemon/cache_follower.py
@@ -16,9 +16,9 @@
 
 from hillstack.core.cache_watch import CacheHolder, watcher
 from hillstack.core.part_index import PromptPart
-from hillstack.daemon.fleet_state import FleetState
 from hillstack.errors import BackendError, BackendRefusedError
 from hillstack.logs import error_fields
+from hillstack.serving.fleet_state import FleetState
 
 logger = logging.getLogger(__name__)
 
--- a/src/hillstack/daemon/duty_lease.py
+++ b/src/hillstack/daemon/duty_lease.py
@@ -55,6 +55,13 @@
             return
         await self._acquire()
 
+    def lose(self) -> None:
+        """Note that another holder with a higher fence was seen: this fence is used no more.
+
+        The key is left to lapse; a node that takes the duty over then gets a new fence.
+        """
+        self._valid_until = float("-inf")
+
     async def give_up(self) -> None:
         """End the lease, so that another node can take over at once.
 
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -14,7 +14,6 @@
 import aiohttp
 import uvicorn
 
-from hillstack.addresses import split_address
 from hillstack.config.fleet_settings import FleetSettings, load_fleet_settings
 from hillstack.core.freshness import Freshness
 from hillstack.core.planned_stop import PlannedStop
@@ -22,13 +21,13 @@
 from hillstack.core.weights_versions import WeightsVersions
 from hillstack.daemon.cache_follower import CacheFollower
 from hillstack.daemon.duty_lease import DutyLease
-from hillstack.daemon.fleet_metrics import FleetMetrics, MetricsPage
-from hillstack.daemon.fleet_state import FleetState
+from hillstack.daemon.metrics_page import MetricsPage
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.rollout_duty import RolloutDuty
 from hillstack.daemon.runner_monitor import RunnerMonitor
 from hillstack.daemon.store_sync import StoreSync
 from hillstack.errors import SettingsError
+from hillstack.http_server import make_server
 from hillstack.logs import dropped_lines, error_fields
 from hillstack.platform.cache_feed import HttpCacheFeed
 from hillstack.platform.connections import make_runner_session
@@ -36,6 +35,8 @@
 from hillstack.platform.names import DUTY_KEY
 from hillstack.platform.runners import HttpRunnerClient
 from hillstack.platform.store import MetadataStore
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.metrics import FleetMetrics
 from hillstack.serving.pipeline import RequestPipeline
 from hillstack.serving.placement import RunnerPlacement
 
@@ -43,7 +44,6 @@
 
 LEASE_TTL_SECONDS = 2.0
 VERSION_MARGIN_SECONDS = 0.4
-LISTEN_BACKLOG = 2_048
 KEEP_ALIVE_SECONDS = 120
 STOP_CHECK_SECONDS = 0.05
 
@@ -100,16 +100,18 @@
         self._handle_signals()
         settings = self._settings
         await self._peers.open(settings.node.address, settings.listen.peers_port)
-        callers = self._make_server(
+        callers = make_server(
             Ingress(self._pipeline, self._clock, self._max_body_bytes, lambda: self._stopping),
             settings.listen.callers,
+            keep_alive_seconds=KEEP_ALIVE_SECONDS,
+            date_header=False,
         )
-        readiness = self._make_server(Readiness(self._is_ready), settings.listen.readiness)
+        readiness = make_server(Readiness(self._is_ready), settings.listen.readiness)
         servers = [callers, readiness]
         if settings.listen.metrics_port is not None:
             self._add_gauges()
             address = f"{settings.node.address}:{settings.listen.metrics_port}"
-            servers.append(self._make_server(MetricsPage(self._metrics), address))
+            servers.append(make_server(MetricsPage(self._metrics), address))
         # Unlike ``serve``, ``_serve`` leaves signals alone: the node decides when it ends.
         serving = [asyncio.create_task(server._serve()) for server in servers]
         for work in (
@@ -185,26 +187,6 @@
             return
         logger.info("settings read again")
 
-    def _make_server(self, app: Any, address: str) -> uvicorn.Server:
-        host, port = split_address(address)
-        config = uvicorn.Config(
-            app,
-            host=host,
-            port=port,
-            loop="asyncio",
-            http="httptools",
-            ws="none",
-            lifespan="off",
-            log_config=None,
-            access_log=False,
-            server_header=False,
-            date_header=False,
-            backlog=LISTEN_BACKLOG,
-            timeout_keep_alive=KEEP_ALIVE_SECONDS,
-            timeout_graceful_shutdown=None,
-        )
-        return uvicorn.Server(config)
-
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         task.add_done_callback(_log_failure)
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -15,7 +15,6 @@
 from hillstack.core.cache_watch import NodeLiveness
 from hillstack.core.runner_pool import PeerLoad, Runner
 from hillstack.daemon.cache_follower import CacheEntry
-from hillstack.daemon.fleet_state import FleetState
 from hillstack.daemon.notice_outbox import NoticeOutbox
 from hillstack.errors import CodecError
 from hillstack.messages import peer_notices
@@ -28,6 +27,7 @@
     WeightsNotice,
     WeightsPhase,
 )
+from hillstack.serving.fleet_state import FleetState
 
 logger = logging.getLogger(__name__)
 
@@ -246,8 +246,6 @@
         if notice.phase is WeightsPhase.LOADING:
             self._state.pool.note_loading(runner, notice.model, notice.version, now)
             runner.peer_ordered_at = now
-        elif notice.phase is WeightsPhase.CLOSING:
-            self._state.pool.note_closing(runner, now)
         elif self._state.pool.observe_weights(runner, notice.model, notice.version):
             fields = {"runner": notice.runner_id, "version": notice.version, "source": "peer"}
             logger.info("weights served", extra=fields)
--- a/src/hillstack/daemon/rollout_duty.py
+++ b/src/hillstack/daemon/rollout_duty.py
@@ -10,12 +10,12 @@
 from hillstack.core.runner_pool import Runner
 from hillstack.core.weights_rollout import RolloutPlan, RolloutView
 from hillstack.daemon.duty_lease import DutyLease
-from hillstack.daemon.fleet_state import FleetState
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.weights_orders import OrderOutcome, OrderSender, WeightsOrder
 from hillstack.errors import BackendError, PlatformError, PlatformUnavailableError
 from hillstack.logs import error_fields
 from hillstack.messages.peer_notices import WeightsNotice, WeightsPhase
+from hillstack.serving.fleet_state import FleetState
 
 logger = logging.getLogger(__name__)
 
@@ -29,7 +29,6 @@
 LOAD_LIMIT_SECONDS = 6.0
 REPORT_LAG_SECONDS = 0.3
 REST_SECONDS = 0.5
-CLOSING_REPEAT_SECONDS = 0.3
 INITIAL_LOAD_SECONDS = 1.3
 LOAD_SMOOTHING = 0.2
 
@@ -71,7 +70,6 @@
         self._resting_until: dict[str, float] = {}
         self._load_seconds = INITIAL_LOAD_SECONDS
         self._plans: dict[str, RolloutPlan] = {}
-        self._closing_told_at = 0.0
         self._stopping = False
 
     async def keep_lease(self) -> None:
@@ -145,21 +143,8 @@
             ]
             view = RolloutView(runners, self._loading, resting, self._load_seconds, now)
             plan = self._plans.setdefault(model, RolloutPlan(model, self._state.versions))
-            step = plan.step(view)
-            for runner in step.load:
+            for runner in plan.next_loads(view):
                 self._begin(runner, model)
-            self._tell_closing(step.close, model, now)
-
-    def _tell_closing(self, runners: list[Runner], model: str, now: float) -> None:
-        """Tell all nodes, this one too, which runners should get no long streams."""
-        if now - self._closing_told_at < CLOSING_REPEAT_SECONDS:
-            return
-        for runner in runners:
-            if runner.runner_id in self._loading:
-                continue
-            self._closing_told_at = now
-            self._state.pool.note_closing(runner, now)
-            self._peers.weights(WeightsNotice(runner.runner_id, model, 0, WeightsPhase.CLOSING))
 
     def _begin(self, runner: Runner, model: str) -> None:
         task = asyncio.create_task(self._load(runner, model))
@@ -170,6 +155,14 @@
         """Bring one runner to the newest version, or leave it for a later try."""
         began_at = self._clock()
         limit = began_at + LOAD_LIMIT_SECONDS
+        fields: dict[str, object] = {
+            "runner": runner.runner_id,
+            "version": self._state.versions.newest(model),
+            "running": runner.running(began_at),
+            "long_running": runner.long_running(began_at),
+            "loading": len(self._loading),
+        }
+        logger.info("runner taken out to load weights", extra=fields)
         self._announce(runner, model, self._state.versions.newest(model), WeightsPhase.LOADING)
         await asyncio.sleep(ANNOUNCE_SECONDS)
         try:
@@ -182,8 +175,9 @@
                     return
                 self._announce(runner, model, version, WeightsPhase.LOADING)
         except BackendError as error:
-            fields = error_fields(error) | {"runner": runner.runner_id}
-            logger.warning("runner not reached", extra=fields)
+            logger.warning(
+                "runner not reached", extra=error_fields(error) | {"runner": runner.runner_id}
+            )
             self._state.pool.failed(runner, self._clock())
             self._resting_until[runner.runner_id] = self._clock() + REST_SECONDS
 
@@ -246,6 +240,8 @@
                 self._orders_taken.pop(runner.runner_id, None)
             case OrderOutcome.OTHER_INSTANCE:
                 runner.leaving = True
+            case OrderOutcome.FENCED:
+                self._lease.lose()
             case _:
                 pass
 
--- a/src/hillstack/daemon/runner_monitor.py
+++ b/src/hillstack/daemon/runner_monitor.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 
 from hillstack.core.runner_pool import Runner
-from hillstack.daemon.fleet_state import FleetState
 from hillstack.daemon.peer_exchange import PeerExchange
+from hillstack.serving.fleet_state import FleetState
 
 logger = logging.getLogger(__name__)
 
--- a/src/hillstack/daemon/server.py
+++ b/src/hillstack/daemon/server.py
@@ -8,13 +8,13 @@
 
 import uvicorn
 
-from hillstack.addresses import split_address
 from hillstack.config.settings import RouterSettings
 from hillstack.core.cache_index import CacheIndex
 from hillstack.core.fleet import Fleet
 from hillstack.daemon.network_surroundings import NetworkSurroundings
 from hillstack.daemon.node import Node
 from hillstack.gateway.app import make_app
+from hillstack.http_server import make_server
 
 logger = logging.getLogger(__name__)
 
@@ -58,23 +58,13 @@
         logger.info("stopped")
 
     def _make_server(self) -> uvicorn.Server:
-        host, port = split_address(self._settings.listen.callers)
-        config = uvicorn.Config(
+        settings = self._settings
+        return make_server(
             make_app(self._node),
-            host=host,
-            port=port,
-            loop="asyncio",
-            http="httptools",
-            ws="none",
-            lifespan="off",
-            log_config=None,
-            access_log=False,
-            server_header=False,
+            settings.listen.callers,
+            keep_alive_seconds=int(max(1.0, settings.stop.keep_alive_seconds)),
             backlog=LISTEN_BACKLOG,
-            timeout_keep_alive=int(max(1.0, self._settings.stop.keep_alive_seconds)),
-            timeout_graceful_shutdown=None,
         )
-        return uvicorn.Server(config)
 
     async def _drain(self, server: uvicorn.Server) -> None:
         logger.info("stopping")
--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -11,9 +11,9 @@
 from random import Random
 from typing import Protocol
 
-from hillstack.daemon.fleet_state import FleetState, StoreEvent
 from hillstack.errors import HistoryLostError, PlatformError
 from hillstack.logs import error_fields
+from hillstack.serving.fleet_state import FleetState, StoreEvent
 
 logger = logging.getLogger(__name__)
 
--- a/src/hillstack/daemon/weights_orders.py
+++ b/src/hillstack/daemon/weights_orders.py
@@ -18,6 +18,20 @@
     REJECTED = "rejected"
 
 
+class RunningRequests(enum.Enum):
+    """What becomes of the requests that run at a runner when it loads weights.
+
+    Attributes:
+        FINISH: They end first; the runner takes no others meanwhile.
+        RESET: They are broken off.
+        CONTINUE: They pause for the load and go on under the new weights.
+    """
+
+    FINISH = enum.auto()
+    RESET = enum.auto()
+    CONTINUE = enum.auto()
+
+
 @dataclass(frozen=True, slots=True)
 class WeightsOrder:
     """An order to load a version of a model's weights.
@@ -35,6 +49,7 @@
     holder: str
     fence: int
     expected_orders: int
+    running: RunningRequests = RunningRequests.CONTINUE
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +64,6 @@
     weights: dict[str, int]
     busy: bool
     orders_taken: int
-    requests: int
 
 
 class OrderSender(Protocol):
--- a/src/hillstack/messages/peer_notices.py
+++ b/src/hillstack/messages/peer_notices.py
@@ -23,6 +23,7 @@
     Attributes:
         parts: Identifier and tokens of the shared parts that the runner will keep.
         delay_ms: Expected time until they are read.
+        is_read: Whether they are read by now; the prefill was told before.
     """
 
     runner_id: str
@@ -30,6 +31,7 @@
     parts: list[tuple[str, int]]
     prefill_tokens: int
     delay_ms: int = 0
+    is_read: bool = False
 
     def prompt_parts(self) -> list[PromptPart]:
         """Return the parts."""
@@ -49,12 +51,10 @@
     """Where a runner stands in a rollout of weights.
 
     Attributes:
-        CLOSING: It loads soon and should get no long streams.
         LOADING: It takes no work.
         SERVED: It serves the version.
     """
 
-    CLOSING = 0
     LOADING = 1
     SERVED = 2
 
--- a/src/hillstack/platform/formats.py
+++ b/src/hillstack/platform/formats.py
@@ -25,7 +25,9 @@
     TenantEntry,
 )
 from hillstack.core.runner_pool import RunnerEntry
-from hillstack.daemon.fleet_state import (
+from hillstack.errors import PlatformError
+from hillstack.platform import names
+from hillstack.serving.fleet_state import (
     ConfigurationChanged,
     DutyHeld,
     NodeListed,
@@ -34,8 +36,6 @@
     StoreEvent,
     WeightsNamed,
 )
-from hillstack.errors import PlatformError
-from hillstack.platform import names
 
 KINDS = {"safe": RouteKind.SAFE, "unsafe": RouteKind.UNSAFE, "streaming": RouteKind.STREAM}
 DRAINING = "draining"
--- a/src/hillstack/platform/ingress.py
+++ b/src/hillstack/platform/ingress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -29,7 +30,6 @@
 }
 PAYLOAD_TOO_LARGE = 413
 CLOSE = (b"connection", b"close")
-KEEP_FOR_RUNNERS = frozenset({b"last-event-id"})
 
 
 class Serving(Protocol):
@@ -161,11 +161,11 @@
             (b"content-type", b"text/plain"),
             (b"content-length", str(len(body)).encode()),
         ]
-        request_id = _header(scope, b"request-id")
+        request_id = _header(scope, _field(names.REQUEST_ID))
         if request_id is not None:
-            headers.append((b"request-id", request_id))
+            headers.append((_field(names.REQUEST_ID), request_id))
         if retry_after is not None:
-            headers.append((b"retry-after", f"{retry_after:.2f}".encode()))
+            headers.append((_field(names.RETRY_AFTER), f"{retry_after:.2f}".encode()))
         await sink.start(status, headers)
         await sink.write(body)
         await sink.finish()
@@ -204,7 +204,7 @@
 def _request(scope: Scope, body: bytes, arrived_at: float) -> ServingRequest | None:
     """Translate a request; None if it has no identifier."""
     headers: dict[bytes, bytes] = dict(scope["headers"])
-    request_id = headers.get(b"request-id")
+    request_id = headers.get(_field(names.REQUEST_ID))
     if request_id is None:
         return None
     target = scope["raw_path"].decode("latin-1")
@@ -220,14 +220,23 @@
         headers=_passed_on(scope["headers"]),
         body=body,
         arrived_at=arrived_at,
-        patience_seconds=_seconds(headers.get(b"deadline-ms")),
-        key=_text(headers, b"x-api-key") or None,
-        model=_text(headers, b"model"),
-        shape=parse_shape(_text(headers, b"prompt-prefix"), _text(headers, b"token-usage")),
-        last_event_id=_whole_number(headers.get(b"last-event-id")),
+        patience_seconds=_seconds(headers.get(_field(names.DEADLINE))),
+        key=_text(headers, _field(names.API_KEY)) or None,
+        model=_text(headers, _field(names.MODEL)),
+        shape=parse_shape(
+            _text(headers, _field(names.PROMPT_PARTS)),
+            _text(headers, _field(names.TOKEN_USAGE)),
+        ),
+        last_event_id=_whole_number(headers.get(_field(names.LAST_EVENT_ID))),
     )
 
 
+@functools.cache
+def _field(name: str) -> bytes:
+    """Return a header's name as the server hands it over."""
+    return name.lower().encode()
+
+
 def _passed_on(headers: HeaderList) -> HeaderList:
     return [
         (name, value)
--- a/src/hillstack/platform/names.py
+++ b/src/hillstack/platform/names.py
@@ -21,6 +21,10 @@
 FETCH_FROM = "Kv-Fetch"
 SAVE_TO = "Kv-Save"
 PRIORITY = "Request-Priority"
+BACKUP_TO = "Kv-Backup"
+CONTINUE_FROM = "Kv-From"
+PIN = "Pin-Ms"
+HOLD = "Hold"
 
 MAX_PRIORITY = 9
 
@@ -46,7 +50,9 @@
 KEY_PARAMETER = "key"
 
 WEIGHTS_OPERATION = "version"
-FINISH_RUNS_FIRST = "block"
+FINISH_RUNS = "block"
+RESET_RUNS = "abort"
+CONTINUE_RUNS = "retain"
 
 CONFIGURATION_KEY = "op/config"
 WEIGHTS_PREFIX = "op/version/"
@@ -71,21 +77,22 @@
     }
 )
 SET_BY_ROUTER = frozenset(
-    {
-        b"request-id",
-        b"x-api-key",
-        b"deadline-ms",
-        b"tenant",
-        b"cache-salt",
-        b"kv-fetch",
-        b"kv-save",
-        b"kv-backup",
-        b"kv-from",
-        b"expect-instance",
-        b"expect-version",
-        b"request-priority",
-        b"pin-ms",
-        b"hold",
-        b"last-event-id",
-    }
+    name.lower().encode()
+    for name in (
+        REQUEST_ID,
+        API_KEY,
+        DEADLINE,
+        TENANT,
+        CACHE_SALT,
+        FETCH_FROM,
+        SAVE_TO,
+        BACKUP_TO,
+        CONTINUE_FROM,
+        EXPECT_INSTANCE,
+        EXPECT_VERSION,
+        PRIORITY,
+        PIN,
+        HOLD,
+        LAST_EVENT_ID,
+    )
 )
--- a/src/hillstack/platform/runners.py
+++ b/src/hillstack/platform/runners.py
@@ -6,7 +6,12 @@
 import msgspec
 from yarl import URL
 
-from hillstack.daemon.weights_orders import OrderOutcome, RunnerReport, WeightsOrder
+from hillstack.daemon.weights_orders import (
+    OrderOutcome,
+    RunnerReport,
+    RunningRequests,
+    WeightsOrder,
+)
 from hillstack.errors import BackendBrokenError, BackendError
 from hillstack.platform import names
 from hillstack.platform.connections import Question, ask
@@ -24,6 +29,11 @@
 MISDIRECTED = 421
 REPORT_LIMIT_SECONDS = 0.4
 ORDER_LIMIT_SECONDS = 0.25
+ORDER_MODES = {
+    RunningRequests.FINISH: names.FINISH_RUNS,
+    RunningRequests.RESET: names.RESET_RUNS,
+    RunningRequests.CONTINUE: names.CONTINUE_RUNS,
+}
 ORDER_OUTCOMES = {
     200: OrderOutcome.DONE,
     202: OrderOutcome.TAKEN,
@@ -60,11 +70,6 @@
         headers = self._response.headers
         return names.SIGNATURE in headers and names.REQUEST_ID in headers
 
-    @property
-    def weights_version(self) -> int:
-        """Version of the weights that it names, 0 for none."""
-        return _version(self._response)
-
     async def next_piece(self) -> bytes:
         """Return the next bytes of the body, or ``b""`` after its proper end."""
         try:
@@ -144,7 +149,7 @@
         except msgspec.MsgspecError as error:
             raise BackendError(str(error), step="decode report", peer=runner_id) from error
         weights = {model.name: model.version for model in body.models}
-        return RunnerReport(weights, body.busy, body.seq, body.queued + body.running)
+        return RunnerReport(weights, body.busy, body.seq)
 
     async def order_weights(self, order: WeightsOrder) -> OrderOutcome:
         """Order a runner to load weights.
@@ -156,7 +161,7 @@
             op=names.WEIGHTS_OPERATION,
             model=order.model,
             version=order.version,
-            mode=names.FINISH_RUNS_FIRST,
+            mode=ORDER_MODES[order.running],
             holder=order.holder,
             fence=order.fence,
             expected_count=order.expected_orders,
--- a/src/hillstack/platform/store.py
+++ b/src/hillstack/platform/store.py
@@ -12,7 +12,6 @@
 import aiohttp
 import msgspec
 
-from hillstack.daemon.fleet_state import StoreEvent
 from hillstack.daemon.key_value import Entry, Put, ValueIs
 from hillstack.errors import (
     HistoryLostError,
@@ -35,6 +34,7 @@
     WatchBody,
     to_event,
 )
+from hillstack.serving.fleet_state import StoreEvent
 
 logger = logging.getLogger(__name__)
 
--- a/src/hillstack/serving/admission.py
+++ b/src/hillstack/serving/admission.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 
 from hillstack.core.routing_table import Route, RoutingTable, TenantEntry
-from hillstack.daemon.fleet_state import FleetState
 from hillstack.serving.event_framing import EventFraming
+from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import Job
 from hillstack.serving.types import RejectedError, ServingRequest, Verdict
 
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -24,6 +24,7 @@
     waiting: float = 0.0
     prefill_tokens: int = 0
     matched_tokens: int = 0
+    repeated_tokens: int = 0
     salt: str | None = None
     weights_version: int | None = None
     fetch_from: str | None = None
@@ -91,6 +92,7 @@
         "delay_ms": round(placed.delay * 1000, 1),
         "prefill": placed.prefill_tokens,
         "cached": placed.matched_tokens,
+        "repeated": placed.repeated_tokens,
         "fetch": dispatch.fetch_from,
         "weights": dispatch.weights_version,
         "out": job.request.shape.output_tokens if job.request.shape is not None else 0,
--- a/src/hillstack/daemon/fleet_metrics.py
+++ b/src/hillstack/serving/metrics.py
@@ -1,16 +1,13 @@
-"""Counters and histograms of a fleet's node, and the server that tells them as text."""
+"""Counters and histograms of a fleet's node."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
-from prometheus_client.exposition import CONTENT_TYPE_LATEST
-from starlette.types import Receive, Scope, Send
 
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.5, 3, 6, 12)
 PAUSE_BUCKETS = (0.05, 0.1, 0.2, 0.5, 1, 2, 4)
-METRICS_PATH = "/metrics"
 
 
 class FleetMetrics:
@@ -46,24 +43,3 @@
 
     def _histogram(self, name: str, text: str, buckets: tuple[float, ...]) -> Histogram:
         return Histogram(f"hillstack_{name}", text, buckets=buckets, registry=self.registry)
-
-
-class MetricsPage:
-    """The application that tells the metrics."""
-
-    def __init__(self, metrics: FleetMetrics) -> None:
-        self._metrics = metrics
-
-    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Answer one question."""
-        if scope["type"] != "http":
-            return
-        found = scope["path"] == METRICS_PATH
-        body = self._metrics.text() if found else b""
-        headers = [
-            (b"content-type", CONTENT_TYPE_LATEST.encode()),
-            (b"content-length", str(len(body)).encode()),
-        ]
-        status = 200 if found else 404
-        await send({"type": "http.response.start", "status": status, "headers": headers})
-        await send({"type": "http.response.body", "body": body})
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -15,11 +15,11 @@
 from hillstack.core.overload import overload_retry_after
 from hillstack.core.routing_table import RouteKind
 from hillstack.core.runner_pool import Runner
-from hillstack.daemon.fleet_metrics import FleetMetrics
-from hillstack.daemon.fleet_state import FleetState
 from hillstack.errors import BackendBrokenError
 from hillstack.serving.admission import RequestAdmission
+from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import Job, PlacedAttempt, attempt_fields, log_outcome
+from hillstack.serving.metrics import FleetMetrics
 from hillstack.serving.placement import RunnerPlacement
 from hillstack.serving.ports import ResponseSink, RunnerAnswer, RunnerClient
 from hillstack.serving.types import (
@@ -195,6 +195,7 @@
         self._metrics.tokens.labels("cached").inc(placed.matched_tokens)
         self._metrics.tokens.labels("fetched").inc(max(0, fetched))
         self._metrics.tokens.labels("prefilled").inc(placed.prefill_tokens)
+        self._metrics.tokens.labels("repeated").inc(placed.repeated_tokens)
 
     def _dispatch(self, job: Job, placed: PlacedAttempt, now: float) -> Dispatch:
         return Dispatch(
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from random import Random
 
+from msgspec.structs import replace
+
 from hillstack.core.placement.expected_delay import (
     Candidate,
     Choice,
@@ -14,8 +16,9 @@
 )
 from hillstack.core.routing_table import EngineProfile, KeptCacheStore
 from hillstack.core.runner_pool import DEFAULT_PREFILL_RATE, OwnAttempt, Runner
-from hillstack.daemon.fleet_state import FleetState
 from hillstack.messages.peer_notices import PlacementNotice
+from hillstack.serving.cache_beliefs import CacheBeliefs
+from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import Job, PlacedAttempt
 from hillstack.serving.peers import PeerNotices
 
@@ -25,8 +28,6 @@
 RATE_RANGE = (5_000.0, 200_000.0)
 VERSION_MARGIN_SECONDS = 0.3
 MIN_NOTICE_TOKENS = 400
-READY_MARGIN_SECONDS = 0.05
-STORED_MARGIN_SECONDS = 0.1
 DUE_SECONDS = 0.4
 DUE_FACTOR = 1.5
 
@@ -68,6 +69,7 @@
         self._zone = zone
         self._rng = rng
         self._policy = ExpectedDelayPlacement(state.index)
+        self._beliefs = CacheBeliefs(state)
         self._rates: dict[str, float] = {}
 
     def choose(self, job: Job, now: float) -> PlacedAttempt | None:
@@ -107,24 +109,22 @@
         self._peers.load_changed(placed.runner)
         if shape is None or placed.salt is None:
             return
-        self._note_parts(placed, shape, now)
-        shared_tokens = shape.prompt_tokens - shape.parts[-1].tokens
-        if placed.prefill_tokens >= MIN_NOTICE_TOKENS or placed.matched_tokens < shared_tokens:
-            shared = [(part.part_id, part.tokens) for part in shape.shared]
-            delay_ms = int(placed.delay * 1000)
-            self._peers.placed(
-                PlacementNotice(
-                    placed.runner.runner_id, placed.salt, shared, placed.prefill_tokens, delay_ms
-                )
-            )
+        self._beliefs.sent(placed, shape, now)
+        if _is_news(placed, shape):
+            self._peers.placed(_notice(placed, shape))
 
     def started(self, job: Job, placed: PlacedAttempt, attempt_id: str, now: float) -> None:
         """Note the first event of an attempt."""
         attempt = placed.runner.attempts.get(attempt_id)
         if attempt is not None:
             self._learn_rate(job.service, placed, attempt, now)
-        rate = self.prefill_rate(job.service)
-        self._state.pool.started(placed.runner, attempt_id, rate, now)
+        self._state.pool.started(placed.runner, attempt_id, now)
+        shape = job.request.shape
+        if shape is None or placed.salt is None:
+            return
+        self._beliefs.read(placed, shape, now)
+        if _is_news(placed, shape):
+            self._peers.placed(replace(_notice(placed, shape), prefill_tokens=0, is_read=True))
 
     def finished(self, placed: PlacedAttempt, attempt_id: str) -> None:
         """Note the end of an attempt."""
@@ -142,14 +142,7 @@
             return
         rate = self.prefill_rate(runner.entry.service)
         self._state.pool.add_prefill(runner, notice.prefill_tokens, rate, now)
-        parts = notice.prompt_parts()
-        reserved = runner.committed_tokens(now)
-        ready_at = now + notice.delay_ms / 1000 + READY_MARGIN_SECONDS
-        self._state.index.note(notice.runner_id, notice.salt, parts, reserved, ready_at)
-        store = self._state.kept_cache_store(now)
-        if store is not None:
-            stored_at = ready_at + STORED_MARGIN_SECONDS
-            self._state.index.note(store.address, notice.salt, parts, ready_at=stored_at)
+        self._beliefs.peer_sent(notice, now)
 
     def prefill_rate(self, service: str) -> float:
         """Return the tokens a second that runners of a service are seen to prefill."""
@@ -187,9 +180,6 @@
             for runner in accepting
             if runner.runner_id not in job.excluded
         ]
-        if shape.is_long:
-            staying = [c for c in candidates if now >= c.runner.closing_until]
-            candidates = staying or candidates
         around = self._surroundings(job, engine, now)
         choice = self._policy.choose(shape, candidates, around, accepting)
         return self._placed(choice, around.store) if choice is not None else None
@@ -198,7 +188,8 @@
         model = job.request.model
         version = runner.likely_weights(model, now)
         due = self._state.versions.deadline(model, version)
-        return Candidate(runner, self._salt(job, version), version, due)
+        superseded_at = self._state.versions.superseded_at(model, version)
+        return Candidate(runner, self._salt(job, version), version, due, superseded_at)
 
     def _surroundings(self, job: Job, engine: EngineProfile, now: float) -> Surroundings:
         table = self._state.table
@@ -221,6 +212,7 @@
             waiting=choice.waiting,
             prefill_tokens=choice.prefill_tokens,
             matched_tokens=choice.matched_tokens,
+            repeated_tokens=choice.repeated_tokens,
             salt=choice.candidate.salt,
             weights_version=choice.candidate.weights_version,
             fetch_from=choice.fetch_from,
@@ -232,16 +224,6 @@
         wall = f"t:{tenant.name}" if tenant is not None and tenant.isolated else SHARED_SALT
         return f"{wall}|{job.request.model}|{version}"
 
-    def _note_parts(self, placed: PlacedAttempt, shape: PromptShape, now: float) -> None:
-        assert placed.salt is not None
-        reserved = placed.runner.committed_tokens(now)
-        index = self._state.index
-        ready_at = now + placed.delay + READY_MARGIN_SECONDS
-        index.note(placed.runner.runner_id, placed.salt, shape.parts, reserved, ready_at)
-        if placed.save_to is not None:
-            stored_at = ready_at + STORED_MARGIN_SECONDS
-            index.note(placed.save_to, placed.salt, shape.parts, ready_at=stored_at)
-
     def _learn_rate(
         self, service: str, placed: PlacedAttempt, attempt: OwnAttempt, now: float
     ) -> None:
@@ -255,3 +237,20 @@
         rate = self.prefill_rate(service)
         rate += RATE_SMOOTHING * (min(high, max(low, seen)) - rate)
         self._rates[service] = rate
+
+
+def _is_news(placed: PlacedAttempt, shape: PromptShape) -> bool:
+    """Return whether peers should be told of an attempt: it has much to read, or shared parts."""
+    missing_shared = placed.matched_tokens < shape.shared_tokens
+    return placed.prefill_tokens >= MIN_NOTICE_TOKENS or missing_shared
+
+
+def _notice(placed: PlacedAttempt, shape: PromptShape) -> PlacementNotice:
+    assert placed.salt is not None
+    return PlacementNotice(
+        placed.runner.runner_id,
+        placed.salt,
+        [(part.part_id, part.tokens) for part in shape.shared],
+        placed.prefill_tokens,
+        int(placed.delay * 1000),
+    )
--- a/src/hillstack/serving/ports.py
+++ b/src/hillstack/serving/ports.py
@@ -25,11 +25,6 @@
         """Whether it carries the runner's signature."""
         ...
 
-    @property
-    def weights_version(self) -> int:
-        """Version of the weights that it names, 0 for none."""
-        ...
-
     async def next_piece(self) -> bytes:
         """Return the next bytes of the body, or ``b""`` after its proper end.
 
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -21,7 +21,7 @@
 from hillstack.core.runner_pool import RunnerEntry
 from hillstack.core.shared_retry_budget import SharedRetryBudget
 from hillstack.core.weights_versions import WeightsVersions
-from hillstack.daemon.fleet_state import (
+from hillstack.serving.fleet_state import (
     ConfigurationChanged,
     FleetState,
     RunnerListed,
--- a/tests/fleet/test_cache_follower.py
+++ b/tests/fleet/test_cache_follower.py
@@ -18,8 +18,8 @@
     CacheFollower,
     CacheListing,
 )
-from hillstack.daemon.fleet_state import FleetState, NodeListed
 from hillstack.errors import BackendError, BackendRefusedError
+from hillstack.serving.fleet_state import FleetState, NodeListed
 from hillstack.simulation.virtual_loop import Scheduler
 from tests.fleet.builders import ENGINES, make_entry, make_route, make_state, make_table
 
--- a/tests/fleet/test_peer_exchange.py
+++ b/tests/fleet/test_peer_exchange.py
@@ -11,7 +11,6 @@
 from hillstack.core.routing_table import KeptCacheStore
 from hillstack.core.runner_pool import OwnAttempt
 from hillstack.daemon.cache_follower import CacheEntry
-from hillstack.daemon.fleet_state import FleetState, NodeListed, WeightsNamed
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.errors import CodecError
 from hillstack.messages import peer_notices
@@ -23,6 +22,7 @@
     WeightsNotice,
     WeightsPhase,
 )
+from hillstack.serving.fleet_state import FleetState, NodeListed, WeightsNamed
 from tests.fleet.builders import (
     ENGINES,
     MODEL,
--- a/tests/fleet/test_store_sync.py
+++ b/tests/fleet/test_store_sync.py
@@ -7,16 +7,16 @@
 
 import pytest
 
-from hillstack.daemon.fleet_state import (
+from hillstack.daemon.store_sync import StoreSync
+from hillstack.errors import HistoryLostError, PlatformError, PlatformUnavailableError
+from hillstack.platform.store import Changes, Snapshot
+from hillstack.serving.fleet_state import (
     FleetState,
     RunnerListed,
     RunnerUnlisted,
     StoreEvent,
     WeightsNamed,
 )
-from hillstack.daemon.store_sync import StoreSync
-from hillstack.errors import HistoryLostError, PlatformError, PlatformUnavailableError
-from hillstack.platform.store import Changes, Snapshot
 from hillstack.simulation.virtual_loop import Scheduler
 from tests.fleet.builders import (
     APPLICATION,
