--- a/src/hillstack/emulator/fleet_runner.py
+++ b/src/hillstack/emulator/fleet_runner.py
@@ -85,6 +85,11 @@
             ]
         )
 
+    def note_run(self, request_id: str, headers: dict[str, str]) -> None:
+        """Note a request that begins to run."""
+        self.ran.append(request_id)
+        self.seen_headers.append(headers)
+
     async def _report(self, request: Request) -> Response:
         if self._is_misdirected(request):
             return self._misdirected()
@@ -112,8 +117,7 @@
         if self.faults.shed:
             headers = {names.NOT_EXECUTED: "1", names.REQUEST_ID: request_id}
             return Response(status_code=503, headers=headers)
-        self.ran.append(request_id)
-        self.seen_headers.append(dict(request.headers))
+        self.note_run(request_id, dict(request.headers))
         body = await request.body()
         if self.faults.hang:
             await self._hang(request, request_id)
--- a/tests/fleet/deployment.py
+++ b/tests/fleet/deployment.py
@@ -150,11 +150,18 @@
 
     async def add_runner(self, runner_id: str, service: str = APPLICATION) -> FleetRunner:
         model = MODEL if service == ENGINES else ""
-        runner = self.runners[runner_id] = FleetRunner(runner_id, service, model=model)
-        self.addresses[runner_id] = await self._serve(runner.app())
-        self.list_runner(runner_id)
+        runner = FleetRunner(runner_id, service, model=model)
+        await self.start_runner(runner)
         return runner
 
+    async def start_runner(
+        self, runner: FleetRunner, front: Callable[[str], str] = lambda address: address
+    ) -> None:
+        """Start a runner and list it, at the address that ``front`` returns for its own."""
+        self.runners[runner.runner_id] = runner
+        self.addresses[runner.runner_id] = front(await self._serve(runner.app()))
+        self.list_runner(runner.runner_id)
+
     def list_runner(self, runner_id: str, state: str = "ready") -> None:
         entry = self.runners[runner_id].entry(self.addresses[runner_id], state)
         self.store.put(names.RUNNERS_PREFIX + runner_id, entry)
@@ -165,8 +172,8 @@
         await self.wait_ready(node)
         return node
 
-    def launch(self, name: str, **bounds: Any) -> NodeProcess:
-        """Start a node."""
+    def launch(self, name: str, *, store: str | None = None, **bounds: Any) -> NodeProcess:
+        """Start a node, with the store at another address than its own if one is given."""
         callers, readiness = (f"127.0.0.1:{free_port()}" for _ in range(2))
         metrics_port = free_port()
         limits = {"fail_closed": True, "grace_seconds": 8.0} | bounds
@@ -181,7 +188,7 @@
             f"peers_port = {free_port(socket.SOCK_DGRAM)}",
             f"metrics_port = {metrics_port}",
             "[store]",
-            f'address = "{self.store_address}"',
+            f'address = "{store or self.store_address}"',
             "[bounds]",
             *(f"{key} = {json.dumps(value)}" for key, value in limits.items()),
         ]
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,45 @@
+"""Runs soaks with fresh seeds, or with a given one: ``python -m tests.soak --seconds 60``."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+from random import SystemRandom
+
+from tests.soak.soak import SoakResult, run
+
+SEED_BITS = 31
+
+
+def main() -> int:
+    """Run the soaks and return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=60.0, help="faults of one soak")
+    parser.add_argument("--soaks", type=int, default=1, help="number of soaks")
+    parser.add_argument("--seed", type=int, help="seed of the first soak; drawn by default")
+    parser.add_argument("--logs", type=Path, help="folder for the nodes' logs")
+    arguments = parser.parse_args()
+    seed = arguments.seed
+    first = SystemRandom().getrandbits(SEED_BITS) if seed is None else seed
+    failed = 0
+    for number in range(arguments.soaks):
+        folder = arguments.logs / str(first + number) if arguments.logs else None
+        result = run(first + number, arguments.seconds, folder)
+        failed += bool(result.violations)
+        _report(result)
+    return 1 if failed else 0
+
+
+def _report(result: SoakResult) -> None:
+    verdict = f"{len(result.violations)} violations" if result.violations else "all promises kept"
+    print(f"seed {result.seed}: {verdict}; {len(result.faults)} faults")
+    print("  " + ", ".join(f"{name}: {count}" for name, count in sorted(result.results.items())))
+    for violation in result.violations[:20]:
+        print(f"  BROKEN {violation}")
+    if result.violations:
+        print("  faults: " + "; ".join(result.faults))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,133 @@
+"""Faults that a soak injects from outside the processes, drawn from a seed."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any
+
+from hillstack.emulator.fleet_runner import RunnerFaults
+from tests.processes.fault_proxy import Mode
+from tests.soak.system import SoakedSystem
+
+Fault = Callable[[SoakedSystem, Random], Coroutine[Any, Any, None]]
+
+
+async def kill_node(system: SoakedSystem, rng: Random) -> None:
+    """Kill a node and start it again."""
+    name = system.pick_node(rng)
+    await system.end_node(name, signal.SIGKILL)
+    await asyncio.sleep(rng.uniform(0.0, 1.0))
+    system.start_node(name)
+
+
+async def kill_all_nodes(system: SoakedSystem, rng: Random) -> None:
+    """Kill all nodes at once and start them again."""
+    names = system.running_nodes()
+    await asyncio.gather(*(system.end_node(name, signal.SIGKILL) for name in names))
+    await asyncio.sleep(rng.uniform(0.0, 1.0))
+    for name in names:
+        system.start_node(name)
+
+
+async def stop_node(system: SoakedSystem, rng: Random) -> None:
+    """Stop a node as planned and start it again."""
+    name = system.pick_node(rng)
+    await system.end_node(name, signal.SIGTERM)
+    system.start_node(name)
+
+
+async def pause_node(system: SoakedSystem, rng: Random) -> None:
+    """Freeze a node, past its leases perhaps."""
+    name = system.pick_node(rng)
+    system.signal_node(name, signal.SIGSTOP)
+    await asyncio.sleep(rng.uniform(0.5, 4.0))
+    system.signal_node(name, signal.SIGCONT)
+
+
+async def cut_store(system: SoakedSystem, rng: Random) -> None:
+    """Disturb the way of one node, or of all, to the store."""
+    names = system.running_nodes() if rng.random() < 0.4 else [system.pick_node(rng)]
+    mode = rng.choice((Mode.SILENT, Mode.REFUSE, Mode.DELAY, Mode.RESET_ANSWERS))
+    for name in names:
+        system.proxy.set(f"store of {name}", mode, delay=rng.uniform(0.1, 0.8))
+    await asyncio.sleep(rng.uniform(0.5, 6.0))
+    for name in names:
+        system.proxy.set(f"store of {name}", Mode.PASS)
+
+
+async def break_store(system: SoakedSystem, rng: Random) -> None:
+    """Let the store refuse, lose answers, or forget its history."""
+    store = system.deployment.store
+    fault = rng.choice(("down", "lose_answers", "forget"))
+    if fault == "forget":
+        store.forget_history()
+        return
+    setattr(store, fault, True)
+    await asyncio.sleep(rng.uniform(0.5, 5.0))
+    setattr(store, fault, False)
+
+
+async def cut_runner(system: SoakedSystem, rng: Random) -> None:
+    """Disturb the way of all nodes to one runner."""
+    runner_id = system.pick_runner(rng)
+    mode = rng.choice((Mode.SILENT, Mode.REFUSE, Mode.DELAY, Mode.RESET_ANSWERS))
+    after = rng.randrange(0, 600)
+    system.proxy.set(runner_id, mode, after_bytes=after, delay=rng.uniform(0.05, 0.5))
+    await asyncio.sleep(rng.uniform(0.3, 3.0))
+    system.proxy.set(runner_id, Mode.PASS)
+
+
+async def spoil_runner(system: SoakedSystem, rng: Random) -> None:
+    """Let a runner fail, refuse, hang or break its streams off."""
+    runner = system.deployment.runners[system.pick_runner(rng)]
+    runner.faults = rng.choice(
+        (
+            RunnerFaults(status=500),
+            RunnerFaults(shed=True),
+            RunnerFaults(hang=True),
+            RunnerFaults(break_after=rng.randrange(1, 5)),
+        )
+    )
+    await asyncio.sleep(rng.uniform(0.3, 3.0))
+    runner.faults = RunnerFaults()
+
+
+async def replace_runner(system: SoakedSystem, rng: Random) -> None:
+    """Let a runner leave, announced or not, and another one join."""
+    runner_id = system.pick_runner(rng)
+    if rng.random() < 0.5:
+        system.deployment.list_runner(runner_id, "draining")
+        await asyncio.sleep(rng.uniform(0.5, 2.0))
+    await system.remove_runner(runner_id)
+    await system.add_runner(system.deployment.runners[runner_id].service)
+
+
+async def change_keys(system: SoakedSystem, rng: Random) -> None:
+    """Take a key away and add another one."""
+    system.rotate_key(rng)
+
+
+async def name_weights(system: SoakedSystem, rng: Random) -> None:
+    """Name a new version of the weights, twice in a row perhaps."""
+    system.next_weights()
+    if rng.random() < 0.4:
+        await asyncio.sleep(rng.uniform(0.0, 2.0))
+        system.next_weights()
+
+
+FAULTS: tuple[Fault, ...] = (
+    kill_node,
+    kill_all_nodes,
+    stop_node,
+    pause_node,
+    cut_store,
+    break_store,
+    cut_runner,
+    spoil_runner,
+    replace_runner,
+    change_keys,
+    name_weights,
+)
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,116 @@
+"""A soak: callers before real nodes, faults drawn from a seed, promises checked from outside."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+import aiohttp
+
+from tests.soak.callers import Callers
+from tests.soak.faults import FAULTS
+from tests.soak.system import SoakedSystem
+
+CALLERS = 6
+FAULT_PAUSE_SECONDS = 1.2
+CHECK_SECONDS = 0.2
+RECOVERY_SECONDS = 30.0
+SETTLE_SECONDS = 1.0
+SERVED_IN_A_ROW = 10
+
+
+@dataclass(slots=True)
+class SoakResult:
+    """What a soak found.
+
+    Attributes:
+        violations: Broken promises; none when all is well.
+        results: Requests by kind and status.
+        faults: The faults injected, with their times in seconds.
+    """
+
+    seed: int
+    violations: list[str] = field(default_factory=list)
+    results: Counter[str] = field(default_factory=Counter)
+    faults: list[str] = field(default_factory=list)
+
+
+async def soak(seed: int, seconds: float, folder: Path) -> SoakResult:
+    """Run one soak."""
+    rng = Random(seed)
+    result = SoakResult(seed)
+    system = SoakedSystem(folder)
+    await system.start()
+    callers = Callers(system.observations, system.callable_nodes, system.keys, Random(seed + 1))
+    calling = [asyncio.create_task(callers.run()) for _ in range(CALLERS)]
+    watching = asyncio.create_task(_watch(system))
+    try:
+        await _inject(system, rng, seconds, result)
+        await _recover(system, callers, result)
+    finally:
+        for task in (*calling, watching):
+            task.cancel()
+        await asyncio.gather(*calling, watching, return_exceptions=True)
+        await asyncio.sleep(SETTLE_SECONDS)
+        result.violations += system.observations.violations()
+        result.violations += system.unexpected_ends
+        result.violations += system.log_problems()
+        result.results = Counter(f"{s.kind} {s.status}" for s in system.observations.sent)
+        await system.close()
+    return result
+
+
+async def _watch(system: SoakedSystem) -> None:
+    while True:
+        system.check_processes()
+        await asyncio.sleep(CHECK_SECONDS)
+
+
+async def _inject(system: SoakedSystem, rng: Random, seconds: float, result: SoakResult) -> None:
+    """Inject faults, several at a time, and wait for the end of the last."""
+    began_at = time.monotonic()
+    running: set[asyncio.Task[None]] = set()
+    while time.monotonic() - began_at < seconds:
+        fault = rng.choice(FAULTS)
+        result.faults.append(f"{time.monotonic() - began_at:.1f} {fault.__name__}")
+        task = asyncio.create_task(fault(system, Random(rng.getrandbits(32))))
+        running.add(task)
+        task.add_done_callback(running.discard)
+        await asyncio.sleep(rng.expovariate(1 / FAULT_PAUSE_SECONDS))
+    for task in list(running):
+        await task
+
+
+async def _recover(system: SoakedSystem, callers: Callers, result: SoakResult) -> None:
+    """Check that all is well again some time after the last fault."""
+    ends_at = time.monotonic() + RECOVERY_SECONDS
+    for name in list(system.running_nodes()):
+        system.start_node(name)
+    async with aiohttp.ClientSession() as session:
+        for node in system.callable_nodes():
+            served = 0
+            while served < SERVED_IN_A_ROW and time.monotonic() < ends_at:
+                answer = await callers.call(session, node)
+                served = served + 1 if answer.status == 200 else 0
+            if served < SERVED_IN_A_ROW:
+                result.violations.append(f"{node.name} does not serve again")
+    while system.engines_behind():
+        if time.monotonic() >= ends_at:
+            break
+        await asyncio.sleep(CHECK_SECONDS)
+    if system.engines_behind():
+        result.violations.append(f"engines with old weights: {system.engines_behind()}")
+
+
+def run(seed: int, seconds: float, folder: Path | None = None) -> SoakResult:
+    """Run one soak; logs go to ``folder``, or to one that is removed."""
+    if folder is not None:
+        folder.mkdir(parents=True, exist_ok=True)
+        return asyncio.run(soak(seed, seconds, folder))
+    with tempfile.TemporaryDirectory() as made:
+        return asyncio.run(soak(seed, seconds, Path(made)))
