--- a/src/hillstack/config/fleet_settings.py
+++ b/src/hillstack/config/fleet_settings.py
@@ -22,6 +22,10 @@
 Text = Annotated[str, msgspec.Meta(min_length=1)]
 
 
+FRESHNESS_SHARE = 0.9
+WATCH_SHARE = 0.5
+
+
 class NodeSection(msgspec.Struct, frozen=True):
     """Who this node is.
 
@@ -71,6 +75,8 @@
         contact_ms: Time after a start in which a node is not held to bounds.
         lease_ms: Time that must lie between the orders of two holders of a duty to one runner.
         version_ms: Time after which a version of weights that was named must be in use.
+        config_apply_ms: Time after which a configuration must be in force.
+        drain_ms: Time after which a leaving runner must get no new work.
         grace_seconds: Time between SIGTERM and the end of the process.
         retry_ratio: Further attempts allowed for each request to a service.
         retry_slack: Further attempts allowed in a window beyond the ratio, over all nodes.
@@ -82,6 +88,8 @@
     contact_ms: PositiveFloat = 3_000.0
     lease_ms: PositiveFloat = 3_000.0
     version_ms: PositiveFloat = 8_000.0
+    config_apply_ms: PositiveFloat = 2_000.0
+    drain_ms: PositiveFloat = 2_000.0
     grace_seconds: PositiveFloat = 8.0
     retry_ratio: Share = 0.1
     retry_slack: Share = 10.0
@@ -115,8 +123,9 @@
             return math.inf
         return self.bounds.revoke_ms / 1000 * FRESHNESS_SHARE
 
-
-FRESHNESS_SHARE = 0.9
+    def watch_interval(self) -> float:
+        """Return the seconds between two looks at the store: half of what the bounds allow."""
+        return WATCH_SHARE * min(self.bounds.config_apply_ms, self.bounds.drain_ms) / 1000
 
 
 def load_fleet_settings(path: Path) -> FleetSettings:
--- a/src/hillstack/core/placement/expected_delay.py
+++ b/src/hillstack/core/placement/expected_delay.py
@@ -136,7 +136,7 @@
     zone: str
     engine: EngineProfile
     prefill_rate: float
-    store: KeptCacheStore | None
+    stores: Sequence[KeptCacheStore]
     now: float
     target_seconds: float
     gap_seconds: float
@@ -225,10 +225,9 @@
             known = max(known, matched)
             read = index.matched_tokens(holder.runner_id, salt, shape.shared, now)
             sources.append(_Source(holder.runner_id, holder.address, holder.entry.zone, read))
-        if around.store is not None:
-            address, zone = around.store.address, around.store.zone
-            read = index.matched_tokens(address, salt, shape.shared, now)
-            sources.append(_Source(address, address, zone, read))
+        for store in around.stores:
+            read = index.matched_tokens(store.address, salt, shape.shared, now)
+            sources.append(_Source(store.address, store.address, store.zone, read))
         return _KeptParts(known, sources)
 
     def _evaluate(
@@ -320,8 +319,9 @@
 def move_seconds(tokens: int, source_zone: str, zone: str, around: Surroundings) -> float:
     """Return the seconds that a move of cached tokens is expected to take."""
     rate = around.engine.link_megabits
-    if around.store is not None and around.store.link_megabits > 0:
-        rate = min(rate, around.store.link_megabits)
+    for store in around.stores:
+        if store.link_megabits > 0:
+            rate = min(rate, store.link_megabits)
     bits = tokens * around.engine.kv_token_bytes * 8
     seconds = MOVE_SETUP_SECONDS + bits / (rate * 1e6)
     return seconds if source_zone == zone else seconds * REMOTE_MOVE_FACTOR
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -88,8 +88,15 @@
             self._state, runners, placement, self._clock, self._metrics
         )
         own_address = f"{settings.node.address}:{settings.listen.peers_port}"
-        zone = settings.node.zone
-        self._sync = StoreSync(store, self._state, own_address, zone, self._clock, rng)
+        self._sync = StoreSync(
+            store,
+            self._state,
+            own_address,
+            settings.node.zone,
+            settings.watch_interval(),
+            self._clock,
+            rng,
+        )
         lease = DutyLease(store, DUTY_KEY, settings.node.id, LEASE_TTL_SECONDS, self._clock)
         self._duty = RolloutDuty(
             self._state, lease, runners, self._peers, bounds.lease_ms / 1000, self._clock, rng
--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -17,7 +17,6 @@
 
 logger = logging.getLogger(__name__)
 
-WATCH_INTERVAL_SECONDS = 1.0
 WATCH_WAIT_SECONDS = 1.0
 RETRY_SECONDS = 0.3
 RELOAD_SECONDS = 0.05
@@ -81,6 +80,7 @@
         state: What the node knows.
         own_address: Where this node listens for its peers.
         zone: Zone of this node.
+        interval: Seconds between two looks.
         clock: Monotonic seconds.
         rng: Source of randomness.
     """
@@ -91,6 +91,7 @@
         state: FleetState,
         own_address: str,
         zone: str,
+        interval: float,
         clock: Callable[[], float],
         rng: Random,
     ) -> None:
@@ -98,6 +99,7 @@
         self._state = state
         self._own_address = own_address
         self._zone = zone
+        self._interval = interval
         self._clock = clock
         self._rng = rng
         self._lost_at: float | None = None
@@ -123,7 +125,7 @@
                 await asyncio.sleep(RETRY_SECONDS * (0.5 + self._rng.random()))
                 continue
             self._state.expire(self._clock())
-            await asyncio.sleep(max(0.0, started_at + WATCH_INTERVAL_SECONDS - self._clock()))
+            await asyncio.sleep(max(0.0, started_at + self._interval - self._clock()))
 
     async def _load(self, started_at: float) -> int:
         snapshot = await self._store.snapshot()
--- a/src/hillstack/serving/cache_beliefs.py
+++ b/src/hillstack/serving/cache_beliefs.py
@@ -64,7 +64,7 @@
             return
         index = self._state.index
         index.note(runner_id, salt, parts, runner.committed_tokens(now), ready_at)
-        store = self._state.kept_cache_store(now)
+        store = self._state.kept_cache_store(runner.entry.zone, now)
         engine = self._state.engine_of(runner.entry.service)
         if store is not None and engine is not None:
             stored_at = ready_at + _save_seconds(parts, engine.kv_token_bytes, store)
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -158,11 +158,16 @@
         for runner in self.pool.expire_unlisted(now):
             self.index.forget(runner.runner_id)
 
-    def kept_cache_store(self, now: float) -> KeptCacheStore | None:
-        """Return the store of kept KV cache, or None if there is none that answers."""
+    def kept_cache_stores(self, now: float) -> list[KeptCacheStore]:
+        """Return the stores of kept KV cache that answer."""
         stores = self.table.kept_cache_stores() if self.table is not None else []
-        available = (s for s in stores if now >= self._unavailable_until.get(s.address, now))
-        return next(available, None)
+        return [s for s in stores if now >= self._unavailable_until.get(s.address, now)]
+
+    def kept_cache_store(self, zone: str, now: float) -> KeptCacheStore | None:
+        """Return the store to which runners of a zone save, or None if none answers."""
+        stores = self.kept_cache_stores(now)
+        near = (store for store in stores if store.zone == zone)
+        return next(near, stores[0] if stores else None)
 
     def note_unavailable(self, address: str, now: float) -> None:
         """Note that a store of kept KV cache does not answer: it is left alone for a while."""
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -14,7 +14,7 @@
     PromptShape,
     Surroundings,
 )
-from hillstack.core.routing_table import EngineProfile, KeptCacheStore
+from hillstack.core.routing_table import EngineProfile
 from hillstack.core.runner_pool import DEFAULT_PREFILL_RATE, OwnAttempt, Runner
 from hillstack.messages.peer_notices import PlacementNotice
 from hillstack.serving.cache_beliefs import CacheBeliefs
@@ -182,7 +182,7 @@
         ]
         around = self._surroundings(job, engine, now)
         choice = self._policy.choose(shape, candidates, around, accepting)
-        return self._placed(choice, around.store) if choice is not None else None
+        return self._placed(choice, now) if choice is not None else None
 
     def _candidate(self, job: Job, runner: Runner, now: float) -> Candidate:
         model = job.request.model
@@ -198,14 +198,15 @@
             zone=self._zone,
             engine=engine,
             prefill_rate=self.prefill_rate(job.service),
-            store=self._state.kept_cache_store(now),
+            stores=self._state.kept_cache_stores(now),
             now=now,
             target_seconds=job.route.target_seconds,
             gap_seconds=table.shortest_gap(job.service),
         )
 
-    def _placed(self, choice: Choice, store: KeptCacheStore | None) -> PlacedAttempt:
+    def _placed(self, choice: Choice, now: float) -> PlacedAttempt:
         runner = choice.candidate.runner
+        store = self._state.kept_cache_store(runner.entry.zone, now)
         return PlacedAttempt(
             runner=runner,
             delay=choice.delay,
--- a/tests/fleet/test_cache_follower.py
+++ b/tests/fleet/test_cache_follower.py
@@ -200,18 +200,18 @@
     bench.run(1.0)
     bench.feed.holders[STORE.address].failure = BackendError("reset", step="ask", peer="store")
     bench.run(1.0)
-    assert bench.state.kept_cache_store(bench.scheduler.now) is None
+    assert bench.state.kept_cache_store("zone-a", bench.scheduler.now) is None
     assert STORE.address in bench.peers.unavailable
     bench.feed.holders[STORE.address].failure = None
     bench.run(4.0)
-    assert bench.state.kept_cache_store(bench.scheduler.now) == STORE
+    assert bench.state.kept_cache_store("zone-b", bench.scheduler.now) == STORE
 
 
 def test_a_store_that_refuses_the_question_is_used_on(bench: Bench) -> None:
     error = BackendRefusedError("status 429", step="ask", peer="store")
     bench.feed.holders[STORE.address].failure = error
     bench.run(2.0)
-    assert bench.state.kept_cache_store(bench.scheduler.now) == STORE
+    assert bench.state.kept_cache_store("zone-b", bench.scheduler.now) == STORE
 
 
 def test_a_holder_that_fails_is_asked_at_a_bounded_rate(bench: Bench) -> None:
--- a/tests/fleet/test_peer_exchange.py
+++ b/tests/fleet/test_peer_exchange.py
@@ -186,11 +186,11 @@
     _, exchange, transport = make_node()
     other_state, other, _ = make_node()
     other_state.table = make_table(make_route(), store=store)
-    assert other_state.kept_cache_store(100.0) == store
+    assert other_state.kept_cache_store("zone-a", 100.0) == store
     exchange.store_unavailable(store.address)
     deliver(transport, other)
-    assert other_state.kept_cache_store(100.0) is None
-    assert other_state.kept_cache_store(103.0) == store
+    assert other_state.kept_cache_store("zone-a", 100.0) is None
+    assert other_state.kept_cache_store("zone-a", 103.0) == store
 
 
 def test_strangers_and_unknown_runners_change_nothing() -> None:
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 
 from hillstack.core.part_index import PartIndex, PromptPart
 from hillstack.core.placement.expected_delay import (
@@ -32,11 +33,11 @@
     runners: list[Runner],
     *,
     output: int = 50,
-    store: KeptCacheStore | None = None,
+    stores: Sequence[KeptCacheStore] = (),
     begin_before: float = math.inf,
     shared: PromptPart = SHARED,
 ) -> Choice | None:
-    around = Surroundings("zone-a", ENGINE, RATE, store, 0.0, 0.6, 0.5)
+    around = Surroundings("zone-a", ENGINE, RATE, stores, 0.0, 0.6, 0.5)
     candidates = [Candidate(runner, SALT, 1, begin_before) for runner in runners]
     shape = PromptShape((shared, OWN), output)
     return ExpectedDelayPlacement(index).choose(shape, candidates, around, runners)
@@ -73,10 +74,20 @@
     store = KeptCacheStore("10.9.9.9:1", "zone-a", 1_000_000, 200_000.0)
     index = make_index("i-1", store.address)
     index.note(store.address, SALT, [SHARED])
-    choice = choose(index, [make_runner("i-1")], store=store)
+    choice = choose(index, [make_runner("i-1")], stores=[store])
     assert choice is not None and choice.fetch_from == store.address
 
 
+def test_the_nearest_of_several_stores_is_the_source() -> None:
+    far = KeptCacheStore("10.9.9.8:1", "zone-b", 1_000_000, 200_000.0)
+    near = KeptCacheStore("10.9.9.9:1", "zone-a", 1_000_000, 200_000.0)
+    index = make_index("i-1", far.address, near.address)
+    for store in (far, near):
+        index.note(store.address, SALT, [SHARED])
+    choice = choose(index, [make_runner("i-1")], stores=[far, near])
+    assert choice is not None and choice.fetch_from == near.address
+
+
 def test_nothing_is_fetched_under_another_salt() -> None:
     index = make_index("i-1", "i-2")
     index.note("i-2", "shared|m|0", [SHARED])
@@ -99,7 +110,7 @@
     runners = [make_runner(name) for name in ("i-1", "i-2", "i-3")]
     for number in range(5):
         runners[1].attempts[str(number)] = OwnAttempt(0, 300, 0.0, 1.0, long=True, started=True)
-    around = Surroundings("zone-a", ENGINE, RATE, None, 0.0, 0.6, 0.5)
+    around = Surroundings("zone-a", ENGINE, RATE, (), 0.0, 0.6, 0.5)
     shape = PromptShape((PromptPart("s", 100), PromptPart("o", 600)), 800)
     candidates = [Candidate(runner, SALT) for runner in runners]
     choice = ExpectedDelayPlacement(index).choose(shape, candidates, around, runners)
--- a/tests/fleet/test_store_sync.py
+++ b/tests/fleet/test_store_sync.py
@@ -79,7 +79,7 @@
     events: list[StoreEvent] = [RunnerListed(entry) for entry in entries]
     store = FakeStore([Snapshot(events, {"i-1", "i-2"}, 10)])
     scheduler = Scheduler()
-    sync = StoreSync(store, state, "10.0.0.1:1", "zone-a", scheduler.clock, make_rng())
+    sync = StoreSync(store, state, "10.0.0.1:1", "zone-a", 1.0, scheduler.clock, make_rng())
     scheduler.spawn(scheduler.new_loop(), sync.run())
     scheduler.run_until(0.5)
     yield Bench(state, store, scheduler)
--- a/tests/processes/fault_proxy.py
+++ b/tests/processes/fault_proxy.py
@@ -61,10 +61,18 @@
         state.mode, state.after_bytes, state.delay = mode, after_bytes, delay
 
     def close(self) -> None:
-        """Stop the thread."""
+        """End all connections and stop the thread."""
+        asyncio.run_coroutine_threadsafe(self._end_connections(), self._loop).result(10)
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
 
+    async def _end_connections(self) -> None:
+        own = asyncio.current_task()
+        tasks = [task for task in asyncio.all_tasks() if task is not own]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def _run(self, work: Coroutine[Any, Any, str]) -> str:
         return asyncio.run_coroutine_threadsafe(work, self._loop).result(10)
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import logging
 import sys
 from pathlib import Path
 from random import SystemRandom
@@ -20,6 +21,8 @@
     parser.add_argument("--seed", type=int, help="seed of the first soak; drawn by default")
     parser.add_argument("--logs", type=Path, help="folder for the nodes' logs")
     arguments = parser.parse_args()
+    # The stand-ins raise on purpose; the nodes log in processes of their own.
+    logging.disable(logging.CRITICAL)
     seed = arguments.seed
     first = SystemRandom().getrandbits(SEED_BITS) if seed is None else seed
     failed = 0
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -65,6 +65,7 @@
             time.monotonic(),
             expected_events=EVENTS if kind == "stream" else None,
         )
+        result = request
         answering = asyncio.ensure_future(self._answer(session, node, request))
         try:
             if self._rng.random() < LEAVE_SHARE:
@@ -73,13 +74,14 @@
                 answering.cancel()
             result = await answering
         except asyncio.CancelledError:
-            if not answering.cancelled():
-                answering.cancel()
+            answering.cancel()
+            own = asyncio.current_task()
+            if own is not None and own.cancelling():
                 raise
-            result = request
         except (aiohttp.ClientError, TimeoutError, OSError):
-            result = request
-        self._observations.sent.append(result)
+            pass
+        finally:
+            self._observations.sent.append(result)
         return result
 
     async def _answer(
--- /dev/null
+++ b/tests/soak/test_promises.py
@@ -0,0 +1,80 @@
+"""The soak's own checks: each broken promise must be found in a history that breaks it."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from hillstack.platform.formats import OrderBody
+from tests.soak.promises import Observations, Run, Sent
+
+ORDER = OrderBody("version", "m", 2, "retain", "node-1", 5, 0)
+ONCE = Sent("r-1", "once", "node-1", "key-1", 10.0, 200, b"i-1:r-1", "i-1.r-1")
+STREAM = replace(
+    ONCE,
+    kind="stream",
+    expected_events=3,
+    body=b"id: 1\ndata: i-1\n\nid: 2\ndata: i-1\n\nid: 3\ndata: i-2\n\n",
+)
+RUN = Run("r-1", "i-1", 10.1)
+
+
+def found(
+    *sent: Sent,
+    runs: tuple[Run, ...] = (),
+    revoked: float | None = None,
+    orders: tuple[OrderBody, ...] = (),
+) -> list[str]:
+    seen = Observations(list(sent), list(runs), orders={"i-1": list(orders)})
+    if revoked is not None:
+        seen.revoked_at["key-1"] = revoked
+    return seen.violations()
+
+
+def test_a_history_that_keeps_all_promises_is_clean() -> None:
+    orders = (ORDER, replace_order(version=3, fence=6, holder="node-2"))
+    assert found(ONCE, runs=(RUN,), revoked=9.0, orders=orders) == []
+    assert found(STREAM, runs=(RUN, RUN)) == []
+    assert found(replace(ONCE, status=503, retry_after="1")) == []
+
+
+def replace_order(**changes: object) -> OrderBody:
+    fields = {name: getattr(ORDER, name) for name in ORDER.__struct_fields__}
+    return OrderBody(**{**fields, **changes})
+
+
+@pytest.mark.parametrize(
+    ("sent", "runs", "text"),
+    [
+        (replace(ONCE, signature="i-1.r-2"), (RUN,), "signature"),
+        (replace(ONCE, body=b"i-1:r-2"), (RUN,), "body"),
+        (replace(ONCE, body=b"i-1:r-"), (RUN,), "body"),
+        (ONCE, (RUN, RUN), "ran 2 times"),
+        (replace(ONCE, status=503, retry_after="1"), (RUN,), "and it ran"),
+        (replace(ONCE, status=503), (), "time to come back"),
+        (replace(STREAM, kind="stream"), (RUN, RUN, RUN), "ran 3 times"),
+        (replace(STREAM, body=STREAM.body[:17]), (RUN,), "ended as complete"),
+        (replace(STREAM, body=STREAM.body + STREAM.body), (RUN,), "ended as complete"),
+        (ONCE, (RUN, Run("r-9", "i-1", 10.0)), "no caller sent it"),
+    ],
+)
+def test_a_broken_promise_is_found(sent: Sent, runs: tuple[Run, ...], text: str) -> None:
+    violations = found(sent, runs=runs)
+    assert len(violations) == 1 and text in violations[0]
+
+
+def test_a_run_with_a_key_that_was_revoked_long_before_is_found() -> None:
+    assert "revoked" in found(ONCE, runs=(RUN,), revoked=4.0)[0]
+
+
+@pytest.mark.parametrize(
+    "order",
+    [
+        replace_order(fence=4),
+        replace_order(version=1),
+        replace_order(holder="node-2"),
+    ],
+)
+def test_orders_out_of_turn_are_found(order: OrderBody) -> None:
+    assert len(found(orders=(ORDER, order))) == 1
