Large prefills are told within 20 ms; long streams gather by an order that all nodes share

Cause: on the grown Tampere 79 nodes told each other of placements after 0.33 s. Until then all sent to the runner that looked best: 8 streams and 12 long prompts within 0.3 s to one of 45 runners, expected delay 10 to 350 ms, seen 1.0 to 2.1 s. Gathering long streams where streams are known to be made it worse, since the news is old. Ruled out: too few runners (prefill needs 5 of 45), faults (it begins in the first second), processor of the nodes (0.04 cores of 0.5). Change: placements are sent 20 ms after the first, without the loads, which stay at their pace. Long streams prefer the beginning of an order by rendezvous hash, long prefills its end; a small bonus by the hash of a request's own part spreads streams over the runners that look alike.

--- a/src/hillstack/core/placement/expected_delay.py
+++ b/src/hillstack/core/placement/expected_delay.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 
 from hillstack.core.part_index import PartIndex, PromptPart
@@ -22,12 +22,13 @@
 MOVE_SETUP_SECONDS = 0.004
 REMOTE_MOVE_FACTOR = 2.0
 MIN_MOVE_TOKENS = 32
-HOME_BONUS_SECONDS = 0.02
+HASH_BONUS_SECONDS = 0.02
 SLOT_PENALTY_SECONDS = 1.0
 MEMORY_PENALTY_SECONDS = 2.0
 SHED_PENALTY_SECONDS = 0.5
 REMOTE_PENALTY_SECONDS = 0.002
 HASH_RANGE = float(2**64)
+LONG_STREAMS = "long streams"
 BEGIN_FACTOR = 2.0
 BEGIN_MARGIN_SECONDS = 0.4
 LATE_PENALTY_SECONDS = 1.0
@@ -37,7 +38,7 @@
 SLOWDOWN_SHARE = 0.02
 LONG_OUTPUT_TOKENS = 100
 GATHER_BONUS_SECONDS = 0.06
-GATHER_FULL = 4
+AVOID_SECONDS = 0.03
 GATHER_SLOT_SHARE = 0.3
 GATHER_MEMORY_SHARE = 0.5
 REPEATED_PREFILL_SECONDS_PER_TOKEN = 0.0003
@@ -197,6 +198,7 @@
         best: Choice | None = None
         best_cost = float("inf")
         kept_by_salt: dict[str, _KeptParts] = {}
+        positions = shared_order(candidate.runner.runner_id for candidate in candidates)
         for candidate in candidates:
             kept = kept_by_salt.get(candidate.salt)
             if kept is None:
@@ -206,7 +208,8 @@
             begins_at = surroundings.now + BEGIN_FACTOR * choice.delay + BEGIN_MARGIN_SECONDS
             if begins_at > candidate.begin_before:
                 continue
-            cost = self._cost(shape, choice, surroundings)
+            position = positions[candidate.runner.runner_id]
+            cost = self._cost(shape, choice, surroundings, position)
             if cost < best_cost:
                 best, best_cost = choice, cost
         return best
@@ -244,7 +247,9 @@
             candidate, delay, waiting, missing, matched, move.address, move.tokens, repeated
         )
 
-    def _cost(self, shape: PromptShape, choice: Choice, around: Surroundings) -> float:
+    def _cost(
+        self, shape: PromptShape, choice: Choice, around: Surroundings, position: float
+    ) -> float:
         runner = choice.candidate.runner
         cost = choice.delay + lateness(choice.delay, around.target_seconds)
         cost += self._harm(choice, runner, around)
@@ -253,8 +258,10 @@
         if begins_at > choice.candidate.superseded_at + SUPERSEDED_SECONDS:
             cost += SUPERSEDED_PENALTY_SECONDS
         if shape.is_long:
-            return cost - self._gather_bonus(shape, runner, around)
-        return cost - self._home_bonus(shape, choice.candidate)
+            cost -= self._gather_bonus(shape, runner, around, position)
+            return cost - _hash_bonus(shape.parts[-1], runner)
+        cost += AVOID_SECONDS * (1.0 - position)
+        return cost - _hash_bonus(shape.shared[-1], runner) if shape.shared else cost
 
     def _harm(self, choice: Choice, runner: Runner, around: Surroundings) -> float:
         """Return the cost of what the prefill does to the long streams at the runner."""
@@ -268,16 +275,17 @@
             harm += PAUSE_PENALTY_SECONDS * streams
         return harm
 
-    def _gather_bonus(self, shape: PromptShape, runner: Runner, around: Surroundings) -> float:
-        """Return the bonus of a runner that has long streams and room for more."""
-        streams = runner.long_running(around.now)
+    def _gather_bonus(
+        self, shape: PromptShape, runner: Runner, around: Surroundings, position: float
+    ) -> float:
+        """Return the bonus of a runner early in the shared order that has room for streams."""
         engine = around.engine
         committed = runner.committed_tokens(around.now) + shape.total_tokens
-        if streams >= GATHER_SLOT_SHARE * engine.slots:
+        if runner.long_running(around.now) >= GATHER_SLOT_SHARE * engine.slots:
             return 0.0
         if committed > GATHER_MEMORY_SHARE * engine.kv_capacity_tokens:
             return 0.0
-        return GATHER_BONUS_SECONDS * min(1.0, streams / GATHER_FULL)
+        return GATHER_BONUS_SECONDS * (1.0 - position)
 
     def _pressure(self, shape: PromptShape, runner: Runner, around: Surroundings) -> float:
         penalty = 0.0
@@ -294,11 +302,14 @@
             penalty += REMOTE_PENALTY_SECONDS
         return penalty
 
-    def _home_bonus(self, shape: PromptShape, candidate: Candidate) -> float:
-        if not shape.shared:
-            return 0.0
-        home = score(shape.shared[-1].part_id, candidate.runner.runner_id)
-        return HOME_BONUS_SECONDS * home / HASH_RANGE
+
+def _hash_bonus(part: PromptPart, runner: Runner) -> float:
+    """Return a small bonus that a hash draws.
+
+    Of a shared part, it names a home on which nodes that know little agree; of a request's own
+    part, it spreads requests over runners that look alike.
+    """
+    return HASH_BONUS_SECONDS * score(part.part_id, runner.runner_id) / HASH_RANGE
 
 
 def _best_move(kept: _KeptParts, candidate: Candidate, matched: int, around: Surroundings) -> _Move:
@@ -316,6 +327,16 @@
     return best
 
 
+def shared_order(runner_ids: Iterable[str]) -> dict[str, float]:
+    """Return the position of each runner, from 0 to 1, in an order on which all nodes agree.
+
+    Long streams are gathered at its beginning without a word between the nodes, so that late news
+    of loads does not send them all to whichever runner looked best.
+    """
+    ordered = sorted(runner_ids, key=lambda runner_id: score(LONG_STREAMS, runner_id))
+    return {runner_id: place / len(ordered) for place, runner_id in enumerate(ordered)}
+
+
 def move_seconds(tokens: int, source_zone: str, zone: str, around: Surroundings) -> float:
     """Return the seconds that a move of cached tokens is expected to take."""
     rate = around.engine.link_megabits
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -1,6 +1,7 @@
 """Notices to and from the other nodes, in datagrams.
 
-What changes is collected for a short time and sent to all peers together.
+What changes is collected for a short time and sent to all peers together. Large prefills are told
+sooner than loads: there are few of them, and each counts.
 """
 
 from __future__ import annotations
@@ -32,6 +33,7 @@
 logger = logging.getLogger(__name__)
 
 FLUSH_SECONDS = 0.05
+PLACEMENT_SECONDS = 0.02
 REFRESH_SECONDS = 0.8
 PEERS_AT_FULL_RATE = 12
 INCARNATION_BITS = 32
@@ -56,6 +58,7 @@
         self._liveness = NodeLiveness(state.node_id, clock())
         self._transport: asyncio.DatagramTransport | None = None
         self._flush_handle: asyncio.TimerHandle | None = None
+        self._placement_handle: asyncio.TimerHandle | None = None
         self._on_placement: PlacementHandler | None = None
         self._on_new_peer: PeerHandler | None = None
 
@@ -86,9 +89,11 @@
         }
 
     def placed(self, notice: PlacementNotice) -> None:
-        """Tell what was sent to a runner."""
+        """Tell what was sent to a runner, soon: until then the peers send there too."""
         self._outbox.add_placement(notice)
-        self._schedule()
+        if self._placement_handle is None:
+            loop = asyncio.get_running_loop()
+            self._placement_handle = loop.call_later(PLACEMENT_SECONDS, self._flush_placements)
 
     def load_changed(self, runner: Runner) -> None:
         """Tell the load that this node has on a runner."""
@@ -161,9 +166,16 @@
         if self._flush_handle is not None:
             self._flush_handle.cancel()
             self._flush_handle = None
+        self._send_to_all(self._outbox.take())
+
+    def _flush_placements(self) -> None:
+        self._placement_handle = None
+        self._send_to_all([self._outbox.take_placements()])
+
+    def _send_to_all(self, notices: Sequence[NodeNotice]) -> None:
         if self._transport is None:
             return
-        datagrams = [peer_notices.encode(notice) for notice in self._outbox.take()]
+        datagrams = [peer_notices.encode(notice) for notice in notices]
         for node_id, address in self._state.node_addresses.items():
             if node_id == self._state.node_id:
                 continue
--- a/tests/fleet/test_peer_exchange.py
+++ b/tests/fleet/test_peer_exchange.py
@@ -23,6 +23,7 @@
     WeightsPhase,
 )
 from hillstack.serving.fleet_state import FleetState, NodeListed, WeightsNamed
+from hillstack.simulation.virtual_loop import Scheduler
 from tests.fleet.builders import (
     ENGINES,
     MODEL,
@@ -244,6 +245,33 @@
     assert other_state.versions.named_after(MODEL, 1) == 95.0
 
 
+def test_placements_are_told_before_loads_in_a_large_deployment() -> None:
+    # Grown Tampere: 79 nodes told each other of prefills after 0.33 s; until then all of them sent
+    # to the runner that looked best, where requests waited for over a second.
+    scheduler = Scheduler()
+    state = make_state(make_table(make_route()), make_entry("i-1", ENGINES, weights=1))
+    for number in range(79):
+        state.apply(NodeListed(f"node-{number}", f"10.0.0.2:{number + 1}"), 0.0)
+    exchange = PeerExchange(state, scheduler.clock, make_rng())
+    transport = FakeTransport()
+    exchange.connection_made(transport)
+    runner = state.pool.get("i-1")
+    assert runner is not None
+
+    async def send() -> None:
+        exchange.load_changed(runner)
+        exchange.placed(PlacementNotice("i-1", "salt", [("p", 900)], 1_200))
+
+    scheduler.spawn(scheduler.new_loop(), send())
+    scheduler.run_until(0.05)
+    told = [peer_notices.decode(datagram, "peer") for datagram, _ in transport.sent]
+    assert len(told) == 78 and all(len(n.placements) == 1 and not n.loads for n in told)
+    scheduler.run_until(1.0)
+    later = [peer_notices.decode(datagram, "peer") for datagram, _ in transport.sent[78:]]
+    assert len(later) == 78 and all(n.loads and not n.placements for n in later)
+    scheduler.close()
+
+
 def test_datagrams_a_second_do_not_grow_with_the_deployment() -> None:
     state, exchange, _ = make_node()
     small = len(state.node_addresses) / exchange.flush_seconds()
