--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,10 @@
 SEEDS ?= 50
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint bench simulate prove mutate experiment scale storm clean
+SECONDS ?= 60
+SOAKS ?= 1
+
+.PHONY: demo test lint bench simulate prove mutate soak experiment scale storm clean
 
 $(STAMP): requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -40,6 +43,9 @@
 	$(BIN)/python tools/mutate.py
 	$(BIN)/python tools/mutate_fleet.py
 
+soak: $(STAMP)
+	$(BIN)/python -m tests.soak --seconds $(SECONDS) --soaks $(SOAKS)
+
 experiment: $(STAMP)
 	$(BIN)/python tools/experiments.py
 
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -178,6 +178,21 @@
     assert choose(index, [runner], begin_before=9.0) is not None
 
 
+def test_superseded_weights_are_left_for_newer_ones_after_a_while() -> None:
+    index = make_index("i-1", "i-2")
+    old, new = make_runner("i-1"), make_runner("i-2")
+    around = Surroundings("zone-a", ENGINE, RATE, (), 10.0, 0.6, 0.5)
+    new.prefill_done_at = 10.15
+    shape = PromptShape((SHARED, OWN), 50)
+    chosen = []
+    for superseded_at in (9.5, 8.0):
+        candidates = [Candidate(old, SALT, 1, superseded_at=superseded_at), Candidate(new, SALT, 2)]
+        choice = ExpectedDelayPlacement(index).choose(shape, candidates, around, [old, new])
+        assert choice is not None
+        chosen.append(choice.candidate.runner)
+    assert chosen == [old, new]
+
+
 def test_lateness_is_a_step_at_the_objective() -> None:
     assert lateness(0.1, 0.6) < 0.01 < 0.9 < lateness(0.9, 0.6)
     assert lateness(9.0, 0.0) == 0.0
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -145,6 +145,64 @@
         "if exc is not None and payload is not None and not payload.is_eof():",
         "if False:",
     ),
+    Mutation(
+        "a refused fence is used on",
+        "daemon/rollout_duty.py",
+        "                self._lease.lose()\n",
+        "                pass\n",
+    ),
+    Mutation(
+        "parts are a source before they are read",
+        "serving/cache_beliefs.py",
+        "return UNTOLD_SECONDS + UNTOLD_FACTOR * delay",
+        "return 0.0",
+    ),
+    Mutation(
+        "evictions are not believed",
+        "core/part_index.py",
+        "            holder.put(key, part.tokens, -math.inf)\n"
+        "            holder.evict(holder.capacity)\n"
+        "        else:\n"
+        "            holder.remove(key)",
+        "            holder.put(key, part.tokens, -math.inf)\n"
+        "            holder.evict(holder.capacity)",
+    ),
+    Mutation(
+        "a restart of a holder is not noticed",
+        "daemon/cache_follower.py",
+        "if changes.epoch != position.epoch:",
+        "if False:",
+    ),
+    Mutation(
+        "every node watches every holder",
+        "daemon/cache_follower.py",
+        "if watcher(holder, zones) == self._state.node_id",
+        "if True",
+    ),
+    Mutation(
+        "a silent store of kept cache is asked on",
+        "serving/fleet_state.py",
+        "return [s for s in stores if now >= self._unavailable_until.get(s.address, now)]",
+        "return list(stores)",
+    ),
+    Mutation(
+        "prefills of others are repeated",
+        "core/placement/expected_delay.py",
+        "cost += REPEATED_PREFILL_SECONDS_PER_TOKEN * choice.repeated_tokens",
+        "pass",
+    ),
+    Mutation(
+        "placements wait for the loads",
+        "daemon/peer_exchange.py",
+        "loop.call_later(PLACEMENT_SECONDS, self._flush_placements)",
+        "loop.call_later(self.flush_seconds(), self._flush_placements)",
+    ),
+    Mutation(
+        "superseded weights are as good as the newest",
+        "core/placement/expected_delay.py",
+        "cost += SUPERSEDED_PENALTY_SECONDS",
+        "pass",
+    ),
     Mutation(
         "the library repeats requests",
         "platform/connections.py",
