Nodes whose knowledge of the store is too old are not ready and end their connections

Change: not ready while keys can't be trusted; answers then end their connection.

Test fails without the change: test_a_node_without_the_store_sends_callers_elsewhere_until_it_is_back.

--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -108,7 +108,7 @@
         settings = self._settings
         await self._peers.open(settings.node.address, settings.listen.peers_port)
         callers = make_server(
-            Ingress(self._pipeline, self._clock, self._max_body_bytes, lambda: self._stopping),
+            Ingress(self._pipeline, self._clock, self._max_body_bytes, self._should_leave),
             settings.listen.callers,
             keep_alive_seconds=KEEP_ALIVE_SECONDS,
             date_header=False,
@@ -171,8 +171,11 @@
         metrics.gauge("log_lines_dropped", "Log lines over the rate.", dropped_lines)
 
     def _is_ready(self) -> bool:
-        state = self._state
-        return state.table is not None and state.directory_known and not self._stopping
+        return not self._should_leave()
+
+    def _should_leave(self) -> bool:
+        """Return whether callers should go to another node."""
+        return self._stopping or not self._state.can_serve(self._clock())
 
     def _max_body_bytes(self) -> int:
         table = self._state.table
--- a/src/hillstack/platform/ingress.py
+++ b/src/hillstack/platform/ingress.py
@@ -81,7 +81,7 @@
         serving: Serves requests.
         clock: Monotonic seconds.
         max_body_bytes: Returns the largest body that is read.
-        closing: Returns whether the node is being stopped.
+        closing: Returns whether callers should go to another node after their answer.
     """
 
     def __init__(
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -153,6 +153,12 @@
         self._outage_until = lost_until
         self.versions.restart(lost_until)
 
+    def can_serve(self, now: float) -> bool:
+        """Return whether requests can be served: all is known, and keys can be trusted."""
+        if self.table is None or not self.directory_known:
+            return False
+        return self.table.tenants_by_key is None or self.freshness.is_fresh(now)
+
     def expire(self, now: float) -> None:
         """Forget what has been gone for long."""
         for runner in self.pool.expire_unlisted(now):
--- a/tests/fleet/test_node_process.py
+++ b/tests/fleet/test_node_process.py
@@ -93,6 +93,27 @@
     play(tmp_path, scenario)
 
 
+def test_a_node_without_the_store_sends_callers_elsewhere_until_it_is_back(tmp_path: Path) -> None:
+    # NEWS-2: the store may refuse some machines while it serves the others. Their keys can't be
+    # trusted; callers that stay would only be refused.
+    async def scenario(running: Deployment) -> None:
+        await running.add_runner("i-1")
+        node = await running.add_node("node-1", revoke_ms=2_500)
+        await running.session.close()
+        running.session = aiohttp.ClientSession()
+        assert "connection" not in (await running.call(node, "/safe/x")).headers
+        running.store.down = True
+        await running.wait_ready(node, 503)
+        refused = await running.call(node, "/safe/x")
+        assert (refused.status, refused.headers["connection"]) == (503, "close")
+        assert float(refused.headers[names.RETRY_AFTER]) > 0
+        running.store.down = False
+        await running.wait_ready(node)
+        await running.call_until(node, "/safe/x", 200)
+
+    play(tmp_path, scenario)
+
+
 def test_a_request_that_may_run_once_is_sent_once(tmp_path: Path) -> None:
     async def scenario(running: Deployment) -> None:
         runners = [await running.add_runner(name) for name in ("i-1", "i-2")]
