Versions named in an outage of the store count from its end

Versions known before the outage already began again at its end. Ruled out: the lease (held again 0.5 s after), lost orders (none), crashed runners (none). Change: a version that is learned after an outage counts from the outage's end. Test fails without the change: test_versions_named_in_an_outage_count_from_its_end.

--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -126,7 +126,7 @@
             case RunnerUnlisted(runner_id):
                 self._unlist_runner(runner_id, now)
             case WeightsNamed(model, version):
-                counts_from = self.unjudged_until - self.versions.grace
+                counts_from = max(self.unjudged_until - self.versions.grace, self._outage_until)
                 if self.versions.announce(model, version, not_before, counts_from):
                     fields = {"model": model, "version": version}
                     logger.info("weights named", extra=fields)
--- a/tests/fleet/test_store_sync.py
+++ b/tests/fleet/test_store_sync.py
@@ -150,6 +150,20 @@
     assert runner.weights_version(MODEL) == 3 and runner.accepts(bench.scheduler.now)
 
 
+def test_versions_named_in_an_outage_count_from_its_end(bench: Bench) -> None:
+    # inc-1e0b: versions named in an outage of 6 s counted from before it, so that all runners were
+    # too old at once when the store was back, and nothing was served for 3 s.
+    bench.scheduler.run_until(3.0)
+    bench.store.failure = PlatformUnavailableError("status 503", step="watch", peer="store")
+    bench.scheduler.run_until(9.0)
+    bench.store.failure = None
+    bench.store.pending = [WeightsNamed(MODEL, 7)]
+    bench.scheduler.run_until(11.0)
+    assert bench.state.versions.newest(MODEL) == 7
+    assert 8.0 < bench.state.versions.named_after(MODEL, 6) <= 9.0
+    assert bench.state.versions.superseded_at(MODEL, 6) <= 3.0
+
+
 def test_versions_count_again_after_an_outage_but_not_after_one_lost_answer(
     bench: Bench,
 ) -> None:
