--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -209,16 +209,20 @@
         pages = [get_json(fleet.addresses[name], "/status") for name in fleet.engine_ids()]
         return all(page["weights_version"] == 2 for page in pages)
 
+    def executions() -> list[dict[str, Any]]:
+        pages = [get_json(fleet.addresses[n], "/emulator/executions") for n in fleet.engine_ids()]
+        return [entry for page in pages for entry in page]
+
+    def new_salt_is_used() -> bool:
+        statuses.append(call(fleet, 0, "/v1/completions", body)[0])
+        return any("/2/" in entry["salt"] for entry in executions())
+
     wait_until(all_loaded, "all engines serve weights 2")
+    # The last call may have been before the last load; the next ones are under the new salt.
+    wait_until(new_salt_is_used, "a request runs under the salt of weights 2")
     assert set(statuses) == {200}
-    executed = [
-        entry
-        for name in fleet.engine_ids()
-        for entry in get_json(fleet.addresses[name], "/emulator/executions")
-    ]
     # Nothing was cached under the salt of the new weights by an engine that served older ones.
-    assert not [e for e in executed if "/2/" in e["salt"] and e["weights_version"] < 2]
-    assert [e for e in executed if "/2/" in e["salt"]]
+    assert not [e for e in executions() if "/2/" in e["salt"] and e["weights_version"] < 2]
 
 
 def books(fleet: LocalFleet, router: int) -> bool:
