A node listens before it loads its libraries, and early requests wait for the first read of the store

Ruled out: skipping site (-S): the modules it loads are needed anyway. Change: the callers' and the readiness sockets are opened with light modules only and handed to the servers; a port still held by an old process is waited for; the HTTP client is loaded as where there is no TLS; a request before the first read of the store waits for it, at most 1 s, and is refused at once when the store does not answer; phases of the start in the log line and a gauge.

--- a/src/hillstack/cli/fleet.py
+++ b/src/hillstack/cli/fleet.py
@@ -31,13 +31,14 @@
 ) -> None:
     """Run a node until SIGTERM."""
     with errors_to_exit_codes():
-        loaded = load_fleet_settings(settings)
+        load_fleet_settings(settings)
     if check:
         typer.echo(f"{settings}: valid")
         return
     from hillstack.daemon.fleet_main import run_node
 
-    run_node(loaded, settings)
+    with errors_to_exit_codes():
+        run_node(settings)
 
 
 @app.command()
--- /dev/null
+++ b/src/hillstack/daemon/early_listeners.py
@@ -0,0 +1,80 @@
+"""Sockets that listen before the libraries of a node are loaded.
+
+Loading them takes most of a node's start. Callers who connect meanwhile wait in the backlog instead
+of being refused. Only the standard library's light modules are imported here.
+"""
+
+from __future__ import annotations
+
+import errno
+import socket
+import time
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+
+from hillstack.addresses import split_address
+from hillstack.errors import SettingsError
+
+LISTEN_BACKLOG = 2_048
+ADDRESS_WAIT_SECONDS = 10.0
+ADDRESS_RETRY_SECONDS = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class EarlyListeners:
+    """Listening sockets of a node, which its servers take over.
+
+    Attributes:
+        listening_at: When both listened, on the monotonic clock.
+    """
+
+    callers: socket.socket
+    readiness: socket.socket
+    listening_at: float
+
+
+def open_early_listeners(settings_path: Path) -> EarlyListeners:
+    """Listen where a settings file says, before it is checked as a whole.
+
+    Raises:
+        SettingsError: The file can't be read, or an address can't be listened on.
+    """
+    addresses = _listen_addresses(settings_path)
+    opened = [_listen(address) for address in addresses]
+    return EarlyListeners(opened[0], opened[1], time.monotonic())
+
+
+def _listen_addresses(settings_path: Path) -> tuple[str, str]:
+    try:
+        with settings_path.open("rb") as file:
+            section = tomllib.load(file)["listen"]
+        return str(section["callers"]), str(section["readiness"])
+    except OSError as error:
+        text = f"{settings_path}: {error.strerror}"
+        raise SettingsError(text, step="read settings") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{settings_path}: not TOML: {error}", step="read settings") from error
+    except (KeyError, TypeError) as error:
+        text = f"{settings_path}: [listen] must name callers and readiness"
+        raise SettingsError(text, step="read settings") from error
+
+
+def _listen(address: str) -> socket.socket:
+    """Listen, waiting for a process that still holds the address, as an old one that is ending."""
+    opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    gives_up_at = time.monotonic() + ADDRESS_WAIT_SECONDS
+    while True:
+        try:
+            opened.bind(split_address(address))
+            opened.listen(LISTEN_BACKLOG)
+        except (OSError, ValueError, OverflowError) as error:
+            held = isinstance(error, OSError) and error.errno == errno.EADDRINUSE
+            if held and time.monotonic() < gives_up_at:
+                time.sleep(ADDRESS_RETRY_SECONDS)
+                continue
+            opened.close()
+            raise SettingsError(str(error), step="listen", peer=address) from error
+        opened.setblocking(False)
+        return opened
--- a/src/hillstack/daemon/fleet_main.py
+++ b/src/hillstack/daemon/fleet_main.py
@@ -1,19 +1,19 @@
 """Entry of a node of the fleet, without the command line's libraries.
 
-The settings file is the first argument, or named by the variable ``HILLSTACK_CONFIG``.
+The settings file is the first argument, or named by the variable ``HILLSTACK_CONFIG``. The node
+listens before it loads its libraries, so only light modules are imported up here.
 """
 
 from __future__ import annotations
 
-import asyncio
+import gc
 import os
 import sys
+import time
 from pathlib import Path
 
-from hillstack.config.fleet_settings import FleetSettings, load_fleet_settings
-from hillstack.daemon.fleet_node import FleetNode
+from hillstack.daemon.early_listeners import open_early_listeners
 from hillstack.errors import SettingsError
-from hillstack.logs import configure_bounded_logging
 
 SETTINGS_VARIABLE = "HILLSTACK_CONFIG"
 EXIT_INVALID_SETTINGS = 2
@@ -23,21 +23,32 @@
     """Run a node until it is stopped."""
     path = Path(sys.argv[1] if len(sys.argv) > 1 else os.environ.get(SETTINGS_VARIABLE, ""))
     try:
-        settings = load_fleet_settings(path)
+        run_node(path)
     except SettingsError as error:
         print(f"error: {error}", file=sys.stderr)
         raise SystemExit(EXIT_INVALID_SETTINGS) from None
-    run_node(settings, path)
 
 
-def run_node(settings: FleetSettings, path: Path) -> None:
-    """Run a node with settings that were read from a file."""
-    configure_bounded_logging(settings.log.level, settings.node.id, settings.log.lines_per_second)
+def run_node(path: Path) -> None:
+    """Run a node with a settings file.
 
-    async def run() -> None:
-        await FleetNode(settings, path).run()
+    Raises:
+        SettingsError: The settings are invalid, or an address can't be listened on.
+    """
+    entered_at = time.monotonic()
+    # What is loaded now stays: looking through it for garbage again and again costs a tenth of it.
+    gc.disable()
+    listeners = open_early_listeners(path)
+    from hillstack.daemon.plain_http import load_http_client
 
-    asyncio.run(run())
+    load_http_client()
+    from hillstack.daemon.fleet_process import run_process
+    from hillstack.daemon.start_times import StartTimes
+
+    times = StartTimes(entered_at, listeners.listening_at, loaded_at=time.monotonic())
+    gc.freeze()
+    gc.enable()
+    run_process(path, listeners, times)
 
 
 if __name__ == "__main__":
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import signal
+import socket
 import time
 from collections.abc import Coroutine
 from pathlib import Path
@@ -21,10 +22,12 @@
 from hillstack.core.weights_versions import WeightsVersions
 from hillstack.daemon.cache_follower import CacheFollower
 from hillstack.daemon.duty_lease import DutyLease
+from hillstack.daemon.early_listeners import EarlyListeners
 from hillstack.daemon.metrics_page import MetricsPage
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.rollout_duty import RolloutDuty
 from hillstack.daemon.runner_monitor import RunnerMonitor
+from hillstack.daemon.start_times import StartTimes
 from hillstack.daemon.store_sync import StoreSync
 from hillstack.errors import SettingsError
 from hillstack.http_server import make_server
@@ -53,11 +56,21 @@
 
     Args:
         settings: Its settings.
+        listeners: Sockets that listen already; closed at the end.
+        times: When the phases of the start so far ended.
         settings_path: File that SIGHUP reads again.
     """
 
-    def __init__(self, settings: FleetSettings, settings_path: Path | None = None) -> None:
+    def __init__(
+        self,
+        settings: FleetSettings,
+        listeners: EarlyListeners,
+        times: StartTimes,
+        settings_path: Path | None = None,
+    ) -> None:
         self._settings = settings
+        self._listeners = listeners
+        self._times = times
         self._settings_path = settings_path
         self._clock = time.monotonic
         self._stopping = False
@@ -114,13 +127,16 @@
             date_header=False,
         )
         readiness = make_server(Readiness(self._is_ready), settings.listen.readiness)
-        servers = [callers, readiness]
+        listening: list[tuple[uvicorn.Server, list[socket.socket] | None]] = [
+            (callers, [self._listeners.callers]),
+            (readiness, [self._listeners.readiness]),
+        ]
         if settings.listen.metrics_port is not None:
             self._add_gauges()
             address = f"{settings.node.address}:{settings.listen.metrics_port}"
-            servers.append(make_server(MetricsPage(self._metrics), address))
+            listening.append((make_server(MetricsPage(self._metrics), address), None))
         # Unlike ``serve``, ``_serve`` leaves signals alone: the node decides when it ends.
-        serving = [asyncio.create_task(server._serve()) for server in servers]
+        serving = [asyncio.create_task(server._serve(sockets)) for server, sockets in listening]
         for work in (
             self._sync.run(),
             self._peers.run(),
@@ -130,18 +146,27 @@
             RunnerMonitor(self._state, self._peers, self._clock).run(),
         ):
             self._start(work)
-        logger.info(
-            "started", extra={"zone": settings.node.zone, "callers": settings.listen.callers}
-        )
+        self._note_started()
         await self._stop.wait()
         await self._drain(callers)
-        for server in servers:
+        for server, _ in listening:
             server.should_exit = True
             server.force_exit = True
         await asyncio.gather(*serving, return_exceptions=True)
         await self._close()
         logger.info("stopped")
 
+    def _note_started(self) -> None:
+        phases = self._times.phases(self._clock())
+        fields: dict[str, object] = {
+            "zone": self._settings.node.zone,
+            "callers": self._settings.listen.callers,
+        }
+        fields |= {f"{phase}_seconds": seconds for phase, seconds in phases.items()}
+        logger.info("started", extra=fields)
+        for phase, seconds in phases.items():
+            self._metrics.start.labels(phase).set(seconds)
+
     def _add_gauges(self) -> None:
         state, metrics = self._state, self._metrics
 
--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -134,6 +134,7 @@
         self._state.retain_runners(snapshot.runner_ids, self._clock())
         self._state.duty_known = True
         self._state.freshness.prove(started_at)
+        self._state.start_gate.open()
         if not self._is_announced():
             await self._store.announce_node(self._state.node_id, self._own_address, self._zone)
         return snapshot.revision
@@ -158,6 +159,7 @@
 
     def _lost(self, error: PlatformError) -> None:
         now = self._clock()
+        self._state.start_gate.open()
         self._failed_at = now
         if self._lost_at is None:
             self._lost_at = now
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -13,6 +13,7 @@
 from hillstack.core.shared_retry_budget import SharedRetryBudget
 from hillstack.core.traffic_split import TrafficSplit
 from hillstack.core.weights_versions import WeightsVersions
+from hillstack.serving.start_gate import StartGate
 
 logger = logging.getLogger(__name__)
 
@@ -81,6 +82,7 @@
         budget: Retry budget.
 
     Attributes:
+        start_gate: Holds requests until the store was read for the first time.
         unjudged_until: Until then a node that has just started is not held to bounds in time, so
             a version that was named before its start need not be in use earlier.
     """
@@ -106,6 +108,7 @@
         self.duty_holder: str | None = None
         self.duty_known = False
         self.directory_known = False
+        self.start_gate = StartGate()
         self.unjudged_until = float("-inf")
         self._outage_until = float("-inf")
 
--- a/src/hillstack/serving/metrics.py
+++ b/src/hillstack/serving/metrics.py
@@ -30,6 +30,13 @@
             "longest_pause_seconds", "Longest pause between two events of a stream.", PAUSE_BUCKETS
         )
 
+        self.start = Gauge(
+            "hillstack_start_seconds",
+            "From the program's beginning to the end of a phase of its start.",
+            ["phase"],
+            registry=self.registry,
+        )
+
     def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Tell a value that is read when the metrics are asked for."""
         Gauge(f"hillstack_{name}", text, registry=self.registry).set_function(read)
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -83,6 +83,7 @@
         self.active += 1
         result = "error"
         try:
+            await self._state.start_gate.passed()
             job = self._admission.admit(request)
             await self._run(job, sink)
             result = "served"
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -107,12 +107,15 @@
     )
 
 
+def make_budget() -> SharedRetryBudget:
+    return SharedRetryBudget(0.2, 54.0, 10.0)
+
+
 def make_state(
     table: RoutingTable, *entries: RunnerEntry, weights: int = 1, freshness_bound: float = 4.0
 ) -> FleetState:
-    budget = SharedRetryBudget(0.2, 54.0, 10.0)
     versions = WeightsVersions(VERSION_GRACE)
-    state = FleetState("node-1", Freshness(freshness_bound), versions, budget)
+    state = FleetState("node-1", Freshness(freshness_bound), versions, make_budget())
     state.apply(ConfigurationChanged(table), 0.0)
     state.apply(WeightsNamed(MODEL, weights), -100.0)
     for entry in entries:
@@ -120,6 +123,7 @@
     state.directory_known = True
     state.duty_known = True
     state.freshness.prove(0.0)
+    state.start_gate.open()
     return state
 
 
--- a/tests/fleet/deployment.py
+++ b/tests/fleet/deployment.py
@@ -240,6 +240,15 @@
             body = await response.read()
             return Answer(response.status, body, CIMultiDict(response.headers))
 
+    async def call_when_listening(self, node: NodeProcess, path: str) -> Answer:
+        """Call as soon as the node takes connections."""
+        ends_at = time.monotonic() + WAIT_SECONDS
+        while True:
+            try:
+                return await self.call(node, path)
+            except aiohttp.ClientConnectorError:
+                assert time.monotonic() < ends_at, f"{node.name}: does not listen in time"
+
     async def call_until(self, node: NodeProcess, path: str, status: int) -> Answer:
         """Call until the answer has a status."""
         ends_at = time.monotonic() + WAIT_SECONDS
--- /dev/null
+++ b/tests/fleet/test_start.py
@@ -0,0 +1,149 @@
+"""A node's start: what it loads before it listens, and what becomes of early requests."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+import pytest
+
+from hillstack.daemon import early_listeners
+from hillstack.daemon.early_listeners import open_early_listeners
+from hillstack.daemon.start_times import StartTimes
+from hillstack.errors import SettingsError
+from hillstack.serving.start_gate import FIRST_READ_WAIT_SECONDS, StartGate
+from hillstack.simulation.virtual_loop import Scheduler
+from tests.fleet.deployment import deployment, free_port
+
+LOADED_BEFORE_LISTENING = {
+    "hillstack",
+    "hillstack.addresses",
+    "hillstack.daemon",
+    "hillstack.daemon.early_listeners",
+    "hillstack.daemon.fleet_main",
+    "hillstack.errors",
+}
+NOT_LOADED_BEFORE_LISTENING = {
+    "aiohttp",
+    "asyncio",
+    "email",
+    "http",
+    "logging",
+    "msgspec",
+    "prometheus_client",
+    "ssl",
+    "starlette",
+    "uvicorn",
+}
+
+
+def modules_after(statement: str) -> set[str]:
+    """Return the modules that a new interpreter has loaded after a statement."""
+    program = f"{statement}; import json, sys; print(json.dumps(sorted(sys.modules)))"
+    done = subprocess.run([sys.executable, "-c", program], capture_output=True, check=True)
+    return set(json.loads(done.stdout))
+
+
+def write_settings(folder: Path, callers: str, readiness: str) -> Path:
+    path = folder / "node.toml"
+    path.write_text(f'[listen]\ncallers = "{callers}"\nreadiness = "{readiness}"\n')
+    return path
+
+
+def test_only_light_modules_are_loaded_before_a_node_listens() -> None:
+    loaded = modules_after("import hillstack.daemon.fleet_main")
+    own = {name for name in loaded if name.partition(".")[0] == "hillstack"}
+    assert own == LOADED_BEFORE_LISTENING
+    assert not NOT_LOADED_BEFORE_LISTENING & (loaded - modules_after("pass"))
+
+
+def test_the_http_client_is_loaded_without_tls_contexts() -> None:
+    check = (
+        "from hillstack.daemon.plain_http import load_http_client; load_http_client(); "
+        "import ssl, aiohttp.connector as connector; "
+        "assert connector._SSL_CONTEXT_VERIFIED is None; "
+        "assert ssl.create_default_context"
+    )
+    assert "aiohttp.connector" in modules_after(check)
+
+
+def test_callers_can_connect_before_the_settings_are_checked(tmp_path: Path) -> None:
+    addresses = [f"127.0.0.1:{free_port()}" for _ in range(2)]
+    listeners = open_early_listeners(write_settings(tmp_path, *addresses))
+    try:
+        for address in addresses:
+            host, _, port = address.partition(":")
+            socket.create_connection((host, int(port))).close()
+    finally:
+        listeners.callers.close()
+        listeners.readiness.close()
+
+
+def test_a_node_waits_for_an_old_process_that_holds_its_address(tmp_path: Path) -> None:
+    old = socket.create_server(("127.0.0.1", 0))
+    callers = f"127.0.0.1:{old.getsockname()[1]}"
+    path = write_settings(tmp_path, callers, f"127.0.0.1:{free_port()}")
+    opened: list[early_listeners.EarlyListeners] = []
+    starting = threading.Thread(target=lambda: opened.append(open_early_listeners(path)))
+    starting.start()
+    time.sleep(5 * early_listeners.ADDRESS_RETRY_SECONDS)
+    assert not opened
+    old.close()
+    starting.join()
+    assert opened[0].callers.getsockname()[1] == int(callers.partition(":")[2])
+    opened[0].callers.close()
+    opened[0].readiness.close()
+
+
+@pytest.mark.parametrize(
+    "text", ["[listen", "[listen]\ncallers = 'x'", "[listen]\ncallers = 'x'\nreadiness = 'y'"]
+)
+def test_settings_that_name_no_address_are_a_clear_error(tmp_path: Path, text: str) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(text)
+    with pytest.raises(SettingsError):
+        open_early_listeners(path)
+
+
+def test_the_gate_holds_requests_for_a_bounded_time_only() -> None:
+    scheduler = Scheduler()
+    waiting = scheduler.spawn(scheduler.new_loop(), StartGate().passed())
+    scheduler.run_until(FIRST_READ_WAIT_SECONDS / 2)
+    assert not waiting.done()
+    scheduler.run_until(FIRST_READ_WAIT_SECONDS * 1.1)
+    assert waiting.done()
+    scheduler.close()
+
+
+def test_the_gate_opens_for_those_that_wait() -> None:
+    gate = StartGate()
+    scheduler = Scheduler()
+    waiting = scheduler.spawn(scheduler.new_loop(), gate.passed())
+    scheduler.at(FIRST_READ_WAIT_SECONDS / 4, gate.open)
+    scheduler.run_until(FIRST_READ_WAIT_SECONDS / 2)
+    assert waiting.done()
+    scheduler.close()
+
+
+def test_the_phases_of_a_start_are_told() -> None:
+    times = StartTimes(entered_at=10.0, listening_at=10.05, loaded_at=10.3)
+    assert times.phases(10.4) == {"listening": 0.05, "loaded": 0.3, "started": 0.4}
+
+
+def test_a_request_that_comes_while_a_node_loads_its_libraries_is_served(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with deployment(tmp_path) as running:
+            await running.add_runner("i-1")
+            node = running.launch("node-1")
+            answer = await running.call_when_listening(node, "/safe/x")
+            assert (answer.status, answer.body) == (200, b"i-1:body")
+            started = next(line for line in node.log() if line["message"] == "started")
+            assert started["listening_seconds"] < started["loaded_seconds"]
+
+    asyncio.run(main())
--- a/tests/fleet/test_store_sync.py
+++ b/tests/fleet/test_store_sync.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from hillstack.core.freshness import Freshness
+from hillstack.core.weights_versions import WeightsVersions
 from hillstack.daemon.store_sync import StoreSync
 from hillstack.errors import HistoryLostError, PlatformError, PlatformUnavailableError
 from hillstack.platform.store import Changes, Snapshot
@@ -23,6 +25,7 @@
     ENGINES,
     MODEL,
     VERSION_GRACE,
+    make_budget,
     make_entry,
     make_rng,
     make_route,
@@ -190,3 +193,19 @@
     bench.store.pending = [WeightsNamed(MODEL, 5)]
     bench.run(1.1)
     assert bench.state.versions.named_after(MODEL, 4) == proved_at
+
+
+def test_requests_wait_for_the_first_read_of_the_store_but_not_for_a_store_that_is_down() -> None:
+    for failure in (None, PlatformUnavailableError("refused", step="list", peer="store")):
+        state = FleetState("node-1", Freshness(4.0), WeightsVersions(8.0), make_budget())
+        store = FakeStore([Snapshot([], set(), 10)], failure=failure)
+        scheduler = Scheduler()
+        sync = StoreSync(store, state, "10.0.0.1:1", "zone-a", 1.0, scheduler.clock, make_rng())
+        loop = scheduler.new_loop()
+        waiting = scheduler.spawn(loop, state.start_gate.passed())
+        scheduler.run_until(0.1)
+        assert not waiting.done()
+        scheduler.spawn(loop, sync.run())
+        scheduler.run_until(0.2)
+        assert waiting.done()
+        scheduler.close()
