Loads of weights wait for the prefills at their runner; the link of the kept store idles in no model

And the model of the store's link let a long prefill block it, so that parts counted as kept 0.3 s after they were seen there and 191 saves were refused. Change: a runner that is to load gets no new work and is ordered when its prefills are done, after 1.2 s at the latest, or sooner if newer weights are due; the link carries what is there; saves are refused from 1.8 s of queue on.

--- a/src/hillstack/daemon/rollout_duty.py
+++ b/src/hillstack/daemon/rollout_duty.py
@@ -25,6 +25,9 @@
 RENEW_REFUSED_SECONDS = 0.3
 ACQUIRE_JITTER_SECONDS = 0.25
 ANNOUNCE_SECONDS = 0.03
+REANNOUNCE_SECONDS = 0.3
+PREFILL_WAIT_SECONDS = 1.2
+DUE_MARGIN_SECONDS = 2.0
 POLL_SECONDS = 0.12
 LOAD_LIMIT_SECONDS = 6.0
 REPORT_LAG_SECONDS = 0.3
@@ -163,8 +166,7 @@
             "loading": len(self._loading),
         }
         logger.info("runner taken out to load weights", extra=fields)
-        self._announce(runner, model, self._state.versions.newest(model), WeightsPhase.LOADING)
-        await asyncio.sleep(ANNOUNCE_SECONDS)
+        await self._let_prefills_end(runner, model)
         try:
             while self._may_go_on(runner, limit):
                 version = self._state.versions.newest(model)
@@ -181,6 +183,22 @@
             self._state.pool.failed(runner, self._clock())
             self._resting_until[runner.runner_id] = self._clock() + REST_SECONDS
 
+    async def _let_prefills_end(self, runner: Runner, model: str) -> None:
+        """Keep new requests away from a runner until those that it has have begun.
+
+        A load takes out the requests that have not begun, and what was read of them is read again
+        elsewhere. The wait is bounded, and shorter when newer weights are due soon.
+        """
+        versions = self._state.versions
+        due = versions.deadline(model, runner.weights_version(model)) - DUE_MARGIN_SECONDS
+        gives_up_at = min(self._clock() + PREFILL_WAIT_SECONDS, due)
+        wait = ANNOUNCE_SECONDS
+        while wait > 0:
+            self._announce(runner, model, versions.newest(model), WeightsPhase.LOADING)
+            await asyncio.sleep(max(ANNOUNCE_SECONDS, min(wait, REANNOUNCE_SECONDS)))
+            now = self._clock()
+            wait = min(runner.prefill_wait(now), gives_up_at - now)
+
     def _may_go_on(self, runner: Runner, limit: float) -> bool:
         if runner.leaving or self._lease.fence() is None:
             return False
--- a/src/hillstack/serving/cache_beliefs.py
+++ b/src/hillstack/serving/cache_beliefs.py
@@ -24,7 +24,7 @@
 UNTOLD_FACTOR = 2.0
 UNTOLD_SECONDS = 1.0
 SAVE_SETUP_SECONDS = 0.03
-MAX_SAVE_WAIT_SECONDS = 1.0
+MAX_SAVE_WAIT_SECONDS = 1.8
 BITS_PER_BYTE = 8
 BITS_PER_MEGABIT = 1e6
 
@@ -64,7 +64,7 @@
         runner_id = placed.runner.runner_id
         self._note(runner_id, placed.salt, shape.parts, ready_at, now)
         if placed.save_to is not None:
-            self._occupy_link(placed.save_to, runner_id, placed.prefill_tokens, now + placed.delay)
+            self._occupy_link(placed.save_to, runner_id, placed.prefill_tokens, now)
             self._note_saved(placed.save_to, runner_id, placed.salt, shape.parts, ready_at)
 
     def read(self, placed: PlacedAttempt, shape: PromptShape, now: float) -> None:
@@ -83,8 +83,7 @@
         self._note(notice.runner_id, notice.salt, parts, now + delay, now)
         if notice.save_to is None:
             return
-        read_at = now + notice.delay_ms / 1000
-        self._occupy_link(notice.save_to, notice.runner_id, notice.prefill_tokens, read_at)
+        self._occupy_link(notice.save_to, notice.runner_id, notice.prefill_tokens, now)
         self._note_saved(notice.save_to, notice.runner_id, notice.salt, parts, now + delay)
 
     def _note(
@@ -108,10 +107,14 @@
         stored_at = max(ready_at + seconds, self._link_free_at.get(address, ready_at))
         self._state.index.note(address, salt, parts, ready_at=stored_at + SAVE_SETUP_SECONDS)
 
-    def _occupy_link(self, address: str, runner_id: str, tokens: int, begins_at: float) -> None:
-        """Note that a store's link will carry tokens, after those that it carries already."""
+    def _occupy_link(self, address: str, runner_id: str, tokens: int, now: float) -> None:
+        """Note that a store's link will carry tokens, after those that it carries already.
+
+        They count at once, not when they will have been read: the link does not wait for them while
+        there is something else to carry.
+        """
         seconds = self._save_seconds(address, runner_id, tokens)
-        self._link_free_at[address] = max(self._link_free_at.get(address, 0.0), begins_at) + seconds
+        self._link_free_at[address] = max(self._link_free_at.get(address, now), now) + seconds
 
     def _save_seconds(self, address: str, runner_id: str, tokens: int) -> float:
         runner = self._state.pool.get(runner_id)
