--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -61,6 +61,8 @@
         self._placement_handle: asyncio.TimerHandle | None = None
         self._on_placement: PlacementHandler | None = None
         self._on_new_peer: PeerHandler | None = None
+        # Each node asks the store at its own times: the first to hear of a version tells the rest.
+        state.handle_weights_named(self._tell_announcements)
 
     async def open(self, host: str, port: int) -> None:
         """Begin to listen."""
@@ -202,8 +204,7 @@
         self._take_loads(notice, now)
         self._take_cache(notice, now)
         for entry in notice.announcements:
-            named_at = now - entry.age_ms / 1000
-            self._state.versions.narrow(entry.model, entry.version, named_at)
+            self._take_announcement(entry, now)
         if self._on_placement is not None:
             for placement in notice.placements:
                 self._on_placement(placement, now)
@@ -233,6 +234,18 @@
             if runner is not None:
                 self._state.pool.suspected_by_peer(runner, now)
 
+    def _take_announcement(self, entry: AnnouncementNotice, now: float) -> None:
+        """Take over when a version was named; or that it was, before the store is asked again."""
+        named_at = now - entry.age_ms / 1000
+        if entry.version > self._state.versions.newest(entry.model):
+            self._state.note_weights_named(entry.model, entry.version, named_at, "peer")
+        else:
+            self._state.versions.narrow(entry.model, entry.version, named_at)
+
+    def _tell_announcements(self) -> None:
+        self._outbox.set_announcements(self._recent_announcements())
+        self.flush()
+
     def _take_cache(self, notice: NodeNotice, now: float) -> None:
         for holder_id in notice.cache_lost:
             self._state.index.clear(holder_id)
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from hillstack.core.cache_watch import CacheHolder
@@ -111,6 +112,11 @@
         self.start_gate = StartGate()
         self.unjudged_until = float("-inf")
         self._outage_until = float("-inf")
+        self._on_weights_named: Callable[[], None] = lambda: None
+
+    def handle_weights_named(self, handler: Callable[[], None]) -> None:
+        """Call a handler when the store is the first to tell of a version of weights."""
+        self._on_weights_named = handler
 
     def apply(self, event: StoreEvent, not_before: float, now: float | None = None) -> None:
         """Take over one change of the store.
@@ -129,10 +135,8 @@
             case RunnerUnlisted(runner_id):
                 self._unlist_runner(runner_id, now)
             case WeightsNamed(model, version):
-                counts_from = max(self.unjudged_until - self.versions.grace, self._outage_until)
-                if self.versions.announce(model, version, not_before, counts_from):
-                    fields = {"model": model, "version": version}
-                    logger.info("weights named", extra=fields)
+                if self.note_weights_named(model, version, not_before, "store"):
+                    self._on_weights_named()
             case NodeListed(node_id, address, zone):
                 self.node_addresses[node_id] = address
                 self.node_zones[node_id] = zone
@@ -140,6 +144,15 @@
             case DutyHeld(holder):
                 self.duty_holder = holder
 
+    def note_weights_named(self, model: str, version: int, not_before: float, source: str) -> bool:
+        """Note that a version was named, no earlier than a time; return whether that is news."""
+        counts_from = max(self.unjudged_until - self.versions.grace, self._outage_until)
+        if not self.versions.announce(model, version, not_before, counts_from):
+            return False
+        fields = {"model": model, "version": version, "source": source}
+        logger.info("weights named", extra=fields)
+        return True
+
     def retain_runners(self, listed: set[str], now: float) -> None:
         """Drop the runners that a whole list of the directory no longer has."""
         for runner in self.pool.all():
--- a/tests/fleet/test_peer_exchange.py
+++ b/tests/fleet/test_peer_exchange.py
@@ -219,6 +219,18 @@
     assert other_state.versions.named_after(MODEL, 1) == pytest.approx(97.0)
 
 
+def test_the_first_node_that_hears_of_a_version_tells_the_others_at_once() -> None:
+    # Nodes ask the store once a second, and the holder of the duty may be the last to hear.
+    first, _, transport = make_node()
+    second, receiver, answers = make_node()
+    second.node_id = "node-2"
+    first.apply(WeightsNamed(MODEL, 7), 99.5, 100.0)
+    deliver(transport, receiver)
+    assert second.versions.newest(MODEL) == 7
+    assert second.versions.named_after(MODEL, 6) == pytest.approx(99.5)
+    assert not answers.sent  # Only who heard of it from the store tells it on.
+
+
 def test_a_node_that_has_just_started_may_use_what_it_finds_for_a_while() -> None:
     state, exchange, transport = make_node()
     state.unjudged_until = 102.6
--- a/tests/fleet/test_rollout.py
+++ b/tests/fleet/test_rollout.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from hillstack.core.runner_pool import OwnAttempt, Runner
-from hillstack.core.weights_rollout import RolloutPlan, RolloutView
+from hillstack.core.weights_rollout import START_DELAY_SECONDS, RolloutPlan, RolloutView
 from hillstack.core.weights_versions import WeightsVersions
 from tests.fleet.builders import ENGINES, MODEL, make_entry
 
@@ -45,7 +45,7 @@
 
 def test_nothing_happens_right_after_a_version_was_named() -> None:
     plan, _ = make_plan()
-    assert plan.next_loads(view(make_runners(6), 0.2)) == []
+    assert plan.next_loads(view(make_runners(6), START_DELAY_SECONDS / 2)) == []
 
 
 def test_runners_load_while_their_streams_run_those_with_the_fewest_first() -> None:
--- a/tests/fleet/test_rollout_duty.py
+++ b/tests/fleet/test_rollout_duty.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from hillstack.core.weights_rollout import START_DELAY_SECONDS
 from hillstack.daemon.duty_lease import DutyLease
 from hillstack.daemon.key_value import Entry, Put, ValueIs
 from hillstack.daemon.peer_exchange import PeerExchange
@@ -239,7 +240,7 @@
     node = bench.add_node("node-1")
     bench.run(4.0)
     bench.name_weights(2, node)
-    bench.run(0.2)
+    bench.run(START_DELAY_SECONDS / 2)
     bench.name_weights(3, node)
     bench.run(8.0)
     assert set(settled(bench).values()) == {3}
