After a start, caches are asked at once and prompts wait up to 0.15 s for the answers

Change: the follower and the first notice wait for the first read of the store and begin then; prompts wait until every holder was listed by a node or told by a peer, at most 0.15 s after the first read.

--- a/src/hillstack/daemon/cache_follower.py
+++ b/src/hillstack/daemon/cache_follower.py
@@ -134,6 +134,7 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
+        await self._state.start_gate.passed()
         try:
             while True:
                 self._assign()
@@ -211,6 +212,7 @@
             self._tell(holder, dropped, believed=part.tokens)
         for entry in listing.entries:
             self._observe(holder, entry)
+        self._state.note_cache_heard(holder.holder_id)
         fields = {
             "holder": holder.holder_id,
             "epoch": listing.epoch,
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -136,10 +136,14 @@
         self.flush()
 
     async def run(self) -> None:
-        """Repeat this node's loads now and then, until cancelled."""
+        """Repeat this node's loads now and then, until cancelled.
+
+        The first notice goes out as soon as the peers are known: they answer with what is cached.
+        """
+        await self._state.start_gate.passed()
         while True:
-            await asyncio.sleep(max(REFRESH_SECONDS, self.flush_seconds()))
             self.repeat_loads()
+            await asyncio.sleep(max(REFRESH_SECONDS, self.flush_seconds()))
 
     def repeat_loads(self) -> None:
         """Send all of this node's loads again, since peers forget them after a while.
@@ -255,6 +259,7 @@
             self._state.note_unavailable(address, now)
 
     def _take_cached(self, notice: CacheNotice) -> None:
+        self._state.note_cache_heard(notice.holder_id)
         for part in notice.prompt_parts():
             self._state.index.confirm(notice.holder_id, notice.salt, part)
 
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -83,7 +83,7 @@
         self.active += 1
         result = "error"
         try:
-            await self._state.start_gate.passed()
+            await self._pass_gate(request)
             job = self._admission.admit(request)
             await self._run(job, sink)
             result = "served"
@@ -106,6 +106,13 @@
             self._metrics.requests.labels(result).inc()
             self._metrics.answer.observe(self._clock() - request.arrived_at)
 
+    async def _pass_gate(self, request: ServingRequest) -> None:
+        gate = self._state.start_gate
+        if request.shape is None:
+            await gate.passed()
+        else:
+            await gate.passed_by_prompt()
+
     def _log_rejection(self, request: ServingRequest, error: RejectedError) -> None:
         now = self._clock()
         fields = {
--- a/src/hillstack/serving/start_gate.py
+++ b/src/hillstack/serving/start_gate.py
@@ -1,32 +1,62 @@
-"""Requests that reach a node before it has read the store for the first time."""
+"""Requests that reach a node before it knows what it needs to serve them well."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 
 FIRST_READ_WAIT_SECONDS = 1.0
+CACHES_WAIT_SECONDS = 0.15
 
 
 class StartGate:
-    """Holds requests until the first read of the store has ended, well or not.
+    """Holds requests until the store was read, and prompts until it is known what is cached.
 
-    A read takes some ten milliseconds; a refusal in that time would cost the caller a retry. A
-    store that does not answer holds nobody up for longer than the bound.
+    A read of the store takes some ten milliseconds; a refusal in that time would cost the caller a
+    retry. What holders of cached parts keep is known a little later; many prompts that are placed
+    without it are read again all at once. Neither holds anybody up for longer than its bound.
     """
 
     def __init__(self) -> None:
         self._tried = asyncio.Event()
+        self._caches_known = asyncio.Event()
+        self._heard: set[str] = set()
 
     def open(self) -> None:
         """Note that the first read has ended: requests are served or refused from now on."""
         self._tried.set()
 
+    def cache_heard(self, holder_id: str) -> None:
+        """Note that what a holder keeps is known."""
+        if not self._caches_known.is_set():
+            self._heard.add(holder_id)
+
+    def expect_caches(self, holder_ids: Collection[str]) -> None:
+        """Let prompts pass if what these holders keep is known."""
+        if self._heard.issuperset(holder_ids):
+            self._caches_known.set()
+
+    def open_for_prompts(self) -> None:
+        """Let prompts pass whatever is known."""
+        self._caches_known.set()
+
     async def passed(self) -> None:
         """Wait for the first read, for a bounded time."""
-        if self._tried.is_set():
-            return
-        try:
-            async with asyncio.timeout(FIRST_READ_WAIT_SECONDS):
-                await self._tried.wait()
-        except TimeoutError:
-            return
+        await _bounded_wait(self._tried, FIRST_READ_WAIT_SECONDS)
+
+    async def passed_by_prompt(self) -> None:
+        """Wait until it is known what is cached where, for a bounded time after the first read."""
+        await self.passed()
+        if not self._caches_known.is_set():
+            await _bounded_wait(self._caches_known, CACHES_WAIT_SECONDS)
+            self.open_for_prompts()
+
+
+async def _bounded_wait(event: asyncio.Event, seconds: float) -> None:
+    if event.is_set():
+        return
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        return
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -124,6 +124,7 @@
     state.duty_known = True
     state.freshness.prove(0.0)
     state.start_gate.open()
+    state.start_gate.open_for_prompts()
     return state
 
 
--- a/tests/fleet/test_cache_follower.py
+++ b/tests/fleet/test_cache_follower.py
@@ -20,6 +20,7 @@
 )
 from hillstack.errors import BackendError, BackendRefusedError
 from hillstack.serving.fleet_state import FleetState, NodeListed
+from hillstack.serving.start_gate import StartGate
 from hillstack.simulation.virtual_loop import Scheduler
 from tests.fleet.builders import ENGINES, make_entry, make_route, make_state, make_table
 
@@ -288,6 +289,24 @@
     assert index.confirm("unknown", SALT, PromptPart("p", 400)) == 0
 
 
+def test_caches_are_listed_as_soon_as_the_directory_is_read() -> None:
+    scheduler = Scheduler()
+    state = make_state(make_table(make_route(), store=STORE), make_entry("i-1", ENGINES))
+    state.start_gate = StartGate()
+    state.apply(NodeListed("node-1", "10.0.0.1:1", "zone-a"), 0.0)
+    feed = FakeFeed()
+    follower = CacheFollower(state, feed, FakePeers(), scheduler.clock)
+    loop = scheduler.new_loop()
+    scheduler.spawn(loop, follower.run())
+    prompt = scheduler.spawn(loop, state.start_gate.passed_by_prompt())
+    scheduler.run_until(0.1)
+    assert not feed.holders and not prompt.done()
+    state.start_gate.open()
+    scheduler.run_until(0.11)
+    assert set(feed.holders) == {"i-1", STORE.address} and prompt.done()
+    scheduler.close()
+
+
 def test_a_save_that_never_came_is_forgotten_by_all(bench: Bench) -> None:
     # zamudio-reg, scale-1: a save that would wait too long is not made; each fetch of it missed.
     bench.run(1.0)
--- a/tests/fleet/test_start.py
+++ b/tests/fleet/test_start.py
@@ -17,7 +17,11 @@
 from hillstack.daemon.early_listeners import open_early_listeners
 from hillstack.daemon.start_times import StartTimes
 from hillstack.errors import SettingsError
-from hillstack.serving.start_gate import FIRST_READ_WAIT_SECONDS, StartGate
+from hillstack.serving.start_gate import (
+    CACHES_WAIT_SECONDS,
+    FIRST_READ_WAIT_SECONDS,
+    StartGate,
+)
 from hillstack.simulation.virtual_loop import Scheduler
 from tests.fleet.deployment import deployment, free_port
 
@@ -131,6 +135,40 @@
     scheduler.close()
 
 
+def test_prompts_wait_until_it_is_known_what_all_holders_keep() -> None:
+    # zamudio-reg scale-2 seed 7: 60 prompts were placed blindly right after a start of all nodes.
+    gate = StartGate()
+    scheduler = Scheduler()
+    loop = scheduler.new_loop()
+    prompt = scheduler.spawn(loop, gate.passed_by_prompt())
+    other = scheduler.spawn(loop, gate.passed())
+    gate.open()
+    scheduler.run_until(CACHES_WAIT_SECONDS / 4)
+    assert other.done() and not prompt.done()
+    gate.cache_heard("i-1")
+    gate.expect_caches(["i-1", "i-2"])
+    scheduler.run_until(CACHES_WAIT_SECONDS / 2)
+    assert not prompt.done()
+    gate.cache_heard("i-2")
+    gate.expect_caches(["i-1", "i-2"])
+    scheduler.run_until(CACHES_WAIT_SECONDS * 0.6)
+    assert prompt.done()
+    scheduler.close()
+
+
+def test_prompts_wait_for_holders_for_a_bounded_time_only() -> None:
+    gate = StartGate()
+    scheduler = Scheduler()
+    gate.open()
+    prompt = scheduler.spawn(scheduler.new_loop(), gate.passed_by_prompt())
+    scheduler.run_until(CACHES_WAIT_SECONDS * 1.1)
+    assert prompt.done()
+    later = scheduler.spawn(scheduler.new_loop(), gate.passed_by_prompt())
+    scheduler.run_until(scheduler.now + 0.001)
+    assert later.done()
+    scheduler.close()
+
+
 def test_the_phases_of_a_start_are_told() -> None:
     times = StartTimes(entered_at=10.0, listening_at=10.05, loaded_at=10.3)
     assert times.phases(10.4) == {"listening": 0.05, "loaded": 0.3, "started": 0.4}
