Rollouts are paced by the deadline again

What a faster rollout is worth depends on the room that the other runners have; a pace that follows it is open.

--- a/src/hillstack/core/weights_rollout.py
+++ b/src/hillstack/core/weights_rollout.py
@@ -21,7 +21,6 @@
 URGENT_SHARE = 1 / 2
 PACE_SAFETY_SECONDS = 1.2
 MIN_PACE_SECONDS = 0.3
-ROLLOUT_SECONDS = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,9 +73,9 @@
         return min(most, self._pace(waiting, loading, view)) - loading
 
     def _pace(self, waiting: Sequence[Runner], loading: int, view: RolloutView) -> int:
-        """Return how many must load at a time to be done in time."""
-        first = min((self._wanted_by(runner) for runner in waiting), default=math.inf)
-        left = max(MIN_PACE_SECONDS, first - view.now)
+        """Return how many must load at a time to be done before the first deadline."""
+        first = min((self._deadline(runner) for runner in waiting), default=math.inf)
+        left = max(MIN_PACE_SECONDS, first - view.now - PACE_SAFETY_SECONDS)
         return max(1, math.ceil((len(waiting) + loading) * view.load_seconds / left - 0.1))
 
     def _stays(self, runner: Runner, view: RolloutView) -> bool:
@@ -94,12 +93,6 @@
     def _is_urgent(self, runner: Runner, now: float) -> bool:
         return self._deadline(runner) - now < URGENT_SECONDS
 
-    def _wanted_by(self, runner: Runner) -> float:
-        """Return when a runner should have loaded; what begins on old weights is worth less."""
-        version = runner.weights_version(self._model)
-        named_at = self._versions.named_after(self._model, version)
-        return min(named_at + ROLLOUT_SECONDS, self._deadline(runner) - PACE_SAFETY_SECONDS)
-
     def _deadline(self, runner: Runner) -> float:
         return self._versions.deadline(self._model, runner.weights_version(self._model))
 
