--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -94,6 +94,7 @@
         "cached": placed.matched_tokens,
         "repeated": placed.repeated_tokens,
         "fetch": dispatch.fetch_from,
+        "save": dispatch.save_to,
         "weights": dispatch.weights_version,
         "out": job.request.shape.output_tokens if job.request.shape is not None else 0,
         "left_ms": round(dispatch.remaining_seconds * 1000),
