--- a/src/hillstack/core/placement/expected_delay.py
+++ b/src/hillstack/core/placement/expected_delay.py
@@ -179,6 +179,8 @@
 
     def __init__(self, index: PartIndex) -> None:
         self._index = index
+        self._ordered_ids: frozenset[str] = frozenset()
+        self._order: dict[str, float] = {}
 
     def choose(
         self,
@@ -198,7 +200,7 @@
         best: Choice | None = None
         best_cost = float("inf")
         kept_by_salt: dict[str, _KeptParts] = {}
-        positions = shared_order(candidate.runner.runner_id for candidate in candidates)
+        positions = self._positions(candidate.runner.runner_id for candidate in candidates)
         for candidate in candidates:
             kept = kept_by_salt.get(candidate.salt)
             if kept is None:
@@ -214,6 +216,13 @@
                 best, best_cost = choice, cost
         return best
 
+    def _positions(self, runner_ids: Iterable[str]) -> dict[str, float]:
+        """Return the shared order of runners, which is kept until they change."""
+        ids = frozenset(runner_ids)
+        if ids != self._ordered_ids:
+            self._ordered_ids, self._order = ids, shared_order(ids)
+        return self._order
+
     def _kept_parts(
         self, shape: PromptShape, salt: str, around: Surroundings, holders: Collection[Runner]
     ) -> _KeptParts:
--- a/src/hillstack/core/weights_versions.py
+++ b/src/hillstack/core/weights_versions.py
@@ -92,25 +92,26 @@
 
     def named_after(self, model: str, version: int) -> float:
         """Return when the next version above ``version`` was named; infinite when none was."""
-        for announcement in self._announced.get(model, ()):
-            if announcement.version > version:
-                return announcement.not_before
-        return float("inf")
+        following = self._following(model, version)
+        return following.not_before if following is not None else math.inf
 
     def superseded_at(self, model: str, version: int) -> float:
         """Return when a version above ``version`` was first named; infinite when none was.
 
         Unlike ``named_after`` it does not move when bounds begin again after an outage.
         """
-        for announcement in self._announced.get(model, ()):
-            if announcement.version > version:
-                return announcement.acknowledged_after
-        return math.inf
+        following = self._following(model, version)
+        return following.acknowledged_after if following is not None else math.inf
 
     def deadline(self, model: str, version: int) -> float:
         """Return when runners older than the next version above ``version`` must not be used."""
         return self.named_after(model, version) + self.grace
 
+    def _following(self, model: str, version: int) -> Announcement | None:
+        """Return the announcement of the first version above one."""
+        announced = self._announced.get(model, ())
+        return next((entry for entry in announced if entry.version > version), None)
+
     def models(self) -> list[str]:
         """Return the models for which versions were named."""
         return list(self._announced)
