--- a/src/hillstack/daemon/early_listeners.py
+++ b/src/hillstack/daemon/early_listeners.py
@@ -62,7 +62,8 @@
 
 def _listen(address: str) -> socket.socket:
     """Listen, waiting for a process that still holds the address, as an old one that is ending."""
-    opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    family = socket.AF_INET6 if address.startswith("[") else socket.AF_INET
+    opened = socket.socket(family, socket.SOCK_STREAM)
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     gives_up_at = time.monotonic() + ADDRESS_WAIT_SECONDS
     while True:
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -213,8 +213,11 @@
 
     def note_cache_heard(self, holder_id: str) -> None:
         """Note that a holder was listed, by this node or by a peer that tells of it."""
-        self.start_gate.cache_heard(holder_id)
-        self.start_gate.expect_caches([holder.holder_id for holder in self.cache_holders()])
+        gate = self.start_gate
+        if gate.caches_known:
+            return
+        gate.cache_heard(holder_id)
+        gate.expect_caches([holder.holder_id for holder in self.cache_holders()])
 
     def engine_of(self, service: str) -> EngineProfile | None:
         """Return the engine of a service, or None if it has none."""
--- a/src/hillstack/serving/start_gate.py
+++ b/src/hillstack/serving/start_gate.py
@@ -26,10 +26,14 @@
         """Note that the first read has ended: requests are served or refused from now on."""
         self._tried.set()
 
+    @property
+    def caches_known(self) -> bool:
+        """Whether prompts pass."""
+        return self._caches_known.is_set()
+
     def cache_heard(self, holder_id: str) -> None:
         """Note that what a holder keeps is known."""
-        if not self._caches_known.is_set():
-            self._heard.add(holder_id)
+        self._heard.add(holder_id)
 
     def expect_caches(self, holder_ids: Collection[str]) -> None:
         """Let prompts pass if what these holders keep is known."""
@@ -47,7 +51,7 @@
     async def passed_by_prompt(self) -> None:
         """Wait until it is known what is cached where, for a bounded time after the first read."""
         await self.passed()
-        if not self._caches_known.is_set():
+        if not self.caches_known:
             await _bounded_wait(self._caches_known, CACHES_WAIT_SECONDS)
             self.open_for_prompts()
 
