--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -16,6 +16,7 @@
 from hillstack.serving.fleet_state import FleetState, RunnerListed, WeightsNamed
 from hillstack.serving.pipeline import RequestPipeline
 from hillstack.serving.placement import RunnerPlacement
+from hillstack.serving.start_gate import StartGate
 from hillstack.serving.types import (
     RefusalCause,
     RejectedError,
@@ -513,6 +514,24 @@
     assert bench.client.dispatches[-1].save_to is None
 
 
+def test_requests_of_a_node_that_has_just_started_wait_for_what_they_need() -> None:
+    # zamudio-reg trouble-3: twelve requests were refused in the 25 ms before the first read.
+    bench = make_stream_bench(i_1=answers(*EVENTS))
+    bench.state.start_gate = gate = StartGate()
+    table, bench.state.table = bench.state.table, None
+    sink = FakeSink()
+    loop = bench.scheduler.new_loop()
+    task = bench.scheduler.spawn(loop, bench.pipeline.serve(stream_request(), sink))
+    bench.scheduler.run_until(0.1)
+    bench.state.table = table
+    bench.scheduler.at(0.1, gate.open)
+    bench.scheduler.run_until(0.15)
+    assert not task.done() and not bench.client.dispatches
+    bench.scheduler.at(0.15, gate.open_for_prompts)
+    bench.scheduler.run_until(1.0)
+    assert task.done() and sink.status == 200
+
+
 def test_the_log_says_why_no_runner_took_a_request(caplog: pytest.LogCaptureFixture) -> None:
     bench = make_bench(i_1=refuses(RefusalCause.FULL), i_22=answers(b"x"), i_333=answers(b"x"))
     for name, change in (("i-22", "draining"), ("i-333", "suspected")):
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -203,6 +203,48 @@
         "cost += SUPERSEDED_PENALTY_SECONDS",
         "pass",
     ),
+    Mutation(
+        "what the kept store has is saved again",
+        "serving/cache_beliefs.py",
+        "if index.matched_tokens(store.address, salt, parts) >= wanted:",
+        "if False:",
+    ),
+    Mutation(
+        "saves do not queue",
+        "serving/cache_beliefs.py",
+        "self._link_free_at[address] = max(self._link_free_at.get(address, now), now) + seconds",
+        "pass",
+    ),
+    Mutation(
+        "saves that never came are believed",
+        "daemon/cache_follower.py",
+        "self._drop_unseen(holder)",
+        "pass",
+    ),
+    Mutation(
+        "loads throw prefills away",
+        "daemon/rollout_duty.py",
+        "wait = min(runner.prefill_wait(now), gives_up_at - now)",
+        "wait = 0.0",
+    ),
+    Mutation(
+        "versions are heard of from the store alone",
+        "daemon/peer_exchange.py",
+        "state.handle_weights_named(self._tell_announcements)",
+        "pass",
+    ),
+    Mutation(
+        "requests before the first read of the store are refused",
+        "serving/pipeline.py",
+        "await self._pass_gate(request)",
+        "pass",
+    ),
+    Mutation(
+        "prompts are placed before caches are known",
+        "serving/pipeline.py",
+        "await gate.passed_by_prompt()",
+        "await gate.passed()",
+    ),
     Mutation(
         "the library repeats requests",
         "platform/connections.py",
