The two tests of loads beside prefills share their play

The same twelve lines stood twice; the second test now also says that the order came within the play, as its name does.

--- a/tests/fleet/test_rollout_duty.py
+++ b/tests/fleet/test_rollout_duty.py
@@ -205,34 +205,29 @@
     bench.scheduler.close()
 
 
-def test_a_runner_loads_once_the_prefills_at_it_are_done() -> None:
-    # Lagos quiet-1: an order took out prompts of 10,000 tokens and more that were being read.
+def load_beside_prefills(seconds: float) -> float:
+    """Name a version while prefills at the only runner take a time; return when it was ordered."""
     bench = Bench(count=1)
     node = bench.add_node("node-1")
     bench.run(4.0)
     named_at = bench.scheduler.now
     runner = node.state.pool.get("i-0")
     assert runner is not None
-    runner.prefill_done_at = named_at + 1.0
+    runner.prefill_done_at = named_at + seconds
     bench.name_weights(2, node)
     bench.run(4.0)
     assert settled(bench) == {"i-0": 2}
-    assert bench.runners.orders[0][0] >= named_at + 1.0
     bench.scheduler.close()
+    return bench.runners.orders[0][0] - named_at
+
+
+def test_a_runner_loads_once_the_prefills_at_it_are_done() -> None:
+    # Lagos quiet-1: an order took out prompts of 10,000 tokens and more that were being read.
+    assert load_beside_prefills(1.0) >= 1.0
 
 
 def test_a_load_does_not_wait_for_prefills_without_end() -> None:
-    bench = Bench(count=1)
-    node = bench.add_node("node-1")
-    bench.run(4.0)
-    named_at = bench.scheduler.now
-    runner = node.state.pool.get("i-0")
-    assert runner is not None
-    runner.prefill_done_at = named_at + 100.0
-    bench.name_weights(2, node)
-    bench.run(4.0)
-    assert settled(bench) == {"i-0": 2}
-    bench.scheduler.close()
+    assert load_beside_prefills(100.0) < 4.0
 
 
 def test_a_version_in_the_middle_is_skipped() -> None:
