--- a/src/hillstack/daemon/change_log.py
+++ b/src/hillstack/daemon/change_log.py
@@ -42,10 +42,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ListedKeys:
-    """Which runners and nodes a whole list of keys names."""
+    """What a whole list of keys says.
+
+    Attributes:
+        runner_ids: The runners that are listed.
+        node_ids: The nodes that are listed.
+        duty_held: Whether some node holds the duty of ordering weights.
+    """
 
     runner_ids: set[str]
     node_ids: set[str]
+    duty_held: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -19,7 +19,7 @@
 from hillstack.daemon.store_relay import RelayedChanges
 from hillstack.errors import HistoryLostError, PlatformError
 from hillstack.logs import error_fields
-from hillstack.serving.fleet_state import FleetState, NodeListed, RunnerListed, StoreEvent
+from hillstack.serving.fleet_state import DutyHeld, FleetState, NodeListed, RunnerListed, StoreEvent
 
 logger = logging.getLogger(__name__)
 
@@ -91,7 +91,7 @@
         ...
 
     def listed(self, keys: Iterable[str]) -> ListedKeys:
-        """Return which runners and nodes a whole list of keys names."""
+        """Return what a whole list of keys says."""
         ...
 
 
@@ -299,6 +299,8 @@
         now = self._clock()
         self._state.retain_runners(listed.runner_ids, now, revision)
         self._state.retain_nodes(listed.node_ids, now, revision)
+        if not listed.duty_held:
+            self._state.apply(DutyHeld(None), now)
 
     def _is_significant(self, change: StoreChange) -> bool:
         """Return whether a change is more than a runner's heartbeat."""
--- a/src/hillstack/platform/store.py
+++ b/src/hillstack/platform/store.py
@@ -125,8 +125,9 @@
         return [StoreChange(item, self._event(item)) for item in items]
 
     def listed(self, keys: Iterable[str]) -> ListedKeys:
-        """Return which runners and nodes a whole list of keys names."""
-        listed = ListedKeys(set(), set())
+        """Return what a whole list of keys says."""
+        keys = set(keys)
+        listed = ListedKeys(set(), set(), names.DUTY_KEY in keys)
         for key in keys:
             if key.startswith(names.RUNNERS_PREFIX):
                 listed.runner_ids.add(key[len(names.RUNNERS_PREFIX) :])
--- a/tests/fleet/node_network.py
+++ b/tests/fleet/node_network.py
@@ -96,7 +96,8 @@
         return [StoreChange(item, to_event(item)) for item in items]
 
     def listed(self, keys: Iterable[str]) -> ListedKeys:
-        listed = ListedKeys(set(), set())
+        keys = set(keys)
+        listed = ListedKeys(set(), set(), names.DUTY_KEY in keys)
         for key in keys:
             if key.startswith(names.RUNNERS_PREFIX):
                 listed.runner_ids.add(key.removeprefix(names.RUNNERS_PREFIX))
--- a/tests/fleet/test_relays.py
+++ b/tests/fleet/test_relays.py
@@ -109,6 +109,37 @@
     assert all(len(n.placements) == 1 for n in network.nodes.values() if n is not member)
 
 
+def test_a_duty_that_fell_free_while_its_peer_started_anew_is_known_to_be_free(
+    network: NodeNetwork,
+) -> None:
+    # zamudio-reg, trouble-3: a new machine read the store after the outage in which the lease
+    # had lapsed, and the others asked it. They believed the duty held for good, so that nobody
+    # ordered weights: VERSION broken.
+    network.store.put("hillstack/duties/weights", b"node-5")
+    network.run(3.0)
+    assert {node.state.duty_holder for node in network.nodes.values()} == {"node-5"}
+    relay = relay_of(network, "zone-1")
+    network.kill(relay.node_id)
+    network.store.down_for = None
+    network.run(0.5)
+    network.store.put("hillstack/duties/weights", None)
+    network.add(relay.node_id, "zone-1")
+    network.store.down_for = set()
+    network.run(8.0)
+    assert {node.state.duty_holder for node in network.nodes.values()} == {None}
+
+
+def test_a_duty_that_fell_free_in_a_lost_history_is_known_to_be_free(network: NodeNetwork) -> None:
+    network.store.put("hillstack/duties/weights", b"node-5")
+    network.run(3.0)
+    network.store.put("hillstack/duties/weights", None)
+    network.store.forgotten = network.store.revision
+    network.store.history.clear()
+    write_runner(network, "i-1", seq=40)
+    network.run(4.0)
+    assert {node.state.duty_holder for node in network.nodes.values()} == {None}
+
+
 def test_fast_links_relay_before_slow_ones() -> None:
     directory = NodeDirectory()
     for number in range(40):
--- a/tests/fleet/test_store_sync.py
+++ b/tests/fleet/test_store_sync.py
@@ -100,7 +100,7 @@
 
     def listed(self, keys: Iterable[str]) -> ListedKeys:
         runner_ids = {key.removeprefix("runner/") for key in keys if key.startswith("runner/")}
-        return ListedKeys(runner_ids, set(self.listed_nodes))
+        return ListedKeys(runner_ids, set(self.listed_nodes), False)
 
 
 @dataclass
