--- a/src/hillstack/core/overload.py
+++ b/src/hillstack/core/overload.py
@@ -8,9 +8,15 @@
 
 from __future__ import annotations
 
+# Share of the objective that may be spent behind others: of 1.0, 1.3 and 2.0 the best or equal on
+# scale-2 of two deployments (docs/PLATFORM.md, overload).
 WAIT_FACTOR = 1.0
+# Share of the objective that the queue should have shrunk to when the caller comes back: chosen so
+# that the second try is in time.
 TARGET_SHARE = 0.5
+# Callers come back no sooner: about a long prefill.
 MIN_RETRY_SECONDS = 0.2
+# Callers come back no later: a third of the longest patience seen (15 s), which is all they heed.
 MAX_RETRY_SECONDS = 5.0
 
 
--- a/src/hillstack/core/placement/expected_delay.py
+++ b/src/hillstack/core/placement/expected_delay.py
@@ -21,27 +21,49 @@
 from hillstack.core.runner_load import RunnerLoad
 from hillstack.core.runner_pool import Runner
 
+# Spreads choices that look alike: about what late news of a load is worth. The ablation shows
+# nothing of it on small deployments (docs/DECISIONS.md); kept until large ones are measured.
 HASH_BONUS_SECONDS = 0.02
+# A request beyond the slots waits for a stream to end: about a second in all deployments seen.
 SLOT_PENALTY_SECONDS = 1.0
+# Beyond the memory streams are put back and read again: some seconds for all of them.
 MEMORY_PENALTY_SECONDS = 2.0
+# A runner that has just refused refuses again more often than not: half an objective.
 SHED_PENALTY_SECONDS = 0.5
+# Twice the one-way delay between zones (0.9 to 1.4 ms on the deployments seen).
 REMOTE_PENALTY_SECONDS = 0.002
 HASH_RANGE = float(2**64)
 LONG_STREAMS = "long streams"
+# How much later than expected a request may begin, where it must begin before newer weights are
+# due: twice and 0.4 s, chosen wide, since one that begins too late counts for nothing.
 BEGIN_FACTOR = 2.0
 BEGIN_MARGIN_SECONDS = 0.4
+# Being late costs as much as a second of delay: a late answer keeps under a third of its worth.
 LATE_PENALTY_SECONDS = 1.0
+# The step is spread over a tenth of the objective, about the error of the expected delay.
 LATE_SOFTNESS = 0.1
+# Prefills longer than this share of the allowed pause make streams late now and then: of 0.5 and
+# 0.7 equal within noise (docs/PLATFORM.md).
 PAUSE_SHARE = 0.7
+# For each stream that would pause: 0.08 and 0.3 equal within noise (docs/PLATFORM.md).
 PAUSE_PENALTY_SECONDS = 0.08
+# Share of a prefill that each stream beside it loses: 0.02 to 0.2 equal within noise
+# (docs/PLATFORM.md).
 SLOWDOWN_SHARE = 0.02
+# For gathering long streams: 0.06 and 0.15 equal within noise (docs/PLATFORM.md).
 GATHER_BONUS_SECONDS = 0.06
+# Keeps prefills away from where streams are gathered: half of the bonus above, chosen.
 AVOID_SECONDS = 0.03
 # The most that bonuses may take off a delay: a candidate that is later by more is out at once.
 MOST_BONUS_SECONDS = HASH_BONUS_SECONDS + GATHER_BONUS_SECONDS
+# Long streams fill a runner up to this share of its slots and half of its memory, so that short
+# ones still fit: chosen.
 GATHER_SLOT_SHARE = 0.3
 GATHER_MEMORY_SHARE = 0.5
+# What a token that is read again costs, as a delay: the weight at which tokens read again fell
+# from 107,000 to 38,000 on a calm day (docs/PLATFORM.md).
 REPEATED_PREFILL_SECONDS_PER_TOKEN = 0.0003
+# From then on a request on older weights costs a fifth of its worth; that fifth as a delay.
 SUPERSEDED_SECONDS = 1.5
 SUPERSEDED_PENALTY_SECONDS = 0.25
 
--- a/src/hillstack/core/placement/kept_parts.py
+++ b/src/hillstack/core/placement/kept_parts.py
@@ -10,8 +10,11 @@
 from hillstack.core.routing_table import EngineProfile, KeptCacheStore
 from hillstack.core.runner_pool import Runner
 
+# A call to the other runner and back, with what it waits there; a miss alone costs a millisecond.
 MOVE_SETUP_SECONDS = 0.004
+# Moves between zones take twice as long by the platform's word.
 REMOTE_MOVE_FACTOR = 2.0
+# Below two blocks of 16 tokens reading is as fast as a move.
 MIN_MOVE_TOKENS = 32
 BITS_PER_BYTE = 8
 BITS_PER_MEGABIT = 1e6
--- a/src/hillstack/core/planned_stop.py
+++ b/src/hillstack/core/planned_stop.py
@@ -8,9 +8,13 @@
 
 from __future__ import annotations
 
+# Callers find out within that time that a node is not ready.
 LATE_REQUEST_SECONDS = 3.0
+# Requests that come later would not be finished within the grace of 8 s at the longest timeout.
 ACCEPT_SECONDS = 2.6
+# A connection without a request by then will hardly have one.
 UNUSED_CONNECTION_SECONDS = 3.0
+# Left of the grace for closing connections and handing the duty over: some calls of 0.15 s.
 STOP_MARGIN_SECONDS = 0.7
 
 
--- a/src/hillstack/core/prompt_shape.py
+++ b/src/hillstack/core/prompt_shape.py
@@ -6,6 +6,7 @@
 
 from hillstack.core.part_index import PromptPart
 
+# About 0.6 s of steps of 5 to 6 ms: a stream that a load of weights, as long, catches surely.
 LONG_OUTPUT_TOKENS = 100
 
 
--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -11,14 +11,24 @@
 
 from hillstack.core.runner_load import OwnAttempt, OwnAttempts, ReportedLoads, RunnerLoad
 
+# A runner that broke a request is tried again after a restart's usual time, longer each time.
 SUSPECT_SECONDS = 0.6
+# No longer than the store takes to drop a silent runner: three heartbeats of 1.2 s.
 SUSPECT_MAX_SECONDS = 4.0
+# A machine that takes no connections is mostly gone: until the store can have dropped it.
 UNREACHABLE_SECONDS = 3.0
+# A queue of a few requests shrinks by one in about that time.
 SHED_SECONDS = 0.12
+# A runner at work sends an event each step of 5 to 10 ms; 0.5 s is the shortest allowed pause.
 SILENCE_SECONDS = 0.4
+# Beside a long prefill: pieces of 4,096 tokens, several in a row, hold all streams up.
 BUSY_SILENCE_SECONDS = 0.9
+# Entries that lapsed in an outage come back within some seconds of its end.
 UNLISTED_MEMORY_SECONDS = 15.0
+# A load takes 0.57 to 0.76 s on the deployments seen; its end is told, this is for a lost word.
 LOADING_SECONDS = 0.7
+# Tokens a second until prefills were seen (``RunnerPlacement._learn_rate``): the slowest of the
+# engines seen, so that a delay is rather thought too long.
 DEFAULT_PREFILL_RATE = 38_000.0
 
 
--- a/src/hillstack/core/shared_retry_budget.py
+++ b/src/hillstack/core/shared_retry_budget.py
@@ -9,7 +9,10 @@
 
 from collections import deque
 
+# Parts of the sliding window: what has left it is forgotten a tenth of the window late.
 WINDOW_PARTS = 10
+# Part of the budget that is used: the rest is for windows that slide between the parts, and for
+# requests that were counted and never sent.
 SAFETY_SHARE = 0.8
 
 
--- a/src/hillstack/core/weights_rollout.py
+++ b/src/hillstack/core/weights_rollout.py
@@ -15,11 +15,17 @@
 from hillstack.core.runner_pool import Runner
 from hillstack.core.weights_versions import WeightsVersions
 
+# A version named right after another replaces it for runners that have not begun; 0.1 and 0.3 s
+# made no difference (docs/DECISIONS.md, round 5).
 START_DELAY_SECONDS = 0.1
+# Two loads and their waits: later than that a runner may be too old for use.
 URGENT_SECONDS = 2.0
+# At most so many of the runners alive load at once: chosen; the pace mostly asks for fewer.
 CONCURRENT_SHARE = 0.4
 URGENT_SHARE = 1 / 2
+# A load that fails once is repeated within that time.
 PACE_SAFETY_SECONDS = 1.2
+# Keeps the pace finite when the time is over.
 MIN_PACE_SECONDS = 0.3
 
 
--- a/src/hillstack/daemon/cache_follower.py
+++ b/src/hillstack/daemon/cache_follower.py
@@ -22,13 +22,21 @@
 
 logger = logging.getLogger(__name__)
 
+# How soon a holder that changed hands is followed again; without a change a look costs nothing.
 ASSIGN_SECONDS = 0.25
+# The longest that a holder holds a question for changes back; shorter ones are priced as probes.
 WAIT_SECONDS = 1.0
+# Between two questions to one holder: changes come late by about as much anyway.
 CALL_INTERVAL_SECONDS = 0.3
+# Between two failed questions: bounds what a holder that is down costs.
 RETRY_SECONDS = 0.6
+# Between two lists of one holder, which hold up its work.
 RELIST_SECONDS = 5.0
+# A part sent that lately may be missing from a list without having been dropped.
 SETTLING_SECONDS = 0.5
+# A save that is that late was not made: events come late by up to half of that.
 UNSEEN_SECONDS = 1.0
+# Smaller parts are read again in under 7 ms: not worth a word to all.
 MIN_TOLD_TOKENS = 256
 
 
--- a/src/hillstack/daemon/duty_lease.py
+++ b/src/hillstack/daemon/duty_lease.py
@@ -11,6 +11,7 @@
 
 from hillstack.daemon.key_value import LeaseStore, Put, ValueIs
 
+# Part of the lease that is not used: clocks run at other rates, and a renewal travels.
 SAFETY_SHARE = 0.25
 
 
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -51,9 +51,13 @@
 
 logger = logging.getLogger(__name__)
 
+# How long a dead holder keeps the duty: a quarter of the shortest time for new weights (8 s).
 LEASE_TTL_SECONDS = 2.0
+# Requests are taken to begin up to that much later than they are sent.
 VERSION_MARGIN_SECONDS = 0.4
+# Longer than callers reuse a resting connection by the operator's limits.
 KEEP_ALIVE_SECONDS = 120
+# How late a stop notices that the last request is answered.
 STOP_CHECK_SECONDS = 0.05
 
 
--- a/src/hillstack/daemon/notice_outbox.py
+++ b/src/hillstack/daemon/notice_outbox.py
@@ -16,7 +16,9 @@
     WeightsNotice,
 )
 
+# A datagram's worth of placements of some 150 bytes; what is beyond stays untold.
 MAX_PLACEMENTS = 40
+# Parts of 15 bytes each that fit a datagram of 1,400 bytes.
 MAX_CACHE_PARTS = 80
 
 
--- a/src/hillstack/daemon/rollout_duty.py
+++ b/src/hillstack/daemon/rollout_duty.py
@@ -19,23 +19,38 @@
 
 logger = logging.getLogger(__name__)
 
+# How late a load begins that could begin: a tenth of a load.
 TICK_SECONDS = 0.05
+# A lease of 2 s survives three renewals that fail.
 RENEW_SECONDS = 0.4
+# After a lost answer, which costs 0.5 s of the lease.
 RENEW_RETRY_SECONDS = 0.1
+# After a refusal, which will mostly be repeated.
 RENEW_REFUSED_SECONDS = 0.3
+# Spreads the tries of nodes whose turn it is at once.
 ACQUIRE_JITTER_SECONDS = 0.25
 # A free duty is taken by the nodes in turn, so that hundreds do not ask the store for it at once;
 # the holder's name reaches the others within two looks (1 s each in the largest deployment).
 ACQUIRE_TURN_SECONDS = 0.5
+# A datagram's way to all peers and the sends under way: until then requests still arrive.
 ANNOUNCE_SECONDS = 0.03
+# Less than half of what a runner counts as loading after one word.
 REANNOUNCE_SECONDS = 0.3
+# The longest prefills seen ahead of a load took 1.2 s (docs/DECISIONS.md).
 PREFILL_WAIT_SECONDS = 1.2
+# Two loads: a runner whose weights are due sooner is not waited for.
 DUE_MARGIN_SECONDS = 2.0
+# Between two reports, which are 0.1 to 0.3 s old themselves.
 POLL_SECONDS = 0.12
+# Several loads' time: a runner that takes longer is left for a later try.
 LOAD_LIMIT_SECONDS = 6.0
+# A report tells of an order only that much later, by the platform's word.
 REPORT_LAG_SECONDS = 0.3
+# A runner that was not reached is tried again after that.
 REST_SECONDS = 0.5
+# Until loads were seen: a wait, a load and a report, chosen on the slow side.
 INITIAL_LOAD_SECONDS = 1.3
+# Weight of the latest load: the last five count most.
 LOAD_SMOOTHING = 0.2
 
 
--- a/src/hillstack/daemon/runner_monitor.py
+++ b/src/hillstack/daemon/runner_monitor.py
@@ -12,6 +12,7 @@
 
 logger = logging.getLogger(__name__)
 
+# How late silence is noticed: a quarter of what counts as silence.
 CHECK_SECONDS = 0.1
 
 
--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -26,8 +26,11 @@
 # The store answers at the next change, which comes within some ten milliseconds where runners write
 # heartbeats; without any, a call a second proves freshness well within the bounds.
 WATCH_WAIT_SECONDS = 1.0
+# Between failed looks: the freshness bound of 4.5 s leaves room for ten.
 RETRY_SECONDS = 0.3
+# Before everything is read anew; history that is gone stays gone.
 RELOAD_SECONDS = 0.05
+# Shorter failures are lost answers: no entry of a runner lapses in them (three heartbeats).
 OUTAGE_SECONDS = 0.8
 # A node whose peers answer, but with old knowledge, asks the store itself no more often than that:
 # in an outage hundreds of nodes do, and each call costs.
--- a/src/hillstack/platform/cache_feed.py
+++ b/src/hillstack/platform/cache_feed.py
@@ -16,7 +16,9 @@
 from hillstack.platform.formats import CacheEventsBody, CacheListBody
 
 OK = 200
+# A list of thousands of parts, at a runner that is at work.
 LIST_LIMIT_SECONDS = 1.5
+# Beyond the time that a holder may hold a question back.
 ANSWER_LIMIT_SECONDS = 0.7
 
 Body = TypeVar("Body")
--- a/src/hillstack/platform/connections.py
+++ b/src/hillstack/platform/connections.py
@@ -19,11 +19,15 @@
 from hillstack.errors import BackendError
 from hillstack.platform import names
 
+# Unacknowledged bytes for that long: the machine is gone or cut off; ordinary losses take less.
 SILENCE_LIMIT_MS = 1_200
+# Probes of connections that wait for an answer: the system takes whole seconds, and one is least.
 PROBE_IDLE_SECONDS = 1
 PROBE_INTERVAL_SECONDS = 1
 PROBE_COUNT = 2
+# Runners close resting connections after some seconds; one that is closed costs a new try.
 IDLE_SECONDS = 4.0
+# A connection takes some milliseconds; packets that open one are repeated after a second.
 CONNECT_LIMIT_SECONDS = 0.5
 
 
--- a/src/hillstack/platform/runners.py
+++ b/src/hillstack/platform/runners.py
@@ -27,7 +27,9 @@
 REFUSALS = frozenset({429, 503})
 OK = 200
 MISDIRECTED = 421
+# A report takes some milliseconds; a load waits for it.
 REPORT_LIMIT_SECONDS = 0.4
+# An order is answered at once or late: the next report tells whether it was taken.
 ORDER_LIMIT_SECONDS = 0.25
 ORDER_MODES = {
     RunningRequests.FINISH: names.FINISH_RUNS,
--- a/src/hillstack/platform/store.py
+++ b/src/hillstack/platform/store.py
@@ -46,7 +46,9 @@
 GONE = 410
 CONDITION_FAILED = 412
 REFUSED = frozenset({429, 503})
+# A slow store takes up to a second; the freshness bound of 4.5 s leaves room for two tries.
 CALL_LIMIT_SECONDS = 1.5
+# A quarter of the lease: a renewal without an answer is repeated while it runs.
 LEASE_CALL_LIMIT_SECONDS = 0.5
 # What stands for a value that is not base64: no item is read from it.
 UNREADABLE_VALUE = b""
--- a/src/hillstack/serving/admission.py
+++ b/src/hillstack/serving/admission.py
@@ -10,8 +10,11 @@
 from hillstack.serving.job import Job
 from hillstack.serving.types import RejectedError, ServingRequest, Verdict
 
+# A node whose knowledge is old mostly has fresh knowledge a look later.
 STALE_RETRY_SECONDS = 1.0
+# Another node takes the request at once.
 STOPPING_RETRY_SECONDS = 0.05
+# A node that has just started knows everything within a second.
 NOT_READY_RETRY_SECONDS = 1.0
 
 
--- a/src/hillstack/serving/cache_beliefs.py
+++ b/src/hillstack/serving/cache_beliefs.py
@@ -21,9 +21,13 @@
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import PlacedAttempt
 
+# A prompt is surely read after twice the expected time and a second, if nobody told: fetches that
+# came too early missed (F17).
 UNTOLD_FACTOR = 2.0
 UNTOLD_SECONDS = 1.0
+# From the first event to the first byte of a save: chosen.
 SAVE_SETUP_SECONDS = 0.03
+# A move that would wait more than 2 s is not begun, by the platform's word; less a margin.
 MAX_SAVE_WAIT_SECONDS = 1.8
 BITS_PER_BYTE = 8
 BITS_PER_MEGABIT = 1e6
--- a/src/hillstack/serving/event_framing.py
+++ b/src/hillstack/serving/event_framing.py
@@ -6,6 +6,7 @@
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+# An event is some hundred bytes; a runner that never ends one must not fill the memory.
 MAX_EVENT_BYTES = 1_000_000
 
 
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -19,8 +19,11 @@
 
 logger = logging.getLogger(__name__)
 
+# Entries that lapsed in an outage are back within 2 s of its end, by the platform's word.
 OUTAGE_EFFECT_SECONDS = 2.5
+# So long a runner without an entry is used on after an outage: below both, with a margin.
 UNLISTED_GRACE_SECONDS = 1.6
+# A fetch from a store that is down costs 0.1 s; its watcher asks again in under a second.
 UNAVAILABLE_SECONDS = 2.0
 
 
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -12,6 +12,7 @@
 
 logger = logging.getLogger(__name__)
 
+# A load of weights, or a restart, is over by then.
 NO_RUNNER_RETRY_SECONDS = 0.5
 
 
--- a/src/hillstack/serving/metrics.py
+++ b/src/hillstack/serving/metrics.py
@@ -6,7 +6,9 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+# Around the objectives of 0.4 to 0.8 s and the deadlines of 3 to 15 s of the deployments seen.
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.5, 3, 6, 12)
+# Around the allowed pauses of 0.5 and 0.6 s.
 PAUSE_BUCKETS = (0.05, 0.1, 0.2, 0.5, 1, 2, 4)
 
 
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -34,9 +34,13 @@
 
 logger = logging.getLogger(__name__)
 
+# Runners that a request is offered to, refusals included: each costs some ms and the shared budget.
 MAX_SENDS = 4
+# Less is not worth a try: the way there and back.
 MIN_REMAINING_SECONDS = 0.02
+# How late a silent runner is noticed by a request that waits for it.
 SILENCE_CHECK_SECONDS = 0.15
+# A request leaves a runner that is silent for longer than the allowed pauses of 0.5 and 0.6 s.
 SILENCE_LIMIT_SECONDS = 0.7
 SERVER_ERROR = 500
 SUCCESS = range(200, 300)
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -24,14 +24,21 @@
 from hillstack.serving.peers import PeerNotices
 
 SHARED_SALT = "shared"
+# Weight of the latest prefill: the last ten count most.
 RATE_SMOOTHING = 0.1
+# Shorter prefills take a few steps: their rate is that of the steps.
 RATE_MIN_TOKENS = 1500
+# Several times slower and faster than any engine seen (38,000 to 57,000).
 RATE_RANGE = (5_000.0, 200_000.0)
+# A request may begin that much later than it is sent.
 VERSION_MARGIN_SECONDS = 0.3
+# Prefills of under 10 ms hold nobody up: not told.
 MIN_NOTICE_TOKENS = 400
 # Placements of peers that are not told to be read yet: five seconds of 200 a second; what drops out
 # is believed to be read when its sender expected it to be.
 MAX_PEER_PLACEMENTS = 1_024
+# An answer is overdue after its expected delay, half as much again and this: ordinary work of two
+# deployments takes 0.45 s, so that application servers are suspected wrongly (F32, open).
 DUE_SECONDS = 0.4
 DUE_FACTOR = 1.5
 
