--- a/src/hillstack/serving/start_gate.py
+++ b/src/hillstack/serving/start_gate.py
@@ -7,7 +7,7 @@
 
 # A read of the store takes some 10 ms; callers wait a second for a new connection.
 FIRST_READ_WAIT_SECONDS = 1.0
-# Chosen; with it tokens read again after a start cost 0.014, not 0.022 (docs/DECISIONS.md, round 8).
+# Chosen; tokens read again after a start cost 0.014 with it, 0.022 without (docs/DECISIONS.md).
 CACHES_WAIT_SECONDS = 0.15
 
 
