--- a/src/hillstack/core/placement/expected_delay.py
+++ b/src/hillstack/core/placement/expected_delay.py
@@ -1,11 +1,12 @@
 """Placement by the expected time to the first event, and by what it does to other streams.
 
 For each runner: the prefills that are ahead, the move of cached parts from where they are kept, the
-prefill of what is left, and penalties where slots or memory run out. Ties go to the runner that a
-hash of the last shared part names, so that nodes which know little agree on a home for each part.
+prefill of what is left, and penalties where slots or memory run out. Near ties go to the runner that
+a hash of the last shared part names: nodes which know little agree on a home for each part, and those
+that decide at the same moment go to different runners.
 
-A long prefill slows the steps of all streams at its runner, so that they pause. Long streams are
-therefore kept together on few runners, and long prefills away from them.
+A long prefill slows the steps of all streams at its runner, so that they pause: it weighs against
+each of them. Long streams are kept together on few runners.
 """
 
 from __future__ import annotations
@@ -21,9 +22,9 @@
 from hillstack.core.runner_load import RunnerLoad
 from hillstack.core.runner_pool import Runner
 
-# Spreads choices that look alike: about what late news of a load is worth. The ablation shows
-# nothing of it on small deployments (docs/DECISIONS.md); kept until large ones are measured.
-HASH_BONUS_SECONDS = 0.02
+# Spreads choices that look alike, since news of a prefill comes some 50 ms late: with 0.04 and no
+# order for short streams fewer are late at 59 runners (docs/DECISIONS.md, size, round 2).
+HASH_BONUS_SECONDS = 0.04
 # A request beyond the slots waits for a stream to end: about a second in all deployments seen.
 SLOT_PENALTY_SECONDS = 1.0
 # Beyond the memory streams are put back and read again: some seconds for all of them.
@@ -52,8 +53,6 @@
 SLOWDOWN_SHARE = 0.02
 # For gathering long streams: 0.06 and 0.15 equal within noise (docs/PLATFORM.md).
 GATHER_BONUS_SECONDS = 0.06
-# Keeps prefills away from where streams are gathered: half of the bonus above, chosen.
-AVOID_SECONDS = 0.03
 # The most that bonuses may take off a delay: a candidate that is later by more is out at once.
 MOST_BONUS_SECONDS = HASH_BONUS_SECONDS + GATHER_BONUS_SECONDS
 # Long streams fill a runner up to this share of its slots and half of its memory, so that short
@@ -206,25 +205,23 @@
         return None
     repeated = max(0, kept.known_tokens - matched - move.tokens)
     cost = delay + lateness(delay, around.target_seconds)
-    if load.long_running:
-        cost += _harm(load.long_running, queue, prefill, around)
+    if load.running:
+        cost += _harm(load.running, queue, prefill, around)
     cost += REPEATED_PREFILL_SECONDS_PER_TOKEN * repeated
     if now + delay > candidate.superseded_at + SUPERSEDED_SECONDS:
         cost += SUPERSEDED_PENALTY_SECONDS
     if shape.is_long:
         cost -= _gather_bonus(shape, load, around, position)
         cost -= _hash_bonus(shape.parts[-1], runner)
-    else:
-        cost += AVOID_SECONDS * (1.0 - position)
-        if shape.shared:
-            cost -= _hash_bonus(shape.shared[-1], runner)
+    elif shape.shared:
+        cost -= _hash_bonus(shape.shared[-1], runner)
     if cost >= least:
         return None
     return _Weighed(candidate, cost, delay, waiting, missing, matched, move, repeated)
 
 
 def _harm(streams: int, queue: float, prefill: float, around: Surroundings) -> float:
-    """Return the cost of what a prefill does to the long streams at the runner."""
+    """Return the cost of what a prefill does to the streams at the runner."""
     harm = SLOWDOWN_SHARE * prefill * streams
     if queue + prefill > PAUSE_SHARE * around.gap_seconds:
         harm += PAUSE_PENALTY_SECONDS * streams
--- a/src/hillstack/core/prompt_shape.py
+++ b/src/hillstack/core/prompt_shape.py
@@ -16,7 +16,7 @@
 
     Attributes:
         parts: Parts in order; all but the last are shared with other prompts.
-        output_tokens: Most tokens that may be generated.
+        output_tokens: Tokens that are expected to be generated.
         shared: The parts that other prompts may have too.
         prompt_tokens: Tokens of all parts.
         shared_tokens: Tokens of the shared parts.
--- a/src/hillstack/platform/formats.py
+++ b/src/hillstack/platform/formats.py
@@ -294,10 +294,19 @@
     return None
 
 
-def parse_shape(parts: str, usage: str) -> PromptShape | None:
-    """Return the shape of a prompt from the two headers; None if they can't be read."""
+def parse_shape(parts: str, usage: str, hint: str = "") -> PromptShape | None:
+    """Return the shape of a prompt from its headers; None if they can't be read.
+
+    Args:
+        parts: The parts of the prompt.
+        usage: Tokens of the prompt, and the most that may be generated.
+        hint: The caller's estimate of the tokens that will be; right at the median, and mostly far
+            below the most. Empty if there is none.
+    """
     try:
         _, _, output = usage.partition(",")
+        if hint.isdecimal():
+            output = str(min(int(output or hint), int(hint)))
         pairs = [entry.split(":") for entry in parts.split(",") if entry]
         shaped = tuple(PromptPart(part_id, int(tokens)) for part_id, tokens in pairs)
         return PromptShape(shaped, int(output or 0)) if shaped else None
--- a/src/hillstack/platform/ingress.py
+++ b/src/hillstack/platform/ingress.py
@@ -226,6 +226,7 @@
         shape=parse_shape(
             _text(headers, _field(names.PROMPT_PARTS)),
             _text(headers, _field(names.TOKEN_USAGE)),
+            _text(headers, _field(names.LENGTH_HINT)),
         ),
         last_event_id=_whole_number(headers.get(_field(names.LAST_EVENT_ID))),
     )
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -16,6 +16,7 @@
 from hillstack.core.shared_retry_budget import SharedRetryBudget
 from hillstack.core.traffic_split import TrafficSplit
 from hillstack.core.weights_versions import WeightsVersions
+from hillstack.platform.formats import parse_shape
 from tests.fleet.builders import ENGINES, HOST, make_route, make_table
 
 
@@ -197,3 +198,24 @@
     assert stop.is_over(7.5, active=3)
     assert PlannedStop(2.0).is_over(1.3, active=3)
     assert not PlannedStop(2.0).accepts(1.0)
+
+
+@pytest.mark.parametrize(
+    ("usage", "hint", "expected"),
+    [
+        ("900,955", "58", 58),
+        ("900,955", "2000", 955),
+        ("900,955", "", 955),
+        ("900,955", "-3", 955),
+        ("900,955", "many", 955),
+        ("900", "58", 58),
+    ],
+)
+def test_the_callers_estimate_says_how_much_will_be_generated(
+    usage: str, hint: str, expected: int
+) -> None:
+    # kuitu-varaus-large: the most is 955 tokens where 58 come; all prompts passed for long streams,
+    # and all nodes gathered them on the same few runners.
+    shape = parse_shape("5c1e07a2:800,91bd3f06:100", usage, hint)
+    assert shape is not None
+    assert (shape.output_tokens, shape.prompt_tokens) == (expected, 900)
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Sequence
 
 from hillstack.core.part_index import PartIndex, PromptPart
@@ -135,11 +136,27 @@
     ]
 
 
-def test_long_prefills_go_to_the_end_of_the_order() -> None:
+def test_short_streams_are_spread_over_all_runners_that_look_alike() -> None:
+    # kuitu-varaus-large: an order for short streams too sent the prompts of 195 nodes to the same
+    # few runners within the time that news of a prefill takes.
     runners = [make_runner(f"i-{number}") for number in range(12)]
-    order = shared_order(runner.runner_id for runner in runners)
-    choice = choose(make_index(*order), runners, output=50)
-    assert choice is not None and order[choice.candidate.runner.runner_id] >= 0.4
+    index = make_index(*(runner.runner_id for runner in runners))
+    counts: Counter[str] = Counter()
+    for number in range(240):
+        choice = choose(index, runners, shared=PromptPart(f"part-{number}", 4_000))
+        assert choice is not None
+        counts[choice.candidate.runner.runner_id] += 1
+    assert len(counts) == 12 and max(counts.values()) <= 40
+
+
+def test_prefills_avoid_runners_with_many_short_streams() -> None:
+    busy, idle = make_runner("i-1"), make_runner("i-2")
+    for number in range(10):
+        busy.attempts.add(str(number), OwnAttempt(0, 300, 0.0, 1.0, started=True))
+    index = make_index("i-1", "i-2")
+    for number in range(20):
+        choice = choose(index, [busy, idle], shared=PromptPart(f"part-{number}", 15_000))
+        assert choice is not None and choice.candidate.runner is idle
 
 
 def test_a_full_runner_gathers_no_more() -> None:
