--- a/src/hillstack/core/placement/expected_delay.py
+++ b/src/hillstack/core/placement/expected_delay.py
@@ -1,9 +1,9 @@
 """Placement by the expected time to the first event, and by what it does to other streams.
 
 For each runner: the prefills that are ahead, the move of cached parts from where they are kept, the
-prefill of what is left, and penalties where slots or memory run out. Near ties go to the runner that
-a hash of the last shared part names: nodes which know little agree on a home for each part, and those
-that decide at the same moment go to different runners.
+prefill of what is left, and penalties where slots or memory run out. Near ties go to the runner
+that a hash of the last shared part names: nodes which know little agree on a home for each part,
+and those that decide at the same moment go to different runners.
 
 A long prefill slows the steps of all streams at its runner, so that they pause: it weighs against
 each of them. Long streams are kept together on few runners.
