--- a/tests/fleet/node_network.py
+++ b/tests/fleet/node_network.py
@@ -126,6 +126,8 @@
     placements: list[PlacementNotice] = field(default_factory=list)
     reads: list[tuple[str, int]] = field(default_factory=list)
     cut: bool = False
+    alive: bool = True
+    work: asyncio.Task[Any] | None = None
 
     @property
     def node_id(self) -> str:
@@ -159,9 +161,12 @@
         count: Nodes.
         zones: Zones that they are spread over.
         loss: Share of the datagrams that are lost.
+        own_loops: Whether each node has a loop of its own, which can be frozen; slower.
     """
 
-    def __init__(self, count: int, zones: int, *, loss: float = 0.0) -> None:
+    def __init__(
+        self, count: int, zones: int, *, loss: float = 0.0, own_loops: bool = False
+    ) -> None:
         self.scheduler = Scheduler()
         self.store = MemoryStore(self.scheduler)
         self.nodes: dict[str, SimulatedNode] = {}
@@ -172,6 +177,7 @@
         self.runner_ids = [f"i-{number}" for number in range(6)]
         self._loss = loss
         self._rng = Random(7)
+        self._shared_loop = None if own_loops else self.scheduler.new_loop()
         for number in range(count):
             self.add(f"node-{number}", f"zone-{number % zones}")
 
@@ -192,9 +198,8 @@
         clock = self.scheduler.clock
         rng = Random(f"{node_id}/{self.scheduler.now}")
         exchange = PeerExchange(state, link, choice, zone, clock, rng)
-        node = SimulatedNode(
-            state, exchange, choice, link, self.scheduler.new_loop(), address, zone
-        )
+        loop = self._shared_loop or self.scheduler.new_loop()
+        node = SimulatedNode(state, exchange, choice, link, loop, address, zone)
         exchange.handle_placements(
             lambda _, notice, now: node.placements.append(notice),
             lambda peer, number, now: node.reads.append((peer, number)),
@@ -213,7 +218,9 @@
         """End a node without a word."""
         node = self.nodes.pop(node_id)
         del self._by_address[node.address]
-        self.scheduler.kill(node.loop)
+        node.alive = False
+        assert node.work is not None
+        node.work.cancel()
 
     def at_node(self, node: SimulatedNode, work: Any) -> None:
         """Call something in a node's loop."""
@@ -233,9 +240,8 @@
         host, _, port = source.rpartition(":")
 
         def arrive() -> None:
-            link, loop = receiver.link, receiver.loop
-            if not loop.killed:
-                loop.call_soon(link.datagram_received, data, (host, int(port)))
+            if receiver.alive:
+                receiver.loop.call_soon(receiver.link.datagram_received, data, (host, int(port)))
 
         self.scheduler.at(self.scheduler.now + DELAY_SECONDS, arrive)
 
@@ -264,7 +270,7 @@
                 sync.run(), node.exchange.run(), node.exchange.relay(), registry.run()
             )
 
-        self.scheduler.spawn(node.loop, run())
+        node.work = self.scheduler.spawn(node.loop, run())
 
 
 def list_runners(network: NodeNetwork) -> None:
--- a/tests/fleet/test_relays.py
+++ b/tests/fleet/test_relays.py
@@ -263,11 +263,12 @@
     assert all(node.state.outage_ended_at() == float("-inf") for node in others)
 
 
-def test_an_answer_that_waited_while_its_asker_was_frozen_is_as_old_as_the_wait(
-    network: NodeNetwork,
-) -> None:
+def test_an_answer_that_waited_while_its_asker_was_frozen_is_as_old_as_the_wait() -> None:
     # A node that wakes finds answers in its socket; they must not pass for news.
-    node = other_than(network, *(relay_of(network, f"zone-{n}") for n in range(ZONES)))
+    network = NodeNetwork(20, 1, own_loops=True)
+    list_runners(network)
+    network.run(4.0)
+    node = other_than(network, relay_of(network, "zone-0"))
     network.store.down_for = {node.node_id}
     network.run(1.0)
     node.loop.frozen = True
@@ -276,6 +277,7 @@
     node.loop.frozen = False
     network.run(0.3)
     assert not node.state.freshness.is_fresh(network.scheduler.now)
+    network.close()
 
 
 def test_a_node_that_lost_the_change_log_of_its_peer_gets_everything(network: NodeNetwork) -> None:
@@ -290,7 +292,7 @@
 
 
 def test_a_node_that_is_gone_for_good_is_taken_off_the_list_and_one_that_lives_is_not() -> None:
-    network = NodeNetwork(24, 2)
+    network = NodeNetwork(24, 2, own_loops=True)
     list_runners(network)
     network.run(4.0)
     gone = relay_of(network, "zone-1")
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -176,8 +176,8 @@
     Mutation(
         "every node watches every holder",
         "daemon/cache_follower.py",
-        "if watcher(holder, zones) == self._state.node_id",
-        "if True",
+        "watched = self._assignment.watched_by(self._state.node_id)",
+        "watched = list(holders)",
     ),
     Mutation(
         "a silent store of kept cache is asked on",
@@ -188,7 +188,7 @@
     Mutation(
         "prefills of others are repeated",
         "core/placement/expected_delay.py",
-        "cost += REPEATED_PREFILL_SECONDS_PER_TOKEN * choice.repeated_tokens",
+        "cost += REPEATED_PREFILL_SECONDS_PER_TOKEN * repeated",
         "pass",
     ),
     Mutation(
@@ -251,6 +251,78 @@
         "session._retry_connection = False",
         "pass",
     ),
+    Mutation(
+        "knowledge of a peer passes for fresh",
+        "daemon/store_relay.py",
+        "asked_at - answer.age_ms / MILLISECONDS,",
+        "asked_at,",
+    ),
+    Mutation(
+        "words do not cross to other zones",
+        "daemon/notice_relay.py",
+        "self._far.notices.append(report.notice)",
+        "pass",
+    ),
+    Mutation(
+        "a zone's loads hold this node's own twice",
+        "daemon/notice_reader.py",
+        "load = load.without(runner.attempts.load())",
+        "pass",
+    ),
+    Mutation(
+        "a duty that fell free unseen stays held",
+        "daemon/store_sync.py",
+        "if not listed.duty_held:",
+        "if False:",
+    ),
+    Mutation(
+        "a node that the store turns away asks nobody else",
+        "daemon/store_sync.py",
+        "chosen = self._rng.sample(others, min(MAX_PEERS_ASKED, len(others)))",
+        "others = chosen = []",
+    ),
+    Mutation(
+        "an outage that one peer saw moves the bounds of all",
+        "daemon/store_sync.py",
+        "if ended_at - self._state.freshness.proved_at() > self._fresh_seconds():",
+        "if True:",
+    ),
+    Mutation(
+        "nodes with slow links relay as well",
+        "core/node_directory.py",
+        "by_hash.sort(key=lambda node_id: -self._nodes[node_id].relay_class)",
+        "pass",
+    ),
+    Mutation(
+        "nodes that were taken off count no more at once",
+        "core/node_directory.py",
+        "len(self._nodes) + len(departed)",
+        "len(self._nodes)",
+    ),
+    Mutation(
+        "silent relays are relied on",
+        "core/relay_choice.py",
+        "if now - max(since, self._heard_at.get(node_id, since)) < SILENT_SECONDS:",
+        "if True:",
+    ),
+    Mutation(
+        "the most that may be generated passes for the length",
+        "platform/formats.py",
+        "output = str(min(int(output or hint), int(hint)))",
+        "pass",
+    ),
+    Mutation(
+        "prefills do not weigh against streams",
+        "core/placement/expected_delay.py",
+        "cost += _harm(load.running, queue, prefill, around)",
+        "pass",
+    ),
+    Mutation(
+        "reports of loads do not expire",
+        "core/runner_load.py",
+        "while self._oldest_at < oldest:",
+        "while False:",
+    ),
 )
 
 
