--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -85,9 +85,11 @@
 
 def attempt_fields(job: Job, placed: PlacedAttempt, dispatch: Dispatch) -> dict[str, object]:
     """Return the log fields of an attempt that is being sent."""
+    shape = job.request.shape
     return {
         "request": job.request.request_id,
         "route": job.route.name,
+        "part": shape.shared[-1].part_id if shape is not None and shape.shared else None,
         "attempt": job.sends,
         "runner": placed.runner.runner_id,
         "delay_ms": round(placed.delay * 1000, 1),
@@ -97,7 +99,7 @@
         "fetch": dispatch.fetch_from,
         "save": dispatch.save_to,
         "weights": dispatch.weights_version,
-        "out": job.request.shape.output_tokens if job.request.shape is not None else 0,
+        "out": shape.output_tokens if shape is not None else 0,
         "left_ms": round(dispatch.remaining_seconds * 1000),
     }
 
