--- a/src/hillstack/core/relay_choice.py
+++ b/src/hillstack/core/relay_choice.py
@@ -34,10 +34,6 @@
         self._heard_at[node_id] = now
         self._passed_over_until.pop(node_id, None)
 
-    def heard_since(self, node_id: str, since: float) -> bool:
-        """Return whether a node was heard after a time."""
-        return self._heard_at.get(node_id, float("-inf")) > since
-
     def pass_over(self, node_id: str, now: float) -> None:
         """Note that a node did not answer: it is not relied on for a while, unless it is heard."""
         self._passed_over_until[node_id] = now + PASS_OVER_SECONDS
--- a/src/hillstack/daemon/notice_relay.py
+++ b/src/hillstack/daemon/notice_relay.py
@@ -16,8 +16,8 @@
 from hillstack.core.relay_choice import RelayChoice
 from hillstack.core.runner_load import ReportedLoads
 from hillstack.daemon.peer_link import PeerLink
-from hillstack.messages import relay_batches
 from hillstack.messages.datagrams import DatagramKind
+from hillstack.messages.packing import pack
 from hillstack.messages.peer_notices import PROTOCOL_VERSION, LoadNotice
 from hillstack.messages.relay_batches import NodeReport, RelayBatch, ZoneLoads
 from hillstack.serving.fleet_state import FleetState
@@ -165,7 +165,7 @@
     ) -> None:
         outgoing.sent_at = now
         for batch in outgoing.batches(self._state.node_id, self._zone):
-            self._link.send_to_all(kind, relay_batches.encode(batch), addresses)
+            self._link.send_to_all(kind, pack(batch), addresses)
 
     def _near_addresses(self) -> list[str]:
         nodes = self._state.nodes.of_zone(self._zone)
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -23,8 +23,9 @@
 from hillstack.daemon.notice_reader import NoticeReader, PlacementHandler, ReadHandler
 from hillstack.daemon.notice_relay import NoticeRelay
 from hillstack.daemon.peer_link import PeerLink
-from hillstack.messages import peer_notices, relay_batches
+from hillstack.messages import peer_notices
 from hillstack.messages.datagrams import DatagramKind
+from hillstack.messages.packing import pack, unpack
 from hillstack.messages.peer_notices import (
     PROTOCOL_VERSION,
     AnnouncementNotice,
@@ -255,7 +256,7 @@
         if node is None or node.node_id == self._state.node_id:
             self._hand_on(report, now)
         else:
-            payload = relay_batches.encode(report)
+            payload = pack(report)
             self._link.send(DatagramKind.REPORT, payload, node.address)
 
     def _hand_on(self, report: NodeReport, now: float) -> None:
@@ -271,19 +272,19 @@
 
     def _take_report(self, payload: bytes, peer: str) -> None:
         now = self._clock()
-        report = relay_batches.decode(payload, NodeReport, peer)
+        report = unpack(payload, NodeReport, peer)
         notice = peer_notices.decode(report.notice, peer)
         self._choice.heard(report.node_id, now)
         self._hand_on(report, now)
         self._take_words(notice, now)
 
     def _take_zone_batch(self, payload: bytes, peer: str) -> None:
-        batch = relay_batches.decode(payload, RelayBatch, peer)
+        batch = unpack(payload, RelayBatch, peer)
         self._relay.take_batch(batch, self._clock())
         self._take_batch(batch, peer)
 
     def _take_final_batch(self, payload: bytes, peer: str) -> None:
-        self._take_batch(relay_batches.decode(payload, RelayBatch, peer), peer)
+        self._take_batch(unpack(payload, RelayBatch, peer), peer)
 
     def _take_batch(self, batch: RelayBatch, peer: str) -> None:
         now = self._clock()
--- a/src/hillstack/daemon/store_relay.py
+++ b/src/hillstack/daemon/store_relay.py
@@ -18,8 +18,8 @@
 
 from hillstack.daemon.change_log import ChangeLog, StoredItem
 from hillstack.daemon.peer_link import PeerLink
-from hillstack.messages import store_changes
 from hillstack.messages.datagrams import DatagramKind
+from hillstack.messages.packing import pack, unpack
 from hillstack.messages.peer_notices import PROTOCOL_VERSION
 from hillstack.messages.store_changes import ChangesAnswer, ChangesQuestion, ItemChange
 from hillstack.serving.fleet_state import FleetState
@@ -93,7 +93,7 @@
         answered = self._waiting[number] = asyncio.get_running_loop().create_future()
         question = ChangesQuestion(PROTOCOL_VERSION, self._state.node_id, number, revision)
         asked_at = self._clock()
-        payload = store_changes.encode(question)
+        payload = pack(question)
         self._link.send(DatagramKind.CHANGES_QUESTION, payload, node.address)
         try:
             async with asyncio.timeout(ANSWER_SECONDS):
@@ -105,20 +105,20 @@
         return _relayed(answer, asked_at)
 
     def _take_question(self, payload: bytes, peer: str) -> None:
-        question = store_changes.decode(payload, ChangesQuestion, peer)
+        question = unpack(payload, ChangesQuestion, peer)
         node = self._state.nodes.get(question.node_id)
         if node is None:
             # It is new, and this node will hear of it from the store.
             return
-        payload = store_changes.encode(self._answer(question))
+        payload = pack(self._answer(question))
         if len(payload) > MAX_ANSWER_BYTES:
             fields = {"peer": question.node_id, "bytes": len(payload)}
             logger.info("changes too large for a datagram", extra=fields)
-            payload = store_changes.encode(self._ages_only(question))
+            payload = pack(self._ages_only(question))
         self._link.send(DatagramKind.CHANGES_ANSWER, payload, node.address)
 
     def _take_answer(self, payload: bytes, peer: str) -> None:
-        answer = store_changes.decode(payload, ChangesAnswer, peer)
+        answer = unpack(payload, ChangesAnswer, peer)
         waiting = self._waiting.get(answer.number)
         if waiting is not None and not waiting.done():
             waiting.set_result(answer)
--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -41,8 +41,8 @@
 FRESH_LOOKS = 2.0
 FRESH_MARGIN_SECONDS = 0.5
 # Up to so many nodes are one group, whose first node watches the store for all: its answers take a
-# percent of a core then. In a larger
-# deployment each zone is one, so that what is handed on stays inside it.
+# percent of a core then. In a larger deployment each zone is one, so that what is handed on stays
+# inside it.
 SINGLE_GROUP_NODES = 64
 
 
@@ -204,11 +204,11 @@
         relayed = await self._ask_peers(asked, revision)
         if relayed is not None:
             return self._take_relayed(relayed, revision)
-        others = [node for node in self._choice.others(group, self._clock()) if node not in asked]
-        failure = await self._try_store(revision, may_pause=bool(asked or others))
+        failure = await self._try_store(revision, may_pause=len(self._state.nodes) > 1)
         if isinstance(failure, int):
             return failure
         # The store turns this node away: it may serve others.
+        others = [node for node in self._choice.others(group, self._clock()) if node not in asked]
         chosen = self._rng.sample(others, min(MAX_PEERS_ASKED, len(others)))
         relayed = await self._ask_peers(self._with_last_source(chosen, others), revision)
         if relayed is not None:
--- a/src/hillstack/messages/relay_batches.py
+++ b/src/hillstack/messages/relay_batches.py
@@ -6,18 +6,13 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
-
 import msgspec
 
-from hillstack.errors import CodecError
-from hillstack.messages.packing import pack, unpack
-from hillstack.messages.peer_notices import PROTOCOL_VERSION, LoadNotice
-
-Message = TypeVar("Message", "NodeReport", "RelayBatch")
+from hillstack.messages.packing import PackedMessage
+from hillstack.messages.peer_notices import LoadNotice
 
 
-class NodeReport(msgspec.Struct, array_like=True, frozen=True):
+class NodeReport(PackedMessage, array_like=True, frozen=True):
     """What a node tells the relay of its zone.
 
     Attributes:
@@ -28,11 +23,10 @@
         is_urgent: Whether it is to be handed on at once.
     """
 
-    protocol: int
     node_id: str
     incarnation: int
     zone: str
-    loads: list[LoadNotice] = []
+    loads: list[LoadNotice] = msgspec.field(default_factory=list)
     notice: bytes = b""
     is_news: bool = False
     is_urgent: bool = False
@@ -45,7 +39,7 @@
     loads: list[LoadNotice]
 
 
-class RelayBatch(msgspec.Struct, array_like=True, frozen=True):
+class RelayBatch(PackedMessage, array_like=True, frozen=True):
     """What a relay hands on.
 
     Attributes:
@@ -54,25 +48,7 @@
         notices: Encoded ``NodeNotice`` of several nodes; the receiver's own may be among them.
     """
 
-    protocol: int
     relay_id: str
     zone: str
-    loads: list[ZoneLoads] = []
-    notices: list[bytes] = []
-
-
-def encode(message: NodeReport | RelayBatch) -> bytes:
-    """Return the payload of a message."""
-    return pack(message)
-
-
-def decode(payload: bytes, kind: type[Message], peer: str) -> Message:
-    """Return the message of a payload.
-
-    Raises:
-        CodecError: It is malformed or of another protocol version.
-    """
-    message = unpack(payload, kind, peer)
-    if message.protocol != PROTOCOL_VERSION:
-        raise CodecError(f"protocol version {message.protocol}", step="decode", peer=peer)
-    return message
+    loads: list[ZoneLoads] = msgspec.field(default_factory=list)
+    notices: list[bytes] = msgspec.field(default_factory=list)
--- a/src/hillstack/messages/store_changes.py
+++ b/src/hillstack/messages/store_changes.py
@@ -2,25 +2,18 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
-
 import msgspec
 
-from hillstack.errors import CodecError
-from hillstack.messages.packing import pack, unpack
-from hillstack.messages.peer_notices import PROTOCOL_VERSION
-
-Message = TypeVar("Message", "ChangesQuestion", "ChangesAnswer")
+from hillstack.messages.packing import PackedMessage
 
 
-class ChangesQuestion(msgspec.Struct, array_like=True, frozen=True):
+class ChangesQuestion(PackedMessage, array_like=True, frozen=True):
     """Asks for all that has changed since a revision.
 
     Attributes:
         number: Comes back in the answer.
     """
 
-    protocol: int
     node_id: str
     number: int
     revision: int
@@ -34,7 +27,7 @@
     value: bytes | None
 
 
-class ChangesAnswer(msgspec.Struct, array_like=True, frozen=True):
+class ChangesAnswer(PackedMessage, array_like=True, frozen=True):
     """What a node knows of the store.
 
     Attributes:
@@ -48,29 +41,11 @@
         is_complete: Whether everything fitted; if not, only ages are told.
     """
 
-    protocol: int
     node_id: str
     number: int
     revision: int
     age_ms: int | None = None
     outage_age_ms: int | None = None
-    items: list[ItemChange] = []
+    items: list[ItemChange] = msgspec.field(default_factory=list)
     keys: list[str] | None = None
     is_complete: bool = True
-
-
-def encode(message: ChangesQuestion | ChangesAnswer) -> bytes:
-    """Return the payload of a message."""
-    return pack(message)
-
-
-def decode(payload: bytes, kind: type[Message], peer: str) -> Message:
-    """Return the message of a payload.
-
-    Raises:
-        CodecError: It is malformed, too large, or of another protocol version.
-    """
-    message = unpack(payload, kind, peer)
-    if message.protocol != PROTOCOL_VERSION:
-        raise CodecError(f"protocol version {message.protocol}", step="decode", peer=peer)
-    return message
--- a/tests/fleet/test_relays.py
+++ b/tests/fleet/test_relays.py
@@ -8,6 +8,11 @@
 import pytest
 
 from hillstack.core.node_directory import NodeDirectory, NodeEntry
+from hillstack.errors import CodecError
+from hillstack.messages.packing import pack, unpack
+from hillstack.messages.peer_notices import PROTOCOL_VERSION
+from hillstack.messages.relay_batches import RelayBatch
+from hillstack.messages.store_changes import ChangesAnswer, ChangesQuestion
 from tests.fleet.builders import MODEL
 from tests.fleet.node_network import (
     INTERVAL_SECONDS,
@@ -343,3 +348,17 @@
     assert network.store.calls.total() <= 6 * ZONES
     drained = [node.state.pool.get("i-2") for node in network.nodes.values()]
     assert all(runner is not None and runner.entry.draining for runner in drained)
+
+
+@pytest.mark.parametrize("cut", [0, 1, 20])
+def test_a_malformed_or_cut_message_is_refused(cut: int) -> None:
+    batch = RelayBatch(PROTOCOL_VERSION, "node-1", "zone-1", [], [b"\x00\xff notice"])
+    payload = pack(batch)
+    assert unpack(payload, RelayBatch, "peer") == batch
+    with pytest.raises(CodecError):
+        unpack(payload[: len(payload) - 1 - cut], RelayBatch, "peer")
+    with pytest.raises(CodecError):
+        unpack(payload, ChangesAnswer, "peer")
+    other_version = ChangesQuestion(PROTOCOL_VERSION + 1, "node-1", 1, 5)
+    with pytest.raises(CodecError, match="version"):
+        unpack(pack(other_version), ChangesQuestion, "peer")
