--- a/tests/fleet/test_relays.py
+++ b/tests/fleet/test_relays.py
@@ -264,7 +264,11 @@
     network.run(6.0)
     network.store.down_for = set()
     network.run(3.0)
+    # As if it had been without peers too: then it counts from the end of its outage itself.
+    relay.state.store_regained(network.scheduler.now)
+    network.run(3.0)
     others = [node for node in network.nodes.values() if node is not relay]
+    assert relay.state.outage_ended_at() > 0.0
     assert all(node.state.outage_ended_at() == float("-inf") for node in others)
 
 
