--- a/src/hillstack/addresses.py
+++ b/src/hillstack/addresses.py
@@ -1,4 +1,7 @@
-"""Addresses of the form ``IP:PORT``."""
+"""Addresses of the form ``IP:PORT``, and how many callers may wait at one."""
+
+# Connections that wait while the program loads: a second of several times the busiest node seen.
+LISTEN_BACKLOG = 2_048
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/src/hillstack/core/placement/kept_parts.py
+++ b/src/hillstack/core/placement/kept_parts.py
@@ -16,8 +16,6 @@
 REMOTE_MOVE_FACTOR = 2.0
 # Below two blocks of 16 tokens reading is as fast as a move.
 MIN_MOVE_TOKENS = 32
-BITS_PER_BYTE = 8
-BITS_PER_MEGABIT = 1e6
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +133,5 @@
     for store in around.stores:
         if store.link_megabits > 0:
             rate = min(rate, store.link_megabits)
-    bits = tokens * around.engine.kv_token_bytes * BITS_PER_BYTE
-    seconds = MOVE_SETUP_SECONDS + bits / (rate * BITS_PER_MEGABIT)
+    seconds = MOVE_SETUP_SECONDS + around.engine.transfer_seconds(tokens, rate)
     return seconds if source_zone == zone else seconds * REMOTE_MOVE_FACTOR
--- a/src/hillstack/core/routing_table.py
+++ b/src/hillstack/core/routing_table.py
@@ -11,6 +11,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+BITS_PER_BYTE = 8
+BITS_PER_MEGABIT = 1e6
+
 
 class RouteKind(enum.StrEnum):
     """What may be done with a request of a route.
@@ -88,6 +91,10 @@
     link_megabits: float
     models: tuple[str, ...] = ()
 
+    def transfer_seconds(self, tokens: int, megabits: float) -> float:
+        """Return how long a link of some megabits a second carries the KV cache of tokens."""
+        return tokens * self.kv_token_bytes * BITS_PER_BYTE / (megabits * BITS_PER_MEGABIT)
+
 
 @dataclass(frozen=True, slots=True)
 class KeptCacheStore:
--- a/src/hillstack/daemon/early_listeners.py
+++ b/src/hillstack/daemon/early_listeners.py
@@ -13,11 +13,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from hillstack.addresses import split_address
+from hillstack.addresses import LISTEN_BACKLOG, split_address
 from hillstack.errors import SettingsError
 
-# Connections that wait while the program loads: a second of several times the busiest node seen.
-LISTEN_BACKLOG = 2_048
 # How long an address may still be taken by the process before: more than its grace of 8 s.
 ADDRESS_WAIT_SECONDS = 10.0
 # Between two tries to listen: a fiftieth of a second of refused callers at most.
--- a/src/hillstack/daemon/notice_relay.py
+++ b/src/hillstack/daemon/notice_relay.py
@@ -2,7 +2,7 @@
 
 Each node of a large deployment tells only the relay of its zone. The relay collects for a short
 time, adds up the loads, and sends one batch to each node of its zone and one to the relay of each
-other zone, which hands it on to its own nodes. So a node takes some ten datagrams a second whatever
+other zone, which hands it on to its own nodes. So a node takes some 40 datagrams a second whatever
 the number of nodes, and a word crosses to another zone once, not once for each of its nodes.
 
 Any node relays when it is asked to: ``RelayChoice`` says whom the others ask.
@@ -40,10 +40,13 @@
     """What is collected for one kind of receiver."""
 
     def __init__(self) -> None:
-        self.loads: dict[tuple[str, str], LoadNotice] = {}
+        self.loads: dict[str, dict[str, LoadNotice]] = {}
         self.notices: list[bytes] = []
         self.sent_at = float("-inf")
 
+    def add_load(self, zone: str, load: LoadNotice) -> None:
+        self.loads.setdefault(zone, {})[load.runner_id] = load
+
     def is_due(self, now: float) -> bool:
         """Return whether there is something to send, or nothing was sent for long."""
         return bool(self.loads or self.notices) or now - self.sent_at >= HEARTBEAT_SECONDS
@@ -52,9 +55,10 @@
         """Yield the batches that hold everything; one at least, and empty the collection."""
         loads, notices = self.loads, self.notices
         self.loads, self.notices = {}, []
-        room = MAX_BATCH_BYTES - BATCH_OVERHEAD_BYTES - LOAD_BYTES * len(loads)
+        by_zone = [ZoneLoads(zone_name, list(by_id.values())) for zone_name, by_id in loads.items()]
+        load_count = sum(len(by_id) for by_id in loads.values())
+        room = MAX_BATCH_BYTES - BATCH_OVERHEAD_BYTES - LOAD_BYTES * load_count
         group: list[bytes] = []
-        by_zone = _by_zone(loads)
         for notice in notices:
             if group and len(notice) > room:
                 yield RelayBatch(PROTOCOL_VERSION, relay_id, zone, by_zone, group)
@@ -104,8 +108,8 @@
         self._asked_at = now
         sums = [self._add_up(report.node_id, load, now) for load in report.loads]
         for load in sums:
-            self._near.loads[self._zone, load.runner_id] = load
-            self._far.loads[self._zone, load.runner_id] = load
+            self._near.add_load(self._zone, load)
+            self._far.add_load(self._zone, load)
         if report.notice:
             self._near.notices.append(report.notice)
             if report.is_news or self._is_new(report):
@@ -118,7 +122,7 @@
         self._asked_at = now
         for zone_loads in batch.loads:
             for load in zone_loads.loads:
-                self._near.loads[zone_loads.zone, load.runner_id] = load
+                self._near.add_load(zone_loads.zone, load)
         self._near.notices.extend(batch.notices)
         if batch.loads or batch.notices:
             self._schedule(urgent=False)
@@ -183,10 +187,3 @@
         elif self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(BATCH_SECONDS, self.flush)
-
-
-def _by_zone(loads: dict[tuple[str, str], LoadNotice]) -> list[ZoneLoads]:
-    by_zone: dict[str, list[LoadNotice]] = {}
-    for (zone, _), load in loads.items():
-        by_zone.setdefault(zone, []).append(load)
-    return [ZoneLoads(zone, list(entries)) for zone, entries in by_zone.items()]
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -245,7 +245,6 @@
             PROTOCOL_VERSION,
             self._state.node_id,
             self._incarnation,
-            self._zone,
             notice.loads,
             peer_notices.encode(rest),
             is_news=rest.is_news(),
--- a/src/hillstack/http_server.py
+++ b/src/hillstack/http_server.py
@@ -6,9 +6,8 @@
 
 import uvicorn
 
-from hillstack.addresses import split_address
+from hillstack.addresses import LISTEN_BACKLOG, split_address
 
-LISTEN_BACKLOG = 2_048
 KEEP_ALIVE_SECONDS = 5
 
 
--- a/src/hillstack/messages/relay_batches.py
+++ b/src/hillstack/messages/relay_batches.py
@@ -25,7 +25,6 @@
 
     node_id: str
     incarnation: int
-    zone: str
     loads: list[LoadNotice] = msgspec.field(default_factory=list)
     notice: bytes = b""
     is_news: bool = False
--- a/src/hillstack/platform/formats.py
+++ b/src/hillstack/platform/formats.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import TypeVar
 
 import msgspec
@@ -23,7 +24,7 @@
     TenantEntry,
 )
 from hillstack.core.runner_pool import RunnerEntry
-from hillstack.daemon.change_log import StoredItem
+from hillstack.daemon.change_log import ListedKeys, StoredItem
 from hillstack.errors import PlatformError
 from hillstack.platform import names
 from hillstack.serving.fleet_state import (
@@ -294,6 +295,18 @@
     return None
 
 
+def listed_keys(keys: Iterable[str]) -> ListedKeys:
+    """Return what a whole list of the store's keys says."""
+    keys = set(keys)
+    listed = ListedKeys(set(), set(), names.DUTY_KEY in keys)
+    for key in keys:
+        if key.startswith(names.RUNNERS_PREFIX):
+            listed.runner_ids.add(key.removeprefix(names.RUNNERS_PREFIX))
+        elif key.startswith(names.NODES_PREFIX):
+            listed.node_ids.add(key.removeprefix(names.NODES_PREFIX))
+    return listed
+
+
 def parse_shape(parts: str, usage: str, hint: str = "") -> PromptShape | None:
     """Return the shape of a prompt from its headers; None if they can't be read.
 
--- a/src/hillstack/platform/store.py
+++ b/src/hillstack/platform/store.py
@@ -35,6 +35,7 @@
     TxnBody,
     TxnRequest,
     WatchBody,
+    listed_keys,
     to_event,
 )
 from hillstack.serving.fleet_state import StoreEvent
@@ -128,14 +129,7 @@
 
     def listed(self, keys: Iterable[str]) -> ListedKeys:
         """Return what a whole list of keys says."""
-        keys = set(keys)
-        listed = ListedKeys(set(), set(), names.DUTY_KEY in keys)
-        for key in keys:
-            if key.startswith(names.RUNNERS_PREFIX):
-                listed.runner_ids.add(key[len(names.RUNNERS_PREFIX) :])
-            elif key.startswith(names.NODES_PREFIX):
-                listed.node_ids.add(key[len(names.NODES_PREFIX) :])
-        return listed
+        return listed_keys(keys)
 
     async def announce_node(self, node: NodeEntry) -> int:
         """Write where a node listens for its peers, and what else they need of it.
--- a/src/hillstack/serving/cache_beliefs.py
+++ b/src/hillstack/serving/cache_beliefs.py
@@ -29,8 +29,6 @@
 SAVE_SETUP_SECONDS = 0.03
 # A move that would wait more than 2 s is not begun, by the platform's word; less a margin.
 MAX_SAVE_WAIT_SECONDS = 1.8
-BITS_PER_BYTE = 8
-BITS_PER_MEGABIT = 1e6
 
 
 class CacheBeliefs:
@@ -136,8 +134,7 @@
         store = next(stores, None)
         if engine is None or store is None:
             return 0.0
-        bits = tokens * engine.kv_token_bytes * BITS_PER_BYTE
-        return bits / (max(1.0, store.link_megabits) * BITS_PER_MEGABIT)
+        return engine.transfer_seconds(tokens, max(1.0, store.link_megabits))
 
 
 def _until_surely_read(delay: float) -> float:
--- a/tests/fleet/node_network.py
+++ b/tests/fleet/node_network.py
@@ -23,7 +23,7 @@
 from hillstack.errors import HistoryLostError, PlatformUnavailableError
 from hillstack.messages.peer_notices import PlacementNotice
 from hillstack.platform import names
-from hillstack.platform.formats import NodeBody, to_event
+from hillstack.platform.formats import NodeBody, listed_keys, to_event
 from hillstack.platform.store import Changes, Snapshot
 from hillstack.serving.fleet_state import FleetState
 from hillstack.simulation.virtual_loop import Scheduler, VirtualLoop
@@ -96,14 +96,7 @@
         return [StoreChange(item, to_event(item)) for item in items]
 
     def listed(self, keys: Iterable[str]) -> ListedKeys:
-        keys = set(keys)
-        listed = ListedKeys(set(), set(), names.DUTY_KEY in keys)
-        for key in keys:
-            if key.startswith(names.RUNNERS_PREFIX):
-                listed.runner_ids.add(key.removeprefix(names.RUNNERS_PREFIX))
-            elif key.startswith(names.NODES_PREFIX):
-                listed.node_ids.add(key.removeprefix(names.NODES_PREFIX))
-        return listed
+        return listed_keys(keys)
 
     async def _call(self) -> None:
         self._store.calls[self._node_id] += 1
