--- a/src/hillstack/config/fleet_settings.py
+++ b/src/hillstack/config/fleet_settings.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from hillstack.addresses import split_address
+from hillstack.core.tenant_limits import LimitTolerance
 from hillstack.errors import SettingsError
 
 PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
@@ -86,6 +87,9 @@
         retry_ratio: Further attempts allowed for each request to a service.
         retry_slack: Further attempts allowed in a window beyond the ratio, over all nodes.
         retry_window_seconds: Length of that window.
+        limit_overshoot: Part of what a tenant's limit allows in a window that may come on top.
+        limit_slack: What may come on top of that, over all nodes, in the unit of the limit.
+        limit_window_seconds: Length of that window.
     """
 
     fail_closed: bool = False
@@ -99,6 +103,13 @@
     retry_ratio: Share = 0.1
     retry_slack: Share = 10.0
     retry_window_seconds: PositiveFloat = 10.0
+    limit_overshoot: Share = 0.0
+    limit_slack: Share = 0.0
+    limit_window_seconds: PositiveFloat = 10.0
+
+    def limit_tolerance(self) -> LimitTolerance:
+        """Return how far the limits of tenants may be passed."""
+        return LimitTolerance(self.limit_window_seconds, self.limit_overshoot, self.limit_slack)
 
 
 class LogSection(msgspec.Struct, frozen=True):
--- a/src/hillstack/core/relay_choice.py
+++ b/src/hillstack/core/relay_choice.py
@@ -8,6 +8,9 @@
 
 from hillstack.core.node_directory import NodeDirectory
 
+# Up to so many nodes tell each other directly. A relay adds some 30 ms; at 16 nodes the direct way
+# costs each node some 300 datagrams a second at most, as many as a relay takes in a large zone.
+DIRECT_NODES = 16
 # A relay sends at least each 0.3 s (``notice_relay.HEARTBEAT_SECONDS``): three lost datagrams.
 SILENT_SECONDS = 1.0
 # A node that was silent is tried again after that; a restart is heard of sooner.
@@ -27,7 +30,7 @@
         self._directory = directory
         self._heard_at: dict[str, float] = {}
         self._passed_over_until: dict[str, float] = {}
-        self._relied_on: dict[str, tuple[str, float]] = {}
+        self._relied_on: dict[str | None, tuple[str, float]] = {}
 
     def heard(self, node_id: str, now: float) -> None:
         """Note a datagram of a node: it is alive and reaches this one."""
@@ -38,8 +41,12 @@
         """Note that a node did not answer: it is not relied on for a while, unless it is heard."""
         self._passed_over_until[node_id] = now + PASS_OVER_SECONDS
 
-    def relay(self, zone: str, now: float) -> str | None:
-        """Return the node that relays for a zone, which may be this one; None without nodes."""
+    def group(self, zone: str) -> str | None:
+        """Return the zone that nodes of a zone form a group with; None where all are one group."""
+        return None if len(self._directory) <= DIRECT_NODES else zone
+
+    def relay(self, zone: str | None, now: float) -> str | None:
+        """Return the node that relays for a group, which may be this one; None without nodes."""
         order = self._directory.relay_order(zone)
         for node_id in order:
             if node_id == self._node_id or self._is_relied_on(zone, node_id, now):
@@ -60,7 +67,7 @@
     def _is_usable(self, node_id: str, now: float) -> bool:
         return now >= self._passed_over_until.get(node_id, now)
 
-    def _is_relied_on(self, zone: str, node_id: str, now: float) -> bool:
+    def _is_relied_on(self, zone: str | None, node_id: str, now: float) -> bool:
         """Return whether a node was heard lately, or is given the time to be heard."""
         if not self._is_usable(node_id, now):
             return False
--- a/src/hillstack/core/routing_table.py
+++ b/src/hillstack/core/routing_table.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from hillstack.core.tenant_limits import TenantLimit
+
 BITS_PER_BYTE = 8
 BITS_PER_MEGABIT = 1e6
 
@@ -123,11 +125,13 @@
     Attributes:
         priority: Replaces the priority of the route, if given.
         isolated: Whether it shares no cached part with any other tenant.
+        limit: What it may send, over all nodes together; None for no limit.
     """
 
     name: str
     priority: int | None = None
     isolated: bool = False
+    limit: TenantLimit | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,6 +152,7 @@
     limits: RequestLimits
     _routes_by_host: dict[str, tuple[Route, ...]] = field(default_factory=dict)
     _gaps: dict[str, float] = field(default_factory=dict)
+    _tenant_limits: dict[str, TenantLimit] = field(default_factory=dict)
 
     @classmethod
     def build(
@@ -168,7 +173,9 @@
         }
         by_name = {service.name: service for service in services}
         gaps = _shortest_gaps(route for entries in by_host.values() for route in entries)
-        return cls(version, by_name, tenants_by_key, limits, ordered, gaps)
+        entries = (tenants_by_key or {}).values()
+        tenant_limits = {entry.name: entry.limit for entry in entries if entry.limit is not None}
+        return cls(version, by_name, tenants_by_key, limits, ordered, gaps, tenant_limits)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest prefix that begins the path."""
@@ -181,6 +188,14 @@
         """Return all routes."""
         return [route for routes in self._routes_by_host.values() for route in routes]
 
+    def limit_of(self, tenant: str) -> TenantLimit | None:
+        """Return the limit of a tenant, by its name; None if it has none."""
+        return self._tenant_limits.get(tenant)
+
+    def has_limits(self) -> bool:
+        """Return whether any tenant has a limit."""
+        return bool(self._tenant_limits)
+
     def shortest_gap(self, service: str) -> float:
         """Return the shortest allowed pause of any route of a service; infinite for none."""
         return self._gaps.get(service, math.inf)
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -16,16 +16,21 @@
 import uvicorn
 
 from hillstack.config.fleet_settings import FleetSettings, load_fleet_settings
+from hillstack.core.bucket_holders import BucketHolders
 from hillstack.core.freshness import Freshness
 from hillstack.core.node_directory import NodeEntry
 from hillstack.core.planned_stop import PlannedStop
 from hillstack.core.relay_choice import RelayChoice
 from hillstack.core.shared_retry_budget import SharedRetryBudget
+from hillstack.core.token_buckets import TokenBuckets
+from hillstack.core.token_leases import TokenLeases
 from hillstack.core.weights_versions import WeightsVersions
 from hillstack.daemon.cache_follower import CacheFollower
 from hillstack.daemon.change_log import ChangeLog
 from hillstack.daemon.duty_lease import DutyLease
 from hillstack.daemon.early_listeners import EarlyListeners
+from hillstack.daemon.limit_client import LEASE_SECONDS, LimitClient
+from hillstack.daemon.limit_holder import LimitHolder
 from hillstack.daemon.metrics_page import MetricsPage
 from hillstack.daemon.node_registry import NodeRegistry
 from hillstack.daemon.peer_exchange import PeerExchange
@@ -112,8 +117,17 @@
         self._follower = CacheFollower(self._state, feed, self._peers, self._clock)
         self._peers.handle_new_peers(self._follower.welcome)
         self._metrics = FleetMetrics()
+        holders = BucketHolders(settings.node.id, self._state.nodes, choice, zone)
+        self._buckets = TokenBuckets(bounds.limit_tolerance(), LEASE_SECONDS)
+        limit_holder = LimitHolder(
+            self._state, self._buckets, holders, self._link, self._clock, rng
+        )
+        leases = TokenLeases(self._clock())
+        self._limits = LimitClient(
+            self._state, leases, holders, limit_holder, self._link, self._clock, rng
+        )
         self._pipeline = RequestPipeline(
-            self._state, runners, placement, self._clock, self._metrics
+            self._state, runners, placement, self._clock, self._limits, self._metrics
         )
         own_address = f"{settings.node.address}:{settings.listen.peers_port}"
         own = NodeEntry(
@@ -163,6 +177,7 @@
             self._peers.run(),
             self._peers.relay(),
             self._follower.run(),
+            self._limits.run(),
             self._registry.run(),
             self._duty.keep_lease(),
             self._duty.run(),
@@ -215,6 +230,11 @@
             "Holders of cached parts that this node watches.",
             lambda: len(self._follower.watched()),
         )
+        metrics.gauge(
+            "limit_share",
+            "Part of all nodes that hand their time for tenants' limits to this one.",
+            self._buckets.share,
+        )
         metrics.gauge("active_requests", "Requests being served.", lambda: self._pipeline.active)
         metrics.gauge("log_lines_dropped", "Log lines over the rate.", dropped_lines)
 
--- /dev/null
+++ b/src/hillstack/daemon/limit_holder.py
@@ -0,0 +1,228 @@
+"""Holds token buckets of tenants' limits for the nodes that hand their time to this one."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable
+from random import Random
+
+from hillstack.core.bucket_holders import BucketHolders
+from hillstack.core.node_directory import NodeEntry
+from hillstack.core.tenant_limits import TenantLimit
+from hillstack.core.token_buckets import TokenBuckets
+from hillstack.daemon.peer_link import PeerLink
+from hillstack.daemon.pending_answers import PendingAnswers
+from hillstack.messages.datagrams import DatagramKind
+from hillstack.messages.limit_messages import (
+    GRANTED,
+    TenantGrant,
+    TenantTokens,
+    TokenAnswer,
+    TokenNeed,
+    TokenQuestion,
+    TransferAnswer,
+    TransferQuestion,
+)
+from hillstack.messages.packing import pack, unpack
+from hillstack.messages.peer_notices import PROTOCOL_VERSION
+from hillstack.serving.fleet_state import FleetState
+
+# How long another holder's tokens are waited for: ten times the way there and back between zones.
+# What comes later is taken all the same, for the next requests.
+TRANSFER_SECONDS = 0.02
+# Other holders that are asked at once: all where there are few zones, some drawn ones where there
+# are many, so that the cost of a request over the limit does not grow with the zones.
+MOST_ASKED = 4
+# Transfers that are waited for without an end: as many as can be under way in a second.
+MOST_OPEN_TRANSFERS = 512
+# A tenant of whom the other holders had too little is not asked for again that soon.
+DRY_SECONDS = 0.05
+# A holder that does not know of a tenant's limit hears of the configuration soon.
+UNKNOWN_WAIT_SECONDS = 0.2
+# How often what is idle is forgotten.
+EXPIRE_SECONDS = 2.0
+MILLISECONDS = 1_000.0
+# Numbers of two processes of a machine must not meet: a late answer would bring tokens twice.
+NUMBER_BITS = 32
+
+
+class LimitHolder:
+    """Answers questions for tokens.
+
+    Args:
+        state: What the node knows.
+        buckets: The buckets that are held here.
+        holders: Who else holds buckets.
+        link: Where datagrams are sent and come from.
+        clock: Monotonic seconds.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        state: FleetState,
+        buckets: TokenBuckets,
+        holders: BucketHolders,
+        link: PeerLink,
+        clock: Callable[[], float],
+        rng: Random,
+    ) -> None:
+        self._state = state
+        self._buckets = buckets
+        self._holders = holders
+        self._link = link
+        self._clock = clock
+        self._rng = rng
+        first_number = rng.getrandbits(NUMBER_BITS)
+        self._transfers: PendingAnswers[TransferAnswer] = PendingAnswers(
+            TRANSFER_SECONDS, first_number
+        )
+        # In the order in which they were asked.
+        self._open_transfers: dict[int, None] = {}
+        self._dry_until: dict[str, float] = {}
+        self._expire_at = 0.0
+        self._tasks: set[asyncio.Task[None]] = set()
+        link.handle(DatagramKind.TOKEN_QUESTION, self._take_question)
+        link.handle(DatagramKind.TRANSFER_QUESTION, self._take_transfer_question)
+        link.handle(DatagramKind.TRANSFER_ANSWER, self._take_transfer_answer)
+
+    async def answer(self, question: TokenQuestion) -> TokenAnswer:
+        """Answer a question, with tokens of other holders where those here are too few."""
+        missing = self._take_over(question)
+        if missing:
+            await self._gather(missing)
+        return self._decide(question)
+
+    def _take_question(self, payload: bytes, peer: str) -> None:
+        question = unpack(payload, TokenQuestion, peer)
+        node = self._state.nodes.get(question.node_id)
+        if node is None or not self._state.directory_known or self._is_repeated(question):
+            return
+        missing = self._take_over(question)
+        if not missing:
+            self._send_answer(self._decide(question), node)
+            return
+        task = asyncio.get_running_loop().create_task(self._answer_late(question, missing, node))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer_late(
+        self, question: TokenQuestion, missing: dict[str, float], node: NodeEntry
+    ) -> None:
+        await self._gather(missing)
+        self._send_answer(self._decide(question), node)
+
+    def _send_answer(self, answer: TokenAnswer, node: NodeEntry) -> None:
+        self._link.send(DatagramKind.TOKEN_ANSWER, pack(answer), node.address)
+
+    def _is_repeated(self, question: TokenQuestion) -> bool:
+        return self._buckets.is_repeated(question.node_id, question.incarnation, question.number)
+
+    def _limit(self, tenant: str) -> TenantLimit | None:
+        table = self._state.table
+        return table.limit_of(tenant) if table is not None else None
+
+    def _take_over(self, question: TokenQuestion) -> dict[str, float]:
+        """Take over what a question brings; return the tokens that are missing, by tenant."""
+        now = self._clock()
+        self._expire(now)
+        self._buckets.contribute(
+            question.node_id,
+            question.incarnation,
+            question.number,
+            question.seconds,
+            self._state.nodes.sharing_count(now),
+            now,
+        )
+        missing: dict[str, float] = {}
+        for told in question.tenants:
+            limit = self._limit(told.tenant)
+            if limit is None:
+                continue
+            self._buckets.put_back(told.tenant, limit, question.node_id, told.returned, now)
+            cost = sum(need.cost for need in told.needs)
+            lacking = self._buckets.missing(told.tenant, limit, cost, now) if cost else 0.0
+            if lacking > 0 and now >= self._dry_until.get(told.tenant, now):
+                missing[told.tenant] = lacking
+        return missing
+
+    def _decide(self, question: TokenQuestion) -> TokenAnswer:
+        grants = [self._grant(question.node_id, told) for told in question.tenants]
+        return TokenAnswer(PROTOCOL_VERSION, question.number, grants)
+
+    def _grant(self, node_id: str, told: TenantTokens) -> TenantGrant:
+        limit = self._limit(told.tenant)
+        if limit is None:
+            waits = [round(UNKNOWN_WAIT_SECONDS * MILLISECONDS)] * len(told.needs)
+            return TenantGrant(told.tenant, waits)
+        now = self._clock()
+        waits = [0] * len(told.needs)
+        for place in sorted(range(len(waits)), key=lambda place: told.needs[place].rank):
+            waits[place] = self._wait_ms(told.tenant, limit, told.needs[place], now)
+        leased = self._buckets.lease(told.tenant, limit, node_id, told.ahead, now)
+        return TenantGrant(told.tenant, waits, leased)
+
+    def _wait_ms(self, tenant: str, limit: TenantLimit, need: TokenNeed, now: float) -> int:
+        if self._buckets.take(tenant, limit, need.cost, need.rank, now):
+            return GRANTED
+        wait = self._buckets.wait_seconds(tenant, limit, need.cost, now)
+        return round(wait * MILLISECONDS)
+
+    async def _gather(self, missing: dict[str, float]) -> None:
+        """Ask the other holders for what is missing, and wait for it for a short time."""
+        others = self._holders.others(self._clock())
+        if len(others) > MOST_ASKED:
+            others = self._rng.sample(others, MOST_ASKED)
+        asked = [self._ask(node, missing) for node in others]
+        given: defaultdict[str, float] = defaultdict(float)
+        for answer in await asyncio.gather(*asked):
+            for tenant, tokens in (answer.given if answer is not None else {}).items():
+                given[tenant] += tokens
+        now = self._clock()
+        for tenant, tokens in missing.items():
+            if given[tenant] < tokens:
+                self._dry_until[tenant] = now + DRY_SECONDS
+
+    async def _ask(self, node: NodeEntry, wanted: dict[str, float]) -> TransferAnswer | None:
+        def send(number: int) -> None:
+            self._open_transfers[number] = None
+            if len(self._open_transfers) > MOST_OPEN_TRANSFERS:
+                del self._open_transfers[next(iter(self._open_transfers))]
+            question = TransferQuestion(PROTOCOL_VERSION, number, self._state.node_id, wanted)
+            self._link.send(DatagramKind.TRANSFER_QUESTION, pack(question), node.address)
+
+        return await self._transfers.ask(send)
+
+    def _take_transfer_question(self, payload: bytes, peer: str) -> None:
+        question = unpack(payload, TransferQuestion, peer)
+        node = self._state.nodes.get(question.node_id)
+        if node is None:
+            return
+        now = self._clock()
+        given: dict[str, float] = {}
+        for tenant, wanted in question.wanted.items():
+            limit = self._limit(tenant)
+            if limit is not None:
+                given[tenant] = self._buckets.give(tenant, limit, wanted, now)
+        answer = TransferAnswer(PROTOCOL_VERSION, question.number, given)
+        self._link.send(DatagramKind.TRANSFER_ANSWER, pack(answer), node.address)
+
+    def _take_transfer_answer(self, payload: bytes, peer: str) -> None:
+        answer = unpack(payload, TransferAnswer, peer)
+        if answer.number not in self._open_transfers:
+            return
+        del self._open_transfers[answer.number]
+        now = self._clock()
+        for tenant, tokens in answer.given.items():
+            limit = self._limit(tenant)
+            if limit is not None:
+                self._buckets.receive(tenant, limit, tokens, now)
+        self._transfers.take(answer.number, answer)
+
+    def _expire(self, now: float) -> None:
+        if now < self._expire_at:
+            return
+        self._expire_at = now + EXPIRE_SECONDS
+        self._buckets.expire(self._limit, now)
+        self._dry_until = {t: until for t, until in self._dry_until.items() if until > now}
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -44,9 +44,6 @@
 PLACEMENT_SECONDS = 0.02
 # Loads that are not repeated are forgotten after 2 s (``runner_load``): two may be lost.
 REFRESH_SECONDS = 0.8
-# Up to so many nodes tell each other directly. A relay adds some 30 ms; at 16 nodes the direct way
-# costs each node some 300 datagrams a second at most, as many as a relay takes in a large zone.
-DIRECT_NODES = 16
 INCARNATION_BITS = 32
 
 PeerHandler = Callable[[str], None]
@@ -108,7 +105,7 @@
     def silent_nodes(self, seconds: float) -> list[NodeEntry]:
         """Return the nodes that this node relays for and has not heard of for some seconds."""
         now = self._clock()
-        group = None if self._is_direct() else self._zone
+        group = self._choice.group(self._zone)
         order = self._state.nodes.relay_order(group)
         first = next((n for n in order if self._liveness.is_heard(n, now)), None)
         if first != self._state.node_id:
@@ -226,7 +223,7 @@
 
     def _send(self, notice: NodeNotice, urgent: bool) -> None:
         nodes = self._state.nodes
-        if self._is_direct():
+        if self._choice.group(self._zone) is None:
             others = (node for node in nodes.all() if node.node_id != self._state.node_id)
             payload = peer_notices.encode(notice)
             addresses = [node.address for node in others]
@@ -234,9 +231,6 @@
             return
         self._report(notice, urgent)
 
-    def _is_direct(self) -> bool:
-        return len(self._state.nodes) <= DIRECT_NODES
-
     def _report(self, notice: NodeNotice, urgent: bool) -> None:
         """Tell the relay of this node's zone, which may be this node itself."""
         now = self._clock()
--- a/src/hillstack/daemon/store_relay.py
+++ b/src/hillstack/daemon/store_relay.py
@@ -11,13 +11,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from hillstack.daemon.change_log import ChangeLog, StoredItem
 from hillstack.daemon.peer_link import PeerLink
+from hillstack.daemon.pending_answers import PendingAnswers
 from hillstack.messages.datagrams import DatagramKind
 from hillstack.messages.packing import pack, unpack
 from hillstack.messages.peer_notices import PROTOCOL_VERSION
@@ -73,8 +73,7 @@
         self._log = log
         self._link = link
         self._clock = clock
-        self._number = 0
-        self._waiting: dict[int, asyncio.Future[ChangesAnswer]] = {}
+        self._pending: PendingAnswers[ChangesAnswer] = PendingAnswers(ANSWER_SECONDS)
         link.handle(DatagramKind.CHANGES_QUESTION, self._take_question)
         link.handle(DatagramKind.CHANGES_ANSWER, self._take_answer)
 
@@ -88,20 +87,15 @@
         node = self._state.nodes.get(node_id)
         if node is None:
             return None
-        self._number += 1
-        number = self._number
-        answered = self._waiting[number] = asyncio.get_running_loop().create_future()
-        question = ChangesQuestion(PROTOCOL_VERSION, self._state.node_id, number, revision)
         asked_at = self._clock()
-        payload = pack(question)
-        self._link.send(DatagramKind.CHANGES_QUESTION, payload, node.address)
-        try:
-            async with asyncio.timeout(ANSWER_SECONDS):
-                answer = await answered
-        except TimeoutError:
+
+        def send(number: int) -> None:
+            question = ChangesQuestion(PROTOCOL_VERSION, self._state.node_id, number, revision)
+            self._link.send(DatagramKind.CHANGES_QUESTION, pack(question), node.address)
+
+        answer = await self._pending.ask(send)
+        if answer is None:
             return None
-        finally:
-            del self._waiting[number]
         return _relayed(answer, asked_at)
 
     def _take_question(self, payload: bytes, peer: str) -> None:
@@ -119,9 +113,7 @@
 
     def _take_answer(self, payload: bytes, peer: str) -> None:
         answer = unpack(payload, ChangesAnswer, peer)
-        waiting = self._waiting.get(answer.number)
-        if waiting is not None and not waiting.done():
-            waiting.set_result(answer)
+        self._pending.take(answer.number, answer)
 
     def _answer(self, question: ChangesQuestion) -> ChangesAnswer:
         changes = self._log.since(question.revision)
--- a/src/hillstack/messages/datagrams.py
+++ b/src/hillstack/messages/datagrams.py
@@ -17,6 +17,10 @@
         FINAL_BATCH: What a relay tells the nodes of its zone.
         CHANGES_QUESTION: A node asks another one for changes of the store.
         CHANGES_ANSWER: The answer to that.
+        TOKEN_QUESTION: A node asks a holder of token buckets for tokens of tenants' limits.
+        TOKEN_ANSWER: The answer to that.
+        TRANSFER_QUESTION: A holder of token buckets asks another one for tokens.
+        TRANSFER_ANSWER: The answer to that.
     """
 
     NOTICE = 1
@@ -25,6 +29,10 @@
     FINAL_BATCH = 4
     CHANGES_QUESTION = 5
     CHANGES_ANSWER = 6
+    TOKEN_QUESTION = 7
+    TOKEN_ANSWER = 8
+    TRANSFER_QUESTION = 9
+    TRANSFER_ANSWER = 10
 
 
 def wrap(kind: DatagramKind, payload: bytes) -> bytes:
--- a/src/hillstack/platform/formats.py
+++ b/src/hillstack/platform/formats.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from typing import TypeVar
 
@@ -24,6 +25,7 @@
     TenantEntry,
 )
 from hillstack.core.runner_pool import RunnerEntry
+from hillstack.core.tenant_limits import LimitUnit, TenantLimit
 from hillstack.daemon.change_log import ListedKeys, StoredItem
 from hillstack.errors import PlatformError
 from hillstack.platform import names
@@ -38,6 +40,11 @@
     WeightsNamed,
 )
 
+LIMIT_UNITS = {
+    "": LimitUnit.REQUESTS,
+    "requests": LimitUnit.REQUESTS,
+    "tokens": LimitUnit.TOKENS,
+}
 KINDS = {"safe": RouteKind.SAFE, "unsafe": RouteKind.UNSAFE, "streaming": RouteKind.STREAM}
 DRAINING = "draining"
 
@@ -106,12 +113,23 @@
 
 
 class TenantBody(msgspec.Struct):
-    """A tenant of the configuration."""
+    """A tenant of the configuration.
+
+    Attributes:
+        rate_per_s: What it may send in a second, over all nodes; 0 or nothing for no limit.
+        burst: What may come on top of that at once.
+        unit: ``tokens`` if both count tokens; requests are counted without it.
+        plain_tokens: Tokens that a request without a size counts as.
+    """
 
     name: str
     api_keys: list[str] = []
     priority: int | None = None
     isolated: bool = False
+    rate_per_s: float | None = None
+    burst: float | None = None
+    unit: str | None = None
+    plain_tokens: float | None = None
 
 
 class ConfigurationBody(msgspec.Struct):
@@ -327,6 +345,17 @@
         return None
 
 
+def parse_usage(usage: str) -> int | None:
+    """Return the tokens that a request counts as: its prompt and the most that may be generated.
+
+    None if its header can't be read, or it has none.
+    """
+    numbers = usage.split(",")
+    if len(numbers) != 2 or not all(number.strip().isdecimal() for number in numbers):
+        return None
+    return sum(int(number) for number in numbers)
+
+
 def _decode(item: StoredItem, value: bytes, kind: type[Body]) -> Body:
     try:
         return msgspec.json.decode(value, type=kind)
@@ -352,11 +381,10 @@
 def _table(body: ConfigurationBody) -> RoutingTable:
     tenants: dict[str, TenantEntry] | None = None
     if body.tenants is not None:
-        tenants = {
-            key: TenantEntry(tenant.name, tenant.priority, tenant.isolated)
-            for tenant in body.tenants
-            for key in tenant.api_keys
-        }
+        tenants = {}
+        for tenant in body.tenants:
+            entry = TenantEntry(tenant.name, tenant.priority, tenant.isolated, _limit(tenant))
+            tenants.update(dict.fromkeys(tenant.api_keys, entry))
     limits = RequestLimits(body.limits.max_body_bytes, body.limits.idle_timeout_ms / 1000)
     return RoutingTable.build(
         body.version,
@@ -367,6 +395,33 @@
     )
 
 
+def _limit(body: TenantBody) -> TenantLimit | None:
+    """Return the limit of a tenant; None if it has none.
+
+    Raises:
+        PlatformError: It makes no sense.
+    """
+    unit = LIMIT_UNITS.get(body.unit or "")
+    if unit is None:
+        raise _limit_error(body, "unit", body.unit)
+    rate = _quantity(body, "rate_per_s", body.rate_per_s)
+    burst = _quantity(body, "burst", body.burst)
+    plain = _quantity(body, "plain_tokens", body.plain_tokens)
+    return TenantLimit(rate, burst, unit, plain) if rate > 0 else None
+
+
+def _quantity(body: TenantBody, name: str, value: float | None) -> float:
+    value = value or 0.0
+    if not 0.0 <= value < math.inf:
+        raise _limit_error(body, name, value)
+    return value
+
+
+def _limit_error(body: TenantBody, name: str, value: object) -> PlatformError:
+    text = f"tenant {body.name}: {name} can't be {value!r}"
+    return PlatformError(text, step="read limit", peer=names.CONFIGURATION_KEY)
+
+
 def _route(body: RouteBody) -> Route:
     if body.backends:
         shares = tuple(ServiceShare(share.service, share.weight) for share in body.backends)
--- a/src/hillstack/platform/ingress.py
+++ b/src/hillstack/platform/ingress.py
@@ -10,7 +10,7 @@
 from starlette.types import Message, Receive, Scope, Send
 
 from hillstack.platform import names
-from hillstack.platform.formats import parse_shape
+from hillstack.platform.formats import parse_shape, parse_usage
 from hillstack.serving.types import (
     HeaderList,
     RejectedError,
@@ -22,6 +22,7 @@
 STATUSES = {
     Verdict.UNAVAILABLE: 503,
     Verdict.OVERLOADED: 429,
+    Verdict.OVER_LIMIT: 429,
     Verdict.NO_ROUTE: 404,
     Verdict.UNAUTHENTICATED: 401,
     Verdict.BAD_REQUEST: 400,
@@ -208,6 +209,7 @@
     if request_id is None:
         return None
     target = scope["raw_path"].decode("latin-1")
+    usage = _text(headers, _field(names.TOKEN_USAGE))
     query: bytes = scope["query_string"]
     if query:
         target += "?" + query.decode("latin-1")
@@ -225,9 +227,10 @@
         model=_text(headers, _field(names.MODEL)),
         shape=parse_shape(
             _text(headers, _field(names.PROMPT_PARTS)),
-            _text(headers, _field(names.TOKEN_USAGE)),
+            usage,
             _text(headers, _field(names.LENGTH_HINT)),
         ),
+        tokens=parse_usage(usage),
         last_event_id=_whole_number(headers.get(_field(names.LAST_EVENT_ID))),
     )
 
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -37,6 +37,7 @@
     """A request on its way.
 
     Attributes:
+        charged: What was taken out of its tenant's limit for it.
         may_have_run: Whether some runner may have begun work on it.
         excluded: Runners that are not tried again.
     """
@@ -50,6 +51,7 @@
     framing: EventFraming
     sends: int = 0
     runs: int = 0
+    charged: float = 0.0
     may_have_run: bool = False
     head_sent: bool = False
     first_event_at: float | None = None
@@ -57,6 +59,11 @@
     longest_gap: float = 0.0
     excluded: set[str] = field(default_factory=set)
 
+    @property
+    def tenant_name(self) -> str:
+        """Name of its tenant; empty without one."""
+        return self.tenant.name if self.tenant is not None else ""
+
     def may_run_again(self) -> bool:
         """Return whether another runner may run it, although one may have."""
         return self.route.repeatable and self.runs < self.route.max_attempts
--- a/src/hillstack/serving/metrics.py
+++ b/src/hillstack/serving/metrics.py
@@ -12,14 +12,29 @@
 PAUSE_BUCKETS = (0.05, 0.1, 0.2, 0.5, 1, 2, 4)
 
 
+# Tenants with a label of their own: some kilobytes of memory each would not do for thousands. The
+# others are counted together.
+MOST_TENANT_LABELS = 32
+
+
 class FleetMetrics:
     """All metrics of one node, in a registry of their own."""
 
     def __init__(self) -> None:
+        self._tenant_labels: set[str] = set()
         self.registry = CollectorRegistry()
         self.requests = self._counter("requests", "Requests by result.", "result")
         self.attempts = self._counter("attempts", "Attempts by outcome.", "outcome")
         self.tokens = self._counter("prompt_tokens", "Prompt tokens sent, by source.", "source")
+        self.limited = Counter(
+            "hillstack_limited_requests",
+            "Requests of tenants with a limit.",
+            ["tenant", "result"],
+            registry=self.registry,
+        )
+        self.limit_use = self._counter(
+            "limit_use", "What requests took out of the limit of their tenant.", "tenant"
+        )
         self.store_errors = self._counter("store_errors", "Failed calls to the store.", "step")
         self.orders = self._counter("weights_orders", "Orders for weights by outcome.", "outcome")
         self.first_event = self._histogram(
@@ -39,6 +54,20 @@
             registry=self.registry,
         )
 
+    def count_limited(self, tenant: str, cost: float, *, admitted: bool) -> None:
+        """Count a request of a tenant that has a limit."""
+        label = self._tenant_label(tenant)
+        self.limited.labels(label, "admitted" if admitted else "refused").inc()
+        if admitted:
+            self.limit_use.labels(label).inc(cost)
+
+    def _tenant_label(self, tenant: str) -> str:
+        if tenant not in self._tenant_labels:
+            if len(self._tenant_labels) >= MOST_TENANT_LABELS:
+                return "other"
+            self._tenant_labels.add(tenant)
+        return tenant
+
     def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Tell a value that is read when the metrics are asked for."""
         Gauge(f"hillstack_{name}", text, registry=self.registry).set_function(read)
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -21,7 +21,7 @@
 from hillstack.serving.job import Job, PlacedAttempt, attempt_fields, log_outcome
 from hillstack.serving.metrics import FleetMetrics
 from hillstack.serving.placement import RunnerPlacement
-from hillstack.serving.ports import ResponseSink, RunnerAnswer, RunnerClient
+from hillstack.serving.ports import ResponseSink, RunnerAnswer, RunnerClient, TenantLimiter
 from hillstack.serving.types import (
     Dispatch,
     RefusalCause,
@@ -54,6 +54,7 @@
         client: Sends attempts to runners.
         placement: Chooses runners.
         clock: Monotonic seconds.
+        limiter: Keeps requests within the limits of their tenants.
         metrics: Where results and latencies are counted.
     """
 
@@ -63,8 +64,10 @@
         client: RunnerClient,
         placement: RunnerPlacement,
         clock: Callable[[], float],
+        limiter: TenantLimiter,
         metrics: FleetMetrics | None = None,
     ) -> None:
+        self._limiter = limiter
         self._metrics = metrics or FleetMetrics()
         self._state = state
         self._client = client
@@ -133,9 +136,27 @@
     async def _run(self, job: Job, sink: ResponseSink) -> None:
         try:
             async with asyncio.timeout(max(0.0, job.deadline - self._clock())):
+                await self._keep_within_limit(job)
                 await self._attempt_until_done(job, sink)
         except TimeoutError:
             raise job.gave_up(Verdict.TIMED_OUT, "the deadline passed") from None
+        finally:
+            if job.charged and not job.runs and not job.may_have_run:
+                self._limiter.give_back(job.tenant_name, job.charged)
+
+    async def _keep_within_limit(self, job: Job) -> None:
+        """Refuse a request for which its tenant's limit has no room, before any runner is asked."""
+        limit = job.tenant.limit if job.tenant is not None else None
+        if limit is None:
+            return
+        cost = limit.cost(job.request.tokens)
+        wait = await self._limiter.take(job.tenant_name, limit, cost, job.route.priority)
+        self._metrics.count_limited(job.tenant_name, cost, admitted=wait <= 0)
+        if wait <= 0:
+            job.charged = cost
+            return
+        text = f"over the limit of {job.tenant_name}: {cost:.0f} {limit.unit} have no room"
+        raise RejectedError(Verdict.OVER_LIMIT, text, step="limit", retry_after=wait)
 
     async def _attempt_until_done(self, job: Job, sink: ResponseSink) -> None:
         while True:
@@ -214,7 +235,7 @@
             runner_id=placed.runner.runner_id,
             address=placed.runner.address,
             remaining_seconds=max(MIN_REMAINING_SECONDS, job.deadline - now),
-            tenant=job.tenant.name if job.tenant is not None else None,
+            tenant=job.tenant_name or None,
             priority=job.priority if placed.salt is not None else None,
             salt=placed.salt,
             weights_version=placed.weights_version,
--- a/src/hillstack/serving/ports.py
+++ b/src/hillstack/serving/ports.py
@@ -4,6 +4,7 @@
 
 from typing import Protocol
 
+from hillstack.core.tenant_limits import TenantLimit
 from hillstack.serving.types import Dispatch, HeaderList, ServingRequest
 
 
@@ -59,6 +60,28 @@
         ...
 
 
+class TenantLimiter(Protocol):
+    """Keeps the requests of all nodes within the limits of their tenants."""
+
+    async def take(self, tenant: str, limit: TenantLimit, cost: float, rank: int) -> float:
+        """Take a request's cost out of its tenant's limit.
+
+        Args:
+            tenant: Its name.
+            limit: Its limit.
+            cost: What the request counts as.
+            rank: How urgent it is among the requests of its tenant; 0 is the most urgent.
+
+        Returns:
+            0 if it may be sent; else after how many seconds there is room for it.
+        """
+        ...
+
+    def give_back(self, tenant: str, cost: float) -> None:
+        """Take back the cost of a request that no runner has run."""
+        ...
+
+
 class ResponseSink(Protocol):
     """Where the answer to the caller goes."""
 
--- a/src/hillstack/serving/types.py
+++ b/src/hillstack/serving/types.py
@@ -21,6 +21,7 @@
         arrived_at: When its head was read, on the node's clock.
         patience_seconds: How long the caller waits; None if it does not say.
         shape: Parts of the prompt, if the request names them.
+        tokens: Tokens of the prompt and the most that may be generated; None if it names none.
         last_event_id: Identifier of the last event that the caller has of this stream.
     """
 
@@ -36,6 +37,7 @@
     key: str | None = None
     model: str = ""
     shape: PromptShape | None = None
+    tokens: int | None = None
     last_event_id: int | None = None
 
 
@@ -96,6 +98,7 @@
 
     UNAVAILABLE = "unavailable"
     OVERLOADED = "overloaded"
+    OVER_LIMIT = "over_limit"
 
     NO_ROUTE = "no_route"
     UNAUTHENTICATED = "unauthenticated"
--- a/tests/fleet/fake_runners.py
+++ b/tests/fleet/fake_runners.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from hillstack.core.runner_pool import Runner
+from hillstack.core.tenant_limits import TenantLimit
 from hillstack.errors import BackendBrokenError
 from hillstack.messages.peer_notices import PlacementNotice
 from hillstack.serving.types import (
@@ -135,6 +136,22 @@
         self.suspects.append(runner.runner_id)
 
 
+class FakeLimiter:
+    """Lets all pass, or answers each request with the wait that is set."""
+
+    def __init__(self) -> None:
+        self.wait = 0.0
+        self.taken: list[tuple[str, float, int]] = []
+        self.given_back: list[tuple[str, float]] = []
+
+    async def take(self, tenant: str, limit: TenantLimit, cost: float, rank: int) -> float:
+        self.taken.append((tenant, cost, rank))
+        return self.wait
+
+    def give_back(self, tenant: str, cost: float) -> None:
+        self.given_back.append((tenant, cost))
+
+
 @dataclass
 class FakeSink:
     """Keeps the answer to the caller."""
--- a/tests/fleet/node_network.py
+++ b/tests/fleet/node_network.py
@@ -11,10 +11,17 @@
 
 import msgspec
 
+from hillstack.core.bucket_holders import BucketHolders
 from hillstack.core.node_directory import NodeEntry
 from hillstack.core.relay_choice import RelayChoice
+from hillstack.core.routing_table import RoutingTable
 from hillstack.core.runner_load import OwnAttempt
+from hillstack.core.tenant_limits import LimitTolerance
+from hillstack.core.token_buckets import TokenBuckets
+from hillstack.core.token_leases import TokenLeases
 from hillstack.daemon.change_log import ChangeLog, ListedKeys, StoreChange, StoredItem
+from hillstack.daemon.limit_client import LEASE_SECONDS, LimitClient
+from hillstack.daemon.limit_holder import LimitHolder
 from hillstack.daemon.node_registry import NodeRegistry
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.peer_link import PeerLink
@@ -32,6 +39,7 @@
 DELAY_SECONDS = 0.0015
 STORE_SECONDS = 0.004
 INTERVAL_SECONDS = 1.0
+TOLERANCE = LimitTolerance(window_seconds=8.0, overshoot=0.1, slack=110_000.0)
 
 
 class MemoryStore:
@@ -116,6 +124,8 @@
     loop: VirtualLoop
     address: str
     zone: str
+    limits: LimitClient
+    buckets: TokenBuckets
     placements: list[PlacementNotice] = field(default_factory=list)
     reads: list[tuple[str, int]] = field(default_factory=list)
     cut: bool = False
@@ -155,11 +165,21 @@
         zones: Zones that they are spread over.
         loss: Share of the datagrams that are lost.
         own_loops: Whether each node has a loop of its own, which can be frozen; slower.
+        table: Configuration that the nodes begin with.
+        seed: Decides which datagrams are lost.
     """
 
     def __init__(
-        self, count: int, zones: int, *, loss: float = 0.0, own_loops: bool = False
+        self,
+        count: int,
+        zones: int,
+        *,
+        loss: float = 0.0,
+        own_loops: bool = False,
+        table: RoutingTable | None = None,
+        seed: int = 7,
     ) -> None:
+        self._table = table or make_table(make_route())
         self.scheduler = Scheduler()
         self.store = MemoryStore(self.scheduler)
         self.nodes: dict[str, SimulatedNode] = {}
@@ -169,7 +189,7 @@
         self.crossing_bytes = 0
         self.runner_ids = [f"i-{number}" for number in range(6)]
         self._loss = loss
-        self._rng = Random(7)
+        self._rng = Random(seed)
         self._shared_loop = None if own_loops else self.scheduler.new_loop()
         for number in range(count):
             self.add(f"node-{number}", f"zone-{number % zones}")
@@ -182,8 +202,10 @@
         new_address = f"10.0.{number // 200}.{number % 200 + 1}:7340"
         address = self._addresses.setdefault(node_id, new_address)
         entries = [make_entry(runner_id, ENGINES, weights=1) for runner_id in self.runner_ids]
-        state = make_state(make_table(make_route()), *entries)
+        state = make_state(self._table, *entries)
         state.node_id = node_id
+        # Which nodes there are, it reads from the store.
+        state.directory_known = False
         link = PeerLink()
         transport: Any = _Transport(self, address)
         link.connection_made(transport)
@@ -192,7 +214,12 @@
         rng = Random(f"{node_id}/{self.scheduler.now}")
         exchange = PeerExchange(state, link, choice, zone, clock, rng)
         loop = self._shared_loop or self.scheduler.new_loop()
-        node = SimulatedNode(state, exchange, choice, link, loop, address, zone)
+        holders = BucketHolders(node_id, state.nodes, choice, zone)
+        buckets = TokenBuckets(TOLERANCE, LEASE_SECONDS)
+        holder = LimitHolder(state, buckets, holders, link, clock, rng)
+        leases = TokenLeases(clock())
+        limits = LimitClient(state, leases, holders, holder, link, clock, rng)
+        node = SimulatedNode(state, exchange, choice, link, loop, address, zone, limits, buckets)
         exchange.handle_placements(
             lambda _, notice, now: node.placements.append(notice),
             lambda peer, number, now: node.reads.append((peer, number)),
@@ -260,7 +287,11 @@
         async def run() -> None:
             await asyncio.sleep(start_after)
             await asyncio.gather(
-                sync.run(), node.exchange.run(), node.exchange.relay(), registry.run()
+                sync.run(),
+                node.exchange.run(),
+                node.exchange.relay(),
+                registry.run(),
+                node.limits.run(),
             )
 
         node.work = self.scheduler.spawn(node.loop, run())
--- /dev/null
+++ b/tests/fleet/test_formats.py
@@ -0,0 +1,67 @@
+"""What the platform's words about tenants mean, and which ones are refused."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from hillstack.core.tenant_limits import LimitUnit, TenantLimit
+from hillstack.daemon.change_log import StoredItem
+from hillstack.errors import PlatformError
+from hillstack.platform import names
+from hillstack.platform.formats import parse_usage, to_event
+from hillstack.serving.fleet_state import ConfigurationChanged
+
+
+def limit_of(**fields: Any) -> TenantLimit | None:
+    tenant = {"name": "tenant-1", "api_keys": ["key-1", "key-2"], **fields}
+    value = json.dumps({"version": 1, "tenants": [tenant]}).encode()
+    event = to_event(StoredItem(names.CONFIGURATION_KEY, 1, value))
+    assert isinstance(event, ConfigurationChanged)
+    keys = event.table.tenants_by_key
+    assert keys is not None and keys["key-1"] is keys["key-2"]
+    assert event.table.limit_of("tenant-1") == keys["key-1"].limit
+    assert event.table.has_limits() == (keys["key-1"].limit is not None)
+    return keys["key-1"].limit
+
+
+def test_a_limit_in_tokens() -> None:
+    limit = limit_of(unit="tokens", plain_tokens=200, rate_per_s=297_131, burst=100_000)
+    assert limit == TenantLimit(297_131, 100_000, LimitUnit.TOKENS, 200)
+
+
+def test_a_limit_in_requests() -> None:
+    limit = limit_of(rate_per_s=20, burst=10)
+    assert limit == TenantLimit(20, 10, LimitUnit.REQUESTS, 0)
+
+
+@pytest.mark.parametrize(
+    "fields", [{}, {"rate_per_s": 0, "burst": 5}, {"rate_per_s": None, "unit": None}]
+)
+def test_no_rate_is_no_limit(fields: dict[str, Any]) -> None:
+    assert limit_of(**fields) is None
+
+
+@pytest.mark.parametrize(
+    ("fields", "named"),
+    [
+        ({"rate_per_s": -1}, "rate_per_s"),
+        ({"rate_per_s": "many"}, "rate_per_s"),
+        ({"rate_per_s": 5, "burst": -2}, "burst"),
+        ({"rate_per_s": 5, "plain_tokens": -1}, "plain_tokens"),
+        ({"rate_per_s": 5, "unit": "bytes"}, "unit"),
+    ],
+)
+def test_nonsense_is_refused_and_named(fields: dict[str, Any], named: str) -> None:
+    with pytest.raises(PlatformError, match=named):
+        limit_of(**fields)
+
+
+@pytest.mark.parametrize(
+    ("usage", "tokens"),
+    [("1460,80", 1_540), ("1460, 80", 1_540), ("", None), ("1460", None), ("a,b", None)],
+)
+def test_what_a_request_counts_as(usage: str, tokens: int | None) -> None:
+    assert parse_usage(usage) == tokens
--- a/tests/fleet/test_peer_exchange.py
+++ b/tests/fleet/test_peer_exchange.py
@@ -9,11 +9,11 @@
 import pytest
 
 from hillstack.core.part_index import PromptPart
-from hillstack.core.relay_choice import RelayChoice
+from hillstack.core.relay_choice import DIRECT_NODES, RelayChoice
 from hillstack.core.routing_table import KeptCacheStore
 from hillstack.core.runner_load import OwnAttempt
 from hillstack.daemon.cache_follower import CacheEntry
-from hillstack.daemon.peer_exchange import DIRECT_NODES, PeerExchange
+from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.peer_link import PeerLink
 from hillstack.errors import CodecError
 from hillstack.messages import peer_notices
--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -11,6 +11,7 @@
 
 from hillstack.core.part_index import PromptPart
 from hillstack.core.routing_table import KeptCacheStore, RouteKind, ServiceShare, TenantEntry
+from hillstack.core.tenant_limits import LimitUnit, TenantLimit
 from hillstack.errors import BackendBrokenError
 from hillstack.messages.peer_notices import PlacementNotice
 from hillstack.serving.fleet_state import FleetState, RunnerListed, WeightsNamed
@@ -39,6 +40,7 @@
 from tests.fleet.fake_runners import (
     Behaviour,
     FakeClient,
+    FakeLimiter,
     FakePeers,
     FakeSink,
     answers,
@@ -59,12 +61,13 @@
     state: FleetState
     client: FakeClient = field(default_factory=FakeClient)
     peers: FakePeers = field(default_factory=FakePeers)
+    limiter: FakeLimiter = field(default_factory=FakeLimiter)
     scheduler: Scheduler = field(default_factory=Scheduler)
 
     def __post_init__(self) -> None:
         self.placement = RunnerPlacement(self.state, self.peers, "zone-a", make_rng())
         self.pipeline = RequestPipeline(
-            self.state, self.client, self.placement, self.scheduler.clock
+            self.state, self.client, self.placement, self.scheduler.clock, self.limiter
         )
 
     def run(self, work: Coroutine[Any, Any, None], until: float = 30.0) -> asyncio.Task[Any]:
@@ -571,3 +574,63 @@
     request = make_request("/gen/x", parts=(("shared", 50), ("own", 60_000)))
     sink, error = bench.serve(request)
     assert error is None and sink.finished
+
+
+def make_limited(bench: Bench, rate: float = 100.0) -> None:
+    """Give the tenant a limit in tokens."""
+    limit = TenantLimit(rate, rate, LimitUnit.TOKENS, 200.0)
+    keys = {KEY: TenantEntry("tenant-1", limit=limit)}
+    bench.state.table = make_table(make_route(), version=2, keys=keys)
+
+
+def test_a_request_over_its_tenants_limit_is_refused_before_any_runner_is_asked() -> None:
+    bench = make_bench(i_1=answers(b"x"))
+    make_limited(bench)
+    bench.limiter.wait = 1.25
+    _, error = bench.serve(make_request())
+    rejected = assert_rejected(error, Verdict.OVER_LIMIT)
+    assert rejected.retry_after == 1.25
+    assert bench.client.dispatches == []
+    assert bench.limiter.given_back == []
+
+
+def test_a_request_is_charged_once_whatever_the_attempts() -> None:
+    bench = make_bench(i_1=breaks(), i_2=breaks())
+    make_limited(bench)
+    bench.serve(make_request())
+    assert len(bench.client.dispatches) == 2
+    assert bench.limiter.taken == [("tenant-1", 200.0, 1)]
+    assert bench.limiter.given_back == []
+
+
+def test_a_request_is_charged_what_it_names() -> None:
+    bench = make_bench(i_1=answers(b"x"))
+    make_limited(bench)
+    request = make_request()
+    request.tokens = 1_540
+    bench.serve(request)
+    assert bench.limiter.taken == [("tenant-1", 1_540, 1)]
+
+
+def test_what_no_runner_has_run_is_given_back() -> None:
+    bench = make_bench(i_1=refuses(RefusalCause.FULL))
+    make_limited(bench)
+    _, error = bench.serve(make_request())
+    assert_rejected(error, Verdict.UNAVAILABLE)
+    assert bench.limiter.given_back == [("tenant-1", 200.0)]
+
+
+def test_what_may_have_run_is_not_given_back_when_the_caller_leaves() -> None:
+    bench = make_bench(i_1=hangs())
+    make_limited(bench)
+    bench.state.freshness.prove(0.0)
+    serving = bench.run(bench.pipeline.serve(make_request(), FakeSink()), 1.0)
+    serving.cancel()
+    bench.scheduler.run_until(2.0)
+    assert bench.limiter.given_back == []
+
+
+def test_tenants_without_a_limit_are_not_asked_for() -> None:
+    bench = make_bench(i_1=answers(b"x"))
+    bench.serve(make_request())
+    assert bench.limiter.taken == []
--- a/tests/fleet/test_settings.py
+++ b/tests/fleet/test_settings.py
@@ -9,6 +9,7 @@
 import pytest
 
 from hillstack.config.fleet_settings import load_fleet_settings
+from hillstack.core.tenant_limits import LimitTolerance
 from hillstack.errors import SettingsError
 
 GOOD = """
@@ -97,3 +98,11 @@
         if "==" in line
     }
     assert wanted and wanted <= pinned
+
+
+def test_the_tolerance_of_limits(tmp_path: Path) -> None:
+    bounds = "[bounds]\nlimit_overshoot = 0.1\nlimit_slack = 110000\nlimit_window_seconds = 8\n"
+    settings = load_fleet_settings(write(tmp_path, GOOD + bounds))
+    assert settings.bounds.limit_tolerance() == LimitTolerance(8.0, 0.1, 110_000.0)
+    with pytest.raises(SettingsError, match="limit_slack"):
+        load_fleet_settings(write(tmp_path, GOOD + "[bounds]\nlimit_slack = -1\n"))
--- /dev/null
+++ b/tests/fleet/test_tenant_limits.py
@@ -0,0 +1,289 @@
+"""Token buckets and leases: what must never be passed, whatever is asked in which order."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from itertools import pairwise
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from hillstack.core.tenant_limits import LimitTolerance, LimitUnit, TenantLimit
+from hillstack.core.token_buckets import TokenBuckets
+from hillstack.core.token_leases import MAX_HANDED_SECONDS, TokenLeases
+
+TENANT = "tenant-1"
+LIMIT = TenantLimit(1_000.0, 1_000.0, LimitUnit.TOKENS, 200.0)
+TOLERANCE = LimitTolerance(8.0, 0.1, 4_000.0)
+LEASE_SECONDS = 1.2
+NODES = 4
+
+
+def make_buckets(tolerance: LimitTolerance = TOLERANCE) -> TokenBuckets:
+    return TokenBuckets(tolerance, LEASE_SECONDS)
+
+
+def contribute(buckets: TokenBuckets, seconds: float, now: float, number: int = 1) -> None:
+    """Let all nodes hand over their time."""
+    for node in range(NODES):
+        buckets.contribute(f"node-{node}", 1, number, seconds, NODES, now)
+
+
+def full_buckets(now: float = 20.0) -> TokenBuckets:
+    buckets = make_buckets()
+    contribute(buckets, 10.0, now)
+    return buckets
+
+
+def test_a_request_counts_by_its_tokens_or_as_one() -> None:
+    assert LIMIT.cost(1_540) == 1_540
+    assert LIMIT.cost(None) == 200
+    assert TenantLimit(10.0, 5.0).cost(1_540) == 1
+
+
+def test_what_a_window_allows() -> None:
+    assert math.isclose(TOLERANCE.allowed(LIMIT), 9_000 * 1.1 + 4_000)
+    assert math.isclose(TOLERANCE.margin(LIMIT), 900 + 4_000)
+
+
+def test_buckets_without_the_time_of_any_node_give_nothing() -> None:
+    buckets = make_buckets()
+    assert not buckets.take(TENANT, LIMIT, 1.0, 0, 100.0)
+    assert buckets.lease(TENANT, LIMIT, "node-1", 1.0, 100.0) == 0
+    assert buckets.give(TENANT, LIMIT, 1.0, 100.0) == 0
+
+
+def test_a_full_bucket_holds_the_burst_and_then_follows_the_rate() -> None:
+    buckets = full_buckets()
+    taken = 0
+    while buckets.take(TENANT, LIMIT, 100.0, 0, 20.0):
+        taken += 100
+    assert LIMIT.burst <= taken <= LIMIT.burst + TOLERANCE.margin(LIMIT)
+    for node in range(NODES):
+        buckets.contribute(f"node-{node}", 1, 2, 0.5, NODES, 20.5)
+    refilled = 0
+    while buckets.take(TENANT, LIMIT, 100.0, 0, 20.5):
+        refilled += 100
+    assert 400 <= refilled <= 500
+
+
+def test_the_part_of_nodes_that_are_gone_is_missing() -> None:
+    buckets = make_buckets()
+    for number in range(20):
+        buckets.contribute("node-1", 1, number, 0.5, NODES, number / 2)
+    while buckets.take(TENANT, LIMIT, 10.0, 0, 10.0):
+        pass
+    buckets.contribute("node-1", 1, 99, 0.5, NODES, 10.5)
+    refilled = 0
+    while buckets.take(TENANT, LIMIT, 10.0, 0, 10.5):
+        refilled += 10
+    # An eighth of what the rate gives in a second, and less than one request that was left over.
+    assert 110 <= refilled <= 135
+
+
+def test_a_holder_that_was_left_keeps_no_tokens() -> None:
+    buckets = full_buckets(now=20.0)
+    assert not buckets.take(TENANT, LIMIT, 100.0, 0, 25.0)
+    assert buckets.give(TENANT, LIMIT, 100.0, 25.0) == 0
+
+
+def test_a_request_that_exceeds_the_bucket_takes_a_full_one_and_what_comes_next() -> None:
+    buckets = full_buckets()
+    assert buckets.take(TENANT, LIMIT, 4_000.0, 0, 20.0)
+    contribute(buckets, 0.5, 20.5, number=2)
+    assert not buckets.take(TENANT, LIMIT, 1.0, 0, 20.5)
+
+
+def test_the_last_tokens_are_kept_for_urgent_requests() -> None:
+    buckets = full_buckets()
+    while buckets.take(TENANT, LIMIT, 50.0, 2, 20.0):
+        pass
+    while buckets.take(TENANT, LIMIT, 50.0, 1, 20.0):
+        pass
+    assert buckets.take(TENANT, LIMIT, 50.0, 0, 20.0)
+
+
+def test_those_who_are_refused_together_do_not_return_together() -> None:
+    buckets = full_buckets()
+    while buckets.take(TENANT, LIMIT, 100.0, 0, 20.0):
+        pass
+    waits = [buckets.wait_seconds(TENANT, LIMIT, 100.0, 20.0) for _ in range(5)]
+    gaps = [later - earlier for earlier, later in pairwise(waits)]
+    assert waits[0] > 0
+    assert all(math.isclose(gap, 100.0 / LIMIT.rate, rel_tol=0.01) for gap in gaps)
+
+
+def test_a_wait_is_no_longer_than_the_window() -> None:
+    buckets = full_buckets()
+    waits = [buckets.wait_seconds(TENANT, LIMIT, 5_000.0, 20.0) for _ in range(9)]
+    assert max(waits) <= TOLERANCE.window_seconds
+
+
+def test_leases_are_part_of_the_fill() -> None:
+    buckets = full_buckets()
+    leased = buckets.lease(TENANT, LIMIT, "node-1", 1e9, 20.0)
+    assert leased > 0
+    contribute(buckets, 5.0, 20.5, number=2)
+    taken = leased
+    while buckets.take(TENANT, LIMIT, 10.0, 0, 20.5):
+        taken += 10
+    assert taken <= LIMIT.burst + TOLERANCE.margin(LIMIT)
+
+
+def test_what_is_returned_can_be_leased_again() -> None:
+    buckets = full_buckets()
+    first = buckets.lease(TENANT, LIMIT, "node-1", 1e9, 20.0)
+    assert buckets.lease(TENANT, LIMIT, "node-2", 1e9, 20.0) == 0
+    buckets.put_back(TENANT, LIMIT, "node-1", first, 20.1)
+    assert math.isclose(buckets.lease(TENANT, LIMIT, "node-2", 1e9, 20.1), first)
+
+
+def test_a_lowered_limit_binds_at_once() -> None:
+    buckets = full_buckets()
+    assert buckets.take(TENANT, LIMIT, 100.0, 0, 20.0)
+    lower = TenantLimit(100.0, 100.0, LimitUnit.TOKENS)
+    taken = 0
+    while buckets.take(TENANT, lower, 10.0, 0, 20.0):
+        taken += 10
+    assert taken <= lower.burst + TOLERANCE.margin(lower)
+
+
+def test_a_repeated_message_is_known() -> None:
+    buckets = make_buckets()
+    buckets.contribute("node-1", 5, 3, 0.5, NODES, 0.0)
+    assert buckets.is_repeated("node-1", 5, 3)
+    assert buckets.is_repeated("node-1", 5, 2)
+    assert not buckets.is_repeated("node-1", 5, 4)
+    assert not buckets.is_repeated("node-1", 6, 1)
+
+
+def test_idle_buckets_are_forgotten() -> None:
+    buckets = full_buckets()
+    assert buckets.take(TENANT, LIMIT, 100.0, 0, 20.0)
+    contribute(buckets, 0.5, 40.0, number=2)
+    buckets.expire(lambda tenant: LIMIT, 40.0)
+    assert buckets.levels() == {}
+
+
+def test_a_node_that_was_paused_does_not_bring_its_pause() -> None:
+    leases = TokenLeases(0.0)
+    assert leases.hand_over(0.4) == 0.4
+    assert leases.hand_over(9.0) == MAX_HANDED_SECONDS
+    assert leases.hand_over(9.0) == 0
+
+
+def test_leased_tokens_lapse() -> None:
+    leases = TokenLeases(0.0)
+    leases.add(TENANT, 100.0, 1.2, 0.0)
+    assert leases.spend(TENANT, 60.0, 1.1)
+    assert not leases.spend(TENANT, 40.0, 1.2)
+
+
+def test_tokens_that_are_taken_out_are_no_longer_there() -> None:
+    leases = TokenLeases(0.0)
+    leases.add(TENANT, 100.0, 1.2, 0.0)
+    assert leases.take_out(TENANT, 0.1) == 100
+    assert not leases.spend(TENANT, 1.0, 0.1)
+
+
+def test_a_tenant_that_sends_much_is_leased_ahead_and_one_that_sends_nothing_is_not() -> None:
+    leases = TokenLeases(0.0)
+    for number in range(10):
+        leases.spend(TENANT, 50.0, number / 10)
+    assert leases.wanted(TENANT, 1.0) >= 300
+    assert leases.wanted(TENANT, 60.0) == 0
+    leases.expire(60.0)
+    assert leases.tenants() == []
+
+
+class LimitMachine(RuleBasedStateMachine):
+    """Nodes hand time to any holder, lose messages, restart and move tokens about.
+
+    Whatever is done, no window may hold more than is allowed.
+    """
+
+    @initialize()
+    def start(self) -> None:
+        self.now = 50.0
+        self.holders = [make_buckets() for _ in range(3)]
+        self.nodes = [TokenLeases(self.now) for _ in range(NODES)]
+        self.numbers = [0] * NODES
+        self.restarts: deque[float] = deque()
+        self.ran: deque[tuple[float, float]] = deque()
+        self.total = 0.0
+
+    def note_ran(self, cost: float) -> None:
+        self.ran.append((self.now, cost))
+        self.total += cost
+
+    @rule(seconds=st.floats(0.05, 1.5))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(node=st.integers(0, NODES - 1), holder=st.integers(0, 2), is_lost=st.booleans())
+    def hand_over(self, node: int, holder: int, is_lost: bool) -> None:
+        seconds = self.nodes[node].hand_over(self.now)
+        returned = self.nodes[node].take_out(TENANT, self.now)
+        self.numbers[node] += 1
+        if is_lost:
+            return
+        buckets = self.holders[holder]
+        name = f"node-{node}"
+        buckets.contribute(name, 1, self.numbers[node], seconds, NODES, self.now)
+        buckets.put_back(TENANT, LIMIT, name, returned, self.now)
+
+    @rule(seconds=st.integers(1, 12))
+    def hand_over_in_turn(self, seconds: int) -> None:
+        """All nodes hand their time to the first holder, as on a calm day."""
+        for _ in range(2 * seconds):
+            self.now += 0.5
+            for node in range(NODES):
+                self.hand_over(node, 0, False)
+
+    @rule(node=st.integers(0, NODES - 1), holder=st.integers(0, 2), is_lost=st.booleans())
+    def lease(self, node: int, holder: int, is_lost: bool) -> None:
+        leased = self.holders[holder].lease(TENANT, LIMIT, f"node-{node}", 1e9, self.now)
+        if leased > 0 and not is_lost:
+            self.nodes[node].add(TENANT, leased, self.now + LEASE_SECONDS, self.now)
+
+    @rule(source=st.integers(0, 2), receiver=st.integers(0, 2), is_lost=st.booleans())
+    def transfer(self, source: int, receiver: int, is_lost: bool) -> None:
+        given = self.holders[source].give(TENANT, LIMIT, 1e9, self.now)
+        if not is_lost:
+            self.holders[receiver].receive(TENANT, LIMIT, given, self.now)
+
+    @rule(holder=st.integers(0, 2), cost=st.floats(10.0, 500.0), rank=st.integers(0, 2))
+    def drain(self, holder: int, cost: float, rank: int) -> None:
+        while self.holders[holder].take(TENANT, LIMIT, cost, rank, self.now):
+            self.note_ran(cost)
+
+    @rule(node=st.integers(0, NODES - 1), cost=st.floats(1.0, 300.0))
+    def spend(self, node: int, cost: float) -> None:
+        while self.nodes[node].spend(TENANT, cost, self.now):
+            self.note_ran(cost)
+
+    @rule()
+    def restart_all(self) -> None:
+        """All processes are killed, at most twice in a window, and are back a second later."""
+        while self.restarts and self.now - self.restarts[0] > TOLERANCE.window_seconds:
+            self.restarts.popleft()
+        if len(self.restarts) >= 2:
+            return
+        self.restarts.append(self.now)
+        self.now += 1.0
+        self.holders = [make_buckets() for _ in range(3)]
+        self.nodes = [TokenLeases(self.now) for _ in range(NODES)]
+
+    @invariant()
+    def no_window_holds_more_than_is_allowed(self) -> None:
+        if not hasattr(self, "ran"):
+            return
+        while self.ran and self.now - self.ran[0][0] >= TOLERANCE.window_seconds:
+            self.total -= self.ran.popleft()[1]
+        assert self.total <= TOLERANCE.allowed(LIMIT) + 1e-6
+
+
+TestLimitMachine = LimitMachine.TestCase
+TestLimitMachine.settings = settings(max_examples=150, stateful_step_count=60, deadline=None)
--- a/tools/bench_node.py
+++ b/tools/bench_node.py
@@ -23,10 +23,10 @@
 )
 from hillstack.core.placement.kept_parts import Surroundings
 from hillstack.core.prompt_shape import PromptShape
+from hillstack.core.relay_choice import DIRECT_NODES
 from hillstack.core.routing_table import EngineProfile, KeptCacheStore
 from hillstack.core.runner_load import RunnerLoad
 from hillstack.core.runner_pool import RunnerEntry, RunnerPool
-from hillstack.daemon.peer_exchange import DIRECT_NODES
 
 SIZES = ((8, 5), (69, 45), (195, 59), (600, 180), (1_500, 1_080))
 ZONES = 5
