Limits: each node's start brings its part of the margin once; reserve by cost; waits include the reserve

Plain calls of 200 tokens were refused with a wait of 1 ms, since a reserve of a fifth of the bucket was kept from them and the wait did not count it.

Change: a node's first message brings its part of the start, so a change of holders brings none anew; the reserve is a part of the request's own cost, so that small and urgent requests are served last; the wait counts it and is 50 ms at least. Holders ask others for what is lacking with the reserve.

--- a/src/hillstack/core/token_buckets.py
+++ b/src/hillstack/core/token_buckets.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -22,19 +23,26 @@
 CONTRIBUTOR_SECONDS = 1.5
 # How often the contributors are counted anew: some ten times within the time above.
 RECOUNT_SECONDS = 0.15
-# Part of the margin that buckets hold beyond the burst. It is what a holder starts with that knows
-# nothing of the use before it: two restarts of all nodes within a window take six tenths.
-START_SHARE = 0.3
+# Part of the margin that buckets hold beyond the burst: a burst of 29,000 tokens in three zones is
+# one prompt of 9,190 in each, and requests come in another order than they were sent.
+EXTRA_SHARE = 0.3
+# Part of the margin that all nodes together bring with their start. Nobody knows what was used
+# before a restart of all nodes; without anything, all would be refused until the rate has filled
+# some. Two such restarts in a window take nine tenths of the margin, of which the two seconds
+# without any node give back four tenths or more (at the limits seen, from 29,000 tokens/s on).
+START_SHARE = 0.45
 # Part of a bucket that may be leased for requests that are still to come. Leased tokens count as
 # part of the bucket's fill, so they add nothing to what the worst window holds; but until they are
 # returned, others can't use them.
 LEASE_SHARE = 0.35
 # Above this fill a bucket leases for requests to come; below, only for those that are there.
 LEASE_FILL = 0.5
-# Part of a bucket that is kept for more urgent requests, for each rank that is more urgent. With
-# costs of 900 and 9,000 tokens one refused long prompt leaves room for ten urgent questions.
-RESERVE_SHARE_OF_RANK = 0.1
-MOST_RESERVED_RANKS = 2
+# For each rank below the most urgent one, a bucket must hold so much of a request's cost on top of
+# it. So the last tokens go to urgent and to small requests, of which they serve more: with costs of
+# 900 and 9,000 tokens one refused long prompt leaves room for ten urgent questions.
+RESERVE_OF_RANK = 0.5
+# No caller is told to come back sooner: the way to it and back, and some work.
+LEAST_WAIT_SECONDS = 0.05
 # What a holder keeps back when another asks it for tokens: its own use for so long, some ten times
 # the way there and back between zones.
 KEEP_BACK_SECONDS = 0.1
@@ -58,6 +66,7 @@
     Attributes:
         level: Tokens in it.
         refilled_at: Refill time up to which it is filled.
+        started_at: Until when it has been given what nodes brought with their start.
         share: Part of all nodes that handed their time to this one when it was filled.
         leases: Tokens that each node was leased last for requests to come.
         leased: Their sum.
@@ -66,9 +75,10 @@
         room_at: When there is room again for the last request that was refused.
     """
 
-    level: float
-    refilled_at: float
-    share: float
+    level: float = 0.0
+    refilled_at: float = 0.0
+    started_at: float = 0.0
+    share: float = 0.0
     leases: dict[str, _Lease] = field(default_factory=dict)
     leased: float = 0.0
     use: float = 0.0
@@ -97,6 +107,7 @@
     tolerance: LimitTolerance
     lease_seconds: float
     _refill_time: float = 0.0
+    _starts: deque[tuple[float, float]] = field(default_factory=deque)
     _contributors: dict[str, _Contributor] = field(default_factory=dict)
     _share: float = 0.0
     _node_count: int = 1
@@ -118,6 +129,8 @@
         seconds: float,
         node_count: int,
         now: float,
+        *,
+        is_first: bool = False,
     ) -> None:
         """Take over the time of a node.
 
@@ -128,11 +141,14 @@
             seconds: Its time since it last handed some over to anybody.
             node_count: Nodes that share the limits.
             now: Time on this node's clock.
+            is_first: Whether its process has handed over none before.
         """
         known = self._contributors.get(node_id)
         self._contributors[node_id] = _Contributor(incarnation, number, now)
         self._node_count = max(1, node_count)
         self._refill_time += seconds / self._node_count
+        if is_first:
+            self._starts.append((now, 1.0 / self._node_count))
         if known is None or not self._counts(known, now):
             self._counted_at = float("-inf")
         self._recount(now)
@@ -148,21 +164,19 @@
         comes next.
         """
         bucket = self._filled(tenant, limit, now)
-        capacity = self._capacity(limit)
-        reserve = RESERVE_SHARE_OF_RANK * min(max(0, rank), MOST_RESERVED_RANKS) * capacity
-        if capacity <= 0 or bucket.level < min(cost + reserve, capacity):
+        if bucket.level <= 0 or bucket.level < self._needed(limit, cost, rank):
             return False
         bucket.level -= cost
         self._note_use(bucket, cost, now)
         return True
 
-    def missing(self, tenant: str, limit: TenantLimit, cost: float, now: float) -> float:
+    def missing(self, tenant: str, limit: TenantLimit, cost: float, rank: int, now: float) -> float:
         """Return how many tokens to ask other holders for, where a bucket lacks some for a cost.
 
         It is some more than is lacking: the next requests would ask again.
         """
         bucket = self._filled(tenant, limit, now)
-        lacking = max(0.0, cost - bucket.level)
+        lacking = max(0.0, self._with_reserve(cost, rank) - bucket.level)
         return lacking + self._use(bucket, now) * KEEP_BACK_SECONDS if lacking > 0 else 0.0
 
     def lease(
@@ -204,7 +218,9 @@
         """Take over tokens that another holder gave."""
         self._filled(tenant, limit, now).level += tokens
 
-    def wait_seconds(self, tenant: str, limit: TenantLimit, cost: float, now: float) -> float:
+    def wait_seconds(
+        self, tenant: str, limit: TenantLimit, cost: float, rank: int, now: float
+    ) -> float:
         """Return after how long a request that was refused finds room.
 
         Each refused request is given its own place, one after another at the rate of the limit, so
@@ -215,15 +231,17 @@
         window = self.tolerance.window_seconds
         if rate <= 0:
             return window
-        lacking = max(0.0, cost - bucket.level) / rate
-        bucket.room_at = max(bucket.room_at + cost / rate, now + lacking)
-        bucket.room_at = min(bucket.room_at, now + window)
+        lacking = max(0.0, self._needed(limit, cost, rank) - bucket.level) / rate
+        soonest = now + max(LEAST_WAIT_SECONDS, lacking)
+        bucket.room_at = min(max(bucket.room_at + cost / rate, soonest), now + window)
         return bucket.room_at - now
 
     def expire(self, limit_of: Callable[[str], TenantLimit | None], now: float) -> None:
         """Forget nodes that hand nothing over, and buckets that are full again and nobody uses."""
         for node_id in [n for n, c in self._contributors.items() if not self._counts(c, now)]:
             del self._contributors[node_id]
+        while self._starts and now - self._starts[0][0] > self.tolerance.window_seconds:
+            self._starts.popleft()
         for tenant, bucket in list(self._buckets.items()):
             if now - bucket.used_at <= self.tolerance.window_seconds:
                 continue
@@ -248,11 +266,15 @@
         count = sum(1 for c in self._contributors.values() if self._counts(c, now))
         self._share = min(1.0, count / self._node_count)
 
-    def _capacity(self, limit: TenantLimit) -> float:
-        return self._share * (limit.burst + self._start(limit))
+    def _needed(self, limit: TenantLimit, cost: float, rank: int) -> float:
+        """Return what a bucket must hold for a request."""
+        return min(self._with_reserve(cost, rank), self._capacity(limit))
 
-    def _start(self, limit: TenantLimit) -> float:
-        return START_SHARE * self.tolerance.margin(limit)
+    def _with_reserve(self, cost: float, rank: int) -> float:
+        return cost * (1.0 + RESERVE_OF_RANK * max(0, rank))
+
+    def _capacity(self, limit: TenantLimit) -> float:
+        return self._share * (limit.burst + EXTRA_SHARE * self.tolerance.margin(limit))
 
     def _filled(self, tenant: str, limit: TenantLimit, now: float) -> _Bucket:
         """Return a tenant's bucket, filled up to now.
@@ -263,8 +285,8 @@
         self._recount(now)
         bucket = self._buckets.get(tenant)
         if bucket is None:
-            start = self._share * self._start(limit)
-            bucket = self._buckets[tenant] = _Bucket(start, 0.0, self._share, used_at=now)
+            began = now - self.tolerance.window_seconds
+            bucket = self._buckets[tenant] = _Bucket(started_at=began, used_at=now)
         gained = limit.rate * (self._refill_time - bucket.refilled_at)
         bucket.refilled_at = self._refill_time
         filled = min(self._capacity(limit) - bucket.leased, bucket.level + gained)
@@ -272,6 +294,10 @@
         is_left = self._share < bucket.share
         bucket.level = filled if is_left else max(filled, bucket.level)
         bucket.share = self._share
+        if self._starts and self._starts[-1][0] > bucket.started_at:
+            started = sum(part for at, part in self._starts if at > bucket.started_at)
+            bucket.level += started * START_SHARE * self.tolerance.margin(limit)
+            bucket.started_at = self._starts[-1][0]
         return bucket
 
     def _end_leases(self, bucket: _Bucket, now: float) -> None:
--- a/src/hillstack/daemon/limit_client.py
+++ b/src/hillstack/daemon/limit_client.py
@@ -100,6 +100,7 @@
         self._incarnation = rng.getrandbits(INCARNATION_BITS)
         self._answers: PendingAnswers[TokenAnswer] = PendingAnswers(ANSWER_SECONDS)
         self._own_number = 0
+        self._is_first = True
         self._waiting: list[_Waiting] = []
         self._wake = asyncio.Event()
         self._renew_at = 0.0
@@ -217,8 +218,15 @@
             for tenant in tenants
         ]
         seconds = self._leases.hand_over(now)
+        is_first, self._is_first = self._is_first, False
         return TokenQuestion(
-            PROTOCOL_VERSION, self._state.node_id, self._incarnation, number, seconds, told
+            PROTOCOL_VERSION,
+            self._state.node_id,
+            self._incarnation,
+            number,
+            seconds,
+            is_first,
+            told,
         )
 
     def _settle(self, waiting: list[_Waiting], answer: TokenAnswer) -> None:
--- a/src/hillstack/daemon/limit_holder.py
+++ b/src/hillstack/daemon/limit_holder.py
@@ -134,6 +134,7 @@
             question.seconds,
             self._state.nodes.sharing_count(now),
             now,
+            is_first=question.is_first,
         )
         missing: dict[str, float] = {}
         for told in question.tenants:
@@ -141,8 +142,11 @@
             if limit is None:
                 continue
             self._buckets.put_back(told.tenant, limit, question.node_id, told.returned, now)
+            if not told.needs:
+                continue
             cost = sum(need.cost for need in told.needs)
-            lacking = self._buckets.missing(told.tenant, limit, cost, now) if cost else 0.0
+            rank = max(need.rank for need in told.needs)
+            lacking = self._buckets.missing(told.tenant, limit, cost, rank, now)
             if lacking > 0 and now >= self._dry_until.get(told.tenant, now):
                 missing[told.tenant] = lacking
         return missing
@@ -166,7 +170,7 @@
     def _wait_ms(self, tenant: str, limit: TenantLimit, need: TokenNeed, now: float) -> int:
         if self._buckets.take(tenant, limit, need.cost, need.rank, now):
             return GRANTED
-        wait = self._buckets.wait_seconds(tenant, limit, need.cost, now)
+        wait = self._buckets.wait_seconds(tenant, limit, need.cost, need.rank, now)
         return round(wait * MILLISECONDS)
 
     async def _gather(self, missing: dict[str, float]) -> None:
--- a/src/hillstack/messages/limit_messages.py
+++ b/src/hillstack/messages/limit_messages.py
@@ -48,12 +48,14 @@
         incarnation: Differs from start to start of the sender.
         number: Rises with each question of a process; comes back in the answer.
         seconds: The sender's time since it last handed some over.
+        is_first: Whether its process has handed over none before.
     """
 
     node_id: str
     incarnation: int
     number: int
     seconds: float
+    is_first: bool = False
     tenants: list[TenantTokens] = msgspec.field(default_factory=list)
 
 
