--- a/tests/fleet/test_formats.py
+++ b/tests/fleet/test_formats.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from typing import Any
 
@@ -12,7 +13,9 @@
 from hillstack.errors import PlatformError
 from hillstack.platform import names
 from hillstack.platform.formats import parse_usage, to_event
+from hillstack.platform.ingress import Ingress
 from hillstack.serving.fleet_state import ConfigurationChanged
+from hillstack.serving.types import ServingRequest
 
 
 def limit_of(**fields: Any) -> TenantLimit | None:
@@ -65,3 +68,69 @@
 )
 def test_what_a_request_counts_as(usage: str, tokens: int | None) -> None:
     assert parse_usage(usage) == tokens
+
+
+class KeepingServing:
+    """Keeps the request that it is given."""
+
+    def __init__(self) -> None:
+        self.request: ServingRequest | None = None
+
+    async def serve(self, request: ServingRequest, sink: Any) -> None:
+        self.request = request
+
+
+async def _no_more() -> dict[str, Any]:
+    return {"type": "http.request", "body": b"", "more_body": False}
+
+
+async def _ignore(message: Any) -> None:
+    return
+
+
+def taken_over(headers: dict[str, str]) -> ServingRequest:
+    """Return what a caller's request becomes."""
+    serving = KeepingServing()
+    ingress = Ingress(serving, lambda: 0.0, lambda: 1_000, lambda: False)
+    scope = {
+        "type": "http",
+        "method": "POST",
+        "raw_path": b"/gen/x",
+        "query_string": b"",
+        "headers": [(name.lower().encode(), value.encode()) for name, value in headers.items()],
+    }
+    asyncio.run(ingress(scope, _no_more, _ignore))
+    assert serving.request is not None
+    return serving.request
+
+
+@pytest.mark.parametrize("last_event", [{}, {names.LAST_EVENT_ID: "12"}])
+@pytest.mark.parametrize(
+    "name",
+    [
+        names.HOLD,
+        names.PIN,
+        names.BACKUP_TO,
+        names.CONTINUE_FROM,
+        names.CACHE_SALT,
+        names.FETCH_FROM,
+        names.SAVE_TO,
+        names.TENANT,
+        names.PRIORITY,
+        names.API_KEY,
+        names.EXPECT_INSTANCE,
+        names.EXPECT_VERSION,
+    ],
+)
+def test_what_only_the_router_may_set_is_not_passed_on(
+    name: str, last_event: dict[str, str]
+) -> None:
+    request = taken_over({names.REQUEST_ID: "r-1", name: "theirs", "X-Own": "kept", **last_event})
+    assert request.headers == [(b"x-own", b"kept")]
+
+
+def test_the_size_that_counts_is_the_prompt_and_the_most_that_may_be_generated() -> None:
+    usage = {names.TOKEN_USAGE: "1460,80", names.LENGTH_HINT: "9"}
+    request = taken_over({names.REQUEST_ID: "r-1", names.PROMPT_PARTS: "a:1460", **usage})
+    assert request.tokens == 1_540
+    assert request.shape is not None and request.shape.output_tokens == 9
--- a/tools/bench_node.py
+++ b/tools/bench_node.py
@@ -2,7 +2,9 @@
 
 One process, one core, the node's own classes: the choice of a runner for a prompt of 9,190 tokens,
 and who watches which cache while nothing changes. Every peer, or every zone's relay where there are
-relays, has told of a load at every runner.
+relays, has told of a load at every runner. For tenants' limits: a request that finds leased tokens,
+and a question of a node to the holder of its zone's buckets, with four tenants, from encoding to
+decoding the answer.
 """
 
 from __future__ import annotations
@@ -27,8 +29,22 @@
 from hillstack.core.routing_table import EngineProfile, KeptCacheStore
 from hillstack.core.runner_load import RunnerLoad
 from hillstack.core.runner_pool import RunnerEntry, RunnerPool
+from hillstack.core.tenant_limits import LimitTolerance, LimitUnit, TenantLimit
+from hillstack.core.token_buckets import TokenBuckets
+from hillstack.core.token_leases import TokenLeases
+from hillstack.messages.limit_messages import (
+    TenantGrant,
+    TenantTokens,
+    TokenAnswer,
+    TokenQuestion,
+)
+from hillstack.messages.packing import pack, unpack
+from hillstack.messages.peer_notices import PROTOCOL_VERSION
 
 SIZES = ((8, 5), (69, 45), (195, 59), (600, 180), (1_500, 1_080))
+LIMIT_SIZES = ((8, 16), (79, 16), (195, 16), (1_500, 16), (1_500, 7_400))
+TENANTS_OF_A_NODE = 4
+LIMIT = TenantLimit(1e9, 1e9, LimitUnit.TOKENS)
 ZONES = 5
 SALT = "shared|model|1"
 SHARED_TOKENS = (4_000, 1_800, 500)
@@ -69,9 +85,51 @@
     print(f"{'nodes':>6}{'runners':>9}{'choose us':>12}{'assign us/s':>13}")
     for cost in costs:
         print(f"{cost.nodes:>6}{cost.runners:>9}{cost.choose:>12.1f}{cost.assign:>13.2f}")
+    print(f"\n{'nodes':>6}{'tenants':>9}{'spend us':>12}{'question us':>13}")
+    for nodes, tenants in LIMIT_SIZES:
+        spend, question = measure_limits(nodes, tenants)
+        print(f"{nodes:>6}{tenants:>9}{spend:>12.1f}{question:>13.1f}")
     return 0
 
 
+def measure_limits(nodes: int, tenants: int) -> tuple[float, float]:
+    """Return what a request with leased tokens and a question to a holder cost, in microseconds."""
+    tolerance = LimitTolerance(8.0, 0.1, 110_000.0)
+    buckets = TokenBuckets(tolerance, lease_seconds=1.2)
+    in_zone = max(1, nodes // ZONES) if nodes > DIRECT_NODES else nodes
+    for number in range(in_zone):
+        buckets.contribute(f"node-{number}", 1, 0, 5.0, nodes, 0.0)
+    for tenant in range(tenants):
+        buckets.take(f"tenant-{tenant}", LIMIT, 1.0, 0, 0.0)
+    turns = iter(range(1, 10**9))
+
+    def ask() -> object:
+        turn = next(turns)
+        now = turn / (2 * in_zone)
+        names = [f"tenant-{(turn + place) % tenants}" for place in range(TENANTS_OF_A_NODE)]
+        told = [TenantTokens(name, 500.0, [], 9_000.0) for name in names]
+        node_id = f"node-{turn % in_zone}"
+        question = TokenQuestion(PROTOCOL_VERSION, node_id, 1, turn, 0.5, False, told)
+        return _answer(buckets, unpack(pack(question), TokenQuestion, "peer"), nodes, now)
+
+    leases = TokenLeases(0.0)
+    leases.add("tenant-0", 1e15, 1e9, 0.0)
+    spend = _seconds(lambda: leases.spend("tenant-0", 1.0, 1.0))
+    return spend * MICROSECONDS, _seconds(ask) * MICROSECONDS
+
+
+def _answer(buckets: TokenBuckets, question: TokenQuestion, nodes: int, now: float) -> TokenAnswer:
+    node_id = question.node_id
+    buckets.contribute(node_id, 1, question.number, question.seconds, nodes, now)
+    grants = []
+    for told in question.tenants:
+        buckets.put_back(told.tenant, LIMIT, node_id, told.returned, now)
+        leased = buckets.lease(told.tenant, LIMIT, node_id, told.ahead, now)
+        grants.append(TenantGrant(told.tenant, [], leased))
+    answer = TokenAnswer(PROTOCOL_VERSION, question.number, grants)
+    return unpack(pack(answer), TokenAnswer, "peer")
+
+
 def measure(nodes: int, runners: int) -> NodeCost:
     """Return the cost at one size."""
     rng = Random(nodes * runners)
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -323,6 +323,90 @@
         "while self._oldest_at < oldest:",
         "while False:",
     ),
+    Mutation(
+        "a request over its tenant's limit passes",
+        "serving/pipeline.py",
+        "if wait <= 0:",
+        "if True:",
+    ),
+    Mutation(
+        "what may have run is given back to its tenant's limit",
+        "serving/pipeline.py",
+        "if job.charged and not job.runs and not job.may_have_run:",
+        "if job.charged:",
+    ),
+    Mutation(
+        "a node's time is handed over again",
+        "core/token_leases.py",
+        "self._handed_until = now\n        return seconds",
+        "return seconds",
+    ),
+    Mutation(
+        "a paused node brings all of its pause",
+        "core/token_leases.py",
+        "min(MAX_HANDED_SECONDS, max(0.0, now - self._handed_until))",
+        "now - self._handed_until",
+    ),
+    Mutation(
+        "leased tokens last for ever",
+        "core/token_leases.py",
+        "if now >= lease.ends_at:",
+        "if False:",
+    ),
+    Mutation(
+        "returned tokens are kept",
+        "core/token_leases.py",
+        "tokens, lease.tokens = lease.tokens, 0.0",
+        "tokens = lease.tokens",
+    ),
+    Mutation(
+        "leases come on top of the bucket",
+        "core/token_buckets.py",
+        "self._capacity(limit) - bucket.leased, bucket.level + gained",
+        "self._capacity(limit), bucket.level + gained",
+    ),
+    Mutation(
+        "a holder that was left keeps its tokens",
+        "core/token_buckets.py",
+        "is_left = self._share < bucket.share",
+        "is_left = False",
+    ),
+    Mutation(
+        "tokens that were given away stay",
+        "core/token_buckets.py",
+        "bucket.level -= given",
+        "pass",
+    ),
+    Mutation(
+        "a question that comes twice counts twice",
+        "core/token_buckets.py",
+        "return number <= known.number",
+        "return False",
+    ),
+    Mutation(
+        "every message of a node brings a start",
+        "daemon/limit_client.py",
+        "is_first, self._is_first = self._is_first, False",
+        "is_first = True",
+    ),
+    Mutation(
+        "limits are shared before the other nodes are known",
+        "daemon/limit_client.py",
+        "or not table.has_limits() or not self._state.directory_known:",
+        "or not table.has_limits():",
+    ),
+    Mutation(
+        "tokens that nobody asked for are taken",
+        "daemon/limit_holder.py",
+        "if answer.number not in self._open_transfers:\n            return\n        del",
+        "if answer.number in self._open_transfers:\n            del",
+    ),
+    Mutation(
+        "holders do not ask each other",
+        "daemon/limit_holder.py",
+        "        asked = [self._ask(node, missing) for node in others]",
+        "        asked = [self._ask(node, missing) for node in others[:0]]",
+    ),
 )
 
 
