--- a/src/hillstack/emulator/fleet_cache.py
+++ b/src/hillstack/emulator/fleet_cache.py
@@ -11,7 +11,8 @@
 from starlette.routing import Route
 
 from hillstack.platform import names
-from hillstack.platform.formats import CacheEventsBody, CacheListBody, parse_shape
+from hillstack.platform.bodies import CacheEventsBody, CacheListBody
+from hillstack.platform.formats import parse_shape
 
 POLL_SECONDS = 0.01
 KEPT = "+"
--- a/src/hillstack/emulator/fleet_runner.py
+++ b/src/hillstack/emulator/fleet_runner.py
@@ -18,7 +18,7 @@
 
 from hillstack.emulator.fleet_cache import FleetCache
 from hillstack.platform import names
-from hillstack.platform.formats import ModelVersion, OrderBody, ReportBody, RunnerBody
+from hillstack.platform.bodies import ModelVersion, OrderBody, ReportBody, RunnerBody
 
 EVENT_PAUSE_SECONDS = 0.02
 MISDIRECTED = 421
--- a/src/hillstack/emulator/fleet_store.py
+++ b/src/hillstack/emulator/fleet_store.py
@@ -19,7 +19,7 @@
 from starlette.routing import Route
 
 from hillstack.platform import names
-from hillstack.platform.formats import (
+from hillstack.platform.bodies import (
     LeaseBody,
     LeaseRequest,
     RangeBody,
--- a/src/hillstack/platform/cache_feed.py
+++ b/src/hillstack/platform/cache_feed.py
@@ -12,8 +12,8 @@
 from hillstack.daemon.cache_follower import CacheChanges, CacheEntry, CacheListing
 from hillstack.errors import BackendError, BackendRefusedError
 from hillstack.platform import names
+from hillstack.platform.bodies import CacheEventsBody, CacheListBody
 from hillstack.platform.connections import Question, ask
-from hillstack.platform.formats import CacheEventsBody, CacheListBody
 
 OK = 200
 # A list of thousands of parts, at a runner that is at work.
--- a/src/hillstack/platform/runners.py
+++ b/src/hillstack/platform/runners.py
@@ -14,8 +14,8 @@
 )
 from hillstack.errors import BackendBrokenError, BackendError
 from hillstack.platform import names
+from hillstack.platform.bodies import OrderBody, ReportBody
 from hillstack.platform.connections import Question, ask
-from hillstack.platform.formats import OrderBody, ReportBody
 from hillstack.serving.types import (
     Dispatch,
     HeaderList,
--- a/src/hillstack/platform/store.py
+++ b/src/hillstack/platform/store.py
@@ -24,7 +24,7 @@
 )
 from hillstack.logs import error_fields
 from hillstack.platform import names
-from hillstack.platform.formats import (
+from hillstack.platform.bodies import (
     KeyRevision,
     LeaseBody,
     LeaseRequest,
@@ -35,9 +35,8 @@
     TxnBody,
     TxnRequest,
     WatchBody,
-    listed_keys,
-    to_event,
 )
+from hillstack.platform.formats import listed_keys, to_event
 from hillstack.serving.fleet_state import StoreEvent
 
 logger = logging.getLogger(__name__)
--- a/tests/fleet/deployment.py
+++ b/tests/fleet/deployment.py
@@ -24,7 +24,7 @@
 from hillstack.emulator.fleet_runner import FleetRunner
 from hillstack.emulator.fleet_store import FleetStore
 from hillstack.platform import names
-from hillstack.platform.formats import (
+from hillstack.platform.bodies import (
     ConfigurationBody,
     EngineBody,
     ModelName,
--- a/tests/fleet/node_network.py
+++ b/tests/fleet/node_network.py
@@ -30,7 +30,8 @@
 from hillstack.errors import HistoryLostError, PlatformUnavailableError
 from hillstack.messages.peer_notices import PlacementNotice
 from hillstack.platform import names
-from hillstack.platform.formats import NodeBody, listed_keys, to_event
+from hillstack.platform.bodies import NodeBody
+from hillstack.platform.formats import listed_keys, to_event
 from hillstack.platform.store import Changes, Snapshot
 from hillstack.serving.fleet_state import FleetState
 from hillstack.simulation.virtual_loop import Scheduler, VirtualLoop
--- a/tests/fleet/test_node_process.py
+++ b/tests/fleet/test_node_process.py
@@ -10,7 +10,7 @@
 import aiohttp
 
 from hillstack.platform import names
-from hillstack.platform.formats import TenantBody
+from hillstack.platform.bodies import TenantBody
 from tests.fleet.builders import APPLICATION, ENGINES, HOST, KEY
 from tests.fleet.deployment import Deployment, deployment, until
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from hillstack.platform.formats import OrderBody
+from hillstack.platform.bodies import OrderBody
 
 NOT_RUN = frozenset({408, 421, 429, 503})
 RETRY_AFTER_STATUSES = frozenset({429, 503})
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -10,7 +10,7 @@
 
 from hillstack.emulator.fleet_runner import FleetRunner
 from hillstack.platform import names
-from hillstack.platform.formats import TenantBody
+from hillstack.platform.bodies import TenantBody
 from tests.fleet.builders import APPLICATION, ENGINES, MODEL
 from tests.fleet.deployment import Deployment, NodeProcess, until
 from tests.processes.fault_proxy import FaultProxy
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from hillstack.platform.formats import OrderBody
+from hillstack.platform.bodies import OrderBody
 from tests.soak.promises import Observations, Run, Sent
 
 ORDER = OrderBody("version", "m", 2, "retain", "node-1", 5, 0)
