--- a/src/hillstack/emulator/engine.py
+++ b/src/hillstack/emulator/engine.py
@@ -15,31 +15,28 @@
 
 import asyncio
 import contextlib
-import json
 import time
 import uuid
 from collections import Counter, deque
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
-from typing import Any
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, PlainTextResponse, Response
 from starlette.routing import Route
-from starlette.types import Receive, Scope, Send
 
 from hillstack.core.prefix import block_hashes
-from hillstack.core.prompt import ByteTokenizer, ChatMessage, render_chat
+from hillstack.core.prompt import ByteTokenizer
 from hillstack.emulator.cache_events import (
     CacheEventPublisher,
     cleared_event,
     removed_event,
     stored_event,
 )
-from hillstack.emulator.generation import prompt_fingerprint, token_text
+from hillstack.emulator.completion import CompletionBody, CompletionResponse, CompletionStream
 from hillstack.simulation.engine_model import EngineModel, EngineProfile, EngineRequest, StepResult
 
 IMPORT_SECONDS_PER_BLOCK = 0.01
@@ -47,22 +44,6 @@
 LOAD_LAG_HISTORY = 256
 
 
-class CompletionBody(BaseModel):
-    """The part of an OpenAI completion request that the emulator reads."""
-
-    model_config = ConfigDict(extra="ignore")
-
-    model: str
-    prompt: str | None = None
-    messages: list[dict[str, Any]] | None = None
-    max_tokens: int | None = None
-    max_completion_tokens: int | None = None
-    stream: bool = False
-    stream_options: dict[str, Any] | None = None
-    priority: int = 0
-    cache_salt: str = ""
-
-
 class Faults(BaseModel):
     """Faults that tests switch on.
 
@@ -99,12 +80,6 @@
     seed: int = 0
 
 
-@dataclass(slots=True)
-class _Stream:
-    request: EngineRequest
-    tokens: asyncio.Queue[int] = field(default_factory=asyncio.Queue)
-
-
 class EmulatedEngine:
     """One engine process."""
 
@@ -115,7 +90,7 @@
         self.faults = Faults(event_loss=options.event_loss, event_delay=options.event_delay)
         self.model = EngineModel(options.profile)
         self._publisher: CacheEventPublisher | None = None
-        self._streams: dict[str, _Stream] = {}
+        self._streams: dict[str, CompletionStream] = {}
         self._wake = asyncio.Event()
         self._fence = 0
         self._load_history: deque[tuple[float, str]] = deque(maxlen=LOAD_LAG_HISTORY)
@@ -292,9 +267,9 @@
             return _error(400, str(error))
         if body.model not in (self.options.model, *self.options.adapters):
             return _error(404, f"no model {body.model!r}")
-        return _CompletionResponse(self, request, body)
+        return CompletionResponse(self, request, body)
 
-    def submit(self, prompt: str, body: CompletionBody, resume_from: int) -> _Stream:
+    def submit(self, prompt: str, body: CompletionBody, resume_from: int) -> CompletionStream:
         """Queue a completion and return the stream of its token positions."""
         tokenizer = ByteTokenizer()
         tokens = tokenizer.encode(prompt)
@@ -309,157 +284,17 @@
             priority=body.priority,
             emitted=resume_from,
         )
-        stream = _Stream(engine_request)
+        stream = CompletionStream(engine_request)
         self._streams[engine_request.request_id] = stream
         self.model.submit(engine_request)
         self._wake.set()
         return stream
 
-    def close(self, stream: _Stream) -> None:
+    def close(self, stream: CompletionStream) -> None:
         """Drop a stream; its request is cancelled if it still runs."""
         self._streams.pop(stream.request.request_id, None)
         self.model.cancel(stream.request.request_id)
 
 
-class _CompletionResponse(Response):
-    """Generates a completion, streamed or whole."""
-
-    def __init__(self, engine: EmulatedEngine, request: Request, body: CompletionBody) -> None:
-        super().__init__()
-        self._engine = engine
-        self._body = body
-        self._chat = request.url.path.endswith("chat/completions")
-        self._prompt = _prompt_of(body)
-        self._fingerprint = prompt_fingerprint(self._prompt)
-        given_id = request.headers.get("x-request-id", uuid.uuid4().hex)
-        self._echoed_id = "crossed" if engine.faults.cross_answers else given_id
-        self._resume_from = int(request.headers.get("x-resume-from", "0"))
-        prefix = "chatcmpl-" if self._chat else "cmpl-"
-        self._completion_id = prefix + self._echoed_id
-
-    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        stream = self._engine.submit(self._prompt, self._body, self._resume_from)
-        generate = self._stream if self._body.stream else self._whole
-        work = asyncio.create_task(generate(stream, send))
-        watch = asyncio.create_task(_wait_for_disconnect(receive))
-        try:
-            await asyncio.wait({work, watch}, return_when=asyncio.FIRST_COMPLETED)
-            if work.done():
-                work.result()
-        finally:
-            work.cancel()
-            watch.cancel()
-            await asyncio.gather(work, watch, return_exceptions=True)
-            self._engine.close(stream)
-
-    async def _stream(self, stream: _Stream, send: Send) -> None:
-        await send(self._start("text/event-stream"))
-        crash_after = self._engine.faults.crash_after_tokens
-        sent = 0
-        position = self._resume_from - 1
-        while position + 1 < stream.request.output_tokens:
-            position = await stream.tokens.get()
-            last = position + 1 >= stream.request.output_tokens
-            await send(_body_part(self._chunk(position, last), more=True))
-            sent += 1
-            if crash_after and sent >= crash_after:
-                raise ConnectionResetError("emulated crash")
-        if (self._body.stream_options or {}).get("include_usage"):
-            usage_chunk = self._envelope([]) | {"usage": self._usage(stream.request)}
-            await send(_body_part(_event(usage_chunk), more=True))
-        await send(_body_part(b"data: [DONE]\n\n", more=False))
-        self._record(stream.request)
-
-    async def _whole(self, stream: _Stream, send: Send) -> None:
-        position = -1
-        while position + 1 < stream.request.output_tokens:
-            position = await stream.tokens.get()
-        texts = [token_text(self._fingerprint, at) for at in range(stream.request.output_tokens)]
-        text = "".join(texts)
-        choice: dict[str, object] = {"index": 0, "finish_reason": "length"}
-        if self._chat:
-            choice["message"] = {"role": "assistant", "content": text}
-        else:
-            choice["text"] = text
-        answer = self._envelope([choice]) | {"usage": self._usage(stream.request)}
-        await send(self._start("application/json"))
-        await send(_body_part(json.dumps(answer).encode(), more=False))
-        self._record(stream.request)
-
-    def _record(self, request: EngineRequest) -> None:
-        entry = {
-            "request": self._echoed_id,
-            "salt": self._body.cache_salt,
-            "weights_version": self._engine.weights_version,
-            "from": self._resume_from,
-            "to": request.output_tokens,
-        }
-        self._engine.executions.append(entry)
-
-    def _start(self, content_type: str) -> dict[str, Any]:
-        headers = [
-            (b"content-type", content_type.encode()),
-            (b"x-request-id", self._echoed_id.encode()),
-        ]
-        if self._resume_from:
-            headers.append((b"x-resumed-from", str(self._resume_from).encode()))
-        return {"type": "http.response.start", "status": 200, "headers": headers}
-
-    def _envelope(self, choices: list[dict[str, object]]) -> dict[str, object]:
-        kind = "text_completion"
-        if self._chat:
-            kind = "chat.completion.chunk" if self._body.stream else "chat.completion"
-        return {
-            "id": self._completion_id,
-            "object": kind,
-            "created": int(time.time()),
-            "model": self._body.model,
-            "choices": choices,
-        }
-
-    def _chunk(self, position: int, last: bool) -> bytes:
-        text = token_text(self._fingerprint, position)
-        choice: dict[str, object] = {"index": 0, "finish_reason": "length" if last else None}
-        if self._chat:
-            choice["delta"] = {"content": text}
-        else:
-            choice["text"] = text
-        return _event(self._envelope([choice]))
-
-    def _usage(self, request: EngineRequest) -> dict[str, object]:
-        cached = request.cached_blocks * self._engine.options.profile.block_tokens
-        return {
-            "prompt_tokens": request.prompt_tokens,
-            "completion_tokens": request.output_tokens,
-            "total_tokens": request.prompt_tokens + request.output_tokens,
-            "prompt_tokens_details": {"cached_tokens": min(cached, request.prompt_tokens)},
-        }
-
-
-async def _wait_for_disconnect(receive: Receive) -> None:
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            return
-
-
-def _prompt_of(body: CompletionBody) -> str:
-    if body.messages is None:
-        return body.prompt or ""
-    messages = [
-        ChatMessage(str(entry.get("role", "")), str(entry.get("content", "")))
-        for entry in body.messages
-    ]
-    return render_chat(messages)
-
-
-def _event(content: dict[str, object]) -> bytes:
-    return b"data: " + json.dumps(content, separators=(",", ":")).encode() + b"\n\n"
-
-
-def _body_part(content: bytes, *, more: bool) -> dict[str, Any]:
-    return {"type": "http.response.body", "body": content, "more_body": more}
-
-
 def _error(status: int, message: str) -> JSONResponse:
     return JSONResponse({"error": {"message": message, "type": "emulator"}}, status_code=status)
