--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -27,7 +27,7 @@
     Args:
         observations: Where results are noted.
         nodes: Returns the nodes that may be called now.
-        keys: Returns the keys that are in use.
+        keys: Returns the keys that are drawn from.
         rng: Source of randomness.
     """
 
@@ -53,15 +53,17 @@
                 await self.call(session, self._rng.choice(self._nodes()))
                 await asyncio.sleep(PAUSE_SECONDS * self._rng.random())
 
-    async def call(self, session: aiohttp.ClientSession, node: NodeProcess) -> Sent:
-        """Send one request and note what came of it."""
+    async def call(
+        self, session: aiohttp.ClientSession, node: NodeProcess, key: str | None = None
+    ) -> Sent:
+        """Send one request, with a key that is drawn or given, and note what came of it."""
         self._count += 1
         kind = self._rng.choice(KINDS)
         request = Sent(
             f"{kind}-{id(self):x}-{self._count}",
             kind,
             node.name,
-            self._rng.choice(self._keys()),
+            key or self._rng.choice(self._keys()),
             time.monotonic(),
             expected_events=EVENTS if kind == "stream" else None,
         )
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -14,6 +14,7 @@
 RETRY_AFTER_STATUSES = frozenset({429, 503})
 REVOKE_SECONDS = 5.0
 MAX_RUNS = 2
+LIMIT_WINDOW_SECONDS = 8.0
 EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 
 
@@ -54,12 +55,14 @@
     Attributes:
         revoked_at: When the removal of each key was acknowledged.
         orders: Orders that each runner took, in order.
+        most_runs: Requests of a key, whose tenant has a limit, that may run within a window.
     """
 
     sent: list[Sent] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     revoked_at: dict[str, float] = field(default_factory=dict)
     orders: dict[str, list[OrderBody]] = field(default_factory=dict)
+    most_runs: dict[str, float] = field(default_factory=dict)
 
     def violations(self) -> list[str]:
         """Return every broken promise."""
@@ -67,6 +70,7 @@
             *self._answers(),
             *self._runs(),
             *self._revoked(),
+            *self._limits(),
             *self._order_fences(),
         ]
 
@@ -103,6 +107,18 @@
             if late > REVOKE_SECONDS:
                 yield f"{run.request_id}: ran with a key that was revoked {late:.1f} s before"
 
+    def _limits(self) -> Iterator[str]:
+        key_of = {request.request_id: request.key for request in self.sent}
+        began: dict[str, dict[str, float]] = defaultdict(dict)
+        for run in self.runs:
+            key = key_of.get(run.request_id, "")
+            if key in self.most_runs:
+                began[key].setdefault(run.request_id, run.began_at)
+        for key, times in began.items():
+            worst = _most_in_a_window(sorted(times.values()))
+            if worst > self.most_runs[key]:
+                yield f"{key}: {worst} requests ran in {LIMIT_WINDOW_SECONDS:.0f} s"
+
     def _order_fences(self) -> Iterator[str]:
         holders: dict[int, str] = {}
         for runner_id, orders in self.orders.items():
@@ -114,6 +130,16 @@
                     yield f"{runner_id}: fence {order.fence} of two holders"
 
 
+def _most_in_a_window(times: list[float]) -> int:
+    """Return how many moments fall into a window at the most."""
+    first = most = 0
+    for last, at in enumerate(times):
+        while at - times[first] >= LIMIT_WINDOW_SECONDS:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
 def _own_answer(request: Sent) -> Iterator[str]:
     name = f"{request.request_id} ({request.kind} at {request.node})"
     if not request.signature.endswith("." + request.request_id):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -46,7 +46,8 @@
     result = SoakResult(seed)
     system = SoakedSystem(folder)
     await system.start()
-    callers = Callers(system.observations, system.callable_nodes, system.keys, Random(seed + 1))
+    rng_of_callers = Random(seed + 1)
+    callers = Callers(system.observations, system.callable_nodes, system.all_keys, rng_of_callers)
     calling = [asyncio.create_task(callers.run()) for _ in range(CALLERS)]
     watching = asyncio.create_task(_watch(system))
     try:
@@ -95,7 +96,7 @@
         for node in system.callable_nodes():
             served = 0
             while served < SERVED_IN_A_ROW and time.monotonic() < ends_at:
-                answer = await callers.call(session, node)
+                answer = await callers.call(session, node, system.keys()[0])
                 served = served + 1 if answer.status == 200 else 0
             if served < SERVED_IN_A_ROW:
                 result.violations.append(f"{node.name} does not serve again")
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -20,7 +20,11 @@
 ENGINE_COUNT = 4
 APPLICATION_COUNT = 3
 KEY_COUNT = 3
+LIMITED_TENANT = TenantBody("tenant-2", ["limited-key"], rate_per_s=10, burst=10)
+TOLERANCE = {"limit_window_seconds": 8, "limit_overshoot": 0.1, "limit_slack": 20}
 GRACE_SECONDS = 8.0
+# What the limit and the tolerance above allow in a window.
+MOST_LIMITED_RUNS = (10 * 8 + 10) * 1.1 + 20
 
 
 class ObservedRunner(FleetRunner):
@@ -47,6 +51,7 @@
     def __init__(self, folder: Path) -> None:
         self.deployment = Deployment(folder)
         self.observations = Observations()
+        self.observations.most_runs = {"limited-key": MOST_LIMITED_RUNS}
         self.proxy = FaultProxy()
         self.weights = 1
         self._nodes: dict[str, NodeProcess] = {}
@@ -76,9 +81,13 @@
         self.proxy.close()
 
     def keys(self) -> list[str]:
-        """Return the keys in use."""
+        """Return the keys of the tenant without a limit that are in use."""
         return self._keys
 
+    def all_keys(self) -> list[str]:
+        """Return keys to draw from: those of the tenant with a limit are as many as the others."""
+        return self._keys + LIMITED_TENANT.api_keys * len(self._keys)
+
     def callable_nodes(self) -> list[NodeProcess]:
         """Return all nodes, those that are down too."""
         return list(self._nodes.values())
@@ -103,7 +112,9 @@
         if known is not None and known.process.poll() is None:
             return
         store = self._stores[name]
-        self._nodes[name] = self.deployment.launch(name, store=store, grace_seconds=GRACE_SECONDS)
+        self._nodes[name] = self.deployment.launch(
+            name, store=store, grace_seconds=GRACE_SECONDS, **TOLERANCE
+        )
         self._busy.discard(name)
 
     async def end_node(self, name: str, number: signal.Signals) -> None:
@@ -178,4 +189,5 @@
         return problems
 
     def _configure(self) -> None:
-        self.deployment.configure(tenants=[TenantBody("tenant-1", list(self._keys))])
+        tenants = [TenantBody("tenant-1", list(self._keys)), LIMITED_TENANT]
+        self.deployment.configure(tenants=tenants)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -78,3 +78,18 @@
 )
 def test_orders_out_of_turn_are_found(order: OrderBody) -> None:
     assert len(found(orders=(ORDER, order))) == 1
+
+
+def test_more_runs_of_a_limited_key_than_a_window_allows_are_found() -> None:
+    sent = [replace(ONCE, request_id=f"r-{number}", status=None) for number in range(6)]
+    runs = [Run(f"r-{number}", "i-1", 10.0 + 2 * number) for number in range(6)]
+    seen = Observations(sent, runs, most_runs={"key-1": 4})
+    assert seen.violations() == []
+    seen.most_runs = {"key-1": 3}
+    assert "ran in 8 s" in seen.violations()[0]
+
+
+def test_a_request_that_ran_twice_counts_once_for_its_limit() -> None:
+    sent = [replace(ONCE, kind="safe", status=None)]
+    runs = [RUN, replace(RUN, runner_id="i-2")]
+    assert Observations(sent, runs, most_runs={"key-1": 1}).violations() == []
