--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -392,8 +392,8 @@
     Mutation(
         "limits are shared before the other nodes are known",
         "daemon/limit_client.py",
-        "or not table.has_limits() or not self._state.directory_known:",
-        "or not table.has_limits():",
+        "if table is None or not self._state.directory_known:",
+        "if table is None:",
     ),
     Mutation(
         "tokens that nobody asked for are taken",
