A silent runner is left in the middle of a stream only where the stream can go on

While it waits for a head a node asks whether another attempt would be allowed before it leaves a silent runner; in the middle of a stream it did not, and with the retry budget used up (198 over 79 nodes: two a window) the stream ended with "no further attempt allowed". The test failed with just that.

Ruled out: the caller (it waited on), the runner (its run ends when the connection is closed).

--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -365,7 +365,9 @@
                 async with asyncio.timeout(SILENCE_CHECK_SECONDS):
                     return await answer.next_piece()
             except TimeoutError:
-                self._check_silence(placed.runner, "relay")
+                # A silent runner may speak again: its stream is only left where it can go on.
+                if self._may_follow(job):
+                    self._check_silence(placed.runner, "relay")
 
     def _refused(self, job: Job, runner: Runner, error: RunnerRefusedError) -> None:
         now = self._clock()
--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -11,6 +11,7 @@
 
 from hillstack.core.part_index import PromptPart
 from hillstack.core.routing_table import KeptCacheStore, RouteKind, ServiceShare, TenantEntry
+from hillstack.core.shared_retry_budget import SharedRetryBudget
 from hillstack.core.tenant_limits import LimitUnit, TenantLimit
 from hillstack.errors import BackendBrokenError
 from hillstack.messages.peer_notices import PlacementNotice
@@ -248,6 +249,14 @@
         assert error is None and sink.body == b"ok"
 
 
+def test_a_silent_stream_goes_on_where_no_further_attempt_is_allowed() -> None:
+    bench = make_stream_bench(i_1=answers(EVENTS[0], 2.0, EVENTS[1], EVENTS[2]))
+    bench.state.budget = SharedRetryBudget(0.0, 0.0, 10.0)
+    sink, error = bench.serve(stream_request())
+    assert error is None
+    assert (sink.body, sink.finished) == (b"".join(EVENTS), True)
+
+
 def test_a_request_whose_caller_leaves_is_taken_back_from_the_runner() -> None:
     bench = make_bench(i_1=hangs())
     task = bench.run(bench.pipeline.serve(make_request(), FakeSink()), until=0.1)
