--- a/src/hillstack/core/bucket_holders.py
+++ b/src/hillstack/core/bucket_holders.py
@@ -50,10 +50,7 @@
         group = self._choice.group(self._zone)
         if group is None:
             return []
-        zones = (zone for zone in self._directory.zones() if zone != group)
-        relays = (self._choice.relay(zone, now) for zone in zones)
-        nodes = (self._directory.get(relay) for relay in relays if relay is not None)
-        return [n for n in nodes if n is not None and n.node_id != self._node_id]
+        return self._choice.relays_of_others(group, now)
 
     def note_silent(self, node_id: str, now: float) -> None:
         """Note that a holder did not answer."""
--- a/src/hillstack/core/relay_choice.py
+++ b/src/hillstack/core/relay_choice.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from hillstack.core.node_directory import NodeDirectory
+from hillstack.core.node_directory import NodeDirectory, NodeEntry
 
 # Up to so many nodes tell each other directly. A relay adds some 30 ms; at 16 nodes the direct way
 # costs each node some 300 datagrams a second at most, as many as a relay takes in a large zone.
@@ -53,6 +53,13 @@
                 return node_id
         return order[0] if order else None
 
+    def relays_of_others(self, zone: str, now: float) -> list[NodeEntry]:
+        """Return the other nodes that relay, for all zones but one."""
+        zones = (other for other in self._directory.zones() if other != zone)
+        relays = (self.relay(other, now) for other in zones)
+        nodes = (self._directory.get(relay) for relay in relays if relay is not None)
+        return [n for n in nodes if n is not None and n.node_id != self._node_id]
+
     def before_this(self, zone: str | None, now: float) -> list[str]:
         """Return the nodes of a zone, or of all, that come before this one and are not silent."""
         order = self._directory.relay_order(zone)
--- a/src/hillstack/daemon/limit_holder.py
+++ b/src/hillstack/daemon/limit_holder.py
@@ -89,7 +89,9 @@
 
     async def answer(self, question: TokenQuestion) -> TokenAnswer:
         """Answer a question, with tokens of other holders where those here are too few."""
-        missing = self._take_over(question)
+        return await self._complete(question, self._take_over(question))
+
+    async def _complete(self, question: TokenQuestion, missing: dict[str, float]) -> TokenAnswer:
         if missing:
             await self._gather(missing)
         return self._decide(question)
@@ -110,8 +112,7 @@
     async def _answer_late(
         self, question: TokenQuestion, missing: dict[str, float], node: NodeEntry
     ) -> None:
-        await self._gather(missing)
-        self._send_answer(self._decide(question), node)
+        self._send_answer(await self._complete(question, missing), node)
 
     def _send_answer(self, answer: TokenAnswer, node: NodeEntry) -> None:
         self._link.send(DatagramKind.TOKEN_ANSWER, pack(answer), node.address)
--- a/src/hillstack/daemon/notice_relay.py
+++ b/src/hillstack/daemon/notice_relay.py
@@ -176,10 +176,7 @@
         return [node.address for node in nodes if node.node_id != self._state.node_id]
 
     def _far_addresses(self, now: float) -> list[str]:
-        directory = self._state.nodes
-        relays = (self._choice.relay(z, now) for z in directory.zones() if z != self._zone)
-        found = (directory.get(relay) for relay in relays if relay is not None)
-        return [node.address for node in found if node is not None]
+        return [node.address for node in self._choice.relays_of_others(self._zone, now)]
 
     def _schedule(self, *, urgent: bool) -> None:
         if urgent:
--- a/src/hillstack/daemon/pending_answers.py
+++ b/src/hillstack/daemon/pending_answers.py
@@ -41,10 +41,8 @@
         finally:
             del self._waiting[number]
 
-    def take(self, number: int, answer: Answer) -> bool:
-        """Hand over an answer; return whether anybody still waits for it."""
+    def take(self, number: int, answer: Answer) -> None:
+        """Hand over an answer, if anybody still waits for it."""
         waiting = self._waiting.get(number)
-        if waiting is None or waiting.done():
-            return False
-        waiting.set_result(answer)
-        return True
+        if waiting is not None and not waiting.done():
+            waiting.set_result(answer)
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -258,8 +258,7 @@
                 await asyncio.wait({sending}, timeout=SILENCE_CHECK_SECONDS)
                 if sending.done():
                     return sending.result()
-                if self._may_follow(job):
-                    self._check_silence(placed.runner, "await answer")
+                self._check_silence(job, placed.runner, "await answer")
                 self._check_weights(job, placed.runner, dispatch)
         finally:
             sending.cancel()
@@ -273,9 +272,11 @@
             text = "not begun before newer weights were due"
             raise BackendBrokenError(text, step="await answer", peer=runner.runner_id)
 
-    def _check_silence(self, runner: Runner, step: str) -> None:
+    def _check_silence(self, job: Job, runner: Runner, step: str) -> None:
+        """Leave a silent runner where the request can go on elsewhere: it may speak again."""
         now = self._clock()
-        if runner.is_silent(now) and now - runner.last_heard_at >= SILENCE_LIMIT_SECONDS:
+        is_silent = runner.is_silent(now) and now - runner.last_heard_at >= SILENCE_LIMIT_SECONDS
+        if is_silent and self._may_follow(job):
             raise BackendBrokenError("the runner is silent", step=step, peer=runner.runner_id)
 
     def _may_follow(self, job: Job) -> bool:
@@ -365,9 +366,7 @@
                 async with asyncio.timeout(SILENCE_CHECK_SECONDS):
                     return await answer.next_piece()
             except TimeoutError:
-                # A silent runner may speak again: its stream is only left where it can go on.
-                if self._may_follow(job):
-                    self._check_silence(placed.runner, "relay")
+                self._check_silence(job, placed.runner, "relay")
 
     def _refused(self, job: Job, runner: Runner, error: RunnerRefusedError) -> None:
         now = self._clock()
