A runner's return is told to peers also when it comes with its removal

Cause: whether an entry was a heartbeat was asked for a whole answer of the store at once, against what was known before it. An entry that had lapsed in an outage and was written again before the first look passed for a heartbeat and was held back; peers heard of the removal only, and nobody ordered the runner. Ruled out: the read of the store, orders (docs/incidents/runners-left-on-old-weights.md). Change: the log of changes decides change by change; the second list of entries in the sync is gone. Besides, since a lost change would stay lost: the node that watches the store compares all it knows with a whole list each 5 s in place of a look, and answers between nodes carry a digest of what their sender knows. The test's wait is shorter than when it landed (3 s for 10 s), so that the comparison can't hide the order. FakeStore's list now follows its changes, as the store's does; no check was eased.

--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -109,8 +109,8 @@
         self._link = PeerLink()
         choice = RelayChoice(settings.node.id, self._state.nodes)
         self._peers = PeerExchange(self._state, self._link, choice, zone, self._clock, rng)
-        changes = ChangeLog()
-        store_relay = StoreRelay(self._state, changes, self._link, self._clock)
+        self._changes = ChangeLog()
+        store_relay = StoreRelay(self._state, self._changes, self._link, self._clock)
         placement = RunnerPlacement(self._state, self._peers, zone, rng)
         self._peers.handle_placements(placement.observe_placement, placement.observe_read)
         feed = HttpCacheFeed(self._runner_session)
@@ -136,7 +136,7 @@
         self._sync = StoreSync(
             store,
             self._state,
-            changes,
+            self._changes,
             store_relay,
             choice,
             own,
@@ -221,6 +221,12 @@
             "Age of what is known of the store.",
             lambda: state.freshness.age(self._clock()),
         )
+        metrics.gauge(
+            "store_revision",
+            "Revision of the store up to which all is known.",
+            lambda: self._changes.revision,
+        )
+        metrics.gauge("runners_listed", "Runners known.", lambda: len(state.pool.all()))
         metrics.gauge("runners_accepting", "Runners that may get new work.", accepting)
         metrics.gauge(
             "believed_parts", "Prompt parts believed cached.", lambda: state.index.part_count()
--- a/src/hillstack/daemon/store_relay.py
+++ b/src/hillstack/daemon/store_relay.py
@@ -46,6 +46,7 @@
         outage_ended_at: When the store came back for the peer; None if it was not away.
         keys: All keys that exist, where removals are not among the changes; else None.
         is_complete: Whether the changes are there.
+        digest: Stands for all that the peer knows as of ``revision``; None if it is not told.
     """
 
     items: list[StoredItem]
@@ -54,6 +55,7 @@
     outage_ended_at: float | None
     keys: list[str] | None
     is_complete: bool
+    digest: int | None = None
 
 
 class StoreRelay:
@@ -126,6 +128,7 @@
             self._age_ms(self._state.outage_ended_at()),
             [ItemChange(item.key, item.revision, item.value) for item in changes.items],
             changes.keys,
+            digest=self._log.digest(),
         )
 
     def _ages_only(self, question: ChangesQuestion) -> ChangesAnswer:
@@ -157,4 +160,5 @@
         asked_at - outage / MILLISECONDS if outage is not None else None,
         answer.keys,
         answer.is_complete,
+        answer.digest,
     )
--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -14,12 +14,11 @@
 
 from hillstack.core.node_directory import NodeEntry
 from hillstack.core.relay_choice import RelayChoice
-from hillstack.core.runner_pool import RunnerEntry
 from hillstack.daemon.change_log import ChangeLog, ListedKeys, StoreChange, StoredItem
 from hillstack.daemon.store_relay import RelayedChanges
 from hillstack.errors import HistoryLostError, PlatformError
 from hillstack.logs import error_fields
-from hillstack.serving.fleet_state import DutyHeld, FleetState, NodeListed, RunnerListed, StoreEvent
+from hillstack.serving.fleet_state import DutyHeld, FleetState, NodeListed
 
 logger = logging.getLogger(__name__)
 
@@ -40,6 +39,15 @@
 # A peer's knowledge is fresh while it is younger than two looks and the wait for a slow answer.
 FRESH_LOOKS = 2.0
 FRESH_MARGIN_SECONDS = 0.5
+# A node that watches the store compares all that it knows with the store that often, by a list in
+# place of a look, so without a further call: a change that was lost is found before newer weights
+# are due (8 s, less a load of 1.3 s).
+COMPARE_SECONDS = 5.0
+# In a large deployment less often: a key's 400 bytes each 0.1 s are 4 KB/s, a third of what a node
+# may spend on control (12 KB/s).
+COMPARE_SECONDS_A_KEY = 0.1
+# Keys in one line of the log; their count is told besides.
+MAX_KEYS_LOGGED = 20
 # Up to so many nodes are one group, whose first node watches the store for all: its answers take a
 # percent of a core then. In a larger deployment each zone is one, so that what is handed on stays
 # inside it.
@@ -147,7 +155,8 @@
         self._direct_from = float("-inf")
         self._refusal: PlatformError | None = None
         self._source: str | None = None
-        self._entries: dict[str, RunnerEntry] = {}
+        self._compare_at = float("-inf")
+        self._reload_from = float("-inf")
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -176,16 +185,21 @@
     async def _load(self, started_at: float) -> int:
         snapshot = await self._store.snapshot()
         self._regained()
-        self._entries.clear()
-        self._apply(snapshot.changes)
-        items = [change.item for change in snapshot.changes]
-        self._log.load(items, snapshot.revision)
-        self._retain([item.key for item in items], snapshot.revision)
+        self._take_snapshot(snapshot, started_at)
         self._state.duty_known = True
-        self._state.freshness.prove(started_at)
         self._state.start_gate.open()
         return snapshot.revision
 
+    def _take_snapshot(self, snapshot: SnapshotView, asked_at: float) -> None:
+        self._apply(snapshot.changes)
+        self._log.load(snapshot.changes, snapshot.revision)
+        self._retain([change.item.key for change in snapshot.changes], snapshot.revision)
+        self._state.freshness.prove(asked_at)
+        self._compare_at = asked_at + self._compare_pause()
+
+    def _compare_pause(self) -> float:
+        return max(COMPARE_SECONDS, COMPARE_SECONDS_A_KEY * self._log.size())
+
     async def _announce_if_missing(self) -> None:
         """Write this node's entry if it is not listed, or was taken off the list."""
         known = self._state.nodes.get(self._state.node_id)
@@ -203,7 +217,7 @@
         asked = self._choice.before_this(group, self._clock())[:MAX_PEERS_ASKED]
         relayed = await self._ask_peers(asked, revision)
         if relayed is not None:
-            return self._take_relayed(relayed, revision)
+            return await self._take_relayed(relayed, revision)
         failure = await self._try_store(revision, may_pause=len(self._state.nodes) > 1)
         if isinstance(failure, int):
             return failure
@@ -212,7 +226,7 @@
         chosen = self._rng.sample(others, min(MAX_PEERS_ASKED, len(others)))
         relayed = await self._ask_peers(self._with_last_source(chosen, others), revision)
         if relayed is not None:
-            return self._take_relayed(relayed, revision)
+            return await self._take_relayed(relayed, revision)
         raise failure
 
     def _with_last_source(self, chosen: list[str], others: list[str]) -> list[str]:
@@ -242,7 +256,7 @@
         if may_pause and self._refusal is not None and self._clock() < self._direct_from:
             return self._refusal
         try:
-            revision = await self._follow_store(revision)
+            revision = await self._look_at_store(revision)
         except HistoryLostError:
             raise
         except PlatformError as error:
@@ -254,33 +268,80 @@
         self._refusal = None
         return revision
 
-    async def _follow_store(self, revision: int) -> int:
+    async def _look_at_store(self, revision: int) -> int:
+        if self._clock() >= self._compare_at:
+            return await self._compare(revision)
         started_at = self._clock()
         changes = await self._store.changes(revision, WATCH_WAIT_SECONDS)
         self._regained()
         self._note_source(None)
-        significant = [change for change in changes.changes if self._is_significant(change)]
-        self._apply(changes.changes)
-        self._log.take([change.item for change in significant], changes.revision)
+        self._take_changes(changes.changes, changes.revision)
         self._state.freshness.prove(started_at)
         return changes.revision
 
+    async def _compare(self, revision: int) -> int:
+        """Take over a whole list of the store, in place of a look for changes.
+
+        A change that was lost once would stay lost, since entries are not written again: a runner
+        would get neither requests nor orders until all nodes have started anew.
+        """
+        started_at = self._clock()
+        # Set ahead of the call: one that fails is followed by an ordinary look.
+        self._compare_at = started_at + self._compare_pause()
+        snapshot = await self._store.snapshot()
+        self._regained()
+        self._note_source(None)
+        if snapshot.revision < revision:
+            # The store never goes back; an answer from before proves nothing.
+            return revision
+        comparison = self._log.compare(snapshot.changes, snapshot.revision)
+        if comparison.missed:
+            self._note_missed(comparison.missed)
+            self._take_snapshot(snapshot, started_at)
+            return snapshot.revision
+        removals = self._store.read_items(comparison.removed)
+        changes = sorted([*comparison.news, *removals], key=lambda change: change.item.revision)
+        self._take_changes(changes, snapshot.revision)
+        self._state.freshness.prove(started_at)
+        return snapshot.revision
+
+    def _note_missed(self, keys: Sequence[str]) -> None:
+        fields = {"missed": keys[:MAX_KEYS_LOGGED], "count": len(keys)}
+        logger.warning("changes of the store were missed", extra=fields)
+
+    def _take_changes(self, changes: Sequence[StoreChange], revision: int) -> None:
+        self._apply(changes)
+        self._log.take(changes, revision)
+
     def _is_fresh(self, relayed: RelayedChanges) -> bool:
         return self._clock() - relayed.proved_at <= self._fresh_seconds()
 
     def _fresh_seconds(self) -> float:
         return FRESH_LOOKS * self._interval + FRESH_MARGIN_SECONDS
 
-    def _take_relayed(self, relayed: RelayedChanges, revision: int) -> int:
-        changes = self._store.read_items(relayed.items)
+    async def _take_relayed(self, relayed: RelayedChanges, revision: int) -> int:
+        """Take over what a peer knows; return the new revision."""
         self._take_outage(relayed)
-        self._apply(changes)
-        self._log.take(relayed.items, relayed.revision)
+        self._take_changes(self._store.read_items(relayed.items), relayed.revision)
         if relayed.keys is not None:
             self._log.retain(relayed.keys, relayed.revision)
             self._retain(relayed.keys, relayed.revision)
         self._state.freshness.prove(relayed.proved_at)
-        return max(revision, relayed.revision)
+        revision = max(revision, relayed.revision)
+        # A node that the store turns away fails here, and asks its peers again at the next look.
+        return await self._load(self._clock()) if self._differs_from(relayed) else revision
+
+    def _differs_from(self, relayed: RelayedChanges) -> bool:
+        """Return whether a peer at the same revision knows something else, now and then at most."""
+        now, own = self._clock(), self._log.digest()
+        if relayed.revision != self._log.revision or relayed.digest is None or own is None:
+            return False
+        if relayed.digest == own or now < self._reload_from:
+            return False
+        # The peer may be the one that is wrong: it finds out by its own look at the whole store.
+        self._reload_from = now + self._compare_pause()
+        logger.warning("known otherwise than by a peer", extra={"by_way_of": self._source})
+        return True
 
     def _take_outage(self, relayed: RelayedChanges) -> None:
         """Take over that the store was away, if this node had no fresh knowledge meanwhile either.
@@ -305,13 +366,6 @@
         if not listed.duty_held:
             self._state.apply(DutyHeld(None), now)
 
-    def _is_significant(self, change: StoreChange) -> bool:
-        """Return whether a change is more than a runner's heartbeat."""
-        if not isinstance(change.event, RunnerListed):
-            return True
-        known = self._entries.get(change.item.key)
-        return known is None or not known.is_same_but_revision(change.event.entry)
-
     def _note_source(self, node_id: str | None) -> None:
         if node_id == self._source:
             return
@@ -322,16 +376,9 @@
         not_before = self._state.freshness.proved_at()
         now = self._clock()
         for change in changes:
-            self._remember(change.item.key, change.event)
             if change.event is not None:
                 self._state.apply(change.event, not_before, now)
 
-    def _remember(self, key: str, event: StoreEvent | None) -> None:
-        if isinstance(event, RunnerListed):
-            self._entries[key] = event.entry
-        else:
-            self._entries.pop(key, None)
-
     def _lost(self, error: PlatformError) -> None:
         now = self._clock()
         self._state.start_gate.open()
--- a/src/hillstack/messages/store_changes.py
+++ b/src/hillstack/messages/store_changes.py
@@ -39,6 +39,7 @@
         items: The changes.
         keys: All keys that exist, where removals are not told one by one; else None.
         is_complete: Whether everything fitted; if not, only ages are told.
+        digest: Stands for all keys that exist as of ``revision``, and what lies there.
     """
 
     node_id: str
@@ -49,3 +50,4 @@
     items: list[ItemChange] = msgspec.field(default_factory=list)
     keys: list[str] | None = None
     is_complete: bool = True
+    digest: int | None = None
--- a/tests/fleet/node_network.py
+++ b/tests/fleet/node_network.py
@@ -127,6 +127,7 @@
     zone: str
     limits: LimitClient
     buckets: TokenBuckets
+    log: ChangeLog
     placements: list[PlacementNotice] = field(default_factory=list)
     reads: list[tuple[str, int]] = field(default_factory=list)
     cut: bool = False
@@ -220,7 +221,9 @@
         holder = LimitHolder(state, buckets, holders, link, clock, rng)
         leases = TokenLeases(clock())
         limits = LimitClient(state, leases, holders, holder, link, clock, rng)
-        node = SimulatedNode(state, exchange, choice, link, loop, address, zone, limits, buckets)
+        node = SimulatedNode(
+            state, exchange, choice, link, loop, address, zone, limits, buckets, ChangeLog()
+        )
         exchange.handle_placements(
             lambda _, notice, now: node.placements.append(notice),
             lambda peer, number, now: node.reads.append((peer, number)),
@@ -267,15 +270,14 @@
         self.scheduler.at(self.scheduler.now + DELAY_SECONDS, arrive)
 
     def _start(self, node: SimulatedNode, rng: Random) -> None:
-        log = ChangeLog()
         clock = self.scheduler.clock
         client = StoreClient(self.store, node.node_id)
         registry = NodeRegistry(client, node.state, node.exchange.silent_nodes, clock)
         sync = StoreSync(
             client,
             node.state,
-            log,
-            StoreRelay(node.state, log, node.link, clock),
+            node.log,
+            StoreRelay(node.state, node.log, node.link, clock),
             node.choice,
             NodeEntry(node.node_id, node.address, node.zone),
             INTERVAL_SECONDS,
--- a/tests/fleet/test_relays.py
+++ b/tests/fleet/test_relays.py
@@ -8,12 +8,15 @@
 import pytest
 
 from hillstack.core.node_directory import NodeDirectory, NodeEntry
+from hillstack.daemon.change_log import StoreChange, StoredItem
+from hillstack.daemon.store_sync import COMPARE_SECONDS, COMPARE_SECONDS_A_KEY
 from hillstack.errors import CodecError
 from hillstack.messages.packing import pack, unpack
 from hillstack.messages.peer_notices import PROTOCOL_VERSION
 from hillstack.messages.relay_batches import RelayBatch
 from hillstack.messages.store_changes import ChangesAnswer, ChangesQuestion
 from hillstack.platform import names
+from hillstack.serving.fleet_state import RunnerUnlisted
 from tests.fleet.builders import ENGINES, MODEL
 from tests.fleet.node_network import (
     INTERVAL_SECONDS,
@@ -45,6 +48,17 @@
     return next(node for node in network.nodes.values() if node not in excluded)
 
 
+def compare_seconds(network: NodeNetwork) -> float:
+    return max(COMPARE_SECONDS, COMPARE_SECONDS_A_KEY * len(network.store.items))
+
+
+def forget_runner(node: SimulatedNode, runner_id: str) -> None:
+    """Let a node take a runner for removed, as if it had missed its return."""
+    removal = StoredItem(names.RUNNERS_PREFIX + runner_id, node.log.revision, None)
+    node.log.take([StoreChange(removal, RunnerUnlisted(runner_id))], node.log.revision)
+    node.state.pool.unlist(runner_id, 0.0, 0.0)
+
+
 def test_a_placement_reaches_each_other_node_once_and_soon(network: NodeNetwork) -> None:
     sender = other_than(network, *(relay_of(network, f"zone-{n}") for n in range(ZONES)))
     network.at_node(sender, partial(sender.sent, "i-1", "a"))
@@ -280,13 +294,58 @@
     network.run(2.5)
     for runner_id in network.runner_ids[2:]:
         write_runner(network, runner_id)
-    network.run(10.0)
+    network.run(3.0)
     for node in network.nodes.values():
         accepting = node.state.pool.accepting(ENGINES, network.scheduler.now)
         assert sorted(r.runner_id for r in accepting) == network.runner_ids, node.node_id
     network.close()
 
 
+def test_a_change_that_was_lost_once_is_found_by_all_nodes(network: NodeNetwork) -> None:
+    # A runner comes and a runner goes, and the store tells nobody: only a whole list shows it.
+    network.runner_ids.append("i-new")
+    write_runner(network, "i-new")
+    network.store.put("servers/i-1", None)
+    network.store.history.clear()
+    network.run(compare_seconds(network) + 2 * INTERVAL_SECONDS + 0.2)
+    for node in network.nodes.values():
+        assert node.state.pool.get("i-new") is not None, node.node_id
+        assert node.state.pool.get("i-1") is None, node.node_id
+
+
+def test_a_node_that_missed_what_its_peer_knows_reads_all_anew(network: NodeNetwork) -> None:
+    node = other_than(network, *(relay_of(network, f"zone-{n}") for n in range(ZONES)))
+    forget_runner(node, "i-2")
+    network.run(2 * INTERVAL_SECONDS + 0.2)
+    assert node.state.pool.get("i-2") is not None
+    # Once is enough: nobody reads all again and again.
+    network.store.calls.clear()
+    network.run(10.0)
+    assert network.store.calls[node.node_id] == 0
+
+
+def test_a_node_that_the_store_turns_away_goes_on_with_a_peer_that_knows_otherwise(
+    network: NodeNetwork,
+) -> None:
+    node = other_than(network, *(relay_of(network, f"zone-{n}") for n in range(ZONES)))
+    network.store.down_for = {node.node_id}
+    forget_runner(node, "i-2")
+    network.run(20.0)
+    assert node.state.freshness.is_fresh(network.scheduler.now)
+    write_runner(network, "i-4", state="draining", seq=9)
+    network.run(2 * INTERVAL_SECONDS + 0.2)
+    runner = node.state.pool.get("i-4")
+    assert runner is not None and runner.entry.draining
+
+
+def test_what_the_watching_node_missed_and_handed_on_is_found_by_all(network: NodeNetwork) -> None:
+    for node in network.nodes.values():
+        if node.zone == "zone-3":
+            forget_runner(node, "i-2")
+    network.run(2 * compare_seconds(network) + 2 * INTERVAL_SECONDS + 0.2)
+    assert all(node.state.pool.get("i-2") is not None for node in network.nodes.values())
+
+
 def test_an_outage_that_one_relay_alone_has_seen_moves_nobody_elses_bounds(
     network: NodeNetwork,
 ) -> None:
--- a/tests/fleet/test_store_sync.py
+++ b/tests/fleet/test_store_sync.py
@@ -74,20 +74,41 @@
     meanings: dict[bytes | None, StoreEvent] = field(default_factory=dict)
     calls: int = 0
     loads: int = 0
+    held: dict[str, StoreChange] = field(default_factory=dict)
+    held_of: Snapshot | None = None
+    revision: int = 0
 
     async def snapshot(self) -> Snapshot:
         self.calls += 1
         self.loads += 1
         if isinstance(self.failure, PlatformUnavailableError):
             raise self.failure
-        return self.snapshots[0]
+        self._hold_snapshot()
+        self._carry_out_pending()
+        return Snapshot(list(self.held.values()), self.revision)
 
     async def changes(self, revision: int, wait_seconds: float) -> Changes:
         self.calls += 1
         if self.failure is not None:
             raise self.failure
+        return Changes(self._carry_out_pending(), self.revision)
+
+    def _hold_snapshot(self) -> None:
+        scripted = self.snapshots[0]
+        if scripted is not self.held_of:
+            self.held_of = scripted
+            self.held = {change.item.key: change for change in scripted.changes}
+            self.revision = scripted.revision
+
+    def _carry_out_pending(self) -> list[StoreChange]:
         events, self.pending = self.pending, []
-        return Changes(as_changes(events, revision + 1), revision + len(events))
+        changes = as_changes(events, self.revision + 1)
+        self.revision += len(events)
+        for change in changes:
+            self.held.pop(change.item.key, None)
+            if not change.is_removal:
+                self.held[change.item.key] = change
+        return changes
 
     async def announce_node(self, node: NodeEntry) -> int:
         self.announced.append(f"{node.address} {node.zone}")
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -18,6 +18,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 WORKERS = 4
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
 
 @dataclass(frozen=True, slots=True)
@@ -407,6 +408,32 @@
         "        asked = [self._ask(node, missing) for node in others]",
         "        asked = [self._ask(node, missing) for node in others[:0]]",
     ),
+    Mutation(
+        "an entry's return is weighed against what stood before its removal",
+        "daemon/change_log.py",
+        """        for change in changes:
+            # Each is""",
+        """        for change in [change for change in changes if not self._is_heartbeat(change)]:
+            # Each is""",
+    ),
+    Mutation(
+        "a change that was sent again is not told in its order",
+        "daemon/change_log.py",
+        "if known is None or known.item.revision >= change.item.revision:",
+        "if known is None:",
+    ),
+    Mutation(
+        "what is known is not compared with the store",
+        "daemon/store_sync.py",
+        "if self._clock() >= self._compare_at:",
+        "if False:",
+    ),
+    Mutation(
+        "what is known is not compared with the peer's knowledge",
+        "daemon/store_sync.py",
+        "return await self._load(self._clock()) if self._differs_from(relayed) else revision",
+        "return revision",
+    ),
 )
 
 
@@ -430,6 +457,8 @@
         shutil.copytree(ROOT / "src", copy / "src")
         shutil.copytree(ROOT / "tests", copy / "tests")
         shutil.copy(ROOT / "pyproject.toml", copy)
+        if KNOWN_RED.exists():
+            shutil.copy(KNOWN_RED, copy)
         path = copy / "src" / "hillstack" / mutation.path
         text = path.read_text()
         if mutation.old and text.count(mutation.old) != 1:
