A stopping node waits 0.3 s for the store to take the duty back, not 1.5 s

Cause: the duty is handed over when the last request is answered or 0.7 s before the end of the grace, and the call to the store may take 1.5 s, so a holder that stops while the store is silent is killed by force. Test: fails with a wait of 10 s, passes with 0.3 s. The lease lapses within 2 s by itself.

--- a/src/hillstack/daemon/rollout_duty.py
+++ b/src/hillstack/daemon/rollout_duty.py
@@ -48,6 +48,9 @@
 REPORT_LAG_SECONDS = 0.3
 # A runner that was not reached is tried again after that.
 REST_SECONDS = 0.5
+# Two calls of an ordinary store. The stop leaves 0.7 s to the end of the process by force, and a
+# lease that was not given up lapses within 2 s.
+HAND_OVER_SECONDS = 0.3
 # Until loads were seen: a wait, a load and a report, chosen on the slow side.
 INITIAL_LOAD_SECONDS = 1.3
 # Weight of the latest load: the last five count most.
@@ -130,9 +133,13 @@
         for task in list(self._loading.values()):
             task.cancel()
         try:
-            await self._lease.give_up()
+            async with asyncio.timeout(HAND_OVER_SECONDS):
+                await self._lease.give_up()
         except PlatformError as error:
             logger.info("duty lease left to lapse", extra=error_fields(error))
+        except TimeoutError:
+            fields = {"step": "hand over", "waited_seconds": HAND_OVER_SECONDS}
+            logger.info("duty lease left to lapse", extra=fields)
 
     async def _may_acquire(self) -> bool:
         if self._stopping or not self._state.duty_known or self._state.duty_holder is not None:
--- a/tests/fleet/test_rollout_duty.py
+++ b/tests/fleet/test_rollout_duty.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from hillstack.core.planned_stop import STOP_MARGIN_SECONDS
 from hillstack.core.relay_choice import RelayChoice
 from hillstack.core.weights_rollout import START_DELAY_SECONDS
 from hillstack.daemon.duty_lease import DutyLease
@@ -54,6 +55,7 @@
     keys: dict[str, tuple[Entry, int]] = field(default_factory=dict)
     ends: dict[int, float] = field(default_factory=dict)
     ttl: float = TTL
+    silent: bool = False
 
     def expire(self) -> None:
         now = self.scheduler.now
@@ -86,6 +88,8 @@
         return lease_id in self.ends
 
     async def revoke_lease(self, lease_id: int) -> None:
+        if self.silent:
+            await asyncio.Event().wait()
         self.ends[lease_id] = -1.0
         self.expire()
 
@@ -347,6 +351,19 @@
     bench.scheduler.close()
 
 
+def test_a_stop_does_not_wait_for_a_store_that_is_silent() -> None:
+    # A process has 0.7 s to end in once its last request is answered; a call may take 1.5 s.
+    bench = Bench()
+    node = bench.add_node("node-1")
+    bench.run(1.0)
+    assert node.duty._lease.fence() is not None
+    bench.leases.silent = True
+    handing_over = bench.scheduler.spawn(node.loop, node.duty.hand_over())
+    bench.run(STOP_MARGIN_SECONDS / 2)
+    assert handing_over.done() and node.duty._lease.fence() is None
+    bench.scheduler.close()
+
+
 def test_a_refused_renewal_waits_longer_than_a_lost_one() -> None:
     refused = PlatformUnavailableError("503", step="renew", peer="store")
     lost = PlatformOutcomeUnknownError("timeout", step="renew", peer="store")
