Soak: callers that keep their connections until the node closes them, beside those that do not

Cause: the soak's callers opened a connection for each request, so that a planned stop was never seen by a connection that is used again. Half of them now go on over one connection until it is closed or breaks, whatever the answer says of it, also at a node that stops. Both kinds write their requests themselves: a library's pool gives connections up, and repeats requests, by its own rules, and the moment of a close must be known.

Some callers close in the middle of an answer, with the moment of the close noted.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,17 +5,19 @@
 import asyncio
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 
-import aiohttp
-
 from hillstack.platform import names
 from tests.fleet.builders import HOST, MODEL
 from tests.fleet.deployment import NodeProcess
+from tests.soak.connections import CallerConnection, ConnectionBrokenError, WholeAnswer
 from tests.soak.promises import Observations, Sent
 
 KINDS = ("safe", "once", "stream")
 PATIENCE_MS = 4_000
+# A caller gives up a second after its deadline: an answer in time has come by then.
+GIVE_UP_SECONDS = PATIENCE_MS / 1000 + 1
 LEAVE_SHARE = 0.05
 PAUSE_SECONDS = 0.05
 EVENTS = 5
@@ -45,50 +47,76 @@
         self._count = 0
 
     async def run(self) -> None:
-        """Call until cancelled."""
-        timeout = aiohttp.ClientTimeout(total=PATIENCE_MS / 1000 + 1)
-        connector = aiohttp.TCPConnector(force_close=True)
-        async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
-            while True:
-                await self.call(session, self._rng.choice(self._nodes()))
-                await asyncio.sleep(PAUSE_SECONDS * self._rng.random())
-
-    async def call(
-        self, session: aiohttp.ClientSession, node: NodeProcess, key: str | None = None
+        """Call with a new connection for each request until cancelled."""
+        while True:
+            await self.call_once(self._rng.choice(self._nodes()))
+            await self._rest()
+
+    async def run_on_kept_connections(self) -> None:
+        """Call over one connection for as long as it lasts, then over another, until cancelled.
+
+        A node that stops is left only when it closes the connection, as by most clients' pools.
+        """
+        while True:
+            node = self._rng.choice(self._nodes())
+            try:
+                connection = await CallerConnection.open(node.callers)
+            except ConnectionBrokenError:
+                await self._rest()
+                continue
+            try:
+                while connection.is_usable:
+                    await self._call(connection, node, self._draw_key(), leave=True)
+                    await self._rest()
+            finally:
+                connection.close()
+
+    async def call_once(
+        self, node: NodeProcess, key: str | None = None, *, leave: bool = True
     ) -> Sent:
-        """Send one request, with a key that is drawn or given, and note what came of it."""
-        self._count += 1
-        kind = self._rng.choice(KINDS)
-        request = Sent(
-            f"{kind}-{id(self):x}-{self._count}",
-            kind,
-            node.name,
-            key or self._rng.choice(self._keys()),
-            time.monotonic(),
-            expected_events=EVENTS if kind == "stream" else None,
-        )
+        """Send one request over a connection of its own, with a key that is drawn or given.
+
+        Args:
+            node: The node.
+            key: The key.
+            leave: Whether the caller may close before the end of the answer.
+        """
+        try:
+            connection = await CallerConnection.open(node.callers)
+        except ConnectionBrokenError:
+            request = self._next_request(node, key or self._draw_key())
+            self._observations.sent.append(request)
+            return request
+        try:
+            return await self._call(connection, node, key or self._draw_key(), leave=leave)
+        finally:
+            connection.close()
+
+    async def _call(
+        self, connection: CallerConnection, node: NodeProcess, key: str, *, leave: bool
+    ) -> Sent:
+        request = replace(self._next_request(node, key), reused=connection.exchanges > 0)
+        leaves = leave and self._rng.random() < LEAVE_SHARE
+        patience = 0.1 * self._rng.random() if leaves else GIVE_UP_SECONDS
         result = request
-        answering = asyncio.ensure_future(self._answer(session, node, request))
         try:
-            if self._rng.random() < LEAVE_SHARE:
-                # This caller leaves after a while, in the middle of the answer perhaps.
-                await asyncio.wait({answering}, timeout=0.1 * self._rng.random())
-                answering.cancel()
-            result = await answering
-        except asyncio.CancelledError:
-            answering.cancel()
-            own = asyncio.current_task()
-            if own is not None and own.cancelling():
-                raise
-        except (aiohttp.ClientError, TimeoutError, OSError):
+            async with asyncio.timeout(patience):
+                answer = await self._exchange(connection, request)
+            result = _answered(request, answer)
+        except TimeoutError:
+            connection.close()
+            result = replace(request, closed_at=connection.closed_at)
+        except ConnectionBrokenError:
             pass
+        except asyncio.CancelledError:
+            connection.close()
+            result = replace(request, closed_at=connection.closed_at)
+            raise
         finally:
-            self._observations.sent.append(result)
+            self._observations.sent.append(replace(result, ended_at=time.monotonic()))
         return result
 
-    async def _answer(
-        self, session: aiohttp.ClientSession, node: NodeProcess, request: Sent
-    ) -> Sent:
+    async def _exchange(self, connection: CallerConnection, request: Sent) -> WholeAnswer:
         headers = {
             "Host": HOST,
             names.REQUEST_ID: request.request_id,
@@ -99,19 +127,32 @@
             shared = f"{self._rng.randrange(4):x}"
             headers |= {names.MODEL: MODEL, names.TOKEN_USAGE: "850,80"}
             headers |= {names.PROMPT_PARTS: f"a{shared}:800,{self._count:x}:50"}
-        url = f"http://{node.callers}/{request.kind}/x"
-        data = request.request_id.encode()
-        async with session.post(url, data=data, headers=headers) as response:
-            body = await response.read()
-            return Sent(
-                request.request_id,
-                request.kind,
-                request.node,
-                request.key,
-                request.sent_at,
-                response.status,
-                body,
-                response.headers.get(names.SIGNATURE, ""),
-                response.headers.get(names.RETRY_AFTER),
-                request.expected_events,
-            )
+        return await connection.exchange(f"/{request.kind}/x", headers, request.request_id.encode())
+
+    def _next_request(self, node: NodeProcess, key: str) -> Sent:
+        self._count += 1
+        kind = self._rng.choice(KINDS)
+        return Sent(
+            f"{kind}-{id(self):x}-{self._count}",
+            kind,
+            node.name,
+            key,
+            time.monotonic(),
+            expected_events=EVENTS if kind == "stream" else None,
+        )
+
+    def _draw_key(self) -> str:
+        return self._rng.choice(self._keys())
+
+    async def _rest(self) -> None:
+        await asyncio.sleep(PAUSE_SECONDS * self._rng.random())
+
+
+def _answered(request: Sent, answer: WholeAnswer) -> Sent:
+    return replace(
+        request,
+        status=answer.status,
+        body=answer.body,
+        signature=answer.headers.get(names.SIGNATURE, ""),
+        retry_after=answer.headers.get(names.RETRY_AFTER),
+    )
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -25,6 +25,9 @@
     Attributes:
         status: Of a whole answer; None where none came.
         expected_events: Events of its stream; None where it is no stream.
+        reused: Whether its connection had carried a request before.
+        closed_at: When its caller closed the connection before the end of the answer; None if not.
+        ended_at: When its caller knew what came of it; None if it was not sent.
     """
 
     request_id: str
@@ -37,6 +40,9 @@
     signature: str = ""
     retry_after: str | None = None
     expected_events: int | None = None
+    reused: bool = False
+    closed_at: float | None = None
+    ended_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -10,13 +10,13 @@
 from pathlib import Path
 from random import Random
 
-import aiohttp
-
 from tests.soak.callers import Callers
 from tests.soak.faults import FAULTS
+from tests.soak.promises import Sent
 from tests.soak.system import SoakedSystem
 
-CALLERS = 6
+# Of each kind: those that open a connection for each request, and those that keep theirs.
+CALLERS = 4
 FAULT_PAUSE_SECONDS = 1.2
 CHECK_SECONDS = 0.2
 RECOVERY_SECONDS = 30.0
@@ -48,7 +48,11 @@
     await system.start()
     rng_of_callers = Random(seed + 1)
     callers = Callers(system.observations, system.callable_nodes, system.all_keys, rng_of_callers)
-    calling = [asyncio.create_task(callers.run()) for _ in range(CALLERS)]
+    calling = [
+        asyncio.create_task(work())
+        for work in (callers.run, callers.run_on_kept_connections)
+        for _ in range(CALLERS)
+    ]
     watching = asyncio.create_task(_watch(system))
     try:
         await _inject(system, rng, seconds, result)
@@ -61,11 +65,19 @@
         result.violations += system.observations.violations()
         result.violations += system.unexpected_ends
         result.violations += system.log_problems()
-        result.results = Counter(f"{s.kind} {s.status}" for s in system.observations.sent)
+        sent = system.observations.sent
+        result.results = Counter(f"{s.kind} {_outcome(s)}" for s in sent)
+        result.results["over kept connections"] = sum(s.reused for s in sent)
         await system.close()
     return result
 
 
+def _outcome(request: Sent) -> str:
+    if request.status is None and request.closed_at is not None:
+        return "closed by its caller"
+    return str(request.status or "broken off")
+
+
 async def _watch(system: SoakedSystem) -> None:
     while True:
         system.check_processes()
@@ -92,14 +104,13 @@
     ends_at = time.monotonic() + RECOVERY_SECONDS
     for name in list(system.running_nodes()):
         system.start_node(name)
-    async with aiohttp.ClientSession() as session:
-        for node in system.callable_nodes():
-            served = 0
-            while served < SERVED_IN_A_ROW and time.monotonic() < ends_at:
-                answer = await callers.call(session, node, system.keys()[0])
-                served = served + 1 if answer.status == 200 else 0
-            if served < SERVED_IN_A_ROW:
-                result.violations.append(f"{node.name} does not serve again")
+    for node in system.callable_nodes():
+        served = 0
+        while served < SERVED_IN_A_ROW and time.monotonic() < ends_at:
+            answer = await callers.call_once(node, system.keys()[0], leave=False)
+            served = served + 1 if answer.status == 200 else 0
+        if served < SERVED_IN_A_ROW:
+            result.violations.append(f"{node.name} does not serve again")
     while system.engines_behind():
         if time.monotonic() >= ends_at:
             break
