Soak: faults in series that overlap, also on the same node, and connections that go silent for good

Cause: a fault took a node for itself until it ran again, so that signals, starts and changes never met. Faults now hold a node together; it is started again when the last lets go. New are series of signals to one process, restarts into the start of the node before, changes of configuration and weights in quick succession, a store that goes and comes, outages in which runners' entries lapse and some are back in the moment of its return, and open connections that go silent without a close (to the store, to runners), while new ones work. The schedule is drawn before the run, so that no delay changes which faults a seed plays.

A process that ends without having been sent a signal that ends it is a violation, as before.

--- a/tests/processes/fault_proxy.py
+++ b/tests/processes/fault_proxy.py
@@ -38,7 +38,18 @@
     mode: Mode = Mode.PASS
     after_bytes: int = 0
     delay: float = 0.0
-    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    connections: set[ProxiedConnection] = field(default_factory=set)
+
+
+@dataclass(eq=False, slots=True)
+class ProxiedConnection:
+    """One connection through the proxy.
+
+    Attributes:
+        silenced: Whether nothing passes any more, neither bytes nor a close, for good.
+    """
+
+    silenced: bool = False
 
 
 class FaultProxy:
@@ -60,6 +71,17 @@
         state = self.states[name]
         state.mode, state.after_bytes, state.delay = mode, after_bytes, delay
 
+    def silence_open_connections(self, name: str) -> int:
+        """Let the open connections of one address go silent for good; new ones work.
+
+        Returns:
+            How many these are.
+        """
+        open_now = list(self.states[name].connections)
+        for connection in open_now:
+            connection.silenced = True
+        return len(open_now)
+
     def close(self) -> None:
         """End all connections and stop the thread."""
         asyncio.run_coroutine_threadsafe(self._end_connections(), self._loop).result(10)
@@ -101,14 +123,24 @@
         except OSError:
             _reset(writer)
             return
-        forward = asyncio.create_task(self._pump(state, reader, upstream_writer, answers=False))
-        back = asyncio.create_task(self._pump(state, upstream_reader, writer, answers=True))
+        connection = ProxiedConnection()
+        state.connections.add(connection)
+        forward = asyncio.create_task(
+            self._pump(state, connection, reader, upstream_writer, answers=False)
+        )
+        back = asyncio.create_task(
+            self._pump(state, connection, upstream_reader, writer, answers=True)
+        )
         await asyncio.wait({forward, back}, return_when=asyncio.FIRST_COMPLETED)
-        if back.done():
+        if connection.silenced:
+            # Neither side hears of the other's close either; each ends its own.
+            await asyncio.wait({forward, back})
+        elif back.done():
             forward.cancel()
         else:
             await asyncio.wait({back}, timeout=30)
             back.cancel()
+        state.connections.discard(connection)
         for each in (writer, upstream_writer):
             with contextlib.suppress(Exception):
                 each.close()
@@ -116,6 +148,7 @@
     async def _pump(
         self,
         state: ProxyState,
+        connection: ProxiedConnection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         *,
@@ -126,6 +159,8 @@
             while piece := await reader.read(PIECE_BYTES):
                 while state.mode is Mode.SILENT:  # noqa: ASYNC110 (set from another thread)
                     await asyncio.sleep(0.05)
+                if connection.silenced:
+                    continue
                 if state.mode is Mode.DELAY:
                     await asyncio.sleep(state.delay)
                 if answers and state.mode is Mode.RESET_ANSWERS:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,4 +1,8 @@
-"""Faults that a soak injects from outside the processes, drawn from a seed."""
+"""Faults that a soak injects from outside the processes, drawn from a seed.
+
+Several run at a time, on the same node too. Faults in series, one closely after the other, are in
+``fault_series``.
+"""
 
 from __future__ import annotations
 
@@ -10,7 +14,7 @@
 
 from hillstack.emulator.fleet_runner import RunnerFaults
 from tests.processes.fault_proxy import Mode
-from tests.soak.system import SoakedSystem
+from tests.soak.system import STORE, SoakedSystem, send
 
 Fault = Callable[[SoakedSystem, Random], Coroutine[Any, Any, None]]
 
@@ -18,56 +22,65 @@
 async def kill_node(system: SoakedSystem, rng: Random) -> None:
     """Kill a node and start it again."""
     name = system.pick_node(rng)
-    await system.end_node(name, signal.SIGKILL)
-    await asyncio.sleep(rng.uniform(0.0, 1.0))
-    system.start_node(name)
+    with system.hold(name), system.trouble(name):
+        await system.end_node(name, signal.SIGKILL)
+        await asyncio.sleep(rng.uniform(0.0, 1.0))
 
 
 async def kill_all_nodes(system: SoakedSystem, rng: Random) -> None:
     """Kill all nodes at once and start them again."""
-    names = system.running_nodes()
-    await asyncio.gather(*(system.end_node(name, signal.SIGKILL) for name in names))
-    await asyncio.sleep(rng.uniform(0.0, 1.0))
-    for name in names:
-        system.start_node(name)
+    pause = rng.uniform(0.0, 1.0)
+
+    async def kill(name: str) -> None:
+        with system.hold(name), system.trouble(name):
+            await system.end_node(name, signal.SIGKILL)
+            await asyncio.sleep(pause)
+
+    await asyncio.gather(*(kill(name) for name in system.node_names()))
 
 
 async def stop_node(system: SoakedSystem, rng: Random) -> None:
     """Stop a node as planned and start it again."""
     name = system.pick_node(rng)
-    await system.end_node(name, signal.SIGTERM)
-    system.start_node(name)
+    with system.hold(name), system.trouble(name, planned=True):
+        await system.end_node(name, signal.SIGTERM)
 
 
 async def pause_node(system: SoakedSystem, rng: Random) -> None:
     """Freeze a node, past its leases perhaps."""
     name = system.pick_node(rng)
-    system.signal_node(name, signal.SIGSTOP)
-    await asyncio.sleep(rng.uniform(0.5, 4.0))
-    system.signal_node(name, signal.SIGCONT)
+    process = system.process_of(name)
+    with system.trouble(name):
+        send(process, signal.SIGSTOP)
+        await asyncio.sleep(rng.uniform(0.5, 4.0))
+        send(process, signal.SIGCONT)
 
 
 async def cut_store(system: SoakedSystem, rng: Random) -> None:
     """Disturb the way of one node, or of all, to the store."""
-    names = system.running_nodes() if rng.random() < 0.4 else [system.pick_node(rng)]
+    all_of_them = rng.random() < 0.4
+    names = system.node_names() if all_of_them else [system.pick_node(rng)]
     mode = rng.choice((Mode.SILENT, Mode.REFUSE, Mode.DELAY, Mode.RESET_ANSWERS))
-    for name in names:
-        system.proxy.set(f"store of {name}", mode, delay=rng.uniform(0.1, 0.8))
-    await asyncio.sleep(rng.uniform(0.5, 6.0))
-    for name in names:
-        system.proxy.set(f"store of {name}", Mode.PASS)
+    delay = rng.uniform(0.1, 0.8)
+    with system.trouble(STORE):
+        for name in names:
+            system.proxy.set(f"store of {name}", mode, delay=delay)
+        await asyncio.sleep(rng.uniform(0.5, 6.0))
+        for name in names:
+            system.proxy.set(f"store of {name}", Mode.PASS)
 
 
 async def break_store(system: SoakedSystem, rng: Random) -> None:
     """Let the store refuse, lose answers, or forget its history."""
     store = system.deployment.store
     fault = rng.choice(("down", "lose_answers", "forget"))
-    if fault == "forget":
-        store.forget_history()
-        return
-    setattr(store, fault, True)
-    await asyncio.sleep(rng.uniform(0.5, 5.0))
-    setattr(store, fault, False)
+    with system.trouble(STORE):
+        if fault == "forget":
+            store.forget_history()
+            return
+        setattr(store, fault, True)
+        await asyncio.sleep(rng.uniform(0.5, 5.0))
+        setattr(store, fault, False)
 
 
 async def cut_runner(system: SoakedSystem, rng: Random) -> None:
@@ -75,34 +88,40 @@
     runner_id = system.pick_runner(rng)
     mode = rng.choice((Mode.SILENT, Mode.REFUSE, Mode.DELAY, Mode.RESET_ANSWERS))
     after = rng.randrange(0, 600)
-    system.proxy.set(runner_id, mode, after_bytes=after, delay=rng.uniform(0.05, 0.5))
-    await asyncio.sleep(rng.uniform(0.3, 3.0))
-    system.proxy.set(runner_id, Mode.PASS)
+    with system.trouble(runner_id):
+        system.proxy.set(runner_id, mode, after_bytes=after, delay=rng.uniform(0.05, 0.5))
+        await asyncio.sleep(rng.uniform(0.3, 3.0))
+        system.proxy.set(runner_id, Mode.PASS)
 
 
 async def spoil_runner(system: SoakedSystem, rng: Random) -> None:
     """Let a runner fail, refuse, hang or break its streams off."""
-    runner = system.deployment.runners[system.pick_runner(rng)]
-    runner.faults = rng.choice(
-        (
-            RunnerFaults(status=500),
-            RunnerFaults(shed=True),
-            RunnerFaults(hang=True),
-            RunnerFaults(break_after=rng.randrange(1, 5)),
+    runner_id = system.pick_runner(rng)
+    runner = system.deployment.runners[runner_id]
+    with system.trouble(runner_id):
+        runner.faults = rng.choice(
+            (
+                RunnerFaults(status=500),
+                RunnerFaults(shed=True),
+                RunnerFaults(hang=True),
+                RunnerFaults(break_after=rng.randrange(1, 5)),
+            )
         )
-    )
-    await asyncio.sleep(rng.uniform(0.3, 3.0))
-    runner.faults = RunnerFaults()
+        await asyncio.sleep(rng.uniform(0.3, 3.0))
+        runner.faults = RunnerFaults()
 
 
 async def replace_runner(system: SoakedSystem, rng: Random) -> None:
     """Let a runner leave, announced or not, and another one join."""
     runner_id = system.pick_runner(rng)
-    if rng.random() < 0.5:
-        system.deployment.list_runner(runner_id, "draining")
-        await asyncio.sleep(rng.uniform(0.5, 2.0))
-    await system.remove_runner(runner_id)
-    await system.add_runner(system.deployment.runners[runner_id].service)
+    service = system.deployment.runners[runner_id].service
+    with system.trouble(runner_id):
+        if rng.random() < 0.5:
+            system.announce_leaving(runner_id)
+            await asyncio.sleep(rng.uniform(0.5, 2.0))
+        if runner_id in system.members():
+            system.remove_runner(runner_id)
+            await system.add_runner(service)
 
 
 async def change_keys(system: SoakedSystem, rng: Random) -> None:
@@ -118,7 +137,7 @@
         system.next_weights()
 
 
-FAULTS: tuple[Fault, ...] = (
+SINGLE_FAULTS: tuple[Fault, ...] = (
     kill_node,
     kill_all_nodes,
     stop_node,
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import re
 from collections import defaultdict
 from collections.abc import Iterator
@@ -54,6 +55,22 @@
     began_at: float
 
 
+@dataclass(slots=True)
+class Trouble:
+    """A time in which a fault disturbed a node, a runner's link or the store.
+
+    Attributes:
+        target: Name of the node or runner, or that of the store.
+        planned: Whether it was announced, as a stop by SIGTERM is.
+        ended_at: When it was over; for good, unless it has ended.
+    """
+
+    target: str
+    began_at: float
+    ended_at: float = math.inf
+    planned: bool = False
+
+
 @dataclass(slots=True)
 class Observations:
     """Everything that was seen.
@@ -62,6 +79,7 @@
         revoked_at: When the removal of each key was acknowledged.
         orders: Orders that each runner took, in order.
         most_runs: Requests of a key, whose tenant has a limit, that may run within a window.
+        troubles: What the faults disturbed, and when.
     """
 
     sent: list[Sent] = field(default_factory=list)
@@ -69,6 +87,7 @@
     revoked_at: dict[str, float] = field(default_factory=dict)
     orders: dict[str, list[OrderBody]] = field(default_factory=dict)
     most_runs: dict[str, float] = field(default_factory=dict)
+    troubles: list[Trouble] = field(default_factory=list)
 
     def violations(self) -> list[str]:
         """Return every broken promise."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -11,7 +11,8 @@
 from random import Random
 
 from tests.soak.callers import Callers
-from tests.soak.faults import FAULTS
+from tests.soak.fault_series import FAULTS
+from tests.soak.faults import Fault
 from tests.soak.promises import Sent
 from tests.soak.system import SoakedSystem
 
@@ -87,23 +88,27 @@
 async def _inject(system: SoakedSystem, rng: Random, seconds: float, result: SoakResult) -> None:
     """Inject faults, several at a time, and wait for the end of the last."""
     began_at = time.monotonic()
-    running: set[asyncio.Task[None]] = set()
-    while time.monotonic() - began_at < seconds:
-        fault = rng.choice(FAULTS)
-        result.faults.append(f"{time.monotonic() - began_at:.1f} {fault.__name__}")
-        task = asyncio.create_task(fault(system, Random(rng.getrandbits(32))))
-        running.add(task)
-        task.add_done_callback(running.discard)
-        await asyncio.sleep(rng.expovariate(1 / FAULT_PAUSE_SECONDS))
-    for task in list(running):
-        await task
+    async with asyncio.TaskGroup() as running:
+        for starts_at, fault, seed in draw_schedule(rng, seconds):
+            await asyncio.sleep(began_at + starts_at - time.monotonic())
+            result.faults.append(f"{starts_at:.1f} {fault.__name__}")
+            running.create_task(fault(system, Random(seed)))
+
+
+def draw_schedule(rng: Random, seconds: float) -> list[tuple[float, Fault, int]]:
+    """Draw when which fault begins, and its own seed, so that no delay of a run changes them."""
+    schedule: list[tuple[float, Fault, int]] = []
+    starts_at = 0.0
+    while starts_at < seconds:
+        schedule.append((starts_at, rng.choice(FAULTS), rng.getrandbits(32)))
+        starts_at += rng.expovariate(1 / FAULT_PAUSE_SECONDS)
+    return schedule
 
 
 async def _recover(system: SoakedSystem, callers: Callers, result: SoakResult) -> None:
     """Check that all is well again some time after the last fault."""
     ends_at = time.monotonic() + RECOVERY_SECONDS
-    for name in list(system.running_nodes()):
-        system.start_node(name)
+    system.check_processes()
     for node in system.callable_nodes():
         served = 0
         while served < SERVED_IN_A_ROW and time.monotonic() < ends_at:
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
+import contextlib
 import signal
+import subprocess
 import time
+from collections import Counter
+from collections.abc import Iterator
 from pathlib import Path
 from random import Random
 
@@ -14,15 +17,18 @@
 from tests.fleet.builders import APPLICATION, ENGINES, MODEL
 from tests.fleet.deployment import Deployment, NodeProcess, until
 from tests.processes.fault_proxy import FaultProxy
-from tests.soak.promises import Observations, Run
+from tests.soak.promises import Observations, Run, Trouble
 
-NODES = ("node-1", "node-2", "node-3")
+NODE_COUNT = 3
 ENGINE_COUNT = 4
 APPLICATION_COUNT = 3
 KEY_COUNT = 3
 LIMITED_TENANT = TenantBody("tenant-2", ["limited-key"], rate_per_s=10, burst=10)
 TOLERANCE = {"limit_window_seconds": 8, "limit_overshoot": 0.1, "limit_slack": 20}
 GRACE_SECONDS = 8.0
+# Signals that end a process.
+ENDING = frozenset({signal.SIGTERM, signal.SIGKILL})
+STORE = "store"
 # What the limit and the tolerance above allow in a window.
 MOST_LIMITED_RUNS = (10 * 8 + 10) * 1.1 + 20
 
@@ -46,9 +52,10 @@
 
     Args:
         folder: Where settings and logs of the nodes go.
+        node_count: How many nodes there are.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, node_count: int = NODE_COUNT) -> None:
         self.deployment = Deployment(folder)
         self.observations = Observations()
         self.observations.most_runs = {"limited-key": MOST_LIMITED_RUNS}
@@ -56,7 +63,13 @@
         self.weights = 1
         self._nodes: dict[str, NodeProcess] = {}
         self._stores: dict[str, str] = {}
-        self._busy: set[str] = set()
+        self._node_names = [f"node-{number + 1}" for number in range(node_count)]
+        # Faults that hold each node: it is not started again before the last lets go.
+        self._holds: Counter[str] = Counter()
+        # Processes that were sent a signal that ends them.
+        self._ended_by_us: set[int] = set()
+        # Runners that live, by identifier, with the state that their entries tell.
+        self._members: dict[str, str] = {}
         self._runner_count = 0
         self._keys = [f"key-{number}" for number in range(KEY_COUNT)]
         self._key_count = KEY_COUNT
@@ -69,7 +82,7 @@
         for service, count in ((ENGINES, ENGINE_COUNT), (APPLICATION, APPLICATION_COUNT)):
             for _ in range(count):
                 await self.add_runner(service)
-        for name in NODES:
+        for name in self._node_names:
             self._stores[name] = self.proxy.front(f"store of {name}", self.deployment.store_address)
             self.start_node(name)
         for node in self._nodes.values():
@@ -92,19 +105,43 @@
         """Return all nodes, those that are down too."""
         return list(self._nodes.values())
 
-    def running_nodes(self) -> list[str]:
-        """Return the names of the nodes that no fault holds."""
-        return [name for name in self._nodes if name not in self._busy]
+    def node_names(self) -> list[str]:
+        """Return the names of all nodes."""
+        return self._node_names
 
     def pick_node(self, rng: Random) -> str:
-        """Return a node that no fault holds, or any if all are held."""
-        return rng.choice(self.running_nodes() or list(self._nodes))
+        """Return any node, one that another fault holds too."""
+        return rng.choice(self._node_names)
 
     def pick_runner(self, rng: Random) -> str:
-        """Return a runner that is listed."""
-        prefix = names.RUNNERS_PREFIX
-        listed = [key[len(prefix) :] for key in self.deployment.store.keys(prefix)]
-        return rng.choice(listed)
+        """Return a runner that lives, listed or not."""
+        return rng.choice(list(self._members))
+
+    def members(self) -> list[str]:
+        """Return the runners that live."""
+        return list(self._members)
+
+    @contextlib.contextmanager
+    def trouble(self, *targets: str, planned: bool = False) -> Iterator[None]:
+        """Note trouble of nodes, runners or the store while the block runs."""
+        began = [Trouble(target, time.monotonic(), planned=planned) for target in targets]
+        self.observations.troubles += began
+        try:
+            yield
+        finally:
+            for each in began:
+                each.ended_at = time.monotonic()
+
+    @contextlib.contextmanager
+    def hold(self, name: str) -> Iterator[None]:
+        """Keep a node from being started while the block runs, then start it if it is down."""
+        self._holds[name] += 1
+        try:
+            yield
+        finally:
+            self._holds[name] -= 1
+            if not self._holds[name]:
+                self.start_node(name)
 
     def start_node(self, name: str) -> None:
         """Start a node, unless it runs."""
@@ -115,27 +152,33 @@
         self._nodes[name] = self.deployment.launch(
             name, store=store, grace_seconds=GRACE_SECONDS, **TOLERANCE
         )
-        self._busy.discard(name)
 
     async def end_node(self, name: str, number: signal.Signals) -> None:
         """Send a signal that ends a node, and wait for its end."""
-        self._busy.add(name)
-        node = self._nodes[name]
-        self.signal_node(name, signal.SIGCONT)
-        self.signal_node(name, number)
-        await until(lambda: node.process.poll() is not None, f"{name} ends")
-
-    def signal_node(self, name: str, number: signal.Signals) -> None:
-        """Send a signal to a node, if it runs."""
-        process = self._nodes[name].process
-        if process.poll() is None:
-            process.send_signal(number)
+        process = self.process_of(name)
+        send(process, signal.SIGCONT)
+        self.signal_process(process, number)
+        await until(lambda: process.poll() is not None, f"{name} ends")
+
+    def process_of(self, name: str) -> subprocess.Popen[bytes]:
+        """Return a node's latest process."""
+        return self._nodes[name].process
+
+    def signal_process(self, process: subprocess.Popen[bytes], number: signal.Signals) -> None:
+        """Send a signal to a node's process, if it runs."""
+        if number in ENDING:
+            self._ended_by_us.add(process.pid)
+        send(process, number)
 
     def check_processes(self) -> None:
-        """Note nodes that ended by themselves, and start them again."""
+        """Note nodes that ended by themselves, and start again what no fault holds."""
         for name, node in self._nodes.items():
-            if name not in self._busy and node.process.poll() is not None:
+            if node.process.poll() is None:
+                continue
+            if node.process.pid not in self._ended_by_us:
+                self._ended_by_us.add(node.process.pid)
                 self.unexpected_ends.append(f"{name} ended with {node.process.returncode}")
+            if not self._holds[name]:
                 self.start_node(name)
 
     async def add_runner(self, service: str) -> None:
@@ -143,14 +186,30 @@
         self._runner_count += 1
         runner = ObservedRunner(f"i-{self._runner_count}", service, self.observations)
         runner.weights = self.weights
+        self._members[runner.runner_id] = "ready"
         await self.deployment.start_runner(
             runner, lambda address: self.proxy.front(runner.runner_id, address)
         )
 
-    async def remove_runner(self, runner_id: str) -> None:
-        """Take a runner off the list; it serves on for a little."""
+    def announce_leaving(self, runner_id: str) -> None:
+        """Let a runner's entry say that it will leave."""
+        if runner_id in self._members:
+            self._members[runner_id] = "draining"
+            self.deployment.list_runner(runner_id, "draining")
+
+    def remove_runner(self, runner_id: str) -> None:
+        """Take a runner off the list for good; it serves on for a little."""
+        self._members.pop(runner_id, None)
+        self.lapse(runner_id)
+
+    def lapse(self, runner_id: str) -> None:
+        """Let a runner's entry end with its lease; the runner lives on."""
         self.deployment.store.remove(names.RUNNERS_PREFIX + runner_id)
-        await asyncio.sleep(0)
+
+    def list_again(self, runner_id: str) -> None:
+        """Let a runner write its entry anew, if it still lives."""
+        if runner_id in self._members:
+            self.deployment.list_runner(runner_id, self._members[runner_id])
 
     def rotate_key(self, rng: Random) -> None:
         """Take a key away and add another one, in one configuration."""
@@ -168,8 +227,7 @@
 
     def engines_behind(self) -> list[str]:
         """Return the listed engines that do not serve the newest weights."""
-        listed = self.deployment.store.keys(names.RUNNERS_PREFIX)
-        runners = [self.deployment.runners[key[len(names.RUNNERS_PREFIX) :]] for key in listed]
+        runners = [self.deployment.runners[runner_id] for runner_id in self.listed()]
         return [
             runner.runner_id
             for runner in runners
@@ -188,6 +246,17 @@
                     problems.append(f"{path.name}: {line[:400]}")
         return problems
 
+    def listed(self) -> list[str]:
+        """Return the runners that the store lists."""
+        prefix = names.RUNNERS_PREFIX
+        return [key[len(prefix) :] for key in self.deployment.store.keys(prefix)]
+
     def _configure(self) -> None:
         tenants = [TenantBody("tenant-1", list(self._keys)), LIMITED_TENANT]
         self.deployment.configure(tenants=tenants)
+
+
+def send(process: subprocess.Popen[bytes], number: signal.Signals) -> None:
+    """Send a signal to a process, if it runs."""
+    if process.poll() is None:
+        process.send_signal(number)
