Soak: closes, planned stops and recovery are held to times, on every node and at every runner

New promises: nothing reaches a runner more than 0.5 s after its caller closed, and what hangs there is let go by then; a request that ran isn't lost by a planned stop; a stop is over within its grace time; after the last fault every node knows each runner that the store lists, and the newest configuration, within 8 s, each engine has the newest weights within 12 s, and each node serves. On top of the times comes only what the soak's own tasks were late, which it measures, and what a disturbed node or link can't keep.

What was seen and what is promised are now two modules.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,6 +9,7 @@
 from random import SystemRandom
 
 from tests.soak.soak import SoakResult, run
+from tests.soak.system import NODE_COUNT
 
 SEED_BITS = 31
 
@@ -19,6 +20,7 @@
     parser.add_argument("--seconds", type=float, default=60.0, help="faults of one soak")
     parser.add_argument("--soaks", type=int, default=1, help="number of soaks")
     parser.add_argument("--seed", type=int, help="seed of the first soak; drawn by default")
+    parser.add_argument("--nodes", type=int, default=NODE_COUNT, help="processes of one soak")
     parser.add_argument("--logs", type=Path, help="folder for the nodes' logs")
     arguments = parser.parse_args()
     # The stand-ins raise on purpose; the nodes log in processes of their own.
@@ -28,7 +30,7 @@
     failed = 0
     for number in range(arguments.soaks):
         folder = arguments.logs / str(first + number) if arguments.logs else None
-        result = run(first + number, arguments.seconds, folder)
+        result = run(first + number, arguments.seconds, folder, arguments.nodes)
         failed += bool(result.violations)
         _report(result)
     return 1 if failed else 0
@@ -38,10 +40,12 @@
     verdict = f"{len(result.violations)} violations" if result.violations else "all promises kept"
     print(f"seed {result.seed}: {verdict}; {len(result.faults)} faults")
     print("  " + ", ".join(f"{name}: {count}" for name, count in sorted(result.results.items())))
+    times = ", ".join(f"{name} {took:.1f} s" for name, took in result.recovery_seconds.items())
+    print(f"  well again: {times}; the soak itself late by {result.worst_lag:.3f} s at the worst")
     for violation in result.violations[:20]:
         print(f"  BROKEN {violation}")
     if result.violations:
-        print("  faults: " + "; ".join(result.faults))
+        print("  faults: " + "; ".join(result.faults), flush=True)
 
 
 if __name__ == "__main__":
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,7 +12,7 @@
 from tests.fleet.builders import HOST, MODEL
 from tests.fleet.deployment import NodeProcess
 from tests.soak.connections import CallerConnection, ConnectionBrokenError, WholeAnswer
-from tests.soak.promises import Observations, Sent
+from tests.soak.observations import Observations, Sent
 
 KINDS = ("safe", "once", "stream")
 PATIENCE_MS = 4_000
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -98,7 +98,7 @@
     """Let a runner fail, refuse, hang or break its streams off."""
     runner_id = system.pick_runner(rng)
     runner = system.deployment.runners[runner_id]
-    with system.trouble(runner_id):
+    with system.trouble(f"work of {runner_id}"):
         runner.faults = rng.choice(
             (
                 RunnerFaults(status=500),
--- /dev/null
+++ b/tests/soak/observations.py
@@ -0,0 +1,108 @@
+"""What callers, runners and faults did in a soak, as it was seen from outside the nodes."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from hillstack.platform.bodies import OrderBody
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A request of a caller and what came of it.
+
+    Attributes:
+        status: Of a whole answer; None where none came.
+        expected_events: Events of its stream; None where it is no stream.
+        reused: Whether its connection had carried a request before.
+        closed_at: When its caller closed the connection before the end of the answer; None if not.
+        ended_at: When its caller knew what came of it; None if it was not sent.
+    """
+
+    request_id: str
+    kind: str
+    node: str
+    key: str
+    sent_at: float
+    status: int | None = None
+    body: bytes = b""
+    signature: str = ""
+    retry_after: str | None = None
+    expected_events: int | None = None
+    reused: bool = False
+    closed_at: float | None = None
+    ended_at: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A request that a runner began to run."""
+
+    request_id: str
+    runner_id: str
+    began_at: float
+
+
+@dataclass(slots=True)
+class Trouble:
+    """A time in which a fault disturbed a node, a runner's link or the store.
+
+    Attributes:
+        target: Name of the node or runner, or that of the store.
+        planned: Whether it was announced, as a stop by SIGTERM is.
+        ended_at: When it was over; for good, unless it has ended.
+    """
+
+    target: str
+    began_at: float
+    ended_at: float = math.inf
+    planned: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """A planned stop of a node, from the signal to the end of the process."""
+
+    node: str
+    began_at: float
+    ended_at: float
+
+
+@dataclass(slots=True)
+class Observations:
+    """Everything that was seen.
+
+    Attributes:
+        revoked_at: When the removal of each key was acknowledged.
+        orders: Orders that each runner took, in order.
+        most_runs: Requests of a key, whose tenant has a limit, that may run within a window.
+        troubles: What the faults disturbed, and when.
+        let_go: When a runner that hung was left by the node, by request and runner.
+        lags: When a task of the soak itself was late, and for how many seconds.
+    """
+
+    sent: list[Sent] = field(default_factory=list)
+    runs: list[Run] = field(default_factory=list)
+    revoked_at: dict[str, float] = field(default_factory=dict)
+    orders: dict[str, list[OrderBody]] = field(default_factory=dict)
+    most_runs: dict[str, float] = field(default_factory=dict)
+    troubles: list[Trouble] = field(default_factory=list)
+    stops: list[Stop] = field(default_factory=list)
+    let_go: dict[tuple[str, str], float] = field(default_factory=dict)
+    lags: list[tuple[float, float]] = field(default_factory=list)
+
+    def disturbed(self, target: str, since: float, until: float) -> bool:
+        """Return whether unplanned trouble of a target lay within a time."""
+        return any(each.target == target for each in self.unplanned(since, until))
+
+    def unplanned(self, since: float, until: float) -> Iterator[Trouble]:
+        """Return the unplanned troubles within a time."""
+        for each in self.troubles:
+            if not each.planned and each.began_at <= until and each.ended_at >= since:
+                yield each
+
+    def lag(self, since: float, until: float) -> float:
+        """Return how late the soak's own tasks were within a time, at the worst."""
+        return max((lag for at, lag in self.lags if since <= at <= until + lag), default=0.0)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,16 +13,19 @@
 from tests.soak.callers import Callers
 from tests.soak.fault_series import FAULTS
 from tests.soak.faults import Fault
-from tests.soak.promises import Sent
-from tests.soak.system import SoakedSystem
+from tests.soak.observations import Sent
+from tests.soak.promises import find_violations
+from tests.soak.recovery import Recovery
+from tests.soak.system import NODE_COUNT, SoakedSystem
 
 # Of each kind: those that open a connection for each request, and those that keep theirs.
 CALLERS = 4
 FAULT_PAUSE_SECONDS = 1.2
 CHECK_SECONDS = 0.2
-RECOVERY_SECONDS = 30.0
+LAG_CHECK_SECONDS = 0.02
+# Smaller lags are lost in what the times of promises leave.
+NOTED_LAG_SECONDS = 0.005
 SETTLE_SECONDS = 1.0
-SERVED_IN_A_ROW = 10
 
 
 @dataclass(slots=True)
@@ -33,19 +36,23 @@
         violations: Broken promises; none when all is well.
         results: Requests by kind and status.
         faults: The faults injected, with their times in seconds.
+        recovery_seconds: How long it took after the faults, by what was waited for.
+        worst_lag: Seconds that a task of the soak itself was late, at the worst.
     """
 
     seed: int
     violations: list[str] = field(default_factory=list)
     results: Counter[str] = field(default_factory=Counter)
     faults: list[str] = field(default_factory=list)
+    recovery_seconds: dict[str, float] = field(default_factory=dict)
+    worst_lag: float = 0.0
 
 
-async def soak(seed: int, seconds: float, folder: Path) -> SoakResult:
+async def soak(seed: int, seconds: float, folder: Path, node_count: int) -> SoakResult:
     """Run one soak."""
     rng = Random(seed)
     result = SoakResult(seed)
-    system = SoakedSystem(folder)
+    system = SoakedSystem(folder, node_count)
     await system.start()
     rng_of_callers = Random(seed + 1)
     callers = Callers(system.observations, system.callable_nodes, system.all_keys, rng_of_callers)
@@ -54,16 +61,20 @@
         for work in (callers.run, callers.run_on_kept_connections)
         for _ in range(CALLERS)
     ]
-    watching = asyncio.create_task(_watch(system))
+    watching = [asyncio.create_task(work(system)) for work in (_watch, _measure_lag)]
     try:
         await _inject(system, rng, seconds, result)
-        await _recover(system, callers, result)
+        recovery = Recovery(system, callers)
+        await recovery.check()
+        result.violations += recovery.violations
+        result.recovery_seconds = recovery.times
     finally:
-        for task in (*calling, watching):
+        for task in (*calling, *watching):
             task.cancel()
-        await asyncio.gather(*calling, watching, return_exceptions=True)
+        await asyncio.gather(*calling, *watching, return_exceptions=True)
         await asyncio.sleep(SETTLE_SECONDS)
-        result.violations += system.observations.violations()
+        result.violations += find_violations(system.observations)
+        result.worst_lag = max((lag for _, lag in system.observations.lags), default=0.0)
         result.violations += system.unexpected_ends
         result.violations += system.log_problems()
         sent = system.observations.sent
@@ -85,6 +96,16 @@
         await asyncio.sleep(CHECK_SECONDS)
 
 
+async def _measure_lag(system: SoakedSystem) -> None:
+    """Note when the soak's own tasks are late: what callers and runners see is then noted late."""
+    while True:
+        due_at = time.monotonic() + LAG_CHECK_SECONDS
+        await asyncio.sleep(LAG_CHECK_SECONDS)
+        now = time.monotonic()
+        if now - due_at > NOTED_LAG_SECONDS:
+            system.observations.lags.append((now, now - due_at))
+
+
 async def _inject(system: SoakedSystem, rng: Random, seconds: float, result: SoakResult) -> None:
     """Inject faults, several at a time, and wait for the end of the last."""
     began_at = time.monotonic()
@@ -105,29 +126,12 @@
     return schedule
 
 
-async def _recover(system: SoakedSystem, callers: Callers, result: SoakResult) -> None:
-    """Check that all is well again some time after the last fault."""
-    ends_at = time.monotonic() + RECOVERY_SECONDS
-    system.check_processes()
-    for node in system.callable_nodes():
-        served = 0
-        while served < SERVED_IN_A_ROW and time.monotonic() < ends_at:
-            answer = await callers.call_once(node, system.keys()[0], leave=False)
-            served = served + 1 if answer.status == 200 else 0
-        if served < SERVED_IN_A_ROW:
-            result.violations.append(f"{node.name} does not serve again")
-    while system.engines_behind():
-        if time.monotonic() >= ends_at:
-            break
-        await asyncio.sleep(CHECK_SECONDS)
-    if system.engines_behind():
-        result.violations.append(f"engines with old weights: {system.engines_behind()}")
-
-
-def run(seed: int, seconds: float, folder: Path | None = None) -> SoakResult:
+def run(
+    seed: int, seconds: float, folder: Path | None = None, node_count: int = NODE_COUNT
+) -> SoakResult:
     """Run one soak; logs go to ``folder``, or to one that is removed."""
     if folder is not None:
         folder.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(soak(seed, seconds, folder))
+        return asyncio.run(soak(seed, seconds, folder, node_count))
     with tempfile.TemporaryDirectory() as made:
-        return asyncio.run(soak(seed, seconds, Path(made)))
+        return asyncio.run(soak(seed, seconds, Path(made), node_count))
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -11,13 +11,16 @@
 from pathlib import Path
 from random import Random
 
+from starlette.requests import Request
+
 from hillstack.emulator.fleet_runner import FleetRunner
 from hillstack.platform import names
 from hillstack.platform.bodies import TenantBody
 from tests.fleet.builders import APPLICATION, ENGINES, MODEL
 from tests.fleet.deployment import Deployment, NodeProcess, until
 from tests.processes.fault_proxy import FaultProxy
-from tests.soak.promises import Observations, Run, Trouble
+from tests.soak.observations import Observations, Run, Stop, Trouble
+from tests.soak.timed_promises import GRACE_SECONDS
 
 NODE_COUNT = 3
 ENGINE_COUNT = 4
@@ -25,7 +28,6 @@
 KEY_COUNT = 3
 LIMITED_TENANT = TenantBody("tenant-2", ["limited-key"], rate_per_s=10, burst=10)
 TOLERANCE = {"limit_window_seconds": 8, "limit_overshoot": 0.1, "limit_slack": 20}
-GRACE_SECONDS = 8.0
 # Signals that end a process.
 ENDING = frozenset({signal.SIGTERM, signal.SIGKILL})
 STORE = "store"
@@ -46,6 +48,12 @@
         super().note_run(request_id, headers)
         self._observations.runs.append(Run(request_id, self.runner_id, time.monotonic()))
 
+    async def _hang(self, request: Request, request_id: str) -> None:
+        try:
+            await super()._hang(request, request_id)
+        finally:
+            self._observations.let_go[request_id, self.runner_id] = time.monotonic()
+
 
 class SoakedSystem:
     """Store, runners and nodes, with proxies between them.
@@ -156,9 +164,12 @@
     async def end_node(self, name: str, number: signal.Signals) -> None:
         """Send a signal that ends a node, and wait for its end."""
         process = self.process_of(name)
+        began_at = time.monotonic()
         send(process, signal.SIGCONT)
         self.signal_process(process, number)
         await until(lambda: process.poll() is not None, f"{name} ends")
+        if number is signal.SIGTERM:
+            self.observations.stops.append(Stop(name, began_at, time.monotonic()))
 
     def process_of(self, name: str) -> subprocess.Popen[bytes]:
         """Return a node's latest process."""
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -7,7 +7,8 @@
 import pytest
 
 from hillstack.platform.bodies import OrderBody
-from tests.soak.promises import Observations, Run, Sent
+from tests.soak.observations import Observations, Run, Sent, Stop, Trouble
+from tests.soak.promises import find_violations
 
 ORDER = OrderBody("version", "m", 2, "retain", "node-1", 5, 0)
 ONCE = Sent("r-1", "once", "node-1", "key-1", 10.0, 200, b"i-1:r-1", "i-1.r-1")
@@ -29,7 +30,7 @@
     seen = Observations(list(sent), list(runs), orders={"i-1": list(orders)})
     if revoked is not None:
         seen.revoked_at["key-1"] = revoked
-    return seen.violations()
+    return find_violations(seen)
 
 
 def test_a_history_that_keeps_all_promises_is_clean() -> None:
@@ -84,12 +85,79 @@
     sent = [replace(ONCE, request_id=f"r-{number}", status=None) for number in range(6)]
     runs = [Run(f"r-{number}", "i-1", 10.0 + 2 * number) for number in range(6)]
     seen = Observations(sent, runs, most_runs={"key-1": 4})
-    assert seen.violations() == []
+    assert find_violations(seen) == []
     seen.most_runs = {"key-1": 3}
-    assert "ran in 8 s" in seen.violations()[0]
+    assert "ran in 8 s" in find_violations(seen)[0]
 
 
 def test_a_request_that_ran_twice_counts_once_for_its_limit() -> None:
     sent = [replace(ONCE, kind="safe", status=None)]
     runs = [RUN, replace(RUN, runner_id="i-2")]
-    assert Observations(sent, runs, most_runs={"key-1": 1}).violations() == []
+    assert find_violations(Observations(sent, runs, most_runs={"key-1": 1})) == []
+
+
+CLOSED = Sent("r-1", "safe", "node-1", "key-1", 10.0, closed_at=10.2, ended_at=10.2)
+LATE = Run("r-1", "i-1", 10.8)
+
+
+def test_a_run_that_begins_long_after_its_caller_closed_is_found() -> None:
+    assert find_violations(Observations([CLOSED], [RUN])) == []
+    assert find_violations(Observations([CLOSED], [replace(LATE, began_at=10.65)])) == []
+    assert "began 0.60 s after" in find_violations(Observations([CLOSED], [LATE]))[0]
+
+
+@pytest.mark.parametrize(
+    "seen",
+    [
+        Observations([CLOSED], [LATE], troubles=[Trouble("node-1", 5.0, 8.0)]),
+        Observations([CLOSED], [LATE], troubles=[Trouble("i-1", 10.3)]),
+        Observations([CLOSED], [LATE], lags=[(10.5, 0.15)]),
+    ],
+)
+def test_a_late_run_is_allowed_while_its_way_was_disturbed(seen: Observations) -> None:
+    assert find_violations(seen) == []
+
+
+@pytest.mark.parametrize(
+    "seen",
+    [
+        Observations([CLOSED], [LATE], troubles=[Trouble("node-1", 5.0, 7.0)]),
+        Observations([CLOSED], [LATE], troubles=[Trouble("node-2", 10.0), Trouble("i-2", 10.0)]),
+        Observations([CLOSED], [LATE], troubles=[Trouble("store", 10.0)]),
+        Observations([CLOSED], [LATE], troubles=[Trouble("node-1", 10.0, planned=True)]),
+        Observations([CLOSED], [LATE], lags=[(9.0, 0.15), (10.5, 0.05)]),
+    ],
+)
+def test_other_trouble_does_not_allow_a_late_run(seen: Observations) -> None:
+    assert len(find_violations(seen)) == 1
+
+
+def test_a_runner_that_works_on_long_after_the_close_is_found() -> None:
+    hung = Observations([CLOSED], [RUN], let_go={("r-1", "i-1"): 10.6})
+    assert find_violations(hung) == []
+    hung.let_go["r-1", "i-1"] = 10.8
+    assert "at work" in find_violations(hung)[0]
+    hung.sent = [replace(CLOSED, kind="once")]
+    assert find_violations(hung) == []
+
+
+BROKEN = replace(CLOSED, closed_at=None, ended_at=10.4)
+STOPPING = Trouble("node-1", 10.1, 12.0, planned=True)
+
+
+def test_a_request_that_ran_and_was_lost_by_a_planned_stop_is_found() -> None:
+    assert "lost" in find_violations(Observations([BROKEN], [RUN], troubles=[STOPPING]))[0]
+    assert find_violations(Observations([BROKEN], [], troubles=[STOPPING])) == []
+    assert find_violations(Observations([BROKEN], [RUN])) == []
+    other = replace(STOPPING, target="node-2")
+    assert find_violations(Observations([BROKEN], [RUN], troubles=[other])) == []
+    unplanned = [STOPPING, Trouble("i-2", 7.5, 8.0)]
+    assert find_violations(Observations([BROKEN], [RUN], troubles=unplanned)) == []
+
+
+def test_a_stop_that_outlasts_its_grace_time_is_found() -> None:
+    late = Stop("node-1", 10.0, 18.5)
+    assert "after its grace time" in find_violations(Observations(stops=[late]))[0]
+    assert find_violations(Observations(stops=[replace(late, ended_at=17.9)])) == []
+    paused = Observations(stops=[late], troubles=[Trouble("node-1", 12.0, 13.0)])
+    assert find_violations(paused) == []
