--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -90,9 +90,17 @@
     most_runs: dict[str, float] = field(default_factory=dict)
     troubles: list[Trouble] = field(default_factory=list)
     stops: list[Stop] = field(default_factory=list)
-    let_go: dict[tuple[str, str], float] = field(default_factory=dict)
+    let_go: dict[str, float] = field(default_factory=dict)
     lags: list[tuple[float, float]] = field(default_factory=list)
 
+    def note_let_go(self, request_id: str, runner_id: str, at: float) -> None:
+        """Note when a runner that hung with a request was left."""
+        self.let_go[f"{request_id} at {runner_id}"] = at
+
+    def let_go_at(self, request_id: str, runner_id: str) -> float | None:
+        """Return when a runner that hung with a request was left; None if it did not hang."""
+        return self.let_go.get(f"{request_id} at {runner_id}")
+
     def disturbed(self, target: str, since: float, until: float) -> bool:
         """Return whether unplanned trouble of a target lay within a time."""
         return any(each.target == target for each in self.unplanned(since, until))
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -4,7 +4,7 @@
 
 import itertools
 import re
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterator
 
 from tests.soak.observations import Observations, Run, Sent
@@ -75,16 +75,20 @@
 
 
 def _limits(seen: Observations) -> Iterator[str]:
-    key_of = {request.request_id: request.key for request in seen.sent}
-    began: dict[str, dict[str, float]] = defaultdict(dict)
+    sent = {request.request_id: request for request in seen.sent}
+    began: dict[str, dict[str, Run]] = defaultdict(dict)
     for run in seen.runs:
-        key = key_of.get(run.request_id, "")
-        if key in seen.most_runs:
-            began[key].setdefault(run.request_id, run.began_at)
-    for key, times in began.items():
-        worst = _most_in_a_window(sorted(times.values()))
-        if worst > seen.most_runs[key]:
-            yield f"{key}: {worst} requests ran in {LIMIT_WINDOW_SECONDS:.0f} s"
+        request = sent.get(run.request_id)
+        if request is not None and request.key in seen.most_runs:
+            began[request.key].setdefault(run.request_id, run)
+    for key, runs in began.items():
+        worst = _fullest_window(sorted(runs.values(), key=lambda run: run.began_at))
+        if len(worst) > seen.most_runs[key]:
+            nodes = Counter(sent[run.request_id].node for run in worst)
+            yield (
+                f"{key}: {len(worst)} requests ran in {LIMIT_WINDOW_SECONDS:.0f} s,"
+                f" from {worst[0].request_id} at {worst[0].began_at:.2f} on, by node: {dict(nodes)}"
+            )
 
 
 def _order_fences(seen: Observations) -> Iterator[str]:
@@ -98,13 +102,15 @@
                 yield f"{runner_id}: fence {order.fence} of two holders"
 
 
-def _most_in_a_window(times: list[float]) -> int:
-    """Return how many moments fall into a window at the most."""
-    first = most = 0
-    for last, at in enumerate(times):
-        while at - times[first] >= LIMIT_WINDOW_SECONDS:
+def _fullest_window(runs: list[Run]) -> list[Run]:
+    """Return the runs of the window that has the most, of runs in the order of their times."""
+    first = 0
+    most: list[Run] = []
+    for last, run in enumerate(runs):
+        while run.began_at - runs[first].began_at >= LIMIT_WINDOW_SECONDS:
             first += 1
-        most = max(most, last - first + 1)
+        if last - first + 1 > len(most):
+            most = runs[first : last + 1]
     return most
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -10,6 +10,8 @@
 from pathlib import Path
 from random import Random
 
+import msgspec
+
 from tests.soak.callers import Callers
 from tests.soak.fault_series import FAULTS
 from tests.soak.faults import Fault
@@ -18,6 +20,8 @@
 from tests.soak.recovery import Recovery
 from tests.soak.system import NODE_COUNT, SoakedSystem
 
+# Where what was seen is written, beside the nodes' logs, when a promise was broken.
+OBSERVATIONS_FILE = "observations.json"
 # Of each kind: those that open a connection for each request, and those that keep theirs.
 CALLERS = 4
 FAULT_PAUSE_SECONDS = 1.2
@@ -81,6 +85,8 @@
         result.results = Counter(f"{s.kind} {_outcome(s)}" for s in sent)
         result.results["over kept connections"] = sum(s.reused for s in sent)
         await system.close()
+    if result.violations:
+        (folder / OBSERVATIONS_FILE).write_bytes(msgspec.json.encode(system.observations))
     return result
 
 
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -52,7 +52,7 @@
         try:
             await super()._hang(request, request_id)
         finally:
-            self._observations.let_go[request_id, self.runner_id] = time.monotonic()
+            self._observations.note_let_go(request_id, self.runner_id, time.monotonic())
 
 
 class SoakedSystem:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -133,9 +133,10 @@
 
 
 def test_a_runner_that_works_on_long_after_the_close_is_found() -> None:
-    hung = Observations([CLOSED], [RUN], let_go={("r-1", "i-1"): 10.6})
+    hung = Observations([CLOSED], [RUN])
+    hung.note_let_go("r-1", "i-1", 10.6)
     assert find_violations(hung) == []
-    hung.let_go["r-1", "i-1"] = 10.8
+    hung.note_let_go("r-1", "i-1", 10.8)
     assert "at work" in find_violations(hung)[0]
     hung.sent = [replace(CLOSED, kind="once")]
     assert find_violations(hung) == []
--- a/tests/soak/timed_promises.py
+++ b/tests/soak/timed_promises.py
@@ -29,7 +29,7 @@
 def at_work_after_close(seen: Observations) -> Iterator[str]:
     """Return the runs that went on long after their callers had closed, at runners that hang."""
     for request, run in _runs_of_closed(seen):
-        let_go_at = seen.let_go.get((run.request_id, run.runner_id))
+        let_go_at = seen.let_go_at(run.request_id, run.runner_id)
         if let_go_at is None or request.kind not in CANCELLED_KINDS:
             continue
         late = let_go_at - max(_not_before(request), run.began_at)
