A node counts the peers that it hears of among those that share a limit, listed or not

Cause: of three nodes that started together the first read a directory with itself alone, then the store went away for 6 s. Its peers knew it and sent it their notices all the while. Ruled out: starts (one for each node, within their part of the margin), requests given back, late runs (the window begins at the first request, the first node let 74 of 126 pass).

Where more than 16 nodes tell only their relays, a node that knows no other is told of their loads, not of all their names: there the fault stays for as long as the outage lasts.

Shown by a test of three nodes in virtual time that failed before. The budget of retries is counted by the same number, which is set anew when the node next forgets what is gone.

--- a/src/hillstack/core/node_directory.py
+++ b/src/hillstack/core/node_directory.py
@@ -53,7 +53,8 @@
 
     def __init__(self) -> None:
         self._nodes: dict[str, NodeEntry] = {}
-        self._departed: dict[str, float] = {}
+        # Nodes that are not listed, with when they last were, or were last heard.
+        self._unlisted: dict[str, float] = {}
         self._ranks: dict[str | None, tuple[str, ...]] = {}
         self.generation = 0
 
@@ -80,7 +81,7 @@
         """Take over an entry; one that only has a later revision changes nothing for others."""
         known = self._nodes.get(node.node_id)
         self._nodes[node.node_id] = node
-        self._departed.pop(node.node_id, None)
+        self._unlisted.pop(node.node_id, None)
         if known is None or not known.is_same_but_revision(node):
             self._changed()
 
@@ -88,16 +89,28 @@
         """Note that a node was taken off the list; return whether it was on it."""
         if self._nodes.pop(node_id, None) is None:
             return False
-        self._departed[node_id] = now
+        self._unlisted[node_id] = now
         self._changed()
         return True
 
+    def note_heard(self, node_id: str, now: float) -> None:
+        """Note a sign of life of a node, which may have come since the list was last read.
+
+        In an outage of the store the first node of a new deployment may know itself alone, while
+        the others know all: without their signs of life it would take the whole of each budget.
+        """
+        if node_id not in self._nodes:
+            self._unlisted[node_id] = now
+
     def sharing_count(self, now: float) -> int:
-        """Return among how many nodes a budget is shared: those listed, and those until lately."""
-        departed = self._departed
-        for node_id in [n for n, at in departed.items() if now - at >= DEPARTED_SECONDS]:
-            del departed[node_id]
-        return max(1, len(self._nodes) + len(departed))
+        """Return among how many nodes a budget is shared.
+
+        These are the nodes that are listed, and those that were listed or heard until lately.
+        """
+        unlisted = self._unlisted
+        for node_id in [n for n, at in unlisted.items() if now - at >= DEPARTED_SECONDS]:
+            del unlisted[node_id]
+        return max(1, len(self._nodes) + len(unlisted))
 
     def relay_order(self, zone: str | None) -> tuple[str, ...]:
         """Return the nodes of a zone, or all, in the order in which they are asked to relay.
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -293,6 +293,7 @@
 
     def _take_words(self, notice: NodeNotice, now: float) -> None:
         """Take over what a node says of others than itself, and that it is alive."""
+        self._state.nodes.note_heard(notice.node_id, now)
         is_new = self._liveness.heard(notice.node_id, notice.incarnation, now)
         self._reader.take(notice, now)
         if is_new and self._on_new_peer is not None:
--- a/tests/fleet/test_limit_network.py
+++ b/tests/fleet/test_limit_network.py
@@ -177,6 +177,26 @@
     assert not any(tenant.record.ran for tenant in traffic)
 
 
+def test_a_node_that_was_the_first_to_start_counts_those_it_hears_of_in_an_outage() -> None:
+    # Seen in a soak (seed 102): three nodes started together, the store went away at once, and the
+    # first had read a directory with itself alone. It let the whole rate pass, the others a third
+    # each: 126 requests in a window where 119 may.
+    network = NodeNetwork(1, 1, table=limited_table(*LIMITS))
+    network.run(1.0)
+    network.store.down_for = {"node-0"}
+    for number in (1, 2):
+        network.add(f"node-{number}", "zone-0")
+    network.run(1.0)
+    network.store.down_for = None
+    assert len(network.nodes["node-0"].state.nodes) == 1
+    traffic = make_traffic(network)
+    for tenant in traffic:
+        tenant.send(12.0, HOT)
+    network.run(13.0)
+    assert_never_above(traffic)
+    network.close()
+
+
 def test_holders_that_wake_after_a_pause_bring_nothing_old() -> None:
     network = make_network(own_loops=True)
     traffic = make_traffic(network)
