--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 from random import SystemRandom
 
-from tests.soak.soak import SoakResult, run
+from tests.soak.fault_series import FAULTS
+from tests.soak.soak import SoakPlan, SoakResult, run
 from tests.soak.system import NODE_COUNT
 
 SEED_BITS = 31
@@ -16,21 +17,27 @@
 
 def main() -> int:
     """Run the soaks and return the exit code."""
+    faults = {fault.__name__: fault for fault in FAULTS}
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=60.0, help="faults of one soak")
     parser.add_argument("--soaks", type=int, default=1, help="number of soaks")
     parser.add_argument("--seed", type=int, help="seed of the first soak; drawn by default")
     parser.add_argument("--nodes", type=int, default=NODE_COUNT, help="processes of one soak")
+    parser.add_argument(
+        "--fault", action="append", choices=sorted(faults), help="only this one; may be repeated"
+    )
     parser.add_argument("--logs", type=Path, help="folder for the nodes' logs")
     arguments = parser.parse_args()
     # The stand-ins raise on purpose; the nodes log in processes of their own.
     logging.disable(logging.CRITICAL)
+    chosen = tuple(faults[name] for name in arguments.fault or faults)
+    plan = SoakPlan(arguments.seconds, arguments.nodes, chosen)
     seed = arguments.seed
     first = SystemRandom().getrandbits(SEED_BITS) if seed is None else seed
     failed = 0
     for number in range(arguments.soaks):
         folder = arguments.logs / str(first + number) if arguments.logs else None
-        result = run(first + number, arguments.seconds, folder, arguments.nodes)
+        result = run(first + number, plan, folder)
         failed += bool(result.violations)
         _report(result)
     return 1 if failed else 0
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,9 +22,12 @@
 
 # Where what was seen is written, beside the nodes' logs, when a promise was broken.
 OBSERVATIONS_FILE = "observations.json"
-# Of each kind: those that open a connection for each request, and those that keep theirs.
-CALLERS = 4
+# Of each kind: those that open a connection for each request, and those that keep theirs. More for
+# many nodes, as many as the stand-ins, which are one process, serve without being late themselves.
+LEAST_CALLERS = 4
+CALLERS_OF_A_NODE = 0.15
 FAULT_PAUSE_SECONDS = 1.2
+LEAST_FAULT_PAUSE_SECONDS = 0.4
 CHECK_SECONDS = 0.2
 LAG_CHECK_SECONDS = 0.02
 # Smaller lags are lost in what the times of promises leave.
@@ -52,22 +55,47 @@
     worst_lag: float = 0.0
 
 
-async def soak(seed: int, seconds: float, folder: Path, node_count: int) -> SoakResult:
+@dataclass(frozen=True, slots=True)
+class SoakPlan:
+    """What a soak plays.
+
+    Attributes:
+        seconds: How long faults begin.
+        node_count: Processes of the system under test.
+        faults: Faults that are drawn from.
+    """
+
+    seconds: float
+    node_count: int = NODE_COUNT
+    faults: tuple[Fault, ...] = FAULTS
+
+    @property
+    def callers(self) -> int:
+        """Return the callers of each kind."""
+        return max(LEAST_CALLERS, round(CALLERS_OF_A_NODE * self.node_count))
+
+    @property
+    def fault_pause(self) -> float:
+        """Return the mean seconds between two faults: with many nodes more go on at once."""
+        return max(LEAST_FAULT_PAUSE_SECONDS, FAULT_PAUSE_SECONDS * NODE_COUNT / self.node_count)
+
+
+async def soak(seed: int, plan: SoakPlan, folder: Path) -> SoakResult:
     """Run one soak."""
     rng = Random(seed)
     result = SoakResult(seed)
-    system = SoakedSystem(folder, node_count)
+    system = SoakedSystem(folder, plan.node_count)
     await system.start()
     rng_of_callers = Random(seed + 1)
     callers = Callers(system.observations, system.callable_nodes, system.all_keys, rng_of_callers)
     calling = [
         asyncio.create_task(work())
         for work in (callers.run, callers.run_on_kept_connections)
-        for _ in range(CALLERS)
+        for _ in range(plan.callers)
     ]
     watching = [asyncio.create_task(work(system)) for work in (_watch, _measure_lag)]
     try:
-        await _inject(system, rng, seconds, result)
+        await _inject(system, draw_schedule(rng, plan), result)
         recovery = Recovery(system, callers)
         await recovery.check()
         result.violations += recovery.violations
@@ -112,32 +140,32 @@
             system.observations.lags.append((now, now - due_at))
 
 
-async def _inject(system: SoakedSystem, rng: Random, seconds: float, result: SoakResult) -> None:
+async def _inject(
+    system: SoakedSystem, schedule: list[tuple[float, Fault, int]], result: SoakResult
+) -> None:
     """Inject faults, several at a time, and wait for the end of the last."""
     began_at = time.monotonic()
     async with asyncio.TaskGroup() as running:
-        for starts_at, fault, seed in draw_schedule(rng, seconds):
+        for starts_at, fault, seed in schedule:
             await asyncio.sleep(began_at + starts_at - time.monotonic())
             result.faults.append(f"{starts_at:.1f} {fault.__name__}")
             running.create_task(fault(system, Random(seed)))
 
 
-def draw_schedule(rng: Random, seconds: float) -> list[tuple[float, Fault, int]]:
+def draw_schedule(rng: Random, plan: SoakPlan) -> list[tuple[float, Fault, int]]:
     """Draw when which fault begins, and its own seed, so that no delay of a run changes them."""
     schedule: list[tuple[float, Fault, int]] = []
     starts_at = 0.0
-    while starts_at < seconds:
-        schedule.append((starts_at, rng.choice(FAULTS), rng.getrandbits(32)))
-        starts_at += rng.expovariate(1 / FAULT_PAUSE_SECONDS)
+    while starts_at < plan.seconds:
+        schedule.append((starts_at, rng.choice(plan.faults), rng.getrandbits(32)))
+        starts_at += rng.expovariate(1 / plan.fault_pause)
     return schedule
 
 
-def run(
-    seed: int, seconds: float, folder: Path | None = None, node_count: int = NODE_COUNT
-) -> SoakResult:
+def run(seed: int, plan: SoakPlan, folder: Path | None = None) -> SoakResult:
     """Run one soak; logs go to ``folder``, or to one that is removed."""
     if folder is not None:
         folder.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(soak(seed, seconds, folder, node_count))
+        return asyncio.run(soak(seed, plan, folder))
     with tempfile.TemporaryDirectory() as made:
-        return asyncio.run(soak(seed, seconds, Path(made), node_count))
+        return asyncio.run(soak(seed, plan, Path(made)))
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.processes.fault_proxy import FaultProxy
-from tests.soak.soak import draw_schedule
+from tests.soak.soak import SoakPlan, draw_schedule
 
 # Long enough for many answers over loopback: silence is shown by none coming.
 SILENCE_SECONDS = 0.3
@@ -50,5 +50,6 @@
 
 
 def test_a_seed_draws_the_same_faults_again() -> None:
-    assert draw_schedule(Random(3), 20.0) == draw_schedule(Random(3), 20.0)
-    assert draw_schedule(Random(3), 20.0) != draw_schedule(Random(4), 20.0)
+    plan = SoakPlan(20.0)
+    assert draw_schedule(Random(3), plan) == draw_schedule(Random(3), plan)
+    assert draw_schedule(Random(3), plan) != draw_schedule(Random(4), plan)
--- /dev/null
+++ b/tests/soak/test_seeded_run.py
@@ -0,0 +1,25 @@
+"""A short soak with a fixed seed, on every run: real processes under faults in series."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from random import Random
+
+from tests.soak.fault_series import FAULTS
+from tests.soak.soak import SoakPlan, draw_schedule, run
+
+# Its schedule holds every kind of fault, which the first test makes sure of.
+SEED = 3
+SECONDS = 60.0
+
+
+def test_the_seeded_run_plays_every_kind_of_fault() -> None:
+    drawn = {fault for _, fault, _ in draw_schedule(Random(SEED), SoakPlan(SECONDS))}
+    assert drawn == set(FAULTS)
+
+
+def test_real_processes_keep_all_promises_under_faults_in_series(tmp_path: Path) -> None:
+    result = run(SEED, SoakPlan(SECONDS), tmp_path)
+    assert result.violations == [], result.faults
+    served = sum(count for name, count in result.results.items() if name.endswith(" 200"))
+    assert served > 0 and result.results["over kept connections"] > 0
