Tests: nodes' ports lie below the range that the system hands out; soak by size on its page

The stand-in of the store answers watches without a look at its whole history when there is nothing new.

--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 
 SECONDS ?= 60
 SOAKS ?= 1
+NODES ?= 3
 
 .PHONY: demo test lint bench simulate prove mutate soak experiment storm clean
 
@@ -44,7 +45,7 @@
 	$(BIN)/python tools/mutate_fleet.py
 
 soak: $(STAMP)
-	$(BIN)/python -m tests.soak --seconds $(SECONDS) --soaks $(SOAKS)
+	$(BIN)/python -m tests.soak --seconds $(SECONDS) --soaks $(SOAKS) --nodes $(NODES)
 
 experiment: $(STAMP)
 	$(BIN)/python tools/experiments.py
--- a/src/hillstack/emulator/fleet_store.py
+++ b/src/hillstack/emulator/fleet_store.py
@@ -155,11 +155,17 @@
             if after < self._forgotten:
                 return Response(status_code=410)
             self._expire()
-            events = [i for i in self._history if i.rev > after and i.key.startswith(prefix)]
+            events = self._events(prefix, after)
             if events or self._clock() >= ends_at:
                 return _json(WatchBody(events, self.revision))
             await asyncio.sleep(WATCH_POLL_SECONDS)
 
+    def _events(self, prefix: str, after: int) -> list[StoreItem]:
+        # Many nodes ask a hundred times a second: a whole history each time takes the processor.
+        if self.revision <= after:
+            return []
+        return [i for i in self._history if i.rev > after and i.key.startswith(prefix)]
+
     async def _transact(self, request: Request) -> Response:
         body = msgspec.json.decode(await request.body(), type=TxnRequest)
         for condition in body.expected_count:
--- a/tests/fleet/deployment.py
+++ b/tests/fleet/deployment.py
@@ -19,6 +19,7 @@
 import aiohttp
 import msgspec
 import uvicorn
+from local_fleet import free_ports
 from multidict import CIMultiDict
 
 from hillstack.emulator.fleet_runner import FleetRunner
@@ -39,11 +40,21 @@
 POLL_SECONDS = 0.02
 
 
-def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
+# Ports that were handed out: none twice, also when its process has ended.
+_used_ports: set[int] = set()
+
+
+def free_port() -> int:
+    """Return a port that is free for TCP and UDP, and that the system gives to nobody else.
+
+    One of those that the system hands out could belong to another socket by the time when the
+    process that is told of it listens; many processes then take one another's.
+    """
+    while True:
+        (port,) = free_ports(1)
+        if port not in _used_ports:
+            _used_ports.add(port)
+            return port
 
 
 async def until(condition: Callable[[], bool], what: str) -> None:
@@ -191,7 +202,7 @@
             "[listen]",
             f'callers = "{callers}"',
             f'readiness = "{readiness}"',
-            f"peers_port = {free_port(socket.SOCK_DGRAM)}",
+            f"peers_port = {free_port()}",
             f"metrics_port = {metrics_port}",
             "[store]",
             f'address = "{store or self.store_address}"',
