A node whose metrics port is taken serves on, says so, and tells its metrics once the port is free

Cause: the server of the metrics ends the process (code 3, no line in the log) if it can't listen, while the listeners of callers and of readiness wait for a process that still holds their address. Shown by a test that failed before (code 3).

Moved: the choice of free ports, from the tools to the stand-ins, since the soak runs without the tools.

--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import signal
-import socket
 import time
 from collections.abc import Coroutine
 from pathlib import Path
@@ -32,6 +31,7 @@
 from hillstack.daemon.limit_client import LEASE_SECONDS, LimitClient
 from hillstack.daemon.limit_holder import LimitHolder
 from hillstack.daemon.metrics_page import MetricsPage
+from hillstack.daemon.metrics_server import serve_metrics
 from hillstack.daemon.node_registry import NodeRegistry
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.peer_link import PeerLink
@@ -162,14 +162,14 @@
             date_header=False,
         )
         readiness = make_server(Readiness(self._is_ready), settings.listen.readiness)
-        listening: list[tuple[uvicorn.Server, list[socket.socket] | None]] = [
+        listening = [
             (callers, [self._listeners.callers]),
             (readiness, [self._listeners.readiness]),
         ]
         if settings.listen.metrics_port is not None:
             self._add_gauges()
             address = f"{settings.node.address}:{settings.listen.metrics_port}"
-            listening.append((make_server(MetricsPage(self._metrics), address), None))
+            self._start(serve_metrics(MetricsPage(self._metrics), address))
         # Unlike ``serve``, ``_serve`` leaves signals alone: the node decides when it ends.
         serving = [asyncio.create_task(server._serve(sockets)) for server, sockets in listening]
         for work in (
--- /dev/null
+++ b/src/hillstack/emulator/free_ports.py
@@ -0,0 +1,49 @@
+"""Ports for stand-ins and for nodes that are started beside them on one machine."""
+
+from __future__ import annotations
+
+import random
+import socket
+from pathlib import Path
+
+HOST = "127.0.0.1"
+LOWEST_PORT = 10_000
+DEFAULT_FIRST_EPHEMERAL_PORT = 32_768
+
+
+def free_ports(count: int) -> list[int]:
+    """Return distinct ports that are free now, for TCP and UDP.
+
+    They lie below the range from which the system gives ports to outgoing connections and to
+    listeners without a number; one from that range can be taken before its process binds it.
+    """
+    candidates = list(range(LOWEST_PORT, _first_ephemeral_port()))
+    random.shuffle(candidates)
+    held: list[socket.socket] = []
+    ports: list[int] = []
+    try:
+        while len(ports) < count:
+            port = candidates.pop()
+            if all(_hold(held, kind, port) for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)):
+                ports.append(port)
+    finally:
+        for entry in held:
+            entry.close()
+    return ports
+
+
+def _hold(held: list[socket.socket], kind: socket.SocketKind, port: int) -> bool:
+    entry = socket.socket(type=kind)
+    held.append(entry)
+    try:
+        entry.bind((HOST, port))
+    except OSError:
+        return False
+    return True
+
+
+def _first_ephemeral_port() -> int:
+    try:
+        return int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    except (OSError, ValueError):
+        return DEFAULT_FIRST_EPHEMERAL_PORT
--- a/tests/fleet/deployment.py
+++ b/tests/fleet/deployment.py
@@ -19,11 +19,11 @@
 import aiohttp
 import msgspec
 import uvicorn
-from local_fleet import free_ports
 from multidict import CIMultiDict
 
 from hillstack.emulator.fleet_runner import FleetRunner
 from hillstack.emulator.fleet_store import FleetStore
+from hillstack.emulator.free_ports import free_ports
 from hillstack.platform import names
 from hillstack.platform.bodies import (
     ConfigurationBody,
@@ -189,10 +189,24 @@
         await self.wait_ready(node)
         return node
 
-    def launch(self, name: str, *, store: str | None = None, **bounds: Any) -> NodeProcess:
-        """Start a node, with the store at another address than its own if one is given."""
+    def launch(
+        self,
+        name: str,
+        *,
+        store: str | None = None,
+        metrics_port: int | None = None,
+        **bounds: Any,
+    ) -> NodeProcess:
+        """Start a node.
+
+        Args:
+            name: Its name.
+            store: Another address of the store than its own.
+            metrics_port: Where it tells its metrics; a free port by default.
+            bounds: Its bounds, by their names in the settings.
+        """
         callers, readiness = (f"127.0.0.1:{free_port()}" for _ in range(2))
-        metrics_port = free_port()
+        metrics_port = metrics_port or free_port()
         limits = {"fail_closed": True, "grace_seconds": 8.0} | bounds
         lines = [
             "[node]",
--- a/tests/fleet/test_node_process.py
+++ b/tests/fleet/test_node_process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import socket
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -297,6 +298,33 @@
     play(tmp_path, scenario)
 
 
+def test_a_node_whose_metrics_port_is_taken_serves_and_tells_its_metrics_later(
+    tmp_path: Path,
+) -> None:
+    # A soak's node ended by itself, without a word in its log: another socket had its metrics port.
+    async def scenario(running: Deployment) -> None:
+        await running.add_runner("i-1")
+        with socket.socket() as holder:
+            holder.bind(("127.0.0.1", 0))
+            holder.listen()
+            node = running.launch("node-1", metrics_port=holder.getsockname()[1])
+            await until(
+                lambda: node.process.poll() is not None or "metrics not told" in node.messages(),
+                "a word on the port, or the end",
+            )
+            assert node.process.poll() is None
+            await running.wait_ready(node)
+            assert (await running.call(node, "/safe/x")).status == 200
+        await until(lambda: "metrics told" in node.messages(), "the port is free")
+        url = f"http://127.0.0.1:{node.metrics_port}/metrics"
+        async with running.session.get(url) as response:
+            assert response.status == 200
+        running.stop_node(node)
+        assert await running.ended(node) == 0
+
+    play(tmp_path, scenario)
+
+
 def test_metrics_tell_of_requests_attempts_and_beliefs(tmp_path: Path) -> None:
     async def scenario(running: Deployment) -> None:
         await running.add_runner("i-1", ENGINES)
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 from random import Random
+from typing import Any
 
 from starlette.requests import Request
 
@@ -27,7 +28,7 @@
 APPLICATION_COUNT = 3
 KEY_COUNT = 3
 LIMITED_TENANT = TenantBody("tenant-2", ["limited-key"], rate_per_s=10, burst=10)
-TOLERANCE = {"limit_window_seconds": 8, "limit_overshoot": 0.1, "limit_slack": 20}
+TOLERANCE: dict[str, Any] = {"limit_window_seconds": 8, "limit_overshoot": 0.1, "limit_slack": 20}
 # Signals that end a process.
 ENDING = frozenset({signal.SIGTERM, signal.SIGKILL})
 STORE = "store"
--- a/tools/local_fleet.py
+++ b/tools/local_fleet.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import json
-import random
 import secrets
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -20,10 +18,10 @@
 
 from make_deployments import demo_token
 
+from hillstack.emulator.free_ports import free_ports
+
 DEPLOY = Path(__file__).resolve().parent.parent / "deploy"
 HOST = "127.0.0.1"
-LOWEST_PORT = 10_000
-DEFAULT_FIRST_EPHEMERAL_PORT = 32_768
 START_LIMIT_SECONDS = 60.0
 STOP_LIMIT_SECONDS = 30.0
 POLL_SECONDS = 0.05
@@ -331,44 +329,6 @@
         )
 
 
-def free_ports(count: int) -> list[int]:
-    """Return distinct ports that are free now, for TCP and UDP.
-
-    They lie below the range from which the system gives ports to outgoing connections and to
-    listeners without a number; one from that range can be taken before its process binds it.
-    """
-    candidates = list(range(LOWEST_PORT, _first_ephemeral_port()))
-    random.shuffle(candidates)
-    held: list[socket.socket] = []
-    ports: list[int] = []
-    try:
-        while len(ports) < count:
-            port = candidates.pop()
-            if all(_hold(held, kind, port) for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)):
-                ports.append(port)
-    finally:
-        for entry in held:
-            entry.close()
-    return ports
-
-
-def _hold(held: list[socket.socket], kind: socket.SocketKind, port: int) -> bool:
-    entry = socket.socket(type=kind)
-    held.append(entry)
-    try:
-        entry.bind((HOST, port))
-    except OSError:
-        return False
-    return True
-
-
-def _first_ephemeral_port() -> int:
-    try:
-        return int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
-    except (OSError, ValueError):
-        return DEFAULT_FIRST_EPHEMERAL_PORT
-
-
 def get_json(address: str, path: str) -> Any:
     """Return a JSON page, or None when it can't be read."""
     try:
