--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -202,10 +202,11 @@
         self._runner_count += 1
         runner = ObservedRunner(f"i-{self._runner_count}", service, self.observations)
         runner.weights = self.weights
-        self._members[runner.runner_id] = "ready"
         await self.deployment.start_runner(
             runner, lambda address: self.proxy.front(runner.runner_id, address)
         )
+        # Faults choose among the members: only now is there a connection to disturb.
+        self._members[runner.runner_id] = "ready"
 
     def announce_leaving(self, runner_id: str) -> None:
         """Let a runner's entry say that it will leave."""
