--- a/tests/fleet/deployment.py
+++ b/tests/fleet/deployment.py
@@ -23,6 +23,7 @@
 
 from hillstack.emulator.fleet_runner import FleetRunner
 from hillstack.emulator.fleet_store import FleetStore
+from hillstack.emulator.free_ports import free_ports
 from hillstack.platform import names
 from hillstack.platform.bodies import (
     ConfigurationBody,
@@ -39,11 +40,21 @@
 POLL_SECONDS = 0.02
 
 
-def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
+# Ports that were handed out: none twice, also when its process has ended.
+_used_ports: set[int] = set()
+
+
+def free_port() -> int:
+    """Return a port that is free for TCP and UDP, and that the system gives to nobody else.
+
+    One of those that the system hands out could belong to another socket by the time when the
+    process that is told of it listens; many processes then take one another's.
+    """
+    while True:
+        (port,) = free_ports(1)
+        if port not in _used_ports:
+            _used_ports.add(port)
+            return port
 
 
 async def until(condition: Callable[[], bool], what: str) -> None:
@@ -65,6 +76,12 @@
     process: subprocess.Popen[bytes]
     log_path: Path
 
+    def listens(self) -> bool:
+        """Return whether callers can connect, as early in its start perhaps."""
+        host, _, port = self.callers.rpartition(":")
+        with socket.socket() as probe:
+            return probe.connect_ex((host, int(port))) == 0
+
     def log(self) -> list[dict[str, Any]]:
         lines = self.log_path.read_bytes().splitlines()
         return [json.loads(line) for line in lines if line.startswith(b"{")]
@@ -172,10 +189,24 @@
         await self.wait_ready(node)
         return node
 
-    def launch(self, name: str, *, store: str | None = None, **bounds: Any) -> NodeProcess:
-        """Start a node, with the store at another address than its own if one is given."""
+    def launch(
+        self,
+        name: str,
+        *,
+        store: str | None = None,
+        metrics_port: int | None = None,
+        **bounds: Any,
+    ) -> NodeProcess:
+        """Start a node.
+
+        Args:
+            name: Its name.
+            store: Another address of the store than its own.
+            metrics_port: Where it tells its metrics; a free port by default.
+            bounds: Its bounds, by their names in the settings.
+        """
         callers, readiness = (f"127.0.0.1:{free_port()}" for _ in range(2))
-        metrics_port = free_port()
+        metrics_port = metrics_port or free_port()
         limits = {"fail_closed": True, "grace_seconds": 8.0} | bounds
         lines = [
             "[node]",
@@ -185,7 +216,7 @@
             "[listen]",
             f'callers = "{callers}"',
             f'readiness = "{readiness}"',
-            f"peers_port = {free_port(socket.SOCK_DGRAM)}",
+            f"peers_port = {free_port()}",
             f"metrics_port = {metrics_port}",
             "[store]",
             f'address = "{store or self.store_address}"',
