A node at rest sets no timers for its servers and for a duty that another holds

Ruled out: cache follower (4 a second), sign of life of relays (7), store (3). Change: servers without a Date header wait for an event; the duty waits for its lease. The readiness and the metrics page no longer send a Date header.

--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -161,7 +161,9 @@
             keep_alive_seconds=KEEP_ALIVE_SECONDS,
             date_header=False,
         )
-        readiness = make_server(Readiness(self._is_ready), settings.listen.readiness)
+        readiness = make_server(
+            Readiness(self._is_ready), settings.listen.readiness, date_header=False
+        )
         listening: list[tuple[uvicorn.Server, list[socket.socket] | None]] = [
             (callers, [self._listeners.callers]),
             (readiness, [self._listeners.readiness]),
@@ -169,7 +171,8 @@
         if settings.listen.metrics_port is not None:
             self._add_gauges()
             address = f"{settings.node.address}:{settings.listen.metrics_port}"
-            listening.append((make_server(MetricsPage(self._metrics), address), None))
+            page = make_server(MetricsPage(self._metrics), address, date_header=False)
+            listening.append((page, None))
         # Unlike ``serve``, ``_serve`` leaves signals alone: the node decides when it ends.
         serving = [asyncio.create_task(server._serve(sockets)) for server, sockets in listening]
         for work in (
--- a/src/hillstack/daemon/rollout_duty.py
+++ b/src/hillstack/daemon/rollout_duty.py
@@ -85,7 +85,7 @@
         self._clock = clock
         self._rng = rng
         self._started_at = clock()
-        self._held = False
+        self._held = asyncio.Event()
         self._orders_taken: dict[str, int] = {}
         self._loading: dict[str, asyncio.Task[None]] = {}
         self._resting_until: dict[str, float] = {}
@@ -115,6 +115,8 @@
     async def run(self) -> None:
         """Give orders while the lease is held, until cancelled."""
         while True:
+            # All nodes but one wait here: a look each tick was 20 of 75 timers a second.
+            await self._held.wait()
             await asyncio.sleep(TICK_SECONDS)
             # A node that has just started does not know whom others have ordered lately.
             if self._lease.fence() is not None and self._clock() >= self._started_at + self._turn:
@@ -152,11 +154,13 @@
         return ACQUIRE_TURN_SECONDS * (order.index(self._state.node_id) if known else len(order))
 
     def _note_held(self, held: bool) -> None:
-        if held is self._held:
+        if held is self._held.is_set():
             return
-        self._held = held
         if held:
+            self._held.set()
             self._state.duty_holder = self._state.node_id
+        else:
+            self._held.clear()
         fields = {"fence": self._lease.fence()}
         logger.info("duty lease held" if held else "duty lease lost", extra=fields)
 
--- a/tests/fleet/test_rollout_duty.py
+++ b/tests/fleet/test_rollout_duty.py
@@ -285,6 +285,26 @@
     bench.scheduler.close()
 
 
+def test_a_node_without_the_duty_sets_no_timer_for_orders(monkeypatch: pytest.MonkeyPatch) -> None:
+    bench = Bench()
+    first, second = bench.add_node("a"), bench.add_node("b")
+    bench.run(START_DELAY_SECONDS + 3.0)
+    holders = [node for node in (first, second) if node.duty._lease.fence() is not None]
+    assert len(holders) == 1
+    waiting = second if holders == [first] else first
+    made: list[float] = []
+    call_at = waiting.loop.call_at
+
+    def counted(when: float, *arguments: Any, **options: Any) -> Any:
+        made.append(when)
+        return call_at(when, *arguments, **options)
+
+    monkeypatch.setattr(waiting.loop, "call_at", counted)
+    bench.run(2.0)
+    # It looks at the lease each 0.4 s, for which it may sleep twice.
+    assert len(made) <= 10
+
+
 def test_a_paused_holder_stops_by_its_own_clock() -> None:
     bench = Bench()
     node = bench.add_node("node-1")
