A relay repeats that a node is alive no more often than the node itself would

Cause: each report of a node's loads, up to 20 a second, carries an encoded notice that is mostly empty; the relay handed each of them to all nodes of the zone. In the profile 3,681 notices held 1,133 placements and 977 words of prompts read. Change: without news, a notice is handed on each 0.7 s (a node at rest sends one each 0.8 s, liveness forgets after 3 s); a node's first notice and all news as before. Test: of 200 reports in 2 s without news 196 were handed on before, 4 at most now; loads and placements as before.

--- a/src/hillstack/daemon/notice_relay.py
+++ b/src/hillstack/daemon/notice_relay.py
@@ -25,6 +25,9 @@
 # A placement passes up to two relays. A twentieth of the shortest objective of a first event seen
 # in a deployment (0.5 s) for both is late enough to batch some, and early enough to steer others.
 BATCH_SECONDS = 0.025
+# How often a node's sign of life is handed on where it has no news: a little sooner than a node at
+# rest sends one (0.8 s). Each costs all nodes of the zone as much as a word.
+ALIVE_INTERVAL_SECONDS = 0.7
 # What a relay of a zone without news sends, so that its nodes know that it is there.
 HEARTBEAT_SECONDS = 0.3
 # A node that was asked to relay counts as a relay for that long: two repetitions of all loads.
@@ -96,6 +99,7 @@
         self._far = _Outgoing()
         self._zone_loads: dict[str, ReportedLoads] = {}
         self._incarnations: dict[str, int] = {}
+        self._handed_on_at: dict[str, float] = {}
         self._asked_at = float("-inf")
         self._timer: asyncio.TimerHandle | None = None
 
@@ -111,9 +115,7 @@
             self._near.add_load(self._zone, load)
             self._far.add_load(self._zone, load)
         if report.notice:
-            self._near.notices.append(report.notice)
-            if report.is_news or self._is_new(report):
-                self._far.notices.append(report.notice)
+            self._add_notice(report, now)
         self._schedule(urgent=report.is_urgent)
         return sums
 
@@ -157,6 +159,17 @@
         reported.report(node_id, load.load(), now)
         return LoadNotice.of(load.runner_id, reported.total(now))
 
+    def _add_notice(self, report: NodeReport, now: float) -> None:
+        """Hand on news to all, and that a node is alive to those near it, not with each load."""
+        is_news = report.is_news or self._is_new(report)
+        handed_on_at = self._handed_on_at.get(report.node_id, float("-inf"))
+        if not is_news and now - handed_on_at < ALIVE_INTERVAL_SECONDS:
+            return
+        self._handed_on_at[report.node_id] = now
+        self._near.notices.append(report.notice)
+        if is_news:
+            self._far.notices.append(report.notice)
+
     def _is_new(self, report: NodeReport) -> bool:
         """Return whether a report is the first one of its sender's process."""
         if self._incarnations.get(report.node_id) == report.incarnation:
--- a/tests/fleet/test_standing_work.py
+++ b/tests/fleet/test_standing_work.py
@@ -1,15 +1,31 @@
-"""What a node's servers do while nobody asks them for anything."""
+"""What a node does beside its requests: servers that rest, signs of life that are handed on."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable, Sequence
 from typing import Any
 
 import pytest
 
+from hillstack.core.relay_choice import RelayChoice
+from hillstack.daemon.notice_relay import NoticeRelay
+from hillstack.daemon.peer_link import PeerLink
 from hillstack.http_server import make_server
+from hillstack.messages.datagrams import DatagramKind
+from hillstack.messages.packing import unpack
+from hillstack.messages.peer_notices import (
+    PROTOCOL_VERSION,
+    LoadNotice,
+    NodeNotice,
+    PlacementNotice,
+    decode,
+    encode,
+)
+from hillstack.messages.relay_batches import NodeReport, RelayBatch
 from hillstack.platform.ingress import Readiness
 from hillstack.platform.names import READY_PATH
+from tests.fleet.builders import make_route, make_state, make_table
 
 LOOK_SECONDS = 0.35
 QUESTION = f"GET {READY_PATH} HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n".encode()
@@ -70,3 +86,52 @@
 
     monkeypatch.setattr(loop, "call_at", counted)
     return made
+
+
+class _KeptLink(PeerLink):
+    """A link that keeps what it is told to send."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sent: list[tuple[DatagramKind, RelayBatch]] = []
+
+    def send_to_all(self, kind: DatagramKind, payload: bytes, addresses: Iterable[str]) -> None:
+        self.sent.append((kind, unpack(payload, RelayBatch, "relay")))
+
+    def handed_on(self, kind: DatagramKind) -> list[NodeNotice]:
+        notices = [n for told, batch in self.sent if told is kind for n in batch.notices]
+        return [decode(notice, "relay") for notice in notices]
+
+
+def _report(number: int, placements: Sequence[PlacementNotice] = ()) -> NodeReport:
+    load = LoadNotice("i-1", number % 3 + 1, 0, 100)
+    notice = NodeNotice(PROTOCOL_VERSION, "node-2", 7, placements=list(placements))
+    is_news = notice.is_news()
+    return NodeReport(PROTOCOL_VERSION, "node-2", 7, [load], encode(notice), is_news=is_news)
+
+
+def test_a_relay_does_not_repeat_that_a_node_is_alive_with_each_of_its_loads() -> None:
+    link = _KeptLink()
+    state = make_state(make_table(make_route()))
+    choice = RelayChoice(state.node_id, state.nodes)
+    now = 0.0
+    relay = NoticeRelay(state, link, choice, "zone-a", lambda: now)
+
+    async def run() -> None:
+        nonlocal now
+        for number in range(200):
+            now = number / 100
+            placed = PlacementNotice("i-1", "salt", [("a", 10)], 500, number=number)
+            relay.take_report(_report(number, [placed] if number % 50 == 10 else ()), now)
+            relay.flush()
+
+    asyncio.run(run())
+    near = link.handed_on(DatagramKind.FINAL_BATCH)
+    told = [n.placements[0].number for n in near if n.placements]
+    assert told == [10, 60, 110, 160]
+    # It is heard at least each 0.8 s, which is as often as a node at rest sends.
+    assert len(near) - len(told) <= 4
+    far = link.handed_on(DatagramKind.ZONE_BATCH)
+    assert [n.placements[0].number for n in far if n.placements] == told
+    loads = [load for _, batch in link.sent for zone in batch.loads for load in zone.loads]
+    assert len(loads) == 2 * 200
