--- a/src/hillstack/core/part_index.py
+++ b/src/hillstack/core/part_index.py
@@ -10,11 +10,11 @@
 import math
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Sequence
-from dataclasses import dataclass
 
+import msgspec
 
-@dataclass(frozen=True, slots=True)
-class PromptPart:
+
+class PromptPart(msgspec.Struct, frozen=True):
     """A part of a prompt: its identifier and its length in tokens."""
 
     part_id: str
@@ -24,8 +24,7 @@
 PartKey = tuple[str, str]
 
 
-@dataclass(frozen=True, slots=True)
-class _Kept:
+class _Kept(msgspec.Struct):
     """What is believed of a part at a holder; minus infinity as ``ready_at`` if it was seen."""
 
     tokens: int
@@ -55,15 +54,17 @@
         return known.tokens if known is not None else 0
 
     def put(self, key: PartKey, tokens: int, ready_at: float) -> None:
-        known = self.parts.pop(key, None)
+        known = self.parts.get(key)
         if known is None:
             self._holders_by_part.setdefault(key, set()).add(self.holder_id)
-        else:
-            self.total -= known.tokens
-            if known.tokens >= tokens:
-                ready_at = min(ready_at, known.ready_at)
-        self.total += tokens
-        self.parts[key] = _Kept(tokens, ready_at)
+            self.total += tokens
+            self.parts[key] = _Kept(tokens, ready_at)
+            return
+        if known.tokens < tokens or ready_at < known.ready_at:
+            known.ready_at = ready_at
+        self.total += tokens - known.tokens
+        known.tokens = tokens
+        self.parts.move_to_end(key)
 
     def remove(self, key: PartKey) -> None:
         known = self.parts.pop(key, None)
--- a/src/hillstack/core/placement/expected_delay.py
+++ b/src/hillstack/core/placement/expected_delay.py
@@ -15,6 +15,8 @@
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 
+import msgspec
+
 from hillstack.core.part_index import PartIndex, PromptPart
 from hillstack.core.placement.kept_parts import KeptParts, Move, Surroundings, find_kept_parts
 from hillstack.core.prompt_shape import PromptShape
@@ -70,8 +72,7 @@
 SUPERSEDED_PENALTY_SECONDS = 0.25
 
 
-@dataclass(frozen=True, slots=True)
-class Candidate:
+class Candidate(msgspec.Struct, frozen=True):
     """A runner that may take the request, and the salt that its weights ask for.
 
     Attributes:
--- a/src/hillstack/core/runner_load.py
+++ b/src/hillstack/core/runner_load.py
@@ -11,13 +11,14 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
+import msgspec
+
 # A peer repeats its loads each 0.8 s (``peer_exchange.REFRESH_SECONDS``): two lost repetitions do
 # not make its load disappear, and what a dead peer had there is forgotten soon.
 PEER_LOAD_SECONDS = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class RunnerLoad:
+class RunnerLoad(msgspec.Struct, frozen=True):
     """Load on a runner, of one node or of several.
 
     Attributes:
--- a/src/hillstack/daemon/notice_reader.py
+++ b/src/hillstack/daemon/notice_reader.py
@@ -44,6 +44,8 @@
 
     def take(self, notice: NodeNotice, now: float) -> None:
         """Take over all that a peer says of others; its own loads are taken apart from it."""
+        if not notice.is_news():
+            return
         for weights in notice.weights:
             self._take_weights(weights, now)
         for runner_id in notice.suspected:
@@ -70,7 +72,7 @@
         for notice in loads:
             load = notice.load()
             runner = self._state.pool.get(notice.runner_id)
-            if runner is not None and zone == self._zone:
+            if runner is not None and zone == self._zone and runner.attempts:
                 # This node's own load is part of its zone's, as of some ten milliseconds ago.
                 load = load.without(runner.attempts.load())
             self._note_load(f"zone {zone}", notice.runner_id, load, now)
--- a/src/hillstack/serving/cache_beliefs.py
+++ b/src/hillstack/serving/cache_beliefs.py
@@ -16,7 +16,7 @@
 
 from hillstack.core.part_index import PromptPart
 from hillstack.core.prompt_shape import PromptShape
-from hillstack.core.routing_table import KeptCacheStore
+from hillstack.core.routing_table import KeptCacheStore, RoutingTable
 from hillstack.messages.peer_notices import PlacementNotice
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import PlacedAttempt
@@ -41,6 +41,8 @@
     def __init__(self, state: FleetState) -> None:
         self._state = state
         self._link_free_at: dict[str, float] = {}
+        self._token_seconds: dict[tuple[str, str], float] = {}
+        self._token_seconds_of: RoutingTable | None = None
 
     def worth_saving(
         self, store: KeptCacheStore, salt: str, shape: PromptShape, now: float
@@ -126,15 +128,28 @@
 
     def _save_seconds(self, address: str, runner_id: str, tokens: int) -> float:
         runner = self._state.pool.get(runner_id)
-        table = self._state.table
-        if runner is None or table is None:
+        if runner is None:
             return 0.0
-        engine = self._state.engine_of(runner.entry.service)
-        stores = (store for store in table.kept_cache_stores() if store.address == address)
-        store = next(stores, None)
+        # Asked three times for each prompt that any node sends, so it is kept until the
+        # configuration changes.
+        if self._token_seconds_of is not self._state.table:
+            self._token_seconds_of = self._state.table
+            self._token_seconds.clear()
+        key = (address, runner.entry.service)
+        seconds = self._token_seconds.get(key)
+        if seconds is None:
+            seconds = self._token_seconds[key] = self._seconds_a_token(*key)
+        return tokens * seconds
+
+    def _seconds_a_token(self, address: str, service: str) -> float:
+        """Return how long a store's link carries a token; 0 for an unknown store or service."""
+        table = self._state.table
+        stores = table.kept_cache_stores() if table is not None else []
+        store = next((store for store in stores if store.address == address), None)
+        engine = self._state.engine_of(service)
         if engine is None or store is None:
             return 0.0
-        return engine.transfer_seconds(tokens, max(1.0, store.link_megabits))
+        return engine.transfer_seconds(1, max(1.0, store.link_megabits))
 
 
 def _until_surely_read(delay: float) -> float:
