--- a/src/hillstack/logs.py
+++ b/src/hillstack/logs.py
@@ -8,12 +8,42 @@
 import time
 from collections.abc import Callable
 
-from pythonjsonlogger.json import JsonFormatter
+import msgspec
 
 from hillstack.errors import HillstackError
 
-FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
-RENAMED = {"asctime": "time", "levelname": "level", "name": "logger"}
+# What the library of logs keeps of each record: a line's other fields are the caller's.
+RECORD_FIELDS = frozenset(logging.makeLogRecord({}).__dict__) | {"message", "asctime"}
+
+
+class JsonLines(logging.Formatter):
+    """One JSON object a line: time, level, logger, message and node, then the caller's fields.
+
+    Args:
+        node: Identifier of the process, on every line.
+    """
+
+    def __init__(self, node: str) -> None:
+        super().__init__()
+        self._node = node
+        # What is no plain value is written as its text: a line is never lost for a field.
+        self._encoder = msgspec.json.Encoder(enc_hook=str)
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line of a record."""
+        line: dict[str, object] = {
+            "time": self.formatTime(record),
+            "level": record.levelname,
+            "logger": record.name,
+            "message": record.getMessage(),
+            "node": self._node,
+        }
+        line |= {k: v for k, v in record.__dict__.items() if k not in RECORD_FIELDS}
+        if record.exc_info:
+            line["exc_info"] = self.formatException(record.exc_info)
+        if record.stack_info:
+            line["stack_info"] = self.formatStack(record.stack_info)
+        return self._encoder.encode(line).decode()
 
 
 def configure_logging(level: str, node: str) -> None:
@@ -38,7 +68,7 @@
 
 def make_json_formatter(node: str) -> logging.Formatter:
     """Return a formatter of JSON lines that name the node."""
-    return JsonFormatter(FIELDS, rename_fields=RENAMED, static_fields={"node": node})
+    return JsonLines(node)
 
 
 class BoundedHandler(logging.Handler):
--- a/tests/fleet/test_bounded_logs.py
+++ b/tests/fleet/test_bounded_logs.py
@@ -5,11 +5,14 @@
 import json
 import logging
 import os
+import re
 from collections.abc import Iterator
+from pathlib import Path
 
 import pytest
 
 from hillstack.logs import BoundedHandler, make_json_formatter
+from hillstack.serving.types import Verdict
 
 
 class Clock:
@@ -42,6 +45,40 @@
     assert (line["message"], line["request"], line["node"]) == ("attempt", "r-1", "node-1")
 
 
+def test_a_line_is_not_lost_for_a_field_that_is_no_plain_value(pipe: tuple[int, int]) -> None:
+    logger, _ = make_logger(pipe[1], 10, Clock())
+    fields = {
+        "age_seconds": float("inf"),
+        "verdict": Verdict.OVERLOADED,
+        "error": ValueError("odd"),
+        "path": Path("a/b"),
+        "weights": {"model": 1},
+        "name_of": "Hämeen\u2028katu",
+    }
+    logger.info("rejected: %s", "why", extra=fields)
+    line = json.loads(os.read(pipe[0], 10_000))
+    assert line["message"] == "rejected: why"
+    assert line["level"] == "INFO"
+    assert line["logger"] == "test"
+    assert re.fullmatch(r"\d{4}-\d\d-\d\d \d\d:\d\d:\d\d,\d{3}", line["time"])
+    assert (line["verdict"], line["error"], line["path"]) == ("overloaded", "odd", "a/b")
+    assert (line["weights"], line["name_of"]) == ({"model": 1}, fields["name_of"])
+    assert line["age_seconds"] is None
+
+
+def test_an_exception_is_one_line_with_its_trace(pipe: tuple[int, int]) -> None:
+    logger, _ = make_logger(pipe[1], 10, Clock())
+    try:
+        raise ValueError("odd")
+    except ValueError:
+        logger.exception("request failed", extra={"request": "r-1"})
+    text = os.read(pipe[0], 10_000)
+    assert text.count(b"\n") == 1
+    line = json.loads(text)
+    assert line["request"] == "r-1"
+    assert line["exc_info"].startswith("Traceback") and line["exc_info"].endswith("ValueError: odd")
+
+
 def test_lines_over_the_rate_are_dropped_and_counted(pipe: tuple[int, int]) -> None:
     clock = Clock()
     logger, handler = make_logger(pipe[1], 10, clock)
