A choice costs runners plus holders of the prompt's parts, not their product

For each candidate with parts of its own all holders were looked through for a move; what follows from the version of weights was worked out for each runner. Change: a move is found once for each zone and number of tokens already there (a runner is no source for itself, since it has what could be fetched); runners that are free soon are weighed first, and one whose queue alone is too long is out before its load is added up; what a version means is worked out once a choice. Callers' forwarded addresses, which nothing here reads, are not parsed.

--- a/src/hillstack/core/placement/expected_delay.py
+++ b/src/hillstack/core/placement/expected_delay.py
@@ -164,13 +164,18 @@
         best: _Weighed | None = None
         least = math.inf
         kept_by_salt: dict[str, KeptParts] = {}
-        positions = self._positions(candidate.runner.runner_id for candidate in candidates)
-        for candidate in candidates:
+        # Only long streams are gathered.
+        positions: dict[str, float] = {}
+        if shape.is_long:
+            positions = self._positions(candidate.runner.runner_id for candidate in candidates)
+        # Runners that are free soon first: others are then out by their queue alone, before their
+        # load is added up. The choice is the same in any order.
+        for candidate in sorted(candidates, key=_free_at):
             kept = kept_by_salt.get(candidate.salt)
             if kept is None:
                 kept = find_kept_parts(self._index, shape, candidate.salt, surroundings, holders)
                 kept_by_salt[candidate.salt] = kept
-            position = positions[candidate.runner.runner_id]
+            position = positions.get(candidate.runner.runner_id, 0.0)
             weighed = _weigh(shape, candidate, surroundings, kept, position, least)
             if weighed is not None:
                 best, least = weighed, weighed.cost
@@ -184,6 +189,10 @@
         return self._order
 
 
+def _free_at(candidate: Candidate) -> float:
+    return candidate.runner.prefill_done_at
+
+
 def _weigh(
     shape: PromptShape,
     candidate: Candidate,
@@ -195,12 +204,14 @@
     """Return what a runner costs; None if it begins too late or costs no less than ``least``."""
     runner = candidate.runner
     now = around.now
-    load = runner.load(now)
     queue = runner.prefill_wait(now)
     matched = kept.matched.get(runner.runner_id, 0)
     move = kept.best_move(runner, matched)
     missing = max(1, shape.prompt_tokens - matched - move.tokens)
     prefill = missing / around.prefill_rate
+    if queue + move.seconds + prefill - MOST_BONUS_SECONDS >= least:
+        return None
+    load = runner.load(now)
     waiting = queue + _pressure(shape, runner, load, around)
     delay = waiting + move.seconds + prefill
     if delay - MOST_BONUS_SECONDS >= least:
--- a/src/hillstack/core/placement/kept_parts.py
+++ b/src/hillstack/core/placement/kept_parts.py
@@ -49,7 +49,6 @@
 class _Source:
     """A holder from which shared parts can be fetched now, and how much of them."""
 
-    holder_id: str
     address: str
     zone: str
     tokens: int
@@ -68,25 +67,27 @@
     matched: dict[str, int]
     _sources: list[_Source]
     _around: Surroundings
-    _moves: dict[str, Move] = field(default_factory=dict)
+    _moves: dict[tuple[str, int], Move] = field(default_factory=dict)
 
     def best_move(self, runner: Runner, matched: int) -> Move:
-        """Return the move that saves the most time to a runner that has some tokens itself."""
-        if matched:
-            return self._find_move(runner, matched)
-        # All runners of a zone that have nothing are alike.
-        move = self._moves.get(runner.entry.zone)
+        """Return the move that saves the most time to a runner that has some tokens itself.
+
+        Runners of a zone that have the same are alike, so a choice costs runners plus sources, not
+        their product. A runner is no source for itself, since it has what could be fetched there.
+        """
+        key = (runner.entry.zone, matched)
+        move = self._moves.get(key)
         if move is None:
-            move = self._moves[runner.entry.zone] = self._find_move(runner, 0)
+            move = self._moves[key] = self._find_move(*key)
         return move
 
-    def _find_move(self, runner: Runner, matched: int) -> Move:
+    def _find_move(self, zone: str, matched: int) -> Move:
         best, best_gain = Move(), float("-inf")
         for source in self._sources:
             tokens = source.tokens - matched
-            if tokens < MIN_MOVE_TOKENS or source.holder_id == runner.runner_id:
+            if tokens < MIN_MOVE_TOKENS:
                 continue
-            seconds = move_seconds(tokens, source.zone, runner.entry.zone, self._around)
+            seconds = move_seconds(tokens, source.zone, zone, self._around)
             gain = tokens / self._around.prefill_rate - seconds
             if gain > best_gain:
                 best, best_gain = Move(source.address, tokens, seconds), gain
@@ -120,10 +121,10 @@
         matched[holder_id] = index.matched_tokens(holder_id, salt, shape.parts)
         known = max(known, min(shape.shared_tokens, matched[holder_id]))
         read = index.matched_tokens(holder_id, salt, shape.shared, around.now)
-        sources.append(_Source(holder_id, holder.address, holder.entry.zone, read))
+        sources.append(_Source(holder.address, holder.entry.zone, read))
     for store in around.stores:
         read = index.matched_tokens(store.address, salt, shape.shared, around.now)
-        sources.append(_Source(store.address, store.address, store.zone, read))
+        sources.append(_Source(store.address, store.zone, read))
     return KeptParts(known, matched, sources, around)
 
 
--- a/src/hillstack/http_server.py
+++ b/src/hillstack/http_server.py
@@ -75,6 +75,8 @@
         log_config=None,
         access_log=False,
         server_header=False,
+        # Nothing here believes an address that a caller writes into a header.
+        proxy_headers=False,
         date_header=date_header,
         backlog=backlog,
         timeout_keep_alive=keep_alive_seconds,
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -64,6 +64,15 @@
     tried: int = 0
 
 
+@dataclass(slots=True)
+class _VersionTerms:
+    """What a version of weights means for one request; the fields are those of ``Candidate``."""
+
+    salt: str
+    begin_before: float
+    superseded_at: float
+
+
 class RunnerPlacement:
     """Placement for one node.
 
@@ -196,26 +205,32 @@
     ) -> PlacedAttempt | None:
         model = job.request.model
         oldest = self._state.versions.oldest_allowed(model, now + VERSION_MARGIN_SECONDS)
-        accepting = [
-            runner
-            for runner in self._state.pool.accepting(job.service, now)
-            if runner.likely_weights(model, now) >= oldest
-        ]
-        candidates = [
-            self._candidate(job, runner, now)
-            for runner in accepting
-            if runner.runner_id not in job.excluded
-        ]
+        accepting: list[Runner] = []
+        candidates: list[Candidate] = []
+        # Most runners have the same version: what follows from it is worked out once.
+        versions: dict[int, _VersionTerms] = {}
+        for runner in self._state.pool.accepting(job.service, now):
+            version = runner.likely_weights(model, now)
+            if version < oldest:
+                continue
+            accepting.append(runner)
+            if runner.runner_id in job.excluded:
+                continue
+            terms = versions.get(version)
+            if terms is None:
+                terms = versions[version] = self._terms(job, version)
+            candidates.append(
+                Candidate(runner, terms.salt, version, terms.begin_before, terms.superseded_at)
+            )
         around = self._surroundings(job, engine, now)
         choice = self._policy.choose(shape, candidates, around, accepting)
         return self._placed(choice, shape, now) if choice is not None else None
 
-    def _candidate(self, job: Job, runner: Runner, now: float) -> Candidate:
+    def _terms(self, job: Job, version: int) -> _VersionTerms:
         model = job.request.model
-        version = runner.likely_weights(model, now)
         due = self._state.versions.deadline(model, version)
         superseded_at = self._state.versions.superseded_at(model, version)
-        return Candidate(runner, self._salt(job, version), version, due, superseded_at)
+        return _VersionTerms(self._salt(job, version), due, superseded_at)
 
     def _surroundings(self, job: Job, engine: EngineProfile, now: float) -> Surroundings:
         table = self._state.table
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -5,19 +5,27 @@
 import math
 from collections import Counter
 from collections.abc import Sequence
+from random import Random
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from hillstack.core.part_index import PartIndex, PromptPart
+from hillstack.core.placement import kept_parts
 from hillstack.core.placement.expected_delay import (
     Candidate,
     Choice,
     ExpectedDelayPlacement,
+    _weigh,
     lateness,
     shared_order,
 )
-from hillstack.core.placement.kept_parts import Surroundings
+from hillstack.core.placement.kept_parts import Surroundings, find_kept_parts, move_seconds
 from hillstack.core.prompt_shape import PromptShape
 from hillstack.core.routing_table import KeptCacheStore
-from hillstack.core.runner_load import OwnAttempt
+from hillstack.core.runner_load import OwnAttempt, RunnerLoad
 from hillstack.core.runner_pool import Runner
 from tests.fleet.builders import ENGINE, ENGINES, make_entry
 
@@ -224,3 +232,77 @@
 def test_lateness_is_a_step_at_the_objective() -> None:
     assert lateness(0.1, 0.6) < 0.01 < 0.9 < lateness(0.9, 0.6)
     assert lateness(9.0, 0.0) == 0.0
+
+
+@given(st.integers(0, 2**32))
+def test_the_choice_is_that_of_weighing_every_runner_in_full(seed: int) -> None:
+    rng = Random(seed)
+    index = PartIndex()
+    runners = [make_runner(f"i-{number}", f"zone-{number % 3}") for number in range(12)]
+    parts = [PromptPart("common", 1_000), PromptPart("subject", 2_000), PromptPart("own", 1_500)]
+    now = 10.0
+    for runner in runners:
+        index.set_capacity(runner.runner_id, ENGINE.kv_capacity_tokens)
+        runner.prefill_done_at = now + rng.choice([-1.0, 0.0, rng.uniform(0.0, 0.6)])
+        load = RunnerLoad(rng.randint(0, 34), rng.randint(0, 20), rng.randint(0, 120_000))
+        runner.peer_loads.report("zone", load, now)
+        runner.shed_until = now + rng.choice([-1.0, 1.0])
+        known = parts[: rng.randint(0, 3)]
+        index.note(runner.runner_id, "salt", known, ready_at=now + rng.choice([-1.0, 1.0]))
+    shape = PromptShape(tuple(parts), rng.choice([5, 600]))
+    candidates = [
+        Candidate(runner, "salt", 1, rng.choice([math.inf, now + 0.9]), rng.choice([math.inf, 8.0]))
+        for runner in rng.sample(runners, rng.randint(1, 12))
+    ]
+    around = Surroundings("zone-0", ENGINE, 38_000.0, (), now, 0.5, 0.5)
+    policy = ExpectedDelayPlacement(index)
+    chosen = policy.choose(shape, candidates, around, runners)
+    costs = _full_costs(index, shape, candidates, around, runners)
+    for runner in runners:
+        # So a runner never finds itself as a source of what it lacks.
+        fetched = index.matched_tokens(runner.runner_id, "salt", shape.shared, now)
+        assert fetched <= index.matched_tokens(runner.runner_id, "salt", shape.parts)
+    if chosen is None:
+        assert not costs
+    else:
+        assert costs[chosen.candidate.runner.runner_id] == min(costs.values())
+
+
+def _full_costs(
+    index: PartIndex,
+    shape: PromptShape,
+    candidates: Sequence[Candidate],
+    around: Surroundings,
+    runners: Sequence[Runner],
+) -> dict[str, float]:
+    """Return the cost of each candidate that begins in time, each weighed by itself."""
+    positions = shared_order(candidate.runner.runner_id for candidate in candidates)
+    costs: dict[str, float] = {}
+    for candidate in candidates:
+        kept = find_kept_parts(index, shape, candidate.salt, around, runners)
+        position = positions[candidate.runner.runner_id]
+        weighed = _weigh(shape, candidate, around, kept, position, math.inf)
+        if weighed is not None:
+            costs[candidate.runner.runner_id] = weighed.cost
+    return costs
+
+
+def test_what_a_choice_costs_does_not_grow_with_runners_times_holders(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    asked: list[int] = []
+
+    def counted(tokens: int, *arguments: Any) -> float:
+        asked.append(tokens)
+        return move_seconds(tokens, *arguments)
+
+    monkeypatch.setattr(kept_parts, "move_seconds", counted)
+    runners = [make_runner(f"i-{number}") for number in range(60)]
+    index = make_index(*(runner.runner_id for runner in runners))
+    parts = (PromptPart("common", 1_000), PromptPart("subject", 2_000), PromptPart("own", 500))
+    for number, runner in enumerate(runners):
+        index.note(runner.runner_id, "salt", parts[: 1 + number % 2])
+    candidates = [Candidate(runner, "salt") for runner in runners]
+    around = Surroundings("zone-a", ENGINE, 38_000.0, (), 0.0, 0.5, 0.5)
+    ExpectedDelayPlacement(index).choose(PromptShape(parts, 5), candidates, around, runners)
+    assert len(asked) <= 2 * len(runners)
