A node loads the HTTP server without its command line

The server's package imports its command line with a library for it, and supervisors of processes: 27 modules that a node does not use. Change: the package's module is put in place without being run, and the two names that are used are loaded from their modules, as the client is loaded without TLS.

--- a/src/hillstack/daemon/fleet_main.py
+++ b/src/hillstack/daemon/fleet_main.py
@@ -39,9 +39,10 @@
     # What is loaded now stays: looking through it for garbage again and again costs a tenth of it.
     gc.disable()
     listeners = open_early_listeners(path)
-    from hillstack.daemon.plain_http import load_http_client
+    from hillstack.daemon.plain_http import load_http_client, load_http_server
 
     load_http_client()
+    load_http_server()
     from hillstack.daemon.fleet_process import run_process
     from hillstack.daemon.start_times import StartTimes
 
--- a/tests/fleet/test_start.py
+++ b/tests/fleet/test_start.py
@@ -77,6 +77,27 @@
     assert "aiohttp.connector" in modules_after(check)
 
 
+def test_the_http_server_is_loaded_without_its_command_line() -> None:
+    check = (
+        "from hillstack.daemon.plain_http import load_http_client, load_http_server; "
+        "load_http_client(); load_http_server(); "
+        "import hillstack.daemon.fleet_process; "
+        "from hillstack.http_server import make_server; "
+        "make_server(None, '127.0.0.1:1').config.load()"
+    )
+    loaded = modules_after(check)
+    assert "uvicorn.protocols.http.httptools_impl" in loaded
+    assert not loaded & {"click", "uvicorn.main", "uvicorn.supervisors", "multiprocessing"}
+
+
+def test_a_server_library_that_is_loaded_already_stays_whole() -> None:
+    check = (
+        "import uvicorn; from hillstack.daemon.plain_http import load_http_server; "
+        "load_http_server(); assert uvicorn.main and uvicorn.run"
+    )
+    assert "uvicorn.main" in modules_after(check)
+
+
 def test_callers_can_connect_before_the_settings_are_checked(tmp_path: Path) -> None:
     addresses = [f"127.0.0.1:{free_port()}" for _ in range(2)]
     listeners = open_early_listeners(write_settings(tmp_path, *addresses))
