Mutation of the time of placements follows the code, and waits as long as loads do

Its old text no longer applied, and its replacement named a method that is not there, so that any test would have failed. Tried by hand: test_placements_are_told_sooner_than_loads_which_go_with_them fails.

--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -194,8 +194,8 @@
     Mutation(
         "placements wait for the loads",
         "daemon/peer_exchange.py",
-        "loop.call_later(PLACEMENT_SECONDS, self._flush_placements)",
-        "loop.call_later(self.flush_seconds(), self._flush_placements)",
+        "loop.call_later(PLACEMENT_SECONDS, self.flush)",
+        "loop.call_later(FLUSH_SECONDS, self.flush)",
     ),
     Mutation(
         "superseded weights are as good as the newest",
