A starting node refuses at once what it will refuse anyway

Cause: a prompt waited up to 0.15 s for what is cached before its configuration, key and limit were looked at; a node without a configuration held requests up to a second, also those whose callers leave sooner; a request of a tenant with a limit would have waited to its deadline while the runners and nodes are not known. Ruled out: a shorter wait for the first read. Whether the read succeeds is not known before it ends, and what waits for it is mostly served. Change: admission and limit come before the wait for caches, the wait for the first read ends before the caller leaves, and requests are refused until the runners are known. Tests: five cases that failed before; three mutations, one adapted to the moved line.

--- a/src/hillstack/daemon/limit_client.py
+++ b/src/hillstack/daemon/limit_client.py
@@ -54,7 +54,7 @@
 # Returned to a caller for whom no holder answered: by then the next one is found.
 NO_HOLDER_WAIT_SECONDS = 0.5
 # How often a node that has just started looks whether it knows the other nodes by now, which takes
-# a read of the store of some 10 ms; an eighth of the shortest objective seen (0.12 s).
+# a read of the store of some 10 ms. No request waits for it: it is refused until they are known.
 START_CHECK_SECONDS = 0.015
 INCARNATION_BITS = 32
 
--- a/src/hillstack/serving/admission.py
+++ b/src/hillstack/serving/admission.py
@@ -46,8 +46,8 @@
                 Verdict.UNAVAILABLE, "stopping", step="admit", retry_after=STOPPING_RETRY_SECONDS
             )
         table = self._state.table
-        if table is None:
-            text = "no configuration yet"
+        if table is None or not self._state.directory_known:
+            text = "no configuration yet" if table is None else "runners are not known yet"
             raise RejectedError(
                 Verdict.UNAVAILABLE, text, step="admit", retry_after=NOT_READY_RETRY_SECONDS
             )
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from dataclasses import asdict
 
@@ -90,7 +91,7 @@
         self.active += 1
         result = "error"
         try:
-            await self._pass_gate(request)
+            await self._state.start_gate.passed(_useful_patience(request))
             job = self._admission.admit(request)
             await self._run(job, sink)
             result = "served"
@@ -113,13 +114,6 @@
             self._metrics.requests.labels(result).inc()
             self._metrics.answer.observe(self._clock() - request.arrived_at)
 
-    async def _pass_gate(self, request: ServingRequest) -> None:
-        gate = self._state.start_gate
-        if request.shape is None:
-            await gate.passed()
-        else:
-            await gate.passed_by_prompt()
-
     def _log_rejection(self, request: ServingRequest, error: RejectedError) -> None:
         now = self._clock()
         fields = {
@@ -137,6 +131,8 @@
         try:
             async with asyncio.timeout(max(0.0, job.deadline - self._clock())):
                 await self._keep_within_limit(job)
+                if job.request.shape is not None:
+                    await self._state.start_gate.passed_by_prompt()
                 await self._attempt_until_done(job, sink)
         except TimeoutError:
             raise job.gave_up(Verdict.TIMED_OUT, "the deadline passed") from None
@@ -398,3 +394,10 @@
         log_outcome(job, runner, f"broken at {error.step}: {error.message}")
         if not job.may_run_again():
             raise job.gave_up(Verdict.FAILED, error.message) from error
+
+
+def _useful_patience(request: ServingRequest) -> float:
+    """Return how long a request may wait and its caller still gets the answer."""
+    if request.patience_seconds is None:
+        return math.inf
+    return max(0.0, request.patience_seconds - MIN_REMAINING_SECONDS)
--- a/src/hillstack/serving/start_gate.py
+++ b/src/hillstack/serving/start_gate.py
@@ -46,9 +46,9 @@
         """Let prompts pass whatever is known."""
         self._caches_known.set()
 
-    async def passed(self) -> None:
-        """Wait for the first read, for a bounded time."""
-        await _bounded_wait(self._tried, FIRST_READ_WAIT_SECONDS)
+    async def passed(self, patience_seconds: float = FIRST_READ_WAIT_SECONDS) -> None:
+        """Wait for the first read, for a bounded time and no longer than a caller waits."""
+        await _bounded_wait(self._tried, min(FIRST_READ_WAIT_SECONDS, patience_seconds))
 
     async def passed_by_prompt(self) -> None:
         """Wait until it is known what is cached where, for a bounded time after the first read."""
--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -548,6 +548,62 @@
     assert task.done() and sink.status == 200
 
 
+def starting_bench(table_known: bool) -> Bench:
+    """Return a bench whose node has ended its first read and knows of no caches yet."""
+    bench = make_stream_bench(i_1=answers(*EVENTS))
+    bench.state.start_gate = StartGate()
+    bench.state.start_gate.open()
+    if not table_known:
+        bench.state.table = None
+    return bench
+
+
+@pytest.mark.parametrize(
+    ("table_known", "changes", "verdict"),
+    [
+        (False, {}, Verdict.UNAVAILABLE),
+        (True, {"key": "unknown"}, Verdict.UNAUTHENTICATED),
+    ],
+)
+def test_what_a_starting_node_will_refuse_does_not_wait_for_caches(
+    table_known: bool, changes: dict[str, Any], verdict: Verdict
+) -> None:
+    bench = starting_bench(table_known)
+    _, error = bench.serve(stream_request(**changes), within=0.001)
+    assert_rejected(error, verdict)
+
+
+def test_a_prompt_over_its_tenants_limit_does_not_wait_for_caches() -> None:
+    bench = starting_bench(table_known=True)
+    table = bench.state.table
+    assert table is not None
+    limit = TenantLimit(100.0, 100.0, LimitUnit.TOKENS, 200.0)
+    keys = {KEY: TenantEntry("tenant-1", limit=limit)}
+    bench.state.table = make_table(*table.routes(), version=2, keys=keys)
+    bench.limiter.wait = 1.25
+    _, error = bench.serve(stream_request(), within=0.001)
+    assert_rejected(error, Verdict.OVER_LIMIT)
+
+
+def test_a_starting_node_answers_before_the_patience_of_a_caller_ends() -> None:
+    bench = make_bench(i_1=answers(b"x"))
+    bench.state.start_gate = StartGate()
+    bench.state.table = None
+    _, error = bench.serve(make_request(patience=0.3), within=0.29)
+    refusal = assert_rejected(error, Verdict.UNAVAILABLE)
+    assert refusal.retry_after is not None
+
+
+def test_requests_are_refused_at_once_while_the_runners_are_not_known() -> None:
+    bench = make_bench(i_1=answers(b"x"))
+    make_limited(bench)
+    bench.state.directory_known = False
+    _, error = bench.serve(make_request(), within=0.001)
+    refusal = assert_rejected(error, Verdict.UNAVAILABLE)
+    assert refusal.retry_after is not None
+    assert not bench.limiter.taken and not bench.client.dispatches
+
+
 def test_the_log_says_why_no_runner_took_a_request(caplog: pytest.LogCaptureFixture) -> None:
     bench = make_bench(i_1=refuses(RefusalCause.FULL), i_22=answers(b"x"), i_333=answers(b"x"))
     for name, change in (("i-22", "draining"), ("i-333", "suspected")):
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -242,8 +242,26 @@
     Mutation(
         "prompts are placed before caches are known",
         "serving/pipeline.py",
-        "await gate.passed_by_prompt()",
-        "await gate.passed()",
+        "await self._state.start_gate.passed_by_prompt()",
+        "await self._state.start_gate.passed()",
+    ),
+    Mutation(
+        "requests that will be refused wait for what is cached",
+        "serving/pipeline.py",
+        "await self._state.start_gate.passed(_useful_patience(request))",
+        "await self._state.start_gate.passed_by_prompt()",
+    ),
+    Mutation(
+        "a starting node holds a request until its caller has left",
+        "serving/pipeline.py",
+        "return max(0.0, request.patience_seconds - MIN_REMAINING_SECONDS)",
+        "return math.inf",
+    ),
+    Mutation(
+        "requests are taken before the runners are known",
+        "serving/admission.py",
+        "if table is None or not self._state.directory_known:",
+        "if table is None:",
     ),
     Mutation(
         "the library repeats requests",
