Callers in an overload are told when they can be in time, and none is refused beside free places

Cause: Retry-After was the wait less half of the objective, whatever the request's own work takes; a request that one runner had refused then waited behind others at the next, also beyond its objective; one whose deadline lies before its objective was held to its deadline; penalties for a recent refusal or for memory counted as a wait, so that a request could be refused beside idle runners. Change: Retry-After is when the queue leaves room for the request's own work within the objective; what has surely not run is refused at each attempt; a runner without waiting work takes a request while under half of the places are taken. Tests: three of the pipeline that failed before, one property of Retry-After; four mutations.

--- a/src/hillstack/core/overload.py
+++ b/src/hillstack/core/overload.py
@@ -8,25 +8,28 @@
 
 from __future__ import annotations
 
-# Share of the objective that may be spent behind others: of 1.0, 1.3 and 2.0 the best or equal on
-# scale-2 of two deployments (docs/PLATFORM.md, overload).
-WAIT_FACTOR = 1.0
-# Share of the objective that the queue should have shrunk to when the caller comes back: chosen so
-# that the second try is in time.
-TARGET_SHARE = 0.5
 # Callers come back no sooner: about a long prefill.
 MIN_RETRY_SECONDS = 0.2
 # Callers come back no later: a third of the longest patience seen (15 s), which is all they heed.
 MAX_RETRY_SECONDS = 5.0
 
 
-def overload_retry_after(waiting: float, target: float) -> float | None:
+def overload_retry_after(
+    waiting: float, own_work: float, target: float, remaining: float
+) -> float | None:
     """Return when to come back if the request should be refused, else None.
 
+    The caller is told when the queue has become so short that the request's own work ends within
+    the objective; no sooner, since it would only be refused again.
+
     Args:
         waiting: Expected seconds until the best runner begins with the request's own work.
+        own_work: Expected seconds of that work until the first event.
         target: Objective for the first event; 0 for none.
+        remaining: Seconds until the request's deadline.
     """
-    if target <= 0 or waiting <= WAIT_FACTOR * target:
+    allowed = min(target, remaining) if target > 0 else remaining
+    if waiting <= allowed:
         return None
-    return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, waiting - TARGET_SHARE * target))
+    shrunk = waiting - max(0.0, target - own_work)
+    return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, shrunk))
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -178,15 +178,20 @@
             fields |= asdict(self._placement.census(job, now))
             logger.info("no runner", extra=fields)
             raise job.gave_up(Verdict.UNAVAILABLE, "no runner takes work")
-        self._check_overload(job, placed)
+        self._check_overload(job, placed, now)
         return placed
 
-    def _check_overload(self, job: Job, placed: PlacedAttempt) -> None:
-        """Refuse a request that has not been sent anywhere if it would surely be late."""
-        if job.sends or placed.salt is None:
+    def _check_overload(self, job: Job, placed: PlacedAttempt, now: float) -> None:
+        """Refuse a request that surely has not run if it would surely be late."""
+        if job.may_have_run or placed.salt is None:
             return
-        retry_after = overload_retry_after(placed.waiting, job.route.target_seconds)
-        if retry_after is not None:
+        retry_after = overload_retry_after(
+            placed.waiting,
+            placed.delay - placed.waiting,
+            job.route.target_seconds,
+            job.deadline - now,
+        )
+        if retry_after is not None and not self._placement.has_room(job, now):
             text = f"would wait {placed.waiting:.2f} s"
             raise RejectedError(Verdict.OVERLOADED, text, step="place", retry_after=retry_after)
 
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -37,6 +37,9 @@
 # Placements of peers that are not told to be read yet: five seconds of 200 a second; what drops out
 # is believed to be read when its sender expected it to be.
 MAX_PEER_PLACEMENTS = 1_024
+# Below this share of all places taken a runner without waiting work takes a request: callers are
+# told of an overload only where there is one.
+FEW_PLACES_SHARE = 0.5
 # An answer is overdue after its expected delay, half as much again and this: ordinary work of two
 # deployments takes 0.45 s, so that application servers are suspected wrongly (F32, open).
 DUE_SECONDS = 0.4
@@ -93,6 +96,22 @@
             return self._choose_application(job, now)
         return self._choose_engine(job, job.request.shape, engine, now)
 
+    def has_room(self, job: Job, now: float) -> bool:
+        """Return whether few places are taken and no work waits at some runner.
+
+        A penalty for a recent refusal or for memory says that a runner may be slow, not that the
+        request would wait there.
+        """
+        runners = self._state.pool.accepting(job.service, now)
+        taken = sum(runner.running(now) for runner in runners)
+        places = sum(runner.entry.slots for runner in runners)
+        if taken >= FEW_PLACES_SHARE * places:
+            return False
+        return any(
+            runner.prefill_wait(now) <= 0 and runner.running(now) < runner.entry.slots
+            for runner in runners
+        )
+
     def census(self, job: Job, now: float) -> RunnerCensus:
         """Return why runners do not take the request, for the log."""
         model = job.request.model
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -171,12 +171,31 @@
 def test_what_may_be_in_time_or_has_no_objective_is_not_refused(
     delay: float, target: float
 ) -> None:
-    assert overload_retry_after(delay, target) is None
+    assert overload_retry_after(delay, 0.1, target, 60.0) is None
+
+
+@pytest.mark.parametrize("target", [0.6, 0.0])
+def test_what_would_wait_until_its_deadline_is_refused(target: float) -> None:
+    assert overload_retry_after(0.5, 0.1, target, 0.4) is not None
+
+
+@given(st.floats(0.5, 5.0), st.floats(0.0, 5.0), st.floats(0.0, 2.0))
+def test_a_caller_that_comes_back_when_told_is_in_time(
+    target: float, excess: float, own_work: float
+) -> None:
+    waiting = target + excess
+    retry_after = overload_retry_after(waiting, own_work, target, 60.0)
+    if retry_after is None or retry_after == MAX_RETRY_SECONDS:
+        return
+    left = max(0.0, waiting - retry_after)
+    assert left + own_work <= max(target, own_work) + 1e-9
+    # Nor is it told to come back later than needed.
+    assert retry_after == MIN_RETRY_SECONDS or left == pytest.approx(max(0.0, target - own_work))
 
 
 @given(st.floats(0.1, 5.0), st.floats(1.5, 50.0))
 def test_what_would_surely_be_late_is_told_when_to_come_back(target: float, factor: float) -> None:
-    retry_after = overload_retry_after(target * factor, target)
+    retry_after = overload_retry_after(target * factor, 0.1, target, 60.0)
     assert retry_after is not None
     assert MIN_RETRY_SECONDS <= retry_after <= MAX_RETRY_SECONDS
 
--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -11,6 +11,7 @@
 
 from hillstack.core.part_index import PromptPart
 from hillstack.core.routing_table import KeptCacheStore, RouteKind, ServiceShare, TenantEntry
+from hillstack.core.runner_load import OwnAttempt
 from hillstack.core.shared_retry_budget import SharedRetryBudget
 from hillstack.core.tenant_limits import LimitUnit, TenantLimit
 from hillstack.errors import BackendBrokenError
@@ -633,6 +634,37 @@
     assert error is None and sink.finished
 
 
+def test_in_an_overload_a_request_that_a_runner_refused_is_refused_at_once() -> None:
+    bench = make_stream_bench(i_1=refuses(RefusalCause.FULL), i_22=answers(*EVENTS))
+    busy = bench.state.pool.get("i-22")
+    assert busy is not None
+    busy.prefill_done_at = 3.0
+    _, error = bench.serve(stream_request(), within=0.01)
+    assert_rejected(error, Verdict.OVERLOADED)
+    assert [dispatch.runner_id for dispatch in bench.client.dispatches] == ["i-1"]
+
+
+def test_a_request_that_would_wait_until_its_deadline_is_refused_at_once() -> None:
+    bench = make_stream_bench(i_1=answers(*EVENTS))
+    runner = bench.state.pool.get("i-1")
+    assert runner is not None
+    runner.prefill_done_at = 0.4
+    _, error = bench.serve(stream_request(patience=0.3), within=0.01)
+    refusal = assert_rejected(error, Verdict.OVERLOADED)
+    assert refusal.retry_after is not None
+
+
+def test_no_request_is_refused_while_few_places_are_taken_and_nothing_waits() -> None:
+    bench = make_stream_bench(i_1=answers(*EVENTS))
+    runner = bench.state.pool.get("i-1")
+    assert runner is not None
+    # A recent refusal and scarce memory weigh more than the objective of half a second.
+    bench.state.pool.shed(runner, 0.0)
+    runner.attempts.add("a-1", OwnAttempt(0, 110_000, 0.0, 9.0, started=True))
+    sink, error = bench.serve(stream_request())
+    assert error is None and sink.finished
+
+
 def test_a_long_prompt_is_not_refused_for_its_own_work() -> None:
     # Gate of Lagos scale-1: of the largest tenth 0.39 were served, of all 0.91.
     bench = make_stream_bench(i_1=answers(*EVENTS))
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -263,6 +263,30 @@
         "if table is None or not self._state.directory_known:",
         "if table is None:",
     ),
+    Mutation(
+        "callers are told to come back before they can be in time",
+        "core/overload.py",
+        "shrunk = waiting - max(0.0, target - own_work)",
+        "shrunk = waiting - target",
+    ),
+    Mutation(
+        "what would wait until its deadline is taken",
+        "core/overload.py",
+        "allowed = min(target, remaining) if target > 0 else remaining",
+        "allowed = target if target > 0 else remaining",
+    ),
+    Mutation(
+        "requests are refused while runners have room",
+        "serving/pipeline.py",
+        "if retry_after is not None and not self._placement.has_room(job, now):",
+        "if retry_after is not None:",
+    ),
+    Mutation(
+        "what a runner has refused waits behind others",
+        "serving/pipeline.py",
+        "if job.may_have_run or placed.salt is None:",
+        "if job.sends or placed.salt is None:",
+    ),
     Mutation(
         "the library repeats requests",
         "platform/connections.py",
