Work that takes long is not broken off: what is overdue is learned, and left only for another runner

Ruled out: learning from attempts that were left (their durations grow with what is allowed). Change: overdue is twice the 0.99 quantile of the last 200 answers of the service, at least 0.4 s and 1 s until 20 were seen; a runner is left only if another one would take the request.

--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -247,7 +247,9 @@
         job.allow_until(job.deadline + TRANSIT_SECONDS, now)
         try:
             answer = await self._head(job, placed, dispatch)
-            self._state.pool.heard(placed.runner, self._clock())
+            answered_at = self._clock()
+            self._state.pool.heard(placed.runner, answered_at)
+            self._placement.answered(job, placed, attempt_id, answered_at)
             return await self._relay(job, placed, attempt_id, answer, sink)
         finally:
             self._placement.finished(placed, attempt_id)
@@ -310,12 +312,18 @@
         """Leave a silent runner where the request can go on elsewhere: it may speak again."""
         now = self._clock()
         is_silent = runner.is_silent(now) and now - runner.last_heard_at >= SILENCE_LIMIT_SECONDS
-        if is_silent and self._may_follow(job):
+        if is_silent and self._may_try_other(job, runner):
             raise BackendBrokenError("the runner is silent", step=step, peer=runner.runner_id)
 
+    def _may_try_other(self, job: Job, runner: Runner) -> bool:
+        """Return whether another runner would take an attempt that is given up at this one."""
+        return self._may_follow(job) and self._placement.has_other(job, runner, self._clock())
+
     def _may_follow(self, job: Job) -> bool:
-        """Return whether an attempt that is given up now would be followed by another one."""
-        if not job.may_run_again():
+        """Return whether rules and budget allow a further attempt."""
+        if not job.may_run_again() or job.sends >= MAX_SENDS:
+            return False
+        if job.deadline - self._clock() < MIN_REMAINING_SECONDS:
             return False
         return self._state.budget.allowed(job.service, self._clock()) >= 1.0
 
@@ -331,7 +339,7 @@
         runner = placed.runner
         if answer.status in SUCCESS and not answer.signed:
             raise BackendBrokenError("unsigned answer", step="relay", peer=runner.runner_id)
-        if answer.status >= SERVER_ERROR and self._may_follow(job):
+        if answer.status >= SERVER_ERROR and self._may_try_other(job, runner):
             job.excluded.add(runner.runner_id)
             self._metrics.attempts.labels("error").inc()
             log_outcome(job, runner, f"retry after status {answer.status}")
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import itertools
-from collections import OrderedDict
+from collections import OrderedDict, defaultdict
 from dataclasses import dataclass
 from random import Random
 
+from hillstack.core.answer_durations import AnswerDurations
 from hillstack.core.placement.expected_delay import (
     Candidate,
     Choice,
@@ -40,8 +41,7 @@
 # Below this share of all places taken a runner without waiting work takes a request: callers are
 # told of an overload only where there is one.
 FEW_PLACES_SHARE = 0.5
-# An answer is overdue after its expected delay, half as much again and this: ordinary work of two
-# deployments takes 0.45 s, so that application servers are suspected wrongly (F32, open).
+# The first event of an engine is overdue after its expected delay, half as much again and this.
 DUE_SECONDS = 0.4
 DUE_FACTOR = 1.5
 
@@ -85,6 +85,7 @@
         self._policy = ExpectedDelayPlacement(state.index)
         self._beliefs = CacheBeliefs(state)
         self._rates: dict[str, float] = {}
+        self._durations: defaultdict[str, AnswerDurations] = defaultdict(AnswerDurations)
         self._numbers = itertools.count(1)
         self._told: dict[str, int] = {}
         self._peer_placements: OrderedDict[tuple[str, int], PlacementNotice] = OrderedDict()
@@ -136,7 +137,7 @@
         shape = job.request.shape
         total = shape.total_tokens if shape is not None and placed.salt is not None else 0
         is_long = shape is not None and shape.is_long
-        due_at = now + DUE_SECONDS + DUE_FACTOR * placed.delay
+        due_at = now + self._due_seconds(job, placed)
         attempt = OwnAttempt(placed.prefill_tokens, total, now, due_at, is_long)
         self._state.pool.sent(placed.runner, attempt_id, attempt, self.prefill_rate(job.service))
         self._peers.load_changed(placed.runner)
@@ -147,6 +148,23 @@
             self._told[attempt_id] = number = next(self._numbers)
             self._peers.placed(_notice(placed, shape, number))
 
+    def answered(self, job: Job, placed: PlacedAttempt, attempt_id: str, now: float) -> None:
+        """Note that the head of an answer has come: an application server has done its work."""
+        attempt = placed.runner.attempts.get(attempt_id)
+        if attempt is not None and placed.salt is None:
+            self._durations[job.service].add(now - attempt.sent_at)
+
+    def has_other(self, job: Job, runner: Runner, now: float) -> bool:
+        """Return whether another runner than this one would take a further attempt."""
+        model = job.request.model
+        oldest = self._state.versions.oldest_allowed(model, now + VERSION_MARGIN_SECONDS)
+        return any(
+            other is not runner
+            and other.runner_id not in job.excluded
+            and other.likely_weights(model, now) >= oldest
+            for other in self._state.pool.accepting(job.service, now)
+        )
+
     def started(self, job: Job, placed: PlacedAttempt, attempt_id: str, now: float) -> None:
         """Note the first event of an attempt."""
         attempt = placed.runner.attempts.get(attempt_id)
@@ -193,6 +211,11 @@
         """Return the tokens a second that runners of a service are seen to prefill."""
         return self._rates.get(service, DEFAULT_PREFILL_RATE)
 
+    def _due_seconds(self, job: Job, placed: PlacedAttempt) -> float:
+        if placed.salt is None:
+            return self._durations[job.service].overdue_seconds()
+        return DUE_SECONDS + DUE_FACTOR * placed.delay
+
     def _choose_application(self, job: Job, now: float) -> PlacedAttempt | None:
         candidates = [
             runner
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -8,6 +8,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hillstack.core.answer_durations import (
+    KEPT_ANSWERS,
+    OVERDUE_FACTOR,
+    SHORTEST_SECONDS,
+    UNKNOWN_SECONDS,
+    AnswerDurations,
+)
 from hillstack.core.freshness import Freshness
 from hillstack.core.overload import MAX_RETRY_SECONDS, MIN_RETRY_SECONDS, overload_retry_after
 from hillstack.core.part_index import PartIndex, PromptPart
@@ -238,3 +245,20 @@
     shape = parse_shape("5c1e07a2:800,91bd3f06:100", usage, hint)
     assert shape is not None
     assert (shape.output_tokens, shape.prompt_tokens) == (expected, 900)
+
+
+def test_an_answer_is_overdue_after_twice_what_hardly_any_takes() -> None:
+    durations = AnswerDurations()
+    assert durations.overdue_seconds() == UNKNOWN_SECONDS
+    for number in range(KEPT_ANSWERS):
+        durations.add(2.0 if number == 0 else 0.3)
+    assert durations.overdue_seconds() == pytest.approx(OVERDUE_FACTOR * 0.3)
+
+
+def test_what_is_overdue_follows_work_that_becomes_longer_or_shorter() -> None:
+    durations = AnswerDurations()
+    for seconds in (1.5, 0.01):
+        for _ in range(KEPT_ANSWERS):
+            durations.add(seconds)
+        expected = max(SHORTEST_SECONDS, OVERDUE_FACTOR * seconds)
+        assert durations.overdue_seconds() == pytest.approx(expected)
--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from hillstack.core.answer_durations import ANSWERS_A_LOOK
 from hillstack.core.part_index import PromptPart
 from hillstack.core.routing_table import KeptCacheStore, RouteKind, ServiceShare, TenantEntry
 from hillstack.core.runner_load import OwnAttempt
@@ -298,6 +299,43 @@
         assert error is None and sink.body == b"ok"
 
 
+def test_a_slow_runner_is_not_left_where_no_other_takes_the_request() -> None:
+    bench = make_bench(i_1=begins(1.9, b"done"), i_22=answers(b"x"))
+    other = bench.state.pool.get("i-22")
+    assert other is not None
+    other.leaving = True
+    sink, error = bench.serve(make_request())
+    assert error is None and sink.body == b"done"
+
+
+def test_a_runners_own_error_is_passed_on_where_no_other_takes_the_request() -> None:
+    bench = make_bench(i_1=answers(b"error", status=500))
+    sink, error = bench.serve(make_request())
+    assert error is None
+    assert (sink.status, sink.body) == (500, b"error")
+
+
+@pytest.mark.parametrize("work_seconds", [0.45, 0.9])
+def test_ordinary_work_of_an_application_server_is_not_broken_off(work_seconds: float) -> None:
+    # inc-8f26: work of up to 0.45 s is ordinary; an attempt counted as overdue after 0.4 s.
+    bench = make_bench(i_1=begins(work_seconds, b"a"), i_22=begins(work_seconds, b"b"))
+    for _ in range(ANSWERS_A_LOOK + 5):
+        sink, error = bench.serve(make_request())
+        assert error is None and sink.finished
+    assert not bench.client.cancelled
+    assert len(bench.client.dispatches) == ANSWERS_A_LOOK + 5
+
+
+def test_a_silent_application_server_is_left_soon_where_work_is_short() -> None:
+    bench = make_bench(i_1=begins(0.02, b"a"), i_22=begins(0.02, b"b"))
+    for _ in range(ANSWERS_A_LOOK):
+        bench.serve(make_request())
+    bench.client.behaviours["i-1"] = hangs()
+    for _ in range(3):
+        sink, error = bench.serve(make_request(), within=1.0)
+        assert error is None and sink.body == b"b"
+
+
 def test_a_silent_stream_goes_on_where_no_further_attempt_is_allowed() -> None:
     bench = make_stream_bench(i_1=answers(EVENTS[0], 2.0, EVENTS[1], EVENTS[2]))
     bench.state.budget = SharedRetryBudget(0.0, 0.0, 10.0)
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -311,6 +311,24 @@
         "job.runner_failure = await self._whole(job, answer)",
         "pass",
     ),
+    Mutation(
+        "a runner at work is left though no other takes the request",
+        "serving/pipeline.py",
+        "return self._may_follow(job) and self._placement.has_other(job, runner, self._clock())",
+        "return self._may_follow(job)",
+    ),
+    Mutation(
+        "work of application servers is overdue after a fixed time",
+        "serving/placement.py",
+        "return self._durations[job.service].overdue_seconds()",
+        "return DUE_SECONDS",
+    ),
+    Mutation(
+        "durations of answers are not learned",
+        "serving/placement.py",
+        "self._durations[job.service].add(now - attempt.sent_at)",
+        "pass",
+    ),
     Mutation(
         "the library repeats requests",
         "platform/connections.py",
