Callers without a runner are told when one takes work

Cause: Retry-After was 0.5 s whatever held the runners up; a load takes 0.7 s, so that callers came back while it ran and were refused again. Change: the earliest end of a suspicion, a load or a recent refusal, within the bounds of the overload's; 0.5 s stays where nothing is known. Tests: three cases that failed before, one that held; a mutation.

--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -101,11 +101,13 @@
 
     def accepts(self, now: float) -> bool:
         """Return whether it may get new work."""
+        return self.stays(now) and now >= max(self.suspected_until, self.loading_until)
+
+    def stays(self, now: float) -> bool:
+        """Return whether it gets work again, if not now: it neither leaves nor is gone."""
         if self.leaving or self.entry.draining:
             return False
-        if self.unlisted_until is not None and now >= self.unlisted_until:
-            return False
-        return now >= max(self.suspected_until, self.loading_until)
+        return self.unlisted_until is None or now < self.unlisted_until
 
     def is_silent(self, now: float) -> bool:
         """Return whether it owes bytes to some attempt and has sent none for a while."""
@@ -126,10 +128,13 @@
         A runner that was ordered to load, and of which no end of the load was told, has probably
         loaded. A request names the version that it wants, so a wrong guess is refused, not run.
         """
-        known = self.weights.get(model, 0)
         if now < self.loading_until:
-            return known
-        return max(known, self.ordered_weights.get(model, 0))
+            return self.weights.get(model, 0)
+        return self.weights_after_load(model)
+
+    def weights_after_load(self, model: str) -> int:
+        """Return the version that it serves when the load that it was ordered to do is over."""
+        return max(self.weights.get(model, 0), self.ordered_weights.get(model, 0))
 
     def load(self, now: float) -> RunnerLoad:
         """Return the load that all nodes are believed to have put on it."""
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -20,7 +20,8 @@
 
 logger = logging.getLogger(__name__)
 
-# A load of weights, or a restart, is over by then.
+# Where nothing is known of when a runner takes work: a load of weights, or a restart, is over by
+# then.
 NO_RUNNER_RETRY_SECONDS = 0.5
 
 
@@ -109,16 +110,23 @@
         self.last_event_at = now
         return first
 
-    def gave_up(self, verdict: Verdict, reason: str) -> RejectedError | StreamCutError:
-        """Return the error that ends it: a promise only if nothing may have run."""
+    def gave_up(
+        self, verdict: Verdict, reason: str, retry_after: float | None = None
+    ) -> RejectedError | StreamCutError:
+        """Return the error that ends it: a promise only if nothing may have run.
+
+        Args:
+            verdict: Why it ends, if it may have run.
+            reason: The same for a person.
+            retry_after: Seconds until a runner is expected to take work; None if not known.
+        """
         if self.head_sent:
             return StreamCutError(reason, step="relay")
         if self.may_have_run or (verdict is Verdict.TIMED_OUT and self.sends):
             final = Verdict.TIMED_OUT if verdict is Verdict.TIMED_OUT else Verdict.FAILED
             return RejectedError(final, reason, step="attempt")
-        return RejectedError(
-            Verdict.UNAVAILABLE, reason, step="place", retry_after=NO_RUNNER_RETRY_SECONDS
-        )
+        wait = NO_RUNNER_RETRY_SECONDS if retry_after is None else retry_after
+        return RejectedError(Verdict.UNAVAILABLE, reason, step="place", retry_after=wait)
 
 
 def attempt_fields(job: Job, placed: PlacedAttempt, dispatch: Dispatch) -> dict[str, object]:
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -209,7 +209,8 @@
             fields: dict[str, object] = {"request": job.request.request_id, "service": job.service}
             fields |= asdict(self._placement.census(job, now))
             logger.info("no runner", extra=fields)
-            raise job.gave_up(Verdict.UNAVAILABLE, "no runner takes work")
+            wait = self._placement.available_in(job, now)
+            raise job.gave_up(Verdict.UNAVAILABLE, "no runner takes work", wait)
         self._check_overload(job, placed, now)
         return placed
 
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -8,6 +8,7 @@
 from random import Random
 
 from hillstack.core.answer_durations import AnswerDurations
+from hillstack.core.overload import MAX_RETRY_SECONDS, MIN_RETRY_SECONDS
 from hillstack.core.placement.expected_delay import (
     Candidate,
     Choice,
@@ -132,6 +133,22 @@
                 counts["tried"] += 1
         return RunnerCensus(known=len(runners), **counts)
 
+    def available_in(self, job: Job, now: float) -> float | None:
+        """Return after how many seconds the first runner is expected to take the request.
+
+        None if that is not known: no runner is there to stay, or all have weights that are too old.
+        """
+        model = job.request.model
+        oldest = self._state.versions.oldest_allowed(model, now + VERSION_MARGIN_SECONDS)
+        waits = [
+            max(runner.suspected_until, runner.loading_until, runner.shed_until) - now
+            for runner in self._state.pool.of_service(job.service)
+            if runner.stays(now) and runner.weights_after_load(model) >= oldest
+        ]
+        if not waits:
+            return None
+        return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, min(waits)))
+
     def sent(self, job: Job, placed: PlacedAttempt, attempt_id: str, now: float) -> None:
         """Note an attempt that is being sent, and tell the peers."""
         shape = job.request.shape
--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -707,6 +707,22 @@
     assert told == {"known": 3, "leaving": 1, "suspected": 1, "tried": 1}
 
 
+@pytest.mark.parametrize(
+    ("suspected", "loading", "leaving", "expected"),
+    [(0.9, 0.0, False, 0.9), (0.0, 1.4, False, 1.4), (2.0, 0.7, False, 2.0), (0.9, 0.0, True, 0.5)],
+)
+def test_a_caller_without_a_runner_is_told_when_one_takes_work(
+    suspected: float, loading: float, leaving: bool, expected: float
+) -> None:
+    bench = make_stream_bench(i_1=answers(*EVENTS), i_22=answers(*EVENTS))
+    first, second = bench.state.pool.all()
+    first.suspected_until, first.loading_until, first.leaving = suspected, loading, leaving
+    second.leaving = True
+    _, error = bench.serve(stream_request(), within=0.001)
+    refusal = assert_rejected(error, Verdict.UNAVAILABLE)
+    assert refusal.retry_after == pytest.approx(expected)
+
+
 def test_in_an_overload_a_request_is_refused_at_once_with_a_time() -> None:
     bench = make_stream_bench(i_1=answers(*EVENTS))
     runner = bench.state.pool.get("i-1")
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -329,6 +329,12 @@
         "self._durations[job.service].add(now - attempt.sent_at)",
         "pass",
     ),
+    Mutation(
+        "callers without a runner are not told when one takes work",
+        "serving/pipeline.py",
+        'raise job.gave_up(Verdict.UNAVAILABLE, "no runner takes work", wait)',
+        'raise job.gave_up(Verdict.UNAVAILABLE, "no runner takes work")',
+    ),
     Mutation(
         "the library repeats requests",
         "platform/connections.py",
