Whether another runner takes a request looks at those that may, and weights count for engines only

Cause: a runner that had refused the request counted as room for it, so that it waited behind others instead of being refused; and for a request to an application that names a model, application servers counted as having weights that are too old, so that a silent one was not left. Tests: three cases that failed before.

--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -4,6 +4,7 @@
 
 import itertools
 from collections import OrderedDict, defaultdict
+from collections.abc import Iterator
 from dataclasses import dataclass
 from random import Random
 
@@ -99,7 +100,7 @@
         return self._choose_engine(job, job.request.shape, engine, now)
 
     def has_room(self, job: Job, now: float) -> bool:
-        """Return whether few places are taken and no work waits at some runner.
+        """Return whether few places are taken and no work waits at a runner that may take it.
 
         A penalty for a recent refusal or for memory says that a runner may be slow, not that the
         request would wait there.
@@ -111,7 +112,7 @@
             return False
         return any(
             runner.prefill_wait(now) <= 0 and runner.running(now) < runner.entry.slots
-            for runner in runners
+            for runner in self._open_to(job, now)
         )
 
     def census(self, job: Job, now: float) -> RunnerCensus:
@@ -138,12 +139,11 @@
 
         None if that is not known: no runner is there to stay, or all have weights that are too old.
         """
-        model = job.request.model
-        oldest = self._state.versions.oldest_allowed(model, now + VERSION_MARGIN_SECONDS)
+        oldest = self._oldest_allowed(job, now)
         waits = [
             max(runner.suspected_until, runner.loading_until, runner.shed_until) - now
             for runner in self._state.pool.of_service(job.service)
-            if runner.stays(now) and runner.weights_after_load(model) >= oldest
+            if runner.stays(now) and runner.weights_after_load(job.request.model) >= oldest
         ]
         if not waits:
             return None
@@ -173,14 +173,22 @@
 
     def has_other(self, job: Job, runner: Runner, now: float) -> bool:
         """Return whether another runner than this one would take a further attempt."""
-        model = job.request.model
-        oldest = self._state.versions.oldest_allowed(model, now + VERSION_MARGIN_SECONDS)
-        return any(
-            other is not runner
-            and other.runner_id not in job.excluded
-            and other.likely_weights(model, now) >= oldest
-            for other in self._state.pool.accepting(job.service, now)
-        )
+        return any(other is not runner for other in self._open_to(job, now))
+
+    def _open_to(self, job: Job, now: float) -> Iterator[Runner]:
+        """Return the runners that may take a further attempt of a request."""
+        oldest = self._oldest_allowed(job, now)
+        for runner in self._state.pool.accepting(job.service, now):
+            if runner.runner_id in job.excluded:
+                continue
+            if runner.likely_weights(job.request.model, now) >= oldest:
+                yield runner
+
+    def _oldest_allowed(self, job: Job, now: float) -> int:
+        """Return the oldest weights that a runner may have; application servers need none."""
+        if self._state.engine_of(job.service) is None:
+            return 0
+        return self._state.versions.oldest_allowed(job.request.model, now + VERSION_MARGIN_SECONDS)
 
     def started(self, job: Job, placed: PlacedAttempt, attempt_id: str, now: float) -> None:
         """Note the first event of an attempt."""
--- a/tests/fleet/fake_runners.py
+++ b/tests/fleet/fake_runners.py
@@ -90,8 +90,9 @@
     return behave
 
 
-def refuses(cause: RefusalCause, weights: int = 0) -> Behaviour:
+def refuses(cause: RefusalCause, weights: int = 0, after: float = 0.0) -> Behaviour:
     async def behave(request: ServingRequest, dispatch: Dispatch) -> FakeAnswer:
+        await asyncio.sleep(after)
         raise RunnerRefusedError(
             "refused", step="test", peer=dispatch.runner_id, cause=cause, weights_version=weights
         )
--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -299,6 +299,23 @@
         assert error is None and sink.body == b"ok"
 
 
+def test_a_silent_application_server_is_left_whatever_model_a_request_names() -> None:
+    bench = make_bench(i_1=hangs(), i_22=answers(b"ok"))
+    for _ in range(3):
+        sink, error = bench.serve(make_request(parts=PARTS))
+        assert error is None and sink.body == b"ok"
+
+
+def test_an_application_without_a_runner_tells_when_whatever_model_a_request_names() -> None:
+    bench = make_bench(i_1=answers(b"x"))
+    runner = bench.state.pool.get("i-1")
+    assert runner is not None
+    runner.suspected_until = 0.9
+    _, error = bench.serve(make_request(parts=PARTS), within=0.001)
+    refusal = assert_rejected(error, Verdict.UNAVAILABLE)
+    assert refusal.retry_after == pytest.approx(0.9)
+
+
 def test_a_slow_runner_is_not_left_where_no_other_takes_the_request() -> None:
     bench = make_bench(i_1=begins(1.9, b"done"), i_22=answers(b"x"))
     other = bench.state.pool.get("i-22")
@@ -736,12 +753,14 @@
     assert error is None and sink.finished
 
 
-def test_in_an_overload_a_request_that_a_runner_refused_is_refused_at_once() -> None:
-    bench = make_stream_bench(i_1=refuses(RefusalCause.FULL), i_22=answers(*EVENTS))
+@pytest.mark.parametrize("after", [0.0, 0.2])
+def test_in_an_overload_a_request_that_a_runner_refused_is_refused_at_once(after: float) -> None:
+    refusing = refuses(RefusalCause.FULL, after=after)
+    bench = make_stream_bench(i_1=refusing, i_22=answers(*EVENTS))
     busy = bench.state.pool.get("i-22")
     assert busy is not None
     busy.prefill_done_at = 3.0
-    _, error = bench.serve(stream_request(), within=0.01)
+    _, error = bench.serve(stream_request(), within=after + 0.01)
     assert_rejected(error, Verdict.OVERLOADED)
     assert [dispatch.runner_id for dispatch in bench.client.dispatches] == ["i-1"]
 
