--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import itertools
-from collections import OrderedDict
+from collections import OrderedDict, defaultdict
+from collections.abc import Iterator
 from dataclasses import dataclass
 from random import Random
 
+from hillstack.core.answer_durations import AnswerDurations
+from hillstack.core.overload import MAX_RETRY_SECONDS, MIN_RETRY_SECONDS
 from hillstack.core.placement.expected_delay import (
     Candidate,
     Choice,
@@ -37,8 +40,10 @@
 # Placements of peers that are not told to be read yet: five seconds of 200 a second; what drops out
 # is believed to be read when its sender expected it to be.
 MAX_PEER_PLACEMENTS = 1_024
-# An answer is overdue after its expected delay, half as much again and this: ordinary work of two
-# deployments takes 0.45 s, so that application servers are suspected wrongly (F32, open).
+# Below this share of all places taken a runner without waiting work takes a request: callers are
+# told of an overload only where there is one.
+FEW_PLACES_SHARE = 0.5
+# The first event of an engine is overdue after its expected delay, half as much again and this.
 DUE_SECONDS = 0.4
 DUE_FACTOR = 1.5
 
@@ -91,6 +96,7 @@
         self._policy = ExpectedDelayPlacement(state.index)
         self._beliefs = CacheBeliefs(state)
         self._rates: dict[str, float] = {}
+        self._durations: defaultdict[str, AnswerDurations] = defaultdict(AnswerDurations)
         self._numbers = itertools.count(1)
         self._told: dict[str, int] = {}
         self._peer_placements: OrderedDict[tuple[str, int], PlacementNotice] = OrderedDict()
@@ -102,6 +108,22 @@
             return self._choose_application(job, now)
         return self._choose_engine(job, job.request.shape, engine, now)
 
+    def has_room(self, job: Job, now: float) -> bool:
+        """Return whether few places are taken and no work waits at a runner that may take it.
+
+        A penalty for a recent refusal or for memory says that a runner may be slow, not that the
+        request would wait there.
+        """
+        runners = self._state.pool.accepting(job.service, now)
+        taken = sum(runner.running(now) for runner in runners)
+        places = sum(runner.entry.slots for runner in runners)
+        if taken >= FEW_PLACES_SHARE * places:
+            return False
+        return any(
+            runner.prefill_wait(now) <= 0 and runner.running(now) < runner.entry.slots
+            for runner in self._open_to(job, now)
+        )
+
     def census(self, job: Job, now: float) -> RunnerCensus:
         """Return why runners do not take the request, for the log."""
         model = job.request.model
@@ -121,12 +143,27 @@
                 counts["tried"] += 1
         return RunnerCensus(known=len(runners), **counts)
 
+    def available_in(self, job: Job, now: float) -> float | None:
+        """Return after how many seconds the first runner is expected to take the request.
+
+        None if that is not known: no runner is there to stay, or all have weights that are too old.
+        """
+        oldest = self._oldest_allowed(job, now)
+        waits = [
+            max(runner.suspected_until, runner.loading_until, runner.shed_until) - now
+            for runner in self._state.pool.of_service(job.service)
+            if runner.stays(now) and runner.weights_after_load(job.request.model) >= oldest
+        ]
+        if not waits:
+            return None
+        return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, min(waits)))
+
     def sent(self, job: Job, placed: PlacedAttempt, attempt_id: str, now: float) -> None:
         """Note an attempt that is being sent, and tell the peers."""
         shape = job.request.shape
         total = shape.total_tokens if shape is not None and placed.salt is not None else 0
         is_long = shape is not None and shape.is_long
-        due_at = now + DUE_SECONDS + DUE_FACTOR * placed.delay
+        due_at = now + self._due_seconds(job, placed)
         attempt = OwnAttempt(placed.prefill_tokens, total, now, due_at, is_long)
         self._state.pool.sent(placed.runner, attempt_id, attempt, self.prefill_rate(job.service))
         self._peers.load_changed(placed.runner)
@@ -137,6 +174,31 @@
             self._told[attempt_id] = number = next(self._numbers)
             self._peers.placed(_notice(placed, shape, number))
 
+    def answered(self, job: Job, placed: PlacedAttempt, attempt_id: str, now: float) -> None:
+        """Note that the head of an answer has come: an application server has done its work."""
+        attempt = placed.runner.attempts.get(attempt_id)
+        if attempt is not None and placed.salt is None:
+            self._durations[job.service].add(now - attempt.sent_at)
+
+    def has_other(self, job: Job, runner: Runner, now: float) -> bool:
+        """Return whether another runner than this one would take a further attempt."""
+        return any(other is not runner for other in self._open_to(job, now))
+
+    def _open_to(self, job: Job, now: float) -> Iterator[Runner]:
+        """Return the runners that may take a further attempt of a request."""
+        oldest = self._oldest_allowed(job, now)
+        for runner in self._state.pool.accepting(job.service, now):
+            if runner.runner_id in job.excluded:
+                continue
+            if runner.likely_weights(job.request.model, now) >= oldest:
+                yield runner
+
+    def _oldest_allowed(self, job: Job, now: float) -> int:
+        """Return the oldest weights that a runner may have; application servers need none."""
+        if self._state.engine_of(job.service) is None:
+            return 0
+        return self._state.versions.oldest_allowed(job.request.model, now + VERSION_MARGIN_SECONDS)
+
     def started(self, job: Job, placed: PlacedAttempt, attempt_id: str, now: float) -> None:
         """Note the first event of an attempt."""
         attempt = placed.runner.attempts.get(attempt_id)
@@ -183,6 +245,11 @@
         """Return the tokens a second that runners of a service are seen to prefill."""
         return self._rates.get(service, DEFAULT_PREFILL_RATE)
 
+    def _due_seconds(self, job: Job, placed: PlacedAttempt) -> float:
+        if placed.salt is None:
+            return self._durations[job.service].overdue_seconds()
+        return DUE_SECONDS + DUE_FACTOR * placed.delay
+
     def _choose_application(self, job: Job, now: float) -> PlacedAttempt | None:
         candidates = [
             runner
