Connections that rest beside a silent one are not used again, and a silent look at the store is repeated at once

Cause: open connections may go silent for good while new ones work. The store's session was the plain one (no time-out of the system, resting connections used for 15 s), so a renewal of the duty's lease that timed out (0.5 s) could take the next silent connection; runners' pools likewise, one lost request each. A look that had no answer (2.5 s) was followed by a pause of 0.5 to 1.5 s before the store was asked again. Change: sessions note when a connection to an address was found silent (own time-out, time-out of the system, an answer given up after 1.2 s of owed silence); those not heard since are closed in place of used. The store's connections get the runners' socket options. After the first look without an answer, and no peer that knows more, the store is looked at at once without waiting for a change. Ruled out: nodes speak in datagrams only (peer link, store relay, limits), nothing of them can go silent.

--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -12,7 +12,6 @@
 from random import Random
 from typing import Any
 
-import aiohttp
 import uvicorn
 
 from hillstack.config.fleet_settings import FleetSettings, load_fleet_settings
@@ -44,7 +43,7 @@
 from hillstack.http_server import make_server
 from hillstack.logs import dropped_lines, error_fields
 from hillstack.platform.cache_feed import HttpCacheFeed
-from hillstack.platform.connections import make_runner_session
+from hillstack.platform.connections import make_runner_session, make_store_session
 from hillstack.platform.ingress import Ingress, Readiness
 from hillstack.platform.names import DUTY_KEY
 from hillstack.platform.runners import HttpRunnerClient
@@ -101,7 +100,7 @@
         )
         contact = bounds.contact_ms / 1000 - VERSION_MARGIN_SECONDS
         self._state.unjudged_until = self._clock() + contact
-        self._store_session = aiohttp.ClientSession()
+        self._store_session = make_store_session()
         self._runner_session = make_runner_session()
         store = MetadataStore(settings.store.address, self._store_session)
         runners = HttpRunnerClient(self._runner_session)
--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -17,7 +17,7 @@
 from hillstack.core.runner_pool import RunnerEntry
 from hillstack.daemon.change_log import ChangeLog, ListedKeys, StoreChange, StoredItem
 from hillstack.daemon.store_relay import RelayedChanges
-from hillstack.errors import HistoryLostError, PlatformError
+from hillstack.errors import HistoryLostError, PlatformError, PlatformOutcomeUnknownError
 from hillstack.logs import error_fields
 from hillstack.serving.fleet_state import DutyHeld, FleetState, NodeListed, RunnerListed, StoreEvent
 
@@ -200,6 +200,7 @@
     async def _follow(self, revision: int) -> int:
         """Take over what has changed, from the first peer with fresh knowledge or the store."""
         group = None if len(self._state.nodes) <= SINGLE_GROUP_NODES else self._own.zone
+        was_known = self._refusal is None
         asked = self._choice.before_this(group, self._clock())[:MAX_PEERS_ASKED]
         relayed = await self._ask_peers(asked, revision)
         if relayed is not None:
@@ -213,8 +214,21 @@
         relayed = await self._ask_peers(self._with_last_source(chosen, others), revision)
         if relayed is not None:
             return self._take_relayed(relayed, revision)
+        if was_known and isinstance(failure, PlatformOutcomeUnknownError):
+            return await self._look_again(revision)
         raise failure
 
+    async def _look_again(self, revision: int) -> int:
+        """Look at once after a first look without an answer, and without waiting for a change.
+
+        Its connection may have gone silent while new ones work. This answer comes over a new one
+        and proves freshness right away: no older than 3.6 s after a look a second earlier, where a
+        pause first would let the shortest bound seen (4.5 s) pass.
+        """
+        revision = await self._follow_store(revision, wait_seconds=0.0)
+        self._refusal = None
+        return revision
+
     def _with_last_source(self, chosen: list[str], others: list[str]) -> list[str]:
         """Return the peers to ask, the one that helped the last time first."""
         if self._source is None or self._source not in others:
@@ -254,9 +268,9 @@
         self._refusal = None
         return revision
 
-    async def _follow_store(self, revision: int) -> int:
+    async def _follow_store(self, revision: int, wait_seconds: float = WATCH_WAIT_SECONDS) -> int:
         started_at = self._clock()
-        changes = await self._store.changes(revision, WATCH_WAIT_SECONDS)
+        changes = await self._store.changes(revision, wait_seconds)
         self._regained()
         self._note_source(None)
         significant = [change for change in changes.changes if self._is_significant(change)]
--- a/src/hillstack/platform/connections.py
+++ b/src/hillstack/platform/connections.py
@@ -1,14 +1,18 @@
-"""HTTP connections to runners: what the client library does not do by itself.
+"""HTTP connections to runners and to the store: what the client library does not do by itself.
 
 An answer without a length that ends in a reset is broken, not complete. An answer with the
-identifier of another request is passed over. A connection to a machine that has gone silent breaks.
+identifier of another request is passed over. A connection to a machine that has gone silent breaks,
+and those that have rested beside it are not used again: whatever silenced one (a lost entry in a
+firewall, a cut) has mostly silenced all that were open, while new ones work.
 """
 
 from __future__ import annotations
 
 import asyncio
+import errno
 import functools
 import socket
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -16,6 +20,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from hillstack.addresses import split_address
 from hillstack.errors import BackendError
 from hillstack.platform import names
 
@@ -29,39 +34,111 @@
 IDLE_SECONDS = 4.0
 # A connection takes some milliseconds; packets that open one are repeated after a second.
 CONNECT_LIMIT_SECONDS = 0.5
+# A connection that ends after it owed bytes for that long had gone silent: what the system's own
+# time-out takes. The shorter limits of questions tell by themselves.
+OWED_SILENCE_SECONDS = SILENCE_LIMIT_MS / 1000
+# Addresses kept with their last silence: several times the runners of the largest deployment.
+MAX_SILENT_ADDRESSES = 8_192
+
+Endpoint = tuple[str, int]
+NO_ENDPOINT: Endpoint = ("", 0)
+
+
+class SilentAddresses:
+    """When a connection to an address was last found silent.
+
+    A connection that has not been heard since then is not used again, which costs a new one of
+    some milliseconds; used again, each would cost a request its whole time-out.
+    """
+
+    def __init__(self) -> None:
+        self._found_at: dict[Endpoint, float] = {}
+
+    def note(self, endpoint: Endpoint) -> None:
+        """Note a connection to an address that has gone silent."""
+        if len(self._found_at) >= MAX_SILENT_ADDRESSES:
+            self._found_at.clear()
+        self._found_at[endpoint] = time.monotonic()
+
+    def is_trusted(self, endpoint: Endpoint, heard_at: float) -> bool:
+        """Return whether a connection that was last heard at a moment may be used again."""
+        return heard_at > self._found_at.get(endpoint, float("-inf"))
 
 
 class StrictResponseHandler(ResponseHandler):
-    """One connection to a runner."""
+    """One connection.
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    Args:
+        loop: The loop.
+        silent: Where silence is noted.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, silent: SilentAddresses) -> None:
         super().__init__(loop)
+        self._silent = silent
+        self._endpoint = NO_ENDPOINT
         self._expected_id: str | None = None
-        self._stray_data = False
+        self._asked_at = 0.0
+        self._heard_at = 0.0
+        self._awaits_head = False
 
     def expect(self, request_id: str) -> None:
         """Take only the answer to this request from now on."""
         self._expected_id = request_id
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep where the connection goes."""
+        super().connection_made(transport)
+        host, port = (transport.get_extra_info("peername") or NO_ENDPOINT)[:2]
+        self._endpoint = (host, port)
+        self._heard_at = time.monotonic()
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes, and note that the connection lives."""
+        self._heard_at = time.monotonic()
+        super().data_received(data)
+
     async def read(self) -> Any:
         """Return the next answer, passing over answers to other requests."""
+        self._asked_at = time.monotonic()
+        self._awaits_head = True
         while True:
             message, payload = await super().read()
             answered = message.headers.get(names.REQUEST_ID)
             if answered is None or self._expected_id is None or answered == self._expected_id:
+                self._awaits_head = False
                 return message, payload
             self.force_close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Break an answer that a reset has cut."""
+        """Break an answer that a reset has cut, and note a silence."""
+        self._note_if_silent(exc)
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             payload.set_exception(aiohttp.ClientPayloadError(f"connection reset: {exc!r}"))
         super().connection_lost(exc)
 
+    def close(self) -> None:
+        """Close, and note a silence before the next request looks for a connection."""
+        self._note_if_silent(None)
+        super().close()
+
     def is_connected(self) -> bool:
-        """Return whether the connection can take a request: open, and no bytes are left over."""
-        return super().is_connected() and not (self._buffer or self._tail)
+        """Return whether the connection can take a request.
+
+        It is open, no bytes are left over, and none beside it was found silent since it was heard.
+        """
+        if not super().is_connected() or self._buffer or self._tail:
+            return False
+        return self._silent.is_trusted(self._endpoint, self._heard_at)
+
+    def _note_if_silent(self, exc: BaseException | None) -> None:
+        payload = self._payload
+        owes_bytes = self._awaits_head or (payload is not None and not payload.is_eof())
+        quiet_since = max(self._asked_at, self._heard_at)
+        owed_long = owes_bytes and time.monotonic() - quiet_since >= OWED_SILENCE_SECONDS
+        if owed_long or (isinstance(exc, OSError) and exc.errno == errno.ETIMEDOUT):
+            self._silent.note(self._endpoint)
 
 
 class StrictResponse(aiohttp.ClientResponse):
@@ -75,8 +152,8 @@
         return await super().start(connection)
 
 
-class RunnerConnector(aiohttp.TCPConnector):
-    """Connections to runners."""
+class WatchedConnector(aiohttp.TCPConnector):
+    """Connections of which none is used again that rested beside a silent one."""
 
     def __init__(self) -> None:
         super().__init__(
@@ -86,7 +163,8 @@
             use_dns_cache=False,
             socket_factory=make_socket,
         )
-        factory: Any = functools.partial(StrictResponseHandler, loop=self._loop)
+        self.silent = SilentAddresses()
+        factory: Any = functools.partial(StrictResponseHandler, loop=self._loop, silent=self.silent)
         self._factory = factory
 
 
@@ -107,7 +185,7 @@
 def make_runner_session() -> aiohttp.ClientSession:
     """Return a session for requests to runners; it repeats nothing by itself."""
     session = aiohttp.ClientSession(
-        connector=RunnerConnector(),
+        connector=WatchedConnector(),
         response_class=StrictResponse,
         auto_decompress=False,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_LIMIT_SECONDS),
@@ -118,6 +196,20 @@
     return session
 
 
+def make_store_session() -> aiohttp.ClientSession:
+    """Return a session for calls to the store."""
+    return aiohttp.ClientSession(connector=WatchedConnector(), cookie_jar=aiohttp.DummyCookieJar())
+
+
+def note_silence(session: aiohttp.ClientSession, address: str) -> None:
+    """Note that a call to ``IP:PORT`` had no answer in time.
+
+    Its own connection is closed by the library; those that rest beside it are not used again.
+    """
+    if isinstance(session.connector, WatchedConnector):
+        session.connector.silent.note(split_address(address))
+
+
 @dataclass(frozen=True, slots=True)
 class Question:
     """A call of the router's own to a runner or a store of kept KV cache.
@@ -150,6 +242,8 @@
         ) as response:
             return await response.read(), response.status
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        if isinstance(error, TimeoutError):
+            note_silence(session, question.address)
         text = str(error) or type(error).__name__
         step = f"{question.method} {question.path.partition('?')[0]}"
         raise BackendError(text, step=step, peer=question.address) from error
--- a/src/hillstack/platform/store.py
+++ b/src/hillstack/platform/store.py
@@ -36,6 +36,7 @@
     TxnRequest,
     WatchBody,
 )
+from hillstack.platform.connections import note_silence
 from hillstack.platform.formats import listed_keys, to_event
 from hillstack.serving.fleet_state import StoreEvent
 
@@ -77,7 +78,7 @@
 
     Args:
         address: ``IP:PORT``.
-        session: HTTP session; not closed here.
+        session: HTTP session of ``make_store_session``; not closed here.
     """
 
     def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
@@ -244,6 +245,8 @@
         except aiohttp.ClientConnectorError as error:
             raise PlatformUnavailableError(str(error), step=step, peer=self._address) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            if isinstance(error, TimeoutError):
+                note_silence(self._session, self._address)
             text = str(error) or type(error).__name__
             raise PlatformOutcomeUnknownError(text, step=step, peer=self._address) from error
         if status == OK:
--- /dev/null
+++ b/tests/fleet/test_silent_connections.py
@@ -0,0 +1,213 @@
+"""Open connections that go silent for good, without a reset, while new ones work."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
+
+import aiohttp
+import pytest
+
+from hillstack.errors import BackendError, PlatformOutcomeUnknownError
+from hillstack.platform import connections, names
+from hillstack.platform.connections import (
+    PROBE_IDLE_SECONDS,
+    SILENCE_LIMIT_MS,
+    WatchedConnector,
+    make_runner_session,
+    make_socket,
+    make_store_session,
+)
+from hillstack.platform.runners import HttpRunnerClient
+from hillstack.platform.store import MetadataStore
+from hillstack.serving.types import Dispatch
+from tests.fleet.builders import make_request
+
+# Shorter than the limit of any call, so that a connection that rests is in use again.
+AT_ONCE_SECONDS = 0.2
+# A test that hangs fails after that long.
+WAIT_SECONDS = 30.0
+
+
+@dataclass
+class SilencedServer:
+    """Answers each request until its connection is silenced; then it reads and says nothing."""
+
+    opened: int = 0
+    answered: int = 0
+    _heard: set[int] = field(default_factory=set)
+    address: str = ""
+    _server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    def silence_open_connections(self) -> None:
+        self._heard.clear()
+
+    def close(self) -> None:
+        assert self._server is not None
+        self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.opened += 1
+        number = self.opened
+        self._heard.add(number)
+        try:
+            while True:
+                raw = await reader.readuntil(b"\r\n\r\n")
+                fields = dict(line.split(b": ", 1) for line in raw.split(b"\r\n")[1:] if line)
+                lowered = {key.lower(): value for key, value in fields.items()}
+                await reader.readexactly(int(lowered.get(b"content-length", b"0")))
+                # Together with those beside it, so that each has a connection of its own.
+                await asyncio.sleep(AT_ONCE_SECONDS / 10)
+                if number in self._heard:
+                    self.answered += 1
+                    writer.write(self._answer(lowered))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.close()
+
+    def _answer(self, fields: dict[bytes, bytes]) -> bytes:
+        request_id = fields.get(names.REQUEST_ID.lower().encode(), b"none")
+        head = f"{names.SIGNATURE}: s\r\nContent-Length: 4\r\n".encode()
+        own = names.REQUEST_ID.encode() + b": " + request_id + b"\r\n"
+        return b"HTTP/1.1 200 OK\r\n" + head + own + b"\r\nbody"
+
+
+Use = Callable[[SilencedServer, aiohttp.ClientSession], Awaitable[None]]
+
+
+def run(make_session: Callable[[], aiohttp.ClientSession], use: Use) -> None:
+    async def main() -> None:
+        server = SilencedServer()
+        await server.start()
+        session = make_session()
+        try:
+            async with asyncio.timeout(WAIT_SECONDS):
+                await use(server, session)
+        finally:
+            await session.close()
+            server.close()
+
+    asyncio.run(main())
+
+
+async def send(client: HttpRunnerClient, address: str, request_id: str) -> bytes:
+    request = make_request("/app/x", request_id=request_id)
+    answer = await client.send(request, Dispatch("i-1", address, 5.0))
+    try:
+        return await answer.whole_body()
+    finally:
+        answer.close()
+
+
+async def all_of(work: Iterable[Awaitable[object]]) -> None:
+    await asyncio.gather(*work)
+
+
+def test_a_renewal_that_had_no_answer_is_repeated_over_a_new_connection() -> None:
+    async def use(server: SilencedServer, session: aiohttp.ClientSession) -> None:
+        store = MetadataStore(server.address, session)
+        await all_of(store.keep_alive(number) for number in range(3))
+        assert server.opened == 3
+        server.silence_open_connections()
+        with pytest.raises(PlatformOutcomeUnknownError):
+            await store.keep_alive(1)
+        assert await store.keep_alive(1)
+        assert server.opened == 4
+
+    run(make_store_session, use)
+
+
+def test_calls_that_are_answered_share_their_connections() -> None:
+    async def use(server: SilencedServer, session: aiohttp.ClientSession) -> None:
+        store = MetadataStore(server.address, session)
+        for number in range(5):
+            await store.keep_alive(number)
+        assert server.opened == 1
+
+    run(make_store_session, use)
+
+
+def test_a_question_without_an_answer_ends_the_use_of_those_that_rested_beside_it() -> None:
+    async def use(server: SilencedServer, session: aiohttp.ClientSession) -> None:
+        client = HttpRunnerClient(session)
+        await all_of(send(client, server.address, f"r-{number}") for number in range(3))
+        server.silence_open_connections()
+        with pytest.raises(BackendError):
+            await client.report("i-1", server.address)
+        assert await send(client, server.address, "r-4") == b"body"
+        assert server.opened == 4
+
+    run(make_runner_session, use)
+
+
+def test_a_request_that_was_given_up_in_silence_ends_their_use_too(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(connections, "OWED_SILENCE_SECONDS", AT_ONCE_SECONDS / 2)
+
+    async def use(server: SilencedServer, session: aiohttp.ClientSession) -> None:
+        client = HttpRunnerClient(session)
+        await all_of(send(client, server.address, f"r-{number}") for number in range(3))
+        server.silence_open_connections()
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(AT_ONCE_SECONDS):
+                await send(client, server.address, "r-4")
+        assert await send(client, server.address, "r-5") == b"body"
+        assert server.opened == 4
+
+    run(make_runner_session, use)
+
+
+def test_a_request_that_is_given_up_at_once_leaves_the_others_in_use() -> None:
+    async def use(server: SilencedServer, session: aiohttp.ClientSession) -> None:
+        client = HttpRunnerClient(session)
+        await all_of(send(client, server.address, f"r-{number}") for number in range(3))
+        leaving = asyncio.create_task(send(client, server.address, "r-4"))
+        await asyncio.sleep(0)
+        leaving.cancel()
+        await asyncio.gather(leaving, return_exceptions=True)
+        assert await send(client, server.address, "r-5") == b"body"
+        assert server.opened == 3
+
+    run(make_runner_session, use)
+
+
+def test_silence_at_one_address_says_nothing_of_another() -> None:
+    async def use(server: SilencedServer, session: aiohttp.ClientSession) -> None:
+        client = HttpRunnerClient(session)
+        await send(client, server.address, "r-1")
+        other = SilencedServer()
+        await other.start()
+        await send(client, other.address, "r-2")
+        other.silence_open_connections()
+        with pytest.raises(BackendError):
+            await client.report("i-2", other.address)
+        await send(client, server.address, "r-3")
+        assert server.opened == 1
+        other.close()
+
+    run(make_runner_session, use)
+
+
+@pytest.mark.parametrize("make_session", [make_runner_session, make_store_session])
+def test_the_system_watches_connections_too(
+    make_session: Callable[[], aiohttp.ClientSession],
+) -> None:
+    async def use(server: SilencedServer, session: aiohttp.ClientSession) -> None:
+        assert isinstance(session.connector, WatchedConnector)
+        assert session.connector._socket_factory is make_socket
+
+    run(make_session, use)
+    made = make_socket((socket.AF_INET, socket.SOCK_STREAM, 0, "", ("127.0.0.1", 1)))
+    with made:
+        limit = made.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        assert limit == SILENCE_LIMIT_MS
+        assert made.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+        assert made.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) == PROBE_IDLE_SECONDS
--- a/tests/fleet/test_store_sync.py
+++ b/tests/fleet/test_store_sync.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
@@ -13,9 +14,14 @@
 from hillstack.core.weights_versions import WeightsVersions
 from hillstack.daemon.change_log import ChangeLog, ListedKeys, StoreChange, StoredItem
 from hillstack.daemon.store_relay import RelayedChanges
-from hillstack.daemon.store_sync import StoreSync
-from hillstack.errors import HistoryLostError, PlatformError, PlatformUnavailableError
-from hillstack.platform.store import Changes, Snapshot
+from hillstack.daemon.store_sync import WATCH_WAIT_SECONDS, StoreSync
+from hillstack.errors import (
+    HistoryLostError,
+    PlatformError,
+    PlatformOutcomeUnknownError,
+    PlatformUnavailableError,
+)
+from hillstack.platform.store import CALL_LIMIT_SECONDS, Changes, Snapshot
 from hillstack.serving.fleet_state import (
     FleetState,
     NodeListed,
@@ -74,6 +80,7 @@
     meanings: dict[bytes | None, StoreEvent] = field(default_factory=dict)
     calls: int = 0
     loads: int = 0
+    silent_looks: int = 0
 
     async def snapshot(self) -> Snapshot:
         self.calls += 1
@@ -86,6 +93,10 @@
         self.calls += 1
         if self.failure is not None:
             raise self.failure
+        if self.silent_looks > 0:
+            self.silent_looks -= 1
+            await asyncio.sleep(wait_seconds + CALL_LIMIT_SECONDS)
+            raise PlatformOutcomeUnknownError("no answer", step="watch", peer="store")
         events, self.pending = self.pending, []
         return Changes(as_changes(events, revision + 1), revision + len(events))
 
@@ -193,6 +204,29 @@
     assert not bench.state.freshness.is_fresh(bench.scheduler.now)
 
 
+def test_a_look_over_a_silent_connection_costs_no_freshness(bench: Bench) -> None:
+    # No peer knows more: where all open connections went silent, theirs did too.
+    bench.state.apply(NodeListed("node-2", "10.0.0.2:1", "zone-a"), bench.scheduler.now)
+    bench.run(2.0)
+    for _ in range(5):
+        bench.store.silent_looks = 1
+        oldest = 0.0
+        for _ in range(100):
+            bench.run(0.1)
+            oldest = max(oldest, bench.state.freshness.age(bench.scheduler.now))
+        assert bench.store.silent_looks == 0
+        assert oldest <= 1.2 + WATCH_WAIT_SECONDS + CALL_LIMIT_SECONDS
+
+
+def test_a_store_that_stays_silent_is_not_asked_twice_each_time(bench: Bench) -> None:
+    bench.state.apply(NodeListed("node-2", "10.0.0.2:1", "zone-a"), bench.scheduler.now)
+    bench.run(2.0)
+    before = bench.store.calls
+    bench.store.silent_looks = 1_000
+    bench.run(20.0)
+    assert bench.store.calls - before <= 8
+
+
 def test_runners_whose_entries_lapsed_in_an_outage_serve_on_until_they_are_back(
     bench: Bench,
 ) -> None:
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -407,6 +407,30 @@
         "        asked = [self._ask(node, missing) for node in others]",
         "        asked = [self._ask(node, missing) for node in others[:0]]",
     ),
+    Mutation(
+        "connections that rest beside a silent one are used again",
+        "platform/connections.py",
+        'return heard_at > self._found_at.get(endpoint, float("-inf"))',
+        "return True",
+    ),
+    Mutation(
+        "a call of the store without an answer is forgotten",
+        "platform/store.py",
+        "note_silence(self._session, self._address)",
+        "pass",
+    ),
+    Mutation(
+        "the store is not looked at again at once after a silent look",
+        "daemon/store_sync.py",
+        "if was_known and isinstance(failure, PlatformOutcomeUnknownError):",
+        "if False:",
+    ),
+    Mutation(
+        "a store that stays silent is asked twice each time",
+        "daemon/store_sync.py",
+        "if was_known and isinstance(failure, PlatformOutcomeUnknownError):",
+        "if isinstance(failure, PlatformOutcomeUnknownError):",
+    ),
 )
 
 
