A request leaves a connection that is silent while its runner speaks on others

Cause: silence was judged by runner only. A stream whose own connection had gone silent waited to its deadline as long as anything else was heard from the runner; only the system's time-outs helped. Change: an attempt knows from when on its silence counts (its last bytes, or when the first are due); 2.5 s later it is given up where another one may follow. Two tests that hung to the deadline before, one that a stream held back for 2 s stays.

--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -39,6 +39,8 @@
     Attributes:
         charged: What was taken out of its tenant's limit for it.
         may_have_run: Whether some runner may have begun work on it.
+        quiet_from: From when on silence counts on the connection of its attempt: its last bytes, or
+            when the first ones should surely be there.
         excluded: Runners that are not tried again.
     """
 
@@ -57,6 +59,7 @@
     first_event_at: float | None = None
     last_event_at: float | None = None
     longest_gap: float = 0.0
+    quiet_from: float = 0.0
     excluded: set[str] = field(default_factory=set)
 
     @property
@@ -68,6 +71,10 @@
         """Return whether another runner may run it, although one may have."""
         return self.route.repeatable and self.runs < self.route.max_attempts
 
+    def note_bytes(self, now: float) -> None:
+        """Note that the connection of its attempt lives."""
+        self.quiet_from = max(self.quiet_from, now)
+
     def note_event(self, now: float) -> bool:
         """Note that events were passed on; return whether they are the first ones."""
         first = self.first_event_at is None
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -42,6 +42,10 @@
 SILENCE_CHECK_SECONDS = 0.15
 # A request leaves a runner that is silent for longer than the allowed pauses of 0.5 and 0.6 s.
 SILENCE_LIMIT_SECONDS = 0.7
+# A request leaves a connection that is silent while its runner speaks on others. The system's own
+# time-outs take up to 2.2 s (1.2 s for bytes sent, two probes for a wait); callers leave a stream
+# after 3.2 s on the deployments seen.
+CONNECTION_SILENCE_SECONDS = 2.5
 SERVER_ERROR = 500
 SUCCESS = range(200, 300)
 
@@ -213,6 +217,7 @@
         job.runs += 1
         try:
             answer = await self._head(job, placed, dispatch)
+            job.note_bytes(self._clock())
             self._state.pool.heard(placed.runner, self._clock())
             return await self._relay(job, placed, attempt_id, answer, sink)
         finally:
@@ -276,8 +281,10 @@
         """Leave a silent runner where the request can go on elsewhere: it may speak again."""
         now = self._clock()
         is_silent = runner.is_silent(now) and now - runner.last_heard_at >= SILENCE_LIMIT_SECONDS
-        if is_silent and self._may_follow(job):
-            raise BackendBrokenError("the runner is silent", step=step, peer=runner.runner_id)
+        is_cut_off = now - job.quiet_from >= CONNECTION_SILENCE_SECONDS
+        if (is_silent or is_cut_off) and self._may_follow(job):
+            text = "the runner is silent" if is_silent else "the connection is silent"
+            raise BackendBrokenError(text, step=step, peer=runner.runner_id)
 
     def _may_follow(self, job: Job) -> bool:
         """Return whether an attempt that is given up now would be followed by another one."""
@@ -337,6 +344,7 @@
             piece = await self._next_piece(job, placed, answer)
             if not piece:
                 break
+            job.note_bytes(self._clock())
             self._state.pool.heard(placed.runner, self._clock())
             events = job.framing.feed(piece, placed.runner.runner_id)
             if not events:
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -113,11 +113,11 @@
         return RunnerCensus(known=len(runners), **counts)
 
     def sent(self, job: Job, placed: PlacedAttempt, attempt_id: str, now: float) -> None:
-        """Note an attempt that is being sent, and tell the peers."""
+        """Note an attempt that is being sent, and when it is due, and tell the peers."""
         shape = job.request.shape
         total = shape.total_tokens if shape is not None and placed.salt is not None else 0
         is_long = shape is not None and shape.is_long
-        due_at = now + DUE_SECONDS + DUE_FACTOR * placed.delay
+        job.quiet_from = due_at = now + DUE_SECONDS + DUE_FACTOR * placed.delay
         attempt = OwnAttempt(placed.prefill_tokens, total, now, due_at, is_long)
         self._state.pool.sent(placed.runner, attempt_id, attempt, self.prefill_rate(job.service))
         self._peers.load_changed(placed.runner)
--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -257,6 +257,59 @@
     assert (sink.body, sink.finished) == (b"".join(EVENTS), True)
 
 
+def keep_hearing(bench: Bench, seconds: float) -> None:
+    """Let other connections to all runners bring bytes for some time."""
+
+    async def hear() -> None:
+        for _ in range(int(seconds / 0.1)):
+            now = bench.scheduler.now
+            for runner in bench.state.pool.all():
+                bench.state.pool.heard(runner, now)
+            await asyncio.sleep(0.1)
+
+    bench.scheduler.spawn(bench.scheduler.new_loop(), hear())
+
+
+def breaks_off_then(first: Behaviour, second: Behaviour) -> Behaviour:
+    """Behave in one way at the first request, in another one from then on."""
+    used: list[str] = []
+
+    async def behave(request: ServingRequest, dispatch: Any) -> Any:
+        used.append(dispatch.runner_id)
+        return await (first if len(used) == 1 else second)(request, dispatch)
+
+    return behave
+
+
+def test_a_stream_whose_own_connection_is_silent_goes_on_elsewhere() -> None:
+    # The runner is heard over other connections, so that it isn't silent itself.
+    behave = breaks_off_then(answers(EVENTS[0], 100.0), answers(*EVENTS[1:]))
+    bench = make_stream_bench(i_1=behave, i_22=behave)
+    keep_hearing(bench, 10.0)
+    sink, error = bench.serve(stream_request(), within=4.0)
+    assert error is None
+    assert (sink.body, sink.heads, sink.finished) == (b"".join(EVENTS), 1, True)
+    assert bench.client.answers[0].closed
+
+
+def test_a_request_whose_own_connection_is_silent_is_sent_elsewhere() -> None:
+    behave = breaks_off_then(hangs(), answers(b"ok"))
+    bench = make_bench(i_1=behave, i_22=behave)
+    keep_hearing(bench, 10.0)
+    sink, error = bench.serve(make_request(), within=4.0)
+    assert error is None and sink.body == b"ok"
+    assert len(bench.client.cancelled) == 1
+
+
+def test_a_stream_that_its_runner_holds_back_for_a_while_is_left_there() -> None:
+    bench = make_stream_bench(i_1=answers(EVENTS[0], 2.0, *EVENTS[1:]), i_22=answers(*EVENTS[1:]))
+    bench.client.behaviours["i-22"] = bench.client.behaviours["i-1"]
+    keep_hearing(bench, 10.0)
+    sink, error = bench.serve(stream_request())
+    assert error is None and sink.finished
+    assert len(bench.client.dispatches) == 1
+
+
 def test_a_request_whose_caller_leaves_is_taken_back_from_the_runner() -> None:
     bench = make_bench(i_1=hangs())
     task = bench.run(bench.pipeline.serve(make_request(), FakeSink()), until=0.1)
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -425,6 +425,12 @@
         "if was_known and isinstance(failure, PlatformOutcomeUnknownError):",
         "if False:",
     ),
+    Mutation(
+        "a request stays on a connection that is silent while its runner speaks on others",
+        "serving/pipeline.py",
+        "is_cut_off = now - job.quiet_from >= CONNECTION_SILENCE_SECONDS",
+        "is_cut_off = False",
+    ),
     Mutation(
         "a store that stays silent is asked twice each time",
         "daemon/store_sync.py",
