A caller that left before its request was read is not served; a head that comes as it leaves is given up

Cause, from tests that fail first: a request and its close that both waited in the socket (backlog of a start, a loop held up) were read in one turn of the loop and sent to a runner before the close was seen; and an answer whose head came in the very turn of the cancellation was left open until the garbage collector. Change: where reading is late (a start, a tick of 0.1 s over 0.1 s late, and a second after it) four turns of the loop pass before a request is served; the answer is closed. Calm nodes pay a comparison a request.

--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -30,6 +30,7 @@
 from hillstack.daemon.early_listeners import EarlyListeners
 from hillstack.daemon.limit_client import LEASE_SECONDS, LimitClient
 from hillstack.daemon.limit_holder import LimitHolder
+from hillstack.daemon.loop_lag import LoopLag
 from hillstack.daemon.metrics_page import MetricsPage
 from hillstack.daemon.node_registry import NodeRegistry
 from hillstack.daemon.peer_exchange import PeerExchange
@@ -87,6 +88,7 @@
         self._times = times
         self._settings_path = settings_path
         self._clock = time.monotonic
+        self._lag = LoopLag(self._clock)
         self._stopping = False
         self._stop = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -155,7 +157,13 @@
         settings = self._settings
         await self._link.open(settings.node.address, settings.listen.peers_port)
         callers = make_server(
-            Ingress(self._pipeline, self._clock, self._max_body_bytes, self._should_leave),
+            Ingress(
+                self._pipeline,
+                self._clock,
+                self._max_body_bytes,
+                self._should_leave,
+                self._lag.is_behind,
+            ),
             settings.listen.callers,
             keep_alive_seconds=KEEP_ALIVE_SECONDS,
             date_header=False,
@@ -180,7 +188,7 @@
             self._registry.run(),
             self._duty.keep_lease(),
             self._duty.run(),
-            RunnerMonitor(self._state, self._peers, self._clock).run(),
+            RunnerMonitor(self._state, self._peers, self._clock, self._lag).run(),
         ):
             self._start(work)
         self._note_started()
--- a/src/hillstack/daemon/runner_monitor.py
+++ b/src/hillstack/daemon/runner_monitor.py
@@ -7,13 +7,14 @@
 from collections.abc import Callable
 
 from hillstack.core.runner_pool import Runner
+from hillstack.daemon.loop_lag import TICK_SECONDS, LoopLag
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.serving.fleet_state import FleetState
 
 logger = logging.getLogger(__name__)
 
 # How late silence is noticed: a quarter of what counts as silence.
-CHECK_SECONDS = 0.1
+CHECK_SECONDS = TICK_SECONDS
 
 
 class RunnerMonitor:
@@ -23,9 +24,17 @@
         state: What the node knows.
         peers: Where peers are told.
         clock: Monotonic seconds.
+        lag: Is told of each look, which is as regular as the loop allows.
     """
 
-    def __init__(self, state: FleetState, peers: PeerExchange, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        state: FleetState,
+        peers: PeerExchange,
+        clock: Callable[[], float],
+        lag: LoopLag,
+    ) -> None:
+        self._lag = lag
         self._state = state
         self._peers = peers
         self._clock = clock
@@ -34,6 +43,7 @@
         """Look now and then until cancelled."""
         while True:
             await asyncio.sleep(CHECK_SECONDS)
+            self._lag.ticked()
             now = self._clock()
             for runner in self._state.pool.all():
                 if runner.is_silent(now) and now >= runner.suspected_until:
--- a/src/hillstack/platform/ingress.py
+++ b/src/hillstack/platform/ingress.py
@@ -31,6 +31,9 @@
 }
 PAYLOAD_TOO_LARGE = 413
 CLOSE = (b"connection", b"close")
+# Turns of the loop from a request that was read to the cancellation by a close right behind it: the
+# read, the loss of the connection, the watcher, and one to spare.
+CLOSE_TURNS = 4
 
 
 class Serving(Protocol):
@@ -83,6 +86,7 @@
         clock: Monotonic seconds.
         max_body_bytes: Returns the largest body that is read.
         closing: Returns whether callers should go to another node after their answer.
+        is_behind: Returns whether requests are read late, so that callers may have left already.
     """
 
     def __init__(
@@ -91,7 +95,9 @@
         clock: Callable[[], float],
         max_body_bytes: Callable[[], int],
         closing: Callable[[], bool],
+        is_behind: Callable[[], bool],
     ) -> None:
+        self._is_behind = is_behind
         self._serving = serving
         self._clock = clock
         self._max_body_bytes = max_body_bytes
@@ -124,6 +130,8 @@
         assert serving is not None
         watcher = asyncio.create_task(_cancel_on_disconnect(receive, serving))
         try:
+            if self._is_behind():
+                await _let_a_close_be_read()
             await self._serving.serve(request, sink)
         except RejectedError as error:
             if sink.started:
@@ -194,6 +202,16 @@
         await send({"type": "http.response.body", "body": b""})
 
 
+async def _let_a_close_be_read() -> None:
+    """Let the loop read a close that waits behind the request; the watcher then cancels it.
+
+    Without it a request whose caller is gone would reach a runner before its close is seen. It
+    costs turns of the loop, so only where reading is late.
+    """
+    for _ in range(CLOSE_TURNS):
+        await asyncio.sleep(0)
+
+
 async def _cancel_on_disconnect(receive: Receive, serving: asyncio.Task[Any]) -> None:
     while True:
         message = await receive()
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -265,6 +265,9 @@
                     return sending.result()
                 self._check_silence(job, placed.runner, "await answer")
                 self._check_weights(job, placed.runner, dispatch)
+        except asyncio.CancelledError:
+            _give_up_answer(sending)
+            raise
         finally:
             sending.cancel()
 
@@ -406,3 +409,9 @@
         log_outcome(job, runner, f"broken at {error.step}: {error.message}")
         if not job.may_run_again():
             raise job.gave_up(Verdict.FAILED, error.message) from error
+
+
+def _give_up_answer(sending: asyncio.Future[RunnerAnswer]) -> None:
+    """Close an answer whose head came in the turn in which its caller left, to end its run."""
+    if sending.done() and not sending.cancelled() and sending.exception() is None:
+        sending.result().close()
--- a/tests/fleet/test_formats.py
+++ b/tests/fleet/test_formats.py
@@ -91,7 +91,7 @@
 def taken_over(headers: dict[str, str]) -> ServingRequest:
     """Return what a caller's request becomes."""
     serving = KeepingServing()
-    ingress = Ingress(serving, lambda: 0.0, lambda: 1_000, lambda: False)
+    ingress = Ingress(serving, lambda: 0.0, lambda: 1_000, lambda: False, lambda: False)
     scope = {
         "type": "http",
         "method": "POST",
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -431,6 +431,30 @@
         "is_cut_off = now - job.quiet_from >= CONNECTION_SILENCE_SECONDS",
         "is_cut_off = False",
     ),
+    Mutation(
+        "a close that waits behind its request is seen only after it was sent",
+        "platform/ingress.py",
+        "if self._is_behind():",
+        "if False:",
+    ),
+    Mutation(
+        "an answer whose head comes as the caller leaves is forgotten",
+        "serving/pipeline.py",
+        "            _give_up_answer(sending)\n            raise",
+        "            raise",
+    ),
+    Mutation(
+        "callers that leave are not noticed",
+        "platform/ingress.py",
+        "            serving.cancel()\n            return",
+        "            return",
+    ),
+    Mutation(
+        "a node does not see that it reads late",
+        "daemon/loop_lag.py",
+        "return now < self._behind_until or self._is_late(now)",
+        "return now < self._behind_until",
+    ),
     Mutation(
         "a store that stays silent is asked twice each time",
         "daemon/store_sync.py",
