A ready node takes connections: resting ones make room, and readiness is taken back while none can be taken

Cause: nothing bounded callers' connections (resting ones stay 120 s) beside a limit of 4,100 descriptors; at the limit the event loop takes no connection for a second at a time while the node says it is ready. Change: callers may hold half of the descriptors (each request may need one more to a runner); beyond that answers end their connection, resting ones are closed, and a node without room is not ready. When a connection can't be taken, all that rest are closed and readiness is taken back for 1.5 s. The limit comes from the settings (template) or the system. Connections of callers are probed by the system (10 s). Tests: fakes, a real node with little room, a real node whose limit is lowered to 20 more than it has open.

--- a/src/hillstack/config/fleet_settings.py
+++ b/src/hillstack/config/fleet_settings.py
@@ -38,12 +38,14 @@
         address: IP number at which peers reach it.
         link_megabits: What its network link carries in a second, in Mbit; those with the fastest
             links relay for the others. 0 if it is not known.
+        descriptors: Most descriptors that the process may have open; none for the system's limit.
     """
 
     id: Text
     zone: Text
     address: Text
     link_megabits: Share = 0.0
+    descriptors: PositiveInt | None = None
 
 
 class ListenSection(msgspec.Struct, frozen=True):
--- a/src/hillstack/daemon/early_listeners.py
+++ b/src/hillstack/daemon/early_listeners.py
@@ -18,6 +18,12 @@
 
 # How long an address may still be taken by the process before: more than its grace of 8 s.
 ADDRESS_WAIT_SECONDS = 10.0
+# A caller that acknowledges nothing for that long, or no probe, is gone: its connection, and a run
+# for it, end. Callers leave a stream after gaps of 3 to 4 s themselves, so none that waits is lost.
+CALLER_SILENCE_MS = 10_000
+CALLER_PROBE_IDLE_SECONDS = 10
+CALLER_PROBE_INTERVAL_SECONDS = 5
+CALLER_PROBE_COUNT = 2
 # Between two tries to listen: a fiftieth of a second of refused callers at most.
 ADDRESS_RETRY_SECONDS = 0.02
 
@@ -66,6 +72,7 @@
     family = socket.AF_INET6 if address.startswith("[") else socket.AF_INET
     opened = socket.socket(family, socket.SOCK_STREAM)
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    _watch_callers(opened)
     gives_up_at = time.monotonic() + ADDRESS_WAIT_SECONDS
     while True:
         try:
@@ -80,3 +87,16 @@
             raise SettingsError(str(error), step="listen", peer=address) from error
         opened.setblocking(False)
         return opened
+
+
+def _watch_callers(listener: socket.socket) -> None:
+    """Let the system end connections that have gone silent; those taken inherit the options."""
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    options = (
+        (socket.TCP_USER_TIMEOUT, CALLER_SILENCE_MS),
+        (socket.TCP_KEEPIDLE, CALLER_PROBE_IDLE_SECONDS),
+        (socket.TCP_KEEPINTVL, CALLER_PROBE_INTERVAL_SECONDS),
+        (socket.TCP_KEEPCNT, CALLER_PROBE_COUNT),
+    )
+    for option, value in options:
+        listener.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import resource
 import signal
 import socket
 import time
@@ -25,6 +26,7 @@
 from hillstack.core.token_leases import TokenLeases
 from hillstack.core.weights_versions import WeightsVersions
 from hillstack.daemon.cache_follower import CacheFollower
+from hillstack.daemon.caller_room import CallerRoom, end_idle_connections, most_callers
 from hillstack.daemon.change_log import ChangeLog
 from hillstack.daemon.duty_lease import DutyLease
 from hillstack.daemon.early_listeners import EarlyListeners
@@ -62,6 +64,11 @@
 VERSION_MARGIN_SECONDS = 0.4
 # Longer than callers reuse a resting connection by the operator's limits.
 KEEP_ALIVE_SECONDS = 120
+# What the event loop says when no descriptor is left for a connection. It says so for each place in
+# the backlog, and tries again after a second.
+ACCEPT_FAILED = "socket.accept() out of system resource"
+# Where the system sets no limit: the least that it usually sets.
+DEFAULT_DESCRIPTORS = 1_024
 # How late a stop notices that the last request is answered.
 STOP_CHECK_SECONDS = 0.05
 
@@ -161,13 +168,18 @@
                 self._pipeline,
                 self._clock,
                 self._max_body_bytes,
-                self._should_leave,
+                self._should_close,
                 self._lag.is_behind,
             ),
             settings.listen.callers,
             keep_alive_seconds=KEEP_ALIVE_SECONDS,
             date_header=False,
         )
+        self._room = CallerRoom(
+            most_callers(self._descriptors()),
+            lambda: callers.server_state.connections,
+            self._clock,
+        )
         readiness = make_server(Readiness(self._is_ready), settings.listen.readiness)
         listening: list[tuple[uvicorn.Server, list[socket.socket] | None]] = [
             (callers, [self._listeners.callers]),
@@ -177,6 +189,7 @@
             self._add_gauges()
             address = f"{settings.node.address}:{settings.listen.metrics_port}"
             listening.append((make_server(MetricsPage(self._metrics), address), None))
+        asyncio.get_running_loop().set_exception_handler(self._handle_loop_error)
         # Unlike ``serve``, ``_serve`` leaves signals alone: the node decides when it ends.
         serving = [asyncio.create_task(server._serve(sockets)) for server, sockets in listening]
         for work in (
@@ -246,7 +259,11 @@
         metrics.gauge("log_lines_dropped", "Log lines over the rate.", dropped_lines)
 
     def _is_ready(self) -> bool:
-        return not self._should_leave()
+        return self._room.can_accept() and not self._should_leave()
+
+    def _should_close(self) -> bool:
+        """Return whether a caller's connection should end after its answer."""
+        return self._room.is_full() or self._should_leave()
 
     def _should_leave(self) -> bool:
         """Return whether callers should go to another node."""
@@ -256,6 +273,21 @@
         table = self._state.table
         return table.limits.max_body_bytes if table is not None else 4_194_304
 
+    def _descriptors(self) -> int:
+        """Return how many descriptors this process may have open."""
+        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        told = self._settings.node.descriptors
+        if limit == resource.RLIM_INFINITY:
+            limit = DEFAULT_DESCRIPTORS
+        return limit if told is None else min(limit, told)
+
+    def _handle_loop_error(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """Note that no connection could be taken; whatever else goes wrong is logged as usual."""
+        if context.get("message") == ACCEPT_FAILED:
+            self._room.note_exhausted()
+            return
+        loop.default_exception_handler(context)
+
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -288,7 +320,9 @@
         while not stop.is_over(elapsed, self._pipeline.active):
             if not stop.accepts(elapsed):
                 self._pipeline.stop_accepting()
-            _end_idle_connections(callers, also_unused=stop.closes_unused(elapsed))
+            end_idle_connections(
+                callers.server_state.connections, also_unused=stop.closes_unused(elapsed)
+            )
             await asyncio.sleep(STOP_CHECK_SECONDS)
             elapsed = self._clock() - started_at
         await self._duty.hand_over()
@@ -303,19 +337,6 @@
         await self._store_session.close()
 
 
-def _end_idle_connections(server: uvicorn.Server, *, also_unused: bool) -> None:
-    """Close connections that have had their answer; callers then reach another node.
-
-    Args:
-        server: The server.
-        also_unused: Whether connections without any request yet are closed too.
-    """
-    for connection in list(server.server_state.connections):
-        cycle = getattr(connection, "cycle", None)
-        if cycle is not None or also_unused:
-            connection.shutdown()
-
-
 def _log_failure(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
         logger.error("background task failed", exc_info=task.exception())
--- a/tests/fleet/deployment.py
+++ b/tests/fleet/deployment.py
@@ -172,7 +172,14 @@
         await self.wait_ready(node)
         return node
 
-    def launch(self, name: str, *, store: str | None = None, **bounds: Any) -> NodeProcess:
+    def launch(
+        self,
+        name: str,
+        *,
+        store: str | None = None,
+        descriptors: float = 4_096,
+        **bounds: Any,
+    ) -> NodeProcess:
         """Start a node, with the store at another address than its own if one is given."""
         callers, readiness = (f"127.0.0.1:{free_port()}" for _ in range(2))
         metrics_port = free_port()
@@ -182,6 +189,7 @@
             f'id = "{name}"',
             'zone = "zone-a"',
             'address = "127.0.0.1"',
+            f"descriptors = {int(descriptors)}",
             "[listen]",
             f'callers = "{callers}"',
             f'readiness = "{readiness}"',
--- a/tests/fleet/test_start.py
+++ b/tests/fleet/test_start.py
@@ -89,6 +89,19 @@
         listeners.readiness.close()
 
 
+def test_connections_of_callers_are_probed(tmp_path: Path) -> None:
+    addresses = [f"127.0.0.1:{free_port()}" for _ in range(2)]
+    listeners = open_early_listeners(write_settings(tmp_path, *addresses))
+    host, _, port = addresses[0].partition(":")
+    with socket.create_connection((host, int(port))), listeners.readiness:
+        listeners.callers.setblocking(True)
+        taken, _ = listeners.callers.accept()
+        with taken, listeners.callers:
+            assert taken.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+            limit = taken.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+            assert limit == early_listeners.CALLER_SILENCE_MS
+
+
 def test_a_node_waits_for_an_old_process_that_holds_its_address(tmp_path: Path) -> None:
     old = socket.create_server(("127.0.0.1", 0))
     callers = f"127.0.0.1:{old.getsockname()[1]}"
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -455,6 +455,24 @@
         "return now < self._behind_until or self._is_late(now)",
         "return now < self._behind_until",
     ),
+    Mutation(
+        "a node without room for callers stays ready",
+        "daemon/caller_room.py",
+        "return not self.is_full() and self._clock() >= self._exhausted_until",
+        "return True",
+    ),
+    Mutation(
+        "a node that can't take connections for a while stays ready",
+        "daemon/caller_room.py",
+        "return not self.is_full() and self._clock() >= self._exhausted_until",
+        "return not self.is_full()",
+    ),
+    Mutation(
+        "resting connections are kept where no room is left",
+        "daemon/caller_room.py",
+        "        for connection in resting[:count]:\n            connection.shutdown()\n",
+        "",
+    ),
     Mutation(
         "a store that stays silent is asked twice each time",
         "daemon/store_sync.py",
