--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -222,8 +222,8 @@
         """Look at once after a first look without an answer, and without waiting for a change.
 
         Its connection may have gone silent while new ones work. This answer comes over a new one
-        and proves freshness right away: no older than 3.6 s after a look a second earlier, where a
-        pause first would let the shortest bound seen (4.5 s) pass.
+        and proves freshness right away. With looks a second apart, knowledge grows 4.2 s old where
+        a pause comes first, 3.7 s at most without one; the shortest bound seen is 4.5 s.
         """
         revision = await self._follow_store(revision, wait_seconds=0.0)
         self._refusal = None
