--- a/src/hillstack/emulator/free_ports.py
+++ b/src/hillstack/emulator/free_ports.py
@@ -17,13 +17,12 @@
     They lie below the range from which the system gives ports to outgoing connections and to
     listeners without a number; one from that range can be taken before its process binds it.
     """
-    candidates = list(range(LOWEST_PORT, _first_ephemeral_port()))
-    random.shuffle(candidates)
+    first_ephemeral = _first_ephemeral_port()
     held: list[socket.socket] = []
     ports: list[int] = []
     try:
         while len(ports) < count:
-            port = candidates.pop()
+            port = random.randrange(LOWEST_PORT, first_ephemeral)
             if all(_hold(held, kind, port) for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)):
                 ports.append(port)
     finally:
