--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -101,7 +101,7 @@
     Mutation(
         "entries go back",
         "core/runner_pool.py",
-        "if entry.revision <= runner.entry.revision:",
+        "if entry.revision < runner.entry.revision:",
         "if False:",
     ),
     Mutation(
