--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -237,7 +237,7 @@
     Mutation(
         "requests before the first read of the store are refused",
         "serving/pipeline.py",
-        "await self._pass_gate(request)",
+        "await self._state.start_gate.passed(_useful_patience(request))",
         "pass",
     ),
     Mutation(
@@ -387,7 +387,7 @@
     Mutation(
         "nodes that were taken off count no more at once",
         "core/node_directory.py",
-        "len(self._nodes) + len(departed)",
+        "len(self._nodes) + len(unlisted)",
         "len(self._nodes)",
     ),
     Mutation(
