--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -161,7 +161,9 @@
             keep_alive_seconds=KEEP_ALIVE_SECONDS,
             date_header=False,
         )
-        readiness = make_server(Readiness(self._is_ready), settings.listen.readiness)
+        readiness = make_server(
+            Readiness(self._is_ready), settings.listen.readiness, date_header=False
+        )
         listening = [
             (callers, [self._listeners.callers]),
             (readiness, [self._listeners.readiness]),
--- a/src/hillstack/daemon/metrics_server.py
+++ b/src/hillstack/daemon/metrics_server.py
@@ -26,7 +26,7 @@
         address: ``IP:PORT`` on which it listens.
     """
     listener = await _listen_when_free(address)
-    await make_server(page, address)._serve([listener])
+    await make_server(page, address, date_header=False)._serve([listener])
 
 
 async def _listen_when_free(address: str) -> socket.socket:
--- a/src/hillstack/daemon/rollout_duty.py
+++ b/src/hillstack/daemon/rollout_duty.py
@@ -48,6 +48,9 @@
 REPORT_LAG_SECONDS = 0.3
 # A runner that was not reached is tried again after that.
 REST_SECONDS = 0.5
+# Two calls of an ordinary store. The stop leaves 0.7 s to the end of the process by force, and a
+# lease that was not given up lapses within 2 s.
+HAND_OVER_SECONDS = 0.3
 # Until loads were seen: a wait, a load and a report, chosen on the slow side.
 INITIAL_LOAD_SECONDS = 1.3
 # Weight of the latest load: the last five count most.
@@ -85,7 +88,7 @@
         self._clock = clock
         self._rng = rng
         self._started_at = clock()
-        self._held = False
+        self._held = asyncio.Event()
         self._orders_taken: dict[str, int] = {}
         self._loading: dict[str, asyncio.Task[None]] = {}
         self._resting_until: dict[str, float] = {}
@@ -115,6 +118,8 @@
     async def run(self) -> None:
         """Give orders while the lease is held, until cancelled."""
         while True:
+            # All nodes but one wait here: a look each tick was 20 of 75 timers a second.
+            await self._held.wait()
             await asyncio.sleep(TICK_SECONDS)
             # A node that has just started does not know whom others have ordered lately.
             if self._lease.fence() is not None and self._clock() >= self._started_at + self._turn:
@@ -130,9 +135,13 @@
         for task in list(self._loading.values()):
             task.cancel()
         try:
-            await self._lease.give_up()
+            async with asyncio.timeout(HAND_OVER_SECONDS):
+                await self._lease.give_up()
         except PlatformError as error:
             logger.info("duty lease left to lapse", extra=error_fields(error))
+        except TimeoutError:
+            fields = {"step": "hand over", "waited_seconds": HAND_OVER_SECONDS}
+            logger.info("duty lease left to lapse", extra=fields)
 
     async def _may_acquire(self) -> bool:
         if self._stopping or not self._state.duty_known or self._state.duty_holder is not None:
@@ -152,11 +161,13 @@
         return ACQUIRE_TURN_SECONDS * (order.index(self._state.node_id) if known else len(order))
 
     def _note_held(self, held: bool) -> None:
-        if held is self._held:
+        if held is self._held.is_set():
             return
-        self._held = held
         if held:
+            self._held.set()
             self._state.duty_holder = self._state.node_id
+        else:
+            self._held.clear()
         fields = {"fence": self._lease.fence()}
         logger.info("duty lease held" if held else "duty lease lost", extra=fields)
 
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from dataclasses import asdict
 
@@ -18,7 +19,13 @@
 from hillstack.errors import BackendBrokenError
 from hillstack.serving.admission import RequestAdmission
 from hillstack.serving.fleet_state import FleetState
-from hillstack.serving.job import Job, PlacedAttempt, attempt_fields, log_outcome
+from hillstack.serving.job import (
+    Job,
+    PlacedAttempt,
+    WholeAnswer,
+    attempt_fields,
+    log_outcome,
+)
 from hillstack.serving.metrics import FleetMetrics
 from hillstack.serving.placement import RunnerPlacement
 from hillstack.serving.ports import ResponseSink, RunnerAnswer, RunnerClient, TenantLimiter
@@ -42,6 +49,15 @@
 SILENCE_CHECK_SECONDS = 0.15
 # A request leaves a runner that is silent for longer than the allowed pauses of 0.5 and 0.6 s.
 SILENCE_LIMIT_SECONDS = 0.7
+# An answer that a runner ends at the deadline is taken that late: twice the way between regions,
+# of 8 to 20 ms on the deployments seen.
+TRANSIT_SECONDS = 0.05
+# Once the head of a whole answer is in, a packet of its body may be lost and sent again: the
+# shortest time after which TCP repeats.
+BODY_TRANSIT_SECONDS = 0.2
+# How long a caller may take to read an answer that is ready, also past its deadline: ten
+# repetitions of a lost packet. Who reads slower holds up memory and is cut.
+DELIVERY_SECONDS = 2.0
 SERVER_ERROR = 500
 SUCCESS = range(200, 300)
 
@@ -90,7 +106,7 @@
         self.active += 1
         result = "error"
         try:
-            await self._pass_gate(request)
+            await self._state.start_gate.passed(_useful_patience(request))
             job = self._admission.admit(request)
             await self._run(job, sink)
             result = "served"
@@ -113,13 +129,6 @@
             self._metrics.requests.labels(result).inc()
             self._metrics.answer.observe(self._clock() - request.arrived_at)
 
-    async def _pass_gate(self, request: ServingRequest) -> None:
-        gate = self._state.start_gate
-        if request.shape is None:
-            await gate.passed()
-        else:
-            await gate.passed_by_prompt()
-
     def _log_rejection(self, request: ServingRequest, error: RejectedError) -> None:
         now = self._clock()
         fields = {
@@ -135,8 +144,27 @@
 
     async def _run(self, job: Job, sink: ResponseSink) -> None:
         try:
-            async with asyncio.timeout(max(0.0, job.deadline - self._clock())):
+            await self._run_in_time(job, sink)
+        except RejectedError:
+            if job.runner_failure is None:
+                raise
+            await self._deliver_failure(job, job.runner_failure, sink)
+
+    async def _deliver_failure(self, job: Job, answer: WholeAnswer, sink: ResponseSink) -> None:
+        """Pass a runner's failure on after all other attempts have ended."""
+        job.time_limit = None
+        try:
+            async with asyncio.timeout(DELIVERY_SECONDS):
+                await self._deliver(job, answer, sink)
+        except TimeoutError:
+            raise StreamCutError("the caller does not read its answer", step="relay") from None
+
+    async def _run_in_time(self, job: Job, sink: ResponseSink) -> None:
+        try:
+            async with asyncio.timeout(max(0.0, job.deadline - self._clock())) as job.time_limit:
                 await self._keep_within_limit(job)
+                if job.request.shape is not None:
+                    await self._state.start_gate.passed_by_prompt()
                 await self._attempt_until_done(job, sink)
         except TimeoutError:
             raise job.gave_up(Verdict.TIMED_OUT, "the deadline passed") from None
@@ -181,16 +209,22 @@
             fields: dict[str, object] = {"request": job.request.request_id, "service": job.service}
             fields |= asdict(self._placement.census(job, now))
             logger.info("no runner", extra=fields)
-            raise job.gave_up(Verdict.UNAVAILABLE, "no runner takes work")
-        self._check_overload(job, placed)
+            wait = self._placement.available_in(job, now)
+            raise job.gave_up(Verdict.UNAVAILABLE, "no runner takes work", wait)
+        self._check_overload(job, placed, now)
         return placed
 
-    def _check_overload(self, job: Job, placed: PlacedAttempt) -> None:
-        """Refuse a request that has not been sent anywhere if it would surely be late."""
-        if job.sends or placed.salt is None:
+    def _check_overload(self, job: Job, placed: PlacedAttempt, now: float) -> None:
+        """Refuse a request that surely has not run if it would surely be late."""
+        if job.may_have_run or placed.salt is None:
             return
-        retry_after = overload_retry_after(placed.waiting, job.route.target_seconds)
-        if retry_after is not None:
+        retry_after = overload_retry_after(
+            placed.waiting,
+            placed.delay - placed.waiting,
+            job.route.target_seconds,
+            job.deadline - now,
+        )
+        if retry_after is not None and not self._placement.has_room(job, now):
             text = f"would wait {placed.waiting:.2f} s"
             raise RejectedError(Verdict.OVERLOADED, text, step="place", retry_after=retry_after)
 
@@ -211,9 +245,12 @@
         self._count_tokens(job, placed)
         answer: RunnerAnswer | None = None
         job.runs += 1
+        job.allow_until(job.deadline + TRANSIT_SECONDS, now)
         try:
             answer = await self._head(job, placed, dispatch)
-            self._state.pool.heard(placed.runner, self._clock())
+            answered_at = self._clock()
+            self._state.pool.heard(placed.runner, answered_at)
+            self._placement.answered(job, placed, attempt_id, answered_at)
             return await self._relay(job, placed, attempt_id, answer, sink)
         finally:
             self._placement.finished(placed, attempt_id)
@@ -276,12 +313,18 @@
         """Leave a silent runner where the request can go on elsewhere: it may speak again."""
         now = self._clock()
         is_silent = runner.is_silent(now) and now - runner.last_heard_at >= SILENCE_LIMIT_SECONDS
-        if is_silent and self._may_follow(job):
+        if is_silent and self._may_try_other(job, runner):
             raise BackendBrokenError("the runner is silent", step=step, peer=runner.runner_id)
 
+    def _may_try_other(self, job: Job, runner: Runner) -> bool:
+        """Return whether another runner would take an attempt that is given up at this one."""
+        return self._may_follow(job) and self._placement.has_other(job, runner, self._clock())
+
     def _may_follow(self, job: Job) -> bool:
-        """Return whether an attempt that is given up now would be followed by another one."""
-        if not job.may_run_again():
+        """Return whether rules and budget allow a further attempt."""
+        if not job.may_run_again() or job.sends >= MAX_SENDS:
+            return False
+        if job.deadline - self._clock() < MIN_REMAINING_SECONDS:
             return False
         return self._state.budget.allowed(job.service, self._clock()) >= 1.0
 
@@ -297,17 +340,19 @@
         runner = placed.runner
         if answer.status in SUCCESS and not answer.signed:
             raise BackendBrokenError("unsigned answer", step="relay", peer=runner.runner_id)
-        if answer.status >= SERVER_ERROR and self._may_follow(job):
+        if answer.status >= SERVER_ERROR and self._may_try_other(job, runner):
             job.excluded.add(runner.runner_id)
             self._metrics.attempts.labels("error").inc()
             log_outcome(job, runner, f"retry after status {answer.status}")
+            if not job.head_sent:
+                job.runner_failure = await self._whole(job, answer)
             return False
         if job.head_sent and answer.status not in SUCCESS:
             raise BackendBrokenError("resume refused", step="resume", peer=runner.runner_id)
         if job.route.kind is RouteKind.STREAM and answer.status in SUCCESS:
             await self._relay_stream(job, placed, attempt_id, answer, sink)
         else:
-            await self._relay_whole(job, answer, sink)
+            await self._deliver(job, await self._whole(job, answer), sink)
         self._state.pool.succeeded(runner)
         self._metrics.attempts.labels("answered").inc()
         if job.first_event_at is not None:
@@ -315,12 +360,20 @@
         log_outcome(job, runner, f"status {answer.status}")
         return True
 
-    async def _relay_whole(self, job: Job, answer: RunnerAnswer, sink: ResponseSink) -> None:
+    async def _whole(self, job: Job, answer: RunnerAnswer) -> WholeAnswer:
+        """Read an answer that its runner has completed, as its head shows."""
+        job.allow_until(job.deadline + BODY_TRANSIT_SECONDS, self._clock())
         body = await answer.whole_body()
         headers = [*answer.headers, (b"content-length", str(len(body)).encode())]
+        return WholeAnswer(answer.status, headers, body)
+
+    async def _deliver(self, job: Job, answer: WholeAnswer, sink: ResponseSink) -> None:
+        """Pass a ready answer on, also past the deadline."""
+        now = self._clock()
+        job.allow_until(now + DELIVERY_SECONDS, now)
         job.head_sent = True
-        await sink.start(answer.status, headers)
-        await sink.write(body)
+        await sink.start(answer.status, answer.headers)
+        await sink.write(answer.body)
         await sink.finish()
 
     async def _relay_stream(
@@ -398,3 +451,10 @@
         log_outcome(job, runner, f"broken at {error.step}: {error.message}")
         if not job.may_run_again():
             raise job.gave_up(Verdict.FAILED, error.message) from error
+
+
+def _useful_patience(request: ServingRequest) -> float:
+    """Return how long a request may wait and its caller still gets the answer."""
+    if request.patience_seconds is None:
+        return math.inf
+    return max(0.0, request.patience_seconds - MIN_REMAINING_SECONDS)
--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -9,8 +9,10 @@
 
 import pytest
 
+from hillstack.core.answer_durations import ANSWERS_A_LOOK
 from hillstack.core.part_index import PromptPart
 from hillstack.core.routing_table import KeptCacheStore, RouteKind, ServiceShare, TenantEntry
+from hillstack.core.runner_load import OwnAttempt
 from hillstack.core.shared_retry_budget import SharedRetryBudget
 from hillstack.core.tenant_limits import LimitUnit, TenantLimit
 from hillstack.errors import BackendBrokenError
@@ -45,6 +47,7 @@
     FakePeers,
     FakeSink,
     answers,
+    begins,
     breaks,
     hangs,
     refuses,
@@ -77,9 +80,14 @@
         return task
 
     def serve(
-        self, request: ServingRequest, within: float = 30.0, *, fresh: bool = True
+        self,
+        request: ServingRequest,
+        within: float = 30.0,
+        *,
+        fresh: bool = True,
+        reading_seconds: float = 0.0,
     ) -> tuple[FakeSink, BaseException | None]:
-        sink = FakeSink()
+        sink = FakeSink(reading_seconds)
         now = self.scheduler.now
         request.arrived_at = now
         if fresh:
@@ -242,6 +250,48 @@
     assert bench.client.cancelled == ["i-1"]
 
 
+@pytest.mark.parametrize(
+    "behaviour",
+    [begins(1.98, 0.1, b"done"), begins(2.03, b"done"), answers(2.1, b"done")],
+    ids=["body after the deadline", "head after the deadline", "long body"],
+)
+def test_an_answer_on_its_way_at_the_deadline_is_delivered(behaviour: Behaviour) -> None:
+    bench = make_bench(i_1=behaviour)
+    make_unsafe(bench)
+    sink, error = bench.serve(make_request(patience=2.0), within=2.3)
+    assert error is None
+    assert (sink.body, sink.finished) == (b"done", True)
+
+
+@pytest.mark.parametrize("reads", [0.3, 1.5])
+def test_a_ready_answer_is_delivered_to_a_caller_that_reads_past_its_deadline(reads: float) -> None:
+    bench = make_bench(i_1=begins(1.9, b"done"))
+    make_unsafe(bench)
+    sink, error = bench.serve(make_request(patience=2.0), reading_seconds=reads)
+    assert error is None
+    assert (sink.body, sink.finished) == (b"done", True)
+
+
+def test_a_caller_that_does_not_read_its_answer_is_cut_in_bounded_time() -> None:
+    bench = make_bench(i_1=begins(1.9, b"done"))
+    make_unsafe(bench)
+    _, error = bench.serve(make_request(patience=2.0), within=4.0, reading_seconds=60.0)
+    assert isinstance(error, StreamCutError)
+
+
+@pytest.mark.parametrize("second", [refuses(RefusalCause.FULL), breaks(), breaks(0.3), hangs()])
+def test_a_runners_own_error_is_passed_on_where_no_other_runner_answers(second: Behaviour) -> None:
+    # Tampere trouble-1 seed 1: a 500 of an application server became a 502 of the router's own.
+    bench = make_bench(i_1=answers(b"error", status=500), i_22=second)
+    other = bench.state.pool.get("i-22")
+    assert other is not None
+    # The first attempt goes to the runner that fails.
+    other.shed_until = 0.01
+    sink, error = bench.serve(make_request(patience=2.0))
+    assert error is None
+    assert (sink.status, sink.body, sink.finished) == (500, b"error", True)
+
+
 def test_a_silent_runner_is_left_for_another_one() -> None:
     bench = make_bench(i_1=hangs(), i_22=answers(b"ok"))
     for _ in range(3):
@@ -249,6 +299,60 @@
         assert error is None and sink.body == b"ok"
 
 
+def test_a_silent_application_server_is_left_whatever_model_a_request_names() -> None:
+    bench = make_bench(i_1=hangs(), i_22=answers(b"ok"))
+    for _ in range(3):
+        sink, error = bench.serve(make_request(parts=PARTS))
+        assert error is None and sink.body == b"ok"
+
+
+def test_an_application_without_a_runner_tells_when_whatever_model_a_request_names() -> None:
+    bench = make_bench(i_1=answers(b"x"))
+    runner = bench.state.pool.get("i-1")
+    assert runner is not None
+    runner.suspected_until = 0.9
+    _, error = bench.serve(make_request(parts=PARTS), within=0.001)
+    refusal = assert_rejected(error, Verdict.UNAVAILABLE)
+    assert refusal.retry_after == pytest.approx(0.9)
+
+
+def test_a_slow_runner_is_not_left_where_no_other_takes_the_request() -> None:
+    bench = make_bench(i_1=begins(1.9, b"done"), i_22=answers(b"x"))
+    other = bench.state.pool.get("i-22")
+    assert other is not None
+    other.leaving = True
+    sink, error = bench.serve(make_request())
+    assert error is None and sink.body == b"done"
+
+
+def test_a_runners_own_error_is_passed_on_where_no_other_takes_the_request() -> None:
+    bench = make_bench(i_1=answers(b"error", status=500))
+    sink, error = bench.serve(make_request())
+    assert error is None
+    assert (sink.status, sink.body) == (500, b"error")
+
+
+@pytest.mark.parametrize("work_seconds", [0.45, 0.9])
+def test_ordinary_work_of_an_application_server_is_not_broken_off(work_seconds: float) -> None:
+    # inc-8f26: work of up to 0.45 s is ordinary; an attempt counted as overdue after 0.4 s.
+    bench = make_bench(i_1=begins(work_seconds, b"a"), i_22=begins(work_seconds, b"b"))
+    for _ in range(ANSWERS_A_LOOK + 5):
+        sink, error = bench.serve(make_request())
+        assert error is None and sink.finished
+    assert not bench.client.cancelled
+    assert len(bench.client.dispatches) == ANSWERS_A_LOOK + 5
+
+
+def test_a_silent_application_server_is_left_soon_where_work_is_short() -> None:
+    bench = make_bench(i_1=begins(0.02, b"a"), i_22=begins(0.02, b"b"))
+    for _ in range(ANSWERS_A_LOOK):
+        bench.serve(make_request())
+    bench.client.behaviours["i-1"] = hangs()
+    for _ in range(3):
+        sink, error = bench.serve(make_request(), within=1.0)
+        assert error is None and sink.body == b"b"
+
+
 def test_a_silent_stream_goes_on_where_no_further_attempt_is_allowed() -> None:
     bench = make_stream_bench(i_1=answers(EVENTS[0], 2.0, EVENTS[1], EVENTS[2]))
     bench.state.budget = SharedRetryBudget(0.0, 0.0, 10.0)
@@ -548,6 +652,62 @@
     assert task.done() and sink.status == 200
 
 
+def starting_bench(table_known: bool) -> Bench:
+    """Return a bench whose node has ended its first read and knows of no caches yet."""
+    bench = make_stream_bench(i_1=answers(*EVENTS))
+    bench.state.start_gate = StartGate()
+    bench.state.start_gate.open()
+    if not table_known:
+        bench.state.table = None
+    return bench
+
+
+@pytest.mark.parametrize(
+    ("table_known", "changes", "verdict"),
+    [
+        (False, {}, Verdict.UNAVAILABLE),
+        (True, {"key": "unknown"}, Verdict.UNAUTHENTICATED),
+    ],
+)
+def test_what_a_starting_node_will_refuse_does_not_wait_for_caches(
+    table_known: bool, changes: dict[str, Any], verdict: Verdict
+) -> None:
+    bench = starting_bench(table_known)
+    _, error = bench.serve(stream_request(**changes), within=0.001)
+    assert_rejected(error, verdict)
+
+
+def test_a_prompt_over_its_tenants_limit_does_not_wait_for_caches() -> None:
+    bench = starting_bench(table_known=True)
+    table = bench.state.table
+    assert table is not None
+    limit = TenantLimit(100.0, 100.0, LimitUnit.TOKENS, 200.0)
+    keys = {KEY: TenantEntry("tenant-1", limit=limit)}
+    bench.state.table = make_table(*table.routes(), version=2, keys=keys)
+    bench.limiter.wait = 1.25
+    _, error = bench.serve(stream_request(), within=0.001)
+    assert_rejected(error, Verdict.OVER_LIMIT)
+
+
+def test_a_starting_node_answers_before_the_patience_of_a_caller_ends() -> None:
+    bench = make_bench(i_1=answers(b"x"))
+    bench.state.start_gate = StartGate()
+    bench.state.table = None
+    _, error = bench.serve(make_request(patience=0.3), within=0.29)
+    refusal = assert_rejected(error, Verdict.UNAVAILABLE)
+    assert refusal.retry_after is not None
+
+
+def test_requests_are_refused_at_once_while_the_runners_are_not_known() -> None:
+    bench = make_bench(i_1=answers(b"x"))
+    make_limited(bench)
+    bench.state.directory_known = False
+    _, error = bench.serve(make_request(), within=0.001)
+    refusal = assert_rejected(error, Verdict.UNAVAILABLE)
+    assert refusal.retry_after is not None
+    assert not bench.limiter.taken and not bench.client.dispatches
+
+
 def test_the_log_says_why_no_runner_took_a_request(caplog: pytest.LogCaptureFixture) -> None:
     bench = make_bench(i_1=refuses(RefusalCause.FULL), i_22=answers(b"x"), i_333=answers(b"x"))
     for name, change in (("i-22", "draining"), ("i-333", "suspected")):
@@ -564,6 +724,22 @@
     assert told == {"known": 3, "leaving": 1, "suspected": 1, "tried": 1}
 
 
+@pytest.mark.parametrize(
+    ("suspected", "loading", "leaving", "expected"),
+    [(0.9, 0.0, False, 0.9), (0.0, 1.4, False, 1.4), (2.0, 0.7, False, 2.0), (0.9, 0.0, True, 0.5)],
+)
+def test_a_caller_without_a_runner_is_told_when_one_takes_work(
+    suspected: float, loading: float, leaving: bool, expected: float
+) -> None:
+    bench = make_stream_bench(i_1=answers(*EVENTS), i_22=answers(*EVENTS))
+    first, second = bench.state.pool.all()
+    first.suspected_until, first.loading_until, first.leaving = suspected, loading, leaving
+    second.leaving = True
+    _, error = bench.serve(stream_request(), within=0.001)
+    refusal = assert_rejected(error, Verdict.UNAVAILABLE)
+    assert refusal.retry_after == pytest.approx(expected)
+
+
 def test_in_an_overload_a_request_is_refused_at_once_with_a_time() -> None:
     bench = make_stream_bench(i_1=answers(*EVENTS))
     runner = bench.state.pool.get("i-1")
@@ -577,6 +753,39 @@
     assert error is None and sink.finished
 
 
+@pytest.mark.parametrize("after", [0.0, 0.2])
+def test_in_an_overload_a_request_that_a_runner_refused_is_refused_at_once(after: float) -> None:
+    refusing = refuses(RefusalCause.FULL, after=after)
+    bench = make_stream_bench(i_1=refusing, i_22=answers(*EVENTS))
+    busy = bench.state.pool.get("i-22")
+    assert busy is not None
+    busy.prefill_done_at = 3.0
+    _, error = bench.serve(stream_request(), within=after + 0.01)
+    assert_rejected(error, Verdict.OVERLOADED)
+    assert [dispatch.runner_id for dispatch in bench.client.dispatches] == ["i-1"]
+
+
+def test_a_request_that_would_wait_until_its_deadline_is_refused_at_once() -> None:
+    bench = make_stream_bench(i_1=answers(*EVENTS))
+    runner = bench.state.pool.get("i-1")
+    assert runner is not None
+    runner.prefill_done_at = 0.4
+    _, error = bench.serve(stream_request(patience=0.3), within=0.01)
+    refusal = assert_rejected(error, Verdict.OVERLOADED)
+    assert refusal.retry_after is not None
+
+
+def test_no_request_is_refused_while_few_places_are_taken_and_nothing_waits() -> None:
+    bench = make_stream_bench(i_1=answers(*EVENTS))
+    runner = bench.state.pool.get("i-1")
+    assert runner is not None
+    # A recent refusal and scarce memory weigh more than the objective of half a second.
+    bench.state.pool.shed(runner, 0.0)
+    runner.attempts.add("a-1", OwnAttempt(0, 110_000, 0.0, 9.0, started=True))
+    sink, error = bench.serve(stream_request())
+    assert error is None and sink.finished
+
+
 def test_a_long_prompt_is_not_refused_for_its_own_work() -> None:
     # Gate of Lagos scale-1: of the largest tenth 0.39 were served, of all 0.91.
     bench = make_stream_bench(i_1=answers(*EVENTS))
