--- a/src/hillstack/platform/formats.py
+++ b/src/hillstack/platform/formats.py
@@ -70,7 +70,7 @@
     if key.startswith(names.RUNNERS_PREFIX):
         runner_id = key[len(names.RUNNERS_PREFIX) :]
         if value is None:
-            return RunnerUnlisted(runner_id)
+            return RunnerUnlisted(runner_id, item.revision)
         return _runner(runner_id, _decode(item, value, RunnerBody), item.revision)
     if key.startswith(names.NODES_PREFIX):
         node_id = key[len(names.NODES_PREFIX) :]
--- a/src/hillstack/platform/names.py
+++ b/src/hillstack/platform/names.py
@@ -46,6 +46,8 @@
 LEASE_END_PATH = "/kv-lease-end"
 
 PREFIX_PARAMETER = "path_prefix"
+# Allows an answer that is seconds old, at a tenth of the price.
+STALE_PARAMETER = "stale"
 AFTER_PARAMETER = "after"
 WAIT_PARAMETER = "wait_ms"
 KEY_PARAMETER = "key"
--- a/src/hillstack/platform/store.py
+++ b/src/hillstack/platform/store.py
@@ -36,6 +36,7 @@
     TxnRequest,
     WatchBody,
 )
+from hillstack.platform.connections import note_silence
 from hillstack.platform.formats import listed_keys, to_event
 from hillstack.serving.fleet_state import StoreEvent
 
@@ -58,10 +59,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """Everything that the store holds, and the revision from which to watch."""
+    """Everything that the store holds.
+
+    Attributes:
+        changes: All items.
+        revision: Revision from which to watch: that of the first page.
+        latest: Revision up to which some page may go.
+    """
 
     changes: list[StoreChange]
     revision: int
+    latest: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +85,7 @@
 
     Args:
         address: ``IP:PORT``.
-        session: HTTP session; not closed here.
+        session: HTTP session of ``make_store_session``; not closed here.
     """
 
     def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
@@ -85,19 +93,24 @@
         self._address = address
         self._session = session
 
-    async def snapshot(self) -> Snapshot:
-        """Return everything; the pages are no snapshot, so watch from the first one's revision."""
+    async def snapshot(self, *, may_be_old: bool = False) -> Snapshot:
+        """Return everything; the pages are no snapshot, so watch from the earliest revision.
+
+        Args:
+            may_be_old: Whether the answer may be some seconds old; it costs a tenth then.
+        """
         changes: list[StoreChange] = []
         after = ""
-        revision: int | None = None
+        revisions: list[int] = []
         while True:
             query = {names.PREFIX_PARAMETER: ""} | ({names.AFTER_PARAMETER: after} if after else {})
+            query |= {names.STALE_PARAMETER: "1"} if may_be_old else {}
             raw = await self._call("GET", names.RANGE_PATH, "list", query=query)
             page = self._decode(raw, RangeBody)
-            revision = page.at if revision is None else revision
+            revisions.append(page.at)
             changes.extend(self.read_items(map(_stored, page.items)))
             if not page.more or not page.items:
-                return Snapshot(changes, revision)
+                return Snapshot(changes, min(revisions), max(revisions))
             after = page.items[-1].key
 
     async def changes(self, revision: int, wait_seconds: float) -> Changes:
@@ -244,6 +257,8 @@
         except aiohttp.ClientConnectorError as error:
             raise PlatformUnavailableError(str(error), step=step, peer=self._address) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            if isinstance(error, TimeoutError):
+                note_silence(self._session, self._address)
             text = str(error) or type(error).__name__
             raise PlatformOutcomeUnknownError(text, step=step, peer=self._address) from error
         if status == OK:
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -2,17 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from dataclasses import dataclass, field
 
 from hillstack.core.routing_table import Route, TenantEntry
 from hillstack.core.runner_pool import Runner
 from hillstack.serving.event_framing import EventFraming
-from hillstack.serving.types import Dispatch, RejectedError, ServingRequest, StreamCutError, Verdict
+from hillstack.serving.types import (
+    Dispatch,
+    HeaderList,
+    RejectedError,
+    ServingRequest,
+    StreamCutError,
+    Verdict,
+)
 
 logger = logging.getLogger(__name__)
 
-# A load of weights, or a restart, is over by then.
+# Where nothing is known of when a runner takes work: a load of weights, or a restart, is over by
+# then.
 NO_RUNNER_RETRY_SECONDS = 0.5
 
 
@@ -32,6 +41,15 @@
     save_to: str | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """An answer of a runner, complete and ready to be passed on."""
+
+    status: int
+    headers: HeaderList
+    body: bytes
+
+
 @dataclass(slots=True)
 class Job:
     """A request on its way.
@@ -39,7 +57,12 @@
     Attributes:
         charged: What was taken out of its tenant's limit for it.
         may_have_run: Whether some runner may have begun work on it.
+        quiet_from: From when on silence counts on the connection of its attempt: its last bytes, or
+            when the first ones should surely be there.
         excluded: Runners that are not tried again.
+        runner_failure: What a runner answered before another one was tried; it is passed on if no
+            other one answers.
+        time_limit: When work on it ends.
     """
 
     request: ServingRequest
@@ -57,17 +80,33 @@
     first_event_at: float | None = None
     last_event_at: float | None = None
     longest_gap: float = 0.0
+    quiet_from: float = 0.0
     excluded: set[str] = field(default_factory=set)
+    runner_failure: WholeAnswer | None = None
+    time_limit: asyncio.Timeout | None = None
 
     @property
     def tenant_name(self) -> str:
         """Name of its tenant; empty without one."""
         return self.tenant.name if self.tenant is not None else ""
 
+    def allow_until(self, when: float, now: float) -> None:
+        """Let work on it go on until a time on the node's clock, if it would end sooner."""
+        if self.time_limit is None or self.time_limit.expired():
+            return
+        loop_when = asyncio.get_running_loop().time() + when - now
+        ends_at = self.time_limit.when()
+        if ends_at is not None and ends_at < loop_when:
+            self.time_limit.reschedule(loop_when)
+
     def may_run_again(self) -> bool:
         """Return whether another runner may run it, although one may have."""
         return self.route.repeatable and self.runs < self.route.max_attempts
 
+    def note_bytes(self, now: float) -> None:
+        """Note that the connection of its attempt lives."""
+        self.quiet_from = max(self.quiet_from, now)
+
     def note_event(self, now: float) -> bool:
         """Note that events were passed on; return whether they are the first ones."""
         first = self.first_event_at is None
@@ -78,16 +117,23 @@
         self.last_event_at = now
         return first
 
-    def gave_up(self, verdict: Verdict, reason: str) -> RejectedError | StreamCutError:
-        """Return the error that ends it: a promise only if nothing may have run."""
+    def gave_up(
+        self, verdict: Verdict, reason: str, retry_after: float | None = None
+    ) -> RejectedError | StreamCutError:
+        """Return the error that ends it: a promise only if nothing may have run.
+
+        Args:
+            verdict: Why it ends, if it may have run.
+            reason: The same for a person.
+            retry_after: Seconds until a runner is expected to take work; None if not known.
+        """
         if self.head_sent:
             return StreamCutError(reason, step="relay")
         if self.may_have_run or (verdict is Verdict.TIMED_OUT and self.sends):
             final = Verdict.TIMED_OUT if verdict is Verdict.TIMED_OUT else Verdict.FAILED
             return RejectedError(final, reason, step="attempt")
-        return RejectedError(
-            Verdict.UNAVAILABLE, reason, step="place", retry_after=NO_RUNNER_RETRY_SECONDS
-        )
+        wait = NO_RUNNER_RETRY_SECONDS if retry_after is None else retry_after
+        return RejectedError(Verdict.UNAVAILABLE, reason, step="place", retry_after=wait)
 
 
 def attempt_fields(job: Job, placed: PlacedAttempt, dispatch: Dispatch) -> dict[str, object]:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -10,18 +10,29 @@
 from pathlib import Path
 from random import Random
 
-import aiohttp
+import msgspec
 
 from tests.soak.callers import Callers
-from tests.soak.faults import FAULTS
-from tests.soak.system import SoakedSystem
-
-CALLERS = 6
+from tests.soak.fault_series import FAULTS
+from tests.soak.faults import Fault
+from tests.soak.observations import Sent
+from tests.soak.promises import find_violations
+from tests.soak.recovery import Recovery
+from tests.soak.system import NODE_COUNT, SoakedSystem
+
+# Where what was seen is written, beside the nodes' logs, when a promise was broken.
+OBSERVATIONS_FILE = "observations.json"
+# Of each kind: those that open a connection for each request, and those that keep theirs. More for
+# many nodes, as many as the stand-ins, which are one process, serve without being late themselves.
+LEAST_CALLERS = 4
+CALLERS_OF_A_NODE = 0.15
 FAULT_PAUSE_SECONDS = 1.2
+LEAST_FAULT_PAUSE_SECONDS = 0.4
 CHECK_SECONDS = 0.2
-RECOVERY_SECONDS = 30.0
+LAG_CHECK_SECONDS = 0.02
+# Smaller lags are lost in what the times of promises leave.
+NOTED_LAG_SECONDS = 0.005
 SETTLE_SECONDS = 1.0
-SERVED_IN_A_ROW = 10
 
 
 @dataclass(slots=True)
@@ -32,86 +43,129 @@
         violations: Broken promises; none when all is well.
         results: Requests by kind and status.
         faults: The faults injected, with their times in seconds.
+        recovery_seconds: How long it took after the faults, by what was waited for.
+        worst_lag: Seconds that a task of the soak itself was late, at the worst.
     """
 
     seed: int
     violations: list[str] = field(default_factory=list)
     results: Counter[str] = field(default_factory=Counter)
     faults: list[str] = field(default_factory=list)
+    recovery_seconds: dict[str, float] = field(default_factory=dict)
+    worst_lag: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class SoakPlan:
+    """What a soak plays.
+
+    Attributes:
+        seconds: How long faults begin.
+        node_count: Processes of the system under test.
+        faults: Faults that are drawn from.
+    """
+
+    seconds: float
+    node_count: int = NODE_COUNT
+    faults: tuple[Fault, ...] = FAULTS
+
+    @property
+    def callers(self) -> int:
+        """Return the callers of each kind."""
+        return max(LEAST_CALLERS, round(CALLERS_OF_A_NODE * self.node_count))
+
+    @property
+    def fault_pause(self) -> float:
+        """Return the mean seconds between two faults: with many nodes more go on at once."""
+        return max(LEAST_FAULT_PAUSE_SECONDS, FAULT_PAUSE_SECONDS * NODE_COUNT / self.node_count)
 
 
-async def soak(seed: int, seconds: float, folder: Path) -> SoakResult:
+async def soak(seed: int, plan: SoakPlan, folder: Path) -> SoakResult:
     """Run one soak."""
     rng = Random(seed)
     result = SoakResult(seed)
-    system = SoakedSystem(folder)
+    system = SoakedSystem(folder, plan.node_count)
     await system.start()
     rng_of_callers = Random(seed + 1)
     callers = Callers(system.observations, system.callable_nodes, system.all_keys, rng_of_callers)
-    calling = [asyncio.create_task(callers.run()) for _ in range(CALLERS)]
-    watching = asyncio.create_task(_watch(system))
+    calling = [
+        asyncio.create_task(work())
+        for work in (callers.run, callers.run_on_kept_connections)
+        for _ in range(plan.callers)
+    ]
+    watching = [asyncio.create_task(work(system)) for work in (_watch, _measure_lag)]
     try:
-        await _inject(system, rng, seconds, result)
-        await _recover(system, callers, result)
+        await _inject(system, draw_schedule(rng, plan), result)
+        recovery = Recovery(system, callers)
+        await recovery.check()
+        result.violations += recovery.violations
+        result.recovery_seconds = recovery.times
     finally:
-        for task in (*calling, watching):
+        for task in (*calling, *watching):
             task.cancel()
-        await asyncio.gather(*calling, watching, return_exceptions=True)
+        await asyncio.gather(*calling, *watching, return_exceptions=True)
         await asyncio.sleep(SETTLE_SECONDS)
-        result.violations += system.observations.violations()
+        result.violations += find_violations(system.observations)
+        result.worst_lag = max((lag for _, lag in system.observations.lags), default=0.0)
         result.violations += system.unexpected_ends
         result.violations += system.log_problems()
-        result.results = Counter(f"{s.kind} {s.status}" for s in system.observations.sent)
+        sent = system.observations.sent
+        result.results = Counter(f"{s.kind} {_outcome(s)}" for s in sent)
+        result.results["over kept connections"] = sum(s.reused for s in sent)
         await system.close()
+    if result.violations:
+        (folder / OBSERVATIONS_FILE).write_bytes(msgspec.json.encode(system.observations))
     return result
 
 
+def _outcome(request: Sent) -> str:
+    if request.status is None and request.closed_at is not None:
+        return "closed by its caller"
+    return str(request.status or "broken off")
+
+
 async def _watch(system: SoakedSystem) -> None:
     while True:
         system.check_processes()
         await asyncio.sleep(CHECK_SECONDS)
 
 
-async def _inject(system: SoakedSystem, rng: Random, seconds: float, result: SoakResult) -> None:
+async def _measure_lag(system: SoakedSystem) -> None:
+    """Note when the soak's own tasks are late: what callers and runners see is then noted late."""
+    while True:
+        due_at = time.monotonic() + LAG_CHECK_SECONDS
+        await asyncio.sleep(LAG_CHECK_SECONDS)
+        now = time.monotonic()
+        if now - due_at > NOTED_LAG_SECONDS:
+            system.observations.lags.append((now, now - due_at))
+
+
+async def _inject(
+    system: SoakedSystem, schedule: list[tuple[float, Fault, int]], result: SoakResult
+) -> None:
     """Inject faults, several at a time, and wait for the end of the last."""
     began_at = time.monotonic()
-    running: set[asyncio.Task[None]] = set()
-    while time.monotonic() - began_at < seconds:
-        fault = rng.choice(FAULTS)
-        result.faults.append(f"{time.monotonic() - began_at:.1f} {fault.__name__}")
-        task = asyncio.create_task(fault(system, Random(rng.getrandbits(32))))
-        running.add(task)
-        task.add_done_callback(running.discard)
-        await asyncio.sleep(rng.expovariate(1 / FAULT_PAUSE_SECONDS))
-    for task in list(running):
-        await task
-
-
-async def _recover(system: SoakedSystem, callers: Callers, result: SoakResult) -> None:
-    """Check that all is well again some time after the last fault."""
-    ends_at = time.monotonic() + RECOVERY_SECONDS
-    for name in list(system.running_nodes()):
-        system.start_node(name)
-    async with aiohttp.ClientSession() as session:
-        for node in system.callable_nodes():
-            served = 0
-            while served < SERVED_IN_A_ROW and time.monotonic() < ends_at:
-                answer = await callers.call(session, node, system.keys()[0])
-                served = served + 1 if answer.status == 200 else 0
-            if served < SERVED_IN_A_ROW:
-                result.violations.append(f"{node.name} does not serve again")
-    while system.engines_behind():
-        if time.monotonic() >= ends_at:
-            break
-        await asyncio.sleep(CHECK_SECONDS)
-    if system.engines_behind():
-        result.violations.append(f"engines with old weights: {system.engines_behind()}")
+    async with asyncio.TaskGroup() as running:
+        for starts_at, fault, seed in schedule:
+            await asyncio.sleep(began_at + starts_at - time.monotonic())
+            result.faults.append(f"{starts_at:.1f} {fault.__name__}")
+            running.create_task(fault(system, Random(seed)))
+
+
+def draw_schedule(rng: Random, plan: SoakPlan) -> list[tuple[float, Fault, int]]:
+    """Draw when which fault begins, and its own seed, so that no delay of a run changes them."""
+    schedule: list[tuple[float, Fault, int]] = []
+    starts_at = 0.0
+    while starts_at < plan.seconds:
+        schedule.append((starts_at, rng.choice(plan.faults), rng.getrandbits(32)))
+        starts_at += rng.expovariate(1 / plan.fault_pause)
+    return schedule
 
 
-def run(seed: int, seconds: float, folder: Path | None = None) -> SoakResult:
+def run(seed: int, plan: SoakPlan, folder: Path | None = None) -> SoakResult:
     """Run one soak; logs go to ``folder``, or to one that is removed."""
     if folder is not None:
         folder.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(soak(seed, seconds, folder))
+        return asyncio.run(soak(seed, plan, folder))
     with tempfile.TemporaryDirectory() as made:
-        return asyncio.run(soak(seed, seconds, Path(made)))
+        return asyncio.run(soak(seed, plan, Path(made)))
