Nodes that start do not all read a long list a second time at once

Cause: the pause of the first comparison with the store was worked out before the node knew how long the list is.

--- a/src/hillstack/daemon/store_check.py
+++ b/src/hillstack/daemon/store_check.py
@@ -67,6 +67,10 @@
     async def run(self) -> None:
         """Compare now and then until cancelled."""
         while True:
+            if self._log.revision == 0:
+                # How long a list is, is known once the node has read one itself.
+                await asyncio.sleep(POLL_SECONDS)
+                continue
             pause = max(CHECK_SECONDS, CHECK_SECONDS_A_KEY * self._log.size())
             await asyncio.sleep(pause * (1 - SPREAD * self._rng.random()))
             try:
--- a/tests/fleet/test_relays.py
+++ b/tests/fleet/test_relays.py
@@ -394,6 +394,18 @@
     assert "missed" not in caplog.text
 
 
+def test_nodes_that_start_do_not_all_read_a_long_list_at_once() -> None:
+    # 301 nodes before 3,001 runners: each read the whole list a second time within its first 5 s.
+    network = NodeNetwork(20, 2)
+    network.runner_ids = [f"i-{number}" for number in range(200)]
+    list_runners(network)
+    network.run(check_seconds(network) / 2)
+    assert network.store.cheap_calls.total() == 0
+    network.run(check_seconds(network) / 2 + 1.0)
+    assert network.store.cheap_calls.total() >= 20
+    network.close()
+
+
 def test_a_node_that_the_store_turns_away_goes_on_with_what_its_peers_know(
     network: NodeNetwork,
 ) -> None:
