--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -51,16 +51,6 @@
     weights: dict[str, int]
     revision: int
 
-    def is_same_but_revision(self, other: RunnerEntry) -> bool:
-        """Return whether another entry says the same, whenever it was written."""
-        if (self.draining, self.weights, self.address) != (
-            other.draining,
-            other.weights,
-            other.address,
-        ):
-            return False
-        return (self.service, self.zone, self.slots) == (other.service, other.zone, other.slots)
-
 
 @dataclass(slots=True)
 class Runner:
