One check of whether another send is left

Two decisions asked for the number of sends and the time left in lines of their own. Behaviour as it was; the whole suite passed in five parts beside one another, lint, types and layers clean.

--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -233,7 +233,7 @@
             raise RejectedError(Verdict.OVERLOADED, text, step="place", retry_after=retry_after)
 
     def _may_send_again(self, job: Job, now: float) -> bool:
-        if job.sends >= MAX_SENDS or job.deadline - now < MIN_REMAINING_SECONDS:
+        if not _has_send_left(job, now):
             return False
         if job.may_have_run and not job.may_run_again():
             return False
@@ -332,11 +332,10 @@
 
     def _may_follow(self, job: Job) -> bool:
         """Return whether rules and budget allow a further attempt."""
-        if not job.may_run_again() or job.sends >= MAX_SENDS:
-            return False
-        if job.deadline - self._clock() < MIN_REMAINING_SECONDS:
+        now = self._clock()
+        if not job.may_run_again() or not _has_send_left(job, now):
             return False
-        return self._state.budget.allowed(job.service, self._clock()) >= 1.0
+        return self._state.budget.allowed(job.service, now) >= 1.0
 
     async def _relay(
         self,
@@ -464,6 +463,11 @@
             raise job.gave_up(Verdict.FAILED, error.message) from error
 
 
+def _has_send_left(job: Job, now: float) -> bool:
+    """Return whether the number of sends and the time left allow another one."""
+    return job.sends < MAX_SENDS and job.deadline - now >= MIN_REMAINING_SECONDS
+
+
 def _useful_patience(request: ServingRequest) -> float:
     """Return how long a request may wait and its caller still gets the answer."""
     if request.patience_seconds is None:
