--- a/src/hillstack/core/placement/expected_delay.py
+++ b/src/hillstack/core/placement/expected_delay.py
@@ -29,7 +29,9 @@
 SLOT_PENALTY_SECONDS = 1.0
 # Beyond the memory streams are put back and read again: some seconds for all of them.
 MEMORY_PENALTY_SECONDS = 2.0
-# A runner that has just refused refuses again more often than not: half an objective.
+# A runner that has just refused refuses again more often than not. Chosen: four times the pause
+# after a refusal (``runner_pool.SHED_SECONDS``); it weighs in the choice and makes no overload by
+# itself.
 SHED_PENALTY_SECONDS = 0.5
 # Twice the one-way delay between zones (0.9 to 1.4 ms on the deployments seen).
 REMOTE_PENALTY_SECONDS = 0.002
--- a/tools/first_try.py
+++ b/tools/first_try.py
@@ -1,9 +1,10 @@
 """In-time answers counted from callers' first try, by kind of request, before and after a change.
 
 Reads what ``fleetbench run ... --report FILE`` writes. Its column ``in_aim`` counts a request once,
-whatever its tries, and counts none that was refused and was in time only from its second try on:
-in each of 48 rows of kinds without sizes (24 plays), the credit is what ``in_aim`` and ``late`` earn
-or more, never less, as it would be if a request with half of the credit were in ``in_aim``.
+whatever its tries, and none that was refused and was in time only from its second try on. Such a
+request earns a part of its credit: were it counted there, the credit of its kind would be less than
+what ``in_aim`` and ``late`` earn. In each of 48 rows of kinds without sizes (24 plays) it is that or
+more.
 
 Reports of one side are added up, so that each side may hold several days and seeds.
 """
@@ -76,9 +77,8 @@
 
 def table(before: dict[str, Tally], after: dict[str, Tally]) -> list[str]:
     """Return the lines that compare two sides."""
-    lines = [
-        f"{'kind':20} {'owed':>12} {'in time':>15} {'late':>11} {'refused':>11} {'failed':>11}"
-    ]
+    titles = ("owed", 12), ("in time", 15), ("late", 11), ("refused", 11), ("failed", 11)
+    lines = [f"{'kind':20} " + " ".join(f"{title:>{width}}" for title, width in titles)]
     for name, old in before.items():
         new = after.get(name, Tally())
         lines.append(
