--- a/tools/first_try.py
+++ b/tools/first_try.py
@@ -2,9 +2,9 @@
 
 Reads what ``fleetbench run ... --report FILE`` writes. Its column ``in_aim`` counts a request once,
 whatever its tries, and none that was refused and was in time only from its second try on. Such a
-request earns a part of its credit: were it counted there, the credit of its kind would be less than
-what ``in_aim`` and ``late`` earn. In each of 48 rows of kinds without sizes (24 plays) it is that or
-more.
+request earns a part of its credit: were it counted there, the credit of its kind would be less
+than what ``in_aim`` and ``late`` earn. In each of 48 rows of kinds without sizes (24 plays) it is
+that or more.
 
 Reports of one side are added up, so that each side may hold several days and seeds.
 """
