Sight: the log tells of each request on older weights, and of each move of their bound

Cause: of the three hypotheses on old weights used past their bound none could be told from another by the log: a version's naming, a peer's word on it, an outage and a late begin left no trace of the bound. Change: naming, moves of the bound and requests on older weights are logged with who says when the version was named, what moved the bound last, and the time left; begins are counted by whether they were in time.

--- a/src/hillstack/core/weights_versions.py
+++ b/src/hillstack/core/weights_versions.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
+import enum
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 # The longest way of a peer's word seen, by way of two relays and between regions (0.2 s), and some.
 # What a word says beyond that is news. Without it each repetition moved the time by its way, 0.3 s
@@ -16,19 +17,55 @@
 WORD_DELAY_SECONDS = 0.25
 
 
+class BoundCause(enum.StrEnum):
+    """What the bound of a version was last set or moved by.
+
+    Attributes:
+        NAMED: The version was named: nothing has moved it since.
+        START: It was named before this node could be held to a bound.
+        PEER: A peer knows better when it was named.
+        OUTAGE: The store was away.
+    """
+
+    NAMED = "named"
+    START = "start"
+    PEER = "peer"
+    OUTAGE = "outage"
+
+
 @dataclass(frozen=True, slots=True)
 class Announcement:
     """A version that was named.
 
     Attributes:
+        version: The version.
         acknowledged_after: It was acknowledged no earlier than that; what a node knows or was told.
         not_before: The bound counts for this node from there on; later than ``acknowledged_after``
             after an outage, and for a node that has just started. Never told to others.
+        told_by: Who knows ``acknowledged_after``: this node by its own looks, or a peer.
+        cause: What ``not_before`` was last set or moved by.
     """
 
     version: int
     acknowledged_after: float
     not_before: float
+    told_by: str = ""
+    cause: BoundCause = BoundCause.NAMED
+
+
+@dataclass(frozen=True, slots=True)
+class BoundMove:
+    """The bound of a version that moved.
+
+    Attributes:
+        model: The model.
+        announcement: The version, as it is known now.
+        seconds: How much later runners with older weights may be used.
+    """
+
+    model: str
+    announcement: Announcement
+    seconds: float
 
 
 class WeightsVersions:
@@ -43,7 +80,13 @@
         self._announced: dict[str, list[Announcement]] = {}
 
     def announce(
-        self, model: str, version: int, acknowledged_after: float, not_before: float = -math.inf
+        self,
+        model: str,
+        version: int,
+        acknowledged_after: float,
+        not_before: float = -math.inf,
+        told_by: str = "",
+        cause: BoundCause = BoundCause.START,
     ) -> bool:
         """Note a version; return whether it is newer than all known ones.
 
@@ -52,38 +95,57 @@
             version: The version.
             acknowledged_after: It was acknowledged no earlier.
             not_before: The bound counts from there on, if that is later.
+            told_by: Who knows ``acknowledged_after``.
+            cause: Why the bound counts from ``not_before`` on, if that is later.
         """
         known = self._announced.setdefault(model, [])
         if known and known[-1].version >= version:
             return False
-        counts_from = max(acknowledged_after, not_before)
-        known.append(Announcement(version, acknowledged_after, counts_from))
+        if not_before <= acknowledged_after:
+            not_before, cause = acknowledged_after, BoundCause.NAMED
+        known.append(Announcement(version, acknowledged_after, not_before, told_by, cause))
         return True
 
-    def narrow(self, model: str, version: int, acknowledged_after: float) -> None:
+    def narrow(
+        self, model: str, version: int, acknowledged_after: float, told_by: str = ""
+    ) -> list[BoundMove]:
         """Take over that a version was named no earlier than a time, if that says much more.
 
         A peer's word is late by its way, which nobody knows: that much more it seems to say.
+
+        Returns:
+            The bounds that have moved.
         """
         known = self._announced.get(model, [])
-        self._announced[model] = [
-            _later(entry, acknowledged_after, acknowledged_after)
+        after = [
+            replace(entry, acknowledged_after=acknowledged_after, told_by=told_by)
             if entry.version >= version
             and acknowledged_after > entry.acknowledged_after + WORD_DELAY_SECONDS
             else entry
             for entry in known
         ]
+        after = [
+            _counting_from(entry, entry.acknowledged_after, BoundCause.PEER) for entry in after
+        ]
+        self._announced[model] = after
+        return _moves(model, known, after)
 
     def announcements(self, model: str) -> list[Announcement]:
         """Return the versions named for a model, oldest first."""
         return list(self._announced.get(model, ()))
 
-    def restart(self, not_before: float) -> None:
-        """Count the grace of all versions from a time on: it counts only in stable stretches."""
+    def restart(self, not_before: float) -> list[BoundMove]:
+        """Count the grace of all versions from a time on: it counts only in stable stretches.
+
+        Returns:
+            The bounds that have moved.
+        """
+        moves: list[BoundMove] = []
         for model, known in self._announced.items():
-            self._announced[model] = [
-                _later(entry, entry.acknowledged_after, not_before) for entry in known
-            ]
+            after = [_counting_from(entry, not_before, BoundCause.OUTAGE) for entry in known]
+            self._announced[model] = after
+            moves += _moves(model, known, after)
+        return moves
 
     def newest(self, model: str) -> int:
         """Return the newest version, 0 when none is known."""
@@ -112,6 +174,10 @@
         following = self._following(model, version)
         return following.acknowledged_after if following is not None else math.inf
 
+    def superseding(self, model: str, version: int) -> Announcement | None:
+        """Return the first version above ``version`` that was named, or None."""
+        return self._following(model, version)
+
     def deadline(self, model: str, version: int) -> float:
         """Return when runners older than the next version above ``version`` must not be used."""
         return self.named_after(model, version) + self.grace
@@ -126,9 +192,16 @@
         return list(self._announced)
 
 
-def _later(entry: Announcement, acknowledged_after: float, not_before: float) -> Announcement:
-    return Announcement(
-        entry.version,
-        max(entry.acknowledged_after, acknowledged_after),
-        max(entry.not_before, not_before),
-    )
+def _counting_from(entry: Announcement, not_before: float, cause: BoundCause) -> Announcement:
+    """Return an announcement whose bound counts from a time on, if that is later."""
+    if not_before <= entry.not_before:
+        return entry
+    return replace(entry, not_before=not_before, cause=cause)
+
+
+def _moves(model: str, before: list[Announcement], after: list[Announcement]) -> list[BoundMove]:
+    return [
+        BoundMove(model, new, new.not_before - old.not_before)
+        for old, new in zip(before, after, strict=True)
+        if new.not_before > old.not_before
+    ]
--- a/src/hillstack/daemon/notice_reader.py
+++ b/src/hillstack/daemon/notice_reader.py
@@ -68,7 +68,7 @@
                 self._state.pool.suspected_by_peer(runner, now)
         self._take_cache(notice, now)
         for entry in notice.announcements:
-            self._take_announcement(entry, now)
+            self._take_announcement(notice.node_id, entry, now)
         if self._on_placement is not None:
             for placement in notice.placements:
                 self._on_placement(notice.node_id, placement, now)
@@ -105,13 +105,14 @@
                 load = load.without(runner.attempts.load())
             pool.note_peer_load(runner, reporter, load, now)
 
-    def _take_announcement(self, entry: AnnouncementNotice, now: float) -> None:
+    def _take_announcement(self, peer: str, entry: AnnouncementNotice, now: float) -> None:
         """Take over when a version was named; or that it was, before the store is asked again."""
         named_at = now - entry.age_ms / 1000
-        if entry.version > self._state.versions.newest(entry.model):
-            self._state.note_weights_named(entry.model, entry.version, named_at, "peer")
+        state = self._state
+        if entry.version > state.versions.newest(entry.model):
+            state.note_weights_named(entry.model, entry.version, named_at, peer, now)
         else:
-            self._state.versions.narrow(entry.model, entry.version, named_at)
+            state.narrow_weights_named(entry.model, entry.version, named_at, peer, now)
 
     def _take_cache(self, notice: NodeNotice, now: float) -> None:
         for holder_id in notice.cache_lost:
--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -353,7 +353,7 @@
         if ended_at is None:
             return
         if ended_at - self._state.freshness.proved_at() > self._fresh_seconds():
-            self._state.store_regained(ended_at)
+            self._state.store_regained(ended_at, self._clock())
 
     def _retain(self, keys: Collection[str], revision: int) -> None:
         """Drop what a whole list, as of a revision, no longer has."""
@@ -395,4 +395,4 @@
         self._lost_at = None
         logger.info("store regained", extra={"lost_seconds": round(lasted, 2)})
         if lasted >= OUTAGE_SECONDS:
-            self._state.store_regained(self._failed_at)
+            self._state.store_regained(self._failed_at, self._clock())
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from hillstack.core.cache_watch import CacheHolder
@@ -20,7 +21,7 @@
 from hillstack.core.traffic_split import TrafficSplit
 from hillstack.core.version_arrivals import VersionArrivals
 from hillstack.core.version_exposure import VersionExposure
-from hillstack.core.weights_versions import WeightsVersions
+from hillstack.core.weights_versions import BoundCause, BoundMove, WeightsVersions
 from hillstack.serving.start_gate import StartGate
 
 logger = logging.getLogger(__name__)
@@ -212,7 +213,7 @@
             case RunnerUnlisted(runner_id, revision):
                 self._take_removal(runner_id, revision, now)
             case WeightsNamed(model, version):
-                if self.note_weights_named(model, version, not_before, "store"):
+                if self.note_weights_named(model, version, not_before, "store", now):
                     self._on_weights_named()
             case RolloutOrdered(order):
                 self._take_rollout_order(order, not_before, now)
@@ -230,15 +231,42 @@
             case RolloutDutyHeld(service, decider):
                 self.rollout_deciders[service] = decider
 
-    def note_weights_named(self, model: str, version: int, not_before: float, source: str) -> bool:
-        """Note that a version was named, no earlier than a time; return whether that is news."""
-        counts_from = max(self.unjudged_until - self.versions.grace, self._outage_until)
-        if not self.versions.announce(model, version, not_before, counts_from):
+    def note_weights_named(
+        self, model: str, version: int, not_before: float, source: str, now: float
+    ) -> bool:
+        """Note that a version was named, no earlier than a time; return whether that is news.
+
+        Args:
+            model: The model.
+            version: The version.
+            not_before: It was acknowledged no earlier.
+            source: Who says so: the store, or the name of a peer.
+            now: Time on the node's clock.
+        """
+        started_at = self.unjudged_until - self.versions.grace
+        counts_from = max(started_at, self._outage_until)
+        cause = BoundCause.OUTAGE if counts_from > started_at else BoundCause.START
+        if not self.versions.announce(model, version, not_before, counts_from, source, cause):
             return False
-        fields = {"model": model, "version": version, "source": source}
+        named = self.versions.announcements(model)[-1]
+        fields = {
+            "model": model,
+            "version": version,
+            "source": source,
+            "named_seconds_ago": _rounded(now - named.acknowledged_after),
+            "due_in_seconds": _rounded(named.not_before + self.versions.grace - now),
+            "bound_by": named.cause,
+        }
         logger.info("weights named", extra=fields)
         return True
 
+    def narrow_weights_named(
+        self, model: str, version: int, not_before: float, source: str, now: float
+    ) -> None:
+        """Take over from a peer that a known version was named no earlier than a time."""
+        moves = self.versions.narrow(model, version, not_before, source)
+        self._log_bound_moves(moves, now)
+
     def retain_nodes(self, listed: set[str], now: float, revision: int) -> None:
         """Drop the nodes that a whole list, as of a revision, no longer has."""
         for node in self.nodes.all():
@@ -262,16 +290,35 @@
         for service in self.rollout_deciders.keys() - held:
             self.rollout_deciders[service] = None
 
-    def store_regained(self, lost_until: float) -> None:
+    def store_regained(self, lost_until: float, now: float | None = None) -> None:
         """Note the end of an outage of the store, which lasted at least until a time.
 
         The directory may drop runners that are alive, since their entries lapse in an outage; and
         bounds that count only while the store is stable begin again.
+
+        Args:
+            lost_until: Until when it was away, at least.
+            now: Time on the node's clock; ``lost_until`` by default.
         """
         if lost_until <= self._outage_until:
             return
         self._outage_until = lost_until
-        self.versions.restart(lost_until)
+        moves = self.versions.restart(lost_until)
+        self._log_bound_moves(moves, lost_until if now is None else now)
+
+    def _log_bound_moves(self, moves: Iterable[BoundMove], now: float) -> None:
+        for move in moves:
+            entry = move.announcement
+            fields = {
+                "model": move.model,
+                "version": entry.version,
+                "later_seconds": _rounded(move.seconds),
+                "bound_by": entry.cause,
+                "source": entry.told_by,
+                "named_seconds_ago": _rounded(now - entry.acknowledged_after),
+                "due_in_seconds": _rounded(entry.not_before + self.versions.grace - now),
+            }
+            logger.info("weights bound moved", extra=fields)
 
     def outage_ended_at(self) -> float:
         """Return when the last outage of the store ended; minus infinity if there was none."""
@@ -457,6 +504,11 @@
         logger.info("runner gone", extra=fields)
 
 
+def _rounded(seconds: float) -> float | None:
+    """Return seconds for the log; None where nothing is known yet."""
+    return round(seconds, 3) if math.isfinite(seconds) else None
+
+
 def _is_same_stage(before: RolloutRecord | None, record: RolloutRecord) -> bool:
     """Return whether a record was only written anew, with the age of its order."""
     if before is None or before.order_revision != record.order_revision:
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -8,6 +8,7 @@
 
 from hillstack.core.routing_table import Route, TenantEntry
 from hillstack.core.runner_pool import Runner
+from hillstack.core.weights_versions import WeightsVersions
 from hillstack.serving.attempt_watch import NOT_WATCHED, AttemptWatch
 from hillstack.serving.event_framing import EventFraming
 from hillstack.serving.types import (
@@ -195,6 +196,31 @@
     }
 
 
+def older_weights_fields(
+    job: Job, placed: PlacedAttempt, versions: WeightsVersions, now: float
+) -> dict[str, object] | None:
+    """Return the log fields of an attempt on weights older than the newest; None if it is not."""
+    model = job.request.model
+    if placed.weights_version is None:
+        return None
+    following = versions.superseding(model, placed.weights_version)
+    if following is None:
+        return None
+    due_at = following.not_before + versions.grace
+    return {
+        "request": job.request.request_id,
+        "attempt": job.sends,
+        "runner": placed.runner.runner_id,
+        "weights": placed.weights_version,
+        "superseded_by": following.version,
+        "newest": versions.newest(model),
+        "named_seconds_ago": round(now - following.acknowledged_after, 3),
+        "source": following.told_by,
+        "due_in_seconds": round(due_at - now, 3),
+        "bound_by": following.cause,
+    }
+
+
 def log_outcome(job: Job, runner: Runner, outcome: str, weights: int = 0) -> None:
     """Log the end of an attempt."""
     fields: dict[str, object] = {
--- a/src/hillstack/serving/metrics.py
+++ b/src/hillstack/serving/metrics.py
@@ -45,6 +45,11 @@
         self.fetches = self._counter("cache_fetches", "Fetches of cached parts.", "distance")
         self.store_errors = self._counter("store_errors", "Failed calls to the store.", "step")
         self.orders = self._counter("weights_orders", "Orders for weights by outcome.", "outcome")
+        self.older_weights = self._counter(
+            "older_weights_begins",
+            "Requests that began on weights older than the newest, by whether it was too late.",
+            "when",
+        )
         self.runner_ends = self._counter(
             "runner_ends",
             "Runners that ended under requests, and what became of these requests.",
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -25,6 +25,7 @@
     WholeAnswer,
     attempt_fields,
     log_outcome,
+    older_weights_fields,
 )
 from hillstack.serving.metrics import FleetMetrics
 from hillstack.serving.placement import RunnerPlacement
@@ -268,6 +269,7 @@
         self._placement.sent(job, placed, attempt_id, now)
         self.runner_ends.sent(job, placed.runner, attempt_id, now)
         logger.info("attempt", extra=attempt_fields(job, placed, dispatch))
+        self._log_older_weights("sent on older weights", job, placed)
         self._count_tokens(job, placed)
         self._metrics.count_regions(placed.borrowed, placed.fetch_from, placed.fetches_across)
         answer: RunnerAnswer | None = None
@@ -277,6 +279,9 @@
             answer = await self._head(job, placed, dispatch)
             answered_at = self._clock()
             job.note_bytes(answered_at)
+            if answer.status in SUCCESS:
+                self._log_older_weights("began on older weights", job, placed)
+                self._count_older_weights(job, placed)
             job.watch.head(answer.status, answered_at, signed=answer.signed)
             self._state.pool.heard(placed.runner, answered_at)
             self._placement.answered(job, placed, attempt_id, answered_at)
@@ -291,6 +296,19 @@
             if answer is not None:
                 answer.close()
 
+    def _count_older_weights(self, job: Job, placed: PlacedAttempt) -> None:
+        """Count a request that begins on weights older than the newest."""
+        versions, version = self._state.versions, placed.weights_version
+        if version is None or version >= versions.newest(job.request.model):
+            return
+        is_late = self._clock() > versions.deadline(job.request.model, version)
+        self._metrics.older_weights.labels("late" if is_late else "in_time").inc()
+
+    def _log_older_weights(self, message: str, job: Job, placed: PlacedAttempt) -> None:
+        fields = older_weights_fields(job, placed, self._state.versions, self._clock())
+        if fields is not None:
+            logger.info(message, extra=fields)
+
     def _count_tokens(self, job: Job, placed: PlacedAttempt) -> None:
         shape = job.request.shape
         if shape is None or placed.salt is None:
--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -33,6 +34,7 @@
     ENGINES,
     KEY,
     MODEL,
+    VERSION_GRACE,
     make_entry,
     make_request,
     make_rng,
@@ -905,3 +907,22 @@
     bench = make_bench(i_1=answers(b"x"))
     bench.serve(make_request())
     assert bench.limiter.taken == []
+
+
+def test_the_log_tells_of_each_request_on_older_weights(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO)
+    bench = make_stream_bench(i_1=answers(*EVENTS))
+    bench.serve(stream_request())
+    messages = ["sent on older weights", "began on older weights"]
+    assert not [record for record in caplog.records if record.getMessage() in messages]
+    now = bench.scheduler.now
+    bench.state.note_weights_named(MODEL, 2, now - 1.0, "node-7", now)
+    bench.serve(stream_request(request_id="r-2"))
+    told = [vars(record) for record in caplog.records if record.getMessage() in messages]
+    assert [fields["msg"] for fields in told] == messages
+    for fields in told:
+        assert (fields["weights"], fields["superseded_by"], fields["newest"]) == (1, 2, 2)
+        assert (fields["source"], fields["bound_by"]) == ("node-7", "named")
+        assert fields["named_seconds_ago"] >= 1.0
+        total = fields["named_seconds_ago"] + fields["due_in_seconds"]
+        assert total == pytest.approx(VERSION_GRACE, abs=0.002)
--- /dev/null
+++ b/tests/fleet/test_weights_sight.py
@@ -0,0 +1,51 @@
+"""What the log tells of requests on older weights, and of the bound until which they are used."""
+
+from __future__ import annotations
+
+import logging
+
+import pytest
+
+from hillstack.core.weights_versions import BoundCause
+from tests.fleet.builders import MODEL, VERSION_GRACE, make_route, make_state, make_table
+
+
+def records(caplog: pytest.LogCaptureFixture, message: str) -> list[dict[str, object]]:
+    return [vars(record) for record in caplog.records if record.getMessage() == message]
+
+
+def test_the_log_tells_when_a_version_was_named_who_says_so_and_when_it_is_due(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+    state = make_state(make_table(make_route()))
+    state.note_weights_named(MODEL, 2, 10.0, "node-7", 10.5)
+    named = records(caplog, "weights named")[-1]
+    assert named["source"] == "node-7"
+    assert named["named_seconds_ago"] == 0.5
+    assert named["due_in_seconds"] == VERSION_GRACE - 0.5
+    assert named["bound_by"] is BoundCause.NAMED
+
+
+def test_each_move_of_a_bound_is_told_with_its_cause(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO)
+    state = make_state(make_table(make_route()))
+    state.note_weights_named(MODEL, 2, 10.0, "store", 10.5)
+    state.narrow_weights_named(MODEL, 2, 10.75, "node-7", 11.0)
+    state.narrow_weights_named(MODEL, 2, 10.25, "node-8", 11.0)
+    state.store_regained(13.0)
+    moved = records(caplog, "weights bound moved")
+    told = [(move["bound_by"], move["source"], move["later_seconds"]) for move in moved]
+    # The first version of all was named long ago, and its bound begins again as well.
+    assert told[0] == (BoundCause.PEER, "node-7", 0.75)
+    assert told[-1] == (BoundCause.OUTAGE, "node-7", 2.25)
+
+
+def test_a_version_named_in_an_outage_counts_from_its_end(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+    state = make_state(make_table(make_route()))
+    state.store_regained(13.0)
+    state.note_weights_named(MODEL, 2, 10.0, "store", 13.5)
+    assert records(caplog, "weights named")[-1]["bound_by"] is BoundCause.OUTAGE
