--- a/tests/fleet/node_network.py
+++ b/tests/fleet/node_network.py
@@ -198,7 +198,8 @@
         loss: Share of the datagrams that are lost.
         own_loops: Whether each node has a loop of its own, which can be frozen; slower.
         table: Configuration that the nodes begin with.
-        seed: Decides which datagrams are lost.
+        seed: Decides which datagrams are lost, and how late each one is.
+        ways: The shortest and the longest way of a datagram inside of a region, in seconds.
         regions: Region of each zone; one region by default.
 
     Attributes:
@@ -218,6 +219,7 @@
         own_loops: bool = False,
         table: RoutingTable | None = None,
         seed: int = 7,
+        ways: tuple[float, float] = (DELAY_SECONDS, DELAY_SECONDS),
         regions: Mapping[str, str] | None = None,
     ) -> None:
         self.regions = dict(regions or {})
@@ -235,7 +237,10 @@
         self.crossing_bytes = 0
         self.runner_ids = [f"i-{number}" for number in range(6)]
         self._loss = loss
+        self._ways = ways
         self._rng = Random(seed)
+        # Apart from losses, so that a test of these is not changed by the ways.
+        self._ways_rng = Random(f"ways/{seed}")
         self._shared_loop = None if own_loops else self.scheduler.new_loop()
         for number in range(count):
             self.add(f"node-{number}", f"zone-{number % zones}")
@@ -316,7 +321,7 @@
             if receiver.alive:
                 receiver.loop.call_soon(receiver.link.datagram_received, data, (host, int(port)))
 
-        delay = REGION_DELAY_SECONDS if is_far else DELAY_SECONDS
+        delay = REGION_DELAY_SECONDS if is_far else self._ways_rng.uniform(*self._ways)
         self.scheduler.at(self.scheduler.now + delay, arrive)
 
     def _crosses(self, data: bytes, sender: SimulatedNode, receiver: SimulatedNode) -> bool:
