Calls that fail though the store is there begin no bound again

A refusal for the rate of calls comes from a store that is there, and a node that is late with its own reading misses answers. Found by reading; real processes on a busy machine never showed it. Change: such failures show no outage. Runners whose entries may have lapsed are used on as before.

--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -191,6 +191,7 @@
             settings.watch_interval(),
             self._clock,
             rng,
+            self._lag.is_behind,
         )
         self._check = StoreCheck(
             store,
--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -13,10 +13,16 @@
 from typing import Protocol
 
 from hillstack.core.node_directory import NodeEntry, NodeGroup
+from hillstack.core.outage import OutageEvidence
 from hillstack.core.relay_choice import RelayChoice
 from hillstack.daemon.change_log import ChangeLog, ListedKeys, StoreChange, StoredItem
 from hillstack.daemon.store_relay import RelayedChanges
-from hillstack.errors import HistoryLostError, PlatformError, PlatformOutcomeUnknownError
+from hillstack.errors import (
+    HistoryLostError,
+    PlatformError,
+    PlatformOutcomeUnknownError,
+    PlatformThrottledError,
+)
 from hillstack.logs import error_fields
 from hillstack.serving.fleet_state import DutyHeld, FleetState, NodeListed
 
@@ -123,6 +129,7 @@
         interval: Seconds between two looks.
         clock: Monotonic seconds.
         rng: Source of randomness.
+        is_behind: Whether this node is late with its own reading, so that it may miss answers.
     """
 
     def __init__(
@@ -136,7 +143,10 @@
         interval: float,
         clock: Callable[[], float],
         rng: Random,
+        is_behind: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._is_behind = is_behind
+        self._outage = OutageEvidence(OUTAGE_SECONDS)
         self._store = store
         self._state = state
         self._log = log
@@ -372,6 +382,7 @@
         if self._lost_at is not None:
             logger.info("store known again", extra={"by_way_of": self._source})
             self._lost_at = None
+            self._outage.answered()
         ended_at = relayed.outage_ended_at
         if ended_at is None:
             return
@@ -405,6 +416,8 @@
         now = self._clock()
         self._state.start_gate.open()
         self._failed_at = now
+        is_explained = isinstance(error, PlatformThrottledError) or self._is_behind()
+        self._outage.failed(now, is_explained=is_explained)
         if self._lost_at is None:
             self._lost_at = now
             age = self._state.freshness.age(now)
@@ -416,6 +429,10 @@
             return
         lasted = self._failed_at - self._lost_at
         self._lost_at = None
-        logger.info("store regained", extra={"lost_seconds": round(lasted, 2)})
+        away_until = self._outage.answered()
+        fields = {"lost_seconds": round(lasted, 2), "was_outage": away_until is not None}
+        logger.info("store regained", extra=fields)
         if lasted >= OUTAGE_SECONDS:
-            self._state.store_regained(self._failed_at, self._clock())
+            self._state.note_calls_failed(self._failed_at)
+        if away_until is not None:
+            self._state.store_regained(away_until, self._clock())
--- a/src/hillstack/errors.py
+++ b/src/hillstack/errors.py
@@ -56,6 +56,10 @@
     """The platform could not be reached; the operation did not take effect."""
 
 
+class PlatformThrottledError(PlatformUnavailableError):
+    """The platform is there, and refused the operation since too many were asked for."""
+
+
 class PlatformOutcomeUnknownError(PlatformError):
     """The answer was lost; the operation may have taken effect."""
 
--- a/src/hillstack/platform/store.py
+++ b/src/hillstack/platform/store.py
@@ -21,6 +21,7 @@
     HistoryLostError,
     PlatformError,
     PlatformOutcomeUnknownError,
+    PlatformThrottledError,
     PlatformUnavailableError,
 )
 from hillstack.logs import error_fields
@@ -54,7 +55,8 @@
 NOT_FOUND = 404
 GONE = 410
 CONDITION_FAILED = 412
-REFUSED = frozenset({429, 503})
+THROTTLED = 429
+REFUSED = 503
 # A slow store takes up to a second; the freshness bound of 4.5 s leaves room for two tries.
 CALL_LIMIT_SECONDS = 1.5
 # A quarter of the lease: a renewal without an answer is repeated while it runs.
@@ -330,7 +332,9 @@
             raise PlatformOutcomeUnknownError(text, step=step, peer=self._address) from error
         if status == OK:
             return raw
-        if status in REFUSED:
+        if status == THROTTLED:
+            raise PlatformThrottledError(f"status {status}", step=step, peer=self._address)
+        if status == REFUSED:
             raise PlatformUnavailableError(f"status {status}", step=step, peer=self._address)
         if status == GONE:
             raise HistoryLostError("history gone", step=step, peer=self._address)
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -190,6 +190,7 @@
         self.start_gate = StartGate()
         self.unjudged_until = float("-inf")
         self._outage_until = float("-inf")
+        self._calls_failed_until = float("-inf")
         self._on_weights_named: Callable[[], None] = lambda: None
 
     def handle_weights_named(self, handler: Callable[[], None]) -> None:
@@ -287,6 +288,13 @@
         for service in self.rollout_deciders.keys() - held:
             self.rollout_deciders[service] = None
 
+    def note_calls_failed(self, until: float) -> None:
+        """Note that all calls to the store failed for a while, whatever the reason.
+
+        Runners' calls may have failed too, so the directory may drop some that are alive.
+        """
+        self._calls_failed_until = max(self._calls_failed_until, until)
+
     def store_regained(self, lost_until: float, now: float | None = None) -> None:
         """Note the end of an outage of the store, which lasted at least until a time.
 
@@ -300,6 +308,7 @@
         if lost_until <= self._outage_until:
             return
         self._outage_until = lost_until
+        self.note_calls_failed(lost_until)
         moves = self.versions.restart(lost_until)
         self._log_bound_moves(moves, lost_until if now is None else now)
 
@@ -487,7 +496,8 @@
         self._unlist_runner(runner_id, now)
 
     def _unlist_runner(self, runner_id: str, now: float) -> None:
-        after_outage = now - self._outage_until < OUTAGE_EFFECT_SECONDS
+        failed_ago = now - self._calls_failed_until
+        after_outage = failed_ago < OUTAGE_EFFECT_SECONDS
         grace = UNLISTED_GRACE_SECONDS if after_outage else 0.0
         runner = self.pool.unlist(runner_id, now, grace)
         if runner is None:
@@ -496,7 +506,7 @@
             "runner": runner_id,
             "service": runner.entry.service,
             "grace_seconds": grace,
-            "outage_age_seconds": round(now - self._outage_until, 2) if after_outage else None,
+            "outage_age_seconds": round(failed_ago, 2) if after_outage else None,
         }
         logger.info("runner gone", extra=fields)
 
--- a/tests/fleet/test_store_sync.py
+++ b/tests/fleet/test_store_sync.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 import pytest
@@ -19,6 +19,7 @@
     HistoryLostError,
     PlatformError,
     PlatformOutcomeUnknownError,
+    PlatformThrottledError,
     PlatformUnavailableError,
 )
 from hillstack.platform.store import CALL_LIMIT_SECONDS, Changes, Snapshot
@@ -145,6 +146,7 @@
     state: FleetState
     store: FakeStore
     scheduler: Scheduler
+    is_behind: bool = False
 
     def run(self, seconds: float) -> None:
         self.scheduler.run_until(self.scheduler.now + seconds)
@@ -163,7 +165,11 @@
 
 
 def make_sync(
-    store: FakeStore, state: FleetState, scheduler: Scheduler, peers: FakePeers | None = None
+    store: FakeStore,
+    state: FleetState,
+    scheduler: Scheduler,
+    peers: FakePeers | None = None,
+    is_behind: Callable[[], bool] = lambda: False,
 ) -> StoreSync:
     return StoreSync(
         store,
@@ -175,6 +181,7 @@
         1.0,
         scheduler.clock,
         make_rng(),
+        is_behind,
     )
 
 
@@ -185,10 +192,11 @@
     events: list[StoreEvent] = [RunnerListed(entry) for entry in entries]
     store = FakeStore([Snapshot(as_changes(events), 10, 10)])
     scheduler = Scheduler()
-    sync = make_sync(store, state, scheduler)
+    bench = Bench(state, store, scheduler)
+    sync = make_sync(store, state, scheduler, is_behind=lambda: bench.is_behind)
     scheduler.spawn(scheduler.new_loop(), sync.run())
     scheduler.run_until(0.5)
-    yield Bench(state, store, scheduler)
+    yield bench
     scheduler.close()
 
 
@@ -339,6 +347,32 @@
     assert before < after <= down_until + VERSION_GRACE
 
 
+@pytest.mark.parametrize("reason", ["throttled", "late itself", "late itself at last"])
+def test_calls_that_fail_though_the_store_is_there_begin_no_bound_again(
+    bench: Bench, reason: str
+) -> None:
+    # A store that refuses a call for its rate is there, and a node that is late with its own
+    # reading misses answers. Each of these began all bounds again, so that older weights were used
+    # for longer than allowed.
+    bench.store.pending = [WeightsNamed(MODEL, 2)]
+    bench.run(1.1)
+    before = bench.state.versions.deadline(MODEL, 1)
+    throttled = PlatformThrottledError("status 429", step="watch", peer="store")
+    lost = PlatformOutcomeUnknownError("no answer", step="watch", peer="store")
+    bench.store.failure = throttled if reason == "throttled" else lost
+    bench.is_behind = reason == "late itself"
+    bench.run(2.5)
+    bench.is_behind = reason != "throttled"
+    bench.run(0.5)
+    bench.store.failure = None
+    # Entries may have lapsed all the same: a runner that is gone from the list is used on.
+    bench.store.pending = [RunnerUnlisted("i-1")]
+    bench.run(1.0)
+    assert bench.state.versions.deadline(MODEL, 1) == before
+    assert bench.state.outage_ended_at() == float("-inf")
+    assert accepting(bench) == ["i-1"]
+
+
 def test_an_announcement_counts_from_the_last_answer_before_it(bench: Bench) -> None:
     bench.run(5.0)
     proved_at = bench.state.freshness.proved_at()
