Soak: older weights are not begun on past their bound, checked on real processes beside late words

The soak never asked on which weights a request began. It does now: a time bound that counts while store, runner and sender are left alone.

--- a/src/hillstack/emulator/fleet_runner.py
+++ b/src/hillstack/emulator/fleet_runner.py
@@ -54,6 +54,7 @@
         status: Status of its answers.
         break_after: Break a stream off after so many events; None for never.
         shed: Refuse requests as not run.
+        keep_weights: Take no order for weights, as while another one is carried out.
         software: What is wrong with its software.
     """
 
@@ -61,6 +62,7 @@
     status: int = 200
     break_after: int | None = None
     shed: bool = False
+    keep_weights: bool = False
     software: SoftwareFaults = SoftwareFaults()
 
 
@@ -133,6 +135,8 @@
         order = msgspec.json.decode(await request.body(), type=OrderBody)
         if order.fence < self.fence:
             return Response(status_code=412)
+        if self.faults.keep_weights:
+            return Response(status_code=409)
         if order.expected_count is not None and order.expected_count != len(self.orders):
             return Response(status_code=409)
         self.fence = order.fence
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,13 +11,14 @@
 from tests.soak.fault_series import FAULTS
 from tests.soak.soak import SoakPlan, SoakResult, run
 from tests.soak.system import NODE_COUNT
+from tests.soak.weights_faults import WEIGHTS_FAULTS
 
 SEED_BITS = 31
 
 
 def main() -> int:
     """Run the soaks and return the exit code."""
-    faults = {fault.__name__: fault for fault in FAULTS}
+    faults = {fault.__name__: fault for fault in FAULTS + WEIGHTS_FAULTS}
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=60.0, help="faults of one soak")
     parser.add_argument("--soaks", type=int, default=1, help="number of soaks")
@@ -30,7 +31,7 @@
     arguments = parser.parse_args()
     # The stand-ins raise on purpose; the nodes log in processes of their own.
     logging.disable(logging.CRITICAL)
-    chosen = tuple(faults[name] for name in arguments.fault or faults)
+    chosen = tuple(faults[name] for name in arguments.fault or ()) or FAULTS
     plan = SoakPlan(arguments.seconds, arguments.nodes, chosen)
     seed = arguments.seed
     first = SystemRandom().getrandbits(SEED_BITS) if seed is None else seed
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -44,11 +44,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """A request that a runner began to run."""
+    """A request that a runner began to run.
+
+    Attributes:
+        weights: Version of the weights that it began on; 0 where there are none.
+    """
 
     request_id: str
     runner_id: str
     began_at: float
+    weights: int = 0
 
 
 @dataclass(slots=True)
@@ -118,6 +123,7 @@
         runner_ends: Runners that were ended by requests.
         rollouts: Orders by target version.
         software: Version of each runner's software.
+        weights_named: When each version of the weights was acknowledged.
         lags: When a task of the soak itself was late, and for how many seconds.
     """
 
@@ -129,6 +135,7 @@
     troubles: list[Trouble] = field(default_factory=list)
     stops: list[Stop] = field(default_factory=list)
     let_go: dict[str, float] = field(default_factory=dict)
+    weights_named: dict[int, float] = field(default_factory=dict)
     lags: list[tuple[float, float]] = field(default_factory=list)
     runner_ends: list[RunnerEnd] = field(default_factory=list)
     rollouts: dict[str, Rollout] = field(default_factory=dict)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -15,6 +15,7 @@
     sent_after_close,
 )
 from tests.soak.version_promises import rollouts, runners_ended
+from tests.soak.weights_promises import begun_on_older_weights
 
 NOT_RUN = frozenset({408, 421, 429, 503})
 RETRY_AFTER_STATUSES = frozenset({429, 503})
@@ -38,6 +39,7 @@
         *late_stops(seen),
         *runners_ended(seen),
         *rollouts(seen),
+        *begun_on_older_weights(seen),
     ]
 
 
--- a/tests/soak/regions.py
+++ b/tests/soak/regions.py
@@ -12,6 +12,7 @@
 import contextlib
 import json
 from collections.abc import Callable, Iterator
+from random import Random
 from typing import Any
 
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
@@ -69,6 +70,17 @@
             self._cuts -= 1
             self._set_cut()
 
+    @contextlib.contextmanager
+    def late_words(self, rng: Random, least: float, most: float) -> Iterator[None]:
+        """Let each datagram take so many seconds more while the block runs."""
+        for front in self._nodes.values():
+            front.extra_seconds = lambda: rng.uniform(least, most)
+        try:
+            yield
+        finally:
+            for front in self._nodes.values():
+                front.extra_seconds = lambda: 0.0
+
     def _set_cut(self) -> None:
         for name in self._runners:
             self._proxy.set(name, Mode.SILENT if self._cuts else Mode.PASS)
@@ -96,6 +108,7 @@
     def __init__(self) -> None:
         self.address = ""
         self.is_cut = False
+        self.extra_seconds: Callable[[], float] = lambda: 0.0
         self._target: tuple[str, int] = ("", 0)
         self._free_at = 0.0
 
@@ -121,7 +134,8 @@
         if self.is_cut or leaves_at - now > QUEUE_SECONDS:
             return
         self._free_at = leaves_at
-        loop.call_at(leaves_at + ONE_WAY_SECONDS, self._hand_on, data)
+        arrives_at = leaves_at + ONE_WAY_SECONDS + self.extra_seconds()
+        loop.call_at(arrives_at, self._hand_on, data)
 
     def close(self) -> None:
         """Stop listening."""
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -77,7 +77,8 @@
         """Note a request that begins to run."""
         super().note_run(request_id, headers)
         now = time.monotonic()
-        self._observations.runs.append(Run(request_id, self.runner_id, now))
+        weights = self.weights if self.model else 0
+        self._observations.runs.append(Run(request_id, self.runner_id, now, weights))
         fatal = fatal_requests.name_of(request_id)
         if fatal and not self._ended:
             self._ended = True
@@ -347,6 +348,7 @@
         """Name the next version of the weights."""
         self.weights += 1
         self.deployment.name_weights(self.weights)
+        self.observations.weights_named[self.weights] = time.monotonic()
 
     def engines_behind(self) -> list[str]:
         """Return the listed engines that do not serve the newest weights."""
--- /dev/null
+++ b/tests/soak/weights_promises.py
@@ -0,0 +1,41 @@
+"""The promise on older weights: none is begun on a bounded time after newer ones were named."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from tests.soak.observations import STORE, Observations, Run
+from tests.soak.timed_promises import CONTACT_SECONDS
+
+# The nodes' setting, which the soak leaves as it is.
+VERSION_SECONDS = 8.0
+
+
+def begun_on_older_weights(seen: Observations) -> Iterator[str]:
+    """Return the runs that began too late on weights that were not the newest.
+
+    The time counts only while nothing disturbs the store, the runner or the node that sent it.
+    """
+    nodes = {request.request_id: request.node for request in seen.sent}
+    for run in seen.runs:
+        named_at = _superseded_at(seen, run)
+        if named_at is None:
+            continue
+        late = run.began_at - named_at - VERSION_SECONDS
+        if late <= seen.lag(named_at, run.began_at):
+            continue
+        targets = (STORE, run.runner_id, nodes.get(run.request_id, ""))
+        since = named_at - CONTACT_SECONDS
+        if not any(seen.disturbed(target, since, run.began_at) for target in targets):
+            yield (
+                f"{run.request_id}: began on weights {run.weights} of {run.runner_id}"
+                f" {late:.2f} s too late"
+            )
+
+
+def _superseded_at(seen: Observations, run: Run) -> float | None:
+    """Return when newer weights than those of a run were first named; None if they were not."""
+    if not run.weights:
+        return None
+    newer = [at for version, at in seen.weights_named.items() if version > run.weights]
+    return min(newer, default=None)
