A runner that starts again under its name is another process; unreadable entries name nothing

A runner may start again under its id, and says when it started. The identifier of a runner is now that of its process (its name and start), decoded in the adapter: beliefs, loads, orders, caches and ends are of one process, and late words on the one before name nobody. An entry of another process takes the place of the one before, in the directory's order, so that a clock that was set back keeps nobody out. A report or a cache answer of a later process tells that one has ended, and peers hear of it at once; attempts there go on elsewhere. Without a start all is as before. Items of the store that can't be read count as removed until a good one comes (they were passed over, so a runner whose entry was overwritten was used on); a wrong configuration leaves the last good one in force (it stopped the reading of all else).

--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -37,10 +37,15 @@
     """A runner as the directory lists it.
 
     Attributes:
+        runner_id: Names one process: one that starts again has another one.
         revision: Revision of the entry; a later one replaces an earlier one.
         draining: Whether it has said that it will leave.
         weights: Version of the weights by model.
         software: Version of the runner's software; empty if it does not say.
+        listed_as: Its name in the directory, under which a later process may be listed; empty if
+            that is ``runner_id``.
+        started_ms: When its process started, by its own clock: it is compared with others of the
+            same name only. 0 if it does not say.
     """
 
     runner_id: str
@@ -52,6 +57,13 @@
     weights: dict[str, int]
     revision: int
     software: str = ""
+    listed_as: str = ""
+    started_ms: int = 0
+
+    @property
+    def directory_name(self) -> str:
+        """Its name in the directory."""
+        return self.listed_as or self.runner_id
 
 
 @dataclass(slots=True)
@@ -63,6 +75,7 @@
         suspected_until: It gets no new request before.
         ordered_weights: Versions that it was ordered to load, by model.
         peer_ordered_at: When a peer is last known to have ordered it.
+        has_ended: Whether its process has ended, since a later one of its name was heard of.
         unlisted_until: The directory dropped it, but it may be used until then; None if listed.
     """
 
@@ -77,6 +90,7 @@
     ordered_weights: dict[str, int] = field(default_factory=dict)
     peer_ordered_at: float = float("-inf")
     leaving: bool = False
+    has_ended: bool = False
     unlisted_until: float | None = None
     failures: int = 0
     last_heard_at: float = float("-inf")
@@ -162,11 +176,40 @@
         self.generation = 0
         self._runners: dict[str, Runner] = {}
         self._unlisted: dict[str, tuple[Runner, float]] = {}
+        # The latest process of each name in the directory, also while it is not listed.
+        self._latest: dict[str, RunnerEntry] = {}
 
     def get(self, runner_id: str) -> Runner | None:
         """Return a runner, or None if it is not known."""
         return self._runners.get(runner_id)
 
+    def listed_as(self, name: str) -> Runner | None:
+        """Return the latest process of a name in the directory, or None if it is not known."""
+        latest = self._latest.get(name)
+        return self._runners.get(latest.runner_id) if latest is not None else None
+
+    def other_process(self, entry: RunnerEntry) -> Runner | None:
+        """Return the process that is known under the name of a later entry of another one."""
+        known = self.listed_as(entry.directory_name)
+        if known is None or known.runner_id == entry.runner_id or self.is_outdated(entry):
+            return None
+        return known
+
+    def lacks_start(self, entry: RunnerEntry) -> bool:
+        """Return whether an entry does not say when its process started, as others before did."""
+        latest = self._latest.get(entry.directory_name)
+        return latest is not None and latest.started_ms > 0 and entry.started_ms == 0
+
+    def is_outdated(self, entry: RunnerEntry) -> bool:
+        """Return whether an entry is older than the latest one of its name.
+
+        The directory's order counts, not that of the starts: a clock may have been set back between
+        two of them. A write of a process that has ended, carried out late, lasts until the next
+        heartbeat of the one that lives.
+        """
+        latest = self._latest.get(entry.directory_name)
+        return latest is not None and entry.revision < latest.revision
+
     def all(self) -> list[Runner]:
         """Return all runners."""
         return list(self._runners.values())
@@ -180,7 +223,13 @@
         return [runner for runner in self.of_service(service) if runner.accepts(now)]
 
     def update(self, entry: RunnerEntry) -> Runner | None:
-        """Take over a directory entry; return the runner if something of it changed."""
+        """Take over a directory entry; return the runner if something of it changed.
+
+        Another process that is known under its name is unlisted first (``other_process``).
+        """
+        if self.is_outdated(entry):
+            return None
+        self._latest[entry.directory_name] = entry
         runner = self._runners.get(entry.runner_id) or self._relist(entry.runner_id)
         if runner is None:
             runner = self._runners[entry.runner_id] = Runner(entry, dict(entry.weights))
@@ -234,6 +283,9 @@
         forgotten = [runner for runner, until in self._unlisted.values() if now >= until]
         for runner in forgotten:
             del self._unlisted[runner.runner_id]
+            latest = self._latest.get(runner.entry.directory_name)
+            if latest is not None and latest.runner_id == runner.runner_id:
+                del self._latest[runner.entry.directory_name]
         return forgotten
 
     def _relist(self, runner_id: str) -> Runner | None:
@@ -241,7 +293,7 @@
         if found is None:
             return None
         runner = self._runners[runner_id] = found[0]
-        runner.leaving = False
+        runner.leaving = runner.has_ended = False
         self.generation += 1
         return runner
 
--- a/src/hillstack/daemon/cache_follower.py
+++ b/src/hillstack/daemon/cache_follower.py
@@ -16,7 +16,7 @@
 
 from hillstack.core.cache_watch import CacheHolder, WatchAssignment
 from hillstack.core.part_index import PromptPart
-from hillstack.errors import BackendError, BackendRefusedError
+from hillstack.errors import BackendError, BackendRefusedError, RunnerRestartedError
 from hillstack.logs import error_fields
 from hillstack.serving.fleet_state import FleetState
 
@@ -107,6 +107,10 @@
         """Tell that a holder has lost everything."""
         ...
 
+    def restarted(self, runner_id: str) -> None:
+        """Tell that a runner's process has ended and its next one answers."""
+        ...
+
     def store_unavailable(self, address: str) -> None:
         """Tell that a store of kept KV cache does not answer."""
         ...
@@ -190,6 +194,9 @@
             started_at = self._clock()
             try:
                 position = await self._advance(holder, position)
+            except RunnerRestartedError:
+                self._restarted(holder)
+                return
             except BackendError as error:
                 self._failed(holder, error, first=reachable)
                 reachable = False
@@ -258,6 +265,12 @@
         self._peers.cache_lost(holder.holder_id)
         logger.info("cache lost", extra={"holder": holder.holder_id, "epoch": epoch})
 
+    def _restarted(self, holder: CacheHolder) -> None:
+        runner = self._state.pool.get(holder.holder_id)
+        if runner is not None:
+            self._state.note_restarted(runner, self._clock())
+            self._peers.restarted(holder.holder_id)
+
     def _failed(self, holder: CacheHolder, error: BackendError, *, first: bool) -> None:
         if first:
             fields = error_fields(error) | {"holder": holder.holder_id}
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -124,7 +124,10 @@
         self._state.unjudged_until = self._clock() + contact
         self._store_session = make_store_session()
         self._runner_session = make_runner_session()
-        store = MetadataStore(settings.store.address, self._store_session)
+        self._metrics = FleetMetrics()
+        store = MetadataStore(
+            settings.store.address, self._store_session, self._metrics.unreadable_items.inc
+        )
         runners = HttpRunnerClient(self._runner_session)
         zone = settings.node.zone
         self._link = PeerLink()
@@ -143,7 +146,6 @@
         self._peers.handle_placements(placement.observe_placement, placement.observe_read)
         feed = HttpCacheFeed(self._runner_session)
         self._follower = CacheFollower(self._state, feed, self._peers, self._clock)
-        self._metrics = FleetMetrics()
         self._observer = RolloutObserver(
             self._state,
             self._peers,
--- a/src/hillstack/daemon/notice_outbox.py
+++ b/src/hillstack/daemon/notice_outbox.py
@@ -48,6 +48,7 @@
         self._unavailable: set[str] = set()
         self._runner_ends: list[RunnerEndNotice] = []
         self._rollouts: list[RolloutReport] = []
+        self._restarted: list[str] = []
 
     def add_placement(self, notice: PlacementNotice) -> None:
         """Tell what was sent to a runner; beyond the bound it stays untold."""
@@ -71,6 +72,10 @@
         """Tell that a runner is silent."""
         self._suspected.append(runner_id)
 
+    def add_restarted(self, runner_id: str) -> None:
+        """Tell that a runner's process has ended, and a later one of its name has started."""
+        self._restarted.append(runner_id)
+
     def set_announcements(self, announcements: list[AnnouncementNotice]) -> None:
         """Tell the versions that were named lately."""
         self._announcements = announcements
@@ -121,10 +126,11 @@
             reads=self._reads,
             runner_ends=self._runner_ends,
             rollouts=self._rollouts,
+            restarted=self._restarted,
         )
         self._placements, self._reads, self._changed, self._weights = [], [], {}, {}
         self._suspected, self._announcements = [], []
-        self._runner_ends, self._rollouts = [], []
+        self._runner_ends, self._rollouts, self._restarted = [], [], []
         self._cache, self._cache_lost, self._unavailable = {}, [], set()
         return [first, *(self._cache_only(chunk) for chunk in chunks[1:])]
 
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -192,6 +192,11 @@
         self._outbox.add_suspected(runner.runner_id)
         self.flush(urgent=True)
 
+    def restarted(self, runner_id: str) -> None:
+        """Tell that a runner's process has ended and its next one answers, at once."""
+        self._outbox.add_restarted(runner_id)
+        self.flush(urgent=True)
+
     def runner_ended(self, notice: RunnerEndNotice) -> None:
         """Tell of a runner that ended while it worked on requests of this node, at once."""
         self._outbox.add_runner_end(notice)
--- a/src/hillstack/daemon/store_check.py
+++ b/src/hillstack/daemon/store_check.py
@@ -138,7 +138,7 @@
             change.item.key
             for change in changes
             if isinstance(change.event, RunnerListed)
-            and self._state.pool.get(change.event.entry.runner_id) is None
+            and self._state.pool.listed_as(change.event.entry.directory_name) is None
         ]
         # One that has left since the list was read is no longer in the log either.
         return [key for key in unknown if self._log.has(key)]
--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -100,7 +100,7 @@
         ...
 
     def read_items(self, items: Iterable[StoredItem]) -> list[StoreChange]:
-        """Return what items mean; raises ``PlatformError`` if a configuration can't be read."""
+        """Return what items mean; one that can't be read counts as removed."""
         ...
 
     def listed(self, keys: Iterable[str]) -> ListedKeys:
--- a/src/hillstack/daemon/weights_rollout_duty.py
+++ b/src/hillstack/daemon/weights_rollout_duty.py
@@ -13,7 +13,7 @@
 from hillstack.daemon.duty_lease import DutyLease
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.weights_orders import OrderOutcome, OrderSender, WeightsOrder
-from hillstack.errors import BackendError
+from hillstack.errors import BackendError, RunnerRestartedError
 from hillstack.logs import error_fields
 from hillstack.messages.peer_notices import WeightsNotice, WeightsPhase
 from hillstack.serving.fleet_state import FleetState
@@ -169,6 +169,9 @@
                     self._load_seconds += LOAD_SMOOTHING * (seconds - self._load_seconds)
                     return
                 self._announce(runner, model, version, WeightsPhase.LOADING)
+        except RunnerRestartedError:
+            self._state.note_restarted(runner, self._clock())
+            self._peers.restarted(runner.runner_id)
         except BackendError as error:
             logger.warning(
                 "runner not reached", extra=error_fields(error) | {"runner": runner.runner_id}
--- a/src/hillstack/emulator/fleet_cache.py
+++ b/src/hillstack/emulator/fleet_cache.py
@@ -26,6 +26,7 @@
     Attributes:
         epoch: Changes with each restart.
         lists: How often the whole list was asked for.
+        born: When its runner's process started, in Unix milliseconds; 0 if it does not say.
     """
 
     model: str
@@ -33,6 +34,7 @@
     held: dict[tuple[str, str], int] = field(default_factory=dict)
     events: list[tuple[int, str, str, str, int, str]] = field(default_factory=list)
     lists: int = 0
+    born: int = 0
 
     def read(self, salt: str, prompt_parts: str, usage: str) -> None:
         """Keep the parts of a prompt."""
@@ -67,7 +69,7 @@
     async def _list(self, request: Request) -> Response:
         self.lists += 1
         held = [(salt, part, tokens, self.model) for (salt, part), tokens in self.held.items()]
-        return _json(CacheListBody(self.epoch, len(self.events), held))
+        return _json(CacheListBody(self.epoch, len(self.events), held, self.born))
 
     async def _changes(self, request: Request) -> Response:
         since = int(request.query_params[names.SINCE_PARAMETER])
@@ -75,7 +77,8 @@
         while polls > 0 and len(self.events) <= since:
             await asyncio.sleep(POLL_SECONDS)
             polls -= 1
-        return _json(CacheEventsBody(self.epoch, len(self.events), False, self.events[since:]))
+        events = self.events[since:]
+        return _json(CacheEventsBody(self.epoch, len(self.events), False, events, self.born))
 
 
 def _json(body: object) -> Response:
--- a/src/hillstack/emulator/fleet_runner.py
+++ b/src/hillstack/emulator/fleet_runner.py
@@ -77,6 +77,7 @@
         software: Version of its software; empty if it does not say.
         work_seconds: How long it works on a request before it answers.
         running: Requests that it works on.
+        born: When its process started, in Unix milliseconds; 0 if it does not say.
     """
 
     runner_id: str
@@ -94,6 +95,7 @@
     software: str = ""
     work_seconds: float = 0.0
     running: int = 0
+    born: int = 0
     cache: FleetCache = field(init=False)
     _rng: Random = field(default_factory=lambda: Random(1))
 
@@ -103,9 +105,19 @@
     def entry(self, address: str, state: str = "ready") -> bytes:
         """Return its entry in the directory."""
         models = [ModelVersion(self.model, self.weights)] if self.model else []
-        body = RunnerBody(self.service, address, self.zone, 8, state, models, self.software)
+        body = RunnerBody(
+            self.service, address, self.zone, 8, state, models, self.software, self.born
+        )
         return msgspec.json.encode(body)
 
+    def restart(self, born: int) -> None:
+        """Start again under the same name: only the weights are those of the process before."""
+        self.born = born
+        self.orders = []
+        self.fence = 0
+        self.cache.restart()
+        self.cache.born = born
+
     def app(self) -> Starlette:
         """Return the HTTP application."""
         return Starlette(
@@ -126,7 +138,7 @@
         if self._is_misdirected(request):
             return self._misdirected()
         models = [ModelVersion(self.model, self.weights)]
-        body = ReportBody(models, busy=False, seq=len(self.orders))
+        body = ReportBody(models, busy=False, seq=len(self.orders), born=self.born)
         return Response(msgspec.json.encode(body), media_type="application/json")
 
     async def _order(self, request: Request) -> Response:
--- a/src/hillstack/errors.py
+++ b/src/hillstack/errors.py
@@ -72,6 +72,10 @@
     """A back end failed."""
 
 
+class RunnerRestartedError(BackendError):
+    """Another process of the same name answered: the one that was asked has ended."""
+
+
 class BackendRefusedError(BackendError):
     """The back end did not take the request; no byte of it was processed."""
 
--- a/src/hillstack/messages/peer_notices.py
+++ b/src/hillstack/messages/peer_notices.py
@@ -121,6 +121,7 @@
         reads: Numbers of the sender's placements whose prompts are read by now.
         runner_ends: Runners that ended while they worked on requests of the sender.
         rollouts: What the sender saw of rollouts of software that are under way.
+        restarted: Runners whose processes have ended, since later ones of their names answered.
     """
 
     protocol: int
@@ -137,6 +138,7 @@
     reads: list[int] = []
     runner_ends: list[RunnerEndNotice] = []
     rollouts: list[RolloutReport] = []
+    restarted: list[str] = []
 
     def is_news(self) -> bool:
         """Return whether it says more than that its sender is alive, and its loads."""
@@ -148,8 +150,9 @@
 
     def is_urgent(self) -> bool:
         """Return whether it says what is sent at once, and never only repeats it."""
-        lost = self.suspected or self.runner_ends or self.cache_lost or self.unavailable
-        return bool(self.weights or lost)
+        ended = self.suspected or self.restarted or self.runner_ends
+        lost = self.cache_lost or self.unavailable
+        return bool(self.weights or ended or lost)
 
 
 # Reads without a tree of plain values in between, which took a third longer: a node of 79 reads 600
--- a/src/hillstack/platform/bodies.py
+++ b/src/hillstack/platform/bodies.py
@@ -112,12 +112,14 @@
 
     service: str
     address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
+    zone: str
+    slots: int
+    state: str
     models: list[ModelVersion] = []
     # Of the runner's software, not of its weights.
     version: str = ""
+    # When its process started, in Unix milliseconds; 0 where it is not told.
+    born: int = 0
 
 
 class WeightsBody(msgspec.Struct):
@@ -176,6 +178,7 @@
     next_token: int
     lost: bool = False
     events: list[tuple[int, str, str, str, int, str]] = []
+    born: int = 0
 
 
 class CacheListBody(msgspec.Struct):
@@ -184,6 +187,7 @@
     epoch: int
     next_token: int
     held: list[tuple[str, str, int, str]] = []
+    born: int = 0
 
 
 class StoreItem(msgspec.Struct):
@@ -274,3 +278,4 @@
     seq: int = 0
     queued: int = 0
     running: int = 0
+    born: int = 0
--- a/src/hillstack/platform/cache_feed.py
+++ b/src/hillstack/platform/cache_feed.py
@@ -14,6 +14,7 @@
 from hillstack.platform import names
 from hillstack.platform.bodies import CacheEventsBody, CacheListBody
 from hillstack.platform.connections import Question, ask
+from hillstack.platform.incarnations import check_process, instance_of
 
 OK = 200
 # A list of thousands of parts, at a runner that is at work.
@@ -44,6 +45,7 @@
             "GET", holder.address, names.CACHE_LIST_PATH, LIST_LIMIT_SECONDS, _headers(holder)
         )
         body = await self._ask(question, CacheListBody)
+        _check_process(holder, body.born)
         entries = [
             CacheEntry(salt, PromptPart(part_id, tokens)) for salt, part_id, tokens, _ in body.held
         ]
@@ -61,6 +63,7 @@
         body = await self._ask(
             Question("GET", holder.address, path, limit, headers), CacheEventsBody
         )
+        _check_process(holder, body.born)
         entries = [
             CacheEntry(salt, PromptPart(part_id, tokens))
             for _, _, salt, part_id, tokens, _ in body.events
@@ -80,5 +83,11 @@
             ) from error
 
 
+def _check_process(holder: CacheHolder, born: int) -> None:
+    """Raise if another process than the one that is watched has answered; stores have no name."""
+    if not holder.is_store:
+        check_process(holder.holder_id, born, "cache feed")
+
+
 def _headers(holder: CacheHolder) -> dict[str, str]:
-    return {} if holder.is_store else {names.EXPECT_INSTANCE: holder.holder_id}
+    return {} if holder.is_store else {names.EXPECT_INSTANCE: instance_of(holder.holder_id)}
--- a/src/hillstack/platform/formats.py
+++ b/src/hillstack/platform/formats.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from hillstack.addresses import is_address
 from hillstack.core.part_index import PromptPart
 from hillstack.core.prompt_shape import PromptShape
 from hillstack.core.routing_table import (
@@ -38,6 +39,7 @@
     TenantBody,
     WeightsBody,
 )
+from hillstack.platform.incarnations import runner_id_of
 from hillstack.serving.fleet_state import (
     ConfigurationChanged,
     DutyHeld,
@@ -60,6 +62,10 @@
 }
 KINDS = {"safe": RouteKind.SAFE, "unsafe": RouteKind.UNSAFE, "streaming": RouteKind.STREAM}
 DRAINING = "draining"
+# What does not fit these was not written by a runner: 32 bits, and the end of the year 9999.
+MOST_SLOTS = 2**31 - 1
+LATEST_START_MS = 253_402_300_799_999
+STATES = frozenset({"ready", DRAINING})
 
 Body = TypeVar("Body")
 
@@ -75,15 +81,17 @@
     if key == names.DUTY_KEY:
         return DutyHeld(value.decode(errors="replace") if value is not None else None)
     if key.startswith(names.RUNNERS_PREFIX):
-        runner_id = key[len(names.RUNNERS_PREFIX) :]
+        instance = key[len(names.RUNNERS_PREFIX) :]
         if value is None:
-            return RunnerUnlisted(runner_id, item.revision)
-        return _runner(runner_id, _decode(item, value, RunnerBody), item.revision)
+            return RunnerUnlisted(instance, item.revision)
+        return _runner(instance, item, value)
     if key.startswith(names.NODES_PREFIX):
         node_id = key[len(names.NODES_PREFIX) :]
         if value is None:
             return NodeUnlisted(node_id)
         node = _decode(item, value, NodeBody)
+        if not node_id or not is_address(node.address):
+            raise PlatformError(f"address {node.address!r}", step="read node", peer=item.key)
         return NodeListed(node_id, node.address, node.zone, item.revision, node.link_megabits)
     if key.startswith(names.ROLLOUTS_PREFIX):
         service = key[len(names.ROLLOUTS_PREFIX) :]
@@ -162,18 +170,27 @@
         raise PlatformError(str(error), step="decode item", peer=item.key) from error
 
 
-def _runner(runner_id: str, body: RunnerBody, revision: int) -> RunnerListed:
+def _runner(instance: str, item: StoredItem, value: bytes) -> RunnerListed:
+    body = _decode(item, value, RunnerBody)
+    if body.state not in STATES:
+        raise PlatformError(f"state {body.state!r}", step="read runner", peer=item.key)
+    is_whole = 0 <= body.slots <= MOST_SLOTS and 0 <= body.born <= LATEST_START_MS
+    if not instance or not is_address(body.address) or not is_whole:
+        text = f"address {body.address!r}, slots {body.slots}, born {body.born}"
+        raise PlatformError(text, step="read runner", peer=item.key)
     weights = {model.name: model.version for model in body.models if model.version}
     entry = RunnerEntry(
-        runner_id=runner_id,
+        runner_id=runner_id_of(instance, body.born),
         service=body.service,
         address=body.address,
         zone=body.zone,
         slots=body.slots,
         draining=body.state == DRAINING,
         weights=weights,
-        revision=revision,
+        revision=item.revision,
         software=body.version,
+        listed_as=instance,
+        started_ms=body.born,
     )
     return RunnerListed(entry)
 
--- a/src/hillstack/platform/runners.py
+++ b/src/hillstack/platform/runners.py
@@ -18,6 +18,7 @@
 from hillstack.platform import names
 from hillstack.platform.bodies import OrderBody, ReportBody
 from hillstack.platform.connections import Question, ask
+from hillstack.platform.incarnations import check_process, instance_of
 from hillstack.serving.types import (
     Dispatch,
     HeaderList,
@@ -149,7 +150,7 @@
         Raises:
             BackendError: It can't be had.
         """
-        headers = {names.EXPECT_INSTANCE: runner_id}
+        headers = {names.EXPECT_INSTANCE: instance_of(runner_id)}
         question = Question("GET", address, names.REPORT_PATH, REPORT_LIMIT_SECONDS, headers)
         raw, status = await ask(self._session, question)
         if status != OK:
@@ -158,6 +159,7 @@
             body = msgspec.json.decode(raw, type=ReportBody)
         except msgspec.MsgspecError as error:
             raise BackendError(str(error), step="decode report", peer=runner_id) from error
+        check_process(runner_id, body.born, "report")
         weights = {model.name: model.version for model in body.models}
         return RunnerReport(weights, body.busy, body.seq)
 
@@ -178,7 +180,7 @@
         )
         headers = {
             "Content-Type": "application/json",
-            names.EXPECT_INSTANCE: order.runner_id,
+            names.EXPECT_INSTANCE: instance_of(order.runner_id),
         }
         data = msgspec.json.encode(body)
         question = Question(
@@ -202,7 +204,7 @@
             raise BackendBrokenError(text, step="await answer", peer=peer)
         cause = RefusalCause.FULL
         if status == MISDIRECTED:
-            other = instance is not None and instance != dispatch.runner_id
+            other = instance is not None and instance != instance_of(dispatch.runner_id)
             cause = RefusalCause.OTHER_INSTANCE if other else RefusalCause.OTHER_WEIGHTS
         raise RunnerRefusedError(
             f"status {status}",
@@ -238,7 +240,7 @@
     headers = [(name.decode("latin-1"), value.decode("latin-1")) for name, value in request.headers]
     headers.append((names.REQUEST_ID, request.request_id))
     headers.append((names.DEADLINE, str(max(1, int(dispatch.remaining_seconds * 1000)))))
-    headers.append((names.EXPECT_INSTANCE, dispatch.runner_id))
+    headers.append((names.EXPECT_INSTANCE, instance_of(dispatch.runner_id)))
     optional = (
         (names.TENANT, dispatch.tenant),
         (names.PRIORITY, dispatch.priority),
--- a/src/hillstack/platform/store.py
+++ b/src/hillstack/platform/store.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import base64
-import binascii
-import logging
 import urllib.parse
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -24,7 +22,6 @@
     PlatformThrottledError,
     PlatformUnavailableError,
 )
-from hillstack.logs import error_fields
 from hillstack.platform import names
 from hillstack.platform.bodies import (
     KeyRevision,
@@ -47,10 +44,9 @@
     rollout_duty_key,
     rollout_lines,
 )
+from hillstack.platform.unreadable import UnreadableItems
 from hillstack.serving.fleet_state import RolloutRecorded, StoreEvent
 
-logger = logging.getLogger(__name__)
-
 OK = 200
 NOT_FOUND = 404
 GONE = 410
@@ -96,9 +92,16 @@
     Args:
         address: ``IP:PORT``.
         session: HTTP session of ``make_store_session``; not closed here.
+        on_unreadable: Called for each item that can't be read.
     """
 
-    def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self,
+        address: str,
+        session: aiohttp.ClientSession,
+        on_unreadable: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._unreadable = UnreadableItems(on_unreadable)
         self._base = f"http://{address}"
         self._address = address
         self._session = session
@@ -153,11 +156,7 @@
         return Changes(changes, max(revision, body.at))
 
     def read_items(self, items: Iterable[StoredItem]) -> list[StoreChange]:
-        """Return what items mean; one that can't be read is passed over, and told.
-
-        Raises:
-            PlatformError: It is the configuration: keys may have been taken away in it.
-        """
+        """Return what items mean; one that can't be read is told, and the others hold."""
         return [StoreChange(item, self._event(item)) for item in items]
 
     def listed(self, keys: Iterable[str]) -> ListedKeys:
@@ -285,15 +284,13 @@
         await self._call("DELETE", f"{names.LEASE_END_PATH}/{lease_id}", "end lease")
 
     def _event(self, item: StoredItem) -> StoreEvent | None:
+        """Return what an item means; one that can't be read counts as removed."""
         try:
             return to_event(item)
         except PlatformError as error:
-            if item.key == names.CONFIGURATION_KEY:
-                raise
-            logger.error(
-                "item passed over", extra=error_fields(error) | {"revision": item.revision}
-            )
-            return None
+            self._unreadable.note(item, error)
+            # Without a value a configuration means nothing: the last good one stays in force.
+            return to_event(StoredItem(item.key, item.revision, None))
 
     def _decode(self, raw: bytes, kind: type[Body]) -> Body:
         try:
@@ -353,8 +350,7 @@
         return StoredItem(item.key, item.rev, None)
     try:
         return StoredItem(item.key, item.rev, base64.b64decode(item.value, validate=True))
-    except binascii.Error:
-        logger.error("value not in base64", extra={"item": item.key, "revision": item.rev})
+    except ValueError:
         return StoredItem(item.key, item.rev, UNREADABLE_VALUE)
 
 
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -50,13 +50,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RunnerUnlisted:
-    """The directory no longer lists a runner.
+    """The directory no longer lists a runner, or its entry can't be read.
 
     Attributes:
+        listed_as: Its name in the directory, which several processes may have had.
         revision: Of the removal; an entry with a later one stands. None if it is not known.
     """
 
-    runner_id: str
+    listed_as: str
     revision: int | None = None
 
 
@@ -211,8 +212,8 @@
                 self._adopt(table)
             case RunnerListed(entry):
                 self._list_runner(entry, now)
-            case RunnerUnlisted(runner_id, revision):
-                self._take_removal(runner_id, revision, now)
+            case RunnerUnlisted(listed_as, revision):
+                self._take_removal(listed_as, revision, now)
             case WeightsNamed(model, version):
                 if self.note_weights_named(model, version, not_before, "store", now):
                     self._on_weights_named()
@@ -274,7 +275,7 @@
     def retain_runners(self, listed: set[str], now: float, revision: int) -> None:
         """Drop the runners that a whole list of the directory, as of a revision, no longer has."""
         for runner in self.pool.all():
-            if runner.runner_id in listed or runner.entry.revision > revision:
+            if runner.entry.directory_name in listed or runner.entry.revision > revision:
                 continue
             if runner.unlisted_until is None:
                 self._unlist_runner(runner.runner_id, now)
@@ -465,6 +466,13 @@
         self.exposure.set_node_count(count)
 
     def _list_runner(self, entry: RunnerEntry, now: float) -> None:
+        if self.pool.lacks_start(entry):
+            # Its process says when it started: this was written by something else.
+            self._take_removal(entry.directory_name, entry.revision, now)
+            return
+        other = self.pool.other_process(entry)
+        if other is not None:
+            self._replace_process(other, entry, now)
         known = self.pool.get(entry.runner_id) is not None
         runner = self.pool.update(entry)
         if runner is None:
@@ -483,17 +491,41 @@
         }
         logger.info("runner changed" if known else "runner listed", extra=fields)
 
+    def _replace_process(self, known: Runner, entry: RunnerEntry, now: float) -> None:
+        """Put another process in the place of the one that is known under a name.
+
+        One that seems to have started before may be that of a late write: the known one may live.
+        """
+        if entry.started_ms > known.entry.started_ms:
+            self.note_restarted(known, now)
+        else:
+            self.pool.unlist(known.runner_id, now, 0.0)
+
+    def note_restarted(self, runner: Runner, now: float) -> None:
+        """Note that a runner's process has ended, since a later one of its name was heard of.
+
+        Nothing that is believed of it holds for the next one, which is used once it is listed.
+        """
+        if self.pool.get(runner.runner_id) is None:
+            return
+        runner.has_ended = True
+        self.pool.unlist(runner.runner_id, now, 0.0)
+        self.index.forget(runner.runner_id)
+        logger.info("runner started again", extra={"runner": runner.runner_id})
+
     def _set_capacity(self, runner: Runner) -> None:
         engine = self.engine_of(runner.entry.service)
         if engine is not None:
             self.index.set_capacity(runner.runner_id, engine.kv_capacity_tokens)
 
-    def _take_removal(self, runner_id: str, revision: int | None, now: float) -> None:
-        runner = self.pool.get(runner_id)
-        if runner is not None and revision is not None and runner.entry.revision > revision:
+    def _take_removal(self, listed_as: str, revision: int | None, now: float) -> None:
+        runner = self.pool.listed_as(listed_as)
+        if runner is None:
+            return
+        if revision is not None and runner.entry.revision > revision:
             # It was listed again since, and that was heard first.
             return
-        self._unlist_runner(runner_id, now)
+        self._unlist_runner(runner.runner_id, now)
 
     def _unlist_runner(self, runner_id: str, now: float) -> None:
         failed_ago = now - self._calls_failed_until
--- a/src/hillstack/serving/metrics.py
+++ b/src/hillstack/serving/metrics.py
@@ -45,6 +45,11 @@
         self.fetches = self._counter("cache_fetches", "Fetches of cached parts.", "distance")
         self.store_errors = self._counter("store_errors", "Failed calls to the store.", "step")
         self.orders = self._counter("weights_orders", "Orders for weights by outcome.", "outcome")
+        self.unreadable_items = Counter(
+            "hillstack_unreadable_items",
+            "Items of the store that can't be read, once each revision.",
+            registry=self.registry,
+        )
         self.older_weights = self._counter(
             "older_weights_begins",
             "Requests that began on weights older than the newest, by whether it was too late.",
--- a/tests/fleet/test_cache_follower.py
+++ b/tests/fleet/test_cache_follower.py
@@ -19,7 +19,7 @@
     CacheFollower,
     CacheListing,
 )
-from hillstack.errors import BackendError, BackendRefusedError
+from hillstack.errors import BackendError, BackendRefusedError, RunnerRestartedError
 from hillstack.serving.fleet_state import FleetState, NodeListed
 from hillstack.serving.start_gate import StartGate
 from hillstack.simulation.virtual_loop import Scheduler
@@ -84,6 +84,7 @@
     lost: list[str] = field(default_factory=list)
     unavailable: list[str] = field(default_factory=list)
     sent: list[tuple[str, str, int]] = field(default_factory=list)
+    ended: list[str] = field(default_factory=list)
 
     def live_zones(self) -> dict[str, str]:
         return self.zones
@@ -97,6 +98,9 @@
     def cache_lost(self, holder_id: str) -> None:
         self.lost.append(holder_id)
 
+    def restarted(self, runner_id: str) -> None:
+        self.ended.append(runner_id)
+
     def store_unavailable(self, address: str) -> None:
         self.unavailable.append(address)
 
@@ -381,3 +385,19 @@
     assert bench.believed(STORE.address, "came") == 600
     assert bench.believed(STORE.address, "lost") == 0
     assert bench.peers.told == [(STORE.address, "lost", 0)]
+
+
+def test_a_holder_whose_process_was_followed_by_another_is_told_to_have_ended(
+    bench: Bench,
+) -> None:
+    bench.feed.holders["i-1"].held = {"a": 4_000}
+    bench.run(1.0)
+    error = RunnerRestartedError("another process", step="cache feed", peer="i-1")
+    bench.feed.holders["i-1"].failure = error
+    bench.run(1.0)
+    assert bench.peers.ended == ["i-1"]
+    assert bench.state.pool.get("i-1") is None
+    assert bench.believed("i-1", "a") == 0
+    calls = bench.feed.holders["i-1"].calls
+    bench.run(3.0)
+    assert bench.feed.holders["i-1"].calls == calls
--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -14,6 +14,7 @@
 from hillstack.core.part_index import PromptPart
 from hillstack.core.routing_table import KeptCacheStore, RouteKind, ServiceShare, TenantEntry
 from hillstack.core.runner_load import OwnAttempt
+from hillstack.core.runner_pool import Runner
 from hillstack.core.shared_retry_budget import SharedRetryBudget
 from hillstack.core.tenant_limits import LimitUnit, TenantLimit
 from hillstack.errors import BackendBrokenError
@@ -926,3 +927,22 @@
         assert fields["named_seconds_ago"] >= 1.0
         total = fields["named_seconds_ago"] + fields["due_in_seconds"]
         assert total == pytest.approx(VERSION_GRACE, abs=0.002)
+
+
+def test_an_attempt_at_a_process_that_has_ended_goes_on_at_another_runner() -> None:
+    # Its connection says nothing, as where the machine went down with the process; the runner is
+    # back under its name long before the silence would be noticed.
+    behave = breaks_off_then(answers(EVENTS[0], 100.0), answers(*EVENTS[1:]))
+    bench = make_stream_bench(i_1=behave, i_22=behave)
+    first: list[Runner] = []
+
+    async def end_first() -> None:
+        await asyncio.sleep(0.1)
+        first.extend(r for r in bench.state.pool.all() if len(r.attempts))
+        bench.state.note_restarted(first[0], bench.scheduler.now)
+
+    bench.scheduler.spawn(bench.scheduler.new_loop(), end_first())
+    sink, error = bench.serve(stream_request(), within=0.5)
+    assert error is None and len(first) == 1
+    assert (sink.body, sink.heads, sink.finished) == (b"".join(EVENTS), 1, True)
+    assert bench.client.answers[0].closed
--- a/tests/fleet/test_weights_rollout_duty.py
+++ b/tests/fleet/test_weights_rollout_duty.py
@@ -28,6 +28,7 @@
     BackendError,
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
+    RunnerRestartedError,
 )
 from hillstack.serving.fleet_state import FleetState, WeightsNamed
 from hillstack.simulation.virtual_loop import Scheduler
@@ -106,11 +107,14 @@
     target: dict[str, int] = field(default_factory=dict)
     orders: list[tuple[float, WeightsOrder]] = field(default_factory=list)
     replaced: set[str] = field(default_factory=set)
+    restarted: set[str] = field(default_factory=set)
     lose: int = 0
     late: float | None = None
     loading_most: int = 0
 
     async def report(self, runner_id: str, address: str) -> RunnerReport:
+        if runner_id in self.restarted:
+            raise RunnerRestartedError("another process", step="report", peer=runner_id)
         self._settle(runner_id)
         busy = self.scheduler.now < self.busy_until.get(runner_id, 0.0)
         weights = {MODEL: self.weights[runner_id]}
@@ -402,3 +406,23 @@
     others = {runner: version for runner, version in settled(bench).items() if runner != "i-0"}
     assert set(others.values()) == {2}
     bench.scheduler.close()
+
+
+def test_a_process_that_has_ended_is_not_ordered_and_the_peers_are_told(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    bench = Bench(count=2)
+    node, other = bench.add_node("node-1"), bench.add_node("node-2")
+    told: list[str] = []
+    for each in (node, other):
+        monkeypatch.setattr(each.peers, "restarted", told.append)
+    bench.run(4.0)
+    bench.runners.restarted = {"i-1"}
+    bench.name_weights(2, node, other)
+    bench.run(3.0)
+    assert settled(bench)["i-0"] == 2
+    assert {order.runner_id for _, order in bench.runners.orders} == {"i-0"}
+    assert told == ["i-1"]
+    holder = node if node.duty._lease.fence() is not None else other
+    assert holder.state.pool.get("i-1") is None
+    bench.scheduler.close()
--- a/tests/processes/fault_proxy.py
+++ b/tests/processes/fault_proxy.py
@@ -101,6 +101,10 @@
         self.states[name].ended = True
         self._loop.call_soon_threadsafe(self._break_connections, name)
 
+    def begin_again(self, name: str) -> None:
+        """Let a process listen again behind an address whose process had ended."""
+        self.states[name].ended = False
+
     def close(self) -> None:
         """End all connections and stop the thread."""
         asyncio.run_coroutine_threadsafe(self._end_connections(), self._loop).result(10)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,6 +9,7 @@
 from random import SystemRandom
 
 from tests.soak.fault_series import FAULTS
+from tests.soak.restart_faults import RESTART_FAULTS
 from tests.soak.soak import SoakPlan, SoakResult, run
 from tests.soak.system import NODE_COUNT
 from tests.soak.weights_faults import WEIGHTS_FAULTS
@@ -18,7 +19,7 @@
 
 def main() -> int:
     """Run the soaks and return the exit code."""
-    faults = {fault.__name__: fault for fault in FAULTS + WEIGHTS_FAULTS}
+    faults = {fault.__name__: fault for fault in FAULTS + WEIGHTS_FAULTS + RESTART_FAULTS}
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=60.0, help="faults of one soak")
     parser.add_argument("--soaks", type=int, default=1, help="number of soaks")
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -85,6 +85,12 @@
             self._observations.runner_ends.append(RunnerEnd(fatal, self.runner_id, now))
             self._end(self.runner_id)
 
+    def restart(self, born: int) -> None:
+        """Start again under the same name, with orders of its own."""
+        super().restart(born)
+        self._ended = False
+        self._observations.orders[f"{self.runner_id} of {born}"] = self.orders
+
     async def _stream(self, request_id: str, after: int) -> AsyncIterator[bytes]:
         self.streams.add(request_id)
         try:
@@ -277,6 +283,7 @@
         runner_id = f"i-{self._runner_count}"
         version = self.software.usable(service, software)
         runner = ObservedRunner(runner_id, service, version, self.observations, self._end_runner)
+        runner.born = runner.cache.born = unix_milliseconds()
         runner.weights = self.weights
         runner.zone = self._zone_of(runner_id)
         runner.faults.software = self.software.faults(version)
@@ -305,6 +312,18 @@
         self.remove_runner(runner_id)
         self.proxy.end(runner_id)
 
+    async def restart_runner(self, runner_id: str, seconds: float) -> None:
+        """End a runner's process, and start the next one under its name a while later."""
+        runner = self.deployment.runners[runner_id]
+        with self.trouble(runner_id):
+            self.proxy.end(runner_id)
+            await asyncio.sleep(seconds)
+            if runner_id not in self._members:
+                return
+            runner.restart(max(runner.born + 1, unix_milliseconds()))
+            self.proxy.begin_again(runner_id)
+            self.list_again(runner_id)
+
     async def successors_listed(self) -> None:
         """Wait until a new runner is listed for each that was ended by a request."""
         await asyncio.gather(*self._successors)
@@ -406,3 +425,8 @@
     """Send a signal to a process, if it runs."""
     if process.poll() is None:
         process.send_signal(number)
+
+
+def unix_milliseconds() -> int:
+    """Return the time of day as runners tell it."""
+    return time.time_ns() // 1_000_000
