When weights were named counts from moments proved by the store's revision

Where a watch did not show it, as before its history is lost, later looks seemed to prove that it was not there yet, and the bound lay that much too late, 3 s in a test. Change: each answer proves that the store's revision was no higher when it was asked for; a version was named after the last such moment that is below its own revision, whoever tells of it.

--- a/src/hillstack/core/weights_versions.py
+++ b/src/hillstack/core/weights_versions.py
@@ -44,22 +44,29 @@
             after an outage, and for a node that has just started. Never told to others.
         told_by: Who knows ``acknowledged_after``: this node by its own looks, or a peer.
         cause: What ``not_before`` was last set or moved by.
+        revision: Of the store's item that names it; a peer needs it to say when that was.
     """
 
     version: int
     acknowledged_after: float
-    not_before: float
+    not_before: float = -math.inf
     told_by: str = ""
     cause: BoundCause = BoundCause.NAMED
+    revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class NamedVersion:
-    """A version of a model's weights that was acknowledged no earlier than a time."""
+    """A version of a model's weights that was acknowledged no earlier than a time.
+
+    Attributes:
+        revision: Of the store's item that names it.
+    """
 
     model: str
     version: int
     acknowledged_after: float
+    revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,31 +95,21 @@
         self.grace = grace_seconds
         self._announced: dict[str, list[Announcement]] = {}
 
-    def announce(
-        self,
-        model: str,
-        version: int,
-        acknowledged_after: float,
-        not_before: float = -math.inf,
-        told_by: str = "",
-        cause: BoundCause = BoundCause.START,
-    ) -> bool:
+    def announce(self, model: str, announcement: Announcement) -> bool:
         """Note a version; return whether it is newer than all known ones.
 
         Args:
             model: The model.
-            version: The version.
-            acknowledged_after: It was acknowledged no earlier.
-            not_before: The bound counts from there on, if that is later.
-            told_by: Who knows ``acknowledged_after``.
-            cause: Why the bound counts from ``not_before`` on, if that is later.
+            announcement: The version. Its bound counts from when it was acknowledged at the
+                earliest, whatever ``not_before`` says.
         """
         known = self._announced.setdefault(model, [])
-        if known and known[-1].version >= version:
+        if known and known[-1].version >= announcement.version:
             return False
-        if not_before <= acknowledged_after:
-            not_before, cause = acknowledged_after, BoundCause.NAMED
-        known.append(Announcement(version, acknowledged_after, not_before, told_by, cause))
+        after = announcement.acknowledged_after
+        if announcement.not_before <= after:
+            announcement = replace(announcement, not_before=after, cause=BoundCause.NAMED)
+        known.append(announcement)
         return True
 
     def narrow(self, named: NamedVersion, told_by: str = "") -> list[BoundMove]:
@@ -133,7 +130,7 @@
     def recent(self, now: float) -> list[NamedVersion]:
         """Return the versions that were named so lately that older ones may still be in use."""
         return [
-            NamedVersion(model, entry.version, entry.acknowledged_after)
+            NamedVersion(model, entry.version, entry.acknowledged_after, entry.revision)
             for model, known in self._announced.items()
             for entry in known
             if now - entry.acknowledged_after < self.grace
--- a/src/hillstack/daemon/notice_reader.py
+++ b/src/hillstack/daemon/notice_reader.py
@@ -16,7 +16,7 @@
 )
 from hillstack.messages.rollout_reports import RolloutReport
 from hillstack.messages.runner_ends import RunnerEndNotice
-from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.fleet_state import FleetState, WeightsNamed
 
 logger = logging.getLogger(__name__)
 
@@ -112,13 +112,14 @@
     def _take_announcement(self, peer: str, entry: AnnouncementNotice, now: float) -> None:
         """Take over that a version was named, before the store is asked again.
 
-        It was named after what this node knows of the store, which is without it. When the peer
-        takes it to be named would be late by the word's way.
+        It was named after each moment up to which this node knows the store to have been without
+        it. When the peer takes it to be named would be late by the word's way.
         """
         state = self._state
         if entry.version > state.versions.newest(entry.model):
-            not_before = state.freshness.proved_at()
-            state.note_weights_named(entry.model, entry.version, not_before, peer, now)
+            named = WeightsNamed(entry.model, entry.version, entry.revision)
+            not_before = state.proofs.latest_before(entry.revision)
+            state.note_weights_named(named, not_before, peer, now)
 
     def _take_cache(self, notice: NodeNotice, now: float) -> None:
         for holder_id in notice.cache_lost:
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -266,7 +266,7 @@
 
     def _recent_announcements(self) -> list[AnnouncementNotice]:
         named = self._state.versions.recent(self._clock())
-        return [AnnouncementNotice(entry.model, entry.version) for entry in named]
+        return [AnnouncementNotice(entry.model, entry.version, entry.revision) for entry in named]
 
     def _tell_announcements(self) -> None:
         self._outbox.set_announcements(self._recent_announcements())
--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -200,7 +200,7 @@
         self._log.load(items, snapshot.revision)
         self._retain([item.key for item in items], snapshot.revision)
         self._state.duty_known = True
-        self._state.freshness.prove(started_at)
+        self._state.note_proof(snapshot.revision, started_at)
         self._state.start_gate.open()
         return snapshot.revision
 
@@ -353,7 +353,7 @@
         self._note_source(None)
         self._apply(changes.changes)
         self._log.take([change.item for change in changes.changes], changes.revision)
-        self._state.freshness.prove(started_at)
+        self._state.note_proof(changes.revision, started_at)
         return changes.revision
 
     def _is_fresh(self, relayed: RelayedChanges) -> bool:
@@ -371,7 +371,7 @@
             self._log.retain(relayed.keys, relayed.revision)
             self._retain(relayed.keys, relayed.revision)
         self._take_named(relayed, self._source or "")
-        self._state.freshness.prove(relayed.proved_at)
+        self._state.note_proof(relayed.revision, relayed.proved_at)
         return max(revision, relayed.revision)
 
     def _take_outage(self, relayed: RelayedChanges) -> None:
@@ -406,10 +406,10 @@
         logger.info("store followed", extra={"by_way_of": node_id or "itself"})
 
     def _apply(self, changes: Iterable[StoreChange]) -> None:
-        not_before = self._state.freshness.proved_at()
         now = self._clock()
         for change in changes:
             if change.event is not None:
+                not_before = self._state.proofs.latest_before(change.item.revision)
                 self._state.apply(change.event, not_before, now)
 
     def _lost(self, error: PlatformError) -> None:
--- a/src/hillstack/messages/peer_notices.py
+++ b/src/hillstack/messages/peer_notices.py
@@ -86,10 +86,14 @@
 
     It does not say when: how late the word comes nobody knows. Who needs that asks
     (``store_changes.NamedWeights``).
+
+    Attributes:
+        revision: Of the store's item that names it.
     """
 
     model: str
     version: int
+    revision: int = 0
 
 
 class CacheNotice(msgspec.Struct, array_like=True, frozen=True):
--- a/src/hillstack/platform/formats.py
+++ b/src/hillstack/platform/formats.py
@@ -113,7 +113,7 @@
         return ConfigurationChanged(_table(_decode(item, value, ConfigurationBody)))
     if key.startswith(names.WEIGHTS_PREFIX):
         body = _decode(item, value, WeightsBody)
-        return WeightsNamed(body.model, body.version)
+        return WeightsNamed(body.model, body.version, item.revision)
     return None
 
 
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -17,11 +17,18 @@
 from hillstack.core.runner_pool import Runner, RunnerEntry, RunnerPool
 from hillstack.core.shared_retry_budget import SharedRetryBudget
 from hillstack.core.software_rollouts import RolloutOrder, RolloutRecord, SoftwareRollouts
+from hillstack.core.store_proofs import StoreProofs
 from hillstack.core.topology import ONE_REGION, Distance, Topology
 from hillstack.core.traffic_split import TrafficSplit
 from hillstack.core.version_arrivals import VersionArrivals
 from hillstack.core.version_exposure import VersionExposure
-from hillstack.core.weights_versions import BoundCause, BoundMove, NamedVersion, WeightsVersions
+from hillstack.core.weights_versions import (
+    Announcement,
+    BoundCause,
+    BoundMove,
+    NamedVersion,
+    WeightsVersions,
+)
 from hillstack.serving.start_gate import StartGate
 
 logger = logging.getLogger(__name__)
@@ -63,10 +70,11 @@
 
 @dataclass(frozen=True, slots=True)
 class WeightsNamed:
-    """The operator named a version of a model's weights."""
+    """The operator named a version of a model's weights, at a revision of the store."""
 
     model: str
     version: int
+    revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,6 +177,7 @@
         self.node_id = node_id
         self.topology = topology
         self.freshness = freshness
+        self.proofs = StoreProofs()
         self.versions = versions
         self.budget = budget
         self.table: RoutingTable | None = None
@@ -214,8 +223,8 @@
                 self._list_runner(entry, now)
             case RunnerUnlisted(listed_as, revision):
                 self._take_removal(listed_as, revision, now)
-            case WeightsNamed(model, version):
-                if self.note_weights_named(model, version, not_before, "store", now):
+            case WeightsNamed():
+                if self.note_weights_named(event, not_before, "store", now):
                     self._on_weights_named()
             case RolloutOrdered(order):
                 self._take_rollout_order(order, not_before, now)
@@ -233,14 +242,18 @@
             case RolloutDutyHeld(service, decider):
                 self.rollout_deciders[service] = decider
 
+    def note_proof(self, revision: int, proved_at: float) -> None:
+        """Note an answer of the store: its revision, and when it was asked for."""
+        self.freshness.prove(proved_at)
+        self.proofs.note(revision, proved_at)
+
     def note_weights_named(
-        self, model: str, version: int, not_before: float, source: str, now: float
+        self, event: WeightsNamed, not_before: float, source: str, now: float
     ) -> bool:
         """Note that a version was named, no earlier than a time; return whether that is news.
 
         Args:
-            model: The model.
-            version: The version.
+            event: The version.
             not_before: It was acknowledged no earlier.
             source: Who says so: the store, or the name of a peer.
             now: Time on the node's clock.
@@ -248,12 +261,15 @@
         started_at = self.unjudged_until - self.versions.grace
         counts_from = max(started_at, self._outage_until)
         cause = BoundCause.OUTAGE if counts_from > started_at else BoundCause.START
-        if not self.versions.announce(model, version, not_before, counts_from, source, cause):
+        announcement = Announcement(
+            event.version, not_before, counts_from, source, cause, event.revision
+        )
+        if not self.versions.announce(event.model, announcement):
             return False
-        named = self.versions.announcements(model)[-1]
+        named = self.versions.announcements(event.model)[-1]
         fields = {
-            "model": model,
-            "version": version,
+            "model": event.model,
+            "version": event.version,
             "source": source,
             "named_seconds_ago": _rounded(now - named.acknowledged_after),
             "due_in_seconds": _rounded(named.not_before + self.versions.grace - now),
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -21,8 +21,9 @@
 from hillstack.core.planned_stop import ACCEPT_SECONDS, LATE_REQUEST_SECONDS, PlannedStop
 from hillstack.core.routing_table import RouteKind, ServiceShare
 from hillstack.core.shared_retry_budget import SharedRetryBudget
+from hillstack.core.store_proofs import StoreProofs
 from hillstack.core.traffic_split import TrafficSplit
-from hillstack.core.weights_versions import NamedVersion, WeightsVersions
+from hillstack.core.weights_versions import Announcement, NamedVersion, WeightsVersions
 from hillstack.platform.formats import parse_shape
 from tests.fleet.builders import ENGINES, HOST, make_route, make_table
 
@@ -112,9 +113,9 @@
 
 def test_versions_only_rise_and_bind_after_their_grace() -> None:
     versions = WeightsVersions(7.6)
-    assert versions.announce("m", 2, 1.0)
-    assert not versions.announce("m", 1, 2.0)
-    assert versions.announce("m", 4, 5.0)
+    assert versions.announce("m", Announcement(2, 1.0))
+    assert not versions.announce("m", Announcement(1, 2.0))
+    assert versions.announce("m", Announcement(4, 5.0))
     assert versions.newest("m") == 4
     assert versions.oldest_allowed("m", 8.5) == 0
     assert versions.oldest_allowed("m", 8.6) == 2
@@ -165,8 +166,8 @@
 
 def test_peers_narrow_when_a_version_was_named_but_never_widen_it() -> None:
     versions = WeightsVersions(7.6)
-    versions.announce("m", 2, 1.0)
-    versions.announce("m", 4, 5.0)
+    versions.announce("m", Announcement(2, 1.0))
+    versions.announce("m", Announcement(4, 5.0))
     versions.narrow(NamedVersion("m", 4, 6.0))
     versions.narrow(NamedVersion("m", 4, 3.0))
     assert [entry.not_before for entry in versions.announcements("m")] == [1.0, 6.0]
@@ -262,3 +263,26 @@
             durations.add(seconds)
         expected = max(SHORTEST_SECONDS, OVERDUE_FACTOR * seconds)
         assert durations.overdue_seconds() == pytest.approx(expected)
+
+
+looks_at_the_store = st.lists(
+    st.tuples(st.integers(0, 3), st.floats(0.0, 2.0), st.floats(0.0, 5.0)), max_size=40
+)
+
+
+@given(looks_at_the_store)
+def test_a_change_was_made_after_each_moment_that_is_proved_to_lie_before_it(
+    looks: list[tuple[int, float, float]],
+) -> None:
+    proofs = StoreProofs()
+    now, revision = 0.0, 5
+    made_at: dict[int, float] = {}
+    for changes, pause, took in looks:
+        now += pause
+        for _ in range(changes):
+            revision += 1
+            made_at[revision] = now
+        # Asked a while ago, beside others perhaps; the answer tells the revision of its own moment.
+        proofs.note(revision, now - took)
+        for made, at in made_at.items():
+            assert proofs.latest_before(made) <= at
--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -917,7 +917,7 @@
     messages = ["sent on older weights", "began on older weights"]
     assert not [record for record in caplog.records if record.getMessage() in messages]
     now = bench.scheduler.now
-    bench.state.note_weights_named(MODEL, 2, now - 1.0, "node-7", now)
+    bench.state.note_weights_named(WeightsNamed(MODEL, 2), now - 1.0, "node-7", now)
     bench.serve(stream_request(request_id="r-2"))
     told = [vars(record) for record in caplog.records if record.getMessage() in messages]
     assert [fields["msg"] for fields in told] == messages
--- a/tests/fleet/test_rollout.py
+++ b/tests/fleet/test_rollout.py
@@ -10,7 +10,7 @@
 from hillstack.core.runner_load import OwnAttempt
 from hillstack.core.runner_pool import Runner
 from hillstack.core.weights_rollout import START_DELAY_SECONDS, RolloutPlan, RolloutView
-from hillstack.core.weights_versions import WeightsVersions
+from hillstack.core.weights_versions import Announcement, WeightsVersions
 from tests.fleet.builders import ENGINES, MODEL, make_entry
 
 GRACE = 7.6
@@ -24,8 +24,8 @@
 
 def make_plan() -> tuple[RolloutPlan, WeightsVersions]:
     versions = WeightsVersions(GRACE)
-    versions.announce(MODEL, 1, -100.0)
-    versions.announce(MODEL, 2, 0.0)
+    versions.announce(MODEL, Announcement(1, -100.0))
+    versions.announce(MODEL, Announcement(2, 0.0))
     return RolloutPlan(MODEL, versions), versions
 
 
--- a/tests/fleet/test_store_sync.py
+++ b/tests/fleet/test_store_sync.py
@@ -86,6 +86,8 @@
     history: list[StoreChange] = field(default_factory=list)
     revision: int = 0
     silent_looks: int = 0
+    # Changes are made, and watches hear nothing of them.
+    is_deaf: bool = False
 
     async def snapshot(self, *, may_be_old: bool = False) -> Snapshot:
         self.calls += 1
@@ -104,6 +106,11 @@
             self.silent_looks -= 1
             await asyncio.sleep(wait_seconds + CALL_LIMIT_SECONDS)
             raise PlatformOutcomeUnknownError("no answer", step="watch", peer="store")
+        if self.is_deaf:
+            heard = len(self.history)
+            self._carry_out_pending()
+            del self.history[heard:]
+            return Changes([], self.revision)
         self._carry_out_pending()
         news = [change for change in self.history if change.item.revision > revision]
         return Changes(news, self.revision)
@@ -381,6 +388,24 @@
     assert bench.state.versions.named_after(MODEL, 4) == proved_at
 
 
+def test_a_version_that_a_watch_did_not_show_counts_from_before_it(bench: Bench) -> None:
+    # Watches hear nothing while changes are made, and the history is lost after that: the looks in
+    # between seem to prove that the version was not there yet.
+    bench.run(5.0)
+    proved_at = bench.state.freshness.proved_at()
+    bench.store.is_deaf = True
+    bench.store.pending = [WeightsNamed(MODEL, 5)]
+    bench.run(3.1)
+    assert bench.state.versions.newest(MODEL) == 1
+    bench.store.is_deaf = False
+    bench.store.failure = HistoryLostError("gone", step="watch", peer="store")
+    bench.run(1.1)
+    bench.store.failure = None
+    bench.run(1.1)
+    assert bench.state.versions.newest(MODEL) == 5
+    assert bench.state.versions.named_after(MODEL, 4) == proved_at
+
+
 def test_requests_wait_for_the_first_read_of_the_store_but_not_for_a_store_that_is_down() -> None:
     for failure in (None, PlatformUnavailableError("refused", step="list", peer="store")):
         state = FleetState("node-1", Freshness(4.0), WeightsVersions(8.0), make_budget())
--- a/tests/fleet/test_weights_sight.py
+++ b/tests/fleet/test_weights_sight.py
@@ -7,6 +7,7 @@
 import pytest
 
 from hillstack.core.weights_versions import BoundCause, NamedVersion
+from hillstack.serving.fleet_state import WeightsNamed
 from tests.fleet.builders import MODEL, VERSION_GRACE, make_route, make_state, make_table
 
 
@@ -19,7 +20,7 @@
 ) -> None:
     caplog.set_level(logging.INFO)
     state = make_state(make_table(make_route()))
-    state.note_weights_named(MODEL, 2, 10.0, "node-7", 10.5)
+    state.note_weights_named(WeightsNamed(MODEL, 2), 10.0, "node-7", 10.5)
     named = records(caplog, "weights named")[-1]
     assert named["source"] == "node-7"
     assert named["named_seconds_ago"] == 0.5
@@ -30,7 +31,7 @@
 def test_each_move_of_a_bound_is_told_with_its_cause(caplog: pytest.LogCaptureFixture) -> None:
     caplog.set_level(logging.INFO)
     state = make_state(make_table(make_route()))
-    state.note_weights_named(MODEL, 2, 10.0, "store", 10.5)
+    state.note_weights_named(WeightsNamed(MODEL, 2), 10.0, "store", 10.5)
     state.narrow_weights_named(NamedVersion(MODEL, 2, 10.75), "node-7", 11.0)
     state.narrow_weights_named(NamedVersion(MODEL, 2, 10.25), "node-8", 11.0)
     state.store_regained(13.0)
@@ -47,5 +48,5 @@
     caplog.set_level(logging.INFO)
     state = make_state(make_table(make_route()))
     state.store_regained(13.0)
-    state.note_weights_named(MODEL, 2, 10.0, "store", 13.5)
+    state.note_weights_named(WeightsNamed(MODEL, 2), 10.0, "store", 13.5)
     assert records(caplog, "weights named")[-1]["bound_by"] is BoundCause.OUTAGE
