Changes of the store have a module of their own; mutations of the new mechanisms

No change of logic. A bound that began again at one node is not told to others: tested through the answers that carry the times now.

--- a/src/hillstack/daemon/change_log.py
+++ b/src/hillstack/daemon/change_log.py
@@ -6,7 +6,7 @@
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
-from hillstack.serving.fleet_state import StoreEvent
+from hillstack.serving.store_events import StoreEvent
 
 # Removed keys are remembered while changes since before their removal may still be asked for. A
 # removal is a runner or a node that ends: this is more than a day of the largest deployment brings
--- a/src/hillstack/daemon/notice_reader.py
+++ b/src/hillstack/daemon/notice_reader.py
@@ -16,7 +16,8 @@
 )
 from hillstack.messages.rollout_reports import RolloutReport
 from hillstack.messages.runner_ends import RunnerEndNotice
-from hillstack.serving.fleet_state import FleetState, WeightsNamed
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.store_events import WeightsNamed
 
 logger = logging.getLogger(__name__)
 
--- a/src/hillstack/daemon/rollout_decider.py
+++ b/src/hillstack/daemon/rollout_decider.py
@@ -32,7 +32,8 @@
 )
 from hillstack.errors import PlatformError, PlatformOutcomeUnknownError
 from hillstack.logs import error_fields
-from hillstack.serving.fleet_state import FleetState, RolloutRecorded
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.store_events import RolloutRecorded
 
 logger = logging.getLogger(__name__)
 
--- a/src/hillstack/daemon/store_check.py
+++ b/src/hillstack/daemon/store_check.py
@@ -16,7 +16,8 @@
 from hillstack.daemon.store_sync import Peers, Store
 from hillstack.errors import PlatformError
 from hillstack.logs import error_fields
-from hillstack.serving.fleet_state import FleetState, RunnerListed
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.store_events import RunnerListed
 
 logger = logging.getLogger(__name__)
 
--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -24,7 +24,8 @@
     PlatformThrottledError,
 )
 from hillstack.logs import error_fields
-from hillstack.serving.fleet_state import DutyHeld, FleetState, NodeListed
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.store_events import DutyHeld, NodeListed
 
 logger = logging.getLogger(__name__)
 
--- a/src/hillstack/platform/formats.py
+++ b/src/hillstack/platform/formats.py
@@ -40,7 +40,7 @@
     WeightsBody,
 )
 from hillstack.platform.incarnations import runner_id_of
-from hillstack.serving.fleet_state import (
+from hillstack.serving.store_events import (
     ConfigurationChanged,
     DutyHeld,
     NodeListed,
--- a/src/hillstack/platform/rollouts.py
+++ b/src/hillstack/platform/rollouts.py
@@ -13,7 +13,7 @@
 from hillstack.platform import names
 from hillstack.platform.bodies import RolloutRecordBody, RolloutStatusBody
 from hillstack.platform.formats import to_event
-from hillstack.serving.fleet_state import RolloutOrdered, RolloutRecorded
+from hillstack.serving.store_events import RolloutOrdered, RolloutRecorded
 
 # While the traffic shifts the operator is told what it was told before: it is running.
 STATES = {
--- a/src/hillstack/platform/store.py
+++ b/src/hillstack/platform/store.py
@@ -45,7 +45,7 @@
     rollout_lines,
 )
 from hillstack.platform.unreadable import UnreadableItems
-from hillstack.serving.fleet_state import RolloutRecorded, StoreEvent
+from hillstack.serving.store_events import RolloutRecorded, StoreEvent
 
 OK = 200
 NOT_FOUND = 404
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -5,7 +5,6 @@
 import logging
 import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from hillstack.core.cache_watch import CacheHolder
 from hillstack.core.freshness import Freshness
@@ -30,6 +29,20 @@
     WeightsVersions,
 )
 from hillstack.serving.start_gate import StartGate
+from hillstack.serving.store_events import (
+    ConfigurationChanged,
+    DutyHeld,
+    NodeListed,
+    NodeUnlisted,
+    RolloutDutyHeld,
+    RolloutOrdered,
+    RolloutRecorded,
+    RolloutWithdrawn,
+    RunnerListed,
+    RunnerUnlisted,
+    StoreEvent,
+    WeightsNamed,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -41,112 +54,6 @@
 UNAVAILABLE_SECONDS = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationChanged:
-    """The operator wrote a configuration."""
-
-    table: RoutingTable
-
-
-@dataclass(frozen=True, slots=True)
-class RunnerListed:
-    """The directory lists a runner, or its entry changed."""
-
-    entry: RunnerEntry
-
-
-@dataclass(frozen=True, slots=True)
-class RunnerUnlisted:
-    """The directory no longer lists a runner, or its entry can't be read.
-
-    Attributes:
-        listed_as: Its name in the directory, which several processes may have had.
-        revision: Of the removal; an entry with a later one stands. None if it is not known.
-    """
-
-    listed_as: str
-    revision: int | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class WeightsNamed:
-    """The operator named a version of a model's weights, at a revision of the store."""
-
-    model: str
-    version: int
-    revision: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class RolloutOrdered:
-    """The operator ordered a rollout of software."""
-
-    order: RolloutOrder
-
-
-@dataclass(frozen=True, slots=True)
-class RolloutWithdrawn:
-    """The operator took the order of a rollout away, at a revision of the store."""
-
-    service: str
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class RolloutRecorded:
-    """The holder of a rollout wrote how far it is."""
-
-    record: RolloutRecord
-
-
-@dataclass(frozen=True, slots=True)
-class NodeListed:
-    """A node of this system has said where it listens for its peers, and in which zone it is."""
-
-    node_id: str
-    address: str
-    zone: str = ""
-    revision: int = 0
-    link_megabits: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class NodeUnlisted:
-    """A node was taken off the list, since its machine seems to be gone for good."""
-
-    node_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class DutyHeld:
-    """The duty of ordering weights is held, or is free when ``holder`` is None."""
-
-    holder: str | None
-
-
-@dataclass(frozen=True, slots=True)
-class RolloutDutyHeld:
-    """The duty of deciding a service's rollout is held, or is free when ``holder`` is None."""
-
-    service: str
-    holder: str | None
-
-
-StoreEvent = (
-    ConfigurationChanged
-    | RunnerListed
-    | RunnerUnlisted
-    | WeightsNamed
-    | RolloutOrdered
-    | RolloutWithdrawn
-    | RolloutRecorded
-    | NodeListed
-    | NodeUnlisted
-    | DutyHeld
-    | RolloutDutyHeld
-)
-
-
 class FleetState:
     """The beliefs of one node, changed by what the store, peers and requests show.
 
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -21,12 +21,8 @@
 from hillstack.core.runner_pool import RunnerEntry
 from hillstack.core.shared_retry_budget import SharedRetryBudget
 from hillstack.core.weights_versions import WeightsVersions
-from hillstack.serving.fleet_state import (
-    ConfigurationChanged,
-    FleetState,
-    RunnerListed,
-    WeightsNamed,
-)
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.store_events import ConfigurationChanged, RunnerListed, WeightsNamed
 from hillstack.serving.types import ServingRequest
 
 HOST = "host.example"
--- a/tests/fleet/rollout_bench.py
+++ b/tests/fleet/rollout_bench.py
@@ -16,8 +16,8 @@
 from hillstack.daemon.software_rollout_duty import SoftwareRolloutDuty
 from hillstack.errors import PlatformOutcomeUnknownError, PlatformUnavailableError
 from hillstack.messages.rollout_reports import OutcomeCounts, RolloutReport
-from hillstack.serving.fleet_state import (
-    FleetState,
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.store_events import (
     NodeListed,
     RolloutDutyHeld,
     RolloutOrdered,
--- a/tests/fleet/test_cache_follower.py
+++ b/tests/fleet/test_cache_follower.py
@@ -20,8 +20,9 @@
     CacheListing,
 )
 from hillstack.errors import BackendError, BackendRefusedError, RunnerRestartedError
-from hillstack.serving.fleet_state import FleetState, NodeListed
+from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.start_gate import StartGate
+from hillstack.serving.store_events import NodeListed
 from hillstack.simulation.virtual_loop import Scheduler
 from tests.fleet.builders import ENGINES, make_entry, make_route, make_state, make_table
 
--- a/tests/fleet/test_formats.py
+++ b/tests/fleet/test_formats.py
@@ -14,7 +14,7 @@
 from hillstack.platform import names
 from hillstack.platform.formats import parse_usage, to_event
 from hillstack.platform.ingress import Ingress
-from hillstack.serving.fleet_state import ConfigurationChanged
+from hillstack.serving.store_events import ConfigurationChanged
 from hillstack.serving.types import ServingRequest
 
 
--- a/tests/fleet/test_limit_network.py
+++ b/tests/fleet/test_limit_network.py
@@ -16,7 +16,7 @@
 from hillstack.messages.limit_messages import TokenQuestion, TransferAnswer
 from hillstack.messages.packing import pack
 from hillstack.messages.peer_notices import PROTOCOL_VERSION
-from hillstack.serving.fleet_state import ConfigurationChanged
+from hillstack.serving.store_events import ConfigurationChanged
 from tests.fleet.limit_traffic import LimitTraffic, limited_table, token_limit
 from tests.fleet.node_network import TOLERANCE, NodeNetwork
 
--- a/tests/fleet/test_peer_exchange.py
+++ b/tests/fleet/test_peer_exchange.py
@@ -27,7 +27,8 @@
     WeightsPhase,
 )
 from hillstack.messages.runner_ends import RequestAtEnd, RunnerEndNotice
-from hillstack.serving.fleet_state import FleetState, NodeListed, WeightsNamed
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.store_events import NodeListed, WeightsNamed
 from hillstack.simulation.virtual_loop import Scheduler
 from tests.fleet.builders import (
     ENGINES,
--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -19,10 +19,11 @@
 from hillstack.core.tenant_limits import LimitUnit, TenantLimit
 from hillstack.errors import BackendBrokenError
 from hillstack.messages.peer_notices import PlacementNotice
-from hillstack.serving.fleet_state import FleetState, RunnerListed, WeightsNamed
+from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.pipeline import RequestPipeline
 from hillstack.serving.placement import RunnerPlacement
 from hillstack.serving.start_gate import StartGate
+from hillstack.serving.store_events import RunnerListed, WeightsNamed
 from hillstack.serving.types import (
     RefusalCause,
     RejectedError,
@@ -929,7 +930,7 @@
         assert total == pytest.approx(VERSION_GRACE, abs=0.002)
 
 
-def test_an_attempt_at_a_process_that_has_ended_goes_on_at_another_runner() -> None:
+def test_an_attempt_at_a_runner_that_has_started_again_goes_on_at_another_one() -> None:
     # Its connection says nothing, as where the machine went down with the process; the runner is
     # back under its name long before the silence would be noticed.
     behave = breaks_off_then(answers(EVENTS[0], 100.0), answers(*EVENTS[1:]))
--- a/tests/fleet/test_regions_placement.py
+++ b/tests/fleet/test_regions_placement.py
@@ -27,17 +27,17 @@
 from hillstack.core.topology import Topology
 from hillstack.core.weights_versions import WeightsVersions
 from hillstack.serving.admission import RequestAdmission
-from hillstack.serving.fleet_state import (
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.job import Job, PlacedAttempt
+from hillstack.serving.metrics import FleetMetrics
+from hillstack.serving.placement import RunnerPlacement
+from hillstack.serving.region_choice import HEAD_BYTES, BorrowReason, RegionChoice
+from hillstack.serving.store_events import (
     ConfigurationChanged,
-    FleetState,
     NodeListed,
     RunnerListed,
     WeightsNamed,
 )
-from hillstack.serving.job import Job, PlacedAttempt
-from hillstack.serving.metrics import FleetMetrics
-from hillstack.serving.placement import RunnerPlacement
-from hillstack.serving.region_choice import HEAD_BYTES, BorrowReason, RegionChoice
 from hillstack.serving.types import RefusalCause
 from tests.fleet.builders import (
     APPLICATION,
--- a/tests/fleet/test_rollout_observer.py
+++ b/tests/fleet/test_rollout_observer.py
@@ -25,9 +25,10 @@
 from hillstack.errors import BackendBrokenError
 from hillstack.messages.rollout_reports import OutcomeCounts, RolloutReport
 from hillstack.serving.attempt_watch import AttemptWatch
-from hillstack.serving.fleet_state import FleetState, RolloutOrdered, RolloutRecorded, RunnerListed
+from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.metrics import FleetMetrics
 from hillstack.serving.rollout_observer import MOST_ROLLOUTS, MOST_ROWS, RolloutObserver
+from hillstack.serving.store_events import RolloutOrdered, RolloutRecorded, RunnerListed
 from hillstack.serving.types import RefusalCause, RunnerGivenUpError, RunnerRefusedError
 from tests.fleet.builders import (
     APPLICATION,
--- a/tests/fleet/test_rollout_placement.py
+++ b/tests/fleet/test_rollout_placement.py
@@ -22,7 +22,7 @@
 from hillstack.core.version_arrivals import HOLD_SECONDS, VersionArrivals
 from hillstack.core.version_exposure import SLACK_SETTLE_SECONDS, VersionExposure
 from hillstack.errors import BackendBrokenError
-from hillstack.serving.fleet_state import (
+from hillstack.serving.store_events import (
     RolloutOrdered,
     RolloutRecorded,
     RolloutWithdrawn,
--- a/tests/fleet/test_rollout_store.py
+++ b/tests/fleet/test_rollout_store.py
@@ -26,7 +26,7 @@
 from hillstack.platform.formats import listed_keys, to_event
 from hillstack.platform.rollouts import rollout_duty_key
 from hillstack.platform.store import MetadataStore
-from hillstack.serving.fleet_state import (
+from hillstack.serving.store_events import (
     RolloutDutyHeld,
     RolloutOrdered,
     RolloutRecorded,
--- a/tests/fleet/test_runner_restarts.py
+++ b/tests/fleet/test_runner_restarts.py
@@ -25,7 +25,8 @@
 from hillstack.platform import names
 from hillstack.platform.formats import to_event
 from hillstack.platform.incarnations import check_process, instance_of, runner_id_of
-from hillstack.serving.fleet_state import FleetState, RunnerUnlisted
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.store_events import RunnerUnlisted
 from tests.fleet.builders import ENGINES, MODEL, make_route, make_state, make_table
 
 FIRST, SECOND = "i-1#1000", "i-1#2000"
--- a/tests/fleet/test_standing_work.py
+++ b/tests/fleet/test_standing_work.py
@@ -25,7 +25,7 @@
 from hillstack.messages.relay_batches import NodeReport, RelayBatch
 from hillstack.platform.ingress import Readiness
 from hillstack.platform.names import READY_PATH
-from hillstack.serving.fleet_state import NodeListed
+from hillstack.serving.store_events import NodeListed
 from hillstack.simulation.virtual_loop import Scheduler
 from tests.fleet.builders import make_route, make_state, make_table
 
--- a/tests/fleet/test_store_sync.py
+++ b/tests/fleet/test_store_sync.py
@@ -23,8 +23,8 @@
     PlatformUnavailableError,
 )
 from hillstack.platform.store import CALL_LIMIT_SECONDS, Changes, Snapshot
-from hillstack.serving.fleet_state import (
-    FleetState,
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.store_events import (
     NodeListed,
     NodeUnlisted,
     RunnerListed,
--- a/tests/fleet/test_weights_bound.py
+++ b/tests/fleet/test_weights_bound.py
@@ -106,3 +106,19 @@
     network.run(1.0)
     assert max(counted_from(network)) <= named_at
     network.close()
+
+
+def test_what_begins_a_bound_again_at_one_node_is_not_told_to_others() -> None:
+    network = NodeNetwork(7, 3)
+    list_runners(network)
+    network.run(SETTLE_SECONDS)
+    named_at = name_weights(network, 2)
+    network.run(2.0)
+    order = next(iter(network.nodes.values())).state.nodes.relay_order(None)
+    alone = network.nodes[order[0]]  # All others ask it.
+    alone.state.store_regained(network.scheduler.now)
+    assert alone.state.versions.named_after(MODEL, 1) == network.scheduler.now
+    network.run(3.0)
+    moved = [moment for moment in counted_from(network) if moment > named_at]
+    assert len(moved) == 1
+    network.close()
--- a/tests/fleet/test_weights_rollout_duty.py
+++ b/tests/fleet/test_weights_rollout_duty.py
@@ -30,7 +30,8 @@
     PlatformUnavailableError,
     RunnerRestartedError,
 )
-from hillstack.serving.fleet_state import FleetState, WeightsNamed
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.store_events import WeightsNamed
 from hillstack.simulation.virtual_loop import Scheduler
 from tests.fleet.builders import (
     ENGINES,
--- a/tests/fleet/test_weights_sight.py
+++ b/tests/fleet/test_weights_sight.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hillstack.core.weights_versions import BoundCause, NamedVersion
-from hillstack.serving.fleet_state import WeightsNamed
+from hillstack.serving.store_events import WeightsNamed
 from tests.fleet.builders import MODEL, VERSION_GRACE, make_route, make_state, make_table
 
 
--- a/tests/stateful/test_runner_restarts.py
+++ b/tests/stateful/test_runner_restarts.py
@@ -17,7 +17,8 @@
     WeightsPhase,
 )
 from hillstack.platform.incarnations import runner_id_of
-from hillstack.serving.fleet_state import FleetState, RunnerListed, RunnerUnlisted, StoreEvent
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.store_events import RunnerListed, RunnerUnlisted, StoreEvent
 from tests.fleet.builders import ENGINES, MODEL, make_route, make_state, make_table
 
 NAME = "i-1"
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -130,9 +130,9 @@
     ),
     Mutation(
         "an own allowance is told to peers",
-        "daemon/peer_exchange.py",
-        "int((now - entry.acknowledged_after) * 1000)",
-        "int((now - entry.not_before) * 1000)",
+        "core/weights_versions.py",
+        "NamedVersion(model, entry.version, entry.acknowledged_after, entry.revision)",
+        "NamedVersion(model, entry.version, entry.not_before, entry.revision)",
     ),
     Mutation(
         "crossed answers are taken",
@@ -532,7 +532,7 @@
     Mutation(
         "a removal that is older than the entry takes the runner off",
         "serving/fleet_state.py",
-        "if runner is not None and revision is not None and runner.entry.revision > revision:",
+        "if revision is not None and runner.entry.revision > revision:",
         "if False:",
     ),
     Mutation(
@@ -613,6 +613,54 @@
         "if was_known and isinstance(failure, PlatformOutcomeUnknownError):",
         "if isinstance(failure, PlatformOutcomeUnknownError):",
     ),
+    Mutation(
+        "a word on named weights counts from its arrival",
+        "daemon/notice_reader.py",
+        "not_before = state.proofs.latest_before(entry.revision)",
+        "not_before = now",
+    ),
+    Mutation(
+        "an answer on named weights counts from its arrival",
+        "daemon/store_relay.py",
+        "NamedVersion(entry.model, entry.version, asked_at - entry.age_ms / MILLISECONDS)",
+        "NamedVersion(entry.model, entry.version, asked_at + 0.1 - entry.age_ms / MILLISECONDS)",
+    ),
+    Mutation(
+        "a look that has missed a change proves that it was made later",
+        "daemon/store_sync.py",
+        "self._state.proofs.latest_before(change.item.revision)",
+        "self._state.freshness.proved_at()",
+    ),
+    Mutation(
+        "a starting node asks nobody when weights were named",
+        "daemon/store_sync.py",
+        "if not self._state.versions.lacks_naming(self._clock()):",
+        "if True:",
+    ),
+    Mutation(
+        "any failed call shows an outage",
+        "daemon/store_sync.py",
+        "is_explained = isinstance(error, PlatformThrottledError) or self._is_behind()",
+        "is_explained = False",
+    ),
+    Mutation(
+        "a runner that starts again is the one before",
+        "platform/incarnations.py",
+        "    if born:",
+        "    if False:",
+    ),
+    Mutation(
+        "attempts at a runner that has started again are waited for",
+        "serving/pipeline.py",
+        "if (runner.has_ended or is_silent or is_cut_off)",
+        "if (is_silent or is_cut_off)",
+    ),
+    Mutation(
+        "an entry that can't be read is passed over",
+        "platform/store.py",
+        "return to_event(StoredItem(item.key, item.revision, None))",
+        "return None",
+    ),
 )
 
 
--- a/tools/notice_cost.py
+++ b/tools/notice_cost.py
@@ -37,8 +37,9 @@
     PlacementNotice,
 )
 from hillstack.messages.relay_batches import RelayBatch, ZoneLoads
-from hillstack.serving.fleet_state import ConfigurationChanged, FleetState, NodeListed, RunnerListed
+from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.placement import RunnerPlacement
+from hillstack.serving.store_events import ConfigurationChanged, NodeListed, RunnerListed
 
 NODES = 79
 RUNNERS = 45
