--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -53,6 +53,7 @@
 from hillstack.platform.connections import (
     make_runner_session,
     make_store_session,
+    note_silence,
     resting_connections,
 )
 from hillstack.platform.ingress import Ingress, Readiness
@@ -127,6 +128,9 @@
         self._store_session = make_store_session()
         self._runner_session = make_runner_session()
         self._metrics = FleetMetrics()
+        self._state.handle_restarted(
+            lambda runner: note_silence(self._runner_session, runner.address)
+        )
         store = MetadataStore(
             settings.store.address, self._store_session, self._metrics.unreadable_items.inc
         )
--- a/src/hillstack/platform/connections.py
+++ b/src/hillstack/platform/connections.py
@@ -259,9 +259,11 @@
 
 
 def note_silence(session: aiohttp.ClientSession, address: str) -> None:
-    """Note that a call to ``IP:PORT`` had no answer in time.
+    """Note that a call to ``IP:PORT`` had no answer in time, or that the process there has ended.
 
-    Its own connection is closed by the library; those that rest beside it are not used again.
+    The call's own connection is closed by the library; those that rest beside it are not used
+    again. Where a machine went down without a word nothing else shows that they lead nowhere before
+    a request is sent, and one that may run only once is lost with it.
     """
     if isinstance(session.connector, WatchedConnector):
         session.connector.silent.note(split_address(address))
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -109,11 +109,16 @@
         self._outage_until = float("-inf")
         self._calls_failed_until = float("-inf")
         self._on_weights_named: Callable[[], None] = lambda: None
+        self._on_restarted: Callable[[Runner], None] = lambda _: None
 
     def handle_weights_named(self, handler: Callable[[], None]) -> None:
         """Call a handler when the store is the first to tell of a version of weights."""
         self._on_weights_named = handler
 
+    def handle_restarted(self, handler: Callable[[Runner], None]) -> None:
+        """Call a handler with each process that has ended and was followed by another one."""
+        self._on_restarted = handler
+
     def apply(self, event: StoreEvent, not_before: float, now: float | None = None) -> None:
         """Take over one change of the store.
 
@@ -435,6 +440,7 @@
         self.pool.unlist(runner.runner_id, now, 0.0)
         self.index.forget(runner.runner_id)
         logger.info("runner started again", extra={"runner": runner.runner_id})
+        self._on_restarted(runner)
 
     def _set_capacity(self, runner: Runner) -> None:
         engine = self.engine_of(runner.entry.service)
--- a/tests/fleet/test_runner_restarts.py
+++ b/tests/fleet/test_runner_restarts.py
@@ -158,6 +158,18 @@
     assert usable(state) == [SECOND]
 
 
+def test_each_process_that_was_followed_by_another_is_told_once() -> None:
+    state = make_fleet()
+    ended: list[str] = []
+    state.handle_restarted(lambda runner: ended.append(runner.runner_id))
+    notice = NodeNotice(PROTOCOL_VERSION, "node-2", restarted=[FIRST])
+    NoticeReader(state, "zone-a").take(notice, 10.0)
+    write(state, 2_000, 11)
+    assert ended == [FIRST]
+    write(state, 3_000, 12)
+    assert ended == [FIRST, SECOND]
+
+
 def test_an_entry_that_does_not_say_when_its_process_started_names_none_that_does() -> None:
     state = make_fleet()
     write(state, None, 11)
--- a/tests/fleet/test_silent_connections.py
+++ b/tests/fleet/test_silent_connections.py
@@ -19,6 +19,7 @@
     make_runner_session,
     make_socket,
     make_store_session,
+    note_silence,
 )
 from hillstack.platform.runners import HttpRunnerClient
 from hillstack.platform.store import MetadataStore
@@ -211,3 +212,16 @@
         assert limit == SILENCE_LIMIT_MS
         assert made.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
         assert made.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) == PROBE_IDLE_SECONDS
+
+
+def test_connections_to_a_process_that_has_ended_are_not_used_for_the_next_one() -> None:
+    # Its machine went down without a word: to this one they look open.
+    async def use(server: SilencedServer, session: aiohttp.ClientSession) -> None:
+        client = HttpRunnerClient(session)
+        await all_of(send(client, server.address, f"r-{number}") for number in range(3))
+        server.silence_open_connections()
+        note_silence(session, server.address)
+        assert await send(client, server.address, "r-4") == b"body"
+        assert server.opened == 4
+
+    run(make_runner_session, use)
