A process that was followed by another has ended under its requests, whichever was heard first

A node that hears of the next process of a runner before its own connections break took the end for a planned one; an attempt whose connection says nothing counted as given up. Both count as ends now, so a request that ends its runners is found though they are back at once. Times that are not known are left out of the log.

--- a/src/hillstack/logs.py
+++ b/src/hillstack/logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import os
 import sys
 import time
@@ -157,6 +158,11 @@
     return sum(h.dropped_in_all for h in handlers if isinstance(h, BoundedHandler))
 
 
+def rounded_seconds(seconds: float) -> float | None:
+    """Return seconds for the log; None where nothing is known yet."""
+    return round(seconds, 3) if math.isfinite(seconds) else None
+
+
 def error_fields(error: HillstackError) -> dict[str, str]:
     """Return the log fields of an error: the step and the peer."""
     return {"step": error.step, "peer": error.peer, "error": error.message}
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import math
 from collections.abc import Callable, Iterable
 
 from hillstack.core.cache_watch import CacheHolder
@@ -28,6 +27,7 @@
     NamedVersion,
     WeightsVersions,
 )
+from hillstack.logs import rounded_seconds
 from hillstack.serving.start_gate import StartGate
 from hillstack.serving.store_events import (
     ConfigurationChanged,
@@ -183,8 +183,8 @@
             "model": event.model,
             "version": event.version,
             "source": source,
-            "named_seconds_ago": _rounded(now - named.acknowledged_after),
-            "due_in_seconds": _rounded(named.not_before + self.versions.grace - now),
+            "named_seconds_ago": rounded_seconds(now - named.acknowledged_after),
+            "due_in_seconds": rounded_seconds(named.not_before + self.versions.grace - now),
             "bound_by": named.cause,
         }
         logger.info("weights named", extra=fields)
@@ -247,11 +247,11 @@
             fields = {
                 "model": move.model,
                 "version": entry.version,
-                "later_seconds": _rounded(move.seconds),
+                "later_seconds": rounded_seconds(move.seconds),
                 "bound_by": entry.cause,
                 "source": entry.told_by,
-                "named_seconds_ago": _rounded(now - entry.acknowledged_after),
-                "due_in_seconds": _rounded(entry.not_before + self.versions.grace - now),
+                "named_seconds_ago": rounded_seconds(now - entry.acknowledged_after),
+                "due_in_seconds": rounded_seconds(entry.not_before + self.versions.grace - now),
             }
             logger.info("weights bound moved", extra=fields)
 
@@ -472,11 +472,6 @@
         logger.info("runner gone", extra=fields)
 
 
-def _rounded(seconds: float) -> float | None:
-    """Return seconds for the log; None where nothing is known yet."""
-    return round(seconds, 3) if math.isfinite(seconds) else None
-
-
 def _is_same_stage(before: RolloutRecord | None, record: RolloutRecord) -> bool:
     """Return whether a record was only written anew, with the age of its order."""
     if before is None or before.order_revision != record.order_revision:
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -9,6 +9,7 @@
 from hillstack.core.routing_table import Route, TenantEntry
 from hillstack.core.runner_pool import Runner
 from hillstack.core.weights_versions import WeightsVersions
+from hillstack.logs import rounded_seconds
 from hillstack.serving.attempt_watch import NOT_WATCHED, AttemptWatch
 from hillstack.serving.event_framing import EventFraming
 from hillstack.serving.types import (
@@ -214,9 +215,9 @@
         "weights": placed.weights_version,
         "superseded_by": following.version,
         "newest": versions.newest(model),
-        "named_seconds_ago": round(now - following.acknowledged_after, 3),
+        "named_seconds_ago": rounded_seconds(now - following.acknowledged_after),
         "source": following.told_by,
-        "due_in_seconds": round(due_at - now, 3),
+        "due_in_seconds": rounded_seconds(due_at - now),
         "bound_by": following.cause,
     }
 
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -369,10 +369,13 @@
         now = self._clock()
         is_silent = runner.is_silent(now) and now - runner.last_heard_at >= SILENCE_LIMIT_SECONDS
         is_cut_off = now - job.quiet_from >= CONNECTION_SILENCE_SECONDS
-        if (runner.has_ended or is_silent or is_cut_off) and self._may_try_other(job, runner):
-            text = "the runner is silent" if is_silent else "the connection is silent"
+        if not (runner.has_ended or is_silent or is_cut_off):
+            return
+        if self._may_try_other(job, runner):
             if runner.has_ended:
                 text = "the runner has started again"
+                raise ConnectionLostError(text, step=step, peer=runner.runner_id)
+            text = "the runner is silent" if is_silent else "the connection is silent"
             raise RunnerGivenUpError(text, step=step, peer=runner.runner_id)
 
     def _may_try_other(self, job: Job, runner: Runner) -> bool:
--- a/src/hillstack/serving/runner_ends.py
+++ b/src/hillstack/serving/runner_ends.py
@@ -425,6 +425,9 @@
 
 def _is_expected(runner: Runner, now: float) -> bool:
     """Return whether a runner breaks its runs off because it was told to leave or to load."""
+    if runner.has_ended and not runner.entry.draining:
+        # It left nothing: its next process was heard of before its connections broke off.
+        return False
     return not runner.stays(now) or now < runner.loading_until
 
 
--- a/tests/fleet/test_pipeline.py
+++ b/tests/fleet/test_pipeline.py
@@ -945,5 +945,8 @@
     bench.scheduler.spawn(bench.scheduler.new_loop(), end_first())
     sink, error = bench.serve(stream_request(), within=0.5)
     assert error is None and len(first) == 1
+    # It ended under this request, which may be why.
+    ended = [end.runner_id for end in bench.state.runner_ends.ends()]
+    assert ended == [first[0].runner_id]
     assert (sink.body, sink.heads, sink.finished) == (b"".join(EVENTS), 1, True)
     assert bench.client.answers[0].closed
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -652,8 +652,8 @@
     Mutation(
         "attempts at a runner that has started again are waited for",
         "serving/pipeline.py",
-        "if (runner.has_ended or is_silent or is_cut_off)",
-        "if (is_silent or is_cut_off)",
+        "if not (runner.has_ended or is_silent or is_cut_off):",
+        "if not (is_silent or is_cut_off):",
     ),
     Mutation(
         "an entry that can't be read is passed over",
