--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -50,6 +50,9 @@
 OUTAGE_EFFECT_SECONDS = 2.5
 # So long a runner without an entry is used on after an outage: below both, with a margin.
 UNLISTED_GRACE_SECONDS = 1.6
+# Answers of several peers differ by some tenths of a millisecond: 702 of 823 moves of bounds on a
+# day of 69 nodes were shorter than one.
+LEAST_LOGGED_MOVE_SECONDS = 0.01
 # A fetch from a store that is down costs 0.1 s; its watcher asks again in under a second.
 UNAVAILABLE_SECONDS = 2.0
 
@@ -243,6 +246,8 @@
 
     def _log_bound_moves(self, moves: Iterable[BoundMove], now: float) -> None:
         for move in moves:
+            if move.seconds < LEAST_LOGGED_MOVE_SECONDS:
+                continue
             entry = move.announcement
             fields = {
                 "model": move.model,
