--- a/tests/fleet/test_weights_bound.py
+++ b/tests/fleet/test_weights_bound.py
@@ -122,3 +122,20 @@
     moved = [moment for moment in counted_from(network) if moment > named_at]
     assert len(moved) == 1
     network.close()
+
+
+def test_what_a_node_learns_from_an_answer_is_no_later_than_what_the_answerer_knows() -> None:
+    network = NodeNetwork(7, 3, ways=(0.02, 0.06))
+    list_runners(network)
+    network.run(SETTLE_SECONDS)
+    name_weights(network, 2)
+    network.run(5.0)
+    order = next(iter(network.nodes.values())).state.nodes.relay_order(None)
+    known = {
+        node_id: node.state.versions.superseded_at(MODEL, 1)
+        for node_id, node in network.nodes.items()
+    }
+    # The first node watches the store for all others.
+    assert max(known.values()) == known[order[0]]
+    assert known[order[0]] - min(known.values()) < 0.2
+    network.close()
