One piece of code for the log of a bound, one for the version above another; a check that could not fail is gone

The fields of a bound were built in three places. superseding() only called _following(). RunnerPool.update looked at the revision of an entry twice: an entry older than the latest of its name is passed over before, and the latest is never older than what its runner has. No change of behaviour but for the order of fields in three log lines.

--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -236,8 +236,6 @@
             self.generation += 1
             return runner
         was_unlisted = runner.unlisted_until is not None
-        if entry.revision < runner.entry.revision:
-            return None
         # The same entry once more says that the runner is listed, after a removal that was older.
         if entry.revision == runner.entry.revision and not was_unlisted:
             return None
--- a/src/hillstack/core/weights_versions.py
+++ b/src/hillstack/core/weights_versions.py
@@ -177,7 +177,7 @@
 
     def named_after(self, model: str, version: int) -> float:
         """Return when the next version above ``version`` was named; infinite when none was."""
-        following = self._following(model, version)
+        following = self.superseding(model, version)
         return following.not_before if following is not None else math.inf
 
     def superseded_at(self, model: str, version: int) -> float:
@@ -185,19 +185,15 @@
 
         Unlike ``named_after`` it does not move when bounds begin again after an outage.
         """
-        following = self._following(model, version)
+        following = self.superseding(model, version)
         return following.acknowledged_after if following is not None else math.inf
 
-    def superseding(self, model: str, version: int) -> Announcement | None:
-        """Return the first version above ``version`` that was named, or None."""
-        return self._following(model, version)
-
     def deadline(self, model: str, version: int) -> float:
         """Return when runners older than the next version above ``version`` must not be used."""
         return self.named_after(model, version) + self.grace
 
-    def _following(self, model: str, version: int) -> Announcement | None:
-        """Return the announcement of the first version above one."""
+    def superseding(self, model: str, version: int) -> Announcement | None:
+        """Return the first version above ``version`` that was named, or None."""
         announced = self._announced.get(model, ())
         return next((entry for entry in announced if entry.version > version), None)
 
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -43,6 +43,7 @@
     StoreEvent,
     WeightsNamed,
 )
+from hillstack.serving.weights_log import bound_fields
 
 logger = logging.getLogger(__name__)
 
@@ -182,14 +183,8 @@
         if not self.versions.announce(event.model, announcement):
             return False
         named = self.versions.announcements(event.model)[-1]
-        fields = {
-            "model": event.model,
-            "version": event.version,
-            "source": source,
-            "named_seconds_ago": rounded_seconds(now - named.acknowledged_after),
-            "due_in_seconds": rounded_seconds(named.not_before + self.versions.grace - now),
-            "bound_by": named.cause,
-        }
+        fields: dict[str, object] = {"model": event.model, "version": event.version}
+        fields |= bound_fields(named, self.versions.grace, now)
         logger.info("weights named", extra=fields)
         return True
 
@@ -249,15 +244,12 @@
             if move.seconds < LEAST_LOGGED_MOVE_SECONDS:
                 continue
             entry = move.announcement
-            fields = {
+            fields: dict[str, object] = {
                 "model": move.model,
                 "version": entry.version,
                 "later_seconds": rounded_seconds(move.seconds),
-                "bound_by": entry.cause,
-                "source": entry.told_by,
-                "named_seconds_ago": rounded_seconds(now - entry.acknowledged_after),
-                "due_in_seconds": rounded_seconds(entry.not_before + self.versions.grace - now),
             }
+            fields |= bound_fields(entry, self.versions.grace, now)
             logger.info("weights bound moved", extra=fields)
 
     def outage_ended_at(self) -> float:
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -9,7 +9,6 @@
 from hillstack.core.routing_table import Route, TenantEntry
 from hillstack.core.runner_pool import Runner
 from hillstack.core.weights_versions import WeightsVersions
-from hillstack.logs import rounded_seconds
 from hillstack.serving.attempt_watch import NOT_WATCHED, AttemptWatch
 from hillstack.serving.event_framing import EventFraming
 from hillstack.serving.types import (
@@ -20,6 +19,7 @@
     StreamCutError,
     Verdict,
 )
+from hillstack.serving.weights_log import bound_fields
 
 logger = logging.getLogger(__name__)
 
@@ -207,7 +207,6 @@
     following = versions.superseding(model, placed.weights_version)
     if following is None:
         return None
-    due_at = following.not_before + versions.grace
     return {
         "request": job.request.request_id,
         "attempt": job.sends,
@@ -215,10 +214,7 @@
         "weights": placed.weights_version,
         "superseded_by": following.version,
         "newest": versions.newest(model),
-        "named_seconds_ago": rounded_seconds(now - following.acknowledged_after),
-        "source": following.told_by,
-        "due_in_seconds": rounded_seconds(due_at - now),
-        "bound_by": following.cause,
+        **bound_fields(following, versions.grace, now),
     }
 
 
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -101,8 +101,8 @@
     Mutation(
         "entries go back",
         "core/runner_pool.py",
-        "if entry.revision < runner.entry.revision:",
-        "if False:",
+        "return latest is not None and entry.revision < latest.revision",
+        "return False",
     ),
     Mutation(
         "requests wait on old weights",
