Sight: what runners say of themselves in answers, at each attempt that it concerns

The log could not tell the hypotheses of the incident apart: it showed of an answer only its status, so that nobody could say whether a node knew that a runner leaves or rests. Read now from the heads of all answers of a process (requests whatever their status, reports, orders, questions on cached parts), kept for that process, logged when it is news, counted, and shown with its age and source at each attempt that it concerns. Nothing is decided by it yet.

--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from hillstack.core.runner_load import OwnAttempt, OwnAttempts, ReportedLoads, RunnerLoad
+from hillstack.core.runner_words import RunnerSignals, RunnerWords, WordRecord
 
 # A runner that broke a request is tried again after a restart's usual time, longer each time.
 SUSPECT_SECONDS = 0.6
@@ -76,6 +77,7 @@
         ordered_weights: Versions that it was ordered to load, by model.
         peer_ordered_at: When a peer is last known to have ordered it.
         has_ended: Whether its process has ended, since a later one of its name was heard of.
+        words: What it has told this node of itself; the directory does not change them.
         unlisted_until: The directory dropped it, but it may be used until then; None if listed.
     """
 
@@ -94,6 +96,7 @@
     unlisted_until: float | None = None
     failures: int = 0
     last_heard_at: float = float("-inf")
+    words: RunnerWords = field(default_factory=RunnerWords)
 
     @property
     def runner_id(self) -> str:
@@ -176,6 +179,9 @@
         self.generation = 0
         self._runners: dict[str, Runner] = {}
         self._unlisted: dict[str, tuple[Runner, float]] = {}
+        self._words = WordRecord()
+        # Those of the runners above whose words may keep requests away from them: mostly none.
+        self._held_back: dict[str, Runner] = {}
         # The latest process of each name in the directory, also while it is not listed.
         self._latest: dict[str, RunnerEntry] = {}
 
@@ -232,7 +238,7 @@
         self._latest[entry.directory_name] = entry
         runner = self._runners.get(entry.runner_id) or self._relist(entry.runner_id)
         if runner is None:
-            runner = self._runners[entry.runner_id] = Runner(entry, dict(entry.weights))
+            runner = self._add(entry)
             self.generation += 1
             return runner
         was_unlisted = runner.unlisted_until is not None
@@ -247,6 +253,47 @@
             self.observe_weights(runner, model, version)
         return runner if changed else None
 
+    def _add(self, entry: RunnerEntry) -> Runner:
+        words = self._words.get(entry.runner_id)
+        runner = Runner(entry, dict(entry.weights), words=words or RunnerWords())
+        self._runners[entry.runner_id] = runner
+        if words is not None:
+            self._held_back[entry.runner_id] = runner
+        return runner
+
+    def hear(self, runner_id: str, signals: RunnerSignals, source: str, now: float) -> bool:
+        """Take over what a process says of itself in an answer; return whether it is news.
+
+        Args:
+            runner_id: The process, whether it is listed or not.
+            signals: What it says.
+            source: Which answer, for the log.
+            now: When it came, on the node's clock.
+        """
+        words = self._words.get(runner_id)
+        runner = self._known(runner_id)
+        if words is None:
+            words = runner.words if runner is not None else RunnerWords()
+        self._words.keep(runner_id, words)
+        if runner_id in self._runners:
+            self._held_back[runner_id] = self._runners[runner_id]
+        return words.take(signals, source, now)
+
+    def held_back(self, service: str, now: float) -> list[Runner]:
+        """Return the runners of a service from which their own words keep requests away."""
+        found: list[Runner] = []
+        for runner_id, runner in list(self._held_back.items()):
+            if self._runners.get(runner_id) is not runner or not runner.words.hold_back(now):
+                del self._held_back[runner_id]
+            elif runner.entry.service == service:
+                found.append(runner)
+        return found
+
+    def _known(self, runner_id: str) -> Runner | None:
+        """Return a runner that is listed, or was not long ago."""
+        unlisted = self._unlisted.get(runner_id)
+        return self._runners.get(runner_id) or (unlisted[0] if unlisted is not None else None)
+
     def unlist(self, runner_id: str, now: float, grace_seconds: float) -> Runner | None:
         """Note that the directory has dropped a runner.
 
@@ -291,6 +338,8 @@
         if found is None:
             return None
         runner = self._runners[runner_id] = found[0]
+        if runner_id in self._words:
+            self._held_back[runner_id] = runner
         runner.leaving = runner.has_ended = False
         self.generation += 1
         return runner
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -67,6 +67,7 @@
 from hillstack.serving.placement import RunnerPlacement
 from hillstack.serving.region_choice import RegionChoice
 from hillstack.serving.rollout_observer import RolloutObserver
+from hillstack.serving.signal_intake import SignalIntake
 
 logger = logging.getLogger(__name__)
 
@@ -134,7 +135,8 @@
         store = MetadataStore(
             settings.store.address, self._store_session, self._metrics.unreadable_items.inc
         )
-        runners = HttpRunnerClient(self._runner_session)
+        signals = SignalIntake(self._state.pool, self._metrics, self._clock)
+        runners = HttpRunnerClient(self._runner_session, signals)
         zone = settings.node.zone
         self._link = PeerLink()
         choice = RelayChoice(settings.node.id, self._state.nodes, self._state.topology)
@@ -150,7 +152,7 @@
             RegionChoice(self._state, settings.node.region_link_megabits),
         )
         self._peers.handle_placements(placement.observe_placement, placement.observe_read)
-        feed = HttpCacheFeed(self._runner_session)
+        feed = HttpCacheFeed(self._runner_session, signals)
         self._follower = CacheFollower(self._state, feed, self._peers, self._clock)
         self._observer = RolloutObserver(
             self._state,
--- a/src/hillstack/platform/cache_feed.py
+++ b/src/hillstack/platform/cache_feed.py
@@ -13,8 +13,9 @@
 from hillstack.errors import BackendError, BackendRefusedError
 from hillstack.platform import names
 from hillstack.platform.bodies import CacheEventsBody, CacheListBody
-from hillstack.platform.connections import Question, ask
+from hillstack.platform.connections import Question, Reply, ask
 from hillstack.platform.incarnations import check_process, instance_of
+from hillstack.platform.runner_signals import SignalListener, SignalReader
 
 OK = 200
 # A list of thousands of parts, at a runner that is at work.
@@ -22,7 +23,7 @@
 # Beyond the time that a holder may hold a question back.
 ANSWER_LIMIT_SECONDS = 0.7
 
-Body = TypeVar("Body")
+Body = TypeVar("Body", CacheEventsBody, CacheListBody)
 
 
 class HttpCacheFeed:
@@ -30,10 +31,14 @@
 
     Args:
         session: HTTP session of ``make_runner_session``; not closed here.
+        listener: Takes what runners say of themselves; nobody by default.
     """
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self, session: aiohttp.ClientSession, listener: SignalListener | None = None
+    ) -> None:
         self._session = session
+        self._signals = SignalReader(listener)
 
     async def listing(self, holder: CacheHolder) -> CacheListing:
         """Return all that a holder keeps.
@@ -44,8 +49,7 @@
         question = Question(
             "GET", holder.address, names.CACHE_LIST_PATH, LIST_LIMIT_SECONDS, _headers(holder)
         )
-        body = await self._ask(question, CacheListBody)
-        _check_process(holder, body.born)
+        body = await self._ask(holder, question, CacheListBody)
         entries = [
             CacheEntry(salt, PromptPart(part_id, tokens)) for salt, part_id, tokens, _ in body.held
         ]
@@ -60,33 +64,35 @@
         path = f"{names.CACHE_EVENTS_PATH}?{names.SINCE_PARAMETER}={since}"
         headers = _headers(holder) | {names.WAIT_HEADER: str(int(wait_seconds * 1000))}
         limit = wait_seconds + ANSWER_LIMIT_SECONDS
-        body = await self._ask(
-            Question("GET", holder.address, path, limit, headers), CacheEventsBody
-        )
-        _check_process(holder, body.born)
+        question = Question("GET", holder.address, path, limit, headers)
+        body = await self._ask(holder, question, CacheEventsBody)
         entries = [
             CacheEntry(salt, PromptPart(part_id, tokens))
             for _, _, salt, part_id, tokens, _ in body.events
         ]
         return CacheChanges(body.epoch, body.next_token, entries, body.lost)
 
-    async def _ask(self, question: Question, kind: type[Body]) -> Body:
-        raw, status = await ask(self._session, question)
-        if status != OK:
-            text = f"status {status}"
+    async def _ask(self, holder: CacheHolder, question: Question, kind: type[Body]) -> Body:
+        """Return the answer of the process that is watched; stores have no name to check."""
+        reply = await ask(self._session, question)
+        if reply.status != OK:
+            self._read_signals(holder, reply)
+            text = f"status {reply.status}"
             raise BackendRefusedError(text, step="cache feed", peer=question.address)
         try:
-            return msgspec.json.decode(raw, type=kind)
+            body = msgspec.json.decode(reply.body, type=kind)
         except msgspec.MsgspecError as error:
             raise BackendError(
                 str(error), step="decode cache feed", peer=question.address
             ) from error
-
-
-def _check_process(holder: CacheHolder, born: int) -> None:
-    """Raise if another process than the one that is watched has answered; stores have no name."""
-    if not holder.is_store:
-        check_process(holder.holder_id, born, "cache feed")
+        if not holder.is_store:
+            check_process(holder.holder_id, body.born, "cache feed")
+        self._read_signals(holder, reply)
+        return body
+
+    def _read_signals(self, holder: CacheHolder, reply: Reply) -> None:
+        if not holder.is_store:
+            self._signals.read(holder.holder_id, reply.status, reply.headers, "cache feed")
 
 
 def _headers(holder: CacheHolder) -> dict[str, str]:
--- a/src/hillstack/platform/connections.py
+++ b/src/hillstack/platform/connections.py
@@ -285,8 +285,17 @@
     data: bytes | None = None
 
 
-async def ask(session: aiohttp.ClientSession, question: Question) -> tuple[bytes, int]:
-    """Return the body and the status of the answer.
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """The answer to a question."""
+
+    body: bytes
+    status: int
+    headers: Mapping[str, str]
+
+
+async def ask(session: aiohttp.ClientSession, question: Question) -> Reply:
+    """Return the answer to a question.
 
     Raises:
         BackendError: No answer came; the call may or may not have been taken.
@@ -299,7 +308,7 @@
         async with session.request(
             question.method, url, data=question.data, headers=question.headers, timeout=timeout
         ) as response:
-            return await response.read(), response.status
+            return Reply(await response.read(), response.status, response.headers)
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         if isinstance(error, TimeoutError):
             note_silence(session, question.address)
--- a/src/hillstack/platform/runners.py
+++ b/src/hillstack/platform/runners.py
@@ -19,6 +19,7 @@
 from hillstack.platform.bodies import OrderBody, ReportBody
 from hillstack.platform.connections import Question, ask
 from hillstack.platform.incarnations import check_process, instance_of
+from hillstack.platform.runner_signals import SignalListener, SignalReader
 from hillstack.serving.types import (
     Dispatch,
     HeaderList,
@@ -113,10 +114,14 @@
 
     Args:
         session: HTTP session of ``make_runner_session``; not closed here.
+        listener: Takes what runners say of themselves; nobody by default.
     """
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self, session: aiohttp.ClientSession, listener: SignalListener | None = None
+    ) -> None:
         self._session = session
+        self._signals = SignalReader(listener)
 
     async def send(self, request: ServingRequest, dispatch: Dispatch) -> HttpRunnerAnswer:
         """Send a request and return its answer's head.
@@ -141,6 +146,8 @@
             ) from error
         except (aiohttp.ClientError, OSError) as error:
             raise _broken(error, "await answer", peer) from error
+        source = f"request {request.request_id}"
+        self._signals.read(peer, response.status, response.headers, source)
         self._check_executed(response, dispatch)
         return HttpRunnerAnswer(response, peer)
 
@@ -152,14 +159,16 @@
         """
         headers = {names.EXPECT_INSTANCE: instance_of(runner_id)}
         question = Question("GET", address, names.REPORT_PATH, REPORT_LIMIT_SECONDS, headers)
-        raw, status = await ask(self._session, question)
-        if status != OK:
-            raise BackendError(f"status {status}", step="report", peer=runner_id)
+        reply = await ask(self._session, question)
+        if reply.status != OK:
+            self._signals.read(runner_id, reply.status, reply.headers, "report")
+            raise BackendError(f"status {reply.status}", step="report", peer=runner_id)
         try:
-            body = msgspec.json.decode(raw, type=ReportBody)
+            body = msgspec.json.decode(reply.body, type=ReportBody)
         except msgspec.MsgspecError as error:
             raise BackendError(str(error), step="decode report", peer=runner_id) from error
         check_process(runner_id, body.born, "report")
+        self._signals.read(runner_id, reply.status, reply.headers, "report")
         weights = {model.name: model.version for model in body.models}
         return RunnerReport(weights, body.busy, body.seq)
 
@@ -186,8 +195,9 @@
         question = Question(
             "POST", order.address, names.ORDER_PATH, ORDER_LIMIT_SECONDS, headers, data
         )
-        _, status = await ask(self._session, question)
-        return ORDER_OUTCOMES.get(status, OrderOutcome.REJECTED)
+        reply = await ask(self._session, question)
+        self._signals.read(order.runner_id, reply.status, reply.headers, "order")
+        return ORDER_OUTCOMES.get(reply.status, OrderOutcome.REJECTED)
 
     def _check_executed(self, response: aiohttp.ClientResponse, dispatch: Dispatch) -> None:
         """Raise if the answer says that the request was not run, or must not be passed on."""
--- a/src/hillstack/serving/metrics.py
+++ b/src/hillstack/serving/metrics.py
@@ -60,6 +60,19 @@
             "Runners that ended under requests, and what became of these requests.",
             "event",
         )
+        self.runner_signals = self._counter(
+            "runner_signals", "Answers in which runners say that they leave or rest.", "signal"
+        )
+        self.held_back = self._counter(
+            "held_back_runners",
+            "Runners that an attempt was kept from, since they said that they leave or rest.",
+            "signal",
+        )
+        self.despite_signals = self._counter(
+            "attempts_despite_signals",
+            "Attempts sent to a runner after it had said that it leaves or rests.",
+            "signal",
+        )
         self.first_event = self._histogram(
             "first_event_seconds", "From arrival to the first event.", LATENCY_BUCKETS
         )
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -38,6 +38,7 @@
     TenantLimiter,
 )
 from hillstack.serving.runner_ends import RunnerEndWatch
+from hillstack.serving.signal_intake import show_held_back
 from hillstack.serving.types import (
     SERVER_ERROR,
     SUCCESS,
@@ -269,6 +270,7 @@
         self._placement.sent(job, placed, attempt_id, now)
         self.runner_ends.sent(job, placed.runner, attempt_id, now)
         logger.info("attempt", extra=attempt_fields(job, placed, dispatch))
+        show_held_back(self._state.pool, self._metrics, job.request.request_id, placed.runner, now)
         self._log_older_weights("sent on older weights", job, placed)
         self._count_tokens(job, placed)
         self._metrics.count_regions(placed.borrowed, placed.fetch_from, placed.fetches_across)
--- /dev/null
+++ b/src/hillstack/serving/signal_intake.py
@@ -0,0 +1,101 @@
+"""Takes what runners say of themselves, and shows what requests were kept from for it."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from hillstack.core.runner_pool import Runner, RunnerPool
+from hillstack.core.runner_words import RunnerSignals, RunnerWords
+from hillstack.logs import rounded_seconds
+from hillstack.serving.metrics import FleetMetrics
+
+logger = logging.getLogger(__name__)
+
+LEAVING = "leaving"
+REST = "rest"
+# Of the runners that a request was kept from so many are named in the log: all of a small service.
+MAX_LOGGED_RUNNERS = 4
+
+
+class SignalIntake:
+    """Changes a node's beliefs by what runners say of themselves in their answers.
+
+    Args:
+        pool: All runners.
+        metrics: Where signals are counted.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(self, pool: RunnerPool, metrics: FleetMetrics, clock: Callable[[], float]) -> None:
+        self._pool = pool
+        self._metrics = metrics
+        self._clock = clock
+
+    def heard(self, runner_id: str, signals: RunnerSignals, source: str) -> None:
+        """Take what an answer says of a process, when its head has come."""
+        if signals.leaving:
+            self._metrics.runner_signals.labels(LEAVING).inc()
+        if signals.rest_seconds > 0:
+            self._metrics.runner_signals.labels(REST).inc()
+        if not self._pool.hear(runner_id, signals, source, self._clock()):
+            return
+        fields = {
+            "runner": runner_id,
+            "leaving": signals.leaving,
+            "rest_seconds": signals.rest_seconds,
+            "source": source,
+        }
+        logger.info("runner says of itself", extra=fields)
+
+
+def show_held_back(
+    pool: RunnerPool, metrics: FleetMetrics, request_id: str, chosen: Runner, now: float
+) -> None:
+    """Count and log the runners that an attempt was kept from, or was sent to all the same.
+
+    Args:
+        pool: All runners.
+        metrics: Where they are counted.
+        request_id: The request.
+        chosen: The runner that its attempt is sent to.
+        now: Time on the node's clock.
+    """
+    held_back = pool.held_back(chosen.entry.service, now)
+    if not held_back:
+        return
+    for runner in held_back:
+        counter = metrics.despite_signals if runner is chosen else metrics.held_back
+        for signal in _signals(runner.words, now):
+            counter.labels(signal).inc()
+    fields: dict[str, object] = {
+        "request": request_id,
+        "runner": chosen.runner_id,
+        "sent_despite": any(runner is chosen for runner in held_back),
+        "held_back": [_known(runner, now) for runner in held_back[:MAX_LOGGED_RUNNERS]],
+        "count": len(held_back),
+    }
+    logger.info("runners held back", extra=fields)
+
+
+def _signals(words: RunnerWords, now: float) -> list[str]:
+    signals = []
+    if words.leaves:
+        signals.append(LEAVING)
+    if words.rest_left(now) > 0:
+        signals.append(REST)
+    return signals
+
+
+def _known(runner: Runner, now: float) -> dict[str, object]:
+    """Return what is known of a runner by its own words, from which answer and for how long."""
+    words = runner.words
+    known: dict[str, object] = {"runner": runner.runner_id}
+    if words.left_at is not None:
+        known["leaving_since_seconds"] = rounded_seconds(now - words.left_at)
+        known["leaving_source"] = words.left_source
+    if words.rest_left(now) > 0:
+        known["rest_left_seconds"] = rounded_seconds(words.rest_left(now))
+        known["rest_asked_since_seconds"] = rounded_seconds(now - words.rest_asked_at)
+        known["rest_source"] = words.rest_source
+    return known
