Tests that fail: a runner that says it leaves, and one that asks for rest, get requests all the same

On the code as it is, with the real daemon: 60 of 60 requests went to an application server after its answer had said that it leaves, while the store was away; 11 to an application server and 35 to an engine within a rest that they had asked for.

--- a/src/hillstack/emulator/fleet_runner.py
+++ b/src/hillstack/emulator/fleet_runner.py
@@ -13,9 +13,12 @@
 
 import msgspec
 from starlette.applications import Starlette
+from starlette.datastructures import MutableHeaders
+from starlette.middleware import Middleware
 from starlette.requests import Request
 from starlette.responses import Response, StreamingResponse
 from starlette.routing import Route
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
 from hillstack.emulator.fleet_cache import FleetCache
 from hillstack.platform import names
@@ -54,6 +57,8 @@
         status: Status of its answers.
         break_after: Break a stream off after so many events; None for never.
         shed: Refuse requests as not run.
+        rest_seconds: Rest that it asks for when it refuses a request; 0 for none.
+        leaving: Say in all answers that it leaves.
         keep_weights: Take no order for weights, as while another one is carried out.
         software: What is wrong with its software.
     """
@@ -62,6 +67,8 @@
     status: int = 200
     break_after: int | None = None
     shed: bool = False
+    rest_seconds: float = 0.0
+    leaving: bool = False
     keep_weights: bool = False
     software: SoftwareFaults = SoftwareFaults()
 
@@ -71,6 +78,7 @@
     """One runner.
 
     Attributes:
+        arrived: Identifiers of the requests that reached it, in order, run or not.
         ran: Identifiers of the requests that it ran, in order.
         cache: What it keeps of prompts.
         left: Identifiers of the requests whose caller left before the end.
@@ -87,6 +95,7 @@
     weights: int = 1
     events: int = 5
     faults: RunnerFaults = field(default_factory=RunnerFaults)
+    arrived: list[str] = field(default_factory=list)
     ran: list[str] = field(default_factory=list)
     left: list[str] = field(default_factory=list)
     seen_headers: list[dict[str, str]] = field(default_factory=list)
@@ -126,7 +135,8 @@
                 Route(names.ORDER_PATH, self._order, methods=["POST"]),
                 *self.cache.routes(),
                 Route("/{path:path}", self._run, methods=["GET", "POST"]),
-            ]
+            ],
+            middleware=[Middleware(_SaysLeaving, runner=self)],
         )
 
     def note_run(self, request_id: str, headers: dict[str, str]) -> None:
@@ -158,10 +168,13 @@
 
     async def _run(self, request: Request) -> Response:
         request_id = request.headers.get(names.REQUEST_ID, "")
+        self.arrived.append(request_id)
         if self._is_misdirected(request):
             return self._misdirected()
         if self.faults.shed:
             headers = {names.NOT_EXECUTED: "1", names.REQUEST_ID: request_id}
+            if self.faults.rest_seconds:
+                headers[names.RETRY_AFTER] = f"{self.faults.rest_seconds:g}"
             return Response(status_code=503, headers=headers)
         self.note_run(request_id, dict(request.headers))
         body = await request.body()
@@ -224,3 +237,19 @@
     def _misdirected(self) -> Response:
         headers = {names.INSTANCE: self.runner_id, names.VERSIONS: str(self.weights)}
         return Response(status_code=MISDIRECTED, headers=headers)
+
+
+class _SaysLeaving:
+    """Adds to each answer that its runner leaves, while it does."""
+
+    def __init__(self, app: ASGIApp, runner: FleetRunner) -> None:
+        self._app = app
+        self._runner = runner
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        async def send_with_word(message: Message) -> None:
+            if message["type"] == "http.response.start" and self._runner.faults.leaving:
+                MutableHeaders(scope=message)[names.LEAVING] = "1"
+            await send(message)
+
+        await self._app(scope, receive, send_with_word)
