The state machine of restarts: a node does not hear its own notice

Seen once, in a run of three folders of tests: a node that was given its own notice as a peer's counted its own load beside its peer's, 2 instead of 1. Cause: the rule drew any notice, also the node's own, which no peer sends back and which a relay's batch is cleared of (PeerExchange._take_batch). Which examples are drawn depends on the modules that are loaded, so it had not shown. The check stays as it is.

--- a/tests/stateful/test_runner_restarts.py
+++ b/tests/stateful/test_runner_restarts.py
@@ -125,9 +125,11 @@
 
     @rule(node=NODES, which=st.integers(0, 200))
     def hear_a_peer(self, node: int, which: int) -> None:
-        if not self.notices:
+        # A node is not told what it said itself: neither its peers nor its relay send that back.
+        others = [notice for notice in self.notices if notice.node_id != f"node-{node}"]
+        if not others:
             return
-        notice = self.notices[which % len(self.notices)]
+        notice = others[which % len(others)]
         reader = NoticeReader(self.states[node], "zone-a")
         reader.take(notice, self.now)
         reader.take_loads(notice.node_id, notice.loads, self.now)
