A runner's own word counts: one that leaves gets no more requests, one that asks for rest gets it

Cause: of an answer only the status, and whether the request had run, were read; leaving was known from the store alone, and a refusal kept requests away for 0.12 s whatever rest it asked for. Class: what a runner says of itself at first hand is not taken in, and only the store's word counts.

Change: what the heads of a process's answers say holds for that process, whatever the directory says meanwhile: not undone by an older entry, by the list taken anew, by being dropped and listed again. Leaving is for good; a rest counts from the answer's arrival, the latest end counts. Attempts of all kinds pass by one choice, so first tries, repeats, resumed streams, canaries, suspects and borrowed runners all keep to it. Where all rest, a request waits only if it is in time after the first rest, and no more wait than the runner has places for; others are refused at once with when to come back, spread over 0.3 s. Peers are told of a leave as a hint, which lapses and never causes a refusal.

--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -1,8 +1,10 @@
 """What a node believes of each runner: liveness, weights, load.
 
-Beliefs come from four sources: the directory of runners, what this node's own requests show, what
-peers tell, and what the node that orders weights tells. The directory lags, so a runner that fails
-requests is avoided before the directory says so.
+Beliefs come from five sources: the directory of runners, what runners say of themselves in their
+answers, what this node's own requests show, what peers tell, and what the node that orders weights
+tells. The directory lags, and says nothing new while its store is away: a runner that fails
+requests is avoided before the directory says so, and what a runner says of itself holds against the
+directory's word (``runner_words``).
 """
 
 from __future__ import annotations
@@ -28,6 +30,10 @@
 UNLISTED_MEMORY_SECONDS = 15.0
 # A load takes 0.57 to 0.76 s on the deployments seen; its end is told, this is for a lost word.
 LOADING_SECONDS = 0.7
+# A peer's word that a runner leaves is repeated after the shorter time while the directory does not
+# say so, and lapses after the longer one: two repetitions may be lost.
+HINT_AGAIN_SECONDS = 2.0
+HINT_SECONDS = 6.0
 # Tokens a second until prefills were seen (``RunnerPlacement._learn_rate``): the slowest of the
 # engines seen, so that a delay is rather thought too long.
 DEFAULT_PREFILL_RATE = 38_000.0
@@ -79,6 +85,8 @@
         has_ended: Whether its process has ended, since a later one of its name was heard of.
         words: What it has told this node of itself; the directory does not change them.
         unlisted_until: The directory dropped it, but it may be used until then; None if listed.
+        hinted_until: Peers say that it leaves: until then it is used only where no other one is.
+        hinted_at: When a peer last said so, or this node did.
     """
 
     entry: RunnerEntry
@@ -97,6 +105,8 @@
     failures: int = 0
     last_heard_at: float = float("-inf")
     words: RunnerWords = field(default_factory=RunnerWords)
+    hinted_until: float = float("-inf")
+    hinted_at: float = float("-inf")
 
     @property
     def runner_id(self) -> str:
@@ -110,11 +120,25 @@
 
     def accepts(self, now: float) -> bool:
         """Return whether it may get new work."""
-        return self.stays(now) and now >= max(self.suspected_until, self.loading_until)
+        return self.stays(now) and now >= self.ready_at
+
+    @property
+    def ready_at(self) -> float:
+        """When it is expected to take new work, if it stays."""
+        return max(self.suspected_until, self.loading_until, self.words.rests_until)
+
+    @property
+    def leaves(self) -> bool:
+        """Whether it leaves or has left, by whichever word came first.
+
+        Its own is not undone by an entry that says that it is ready: while the store is away the
+        directory tells of the time before.
+        """
+        return self.leaving or self.entry.draining or self.words.leaves
 
     def stays(self, now: float) -> bool:
         """Return whether it gets work again, if not now: it neither leaves nor is gone."""
-        if self.leaving or self.entry.draining:
+        if self.leaves:
             return False
         return self.unlisted_until is None or now < self.unlisted_until
 
@@ -182,6 +206,8 @@
         self._words = WordRecord()
         # Those of the runners above whose words may keep requests away from them: mostly none.
         self._held_back: dict[str, Runner] = {}
+        # Those of which a peer has said that they leave: mostly none.
+        self._hinted: dict[str, Runner] = {}
         # The latest process of each name in the directory, also while it is not listed.
         self._latest: dict[str, RunnerEntry] = {}
 
@@ -289,6 +315,40 @@
                 found.append(runner)
         return found
 
+    def hint_leaving(self, runner: Runner, now: float) -> None:
+        """Take over a peer's word that a runner leaves.
+
+        It names one process, and it lapses: lost, late or wrong it costs a request a worse place,
+        never a refusal.
+        """
+        runner.hinted_until = now + HINT_SECONDS
+        runner.hinted_at = now
+        self._hinted[runner.runner_id] = runner
+
+    def hinted(self, service: str, now: float) -> set[str]:
+        """Return the runners of a service that leave by the word of peers."""
+        found: set[str] = set()
+        for runner_id, runner in list(self._hinted.items()):
+            if self._runners.get(runner_id) is not runner or now >= runner.hinted_until:
+                del self._hinted[runner_id]
+            elif runner.entry.service == service:
+                found.add(runner_id)
+        return found
+
+    def to_hint(self, now: float) -> list[Runner]:
+        """Return the runners that peers should be told of: they leave by their own word alone.
+
+        Once the directory says so it tells all. One of which a peer has told lately is left out.
+        """
+        return [
+            runner
+            for runner_id, runner in self._held_back.items()
+            if self._runners.get(runner_id) is runner
+            and runner.words.leaves
+            and not runner.entry.draining
+            and now >= runner.hinted_at + HINT_AGAIN_SECONDS
+        ]
+
     def _known(self, runner_id: str) -> Runner | None:
         """Return a runner that is listed, or was not long ago."""
         unlisted = self._unlisted.get(runner_id)
--- a/src/hillstack/core/weights_rollout.py
+++ b/src/hillstack/core/weights_rollout.py
@@ -85,9 +85,7 @@
         return max(1, math.ceil((len(waiting) + loading) * view.load_seconds / left - 0.1))
 
     def _stays(self, runner: Runner, view: RolloutView) -> bool:
-        if runner.leaving or runner.entry.draining:
-            return False
-        return runner.runner_id not in view.resting
+        return not runner.leaves and runner.runner_id not in view.resting
 
     def _is_behind(self, runner: Runner) -> bool:
         return runner.weights_version(self._model) < self._versions.newest(self._model)
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -135,12 +135,12 @@
         store = MetadataStore(
             settings.store.address, self._store_session, self._metrics.unreadable_items.inc
         )
-        signals = SignalIntake(self._state.pool, self._metrics, self._clock)
-        runners = HttpRunnerClient(self._runner_session, signals)
         zone = settings.node.zone
         self._link = PeerLink()
         choice = RelayChoice(settings.node.id, self._state.nodes, self._state.topology)
         self._peers = PeerExchange(self._state, self._link, choice, zone, self._clock, rng)
+        signals = SignalIntake(self._state.pool, self._metrics, self._clock, self._peers.leaving)
+        runners = HttpRunnerClient(self._runner_session, signals)
         self._changes = ChangeLog()
         store_relay = StoreRelay(self._state, self._changes, self._link, self._clock)
         placement = RunnerPlacement(
--- a/src/hillstack/daemon/notice_outbox.py
+++ b/src/hillstack/daemon/notice_outbox.py
@@ -22,6 +22,8 @@
 MAX_PLACEMENTS = 40
 # Parts of 15 bytes each that fit a datagram of 1,400 bytes.
 MAX_CACHE_PARTS = 80
+# Runners that leave at a time, of 20 bytes each; those beyond are told with a later heartbeat.
+MAX_LEAVING = 16
 # A rack of runners that ends at once; what is beyond stays untold.
 MAX_RUNNER_ENDS = 16
 
@@ -49,6 +51,7 @@
         self._runner_ends: list[RunnerEndNotice] = []
         self._rollouts: list[RolloutReport] = []
         self._restarted: list[str] = []
+        self._leaving: list[str] = []
 
     def add_placement(self, notice: PlacementNotice) -> None:
         """Tell what was sent to a runner; beyond the bound it stays untold."""
@@ -76,6 +79,11 @@
         """Tell that a runner's process has ended, and a later one of its name has started."""
         self._restarted.append(runner_id)
 
+    def add_leaving(self, runner_id: str) -> None:
+        """Tell that a runner says that it leaves; beyond the bound it stays untold for now."""
+        if len(self._leaving) < MAX_LEAVING and runner_id not in self._leaving:
+            self._leaving.append(runner_id)
+
     def set_announcements(self, announcements: list[AnnouncementNotice]) -> None:
         """Tell the versions that were named lately."""
         self._announcements = announcements
@@ -127,9 +135,10 @@
             runner_ends=self._runner_ends,
             rollouts=self._rollouts,
             restarted=self._restarted,
+            leaving=self._leaving,
         )
         self._placements, self._reads, self._changed, self._weights = [], [], {}, {}
-        self._suspected, self._announcements = [], []
+        self._suspected, self._announcements, self._leaving = [], [], []
         self._runner_ends, self._rollouts, self._restarted = [], [], []
         self._cache, self._cache_lost, self._unavailable = {}, [], set()
         return [first, *(self._cache_only(chunk) for chunk in chunks[1:])]
--- a/src/hillstack/daemon/notice_reader.py
+++ b/src/hillstack/daemon/notice_reader.py
@@ -71,6 +71,10 @@
             runner = self._state.pool.get(runner_id)
             if runner is not None:
                 self._state.note_restarted(runner, now)
+        for runner_id in notice.leaving:
+            runner = self._state.pool.get(runner_id)
+            if runner is not None:
+                self._state.pool.hint_leaving(runner, now)
         self._take_cache(notice, now)
         for entry in notice.announcements:
             self._take_announcement(notice.node_id, entry, now)
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -18,7 +18,7 @@
 from hillstack.core.cache_watch import NodeLiveness
 from hillstack.core.node_directory import NodeEntry
 from hillstack.core.relay_choice import RelayChoice
-from hillstack.core.runner_pool import Runner
+from hillstack.core.runner_pool import HINT_AGAIN_SECONDS, Runner
 from hillstack.daemon.cache_follower import CacheEntry
 from hillstack.daemon.notice_outbox import NoticeOutbox
 from hillstack.daemon.notice_reader import (
@@ -59,6 +59,10 @@
 # Loads that are not repeated are forgotten after 2 s (``runner_load``): two may be lost.
 REFRESH_SECONDS = 0.8
 INCARNATION_BITS = 32
+# Of all nodes that know of a runner that leaves, few tell it again with a heartbeat: the others
+# hear it from them and keep quiet. Of 1,500 nodes some 20 do within the 0.1 s that a word takes; of
+# 7, one within a second.
+HINT_AGAIN_CHANCE = 0.125
 
 PeerHandler = Callable[[str], None]
 
@@ -89,6 +93,7 @@
         self._choice = choice
         self._zone = zone
         self._clock = clock
+        self._rng = rng
         self._incarnation = rng.getrandbits(INCARNATION_BITS)
         self._outbox = NoticeOutbox(state.node_id, self._incarnation)
         self._liveness = NodeLiveness(state.node_id, state.nodes, zone, clock())
@@ -197,6 +202,15 @@
         self._outbox.add_restarted(runner_id)
         self.flush(urgent=True)
 
+    def leaving(self, runner: Runner) -> None:
+        """Tell that a runner says that it leaves, unless a peer has told so lately."""
+        now = self._clock()
+        if now < runner.hinted_at + HINT_AGAIN_SECONDS:
+            return
+        runner.hinted_at = now
+        self._outbox.add_leaving(runner.runner_id)
+        self._schedule()
+
     def runner_ended(self, notice: RunnerEndNotice) -> None:
         """Tell of a runner that ended while it worked on requests of this node, at once."""
         self._outbox.add_runner_end(notice)
@@ -246,6 +260,9 @@
             if len(runner.attempts):
                 self._outbox.add_load(runner)
         self._outbox.set_announcements(self._recent_announcements())
+        for runner in self._state.pool.to_hint(self._clock()):
+            if self._rng.random() < HINT_AGAIN_CHANCE:
+                self.leaving(runner)
         self.flush()
 
     def flush(self, *, urgent: bool = False) -> None:
--- a/src/hillstack/daemon/weights_rollout_duty.py
+++ b/src/hillstack/daemon/weights_rollout_duty.py
@@ -196,7 +196,7 @@
             wait = min(runner.prefill_wait(now), gives_up_at - now)
 
     def _may_go_on(self, runner: Runner, limit: float) -> bool:
-        if runner.leaving or self._lease.fence() is None:
+        if runner.leaves or self._lease.fence() is None:
             return False
         return self._clock() < limit
 
--- a/src/hillstack/messages/peer_notices.py
+++ b/src/hillstack/messages/peer_notices.py
@@ -126,6 +126,7 @@
         runner_ends: Runners that ended while they worked on requests of the sender.
         rollouts: What the sender saw of rollouts of software that are under way.
         restarted: Runners whose processes have ended, since later ones of their names answered.
+        leaving: Runners that have told the sender that they leave, before the directory says so.
     """
 
     protocol: int
@@ -143,6 +144,7 @@
     runner_ends: list[RunnerEndNotice] = []
     rollouts: list[RolloutReport] = []
     restarted: list[str] = []
+    leaving: list[str] = []
 
     def is_news(self) -> bool:
         """Return whether it says more than that its sender is alive, and its loads."""
@@ -150,7 +152,7 @@
 
     def is_control(self) -> bool:
         """Return whether it says what each node must hear: not of single prompts or parts."""
-        return bool(self.announcements or self.rollouts) or self.is_urgent()
+        return bool(self.announcements or self.rollouts or self.leaving) or self.is_urgent()
 
     def is_urgent(self) -> bool:
         """Return whether it says what is sent at once, and never only repeats it."""
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -73,6 +73,7 @@
         runner_failure: What a runner answered before another one was tried; it is passed on if no
             other one answers.
         time_limit: When work on it ends.
+        has_waited: Whether it has waited for a runner's rest to end; it does so once.
         sent_at: When its latest attempt was sent.
         answering_since: When the first bytes of that attempt's answer came; None before.
         fingerprint: Names it over all tries of its caller; None until somebody asks.
@@ -103,6 +104,7 @@
     excluded: set[str] = field(default_factory=set)
     runner_failure: WholeAnswer | None = None
     time_limit: asyncio.Timeout | None = None
+    has_waited: bool = False
     sent_at: float = 0.0
     answering_since: float | None = None
     fingerprint: int | None = None
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -37,6 +37,7 @@
     RunnerClient,
     TenantLimiter,
 )
+from hillstack.serving.rest_waits import RestWaits
 from hillstack.serving.runner_ends import RunnerEndWatch
 from hillstack.serving.signal_intake import show_held_back
 from hillstack.serving.types import (
@@ -58,6 +59,8 @@
 MAX_SENDS = 4
 # Less is not worth a try: the way there and back.
 MIN_REMAINING_SECONDS = 0.02
+# A timer may fire that much before the moment that it was set for, and the runner rests until then.
+REST_END_SECONDS = 0.002
 # How late a silent runner is noticed by a request that waits for it.
 SILENCE_CHECK_SECONDS = 0.15
 # A request leaves a runner that is silent for longer than the allowed pauses of 0.5 and 0.6 s.
@@ -108,6 +111,7 @@
         self._placement = placement
         self._clock = clock
         self._admission = RequestAdmission(state, clock)
+        self._rest_waits = RestWaits(state, placement)
         self.runner_ends = RunnerEndWatch(state, placement, clock, self._metrics)
         self.active = 0
 
@@ -214,7 +218,7 @@
     async def _attempt_until_done(self, job: Job, sink: ResponseSink) -> None:
         while True:
             await self.runner_ends.check(job)
-            placed = self._place(job)
+            placed = await self._place(job)
             job.sends += 1
             try:
                 done = await self._attempt(job, placed, sink)
@@ -226,11 +230,14 @@
                 if done:
                     return
 
-    def _place(self, job: Job) -> PlacedAttempt:
+    async def _place(self, job: Job) -> PlacedAttempt:
         now = self._clock()
         if job.sends and not self._may_send_again(job, now):
             raise job.gave_up(Verdict.UNAVAILABLE, "no further attempt allowed")
         placed = self._placement.choose(job, now)
+        if placed is None and await self._rest_ended(job, now):
+            now = self._clock()
+            placed = self._placement.choose(job, now)
         if placed is None:
             fields: dict[str, object] = {"request": job.request.request_id, "service": job.service}
             fields |= asdict(self._placement.census(job, now))
@@ -240,6 +247,28 @@
         self._check_overload(job, placed, now)
         return placed
 
+    async def _rest_ended(self, job: Job, now: float) -> bool:
+        """Wait for the end of a runner's rest if the request is in time after it; once a request.
+
+        Returns:
+            Whether it waited.
+        """
+        runner = self._rest_waits.runner_for(job, now) if not job.has_waited else None
+        if runner is None:
+            return False
+        job.has_waited = True
+        # It may be the one that has refused this request, and asked for the rest.
+        job.excluded.discard(runner.runner_id)
+        wait = runner.ready_at - now
+        fields = {"request": job.request.request_id, "runner": runner.runner_id}
+        logger.info("waits for rest to end", extra=fields | {"wait_ms": round(wait * 1000, 1)})
+        self._rest_waits.begin(runner)
+        try:
+            await asyncio.sleep(wait + REST_END_SECONDS)
+        finally:
+            self._rest_waits.end(runner)
+        return True
+
     def _check_overload(self, job: Job, placed: PlacedAttempt, now: float) -> None:
         """Refuse a request that surely has not run if it would surely be late."""
         if job.may_have_run or placed.salt is None:
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -61,6 +61,11 @@
 # The first event of an engine is overdue after its expected delay, half as much again and this.
 DUE_SECONDS = 0.4
 DUE_FACTOR = 1.5
+# Callers of all nodes are told of the same end of a rest: they return over half of the shortest
+# objective seen (0.2 to 0.8 s), or a runner that was overrun is overrun again.
+RETURN_SPREAD_SECONDS = 0.3
+# An answer of an application server, where none was seen yet: the longest work of those seen.
+USUAL_ANSWER_SECONDS = 0.1
 # A further attempt avoids the zones of runners that were tried, where there are several regions: as
 # much as half the places of an application server taken.
 FAILED_ZONE_PENALTY = 0.5
@@ -73,6 +78,7 @@
     Attributes:
         known: All runners.
         leaving: They drain, or are gone.
+        resting: They asked for rest.
         suspected: They failed or were silent.
         loading: They load weights.
         too_old: Their weights must not be used any more.
@@ -82,6 +88,7 @@
 
     known: int = 0
     leaving: int = 0
+    resting: int = 0
     suspected: int = 0
     loading: int = 0
     too_old: int = 0
@@ -140,7 +147,20 @@
         return self._peers
 
     def choose(self, job: Job, now: float) -> PlacedAttempt | None:
-        """Return a runner for the next attempt, or None when none takes work."""
+        """Return a runner for the next attempt, or None when none takes work.
+
+        One that leaves by the word of peers is chosen where no other one takes the request.
+        """
+        doubtful = self._state.pool.hinted(job.service, now) - job.excluded
+        if doubtful:
+            job.excluded |= doubtful
+            placed = self._choose_usable(job, now)
+            job.excluded -= doubtful
+            if placed is not None:
+                return placed
+        return self._choose_usable(job, now)
+
+    def _choose_usable(self, job: Job, now: float) -> PlacedAttempt | None:
         placed = self._choose_among(job, self.versions.usable(job, now), now)
         if placed is None and job.is_canary:
             self.versions.keep_to_trusted(job)
@@ -179,11 +199,14 @@
         """Return why runners do not take the request, for the log."""
         model = job.request.model
         oldest = self._state.versions.oldest_allowed(model, now + VERSION_MARGIN_SECONDS)
-        counts = dict.fromkeys(("leaving", "suspected", "loading", "too_old", "closed", "tried"), 0)
+        reasons = "leaving", "resting", "suspected", "loading", "too_old", "closed", "tried"
+        counts = dict.fromkeys(reasons, 0)
         runners = self._state.pool.of_service(job.service)
         for runner in runners:
-            if runner.leaving or runner.entry.draining:
+            if runner.leaves:
                 counts["leaving"] += 1
+            elif runner.words.rest_left(now) > 0:
+                counts["resting"] += 1
             elif now < runner.suspected_until:
                 counts["suspected"] += 1
             elif now < runner.loading_until:
@@ -201,17 +224,34 @@
 
         None if that is not known: no runner is there to stay, or all have weights that are too old.
         """
-        oldest = self._oldest_allowed(job, now)
-        waits = [
-            max(runner.suspected_until, runner.loading_until, runner.shed_until) - now
-            for runner in self._state.pool.of_service(job.service)
-            if runner.stays(now)
-            and runner.weights_after_load(job.request.model) >= oldest
-            and self.versions.may_use(job, runner, now)
-        ]
-        if not waits:
+        first = min(self._staying(job, now), key=_takes_at, default=None)
+        if first is None:
             return None
-        return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, min(waits)))
+        wait = _takes_at(first) - now
+        if first.words.rests_until >= _takes_at(first):
+            wait += self._rng.uniform(0.0, RETURN_SPREAD_SECONDS)
+        return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
+
+    def first_rest(self, job: Job, now: float) -> Runner | None:
+        """Return the runner that takes the request first once its rest ends; None without one."""
+        resting = (r for r in self._staying(job, now) if r.words.rests_until >= r.ready_at > now)
+        return min(resting, key=_takes_at, default=None)
+
+    def expected_work(self, job: Job) -> float:
+        """Return the seconds that a request takes at an idle runner until it counts as served."""
+        shape = job.request.shape
+        if shape is None or self._state.engine_of(job.service) is None:
+            return self.usual_seconds(job.service) or USUAL_ANSWER_SECONDS
+        return shape.prompt_tokens / self.prefill_rate(job.service)
+
+    def _staying(self, job: Job, now: float) -> Iterator[Runner]:
+        """Return the runners that take the request, if not now."""
+        oldest = self._oldest_allowed(job, now)
+        for runner in self._state.pool.of_service(job.service):
+            if not runner.stays(now) or not self.versions.may_use(job, runner, now):
+                continue
+            if runner.weights_after_load(job.request.model) >= oldest:
+                yield runner
 
     def sent(self, job: Job, placed: PlacedAttempt, attempt_id: str, now: float) -> None:
         """Note an attempt that is being sent, and when it is due, and tell the peers."""
@@ -505,6 +545,11 @@
         self._rates[service] = rate
 
 
+def _takes_at(runner: Runner) -> float:
+    """Return when a runner is expected to take work, its pause after a refusal included."""
+    return max(runner.ready_at, runner.shed_until)
+
+
 def _has_place(runner: Runner, now: float) -> bool:
     """Return whether an application server is believed to begin a request at once."""
     return now >= runner.shed_until and runner.running(now) < runner.entry.slots
--- /dev/null
+++ b/src/hillstack/serving/rest_waits.py
@@ -0,0 +1,61 @@
+"""Which requests wait for a runner whose rest ends soon, where no other one takes them.
+
+A request waits only if it can still be served in time after that: a wait that ends in a refusal
+costs its caller more than a refusal at once. And no more wait than the runner has places for, of
+all nodes together: else what made it ask for rest comes back at once when the rest ends.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hillstack.core.runner_pool import Runner
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.job import Job
+from hillstack.serving.placement import RunnerPlacement
+
+# The ways there and back, and the turns of the loop: what is left of the objective must cover them
+# beside the request's own work.
+SPARE_SECONDS = 0.05
+
+
+class RestWaits:
+    """Decides who waits, and counts them.
+
+    Args:
+        state: What the node knows.
+        placement: Knows the runners.
+    """
+
+    def __init__(self, state: FleetState, placement: RunnerPlacement) -> None:
+        self._state = state
+        self._placement = placement
+        self._waiting: Counter[str] = Counter()
+
+    def runner_for(self, job: Job, now: float) -> Runner | None:
+        """Return the resting runner that a request should wait for; None if it should not wait."""
+        runner = self._placement.first_rest(job, now)
+        if runner is None or not self._is_in_time(job, runner, now):
+            return None
+        places = runner.entry.slots // max(1, self._state.nodes.sharing_count(now))
+        if self._waiting[runner.runner_id] >= max(1, places):
+            return None
+        return runner
+
+    def begin(self, runner: Runner) -> None:
+        """Note a request that begins to wait."""
+        self._waiting[runner.runner_id] += 1
+
+    def end(self, runner: Runner) -> None:
+        """Note the end of its wait."""
+        self._waiting[runner.runner_id] -= 1
+        if not self._waiting[runner.runner_id]:
+            del self._waiting[runner.runner_id]
+
+    def _is_in_time(self, job: Job, runner: Runner, now: float) -> bool:
+        """Return whether a request that waits is served within its objective, as far as known."""
+        due_at = job.deadline
+        if job.route.target_seconds > 0:
+            due_at = min(due_at, job.request.arrived_at + job.route.target_seconds)
+        work = self._placement.expected_work(job)
+        return runner.ready_at + work + SPARE_SECONDS <= due_at
--- a/src/hillstack/serving/signal_intake.py
+++ b/src/hillstack/serving/signal_intake.py
@@ -25,9 +25,17 @@
         pool: All runners.
         metrics: Where signals are counted.
         clock: Monotonic seconds.
+        on_leaving: Called with each runner that says that it leaves, when it says so first.
     """
 
-    def __init__(self, pool: RunnerPool, metrics: FleetMetrics, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        pool: RunnerPool,
+        metrics: FleetMetrics,
+        clock: Callable[[], float],
+        on_leaving: Callable[[Runner], None] = lambda _: None,
+    ) -> None:
+        self._on_leaving = on_leaving
         self._pool = pool
         self._metrics = metrics
         self._clock = clock
@@ -47,6 +55,9 @@
             "source": source,
         }
         logger.info("runner says of itself", extra=fields)
+        runner = self._pool.get(runner_id)
+        if signals.leaving and runner is not None:
+            self._on_leaving(runner)
 
 
 def show_held_back(
