--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -203,9 +203,9 @@
         self.flush(urgent=True)
 
     def leaving(self, runner: Runner) -> None:
-        """Tell that a runner says that it leaves, unless a peer has told so lately."""
+        """Tell that a runner says that it leaves, unless peers know: by another, or the store."""
         now = self._clock()
-        if now < runner.hinted_at + HINT_AGAIN_SECONDS:
+        if runner.entry.draining or now < runner.hinted_at + HINT_AGAIN_SECONDS:
             return
         runner.hinted_at = now
         self._outbox.add_leaving(runner.runner_id)
--- a/src/hillstack/serving/rest_waits.py
+++ b/src/hillstack/serving/rest_waits.py
@@ -17,6 +17,9 @@
 # The ways there and back, and the turns of the loop: what is left of the objective must cover them
 # beside the request's own work.
 SPARE_SECONDS = 0.05
+# A stream that has begun would be cut otherwise, and its caller stays that long without an event:
+# the shortest patience that callers are known to have.
+STREAM_PATIENCE_SECONDS = 2.0
 
 
 class RestWaits:
@@ -53,9 +56,15 @@
             del self._waiting[runner.runner_id]
 
     def _is_in_time(self, job: Job, runner: Runner, now: float) -> bool:
-        """Return whether a request that waits is served within its objective, as far as known."""
-        due_at = job.deadline
-        if job.route.target_seconds > 0:
-            due_at = min(due_at, job.request.arrived_at + job.route.target_seconds)
+        """Return whether a request that waits is served in time, as far as that is known."""
         work = self._placement.expected_work(job)
-        return runner.ready_at + work + SPARE_SECONDS <= due_at
+        return runner.ready_at + work + SPARE_SECONDS <= min(job.deadline, _due_at(job))
+
+
+def _due_at(job: Job) -> float:
+    """Return until when an answer is of use: within the objective, or to go on with a stream."""
+    if job.head_sent and job.last_event_at is not None:
+        return job.last_event_at + STREAM_PATIENCE_SECONDS
+    if job.route.target_seconds > 0:
+        return job.request.arrived_at + job.route.target_seconds
+    return job.deadline
