Soak: runners that leave while the store is away, and that ask for rest, with the promises to them

Two faults, drawn where they are asked for by name, and two checks on what reached whom after which answer; a seeded run of 12 s beside killed and frozen nodes and runners that start again is part of the suite.

--- a/src/hillstack/emulator/fleet_runner.py
+++ b/src/hillstack/emulator/fleet_runner.py
@@ -20,6 +20,7 @@
 from starlette.routing import Route
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
+from hillstack.core.runner_words import RunnerSignals
 from hillstack.emulator.fleet_cache import FleetCache
 from hillstack.platform import names
 from hillstack.platform.bodies import ModelVersion, OrderBody, ReportBody, RunnerBody
@@ -144,6 +145,14 @@
         self.ran.append(request_id)
         self.seen_headers.append(headers)
 
+    def note_arrival(self, request_id: str) -> None:
+        """Note a request that has reached it, whether it runs or not."""
+        self.arrived.append(request_id)
+
+    def note_word(self, request_id: str, signals: RunnerSignals) -> None:
+        """Note what it says of itself in the answer to a request."""
+        return
+
     async def _report(self, request: Request) -> Response:
         if self._is_misdirected(request):
             return self._misdirected()
@@ -168,13 +177,14 @@
 
     async def _run(self, request: Request) -> Response:
         request_id = request.headers.get(names.REQUEST_ID, "")
-        self.arrived.append(request_id)
+        self.note_arrival(request_id)
         if self._is_misdirected(request):
             return self._misdirected()
         if self.faults.shed:
             headers = {names.NOT_EXECUTED: "1", names.REQUEST_ID: request_id}
             if self.faults.rest_seconds:
                 headers[names.RETRY_AFTER] = f"{self.faults.rest_seconds:g}"
+                self.note_word(request_id, RunnerSignals(rest_seconds=self.faults.rest_seconds))
             return Response(status_code=503, headers=headers)
         self.note_run(request_id, dict(request.headers))
         body = await request.body()
@@ -249,7 +259,10 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         async def send_with_word(message: Message) -> None:
             if message["type"] == "http.response.start" and self._runner.faults.leaving:
-                MutableHeaders(scope=message)[names.LEAVING] = "1"
+                headers = MutableHeaders(scope=message)
+                headers[names.LEAVING] = "1"
+                request_id = headers.get(names.REQUEST_ID, "")
+                self._runner.note_word(request_id, RunnerSignals(leaving=True))
             await send(message)
 
         await self._app(scope, receive, send_with_word)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -13,13 +13,16 @@
 from tests.soak.soak import SoakPlan, SoakResult, run
 from tests.soak.system import NODE_COUNT
 from tests.soak.weights_faults import WEIGHTS_FAULTS
+from tests.soak.word_faults import WORD_FAULTS
 
 SEED_BITS = 31
+# Faults that are played only where they are asked for.
+NAMED_FAULTS = WEIGHTS_FAULTS + RESTART_FAULTS + WORD_FAULTS
 
 
 def main() -> int:
     """Run the soaks and return the exit code."""
-    faults = {fault.__name__: fault for fault in FAULTS + WEIGHTS_FAULTS + RESTART_FAULTS}
+    faults = {fault.__name__: fault for fault in FAULTS + NAMED_FAULTS}
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=60.0, help="faults of one soak")
     parser.add_argument("--soaks", type=int, default=1, help="number of soaks")
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from hillstack.core.runner_words import RunnerSignals
 from hillstack.platform.bodies import OrderBody
 
 # Targets of troubles: the store, and nodes by their names.
@@ -56,6 +57,37 @@
     weights: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reached a runner, run or not.
+
+    Attributes:
+        born: When the runner's process started, which tells it from others of its name.
+    """
+
+    request_id: str
+    runner_id: str
+    born: int
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Word:
+    """What a runner said of itself in an answer.
+
+    Attributes:
+        request_id: The request that it answered; empty for other questions.
+        born: When the runner's process started.
+        at: When the answer left it.
+    """
+
+    request_id: str
+    runner_id: str
+    born: int
+    at: float
+    signals: RunnerSignals
+
+
 @dataclass(slots=True)
 class Trouble:
     """A time in which a fault disturbed a node, a runner's link or the store.
@@ -124,6 +156,8 @@
         rollouts: Orders by target version.
         software: Version of each runner's software.
         weights_named: When each version of the weights was acknowledged.
+        arrivals: Requests that reached runners.
+        words: What runners said of themselves.
         lags: When a task of the soak itself was late, and for how many seconds.
     """
 
@@ -136,6 +170,8 @@
     stops: list[Stop] = field(default_factory=list)
     let_go: dict[str, float] = field(default_factory=dict)
     weights_named: dict[int, float] = field(default_factory=dict)
+    arrivals: list[Arrival] = field(default_factory=list)
+    words: list[Word] = field(default_factory=list)
     lags: list[tuple[float, float]] = field(default_factory=list)
     runner_ends: list[RunnerEnd] = field(default_factory=list)
     rollouts: dict[str, Rollout] = field(default_factory=dict)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -16,6 +16,7 @@
 )
 from tests.soak.version_promises import rollouts, runners_ended
 from tests.soak.weights_promises import begun_on_older_weights
+from tests.soak.word_promises import reached_leaving_runners, reached_resting_runners
 
 NOT_RUN = frozenset({408, 421, 429, 503})
 RETRY_AFTER_STATUSES = frozenset({429, 503})
@@ -40,6 +41,8 @@
         *runners_ended(seen),
         *rollouts(seen),
         *begun_on_older_weights(seen),
+        *reached_leaving_runners(seen),
+        *reached_resting_runners(seen),
     ]
 
 
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -15,6 +15,7 @@
 
 from starlette.requests import Request
 
+from hillstack.core.runner_words import RunnerSignals
 from hillstack.emulator.fleet_runner import FleetRunner
 from hillstack.platform import names
 from hillstack.platform.bodies import TenantBody
@@ -23,7 +24,16 @@
 from tests.processes.fault_proxy import FaultProxy
 from tests.soak import fatal_requests
 from tests.soak.fatal_requests import FatalRequests
-from tests.soak.observations import NODE_PREFIX, Observations, Run, RunnerEnd, Stop, Trouble
+from tests.soak.observations import (
+    NODE_PREFIX,
+    Arrival,
+    Observations,
+    Run,
+    RunnerEnd,
+    Stop,
+    Trouble,
+    Word,
+)
 from tests.soak.regions import REGION_OF_ZONE, Regions
 from tests.soak.software import CANARY_SHARE, CANARY_SLACK, Software, StatusNotingStore
 from tests.soak.timed_promises import GRACE_SECONDS
@@ -85,6 +95,17 @@
             self._observations.runner_ends.append(RunnerEnd(fatal, self.runner_id, now))
             self._end(self.runner_id)
 
+    def note_arrival(self, request_id: str) -> None:
+        """Note a request that has reached it, and when."""
+        super().note_arrival(request_id)
+        arrival = Arrival(request_id, self.runner_id, self.born, time.monotonic())
+        self._observations.arrivals.append(arrival)
+
+    def note_word(self, request_id: str, signals: RunnerSignals) -> None:
+        """Note what it says of itself in the answer to a request, and when."""
+        word = Word(request_id, self.runner_id, self.born, time.monotonic(), signals)
+        self._observations.words.append(word)
+
     def restart(self, born: int) -> None:
         """Start again under the same name, with orders of its own."""
         super().restart(born)
--- /dev/null
+++ b/tests/soak/test_words.py
@@ -0,0 +1,108 @@
+"""Runners that leave or rest, before real processes; and the checks find what is broken."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from hillstack.core.runner_words import RunnerSignals
+from tests.soak.faults import kill_node, pause_node
+from tests.soak.observations import Arrival, Observations, Sent, Stop, Trouble, Word
+from tests.soak.restart_faults import restart_runners
+from tests.soak.soak import SoakPlan, run
+from tests.soak.word_faults import ask_for_rest, leave_unheard
+from tests.soak.word_promises import reached_leaving_runners, reached_resting_runners
+
+SEED = 903
+SECONDS = 12.0
+FAULTS = (leave_unheard, ask_for_rest, kill_node, pause_node, restart_runners)
+
+WORD_AT = 20.0
+REST = 3.0
+
+
+def test_real_processes_keep_all_promises_to_runners_that_leave_or_rest(tmp_path: Path) -> None:
+    result = run(SEED, SoakPlan(SECONDS, faults=FAULTS), tmp_path)
+    assert result.violations == [], result.faults
+    assert {fault.partition(" ")[2] for fault in result.faults} >= {"leave_unheard", "ask_for_rest"}
+    logged = "".join(log.read_text() for log in tmp_path.glob("node-*.log"))
+    assert "runner says of itself" in logged and "runners held back" in logged
+    assert '"sent_despite":true' not in logged
+
+
+def sent(request_id: str, at: float, node: str = "node-1", status: int | None = 200) -> Sent:
+    return Sent(request_id, "safe", node, "key-1", at, status, ended_at=at + 0.1)
+
+
+def seen_with(
+    signals: RunnerSignals,
+    arrivals: list[float],
+    *,
+    node: str = "node-1",
+    born: int = 1,
+    troubles: list[Trouble] | None = None,
+    stops: list[Stop] | None = None,
+    status: int | None = 200,
+) -> Observations:
+    """Return what is seen when a runner says something and then gets requests."""
+    requests = [sent("r-0", WORD_AT - 0.1, status=status)]
+    requests += [sent(f"r-{at}", at, node) for at in arrivals]
+    return Observations(
+        requests,
+        arrivals=[Arrival(f"r-{at}", "i-1", born, at) for at in arrivals],
+        words=[Word("r-0", "i-1", 1, WORD_AT, signals)],
+        troubles=troubles or [],
+        stops=stops or [],
+    )
+
+
+@pytest.mark.parametrize(
+    ("found", "is_broken"),
+    [
+        (seen_with(RunnerSignals(leaving=True), [21.9]), False),
+        (seen_with(RunnerSignals(leaving=True), [22.1]), True),
+        (seen_with(RunnerSignals(leaving=True), [22.1], node="node-2"), False),
+        (seen_with(RunnerSignals(leaving=True), [22.1], born=2), False),
+        (seen_with(RunnerSignals(leaving=True), [22.1], status=None), False),
+        (
+            seen_with(RunnerSignals(leaving=True), [22.1], troubles=[Trouble("node-1", 21, 21.5)]),
+            False,
+        ),
+        (
+            seen_with(RunnerSignals(leaving=True), [22.1], troubles=[Trouble("store", 1.0)]),
+            True,
+        ),
+        (
+            seen_with(RunnerSignals(leaving=True), [22.1], stops=[Stop("node-1", 20.5, 21.5)]),
+            False,
+        ),
+    ],
+)
+def test_a_request_that_reaches_a_runner_long_after_its_word_is_found(
+    found: Observations, is_broken: bool
+) -> None:
+    assert len(list(reached_leaving_runners(found))) == is_broken
+
+
+@pytest.mark.parametrize(
+    ("found", "is_broken"),
+    [
+        (seen_with(RunnerSignals(rest_seconds=REST), [20.1, 20.2, 20.4, 20.49]), False),
+        (seen_with(RunnerSignals(rest_seconds=REST), [20.4, 20.6, 22.9]), False),
+        (seen_with(RunnerSignals(rest_seconds=REST), [20.6, 21.0, 22.9]), True),
+        (seen_with(RunnerSignals(rest_seconds=REST), [20.6, 21.0, 23.1]), False),
+        (seen_with(RunnerSignals(rest_seconds=REST), [20.6, 21.0, 22.9], born=2), False),
+        (seen_with(RunnerSignals(rest_seconds=REST), [20.6, 21.0, 22.9], node="node-2"), False),
+        (
+            seen_with(
+                RunnerSignals(rest_seconds=REST),
+                [20.6, 21.0, 22.9],
+                troubles=[Trouble("node-1", 22.0, 22.2)],
+            ),
+            False,
+        ),
+    ],
+)
+def test_a_rest_that_a_runner_does_not_get_is_found(found: Observations, is_broken: bool) -> None:
+    assert len(list(reached_resting_runners(found))) == is_broken
