--- /dev/null
+++ b/tests/stateful/test_words_of_runners.py
@@ -0,0 +1,153 @@
+"""What a node believes of runners that leave or rest: words, entries and hints in any order."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from hillstack.core.runner_pool import RunnerEntry
+from hillstack.core.runner_words import RunnerSignals
+from hillstack.daemon.notice_reader import NoticeReader
+from hillstack.messages.peer_notices import PROTOCOL_VERSION, NodeNotice
+from hillstack.platform.incarnations import runner_id_of
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.store_events import RunnerListed, RunnerUnlisted, StoreEvent
+from tests.fleet.builders import ENGINES, make_route, make_state, make_table
+
+RUNNERS = ("i-1", "i-2")
+NAMES = st.sampled_from(RUNNERS)
+SOURCE = "request r-0: status 200"
+
+
+class WordsInAnyOrder(RuleBasedStateMachine):
+    """Two runners that start again under their names, a directory, and one node.
+
+    The model holds what each process has said to the node; the node may forget nothing of it, and
+    nothing else may count against a process.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 100.0
+        self.revision = 10
+        self.process = dict.fromkeys(RUNNERS, 0)
+        self.left: set[str] = set()
+        self.rests_until: dict[str, float] = {}
+        self.history: list[StoreEvent] = []
+        self.state: FleetState = make_state(make_table(make_route()))
+        for name in RUNNERS:
+            self.start_again(name)
+            self.state.apply(self.history[-1], self.now)
+
+    def latest(self, name: str) -> str:
+        return runner_id_of(name, self.process[name])
+
+    def write(self, name: str, process: int, *, draining: bool = False) -> None:
+        self.revision += 1
+        entry = RunnerEntry(
+            runner_id_of(name, process),
+            ENGINES,
+            f"10.0.0.9:800{name[-1]}",
+            "zone-a",
+            8,
+            draining,
+            {},
+            self.revision,
+            listed_as=name,
+            started_ms=process,
+        )
+        self.history.append(RunnerListed(entry))
+
+    @rule(name=NAMES)
+    def start_again(self, name: str) -> None:
+        self.process[name] += 1
+        self.write(name, self.process[name])
+
+    @rule(name=NAMES)
+    def heartbeat(self, name: str) -> None:
+        self.write(name, self.process[name])
+
+    @rule(name=NAMES)
+    def write_of_an_earlier_start_is_carried_out_late(self, name: str) -> None:
+        self.write(name, max(1, self.process[name] - 1))
+
+    @rule(name=NAMES)
+    def say_to_the_directory_that_it_leaves(self, name: str) -> None:
+        self.write(name, self.process[name], draining=True)
+
+    @rule(name=NAMES)
+    def lapse(self, name: str) -> None:
+        self.revision += 1
+        self.history.append(RunnerUnlisted(name, self.revision))
+
+    @rule(which=st.integers(0, 300))
+    def hear_of_the_directory(self, which: int) -> None:
+        """Hear any change, also an old one, or one that was heard before."""
+        self.state.apply(self.history[which % len(self.history)], self.now)
+
+    @rule()
+    def read_the_whole_list_anew(self) -> None:
+        listed = {name for name in RUNNERS if self.process[name] % 2}
+        self.state.retain_runners(listed, self.now, self.revision)
+
+    @rule()
+    def an_outage_ends(self) -> None:
+        self.state.store_regained(self.now)
+
+    @rule(name=NAMES, back=st.integers(0, 1))
+    def answer_says_that_it_leaves(self, name: str, back: int) -> None:
+        """Hear it of the latest process, or late of the one before."""
+        runner_id = runner_id_of(name, max(1, self.process[name] - back))
+        self.left.add(runner_id)
+        self.state.pool.hear(runner_id, RunnerSignals(leaving=True), SOURCE, self.now)
+
+    @rule(name=NAMES, back=st.integers(0, 1), seconds=st.floats(0.05, 30.0))
+    def refusal_asks_for_rest(self, name: str, back: int, seconds: float) -> None:
+        runner_id = runner_id_of(name, max(1, self.process[name] - back))
+        until = max(self.rests_until.get(runner_id, 0.0), self.now + seconds)
+        self.rests_until[runner_id] = until
+        self.state.pool.hear(runner_id, RunnerSignals(rest_seconds=seconds), SOURCE, self.now)
+
+    @rule(name=NAMES)
+    def answer_without_a_word(self, name: str) -> None:
+        """Hear success or a plain refusal of an attempt that was under way."""
+        runner = self.state.pool.get(self.latest(name))
+        if runner is not None:
+            self.state.pool.heard(runner, self.now)
+            self.state.pool.succeeded(runner)
+            self.state.pool.shed(runner, self.now)
+
+    @rule(name=NAMES, back=st.integers(0, 1))
+    def hear_a_peer(self, name: str, back: int) -> None:
+        runner_id = runner_id_of(name, max(1, self.process[name] - back))
+        notice = NodeNotice(PROTOCOL_VERSION, "node-2", leaving=[runner_id])
+        NoticeReader(self.state, "zone-a").take(notice, self.now)
+
+    @rule(seconds=st.floats(0.01, 40.0))
+    def time_passes(self, seconds: float) -> None:
+        self.now += seconds
+        self.state.expire(self.now)
+
+    @rule(name=NAMES)
+    def a_later_start_is_used_at_once(self, name: str) -> None:
+        """Nothing that was said before keeps requests from the next process."""
+        self.start_again(name)
+        self.state.apply(self.history[-1], self.now)
+        runner = self.state.pool.get(self.latest(name))
+        assert runner is not None and runner.accepts(self.now)
+
+    @invariant()
+    def who_leaves_or_rests_gets_no_request(self) -> None:
+        for runner in self.state.pool.accepting(ENGINES, self.now):
+            assert runner.runner_id not in self.left
+            assert self.now >= self.rests_until.get(runner.runner_id, 0.0)
+
+    @invariant()
+    def nobody_else_is_held_back(self) -> None:
+        held_back = {r.runner_id for r in self.state.pool.held_back(ENGINES, self.now)}
+        said = self.left | {r for r, until in self.rests_until.items() if self.now < until}
+        listed = {runner.runner_id for runner in self.state.pool.all()}
+        assert held_back == said & listed
+
+
+TestWordsInAnyOrder = WordsInAnyOrder.TestCase
