--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -661,6 +661,90 @@
         "return to_event(StoredItem(item.key, item.revision, None))",
         "return None",
     ),
+    Mutation(
+        "a runner's own word that it leaves is passed over",
+        "core/runner_pool.py",
+        "return self.leaving or self.entry.draining or self.words.leaves",
+        "return self.leaving or self.entry.draining",
+    ),
+    Mutation(
+        "a rest that a runner asks for is passed over",
+        "core/runner_pool.py",
+        "return max(self.suspected_until, self.loading_until, self.words.rests_until)",
+        "return max(self.suspected_until, self.loading_until)",
+    ),
+    Mutation(
+        "what a runner said is forgotten with its entry",
+        "core/runner_pool.py",
+        "        words = self._words.get(entry.runner_id)\n",
+        "        words = None\n",
+    ),
+    Mutation(
+        "a rest is cut short by a later refusal",
+        "core/runner_words.py",
+        "if signals.rest_seconds > 0 and until > self.rests_until:",
+        "if signals.rest_seconds > 0:",
+    ),
+    Mutation(
+        "the word of another one at the address counts",
+        "platform/runner_signals.py",
+        "if answered_by is not None and answered_by != instance_of(runner_id):",
+        "if False:",
+    ),
+    Mutation(
+        "a rest is as long as it says",
+        "platform/runner_signals.py",
+        "return min(MAX_REST_SECONDS, float(text))",
+        "return float(text)",
+    ),
+    Mutation(
+        "answers on cached parts are not heard",
+        "platform/cache_feed.py",
+        "        if not holder.is_store:\n            self._signals",
+        "        if False:\n            self._signals",
+    ),
+    Mutation(
+        "a peer's word that a runner leaves refuses requests",
+        "serving/placement.py",
+        "                return placed\n        return self._choose_usable(job, now)",
+        "                return placed\n        return None",
+    ),
+    Mutation(
+        "a peer's word that a runner leaves never lapses",
+        "core/runner_pool.py",
+        "is not runner or now >= runner.hinted_until:",
+        "is not runner:",
+    ),
+    Mutation(
+        "all requests wait for the end of a rest",
+        "serving/rest_waits.py",
+        "if self._waiting[runner.runner_id] >= max(1, places):",
+        "if False:",
+    ),
+    Mutation(
+        "requests wait for a rest after which they are late",
+        "serving/rest_waits.py",
+        "return runner.ready_at + work + SPARE_SECONDS <= min(job.deadline, _due_at(job))",
+        "return True",
+    ),
+    Mutation(
+        "streams that have begun do not wait for a rest",
+        "serving/rest_waits.py",
+        "if job.head_sent and job.last_event_at is not None:",
+        "if False:",
+    ),
+    Mutation(
+        "callers all return when a rest ends",
+        "serving/placement.py",
+        "wait += self._rng.uniform(0.0, RETURN_SPREAD_SECONDS)",
+        "wait += 0.0",
+    ),
+    Mutation(
+        "weights are ordered at runners that leave",
+        "core/weights_rollout.py",
+        "return not runner.leaves and runner.runner_id",
+        "return not runner.entry.draining and runner.runner_id",
+    ),
 )
 
 
