A rollout's order is as old as the oldest age that any node knows

Cause: a node that starts learned the age of an order from the record, as of its writing, counted from when it read it, and as holder wrote that on: with holders replaced every 4.6 s a rollout of 12 s was decided after 19.0 s, though a node that saw the order lived. Class: a bound moved later by what does not prove it. Change: reports on a rollout tell the order's age; it is late by its way, so it can only be too young, and the oldest counts. It is cut off to whole milliseconds, since rounded up it would grow with each telling. After: decided within the deadline and two leases. The time of a runner's end, told on to nodes that start, is left: some milliseconds of 60 s, and no promise hangs on it.

--- a/src/hillstack/core/order_age.py
+++ b/src/hillstack/core/order_age.py
@@ -27,6 +27,14 @@
         """When the order was given, as far as known, on this node's clock; never moves forward."""
         return self._ordered_at
 
+    def note_told(self, ordered_at: float) -> None:
+        """Take over when the order was given by the oldest age that peers told.
+
+        A record tells the age as of its writing, which a node that starts reads some seconds later;
+        nodes that saw the order keep its age.
+        """
+        self._ordered_at = min(self._ordered_at, ordered_at)
+
     def note(self, record: RolloutRecord | None, now: float) -> None:
         """Take over what the latest record says, which may be of another order."""
         if record is None or record.order_revision != self._order_revision:
--- a/src/hillstack/core/rollout_evidence.py
+++ b/src/hillstack/core/rollout_evidence.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -104,6 +105,8 @@
         self._totals: dict[OutcomeKey, OutcomeCounter] = {}
         self._latest: dict[str, tuple[int, ReporterState]] = {}
         self._bad = False
+        # When the order was given by the oldest age that anybody told, on this node's clock.
+        self.ordered_at = math.inf
 
     def take(self, node_id: str, incarnation: int, report: RolloutReport, now: float) -> None:
         """Take over what a process has counted so far.
@@ -115,6 +118,8 @@
             now: Time on this node's clock.
         """
         self._bad = self._bad or report.bad
+        if report.order_age_ms > 0:
+            self.ordered_at = min(self.ordered_at, now - report.order_age_ms / 1000)
         process = (node_id, incarnation)
         is_new = process not in self._told
         if is_new and len(self._told) >= MOST_PROCESSES:
--- a/src/hillstack/daemon/rollout_decider.py
+++ b/src/hillstack/daemon/rollout_decider.py
@@ -203,6 +203,9 @@
     def _view(self, watch: _Watch) -> RolloutView:
         now = self._clock()
         opinion = self._observations.opinion(self._service)
+        evidence = self._observations.evidence(self._service)
+        if evidence is not None:
+            watch.age.note_told(evidence.ordered_at)
         return RolloutView(
             order=watch.order,
             record=self._record(),
--- a/src/hillstack/messages/rollout_reports.py
+++ b/src/hillstack/messages/rollout_reports.py
@@ -34,6 +34,8 @@
         stage: The stage that the node follows now (``RolloutStage``).
         old_running: Its attempts that are still at runners of other versions than the target.
         bad: Whether it has enough evidence that the target version is bad.
+        order_age_ms: How old the order is, as far as it knows, counted from the sending. It comes
+            late by its way and can only be too young; of all that is told the oldest counts.
     """
 
     service: str
@@ -42,3 +44,4 @@
     old_running: int
     outcomes: list[OutcomeCounts] = []
     bad: bool = False
+    order_age_ms: int = 0
--- a/src/hillstack/serving/rollout_observer.py
+++ b/src/hillstack/serving/rollout_observer.py
@@ -289,8 +289,7 @@
         if not watched.judge.is_due(now):
             return
         self._take_own(order, watched, now)
-        watched.age.note(self._state.rollouts.record(order.service), now)
-        watched.judge.note_ordered_at(watched.age.ordered_at)
+        watched.judge.note_ordered_at(self._ordered_at(order, watched, now))
         if watched.judge.look(watched.evidence.totals(), now) is Verdict.BAD:
             self._close(order, watched, "evidence", now)
 
@@ -329,7 +328,19 @@
         assert stage is not None
         old_running = self._old_running(order)
         is_bad = watched.is_bad
-        return RolloutReport(order.service, order.revision, stage, old_running, rows, is_bad)
+        now = self._clock()
+        # Cut off, not rounded: told on again and again it must never become older than it is.
+        age_ms = max(0, int((now - self._ordered_at(order, watched, now)) * 1000))
+        return RolloutReport(
+            order.service, order.revision, stage, old_running, rows, is_bad, age_ms
+        )
+
+    def _ordered_at(self, order: RolloutOrder, watched: _Watched, now: float) -> float:
+        """Return when the order was given, by what this node saw, the record and the peers."""
+        assert watched.age is not None
+        watched.age.note(self._state.rollouts.record(order.service), now)
+        watched.age.note_told(watched.evidence.ordered_at)
+        return watched.age.ordered_at
 
     def _old_running(self, order: RolloutOrder) -> int:
         """Return this node's attempts that are still at runners of other versions."""
--- a/tests/fleet/test_rollout_observer.py
+++ b/tests/fleet/test_rollout_observer.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from hillstack.core.order_age import HEARD_AFTER_SECONDS
 from hillstack.core.own_outcomes import CUT_SECONDS, AttemptOutcome, OwnOutcomes, delay_bucket
 from hillstack.core.rollout_evidence import (
     DELAY_BUCKETS,
@@ -366,6 +367,42 @@
         return evidence.totals()
 
 
+def test_a_node_that_starts_late_learns_the_orders_age_from_one_that_saw_it() -> None:
+    """By the record alone it took the order to be as old as when the record was written.
+
+    Each node that started and held the duty wrote that on, so the age stood still meanwhile: with
+    holders replaced every 4.6 s a rollout of 12 s was decided after 19.0 s.
+    """
+    saw, starts = Observed(), Observed(ordered=False)
+    order = RolloutOrder(APPLICATION, NEW, OVER_SECONDS, REVISION)
+    saw.observer.tick(0.0)
+    for node in (saw, starts):
+        node.bench.scheduler.run_until(30.0)
+    saw.observer.tick(30.0)
+    stage = RolloutStage.CANARY
+    record = RolloutRecord(APPLICATION, NEW, REVISION, stage, revision=30, elapsed_seconds=5.0)
+    starts.state.apply(RolloutOrdered(order), 30.0)
+    starts.state.apply(RolloutRecorded(record), 30.0)
+    starts.observer.take_report("node-2", 7, saw.teller.latest(), 30.0)
+    starts.observer.tick(30.0)
+    assert starts.teller.latest().order_age_ms == saw.teller.latest().order_age_ms >= 30_000
+
+
+def test_an_age_that_is_told_to_and_fro_does_not_grow() -> None:
+    first, second = Observed(), Observed()
+    for node in (first, second):
+        node.observer.tick(0.0)
+    for number in range(200):
+        now = 10.0 + number * 0.0137
+        for node in (first, second):
+            node.bench.scheduler.run_until(now)
+            node.observer.tick(now)
+        first.observer.take_report("second", 1, second.teller.latest(), now)
+        second.observer.take_report("first", 1, first.teller.latest(), now)
+    age = now + HEARD_AFTER_SECONDS
+    assert age - 0.001 <= first.teller.latest().order_age_ms / 1000 <= age
+
+
 def test_without_an_order_nothing_is_counted_or_told() -> None:
     observed = Observed(ordered=False)
     observed.bench.client.behaviours = dict.fromkeys(("n-0", "o-0"), answers(b"x"))
--- a/tests/fleet/test_software_rollout_duty.py
+++ b/tests/fleet/test_software_rollout_duty.py
@@ -7,6 +7,7 @@
 import pytest
 
 from hillstack.core.software_rollouts import RolloutStage, VersionAccess
+from hillstack.messages.rollout_reports import RolloutReport
 from tests.fleet.builders import APPLICATION
 from tests.fleet.rollout_bench import (
     APPLY_SECONDS,
@@ -377,6 +378,29 @@
     assert bench.store.told[-1][0] <= ordered_at + OVER_SECONDS + 3.0 + MARGIN_SECONDS
 
 
+def test_holders_that_are_replaced_again_and_again_keep_the_deadline(bench: RolloutBench) -> None:
+    """A node that saw the order lives on, and only tells its age."""
+    bench.asked = False
+    order = bench.order()
+    ordered_at = bench.scheduler.now
+    bench.run(1.0)
+    while bench.states() != TOLD_BAD and bench.scheduler.now < ordered_at + 5 * OVER_SECONDS:
+        for node in list(bench.nodes):
+            if node.alive:
+                bench.kill(node)
+        bench.add_node(f"node-{len(bench.nodes)}")
+        for _ in range(8):
+            bench.run(0.58)
+            age_ms = int((bench.scheduler.now - ordered_at) * 1000)
+            told = RolloutReport(APPLICATION, order.revision, "canary", 0, order_age_ms=age_ms)
+            for node in bench.nodes:
+                if node.alive:
+                    node.observed.of(order).take("witness", 1, told, bench.scheduler.now)
+    assert bench.states() == TOLD_BAD
+    # The next holder gets the duty when the lease of the one before has lapsed.
+    assert bench.store.told[-1][0] <= ordered_at + OVER_SECONDS + 2 * TTL + MARGIN_SECONDS
+
+
 def test_a_stopping_holder_hands_the_duty_over_at_once(bench: RolloutBench) -> None:
     bench.order()
     run_until_stage(bench, RolloutStage.CANARY)
