--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -4,7 +4,7 @@
 answers, what this node's own requests show, what peers tell, and what the node that orders weights
 tells. The directory lags, and says nothing new while its store is away: a runner that fails
 requests is avoided before the directory says so, and what a runner says of itself holds against the
-directory's word (``runner_words``).
+directory's word (``runner_signals``).
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from hillstack.core.runner_load import OwnAttempt, OwnAttempts, ReportedLoads, RunnerLoad
-from hillstack.core.runner_words import RunnerSignals, RunnerWords, WordRecord
+from hillstack.core.runner_signals import ReceivedSignals, RunnerSignals, SignalRecord
 
 # A runner that broke a request is tried again after a restart's usual time, longer each time.
 SUSPECT_SECONDS = 0.6
@@ -83,7 +83,7 @@
         ordered_weights: Versions that it was ordered to load, by model.
         peer_ordered_at: When a peer is last known to have ordered it.
         has_ended: Whether its process has ended, since a later one of its name was heard of.
-        words: What it has told this node of itself; the directory does not change them.
+        signals: What it has told this node of itself; the directory does not change them.
         unlisted_until: The directory dropped it, but it may be used until then; None if listed.
         hinted_until: Peers say that it leaves: until then it is used only where no other one is.
         hinted_at: When a peer last said so, or this node did.
@@ -104,7 +104,7 @@
     unlisted_until: float | None = None
     failures: int = 0
     last_heard_at: float = float("-inf")
-    words: RunnerWords = field(default_factory=RunnerWords)
+    signals: ReceivedSignals = field(default_factory=ReceivedSignals)
     hinted_until: float = float("-inf")
     hinted_at: float = float("-inf")
 
@@ -125,7 +125,7 @@
     @property
     def ready_at(self) -> float:
         """When it is expected to take new work, if it stays."""
-        return max(self.suspected_until, self.loading_until, self.words.rests_until)
+        return max(self.suspected_until, self.loading_until, self.signals.backoff_until)
 
     @property
     def leaves(self) -> bool:
@@ -134,7 +134,7 @@
         Its own is not undone by an entry that says that it is ready: while the store is away the
         directory tells of the time before.
         """
-        return self.leaving or self.entry.draining or self.words.leaves
+        return self.leaving or self.entry.draining or self.signals.leaves
 
     def stays(self, now: float) -> bool:
         """Return whether it gets work again, if not now: it neither leaves nor is gone."""
@@ -203,8 +203,8 @@
         self.generation = 0
         self._runners: dict[str, Runner] = {}
         self._unlisted: dict[str, tuple[Runner, float]] = {}
-        self._words = WordRecord()
-        # Those of the runners above whose words may keep requests away from them: mostly none.
+        self._signals = SignalRecord()
+        # Those of the runners above whose signals may keep requests away from them: mostly none.
         self._held_back: dict[str, Runner] = {}
         # Those of which a peer has said that they leave: mostly none.
         self._hinted: dict[str, Runner] = {}
@@ -280,10 +280,10 @@
         return runner if changed else None
 
     def _add(self, entry: RunnerEntry) -> Runner:
-        words = self._words.get(entry.runner_id)
-        runner = Runner(entry, dict(entry.weights), words=words or RunnerWords())
+        signals = self._signals.get(entry.runner_id)
+        runner = Runner(entry, dict(entry.weights), signals=signals or ReceivedSignals())
         self._runners[entry.runner_id] = runner
-        if words is not None:
+        if signals is not None:
             self._held_back[entry.runner_id] = runner
         return runner
 
@@ -296,20 +296,20 @@
             source: Which answer, for the log.
             now: When it came, on the node's clock.
         """
-        words = self._words.get(runner_id)
+        received = self._signals.get(runner_id)
         runner = self._known(runner_id)
-        if words is None:
-            words = runner.words if runner is not None else RunnerWords()
-        self._words.keep(runner_id, words)
+        if received is None:
+            received = runner.signals if runner is not None else ReceivedSignals()
+        self._signals.keep(runner_id, received)
         if runner_id in self._runners:
             self._held_back[runner_id] = self._runners[runner_id]
-        return words.take(signals, source, now)
+        return received.take(signals, source, now)
 
     def held_back(self, service: str, now: float) -> list[Runner]:
-        """Return the runners of a service from which their own words keep requests away."""
+        """Return the runners of a service from which their own signals keep requests away."""
         found: list[Runner] = []
         for runner_id, runner in list(self._held_back.items()):
-            if self._runners.get(runner_id) is not runner or not runner.words.hold_back(now):
+            if self._runners.get(runner_id) is not runner or not runner.signals.hold_back(now):
                 del self._held_back[runner_id]
             elif runner.entry.service == service:
                 found.append(runner)
@@ -344,7 +344,7 @@
             runner
             for runner_id, runner in self._held_back.items()
             if self._runners.get(runner_id) is runner
-            and runner.words.leaves
+            and runner.signals.leaves
             and not runner.entry.draining
             and now >= runner.hinted_at + HINT_AGAIN_SECONDS
         ]
@@ -398,7 +398,7 @@
         if found is None:
             return None
         runner = self._runners[runner_id] = found[0]
-        if runner_id in self._words:
+        if runner_id in self._signals:
             self._held_back[runner_id] = runner
         runner.leaving = runner.has_ended = False
         self.generation += 1
--- a/src/hillstack/emulator/fleet_runner.py
+++ b/src/hillstack/emulator/fleet_runner.py
@@ -20,7 +20,7 @@
 from starlette.routing import Route
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
-from hillstack.core.runner_words import RunnerSignals
+from hillstack.core.runner_signals import RunnerSignals
 from hillstack.emulator.fleet_cache import FleetCache
 from hillstack.platform import names
 from hillstack.platform.bodies import ModelVersion, OrderBody, ReportBody, RunnerBody
@@ -58,7 +58,7 @@
         status: Status of its answers.
         break_after: Break a stream off after so many events; None for never.
         shed: Refuse requests as not run.
-        rest_seconds: Rest that it asks for when it refuses a request; 0 for none.
+        backoff_seconds: Backoff that it asks for when it refuses a request; 0 for none.
         leaving: Say in all answers that it leaves.
         keep_weights: Take no order for weights, as while another one is carried out.
         software: What is wrong with its software.
@@ -68,7 +68,7 @@
     status: int = 200
     break_after: int | None = None
     shed: bool = False
-    rest_seconds: float = 0.0
+    backoff_seconds: float = 0.0
     leaving: bool = False
     keep_weights: bool = False
     software: SoftwareFaults = SoftwareFaults()
@@ -137,7 +137,7 @@
                 *self.cache.routes(),
                 Route("/{path:path}", self._run, methods=["GET", "POST"]),
             ],
-            middleware=[Middleware(_SaysLeaving, runner=self)],
+            middleware=[Middleware(_LeavingHeader, runner=self)],
         )
 
     def note_run(self, request_id: str, headers: dict[str, str]) -> None:
@@ -149,7 +149,7 @@
         """Note a request that has reached it, whether it runs or not."""
         self.arrived.append(request_id)
 
-    def note_word(self, request_id: str, signals: RunnerSignals) -> None:
+    def note_signals(self, request_id: str, signals: RunnerSignals) -> None:
         """Note what it says of itself in the answer to a request."""
         return
 
@@ -182,9 +182,11 @@
             return self._misdirected()
         if self.faults.shed:
             headers = {names.NOT_EXECUTED: "1", names.REQUEST_ID: request_id}
-            if self.faults.rest_seconds:
-                headers[names.RETRY_AFTER] = f"{self.faults.rest_seconds:g}"
-                self.note_word(request_id, RunnerSignals(rest_seconds=self.faults.rest_seconds))
+            if self.faults.backoff_seconds:
+                headers[names.RETRY_AFTER] = f"{self.faults.backoff_seconds:g}"
+                self.note_signals(
+                    request_id, RunnerSignals(backoff_seconds=self.faults.backoff_seconds)
+                )
             return Response(status_code=503, headers=headers)
         self.note_run(request_id, dict(request.headers))
         body = await request.body()
@@ -249,7 +251,7 @@
         return Response(status_code=MISDIRECTED, headers=headers)
 
 
-class _SaysLeaving:
+class _LeavingHeader:
     """Adds to each answer that its runner leaves, while it does."""
 
     def __init__(self, app: ASGIApp, runner: FleetRunner) -> None:
@@ -257,12 +259,12 @@
         self._runner = runner
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        async def send_with_word(message: Message) -> None:
+        async def send_with_header(message: Message) -> None:
             if message["type"] == "http.response.start" and self._runner.faults.leaving:
                 headers = MutableHeaders(scope=message)
                 headers[names.LEAVING] = "1"
                 request_id = headers.get(names.REQUEST_ID, "")
-                self._runner.note_word(request_id, RunnerSignals(leaving=True))
+                self._runner.note_signals(request_id, RunnerSignals(leaving=True))
             await send(message)
 
-        await self._app(scope, receive, send_with_word)
+        await self._app(scope, receive, send_with_header)
--- a/src/hillstack/platform/runner_signals.py
+++ b/src/hillstack/platform/runner_signals.py
@@ -1,4 +1,4 @@
-"""Reads what a runner says of itself in the head of an answer: that it leaves, or wants to rest."""
+"""Reads what a runner says of itself in the head of an answer: it leaves, or wants a backoff."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from typing import Protocol
 
-from hillstack.core.runner_words import RunnerSignals
+from hillstack.core.runner_signals import RunnerSignals
 from hillstack.platform import names
 from hillstack.platform.incarnations import instance_of
 
@@ -15,9 +15,9 @@
 # Whole or with a fraction. A date, a sign or anything else is passed over like a missing one: the
 # pause after any refusal holds all the same.
 SECONDS = re.compile(r"[0-9]+(\.[0-9]*)?")
-# Rests of some seconds were seen. One that is longer than a lease of the platform may be is taken
-# for a mistake, and the runner is asked again after that.
-MAX_REST_SECONDS = 600.0
+# Backoffs of some seconds were seen. One that is longer than a lease of the platform may be is
+# taken for a mistake, and the runner is asked again after that.
+MAX_BACKOFF_SECONDS = 600.0
 
 
 class SignalListener(Protocol):
@@ -64,15 +64,15 @@
 def signals_of(status: int, headers: Mapping[str, str]) -> RunnerSignals:
     """Return what an answer says of its runner."""
     leaving = headers.get(names.LEAVING, "").strip() == SAYS_SO
-    rest = 0.0
+    backoff = 0.0
     if status == SERVICE_UNAVAILABLE:
-        rest = rest_of(headers.get(names.RETRY_AFTER, ""))
-    return RunnerSignals(leaving, rest)
+        backoff = backoff_of(headers.get(names.RETRY_AFTER, ""))
+    return RunnerSignals(leaving, backoff)
 
 
-def rest_of(text: str) -> float:
-    """Return the seconds of rest that a text asks for; 0 if it can't be read."""
+def backoff_of(text: str) -> float:
+    """Return the seconds of backoff that a text asks for; 0 if it can't be read."""
     text = text.strip()
     if not SECONDS.fullmatch(text):
         return 0.0
-    return min(MAX_REST_SECONDS, float(text))
+    return min(MAX_BACKOFF_SECONDS, float(text))
--- a/src/hillstack/serving/rest_waits.py
+++ b/src/hillstack/serving/backoff_waits.py
@@ -1,8 +1,8 @@
-"""Which requests wait for a runner whose rest ends soon, where no other one takes them.
+"""Which requests wait for a runner whose backoff ends soon, where no other one takes them.
 
 A request waits only if it can still be served in time after that: a wait that ends in a refusal
 costs its caller more than a refusal at once. And no more wait than the runner has places for, of
-all nodes together: else what made it ask for rest comes back at once when the rest ends.
+all nodes together: else what made it ask for a backoff comes back at once when that ends.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 STREAM_PATIENCE_SECONDS = 2.0
 
 
-class RestWaits:
+class BackoffWaits:
     """Decides who waits, and counts them.
 
     Args:
@@ -36,8 +36,8 @@
         self._waiting: Counter[str] = Counter()
 
     def runner_for(self, job: Job, now: float) -> Runner | None:
-        """Return the resting runner that a request should wait for; None if it should not wait."""
-        runner = self._placement.first_rest(job, now)
+        """Return the runner in backoff that a request should wait for; None if it should not."""
+        runner = self._placement.first_after_backoff(job, now)
         if runner is None or not self._is_in_time(job, runner, now):
             return None
         places = runner.entry.slots // max(1, self._state.nodes.sharing_count(now))
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -73,7 +73,7 @@
         runner_failure: What a runner answered before another one was tried; it is passed on if no
             other one answers.
         time_limit: When work on it ends.
-        has_waited: Whether it has waited for a runner's rest to end; it does so once.
+        has_waited: Whether it has waited for a runner's backoff to end; it does so once.
         sent_at: When its latest attempt was sent.
         answering_since: When the first bytes of that attempt's answer came; None before.
         fingerprint: Names it over all tries of its caller; None until somebody asks.
--- a/src/hillstack/serving/metrics.py
+++ b/src/hillstack/serving/metrics.py
@@ -61,16 +61,18 @@
             "event",
         )
         self.runner_signals = self._counter(
-            "runner_signals", "Answers in which runners say that they leave or rest.", "signal"
+            "runner_signals",
+            "Answers in which runners say that they leave or ask for a backoff.",
+            "signal",
         )
         self.held_back = self._counter(
             "held_back_runners",
-            "Runners that an attempt was kept from, since they said that they leave or rest.",
+            "Runners that an attempt was kept from, since they leave or asked for a backoff.",
             "signal",
         )
         self.despite_signals = self._counter(
             "attempts_despite_signals",
-            "Attempts sent to a runner after it had said that it leaves or rests.",
+            "Attempts sent to a runner that leaves, or within a backoff that it asked for.",
             "signal",
         )
         self.first_event = self._histogram(
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -18,6 +18,7 @@
 from hillstack.core.runner_pool import Runner
 from hillstack.errors import BackendBrokenError, ConnectionLostError
 from hillstack.serving.admission import RequestAdmission
+from hillstack.serving.backoff_waits import BackoffWaits
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import (
     Job,
@@ -37,7 +38,6 @@
     RunnerClient,
     TenantLimiter,
 )
-from hillstack.serving.rest_waits import RestWaits
 from hillstack.serving.runner_ends import RunnerEndWatch
 from hillstack.serving.signal_intake import show_held_back
 from hillstack.serving.types import (
@@ -59,8 +59,8 @@
 MAX_SENDS = 4
 # Less is not worth a try: the way there and back.
 MIN_REMAINING_SECONDS = 0.02
-# A timer may fire that much before the moment that it was set for, and the runner rests until then.
-REST_END_SECONDS = 0.002
+# A timer may fire that much before the moment that it was set for, when the backoff still holds.
+BACKOFF_END_SECONDS = 0.002
 # How late a silent runner is noticed by a request that waits for it.
 SILENCE_CHECK_SECONDS = 0.15
 # A request leaves a runner that is silent for longer than the allowed pauses of 0.5 and 0.6 s.
@@ -111,7 +111,7 @@
         self._placement = placement
         self._clock = clock
         self._admission = RequestAdmission(state, clock)
-        self._rest_waits = RestWaits(state, placement)
+        self._backoff_waits = BackoffWaits(state, placement)
         self.runner_ends = RunnerEndWatch(state, placement, clock, self._metrics)
         self.active = 0
 
@@ -235,7 +235,7 @@
         if job.sends and not self._may_send_again(job, now):
             raise job.gave_up(Verdict.UNAVAILABLE, "no further attempt allowed")
         placed = self._placement.choose(job, now)
-        if placed is None and await self._rest_ended(job, now):
+        if placed is None and await self._backoff_ended(job, now):
             now = self._clock()
             placed = self._placement.choose(job, now)
         if placed is None:
@@ -247,26 +247,26 @@
         self._check_overload(job, placed, now)
         return placed
 
-    async def _rest_ended(self, job: Job, now: float) -> bool:
-        """Wait for the end of a runner's rest if the request is in time after it; once a request.
+    async def _backoff_ended(self, job: Job, now: float) -> bool:
+        """Wait for the end of a runner's backoff if the request is in time after it; once each.
 
         Returns:
             Whether it waited.
         """
-        runner = self._rest_waits.runner_for(job, now) if not job.has_waited else None
+        runner = self._backoff_waits.runner_for(job, now) if not job.has_waited else None
         if runner is None:
             return False
         job.has_waited = True
-        # It may be the one that has refused this request, and asked for the rest.
+        # It may be the one that has refused this request, and asked for the backoff.
         job.excluded.discard(runner.runner_id)
         wait = runner.ready_at - now
         fields = {"request": job.request.request_id, "runner": runner.runner_id}
-        logger.info("waits for rest to end", extra=fields | {"wait_ms": round(wait * 1000, 1)})
-        self._rest_waits.begin(runner)
+        logger.info("waits for backoff to end", extra=fields | {"wait_ms": round(wait * 1000, 1)})
+        self._backoff_waits.begin(runner)
         try:
-            await asyncio.sleep(wait + REST_END_SECONDS)
+            await asyncio.sleep(wait + BACKOFF_END_SECONDS)
         finally:
-            self._rest_waits.end(runner)
+            self._backoff_waits.end(runner)
         return True
 
     def _check_overload(self, job: Job, placed: PlacedAttempt, now: float) -> None:
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -61,7 +61,7 @@
 # The first event of an engine is overdue after its expected delay, half as much again and this.
 DUE_SECONDS = 0.4
 DUE_FACTOR = 1.5
-# Callers of all nodes are told of the same end of a rest: they return over half of the shortest
+# Callers of all nodes are told of the same end of a backoff: they return over half of the shortest
 # objective seen (0.2 to 0.8 s), or a runner that was overrun is overrun again.
 RETURN_SPREAD_SECONDS = 0.3
 # An answer of an application server, where none was seen yet: the longest work of those seen.
@@ -78,7 +78,7 @@
     Attributes:
         known: All runners.
         leaving: They drain, or are gone.
-        resting: They asked for rest.
+        backing_off: They asked not to be sent anything for a while.
         suspected: They failed or were silent.
         loading: They load weights.
         too_old: Their weights must not be used any more.
@@ -88,7 +88,7 @@
 
     known: int = 0
     leaving: int = 0
-    resting: int = 0
+    backing_off: int = 0
     suspected: int = 0
     loading: int = 0
     too_old: int = 0
@@ -199,14 +199,14 @@
         """Return why runners do not take the request, for the log."""
         model = job.request.model
         oldest = self._state.versions.oldest_allowed(model, now + VERSION_MARGIN_SECONDS)
-        reasons = "leaving", "resting", "suspected", "loading", "too_old", "closed", "tried"
+        reasons = "leaving", "backing_off", "suspected", "loading", "too_old", "closed", "tried"
         counts = dict.fromkeys(reasons, 0)
         runners = self._state.pool.of_service(job.service)
         for runner in runners:
             if runner.leaves:
                 counts["leaving"] += 1
-            elif runner.words.rest_left(now) > 0:
-                counts["resting"] += 1
+            elif runner.signals.backoff_left(now) > 0:
+                counts["backing_off"] += 1
             elif now < runner.suspected_until:
                 counts["suspected"] += 1
             elif now < runner.loading_until:
@@ -228,14 +228,18 @@
         if first is None:
             return None
         wait = _takes_at(first) - now
-        if first.words.rests_until >= _takes_at(first):
+        if first.signals.backoff_until >= _takes_at(first):
             wait += self._rng.uniform(0.0, RETURN_SPREAD_SECONDS)
         return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
 
-    def first_rest(self, job: Job, now: float) -> Runner | None:
-        """Return the runner that takes the request first once its rest ends; None without one."""
-        resting = (r for r in self._staying(job, now) if r.words.rests_until >= r.ready_at > now)
-        return min(resting, key=_takes_at, default=None)
+    def first_after_backoff(self, job: Job, now: float) -> Runner | None:
+        """Return the runner that takes the request first once its backoff ends, or None."""
+        backing_off = (
+            runner
+            for runner in self._staying(job, now)
+            if runner.signals.backoff_until >= runner.ready_at > now
+        )
+        return min(backing_off, key=_takes_at, default=None)
 
     def expected_work(self, job: Job) -> float:
         """Return the seconds that a request takes at an idle runner until it counts as served."""
--- a/src/hillstack/serving/signal_intake.py
+++ b/src/hillstack/serving/signal_intake.py
@@ -6,14 +6,14 @@
 from collections.abc import Callable
 
 from hillstack.core.runner_pool import Runner, RunnerPool
-from hillstack.core.runner_words import RunnerSignals, RunnerWords
+from hillstack.core.runner_signals import ReceivedSignals, RunnerSignals
 from hillstack.logs import rounded_seconds
 from hillstack.serving.metrics import FleetMetrics
 
 logger = logging.getLogger(__name__)
 
 LEAVING = "leaving"
-REST = "rest"
+BACKOFF = "backoff"
 # Of the runners that a request was kept from so many are named in the log: all of a small service.
 MAX_LOGGED_RUNNERS = 4
 
@@ -44,17 +44,17 @@
         """Take what an answer says of a process, when its head has come."""
         if signals.leaving:
             self._metrics.runner_signals.labels(LEAVING).inc()
-        if signals.rest_seconds > 0:
-            self._metrics.runner_signals.labels(REST).inc()
+        if signals.backoff_seconds > 0:
+            self._metrics.runner_signals.labels(BACKOFF).inc()
         if not self._pool.hear(runner_id, signals, source, self._clock()):
             return
         fields = {
             "runner": runner_id,
             "leaving": signals.leaving,
-            "rest_seconds": signals.rest_seconds,
+            "backoff_seconds": signals.backoff_seconds,
             "source": source,
         }
-        logger.info("runner says of itself", extra=fields)
+        logger.info("runner signal", extra=fields)
         runner = self._pool.get(runner_id)
         if signals.leaving and runner is not None:
             self._on_leaving(runner)
@@ -77,7 +77,7 @@
         return
     for runner in held_back:
         counter = metrics.despite_signals if runner is chosen else metrics.held_back
-        for signal in _signals(runner.words, now):
+        for signal in _signals(runner.signals, now):
             counter.labels(signal).inc()
     fields: dict[str, object] = {
         "request": request_id,
@@ -89,24 +89,24 @@
     logger.info("runners held back", extra=fields)
 
 
-def _signals(words: RunnerWords, now: float) -> list[str]:
+def _signals(received: ReceivedSignals, now: float) -> list[str]:
     signals = []
-    if words.leaves:
+    if received.leaves:
         signals.append(LEAVING)
-    if words.rest_left(now) > 0:
-        signals.append(REST)
+    if received.backoff_left(now) > 0:
+        signals.append(BACKOFF)
     return signals
 
 
 def _known(runner: Runner, now: float) -> dict[str, object]:
-    """Return what is known of a runner by its own words, from which answer and for how long."""
-    words = runner.words
+    """Return what is known of a runner by its own signals, from which answer and for how long."""
+    received = runner.signals
     known: dict[str, object] = {"runner": runner.runner_id}
-    if words.left_at is not None:
-        known["leaving_since_seconds"] = rounded_seconds(now - words.left_at)
-        known["leaving_source"] = words.left_source
-    if words.rest_left(now) > 0:
-        known["rest_left_seconds"] = rounded_seconds(words.rest_left(now))
-        known["rest_asked_since_seconds"] = rounded_seconds(now - words.rest_asked_at)
-        known["rest_source"] = words.rest_source
+    if received.left_at is not None:
+        known["leaving_since_seconds"] = rounded_seconds(now - received.left_at)
+        known["leaving_source"] = received.left_source
+    if received.backoff_left(now) > 0:
+        known["backoff_left_seconds"] = rounded_seconds(received.backoff_left(now))
+        known["backoff_asked_since_seconds"] = rounded_seconds(now - received.backoff_asked_at)
+        known["backoff_source"] = received.backoff_source
     return known
--- a/tests/fleet/test_words_of_runners.py
+++ b/tests/fleet/test_runner_signals.py
@@ -1,6 +1,6 @@
 """What runners say of themselves in their answers: who hears it, and for how long it holds.
 
-``test_words_of_runners_process`` tells what happened before that was taken in.
+``test_runner_signals_process`` tells what happened before that was taken in.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
     Runner,
     RunnerPool,
 )
-from hillstack.core.runner_words import MAX_PROCESSES, RunnerSignals, RunnerWords
+from hillstack.core.runner_signals import MAX_PROCESSES, ReceivedSignals, RunnerSignals
 from hillstack.core.weights_rollout import RolloutPlan, RolloutView
 from hillstack.daemon.notice_reader import NoticeReader
 from hillstack.daemon.weights_orders import WeightsOrder
@@ -31,7 +31,12 @@
 from hillstack.platform import names
 from hillstack.platform.cache_feed import HttpCacheFeed
 from hillstack.platform.connections import make_runner_session
-from hillstack.platform.runner_signals import MAX_REST_SECONDS, SignalReader, rest_of, signals_of
+from hillstack.platform.runner_signals import (
+    MAX_BACKOFF_SECONDS,
+    SignalReader,
+    backoff_of,
+    signals_of,
+)
 from hillstack.platform.runners import HttpRunnerClient
 from hillstack.serving.fleet_state import UNLISTED_GRACE_SECONDS
 from hillstack.serving.metrics import FleetMetrics
@@ -62,7 +67,7 @@
 
 NOW = 10.0
 LEAVING = RunnerSignals(leaving=True)
-REST = RunnerSignals(rest_seconds=3.0)
+BACKOFF = RunnerSignals(backoff_seconds=3.0)
 SOURCE = "request r-0: status 503"
 FULL = refuses(RefusalCause.FULL)
 
@@ -71,10 +76,10 @@
     """Keeps what runners say."""
 
     def __init__(self) -> None:
-        self.words: list[tuple[str, RunnerSignals, str]] = []
+        self.signals: list[tuple[str, RunnerSignals, str]] = []
 
     def heard(self, runner_id: str, signals: RunnerSignals, source: str) -> None:
-        self.words.append((runner_id, signals, source))
+        self.signals.append((runner_id, signals, source))
 
 
 # What an answer says.
@@ -98,19 +103,19 @@
         ("1_0", 0.0),
         ("٣", 0.0),
         ("Wed, 21 Oct 2026 07:28:00 GMT", 0.0),
-        ("99999999", MAX_REST_SECONDS),
-        ("9" * 400, MAX_REST_SECONDS),
+        ("99999999", MAX_BACKOFF_SECONDS),
+        ("9" * 400, MAX_BACKOFF_SECONDS),
     ],
 )
-def test_a_rest_is_read_in_seconds_and_whatever_else_it_says_is_bounded(
+def test_a_backoff_is_read_in_seconds_and_whatever_else_it_says_is_bounded(
     text: str, seconds: float
 ) -> None:
-    assert rest_of(text) == seconds
+    assert backoff_of(text) == seconds
 
 
-def test_only_a_refusal_for_want_of_room_asks_for_rest() -> None:
+def test_only_a_refusal_for_want_of_room_asks_for_a_backoff() -> None:
     headers = {names.RETRY_AFTER: "3", names.LEAVING: "1"}
-    assert signals_of(503, headers) == RunnerSignals(leaving=True, rest_seconds=3.0)
+    assert signals_of(503, headers) == RunnerSignals(leaving=True, backoff_seconds=3.0)
     for status in (200, 421, 429, 500, 504):
         assert signals_of(status, headers) == LEAVING
     assert not signals_of(503, {names.LEAVING: "0"})
@@ -121,9 +126,9 @@
     reader = SignalReader(heard)
     headers = {names.LEAVING: "1", names.INSTANCE: "i-2"}
     reader.read("i-1#1000", 421, headers, "request r-1")
-    assert heard.words == []
+    assert heard.signals == []
     reader.read("i-2#1000", 421, headers, "request r-2")
-    assert heard.words == [("i-2#1000", LEAVING, "request r-2: status 421")]
+    assert heard.signals == [("i-2#1000", LEAVING, "request r-2: status 421")]
 
 
 def test_all_answers_of_a_runner_are_heard(tmp_path: Path) -> None:
@@ -138,8 +143,8 @@
         address = running.addresses["i-1"]
         await ask_everything(client, HttpCacheFeed(session, heard), runner, address)
         await session.close()
-        assert all((name, word) == ("i-1", LEAVING) for name, word, _ in heard.words)
-        return [source for _, _, source in heard.words]
+        assert all((name, word) == ("i-1", LEAVING) for name, word, _ in heard.signals)
+        return [source for _, _, source in heard.signals]
 
     async def main() -> list[str]:
         async with deployment(tmp_path) as running:
@@ -189,9 +194,9 @@
             runner.born = 2_000
             with pytest.raises(BackendError):
                 await client.report("i-1#1000", running.addresses["i-1"])
-            assert heard.words == []
+            assert heard.signals == []
             await client.report("i-1#2000", running.addresses["i-1"])
-            assert [word[0] for word in heard.words] == ["i-1#2000"]
+            assert [word[0] for word in heard.signals] == ["i-1#2000"]
             await session.close()
 
     asyncio.run(main())
@@ -231,15 +236,15 @@
     assert not listed(pool, "i-1").stays(NOW)
     assert [runner.runner_id for runner in pool.held_back(APPLICATION, NOW)] == ["i-1"]
     pool.unlist("i-1", NOW, 0.0)
-    pool.hear("i-1", REST, SOURCE, NOW)
+    pool.hear("i-1", BACKOFF, SOURCE, NOW)
     pool.update(make_entry("i-1", revision=2))
-    assert listed(pool, "i-1").words.rests_until == NOW + 3.0
+    assert listed(pool, "i-1").signals.backoff_until == NOW + 3.0
 
 
 def test_the_next_start_under_the_same_name_is_free_of_it() -> None:
     pool = RunnerPool()
     pool.update(make_entry("i-1#1000"))
-    for signals in (LEAVING, REST):
+    for signals in (LEAVING, BACKOFF):
         pool.hear("i-1#1000", signals, SOURCE, NOW)
     pool.update(make_entry("i-1#2000", revision=2))
     assert listed(pool, "i-1#2000").accepts(NOW)
@@ -248,22 +253,22 @@
     assert listed(pool, "i-1#2000").accepts(NOW)
 
 
-def test_the_latest_end_of_several_rests_counts() -> None:
-    words = RunnerWords()
-    assert words.take(REST, SOURCE, NOW)
-    assert not words.take(RunnerSignals(rest_seconds=1.0), SOURCE, NOW + 0.1)
-    assert not words.take(RunnerSignals(), SOURCE, NOW + 0.2)
-    assert words.rest_left(NOW + 0.2) == pytest.approx(2.8)
-    assert words.take(REST, "later", NOW + 1.0)
-    assert words.rest_left(NOW + 1.0) == pytest.approx(3.0)
-    assert words.rest_source == "later"
-    assert not words.hold_back(NOW + 4.0)
+def test_the_latest_end_of_several_backoffs_counts() -> None:
+    received = ReceivedSignals()
+    assert received.take(BACKOFF, SOURCE, NOW)
+    assert not received.take(RunnerSignals(backoff_seconds=1.0), SOURCE, NOW + 0.1)
+    assert not received.take(RunnerSignals(), SOURCE, NOW + 0.2)
+    assert received.backoff_left(NOW + 0.2) == pytest.approx(2.8)
+    assert received.take(BACKOFF, "later", NOW + 1.0)
+    assert received.backoff_left(NOW + 1.0) == pytest.approx(3.0)
+    assert received.backoff_source == "later"
+    assert not received.hold_back(NOW + 4.0)
 
 
-def test_an_answer_that_was_under_way_does_not_end_a_rest() -> None:
+def test_an_answer_that_was_under_way_does_not_end_a_backoff() -> None:
     pool = RunnerPool()
     pool.update(make_entry("i-1"))
-    pool.hear("i-1", REST, SOURCE, NOW)
+    pool.hear("i-1", BACKOFF, SOURCE, NOW)
     runner = listed(pool, "i-1")
     pool.heard(runner, NOW + 0.1)
     pool.succeeded(runner)
@@ -391,10 +396,10 @@
     assert bench.sent_to()[-1] != keeper
 
 
-def test_a_runner_that_rests_gets_no_attempt_of_any_kind() -> None:
+def test_a_runner_in_backoff_gets_no_attempt_of_any_kind() -> None:
     """First tries, repeats after another one's refusal, and the one that was refused."""
     bench = make_saying_bench("i-1", "i-22")
-    bench.client.behaviours["i-1"] = bench.says(FULL, REST)
+    bench.client.behaviours["i-1"] = bench.says(FULL, BACKOFF)
     bench.client.behaviours["i-22"] = FULL
     while "i-1" not in bench.sent_to():
         bench.serve(make_request(), within=0.1)
@@ -405,22 +410,22 @@
     assert set(bench.sent_to()[asked:]) == {"i-22"}
 
 
-def rested_bench(rest: float, *, slots_left: int = 1) -> SayingBench:
-    """Return a bench whose only runner has asked for rest."""
+def backoff_bench(seconds: float) -> SayingBench:
+    """Return a bench whose only runner has asked for a backoff."""
     bench = make_saying_bench("i-1")
-    signals = RunnerSignals(rest_seconds=rest)
+    signals = RunnerSignals(backoff_seconds=seconds)
     bench.state.pool.hear("i-1", signals, SOURCE, bench.scheduler.now)
     return bench
 
 
-def test_a_request_waits_for_a_rest_that_ends_within_its_objective() -> None:
-    bench = rested_bench(0.2)
+def test_a_request_waits_for_a_backoff_that_ends_within_its_objective() -> None:
+    bench = backoff_bench(0.2)
     sink, error = bench.serve(make_request())
     assert (error, sink.body, bench.sent_to()) == (None, b"ok", ["i-1"])
 
 
-def test_a_request_that_would_be_late_after_the_rest_is_refused_at_once() -> None:
-    bench = rested_bench(3.0)
+def test_a_request_that_would_be_late_after_the_backoff_is_refused_at_once() -> None:
+    bench = backoff_bench(3.0)
     _, error = bench.serve(make_request(), within=0.01)
     assert isinstance(error, RejectedError)
     assert error.verdict is Verdict.UNAVAILABLE
@@ -429,7 +434,7 @@
 
 
 def test_callers_are_not_all_told_the_same_moment() -> None:
-    bench = rested_bench(3.0)
+    bench = backoff_bench(3.0)
     told: set[float] = set()
     for _ in range(10):
         _, error = bench.serve(make_request(), within=0.0)
@@ -439,8 +444,8 @@
 
 
 @pytest.mark.parametrize(("nodes", "waits"), [(1, 8), (4, 2), (100, 1)])
-def test_no_more_wait_for_a_rest_than_the_runner_has_places_for(nodes: int, waits: int) -> None:
-    bench = rested_bench(0.2)
+def test_no_more_wait_for_a_backoff_than_the_runner_has_places_for(nodes: int, waits: int) -> None:
+    bench = backoff_bench(0.2)
     count = 20
     bench.state.nodes.sharing_count = lambda now: nodes  # type: ignore[method-assign]
     bench.state.freshness.prove(0.0)
@@ -456,7 +461,7 @@
     assert sum(task.exception() is None for task in tasks) == waits
 
 
-def test_a_stream_that_has_begun_waits_for_the_rest_of_the_others() -> None:
+def test_a_stream_that_has_begun_waits_for_the_backoff_of_the_others() -> None:
     bench = make_saying_bench("i-1", "i-22", kind=RouteKind.STREAM)
     broken = answers(EVENTS[0], BackendBrokenError("reset", step="relay", peer="i-1"))
     for name in ("i-1", "i-22"):
@@ -467,7 +472,7 @@
     bench = make_saying_bench("i-1", "i-22", kind=RouteKind.STREAM)
     bench.client.behaviours[first] = broken
     bench.client.behaviours[other] = answers(*EVENTS[1:])
-    bench.state.pool.hear(other, RunnerSignals(rest_seconds=1.0), SOURCE, 0.0)
+    bench.state.pool.hear(other, RunnerSignals(backoff_seconds=1.0), SOURCE, 0.0)
     sink, error = bench.serve(make_request(parts=PARTS))
     assert error is None
     assert sink.body == b"".join(EVENTS)
@@ -530,21 +535,21 @@
 # What it buys.
 
 
-def test_a_runner_that_asks_for_rest_costs_no_retry_budget() -> None:
+def test_a_runner_that_asks_for_a_backoff_costs_no_retry_budget() -> None:
     """The pattern: 60 requests a second at three runners, of which one turns all away for 9 s.
 
-    It asks for 3 s of rest each time. So it is asked three times in these 9 s, and no request is
-    refused; without its word being heard it got up to 12 a second from all nodes, which used up the
-    budget for repeats, and requests were refused that others could have served.
+    It asks for a backoff of 3 s each time. So it is asked three times in these 9 s, and no request
+    is refused. Unheard, one got up to 14 requests a second from all nodes, which used up the budget
+    for repeats, and requests were refused that others could have served.
     """
     bench = make_saying_bench("i-1", "i-22", "i-333")
     seconds = 9.0
-    rests = math.ceil(seconds / REST.rest_seconds)
-    bench.client.behaviours["i-1"] = bench.says(FULL, *[REST] * 100)
+    backoffs = math.ceil(seconds / BACKOFF.backoff_seconds)
+    bench.client.behaviours["i-1"] = bench.says(FULL, *[BACKOFF] * 100)
     refused = 0
     rng = Random(1)
     while bench.scheduler.now < seconds:
         _, error = bench.serve(make_request(), within=rng.uniform(0.0, 2 / 60))
         refused += error is not None
     assert refused == 0
-    assert bench.sent_to().count("i-1") <= rests
+    assert bench.sent_to().count("i-1") <= backoffs
--- a/tests/fleet/test_words_of_runners_process.py
+++ b/tests/fleet/test_runner_signals_process.py
@@ -37,9 +37,9 @@
 # Calls that follow one another for longer than any pause that a refusal alone brings.
 CALL_PAUSE_SECONDS = 0.03
 # Longer than the test takes.
-REST_SECONDS = 120.0
-# So many requests may reach a runner while it rests.
-ALLOWED_WHILE_RESTING = 2
+BACKOFF_SECONDS = 120.0
+# So many requests may reach a runner in a backoff that it asked for.
+ALLOWED_IN_A_BACKOFF = 2
 
 Scenario = Callable[[Deployment], Awaitable[None]]
 
@@ -104,20 +104,20 @@
         pytest.param(ENGINES, "/stream/x", id="engine"),
     ],
 )
-def test_a_runner_that_asks_for_rest_gets_it(tmp_path: Path, service: str, path: str) -> None:
+def test_a_runner_that_asks_for_a_backoff_gets_it(tmp_path: Path, service: str, path: str) -> None:
     """One of three runners turns everything away."""
 
     async def scenario(running: Deployment) -> None:
         runners = [await running.add_runner(f"i-{number}", service) for number in range(3)]
         node = await running.add_node("node-1")
-        resting = await preferred(running, node, runners, path)
-        resting.faults.shed = True
-        resting.faults.rest_seconds = REST_SECONDS
-        before = len(resting.arrived)
+        refusing = await preferred(running, node, runners, path)
+        refusing.faults.shed = True
+        refusing.faults.backoff_seconds = BACKOFF_SECONDS
+        before = len(refusing.arrived)
         statuses = await send_calls(running, node, path)
-        first, *later = resting.arrived[before:]
+        first, *later = refusing.arrived[before:]
         assert first, "it was asked once"
-        assert len(later) <= ALLOWED_WHILE_RESTING
+        assert len(later) <= ALLOWED_IN_A_BACKOFF
         assert statuses == [200] * CALLS
 
     play(tmp_path, scenario)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,14 +10,14 @@
 
 from tests.soak.fault_series import FAULTS
 from tests.soak.restart_faults import RESTART_FAULTS
+from tests.soak.signal_faults import SIGNAL_FAULTS
 from tests.soak.soak import SoakPlan, SoakResult, run
 from tests.soak.system import NODE_COUNT
 from tests.soak.weights_faults import WEIGHTS_FAULTS
-from tests.soak.word_faults import WORD_FAULTS
 
 SEED_BITS = 31
 # Faults that are played only where they are asked for.
-NAMED_FAULTS = WEIGHTS_FAULTS + RESTART_FAULTS + WORD_FAULTS
+NAMED_FAULTS = WEIGHTS_FAULTS + RESTART_FAULTS + SIGNAL_FAULTS
 
 
 def main() -> int:
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from hillstack.core.runner_words import RunnerSignals
+from hillstack.core.runner_signals import RunnerSignals
 from hillstack.platform.bodies import OrderBody
 
 # Targets of troubles: the store, and nodes by their names.
@@ -72,7 +72,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Word:
+class SignalSent:
     """What a runner said of itself in an answer.
 
     Attributes:
@@ -157,7 +157,7 @@
         software: Version of each runner's software.
         weights_named: When each version of the weights was acknowledged.
         arrivals: Requests that reached runners.
-        words: What runners said of themselves.
+        signals: What runners said of themselves.
         lags: When a task of the soak itself was late, and for how many seconds.
     """
 
@@ -171,7 +171,7 @@
     let_go: dict[str, float] = field(default_factory=dict)
     weights_named: dict[int, float] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
-    words: list[Word] = field(default_factory=list)
+    signals: list[SignalSent] = field(default_factory=list)
     lags: list[tuple[float, float]] = field(default_factory=list)
     runner_ends: list[RunnerEnd] = field(default_factory=list)
     rollouts: dict[str, Rollout] = field(default_factory=dict)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 
 from tests.soak.observations import Observations, Run, Sent
+from tests.soak.signal_promises import reached_leaving_runners, reached_runners_in_backoff
 from tests.soak.timed_promises import (
     at_work_after_close,
     late_stops,
@@ -16,7 +17,6 @@
 )
 from tests.soak.version_promises import rollouts, runners_ended
 from tests.soak.weights_promises import begun_on_older_weights
-from tests.soak.word_promises import reached_leaving_runners, reached_resting_runners
 
 NOT_RUN = frozenset({408, 421, 429, 503})
 RETRY_AFTER_STATUSES = frozenset({429, 503})
@@ -42,7 +42,7 @@
         *rollouts(seen),
         *begun_on_older_weights(seen),
         *reached_leaving_runners(seen),
-        *reached_resting_runners(seen),
+        *reached_runners_in_backoff(seen),
     ]
 
 
--- a/tests/soak/word_faults.py
+++ b/tests/soak/signal_faults.py
@@ -1,4 +1,4 @@
-"""Runners that say of themselves that they leave, or ask for rest.
+"""Runners that say of themselves that they leave, or ask for a backoff.
 
 They are drawn only where they are asked for by name: what older seeds play stays as it was.
 """
@@ -20,9 +20,9 @@
 AWAY_SECONDS = (2.5, 5.0)
 # From the store's return to the end of a runner that leaves.
 END_SECONDS = (0.3, 2.0)
-REST_SECONDS = (0.5, 5.0)
+BACKOFF_SECONDS = (0.5, 5.0)
 SHED_SECONDS = (0.5, 6.0)
-# Part of the times in which all runners of a service ask for rest at once.
+# Part of the times in which all runners of a service ask for a backoff at once.
 ALL_SHARE = 0.25
 
 
@@ -53,19 +53,19 @@
             await system.add_runner(runner.service, runner.software)
 
 
-async def ask_for_rest(system: SoakedSystem, rng: Random) -> None:
-    """Let runners refuse everything and ask for rest: some, or all of a service."""
+async def ask_for_backoff(system: SoakedSystem, rng: Random) -> None:
+    """Let runners refuse everything and ask for a backoff: some, or all of a service."""
     chosen = system.runners_of(rng.choice((APPLICATION, ENGINES)))
     if rng.random() >= ALL_SHARE:
         chosen = rng.sample(chosen, min(len(chosen), rng.randrange(1, 3)))
     targets = [f"work of {runner.runner_id}" for runner in chosen]
     with system.trouble(*targets):
         for runner in chosen:
-            rest = round(rng.uniform(*REST_SECONDS), 2)
-            runner.faults = replace(runner.faults, shed=True, rest_seconds=rest)
+            seconds = round(rng.uniform(*BACKOFF_SECONDS), 2)
+            runner.faults = replace(runner.faults, shed=True, backoff_seconds=seconds)
         await asyncio.sleep(rng.uniform(*SHED_SECONDS))
         for runner in chosen:
-            runner.faults = replace(runner.faults, shed=False, rest_seconds=0.0)
+            runner.faults = replace(runner.faults, shed=False, backoff_seconds=0.0)
 
 
-WORD_FAULTS: tuple[Fault, ...] = (leave_unheard, ask_for_rest)
+SIGNAL_FAULTS: tuple[Fault, ...] = (leave_unheard, ask_for_backoff)
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -15,7 +15,7 @@
 
 from starlette.requests import Request
 
-from hillstack.core.runner_words import RunnerSignals
+from hillstack.core.runner_signals import RunnerSignals
 from hillstack.emulator.fleet_runner import FleetRunner
 from hillstack.platform import names
 from hillstack.platform.bodies import TenantBody
@@ -30,9 +30,9 @@
     Observations,
     Run,
     RunnerEnd,
+    SignalSent,
     Stop,
     Trouble,
-    Word,
 )
 from tests.soak.regions import REGION_OF_ZONE, Regions
 from tests.soak.software import CANARY_SHARE, CANARY_SLACK, Software, StatusNotingStore
@@ -101,10 +101,10 @@
         arrival = Arrival(request_id, self.runner_id, self.born, time.monotonic())
         self._observations.arrivals.append(arrival)
 
-    def note_word(self, request_id: str, signals: RunnerSignals) -> None:
+    def note_signals(self, request_id: str, signals: RunnerSignals) -> None:
         """Note what it says of itself in the answer to a request, and when."""
-        word = Word(request_id, self.runner_id, self.born, time.monotonic(), signals)
-        self._observations.words.append(word)
+        sent = SignalSent(request_id, self.runner_id, self.born, time.monotonic(), signals)
+        self._observations.signals.append(sent)
 
     def restart(self, born: int) -> None:
         """Start again under the same name, with orders of its own."""
--- a/tests/soak/test_words.py
+++ b/tests/soak/test_signals.py
@@ -1,4 +1,4 @@
-"""Runners that leave or rest, before real processes; and the checks find what is broken."""
+"""Runners that leave or ask for a backoff, before real processes; and the checks find what is broken."""
 
 from __future__ import annotations
 
@@ -6,38 +6,41 @@
 
 import pytest
 
-from hillstack.core.runner_words import RunnerSignals
+from hillstack.core.runner_signals import RunnerSignals
 from tests.soak.faults import Fault, kill_node, pause_node
-from tests.soak.observations import Arrival, Observations, Sent, Stop, Trouble, Word
+from tests.soak.observations import Arrival, Observations, Sent, SignalSent, Stop, Trouble
 from tests.soak.restart_faults import restart_runners
+from tests.soak.signal_faults import ask_for_backoff, leave_unheard
+from tests.soak.signal_promises import reached_leaving_runners, reached_runners_in_backoff
 from tests.soak.soak import SoakPlan, run
-from tests.soak.word_faults import ask_for_rest, leave_unheard
-from tests.soak.word_promises import reached_leaving_runners, reached_resting_runners
 
 SEED = 903
 SECONDS = 8.0
-WORDS = (leave_unheard, ask_for_rest)
+SIGNALS = (leave_unheard, ask_for_backoff)
 
-WORD_AT = 20.0
-REST = 3.0
+TOLD_AT = 20.0
+BACKOFF = 3.0
 
 
 @pytest.mark.parametrize(
     "faults",
     [
-        # With their words passed over, 340 broken promises in 12 s.
-        pytest.param(WORDS, id="alone"),
-        pytest.param((*WORDS, kill_node, pause_node, restart_runners), id="beside-others"),
+        # With their signals passed over, 340 broken promises in 12 s.
+        pytest.param(SIGNALS, id="alone"),
+        pytest.param((*SIGNALS, kill_node, pause_node, restart_runners), id="beside-others"),
     ],
 )
-def test_real_processes_keep_all_promises_to_runners_that_leave_or_rest(
+def test_real_processes_keep_all_promises_to_runners_that_leave_or_ask_for_a_backoff(
     tmp_path: Path, faults: tuple[Fault, ...]
 ) -> None:
     result = run(SEED, SoakPlan(SECONDS, faults=faults), tmp_path)
     assert result.violations == [], result.faults
-    assert {fault.partition(" ")[2] for fault in result.faults} >= {"leave_unheard", "ask_for_rest"}
+    assert {fault.partition(" ")[2] for fault in result.faults} >= {
+        "leave_unheard",
+        "ask_for_backoff",
+    }
     logged = "".join(log.read_text() for log in tmp_path.glob("node-*.log"))
-    assert "runner says of itself" in logged and "runners held back" in logged
+    assert "runner signal" in logged and "runners held back" in logged
     assert '"sent_despite":true' not in logged
 
 
@@ -56,12 +59,12 @@
     status: int | None = 200,
 ) -> Observations:
     """Return what is seen when a runner says something and then gets requests."""
-    requests = [sent("r-0", WORD_AT - 0.1, status=status)]
+    requests = [sent("r-0", TOLD_AT - 0.1, status=status)]
     requests += [sent(f"r-{at}", at, node) for at in arrivals]
     return Observations(
         requests,
         arrivals=[Arrival(f"r-{at}", "i-1", born, at) for at in arrivals],
-        words=[Word("r-0", "i-1", 1, WORD_AT, signals)],
+        signals=[SignalSent("r-0", "i-1", 1, TOLD_AT, signals)],
         troubles=troubles or [],
         stops=stops or [],
     )
@@ -89,7 +92,7 @@
         ),
     ],
 )
-def test_a_request_that_reaches_a_runner_long_after_its_word_is_found(
+def test_a_request_that_reaches_a_runner_long_after_its_signal_is_found(
     found: Observations, is_broken: bool
 ) -> None:
     assert len(list(reached_leaving_runners(found))) == is_broken
@@ -98,15 +101,18 @@
 @pytest.mark.parametrize(
     ("found", "is_broken"),
     [
-        (seen_with(RunnerSignals(rest_seconds=REST), [20.1, 20.2, 20.4, 20.49]), False),
-        (seen_with(RunnerSignals(rest_seconds=REST), [20.4, 20.6, 22.9]), False),
-        (seen_with(RunnerSignals(rest_seconds=REST), [20.6, 21.0, 22.9]), True),
-        (seen_with(RunnerSignals(rest_seconds=REST), [20.6, 21.0, 23.1]), False),
-        (seen_with(RunnerSignals(rest_seconds=REST), [20.6, 21.0, 22.9], born=2), False),
-        (seen_with(RunnerSignals(rest_seconds=REST), [20.6, 21.0, 22.9], node="node-2"), False),
+        (seen_with(RunnerSignals(backoff_seconds=BACKOFF), [20.1, 20.2, 20.4, 20.49]), False),
+        (seen_with(RunnerSignals(backoff_seconds=BACKOFF), [20.4, 20.6, 22.9]), False),
+        (seen_with(RunnerSignals(backoff_seconds=BACKOFF), [20.6, 21.0, 22.9]), True),
+        (seen_with(RunnerSignals(backoff_seconds=BACKOFF), [20.6, 21.0, 23.1]), False),
+        (seen_with(RunnerSignals(backoff_seconds=BACKOFF), [20.6, 21.0, 22.9], born=2), False),
+        (
+            seen_with(RunnerSignals(backoff_seconds=BACKOFF), [20.6, 21.0, 22.9], node="node-2"),
+            False,
+        ),
         (
             seen_with(
-                RunnerSignals(rest_seconds=REST),
+                RunnerSignals(backoff_seconds=BACKOFF),
                 [20.6, 21.0, 22.9],
                 troubles=[Trouble("node-1", 22.0, 22.2)],
             ),
@@ -114,5 +120,7 @@
         ),
     ],
 )
-def test_a_rest_that_a_runner_does_not_get_is_found(found: Observations, is_broken: bool) -> None:
-    assert len(list(reached_resting_runners(found))) == is_broken
+def test_a_backoff_that_a_runner_does_not_get_is_found(
+    found: Observations, is_broken: bool
+) -> None:
+    assert len(list(reached_runners_in_backoff(found))) == is_broken
--- a/tests/stateful/test_words_of_runners.py
+++ b/tests/stateful/test_runner_signals.py
@@ -1,4 +1,4 @@
-"""What a node believes of runners that leave or rest: words, entries and hints in any order."""
+"""Runners that leave or ask for a backoff: signals, entries and hints in any order."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from hillstack.core.runner_pool import RunnerEntry
-from hillstack.core.runner_words import RunnerSignals
+from hillstack.core.runner_signals import RunnerSignals
 from hillstack.daemon.notice_reader import NoticeReader
 from hillstack.messages.peer_notices import PROTOCOL_VERSION, NodeNotice
 from hillstack.platform.incarnations import runner_id_of
@@ -19,7 +19,7 @@
 SOURCE = "request r-0: status 200"
 
 
-class WordsInAnyOrder(RuleBasedStateMachine):
+class SignalsInAnyOrder(RuleBasedStateMachine):
     """Two runners that start again under their names, a directory, and one node.
 
     The model holds what each process has said to the node; the node may forget nothing of it, and
@@ -32,7 +32,7 @@
         self.revision = 10
         self.process = dict.fromkeys(RUNNERS, 0)
         self.left: set[str] = set()
-        self.rests_until: dict[str, float] = {}
+        self.backoff_until: dict[str, float] = {}
         self.history: list[StoreEvent] = []
         self.state: FleetState = make_state(make_table(make_route()))
         for name in RUNNERS:
@@ -102,14 +102,14 @@
         self.state.pool.hear(runner_id, RunnerSignals(leaving=True), SOURCE, self.now)
 
     @rule(name=NAMES, back=st.integers(0, 1), seconds=st.floats(0.05, 30.0))
-    def refusal_asks_for_rest(self, name: str, back: int, seconds: float) -> None:
+    def refusal_asks_for_a_backoff(self, name: str, back: int, seconds: float) -> None:
         runner_id = runner_id_of(name, max(1, self.process[name] - back))
-        until = max(self.rests_until.get(runner_id, 0.0), self.now + seconds)
-        self.rests_until[runner_id] = until
-        self.state.pool.hear(runner_id, RunnerSignals(rest_seconds=seconds), SOURCE, self.now)
+        until = max(self.backoff_until.get(runner_id, 0.0), self.now + seconds)
+        self.backoff_until[runner_id] = until
+        self.state.pool.hear(runner_id, RunnerSignals(backoff_seconds=seconds), SOURCE, self.now)
 
     @rule(name=NAMES)
-    def answer_without_a_word(self, name: str) -> None:
+    def answer_without_a_signal(self, name: str) -> None:
         """Hear success or a plain refusal of an attempt that was under way."""
         runner = self.state.pool.get(self.latest(name))
         if runner is not None:
@@ -137,17 +137,17 @@
         assert runner is not None and runner.accepts(self.now)
 
     @invariant()
-    def who_leaves_or_rests_gets_no_request(self) -> None:
+    def who_leaves_or_backs_off_gets_no_request(self) -> None:
         for runner in self.state.pool.accepting(ENGINES, self.now):
             assert runner.runner_id not in self.left
-            assert self.now >= self.rests_until.get(runner.runner_id, 0.0)
+            assert self.now >= self.backoff_until.get(runner.runner_id, 0.0)
 
     @invariant()
     def nobody_else_is_held_back(self) -> None:
         held_back = {r.runner_id for r in self.state.pool.held_back(ENGINES, self.now)}
-        said = self.left | {r for r, until in self.rests_until.items() if self.now < until}
+        said = self.left | {r for r, until in self.backoff_until.items() if self.now < until}
         listed = {runner.runner_id for runner in self.state.pool.all()}
         assert held_back == said & listed
 
 
-TestWordsInAnyOrder = WordsInAnyOrder.TestCase
+TestSignalsInAnyOrder = SignalsInAnyOrder.TestCase
