--- a/tests/soak/test_signals.py
+++ b/tests/soak/test_signals.py
@@ -1,4 +1,4 @@
-"""Runners that leave or ask for a backoff, before real processes; and the checks find what is broken."""
+"""Runners that leave or ask for a backoff, at real processes; the checks find what breaks."""
 
 from __future__ import annotations
 
