A finding of the soak: nodes that start together right before an outage have each limit for themselves

Traced by the nodes' logs: all read the store within 1 ms, before any was listed, and were refused from the next look on. Ruled out: backoffs and requests given back (the excess ran in the first two seconds, before the first refusal).

--- a/tests/fleet/test_limit_network.py
+++ b/tests/fleet/test_limit_network.py
@@ -330,3 +330,19 @@
         for node in nodes.values():
             node.cut = False
             node.loop.frozen = False
+
+
+def test_nodes_that_start_together_right_before_an_outage_share_the_limits() -> None:
+    """All read the store before any of them is listed there, and are refused from then on.
+
+    Seen in a soak with the store away from the moment in which three nodes were ready: 140 requests
+    of a tenant ran in 8 s, where its limit allows 119. Each node had the limit for itself.
+    """
+    network = NodeNetwork(3, 1, start_spread=0.0, table=limited_table(*LIMITS))
+    network.run(0.3)
+    network.store.down_for = None
+    network.run(3.0)
+    now = network.scheduler.now
+    counts = [node.state.nodes.sharing_count(now) for node in network.nodes.values()]
+    network.close()
+    assert counts == [3, 3, 3]
