--- a/tests/fleet/test_runner_signals_process.py
+++ b/tests/fleet/test_runner_signals_process.py
@@ -22,7 +22,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
@@ -30,7 +29,8 @@
 from hillstack.emulator.fleet_runner import FleetRunner
 from hillstack.platform import names
 from tests.fleet.builders import APPLICATION, ENGINES
-from tests.fleet.deployment import Deployment, NodeProcess, deployment
+from tests.fleet.deployment import Deployment, NodeProcess
+from tests.fleet.test_node_process import play
 
 WARM_UP_CALLS = 3
 CALLS = 60
@@ -41,16 +41,6 @@
 # So many requests may reach a runner in a backoff that it asked for.
 ALLOWED_IN_A_BACKOFF = 2
 
-Scenario = Callable[[Deployment], Awaitable[None]]
-
-
-def play(folder: Path, scenario: Scenario) -> None:
-    async def main() -> None:
-        async with deployment(folder) as running:
-            await scenario(running)
-
-    asyncio.run(main())
-
 
 async def send_calls(running: Deployment, node: NodeProcess, path: str) -> list[int]:
     """Send requests one after the other; return their statuses."""
