Sight: a runner's limit in its answers, calls to limited runners by kind, fields that nobody reads

A limit that a runner names is read in the one place where heads of answers pass, and logged when it begins, changes and ends, with the answer that said so. Each attempt beside a limited runner shows the limit, its age and its source (runners held back), and calls to it are counted by what was asked, since questions on cached parts may count too.

A header field of an answer that nobody reads is counted, and logged once a process with its first value, bounded: the next thing that runners begin to say of themselves is seen in the first log that has it.

--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -11,6 +11,7 @@
 
 from dataclasses import dataclass, field
 
+from hillstack.core.runner_limit import AnswerSource
 from hillstack.core.runner_load import OwnAttempt, OwnAttempts, ReportedLoads, RunnerLoad
 from hillstack.core.runner_signals import ReceivedSignals, RunnerSignals, SignalRecord
 
@@ -296,14 +297,34 @@
             source: Which answer, for the log.
             now: When it came, on the node's clock.
         """
+        return self._received(runner_id).take(signals, source, now)
+
+    def hear_limit(
+        self, runner_id: str, rate: float | None, source: AnswerSource, now: float
+    ) -> bool:
+        """Take over what an answer says of a process's limit; return whether it is news.
+
+        Args:
+            runner_id: The process, whether it is listed or not.
+            rate: Requests a second that it takes from all nodes; None if it names no limit.
+            source: Which answer.
+            now: When it came, on the node's clock.
+        """
+        received = self._signals.get(runner_id)
+        if rate is None:
+            return received is not None and received.limit.take(None, source, now)
+        return self._received(runner_id).limit.take(rate, source, now)
+
+    def _received(self, runner_id: str) -> ReceivedSignals:
+        """Return the signals of a process, which are kept from now on."""
         received = self._signals.get(runner_id)
-        runner = self._known(runner_id)
         if received is None:
+            runner = self._known(runner_id)
             received = runner.signals if runner is not None else ReceivedSignals()
         self._signals.keep(runner_id, received)
         if runner_id in self._runners:
             self._held_back[runner_id] = self._runners[runner_id]
-        return received.take(signals, source, now)
+        return received
 
     def held_back(self, service: str, now: float) -> list[Runner]:
         """Return the runners of a service from which their own signals keep requests away."""
--- a/src/hillstack/core/runner_signals.py
+++ b/src/hillstack/core/runner_signals.py
@@ -2,13 +2,16 @@
 
 It is known at first hand and at once, while the directory tells it when its store has taken it: not
 before the end of an outage. It holds for one process of a runner, whatever the directory says of it
-meanwhile, and nothing takes it back: a process that leaves ends, and a backoff ends by its time.
+meanwhile: a process that leaves ends, a backoff ends by its time, and a limit by the runner's own
+word (``runner_limit``).
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from hillstack.core.runner_limit import RunnerLimit
 
 # Processes whose signals are kept. Several times as many as leave or are replaced in a day at a
 # fleet's full size (2,100); some 200 bytes each.
@@ -22,14 +25,16 @@
     Attributes:
         leaving: Whether its process leaves.
         backoff_seconds: How long it wants no requests of this node; 0 if it does not say.
+        limit: Requests a second that it takes from all nodes together; None if it names no limit.
     """
 
     leaving: bool = False
     backoff_seconds: float = 0.0
+    limit: float | None = None
 
     def __bool__(self) -> bool:
         """Return whether it says anything."""
-        return self.leaving or self.backoff_seconds > 0
+        return self.leaving or self.backoff_seconds > 0 or self.limit is not None
 
 
 @dataclass(slots=True)
@@ -42,6 +47,7 @@
         backoff_until: It wants no requests of this node before; the latest end that it asked for.
         backoff_asked_at: When that was asked.
         backoff_source: By which answer, for the log.
+        limit: What it says of the requests that it takes from all nodes together.
     """
 
     left_at: float | None = None
@@ -49,6 +55,7 @@
     backoff_until: float = float("-inf")
     backoff_asked_at: float = float("-inf")
     backoff_source: str = ""
+    limit: RunnerLimit = field(default_factory=RunnerLimit)
 
     @property
     def leaves(self) -> bool:
@@ -61,7 +68,7 @@
 
     def hold_back(self, now: float) -> bool:
         """Return whether they keep requests away from it."""
-        return self.leaves or now < self.backoff_until
+        return self.leaves or now < self.backoff_until or self.limit.in_force(now) is not None
 
     def take(self, signals: RunnerSignals, source: str, now: float) -> bool:
         """Take over what an answer says, from when it came; return whether it is news.
--- a/src/hillstack/platform/cache_feed.py
+++ b/src/hillstack/platform/cache_feed.py
@@ -9,13 +9,14 @@
 
 from hillstack.core.cache_watch import CacheHolder
 from hillstack.core.part_index import PromptPart
+from hillstack.core.runner_limit import AnswerKind
 from hillstack.daemon.cache_follower import CacheChanges, CacheEntry, CacheListing
 from hillstack.errors import BackendError, BackendRefusedError
 from hillstack.platform import names
 from hillstack.platform.bodies import CacheEventsBody, CacheListBody
 from hillstack.platform.connections import Question, Reply, ask
 from hillstack.platform.incarnations import check_process, instance_of
-from hillstack.platform.runner_signals import SignalListener, SignalReader
+from hillstack.platform.runner_signals import Asked, SignalListener, SignalReader
 
 OK = 200
 # A list of thousands of parts, at a runner that is at work.
@@ -74,9 +75,10 @@
 
     async def _ask(self, holder: CacheHolder, question: Question, kind: type[Body]) -> Body:
         """Return the answer of the process that is watched; stores have no name to check."""
+        asked = Asked(AnswerKind.CACHE)
         reply = await ask(self._session, question)
         if reply.status != OK:
-            self._read_signals(holder, reply)
+            self._read_signals(holder, reply, asked)
             text = f"status {reply.status}"
             raise BackendRefusedError(text, step="cache feed", peer=question.address)
         try:
@@ -87,12 +89,12 @@
             ) from error
         if not holder.is_store:
             check_process(holder.holder_id, body.born, "cache feed")
-        self._read_signals(holder, reply)
+        self._read_signals(holder, reply, asked)
         return body
 
-    def _read_signals(self, holder: CacheHolder, reply: Reply) -> None:
+    def _read_signals(self, holder: CacheHolder, reply: Reply, asked: Asked) -> None:
         if not holder.is_store:
-            self._signals.read(holder.holder_id, reply.status, reply.headers, "cache feed")
+            self._signals.read(holder.holder_id, reply.status, reply.headers, asked)
 
 
 def _headers(holder: CacheHolder) -> dict[str, str]:
--- a/src/hillstack/platform/runners.py
+++ b/src/hillstack/platform/runners.py
@@ -8,6 +8,7 @@
 import msgspec
 from yarl import URL
 
+from hillstack.core.runner_limit import AnswerKind
 from hillstack.daemon.weights_orders import (
     OrderOutcome,
     RunnerReport,
@@ -19,7 +20,7 @@
 from hillstack.platform.bodies import OrderBody, ReportBody
 from hillstack.platform.connections import Question, ask
 from hillstack.platform.incarnations import check_process, instance_of
-from hillstack.platform.runner_signals import SignalListener, SignalReader
+from hillstack.platform.runner_signals import Asked, SignalListener, SignalReader
 from hillstack.serving.types import (
     Dispatch,
     HeaderList,
@@ -132,6 +133,7 @@
         """
         url = URL(f"http://{dispatch.address}{request.target}", encoded=True)
         peer = dispatch.runner_id
+        asked = Asked(AnswerKind.REQUEST, request.request_id)
         try:
             response = await self._session.request(
                 request.method,
@@ -146,8 +148,7 @@
             ) from error
         except (aiohttp.ClientError, OSError) as error:
             raise _broken(error, "await answer", peer) from error
-        source = f"request {request.request_id}"
-        self._signals.read(peer, response.status, response.headers, source)
+        self._signals.read(peer, response.status, response.headers, asked)
         self._check_executed(response, dispatch)
         return HttpRunnerAnswer(response, peer)
 
@@ -159,16 +160,17 @@
         """
         headers = {names.EXPECT_INSTANCE: instance_of(runner_id)}
         question = Question("GET", address, names.REPORT_PATH, REPORT_LIMIT_SECONDS, headers)
+        asked = Asked(AnswerKind.REPORT)
         reply = await ask(self._session, question)
         if reply.status != OK:
-            self._signals.read(runner_id, reply.status, reply.headers, "report")
+            self._signals.read(runner_id, reply.status, reply.headers, asked)
             raise BackendError(f"status {reply.status}", step="report", peer=runner_id)
         try:
             body = msgspec.json.decode(reply.body, type=ReportBody)
         except msgspec.MsgspecError as error:
             raise BackendError(str(error), step="decode report", peer=runner_id) from error
         check_process(runner_id, body.born, "report")
-        self._signals.read(runner_id, reply.status, reply.headers, "report")
+        self._signals.read(runner_id, reply.status, reply.headers, asked)
         weights = {model.name: model.version for model in body.models}
         return RunnerReport(weights, body.busy, body.seq)
 
@@ -195,8 +197,9 @@
         question = Question(
             "POST", order.address, names.ORDER_PATH, ORDER_LIMIT_SECONDS, headers, data
         )
+        asked = Asked(AnswerKind.ORDER)
         reply = await ask(self._session, question)
-        self._signals.read(order.runner_id, reply.status, reply.headers, "order")
+        self._signals.read(order.runner_id, reply.status, reply.headers, asked)
         return ORDER_OUTCOMES.get(reply.status, OrderOutcome.REJECTED)
 
     def _check_executed(self, response: aiohttp.ClientResponse, dispatch: Dispatch) -> None:
--- a/src/hillstack/serving/metrics.py
+++ b/src/hillstack/serving/metrics.py
@@ -62,9 +62,15 @@
         )
         self.runner_signals = self._counter(
             "runner_signals",
-            "Answers in which runners say that they leave or ask for a backoff.",
+            "Answers in which runners say that they leave, ask for a backoff or name a limit.",
             "signal",
         )
+        self.limited_calls = self._counter(
+            "limited_calls", "Answers of runners that name a limit, by what was asked.", "asked"
+        )
+        self.unknown_fields = self._counter(
+            "unknown_answer_fields", "Header fields of runners' answers that nobody reads.", "field"
+        )
         self.held_back = self._counter(
             "held_back_runners",
             "Runners that an attempt was kept from, since they leave or asked for a backoff.",
--- a/src/hillstack/serving/signal_intake.py
+++ b/src/hillstack/serving/signal_intake.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable
 
+from hillstack.core.runner_limit import AnswerSource
 from hillstack.core.runner_pool import Runner, RunnerPool
 from hillstack.core.runner_signals import ReceivedSignals, RunnerSignals
 from hillstack.logs import rounded_seconds
@@ -14,8 +15,13 @@
 
 LEAVING = "leaving"
 BACKOFF = "backoff"
+LIMIT = "limit"
 # Of the runners that a request was kept from so many are named in the log: all of a small service.
 MAX_LOGGED_RUNNERS = 4
+# Names of unknown fields that are told apart, and so much of a value: an application may make up
+# any number of them.
+MAX_UNKNOWN_FIELDS = 32
+MAX_VALUE_CHARACTERS = 64
 
 
 class SignalIntake:
@@ -39,9 +45,34 @@
         self._pool = pool
         self._metrics = metrics
         self._clock = clock
+        self._unknown_fields: set[str] = set()
 
-    def heard(self, runner_id: str, signals: RunnerSignals, source: str) -> None:
+    def heard(self, runner_id: str, signals: RunnerSignals, source: AnswerSource) -> None:
         """Take what an answer says of a process, when its head has come."""
+        self._hear_limit(runner_id, signals.limit, source)
+        if signals.leaving or signals.backoff_seconds > 0:
+            self._hear(runner_id, signals, str(source))
+
+    def _hear_limit(self, runner_id: str, rate: float | None, source: AnswerSource) -> None:
+        if rate is not None:
+            self._metrics.runner_signals.labels(LIMIT).inc()
+            self._metrics.limited_calls.labels(source.kind.value).inc()
+        if not self._pool.hear_limit(runner_id, rate, source, self._clock()):
+            return
+        fields = {"runner": runner_id, "limit_per_second": rate, "source": str(source)}
+        logger.info("runner limit" if rate is not None else "runner limit ended", extra=fields)
+
+    def unknown_field(self, runner_id: str, name: str, value: str) -> None:
+        """Count a header field that nobody reads, and log the first one of each name."""
+        if name not in self._unknown_fields:
+            if len(self._unknown_fields) >= MAX_UNKNOWN_FIELDS:
+                return
+            self._unknown_fields.add(name)
+            fields = {"runner": runner_id, "field": name, "value": value[:MAX_VALUE_CHARACTERS]}
+            logger.info("unknown field in an answer", extra=fields)
+        self._metrics.unknown_fields.labels(name).inc()
+
+    def _hear(self, runner_id: str, signals: RunnerSignals, source: str) -> None:
         if signals.leaving:
             self._metrics.runner_signals.labels(LEAVING).inc()
         if signals.backoff_seconds > 0:
@@ -95,6 +126,8 @@
         signals.append(LEAVING)
     if received.backoff_left(now) > 0:
         signals.append(BACKOFF)
+    if received.limit.in_force(now) is not None:
+        signals.append(LIMIT)
     return signals
 
 
@@ -109,4 +142,9 @@
         known["backoff_left_seconds"] = rounded_seconds(received.backoff_left(now))
         known["backoff_asked_since_seconds"] = rounded_seconds(now - received.backoff_asked_at)
         known["backoff_source"] = received.backoff_source
+    limit = received.limit
+    if limit.in_force(now) is not None:
+        known["limit_per_second"] = limit.in_force(now)
+        known["limit_since_seconds"] = rounded_seconds(now - limit.first_named_at)
+        known["limit_source"] = limit.source
     return known
--- a/tests/fleet/test_runner_signals.py
+++ b/tests/fleet/test_runner_signals.py
@@ -14,6 +14,7 @@
 
 from hillstack.core.cache_watch import CacheHolder
 from hillstack.core.routing_table import RouteKind
+from hillstack.core.runner_limit import AnswerKind, AnswerSource
 from hillstack.core.runner_pool import (
     HINT_AGAIN_SECONDS,
     HINT_SECONDS,
@@ -33,6 +34,7 @@
 from hillstack.platform.connections import make_runner_session
 from hillstack.platform.runner_signals import (
     MAX_BACKOFF_SECONDS,
+    Asked,
     SignalReader,
     backoff_of,
     signals_of,
@@ -68,7 +70,8 @@
 NOW = 10.0
 LEAVING = RunnerSignals(leaving=True)
 BACKOFF = RunnerSignals(backoff_seconds=3.0)
-SOURCE = "request r-0: status 503"
+ANSWER = AnswerSource(AnswerKind.REQUEST, 503, request_id="r-0")
+SOURCE = str(ANSWER)
 FULL = refuses(RefusalCause.FULL)
 
 
@@ -77,9 +80,13 @@
 
     def __init__(self) -> None:
         self.signals: list[tuple[str, RunnerSignals, str]] = []
+        self.unknown: list[tuple[str, str, str]] = []
 
-    def heard(self, runner_id: str, signals: RunnerSignals, source: str) -> None:
-        self.signals.append((runner_id, signals, source))
+    def heard(self, runner_id: str, signals: RunnerSignals, source: AnswerSource) -> None:
+        self.signals.append((runner_id, signals, str(source)))
+
+    def unknown_field(self, runner_id: str, name: str, value: str) -> None:
+        self.unknown.append((runner_id, name, value))
 
 
 # What an answer says.
@@ -125,12 +132,35 @@
     heard = Heard()
     reader = SignalReader(heard)
     headers = {names.LEAVING: "1", names.INSTANCE: "i-2"}
-    reader.read("i-1#1000", 421, headers, "request r-1")
+    reader.read("i-1#1000", 421, headers, Asked(AnswerKind.REQUEST, "r-1"))
     assert heard.signals == []
-    reader.read("i-2#1000", 421, headers, "request r-2")
+    reader.read("i-2#1000", 421, headers, Asked(AnswerKind.REQUEST, "r-2"))
     assert heard.signals == [("i-2#1000", LEAVING, "request r-2: status 421")]
 
 
+def test_a_field_that_nobody_reads_is_counted_and_logged_once(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    metrics = FleetMetrics()
+    intake = SignalIntake(RunnerPool(), metrics, lambda: NOW)
+    reader = SignalReader(intake)
+    headers = {"Content-Type": "text/plain", names.LEAVING: "1", "Server-News": "4" * 100}
+    with caplog.at_level("INFO"):
+        for number in range(3):
+            reader.read("i-1", 200, headers, Asked(AnswerKind.REQUEST, f"r-{number}"))
+    lines = [r for r in caplog.records if r.message == "unknown field in an answer"]
+    assert [(line.field, line.value) for line in lines] == [("server-news", "4" * 64)]  # type: ignore[attr-defined]
+    assert b'unknown_answer_fields_total{field="server-news"} 3.0' in metrics.text()
+
+
+def test_fields_that_an_application_makes_up_are_bounded() -> None:
+    metrics = FleetMetrics()
+    reader = SignalReader(SignalIntake(RunnerPool(), metrics, lambda: NOW))
+    for number in range(100):
+        reader.read("i-1", 200, {f"X-{number}": "1"}, Asked(AnswerKind.REQUEST))
+    assert metrics.text().count(b"unknown_answer_fields_total{") == 32
+
+
 def test_all_answers_of_a_runner_are_heard(tmp_path: Path) -> None:
     """Successes, failures, refusals, heads of streams, reports, orders, and what is cached."""
 
@@ -319,7 +349,7 @@
 
         async def behave(request: ServingRequest, dispatch: Dispatch) -> FakeAnswer:
             if left:
-                self.intake.heard(dispatch.runner_id, left.pop(0), SOURCE)
+                self.intake.heard(dispatch.runner_id, left.pop(0), ANSWER)
             return await behaviour(request, dispatch)
 
         return behave
