Soak: runners that name limits, some or all of a service, changing and ending, and the promise to them

The promise is checked from what runners and callers see: what nodes that were told sent in any 4 s. A runner that names a limit is now left to that fault.

--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -88,6 +88,22 @@
     signals: RunnerSignals
 
 
+@dataclass(slots=True)
+class NamedLimit:
+    """A time in which a runner named a limit in its answers.
+
+    Attributes:
+        born: When the runner's process started.
+        limit: Requests a second that it takes from all nodes.
+    """
+
+    runner_id: str
+    born: int
+    limit: float
+    began_at: float
+    ended_at: float = math.inf
+
+
 @dataclass(slots=True)
 class Trouble:
     """A time in which a fault disturbed a node, a runner's link or the store.
@@ -158,6 +174,7 @@
         weights_named: When each version of the weights was acknowledged.
         arrivals: Requests that reached runners.
         signals: What runners said of themselves.
+        limits: Limits that runners named.
         lags: When a task of the soak itself was late, and for how many seconds.
     """
 
@@ -172,6 +189,7 @@
     weights_named: dict[int, float] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
     signals: list[SignalSent] = field(default_factory=list)
+    limits: list[NamedLimit] = field(default_factory=list)
     lags: list[tuple[float, float]] = field(default_factory=list)
     runner_ends: list[RunnerEnd] = field(default_factory=list)
     rollouts: dict[str, Rollout] = field(default_factory=dict)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -8,7 +8,11 @@
 from collections.abc import Iterator
 
 from tests.soak.observations import Observations, Run, Sent
-from tests.soak.signal_promises import reached_leaving_runners, reached_runners_in_backoff
+from tests.soak.signal_promises import (
+    passed_limits,
+    reached_leaving_runners,
+    reached_runners_in_backoff,
+)
 from tests.soak.timed_promises import (
     at_work_after_close,
     late_stops,
@@ -43,6 +47,7 @@
         *begun_on_older_weights(seen),
         *reached_leaving_runners(seen),
         *reached_runners_in_backoff(seen),
+        *passed_limits(seen),
     ]
 
 
--- a/tests/soak/signal_faults.py
+++ b/tests/soak/signal_faults.py
@@ -1,4 +1,4 @@
-"""Runners that say of themselves that they leave, or ask for a backoff.
+"""Runners that say of themselves that they leave, ask for a backoff, or name a limit.
 
 They are drawn only where they are asked for by name: what older seeds play stays as it was.
 """
@@ -22,6 +22,8 @@
 END_SECONDS = (0.3, 2.0)
 BACKOFF_SECONDS = (0.5, 5.0)
 SHED_SECONDS = (0.5, 6.0)
+LIMITS = (0.0, 0.5, 1.0, 2.3, 6.0, 20.0)
+LIMIT_SECONDS = (4.0, 12.0)
 # Part of the times in which all runners of a service ask for a backoff at once.
 ALL_SHARE = 0.25
 
@@ -68,4 +70,23 @@
             runner.faults = replace(runner.faults, shed=False, backoff_seconds=0.0)
 
 
-SIGNAL_FAULTS: tuple[Fault, ...] = (leave_unheard, ask_for_backoff)
+async def name_limits(system: SoakedSystem, rng: Random) -> None:
+    """Let runners name limits, some or all of a service, which may change once.
+
+    Those that name one already, by another fault, are left out.
+    """
+    of_service = system.runners_of(rng.choice((APPLICATION, ENGINES)))
+    chosen = [runner for runner in of_service if runner.faults.limit is None]
+    if rng.random() >= ALL_SHARE:
+        chosen = rng.sample(chosen, min(len(chosen), rng.randrange(1, 3)))
+    changes = 1 + (rng.random() < 0.3)
+    with system.trouble(*(f"work of {runner.runner_id}" for runner in chosen)):
+        for _ in range(changes):
+            limits = [rng.choice(LIMITS) for _ in chosen]
+            with contextlib.ExitStack() as named:
+                for runner, limit in zip(chosen, limits, strict=True):
+                    named.enter_context(system.limited(runner, limit))
+                await asyncio.sleep(rng.uniform(*LIMIT_SECONDS) / changes)
+
+
+SIGNAL_FAULTS: tuple[Fault, ...] = (leave_unheard, ask_for_backoff, name_limits)
--- a/tests/soak/signal_promises.py
+++ b/tests/soak/signal_promises.py
@@ -1,11 +1,11 @@
-"""The promises to runners: who leaves gets no more requests, who asks for a backoff gets it."""
+"""The promises to runners that leave, ask for a backoff, or name a limit."""
 
 from __future__ import annotations
 
 from collections import defaultdict
 from collections.abc import Iterator
 
-from tests.soak.observations import Arrival, Observations, Sent, SignalSent
+from tests.soak.observations import Arrival, NamedLimit, Observations, Sent, SignalSent
 from tests.soak.timed_promises import CONTACT_SECONDS
 
 # A request that its caller sends later than that after its node has passed on an answer which says
@@ -15,6 +15,16 @@
 BACKOFF_BEGIN_SECONDS = 0.5
 ALLOWED_IN_A_BACKOFF = 2
 
+# What is under way when a node is told of a limit is free, and what it sends so soon after that.
+LIMIT_BEGIN_SECONDS = 0.5
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_OVERSHOOT = 1.5
+LIMIT_SLACK = 5
+# A lower limit than before is heard of with the next answer.
+LIMIT_CHANGE_SECONDS = 1.0
+# Between two limits that follow one another: no answer leaves in that time.
+LIMIT_GAP_SECONDS = 0.001
+
 # Node, runner and start of the runner's process.
 Pair = tuple[str, str, int]
 
@@ -67,6 +77,80 @@
             yield f"{signal.runner_id}: {count} of {request.node} in {seconds:.1f} s of backoff"
 
 
+def passed_limits(seen: Observations) -> Iterator[str]:
+    """Return the times in which nodes together sent a runner more than the limit it had told them.
+
+    A node that was disturbed, or started again, is left out.
+    """
+    sent = {request.request_id: request for request in seen.sent}
+    limits: dict[tuple[str, int], list[NamedLimit]] = defaultdict(list)
+    for named in seen.limits:
+        limits[named.runner_id, named.born].append(named)
+    told = _told_limits(seen, sent)
+    counted: dict[tuple[str, int], list[float]] = defaultdict(list)
+    for arrival in sorted(seen.arrivals, key=lambda arrival: arrival.at):
+        request = sent.get(arrival.request_id)
+        process = arrival.runner_id, arrival.born
+        named_at = _named_since(limits[process], arrival.at)
+        if request is None or named_at is None:
+            continue
+        told_at = min((at for at in told[request.node, *process] if at >= named_at), default=None)
+        begins_at = None if told_at is None else told_at + LIMIT_BEGIN_SECONDS
+        if begins_at is None or arrival.at < begins_at + seen.lag(begins_at, arrival.at):
+            continue
+        since = arrival.at - LIMIT_WINDOW_SECONDS - CONTACT_SECONDS
+        names = request.node, arrival.runner_id
+        if any(seen.disturbed(name, since, arrival.at) for name in names):
+            continue
+        if any(s.node == request.node and s.ended_at >= since for s in seen.stops):
+            continue
+        counted[process].append(arrival.at)
+    for process, arrivals in counted.items():
+        yield from _over_limit(process[0], arrivals, limits[process], seen)
+
+
+def _named_since(limits: list[NamedLimit], at: float) -> float | None:
+    """Return since when a process names limits, one after the other; None if it names none."""
+    since: float | None = None
+    for named in sorted(limits, key=lambda named: named.began_at, reverse=True):
+        if named.began_at <= at < named.ended_at or (
+            since is not None and named.ended_at >= since - LIMIT_GAP_SECONDS
+        ):
+            since = named.began_at
+    return since
+
+
+def _told_limits(seen: Observations, sent: dict[str, Sent]) -> dict[Pair, list[float]]:
+    """Return when each node passed on answers of each process that name a limit."""
+    told: dict[Pair, list[float]] = defaultdict(list)
+    for signal in seen.signals:
+        request = sent.get(signal.request_id)
+        if signal.signals.limit is None or request is None or request.status is None:
+            continue
+        pair = request.node, signal.runner_id, signal.born
+        told[pair].append(_passed_on_at(request, signal))
+    return told
+
+
+def _over_limit(
+    runner_id: str, arrivals: list[float], limits: list[NamedLimit], seen: Observations
+) -> Iterator[str]:
+    for end in arrivals:
+        since = end - LIMIT_WINDOW_SECONDS
+        got = sum(since < at <= end for at in arrivals)
+        # Requests of a busy machine arrive late, and together.
+        window = LIMIT_WINDOW_SECONDS + seen.lag(since, end)
+        limit = max(
+            named.limit
+            for named in limits
+            if named.began_at <= end and named.ended_at >= since - LIMIT_CHANGE_SECONDS
+        )
+        allowed = LIMIT_OVERSHOOT * limit * window + LIMIT_SLACK
+        if got > allowed:
+            yield f"{runner_id}: {got} requests in {window:.1f} s at a limit of {limit}"
+            return
+
+
 def _passed_on_at(request: Sent, signal: SignalSent) -> float:
     return request.ended_at if request.ended_at is not None else signal.at
 
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -9,6 +9,7 @@
 import time
 from collections import Counter
 from collections.abc import AsyncIterator, Callable, Iterator
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -27,6 +28,7 @@
 from tests.soak.observations import (
     NODE_PREFIX,
     Arrival,
+    NamedLimit,
     Observations,
     Run,
     RunnerEnd,
@@ -233,6 +235,18 @@
             for each in began:
                 each.ended_at = time.monotonic()
 
+    @contextlib.contextmanager
+    def limited(self, runner: FleetRunner, limit: float) -> Iterator[None]:
+        """Let a runner that names no limit name one while the block runs."""
+        named = NamedLimit(runner.runner_id, runner.born, limit, time.monotonic())
+        self.observations.limits.append(named)
+        runner.faults = replace(runner.faults, limit=limit)
+        try:
+            yield
+        finally:
+            named.ended_at = time.monotonic()
+            runner.faults = replace(runner.faults, limit=None)
+
     @contextlib.contextmanager
     def hold(self, name: str) -> Iterator[None]:
         """Keep a node from being started while the block runs (``check_processes``)."""
--- a/tests/soak/test_signals.py
+++ b/tests/soak/test_signals.py
@@ -1,4 +1,4 @@
-"""Runners that leave or ask for a backoff, at real processes; the checks find what breaks."""
+"""Runners that leave, ask for a backoff or name a limit, at real processes."""
 
 from __future__ import annotations
 
@@ -8,10 +8,22 @@
 
 from hillstack.core.runner_signals import RunnerSignals
 from tests.soak.faults import Fault, kill_node, pause_node
-from tests.soak.observations import Arrival, Observations, Sent, SignalSent, Stop, Trouble
+from tests.soak.observations import (
+    Arrival,
+    NamedLimit,
+    Observations,
+    Sent,
+    SignalSent,
+    Stop,
+    Trouble,
+)
 from tests.soak.restart_faults import restart_runners
-from tests.soak.signal_faults import ask_for_backoff, leave_unheard
-from tests.soak.signal_promises import reached_leaving_runners, reached_runners_in_backoff
+from tests.soak.signal_faults import ask_for_backoff, leave_unheard, name_limits
+from tests.soak.signal_promises import (
+    passed_limits,
+    reached_leaving_runners,
+    reached_runners_in_backoff,
+)
 from tests.soak.soak import SoakPlan, run
 
 SEED = 926
@@ -21,6 +33,7 @@
 SEED_AT_START = 903
 SECONDS = 8.0
 SIGNALS = (leave_unheard, ask_for_backoff)
+LIMIT_SEED = 931
 
 TOLD_AT = 20.0
 BACKOFF = 3.0
@@ -49,6 +62,25 @@
     assert '"sent_despite":true' not in logged
 
 
+@pytest.mark.parametrize(
+    ("seed", "faults"),
+    [
+        pytest.param(LIMIT_SEED, (name_limits,), id="alone"),
+        pytest.param(
+            LIMIT_SEED, (name_limits, *SIGNALS, kill_node, pause_node), id="beside-others"
+        ),
+    ],
+)
+def test_real_processes_keep_all_promises_to_runners_that_name_limits(
+    tmp_path: Path, seed: int, faults: tuple[Fault, ...]
+) -> None:
+    result = run(seed, SoakPlan(SECONDS, faults=faults), tmp_path)
+    assert result.violations == [], result.faults
+    assert "name_limits" in {fault.partition(" ")[2] for fault in result.faults}
+    logged = "".join(log.read_text() for log in tmp_path.glob("node-*.log"))
+    assert "runner limit asked" in logged
+
+
 def sent(request_id: str, at: float, node: str = "node-1", status: int | None = 200) -> Sent:
     return Sent(request_id, "safe", node, "key-1", at, status, ended_at=at + 0.1)
 
@@ -129,3 +161,45 @@
     found: Observations, is_broken: bool
 ) -> None:
     assert len(list(reached_runners_in_backoff(found))) == is_broken
+
+
+def limited(
+    arrivals: list[float],
+    limit: float = 1.0,
+    *,
+    node: str = "node-1",
+    born: int = 1,
+    ended_at: float = 100.0,
+    troubles: list[Trouble] | None = None,
+) -> Observations:
+    """Return what is seen when a runner names a limit and then gets requests."""
+    found = seen_with(RunnerSignals(limit=limit), arrivals, node=node, born=born, troubles=troubles)
+    found.limits = [NamedLimit("i-1", 1, limit, TOLD_AT - 1.0, ended_at)]
+    return found
+
+
+def times(count: int, since: float = TOLD_AT + 2.0, over: float = 3.0) -> list[float]:
+    return [since + over * number / count for number in range(count)]
+
+
+@pytest.mark.parametrize(
+    ("found", "is_broken"),
+    [
+        (limited(times(11)), False),
+        (limited(times(12)), True),
+        (limited(times(17), 2.0), False),
+        (limited(times(18), 2.0), True),
+        (limited(times(5), 0.0), False),
+        (limited(times(6), 0.0), True),
+        (limited(times(40), node="node-2"), False),
+        (limited(times(40), born=2), False),
+        (limited(times(40, TOLD_AT, 0.5)), False),
+        (limited(times(40), ended_at=TOLD_AT + 2.0), False),
+        (limited(times(24, over=12.0)), False),
+        (limited(times(40, over=12.0)), True),
+        (limited(times(40), troubles=[Trouble("node-1", TOLD_AT, TOLD_AT + 0.1)]), False),
+        (limited(times(40), troubles=[Trouble("store", TOLD_AT)]), True),
+    ],
+)
+def test_a_limit_that_is_passed_is_found(found: Observations, is_broken: bool) -> None:
+    assert len(list(passed_limits(found))) == is_broken
