Limits of runners: a node that starts is told of them, holders of their own, 17 mutations

A node that has just started knew no limit until a peer repeated it (up to 4.8 s) or its own first answer came; peers tell it now with their welcome. Limits of runners and of tenants shared the choice of holders: a holder of an earlier build drops questions about runners, and would have been passed over for tenants too.

--- a/src/hillstack/core/runner_limit.py
+++ b/src/hillstack/core/runner_limit.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 # A peer's word that a runner names a limit is repeated by some of those who know after the shortest
 # time, by all of them after twice that, and lapses after the longest one.
@@ -87,7 +87,7 @@
     first_named_at: float = float("-inf")
     source: str = ""
     asked_at: float = float("-inf")
-    kinds: set[AnswerKind] = field(default_factory=set)
+    kinds: frozenset[AnswerKind] = frozenset()
     hinted_rate: float = 0.0
     hinted_until: float = float("-inf")
     hinted_asked_at: float = float("-inf")
@@ -126,7 +126,7 @@
         if self.rate is None:
             self.first_named_at, self.source = now, str(source)
         self.rate, self.named_at, self.asked_at = rate, now, asked_at
-        self.kinds.add(source.kind)
+        self.kinds |= {source.kind}
         return is_news
 
     def hint(self, rate: float, age_seconds: float, now: float) -> bool:
@@ -179,5 +179,5 @@
             return False
         self.rate, self.asked_at, self.may_probe = None, asked_at, False
         self.hinted_until = self.no_room_until = float("-inf")
-        self.kinds.clear()
+        self.kinds = frozenset()
         return True
--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -350,12 +350,17 @@
                 del self._limits[runner_id]
         return self._limits
 
+    def own_limits(self, now: float) -> dict[str, RunnerLimit]:
+        """Return the limits that processes have named to this node itself."""
+        limited = self.limited(now).items()
+        return {runner_id: limit for runner_id, limit in limited if limit.rate is not None}
+
     def limits_to_tell(self, now: float) -> dict[str, RunnerLimit]:
         """Return the limits that this node heard itself and of which peers were not told lately."""
         return {
             runner_id: limit
-            for runner_id, limit in self.limited(now).items()
-            if limit.rate is not None and now >= limit.told_at + HINT_AGAIN_SECONDS
+            for runner_id, limit in self.own_limits(now).items()
+            if now >= limit.told_at + HINT_AGAIN_SECONDS
         }
 
     def _limit(self, runner_id: str) -> RunnerLimit:
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -161,8 +161,7 @@
             RegionChoice(self._state, settings.node.region_link_megabits),
         )
         self._peers.handle_placements(placement.observe_placement, placement.observe_read)
-        holders = BucketHolders(settings.node.id, self._state.nodes, choice, zone)
-        self._shared_runner_limits = self._share_runner_limits(holders, rng)
+        self._shared_runner_limits = self._share_runner_limits(choice, rng)
         runner_limits = RunnerLimits(
             self._state.pool, self._shared_runner_limits, self._metrics, self._clock
         )
@@ -184,6 +183,7 @@
         )
         self._peers.handle_rollouts(self._observer.take_report)
         placement.versions.handle_canaries(self._metrics.count_canary)
+        holders = BucketHolders(settings.node.id, self._state.nodes, choice, zone)
         self._buckets = TokenBuckets(bounds.limit_tolerance(), LEASE_SECONDS)
         limit_holder = LimitHolder(
             self._state, self._buckets, holders, self._link, self._clock, rng
@@ -206,6 +206,7 @@
         # In this order: what is cached lets requests pass (``StartGate``).
         self._peers.handle_new_peers(self._pipeline.runner_ends.welcome)
         self._peers.handle_new_peers(self._follower.welcome)
+        self._peers.handle_new_peers(self._peers.welcome)
         own_address = f"{settings.node.address}:{settings.listen.peers_port}"
         own = NodeEntry(
             settings.node.id, own_address, zone, link_megabits=settings.node.link_megabits
@@ -254,8 +255,11 @@
             rng,
         )
 
-    def _share_runner_limits(self, holders: BucketHolders, rng: Random) -> LimitClient:
+    def _share_runner_limits(self, choice: RelayChoice, rng: Random) -> LimitClient:
         """Return this node's part in the limits that runners name for all nodes together."""
+        node = self._settings.node
+        # Of its own: a holder of an earlier build answers for tenants, and not for runners.
+        holders = BucketHolders(node.id, self._state.nodes, choice, node.zone)
         scope = runner_scope(self._state.pool, self._clock)
         buckets = TokenBuckets(
             RUNNER_TOLERANCE, LEASE_SECONDS, start_share=RUNNER_START_SHARE, is_whole=True
--- a/src/hillstack/daemon/notice_outbox.py
+++ b/src/hillstack/daemon/notice_outbox.py
@@ -121,6 +121,11 @@
         """Return a notice of one runner that ended."""
         return NodeNotice(PROTOCOL_VERSION, self._node_id, self._incarnation, runner_ends=[ended])
 
+    def limits_only(self, limits: list[LimitNotice]) -> NodeNotice:
+        """Return a notice of limits of runners."""
+        told = limits[:MAX_LIMITS]
+        return NodeNotice(PROTOCOL_VERSION, self._node_id, self._incarnation, limits=told)
+
     def set_rollouts(self, reports: list[RolloutReport]) -> None:
         """Tell what was seen of the rollouts that are under way."""
         self._rollouts = reports
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -220,13 +220,24 @@
 
     def limit_changed(self, runner_id: str, limit: RunnerLimit) -> None:
         """Tell what a runner has told this node of its limit."""
-        now = self._clock()
-        limit.told_at = now
-        rate = NO_LIMIT if limit.rate is None else limit.rate
-        age_ms = round((now - limit.asked_at) * MILLISECONDS)
-        self._outbox.add_limit(LimitNotice(runner_id, rate, age_ms))
+        limit.told_at = self._clock()
+        self._outbox.add_limit(_limit_notice(runner_id, limit, limit.told_at))
         self._schedule()
 
+    def welcome(self, node_id: str) -> None:
+        """Tell a node that has just started of the limits that runners have named to this one.
+
+        Before its first answer of such a runner it would send there what it likes.
+        """
+        node, now = self._state.nodes.get(node_id), self._clock()
+        limits = self._state.pool.own_limits(now)
+        if node is None or not limits:
+            return
+        notice = self._outbox.limits_only(
+            [_limit_notice(runner_id, limit, now) for runner_id, limit in limits.items()]
+        )
+        self._link.send(DatagramKind.NOTICE, peer_notices.encode(notice), node.address)
+
     def _limit_outdated(self, runner_id: str) -> None:
         limit = self._state.pool.limit_state(runner_id)
         if limit is None or self._clock() < limit.told_at + LIMIT_END_AGAIN_SECONDS:
@@ -424,5 +435,10 @@
             self._flush_handle = loop.call_later(seconds, self.flush)
 
 
+def _limit_notice(runner_id: str, limit: RunnerLimit, now: float) -> LimitNotice:
+    rate = NO_LIMIT if limit.rate is None else limit.rate
+    return LimitNotice(runner_id, rate, round((now - limit.asked_at) * MILLISECONDS))
+
+
 def _is_urgent(notices: list[NodeNotice]) -> bool:
     return any(notice.is_urgent() for notice in notices)
--- a/tests/fleet/node_network.py
+++ b/tests/fleet/node_network.py
@@ -283,9 +283,10 @@
         runner_buckets = TokenBuckets(
             RUNNER_TOLERANCE, LEASE_SECONDS, start_share=RUNNER_START_SHARE, is_whole=True
         )
-        runner_holder = LimitHolder(state, runner_buckets, holders, link, clock, rng, scope)
+        runner_holders = BucketHolders(node_id, state.nodes, choice, zone)
+        runner_holder = LimitHolder(state, runner_buckets, runner_holders, link, clock, rng, scope)
         runner_limits = LimitClient(
-            state, TokenLeases(clock()), holders, runner_holder, link, clock, rng, scope
+            state, TokenLeases(clock()), runner_holders, runner_holder, link, clock, rng, scope
         )
         node = SimulatedNode(
             state,
@@ -300,6 +301,7 @@
             runner_limits,
             ChangeLog(),
         )
+        exchange.handle_new_peers(exchange.welcome)
         exchange.handle_placements(
             lambda _, notice, now: node.placements.append(notice),
             lambda peer, number, now: node.reads.append((peer, number)),
--- a/tests/fleet/test_runner_limits.py
+++ b/tests/fleet/test_runner_limits.py
@@ -22,8 +22,9 @@
 from hillstack.core.runner_pool import Runner, RunnerPool
 from hillstack.core.runner_signals import RunnerSignals
 from hillstack.core.tenant_limits import TenantLimit
+from hillstack.core.token_buckets import TokenBuckets
 from hillstack.daemon.cache_follower import CacheChanges, CacheListing
-from hillstack.daemon.limit_scopes import RUNNER_TOLERANCE
+from hillstack.daemon.limit_scopes import RUNNER_START_SHARE, RUNNER_TOLERANCE
 from hillstack.daemon.limited_calls import (
     LONGEST_FEED_PAUSE_SECONDS,
     ORDER_PATIENCE_SECONDS,
@@ -32,6 +33,7 @@
 )
 from hillstack.daemon.notice_reader import NoticeReader
 from hillstack.daemon.weights_orders import OrderOutcome, RunnerReport, WeightsOrder
+from hillstack.messages.datagrams import DatagramKind
 from hillstack.messages.peer_notices import NO_LIMIT, PROTOCOL_VERSION, LimitNotice, NodeNotice
 from hillstack.platform import names
 from hillstack.platform.runner_signals import MAX_LIMIT, limit_of, signals_of
@@ -497,8 +499,10 @@
 # Many nodes.
 
 
-def make_network(count: int, *, loss: float = 0.0, own_loops: bool = False) -> NodeNetwork:
-    network = NodeNetwork(count, 3, loss=loss, own_loops=own_loops)
+def make_network(
+    count: int, zones: int = 3, *, loss: float = 0.0, own_loops: bool = False
+) -> NodeNetwork:
+    network = NodeNetwork(count, zones, loss=loss, own_loops=own_loops)
     list_runners(network)
     network.run(5.0)
     return network
@@ -533,6 +537,30 @@
     assert max(traffic.delays) <= ANSWER_SECONDS + 0.01
 
 
+@pytest.mark.parametrize("limit", [0.5, 1.0, 2.3])
+def test_many_holders_give_out_no_more_than_one_would(limit: float) -> None:
+    """Twelve zones have a holder each; a request of each one at once would be too many."""
+    network = make_network(36, 12)
+    traffic = RunnerTraffic(network, constant(limit))
+    traffic.send(40.0, 60.0)
+    network.run(41.0)
+    network.close()
+    assert traffic.worst_window() <= allowed(limit)
+    assert traffic.used(15.0, 45.0) >= 0.8 * 30.0 * limit - 1
+
+
+def test_full_buckets_of_many_holders_hold_no_more_than_the_slack() -> None:
+    """Where each holds a part of a request, none lets one pass that is not all there."""
+    limit, holders = TenantLimit(1.0, burst=0.0), 12
+    taken = 0
+    for number in range(holders):
+        buckets = TokenBuckets(RUNNER_TOLERANCE, 1.0, start_share=RUNNER_START_SHARE, is_whole=True)
+        for message in range(20):
+            buckets.contribute(f"node-{number}", 1, message, 0.6, holders, NOW)
+        taken += sum(buckets.take("i-1", limit, 1.0, 0, NOW) for _ in range(10))
+    assert taken <= RUNNER_TOLERANCE.margin(limit)
+
+
 def test_a_node_with_all_the_traffic_gets_most_of_the_limit(network: NodeNetwork) -> None:
     traffic = RunnerTraffic(network, constant(4.0), homes=1)
     traffic.send(20.0, 20.0)
@@ -607,6 +635,40 @@
     assert traffic.worst_window() <= allowed(limit)
 
 
+def test_a_node_that_starts_is_told_of_limits_before_it_has_sent_anything(
+    network: NodeNetwork,
+) -> None:
+    traffic = RunnerTraffic(network, constant(1.0))
+    traffic.send(8.0, 30.0)
+    network.run(5.0)
+    node = network.add("node-3", network.nodes["node-3"].zone)
+    network.run(1.0)
+    assert node.state.pool.limit_of("i-0", network.scheduler.now) == 1.0
+
+
+def test_beside_holders_of_an_earlier_build_the_others_keep_to_their_own_part(
+    network: NodeNetwork,
+) -> None:
+    """They drop questions that they do not know, send what they like, and hand over no time."""
+    earlier = set(sorted(network.nodes)[::2])
+    new_kinds = range(DatagramKind.RUNNER_TOKEN_QUESTION, DatagramKind.RUNNER_TRANSFER_ANSWER + 1)
+    carry = network.carry
+
+    def carry_known(data: bytes, source: str, target: str) -> None:
+        names = {n.node_id for n in network.nodes.values() if n.address in (source, target)}
+        if data[0] not in new_kinds or not names & earlier:
+            carry(data, source, target)
+
+    network.carry = carry_known  # type: ignore[method-assign]
+    traffic = RunnerTraffic(network, constant(2.0))
+    traffic._homes = sorted(set(network.nodes) - earlier)
+    traffic.send(20.0, 30.0)
+    network.run(21.0)
+    assert traffic.worst_window() <= allowed(2.0)
+    assert traffic.used(10.0, 25.0) >= 0.3 * 15.0 * 2.0
+    assert max(traffic.delays) <= ANSWER_SECONDS + 0.01
+
+
 def test_nothing_is_sent_about_limits_that_no_runner_names(network: NodeNetwork) -> None:
     node = next(iter(network.nodes.values()))
     waiting = network.scheduler.spawn(
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -670,7 +670,7 @@
     Mutation(
         "a backoff that a runner asks for is passed over",
         "core/runner_pool.py",
-        "return max(self.suspected_until, self.loading_until, self.signals.backoff_until)",
+        "return max(self.suspected_until, self.loading_until, self.signals.asked_until)",
         "return max(self.suspected_until, self.loading_until)",
     ),
     Mutation(
@@ -718,7 +718,7 @@
     Mutation(
         "all requests wait for the end of a backoff",
         "serving/backoff_waits.py",
-        "if self._waiting[runner.runner_id] >= max(1, places):",
+        "if self._waiting[runner.runner_id] >= self._places(runner, now):",
         "if False:",
     ),
     Mutation(
@@ -745,6 +745,108 @@
         "return not runner.leaves and runner.runner_id",
         "return not runner.entry.draining and runner.runner_id",
     ),
+    Mutation(
+        "a limit that a runner names is passed over",
+        "serving/runner_limits.py",
+        "        if rate is None:\n            return True\n        if limit.take_probe():",
+        "        if True:\n            return True\n        if limit.take_probe():",
+    ),
+    Mutation(
+        "each node has a runner's limit for itself",
+        "serving/runner_limits.py",
+        "                return await self._limiter.take(runner_id, limit, limit.cost(None), rank)",
+        "                return 0.0",
+    ),
+    Mutation(
+        "a runner without room is asked for again at once",
+        "serving/runner_limits.py",
+        "limit.no_room_until = self._clock() + min(wait, LONGEST_PAUSE_SECONDS)",
+        "limit.no_room_until = self._clock() + 0.0001",
+    ),
+    Mutation(
+        "a request waits for a holder that says nothing",
+        "serving/runner_limits.py",
+        "            async with asyncio.timeout(ANSWER_SECONDS):",
+        "            async with asyncio.timeout(100.0):",
+    ),
+    Mutation(
+        "buckets of runners overdraw",
+        "core/token_buckets.py",
+        "return max(cost, needed) if self.is_whole else needed",
+        "return needed",
+    ),
+    Mutation(
+        "any answer without a limit ends it",
+        "core/runner_limit.py",
+        "        if asked_at < max(self.named_at, self.hinted_asked_at):",
+        "        if False:",
+    ),
+    Mutation(
+        "a failure without a limit ends it",
+        "core/runner_limit.py",
+        "if self.in_force(now) is None or not source.is_whole:",
+        "if self.in_force(now) is None:",
+    ),
+    Mutation(
+        "an old answer that comes late brings a limit back",
+        "core/runner_limit.py",
+        "        if asked_at < self.asked_at:\n            return False\n",
+        "",
+    ),
+    Mutation(
+        "a peer's word of a limit never lapses",
+        "core/runner_limit.py",
+        "        if now >= self.hinted_until:\n            return self.rate\n",
+        "        if self.hinted_rate == 0.0:\n            return self.rate\n",
+    ),
+    Mutation(
+        "a peer's word of an end frees a node of the limit",
+        "core/runner_limit.py",
+        "            self.may_probe = True\n",
+        "            self.rate = None\n",
+    ),
+    Mutation(
+        "nobody tells peers of limits",
+        "daemon/peer_exchange.py",
+        "        self._outbox.add_limit(_limit_notice(runner_id, limit, limit.told_at))\n",
+        "",
+    ),
+    Mutation(
+        "peers that tell of a limit which has ended are not told so",
+        "daemon/notice_reader.py",
+        "            self._on_outdated_limit(limit.runner_id)",
+        "            return",
+    ),
+    Mutation(
+        "questions on cached parts go on beside a limit",
+        "daemon/limited_calls.py",
+        "        await self._pause(holder)\n",
+        "",
+    ),
+    Mutation(
+        "orders wait for room for as long as it takes",
+        "daemon/limited_calls.py",
+        "        await self._limits.room_for_call(order.runner_id, ORDER_PATIENCE_SECONDS)",
+        "        await self._limits.room_for_call(order.runner_id, 1_000.0)",
+    ),
+    Mutation(
+        "a runner's limit without a request of slack is passed at a start",
+        "daemon/limit_scopes.py",
+        "RUNNER_START_SHARE = 0.3",
+        "RUNNER_START_SHARE = 3.0",
+    ),
+    Mutation(
+        "a node takes its part before it knows the others",
+        "daemon/store_sync.py",
+        "            revision = await self._look_again(revision)\n        if",
+        "            revision = own.revision\n        if",
+    ),
+    Mutation(
+        "a node that knows no others has the whole retry budget",
+        "serving/fleet_state.py",
+        "        self.budget.set_node_count(MOST_NODES)\n",
+        "",
+    ),
 )
 
 
