What one node alone was told by a runner does not lapse at the others

Seen: a word that peers tell lapses after 6 s, and was repeated with each heartbeat at a chance of one in eight, 2 s after the last time; where one node alone knew it, it lapsed at the others for seconds at a time, for runners that leave as well as for limits. Cause: the chance is meant for many nodes that know. And of a limit a repetition that came some milliseconds sooner than the first one counted as older, and did not count.

Change: a word that was not told for 4 s is repeated with the next heartbeat; two words that may be of the same time are one, of which the lower rate counts.

--- a/src/hillstack/core/runner_limit.py
+++ b/src/hillstack/core/runner_limit.py
@@ -141,11 +141,23 @@
         if self.rate is None and asked_at <= self.asked_at:
             return True
         self.told_at = now
-        if asked_at >= self.hinted_asked_at:
-            self.hinted_rate, self.hinted_asked_at = rate, asked_at
-            self.hinted_until = now + HINT_SECONDS
+        if asked_at >= self.hinted_asked_at - HINT_TRANSIT_SECONDS or now >= self.hinted_until:
+            self._take_hint(rate, asked_at, now)
         return False
 
+    def _take_hint(self, rate: float, asked_at: float, now: float) -> None:
+        """Take over a peer's word that is not older than the one before, as far as can be told.
+
+        The same word comes again and again, some ten milliseconds sooner or later. Of two that may
+        be of the same time the lower rate counts.
+        """
+        is_same_time = asked_at < self.hinted_asked_at + HINT_TRANSIT_SECONDS
+        if is_same_time and now < self.hinted_until:
+            rate = min(rate, self.hinted_rate)
+            asked_at = max(asked_at, self.hinted_asked_at)
+        self.hinted_rate, self.hinted_asked_at = rate, asked_at
+        self.hinted_until = now + HINT_SECONDS
+
     def hint_end(self, age_seconds: float, now: float) -> None:
         """Take over a peer's word that it names no limit any more.
 
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -293,17 +293,23 @@
             if len(runner.attempts):
                 self._outbox.add_load(runner)
         self._outbox.set_announcements(self._recent_announcements())
-        for runner in self._state.pool.to_hint(self._clock()):
-            if self._rng.random() < HINT_AGAIN_CHANCE:
-                self.leaving(runner)
         now = self._clock()
+        for runner in self._state.pool.to_hint(now):
+            if self._tells_again(runner.hinted_at, now):
+                self.leaving(runner)
         for runner_id, limit in self._state.pool.limits_to_tell(now).items():
-            # Few nodes may know of a limit that lets few requests through.
-            is_overdue = now >= limit.told_at + 2 * HINT_AGAIN_SECONDS
-            if is_overdue or self._rng.random() < HINT_AGAIN_CHANCE:
+            if self._tells_again(limit.told_at, now):
                 self.limit_changed(runner_id, limit)
         self.flush()
 
+    def _tells_again(self, told_at: float, now: float) -> bool:
+        """Return whether this node repeats what a runner has told it, before the word lapses.
+
+        Few nodes may know it: a runner that leaves or is limited answers few requests.
+        """
+        is_overdue = now >= told_at + 2 * HINT_AGAIN_SECONDS
+        return is_overdue or self._rng.random() < HINT_AGAIN_CHANCE
+
     def flush(self, *, urgent: bool = False) -> None:
         """Send everything that was collected.
 
--- a/tests/fleet/test_runner_limits.py
+++ b/tests/fleet/test_runner_limits.py
@@ -689,3 +689,28 @@
     runner.signals.limit.no_room_until = NOW + 1.0
     assert not runner.accepts(NOW)
     assert runner.accepts(NOW + 1.0)
+
+
+# A word that one node alone was told.
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_what_one_node_alone_was_told_does_not_lapse_at_the_others(seed: int) -> None:
+    """With each heartbeat told again at a chance only, it lapsed for seconds at a time."""
+    network = make_network(7)
+    teller, *others = network.nodes.values()
+    teller.exchange._rng.seed(seed)
+    pool = teller.state.pool
+    leaving, limited = pool.get("i-1"), pool.get("i-2")
+    assert leaving is not None and limited is not None
+    pool.hear("i-1", RunnerSignals(leaving=True), "request r-0: status 200", 0.0)
+    pool.hear_limit("i-2", 1.0, REQUEST, network.scheduler.now)
+    network.at_node(teller, lambda: teller.exchange.leaving(leaving))
+    network.at_node(teller, lambda: teller.exchange.limit_changed("i-2", limited.signals.limit))
+    network.run(1.0)
+    for _ in range(120):
+        network.run(0.25)
+        now = network.scheduler.now
+        assert all(node.state.pool.hinted(ENGINES, now) == {"i-1"} for node in others)
+        assert all(node.state.pool.limit_of("i-2", now) == 1.0 for node in others)
+    network.close()
