--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -88,6 +88,15 @@
     signals: RunnerSignals
 
 
+@dataclass(slots=True)
+class EarlierBuild:
+    """A time in which a node's process was one of an earlier build."""
+
+    node: str
+    began_at: float
+    ended_at: float = math.inf
+
+
 @dataclass(slots=True)
 class NamedLimit:
     """A time in which a runner named a limit in its answers.
@@ -175,6 +184,7 @@
         arrivals: Requests that reached runners.
         signals: What runners said of themselves.
         limits: Limits that runners named.
+        earlier_builds: When nodes ran an earlier build.
         lags: When a task of the soak itself was late, and for how many seconds.
     """
 
@@ -190,6 +200,7 @@
     arrivals: list[Arrival] = field(default_factory=list)
     signals: list[SignalSent] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
+    earlier_builds: list[EarlierBuild] = field(default_factory=list)
     lags: list[tuple[float, float]] = field(default_factory=list)
     runner_ends: list[RunnerEnd] = field(default_factory=list)
     rollouts: dict[str, Rollout] = field(default_factory=dict)
@@ -213,6 +224,13 @@
             if not each.planned and each.began_at <= until and each.ended_at >= since:
                 yield each
 
+    def is_earlier(self, node: str, at: float) -> bool:
+        """Return whether a node ran an earlier build."""
+        return any(
+            build.node == node and build.began_at <= at <= build.ended_at
+            for build in self.earlier_builds
+        )
+
     def lag(self, since: float, until: float) -> float:
         """Return how late the soak's own tasks were within a time, at the worst."""
         return max((lag for at, lag in self.lags if since <= at <= until + lag), default=0.0)
--- a/tests/soak/signal_promises.py
+++ b/tests/soak/signal_promises.py
@@ -94,6 +94,9 @@
         named_at = _named_since(limits[process], arrival.at)
         if request is None or named_at is None:
             continue
+        if seen.is_earlier(request.node, arrival.at):
+            # It does not know of limits.
+            continue
         told_at = min((at for at in told[request.node, *process] if at >= named_at), default=None)
         begins_at = None if told_at is None else told_at + LIMIT_BEGIN_SECONDS
         if begins_at is None or arrival.at < begins_at + seen.lag(begins_at, arrival.at):
