--- a/src/hillstack/serving/runner_ends.py
+++ b/src/hillstack/serving/runner_ends.py
@@ -64,6 +64,8 @@
 # later: for so long it still counts as having been there.
 JUST_STOPPED_SECONDS = 0.1
 FATAL_TEXT = "runners ended while they worked on this request"
+# Runs at an end that the log names: the largest runners have 64.
+MAX_LOGGED_RUNS = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +125,7 @@
             self._state.probations.begin(attempt_id, runner.runner_id, fingerprint)
             self._tell_probation(runner.runner_id, PROBATION_SECONDS, fingerprint)
             self._metrics.runner_ends.labels("suspect_sent").inc()
+            self._log_suspect(job, runner, fingerprint)
 
     def started(self, job: Job, attempt_id: str, now: float) -> None:
         """Note the first bytes of an attempt's answer."""
@@ -235,6 +238,7 @@
         if runner.runner_id not in self._lost_here:
             self._metrics.runner_ends.labels("seen").inc()
             self._lost_here[runner.runner_id] = now
+            _log_end(runner, runs)
         self._record.note_end(runner.runner_id, now, runs, now, runner.running(now) + 1)
         self._untold.add(runner.runner_id)
         self._schedule_reaction()
@@ -248,7 +252,9 @@
                 self._state.probations.told(notice.runner_id, until, request.fingerprint)
             return
         if notice.taken_back:
-            self._record.take_back(notice.runner_id, ended_at)
+            if self._record.take_back(notice.runner_id, ended_at):
+                fields = {"runner": notice.runner_id, "by": peer}
+                logger.info("runner has not ended", extra=fields)
             return
         for fingerprint in notice.cleared:
             self._record.clear(fingerprint, now)
@@ -308,6 +314,16 @@
         notice = RunnerEndNotice(runner_id, 0, requests, probation_ms=round(seconds * 1000))
         self._peers.runner_ended(notice)
 
+    def _log_suspect(self, job: Job, runner: Runner, fingerprint: int) -> None:
+        ends = [end.runner_id for end in self._record.ends() if fingerprint in end.runs]
+        fields = {
+            "request": job.request.request_id,
+            "fingerprint": f"{fingerprint:016x}",
+            "runner": runner.runner_id,
+            "ended": ends,
+        }
+        logger.info("suspect sent", extra=fields)
+
     def _suspicion(self, fingerprint: int) -> Suspicion:
         self._refresh()
         return self._record.suspicion(fingerprint, self._clock())
@@ -448,6 +464,17 @@
     return RunAtEnd(request.age_ms / 1000, answering)
 
 
+def _log_end(runner: Runner, runs: dict[int, RunAtEnd]) -> None:
+    """Log which requests of this node a runner ended under, the youngest runs first."""
+    youngest = sorted(runs.items(), key=lambda item: item[1].age)[:MAX_LOGGED_RUNS]
+    fields = {
+        "runner": runner.runner_id,
+        "requests": {f"{name:016x}": round(run.age * 1000) for name, run in youngest},
+        "running": len(runs),
+    }
+    logger.info("runner ended", extra=fields)
+
+
 def _evidence(found: FatalRequest) -> dict[str, object]:
     return {
         "fingerprint": f"{found.fingerprint:016x}",
--- a/tests/fleet/fatal_world.py
+++ b/tests/fleet/fatal_world.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 from hillstack.core.node_directory import NodeEntry
 from hillstack.core.routing_table import RouteKind, RoutingTable
-from hillstack.core.runner_pool import Runner
+from hillstack.core.runner_pool import Runner, RunnerEntry
 from hillstack.core.shared_retry_budget import SharedRetryBudget
 from hillstack.errors import BackendBrokenError, ConnectionLostError
 from hillstack.messages.peer_notices import PlacementNotice
 from hillstack.messages.runner_ends import RunnerEndNotice
 from hillstack.serving.pipeline import RequestPipeline
 from hillstack.serving.placement import RunnerPlacement
+from hillstack.serving.store_events import RunnerListed, RunnerUnlisted
 from hillstack.serving.types import (
     Dispatch,
     HeaderList,
@@ -55,10 +57,12 @@
     """A process that ends when a fatal request has run on it for a while."""
 
     runner_id: str
+    clock: Callable[[], float]
     is_alive: bool = True
     runs: list[asyncio.Future[None]] = field(default_factory=list)
     served: list[str] = field(default_factory=list)
     under: list[bytes] = field(default_factory=list)
+    crashed_at: float | None = None
     # Bodies of the requests at work when it ended.
     ended_under: list[bytes] = field(default_factory=list)
 
@@ -66,6 +70,7 @@
         if not self.is_alive:
             return
         self.is_alive = False
+        self.crashed_at = self.clock()
         self.ended_under = list(self.under)
         for run in self.runs:
             if not run.done():
@@ -81,7 +86,12 @@
     """An answer that goes on until its events are sent, its runner ends, or it is closed."""
 
     def __init__(
-        self, runner: FakeRunner, request: ServingRequest, dispatch: Dispatch, events: int
+        self,
+        runners: FakeRunners,
+        runner: FakeRunner,
+        request: ServingRequest,
+        dispatch: Dispatch,
+        events: int,
     ) -> None:
         self._runner = runner
         self._request = request
@@ -92,6 +102,7 @@
         self.signed = True
         self.headers: HeaderList = [(b"signature", b"s")]
         self._next_at = asyncio.get_running_loop().time() + FIRST_EVENT_SECONDS
+        self._works_on = runners.works_on
         runner.runs.append(self._over)
         runner.under.append(request.body)
         runner.served.append(request.request_id)
@@ -114,6 +125,8 @@
         return b"whole"
 
     def close(self) -> None:
+        if self._timer is not None and self._works_on:
+            return
         if self._timer is not None:
             self._timer.cancel()
         if self._request.body in self._runner.under:
@@ -135,13 +148,16 @@
 
     Attributes:
         events: Events of a stream that does not say, by the first word of its body.
-        are_silent: Whether connections of runners that ended fall silent rather than break.
+        works_on: Whether a runner works on, to its crash, on a fatal request whose caller has left.
+        arrivals: Requests that have reached a runner: when, and their bodies.
     """
 
-    def __init__(self, runner_ids: list[str]) -> None:
-        self.by_id = {runner_id: FakeRunner(runner_id) for runner_id in runner_ids}
+    def __init__(self, runner_ids: list[str], clock: Callable[[], float]) -> None:
+        self.by_id = {runner_id: FakeRunner(runner_id, clock) for runner_id in runner_ids}
         self.events = {b"long": 400, b"short": 10}
         self.heads: dict[str, int] = {}
+        self.works_on = False
+        self.arrivals: list[tuple[float, bytes]] = []
 
     async def send(self, request: ServingRequest, dispatch: Dispatch) -> FakeRun:
         runner = self.by_id[dispatch.runner_id]
@@ -154,7 +170,8 @@
                 cause=RefusalCause.UNREACHABLE,
             )
         word = request.body.split(b" ")[0]
-        run = FakeRun(runner, request, dispatch, self.events.get(word, 20))
+        self.arrivals.append((asyncio.get_running_loop().time(), request.body))
+        run = FakeRun(self, runner, request, dispatch, self.events.get(word, 20))
         if dispatch.salt is None:
             # An application server sends its head when its work is done.
             try:
@@ -167,6 +184,11 @@
     def ended(self) -> list[FakeRunner]:
         return [runner for runner in self.by_id.values() if not runner.is_alive]
 
+    def crashes_under(self, body: bytes) -> list[float]:
+        """Return when runners ended that were at work on a request, the first one first."""
+        ended = [runner for runner in self.ended() if body in runner.ended_under]
+        return sorted(runner.crashed_at for runner in ended if runner.crashed_at is not None)
+
     def ended_under(self, body: bytes) -> int:
         return sum(body in runner.ended_under for runner in self.by_id.values())
 
@@ -246,7 +268,9 @@
     ) -> None:
         self.scheduler = Scheduler()
         self.loop = self.scheduler.new_loop()
-        self.runners = FakeRunners([f"i-{number}" for number in range(runners)])
+        self.runners = FakeRunners(
+            [f"i-{number}" for number in range(runners)], self.scheduler.clock
+        )
         self.application = application
         self._table = _make_table(application, unsafe)
         self.nodes: dict[str, Node] = {}
@@ -276,12 +300,23 @@
 
         self.scheduler.at(self.scheduler.now + NOTICE_SECONDS, take)
 
-    def send(self, node: str, body: bytes, *, path: str = "") -> Outcome:
+    def send(
+        self,
+        node: str,
+        body: bytes,
+        *,
+        path: str = "",
+        query: str = "",
+        model: str = "",
+        parts: tuple[tuple[str, int], ...] = PARTS,
+    ) -> Outcome:
         """Begin a try of a caller; each has an identifier of its own."""
         self._tries += 1
-        parts = () if self.application else PARTS
+        parts = () if self.application else parts
         path = path or ("/app/x" if self.application else "/gen/x")
         request = make_request(path, request_id=f"r-{self._tries}", parts=parts, patience=10.0)
+        request.target = f"{path}?{query}" if query else path
+        request.model = model or request.model
         request.body = body
         request.arrived_at = self.scheduler.now
         sink = FakeSink()
@@ -290,6 +325,22 @@
         task = self.scheduler.spawn(self.loop, at.pipeline.serve(request, sink))
         return Outcome(sink, task)
 
+    def start_runner(self, runner_id: str) -> None:
+        """Start a runner; the directory tells all nodes of it at once."""
+        self.runners.by_id[runner_id] = FakeRunner(runner_id, self.scheduler.clock)
+        for node in self.nodes.values():
+            node.state.apply(RunnerListed(self.entry(runner_id)), self.scheduler.now)
+
+    def entry(self, runner_id: str) -> RunnerEntry:
+        """Return what the directory lists of a runner."""
+        service = APPLICATION if self.application else ENGINES
+        return make_entry(runner_id, service, weights=0 if self.application else 1)
+
+    def unlist_runner(self, runner_id: str) -> None:
+        """Drop a runner from the directory."""
+        for node in self.nodes.values():
+            node.state.apply(RunnerUnlisted(runner_id), self.scheduler.now)
+
     def run(self, seconds: float) -> None:
         self.scheduler.run_until(self.scheduler.now + seconds)
 
@@ -307,9 +358,7 @@
     """One node."""
 
     def __init__(self, world: World, name: str, table: RoutingTable) -> None:
-        service = APPLICATION if world.application else ENGINES
-        weights = 0 if world.application else 1
-        entries = [make_entry(name, service, weights=weights) for name in world.runners.by_id]
+        entries = [world.entry(name) for name in world.runners.by_id]
         self.state = make_state(table, *entries)
         self.state.node_id = name
         self.state.budget = SharedRetryBudget(1.0, 1_000.0, 10.0)
