A run counts as being at its runner for a second after this node left it

Callers saw 502 and broken streams: a request whose callers left shortly before it crashed its runner took up to 31 of them. Cause: a run was at a runner's end only while its node waited for it. The runner works on after the close, and crashes all the same, with nobody to say under what. Now a run that was left (by its caller, its deadline, or given up) counts at an end within a second, twice the time in which runners stop after a close; and where no connection broke at all, the next request that is turned away there tells of the end. Why it holds: whoever leaves, the node that sent the run keeps it, and adds it to its own ends and to those that peers tell.

--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -319,6 +319,7 @@
         self._count_tokens(job, placed)
         self._metrics.count_regions(placed.borrowed, placed.fetch_from, placed.fetches_across)
         answer: RunnerAnswer | None = None
+        may_work_on = True
         job.runs += 1
         job.allow_until(job.deadline + TRANSIT_SECONDS, now)
         try:
@@ -331,13 +332,16 @@
             job.watch.head(answer.status, answered_at, signed=answer.signed)
             self._state.pool.heard(placed.runner, answered_at)
             self._placement.answered(job, placed, attempt_id, answered_at)
-            return await self._relay(job, placed, attempt_id, answer, sink)
+            done = await self._relay(job, placed, attempt_id, answer, sink)
+            may_work_on = False
+            return done
         except BaseException as error:
             job.watch.raised(error)
+            may_work_on = not isinstance(error, RunnerRefusedError)
             raise
         finally:
             self._placement.finished(placed, attempt_id)
-            self.runner_ends.finished(attempt_id)
+            self.runner_ends.finished(attempt_id, may_work_on=may_work_on)
             self._observer.ended(job, self._clock())
             if answer is not None:
                 answer.close()
@@ -543,6 +547,7 @@
             case RefusalCause.UNREACHABLE:
                 pool.unreachable(runner, now)
                 self._placement.lost(runner)
+                self.runner_ends.unreachable(runner, now)
             case RefusalCause.FULL:
                 pool.shed(runner, now)
             case RefusalCause.OTHER_INSTANCE:
--- a/src/hillstack/serving/runner_ends.py
+++ b/src/hillstack/serving/runner_ends.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -62,9 +63,12 @@
 # share.
 STAGGER_SECONDS = 0.005
 MAX_STAGGER_SECONDS = 0.1
-# A run that was ended as fatal may have ended its runner just then, of which the notice comes
-# later: for so long it still counts as having been there.
-JUST_STOPPED_SECONDS = 0.1
+# A runner may work on for a while on a run that this node has left, since its caller did, its time
+# was over or it was found fatal: for so long it counts as being there. Twice the half second in
+# which runners stop after a close.
+LEFT_SECONDS = 1.0
+# The notice of an end may give a time that is somewhat earlier than the leave that came before it.
+LEFT_SLACK_SECONDS = 0.1
 FATAL_TEXT = "runners ended while they worked on this request"
 # Nodes that tell a new one of ends which lie far back.
 EARLIER_ENDS_TELLERS = 3
@@ -73,17 +77,20 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _StoppedRun:
-    """A run that this node ended as fatal.
+class _LeftRun:
+    """A run that this node left before it was over.
 
     Attributes:
         at: When, on the node's clock.
+        sent_at: When it was sent.
+        answering_since: When the first bytes of its answer came; None before.
     """
 
+    job: Job
     runner_id: str
     at: float
-    fingerprint: int
-    run: RunAtEnd
+    sent_at: float
+    answering_since: float | None
 
 
 class RunnerEndWatch:
@@ -115,7 +122,7 @@
         self._lost_here: dict[str, float] = {}
         self._untold: set[str] = set()
         self._announced: set[int] = set()
-        self._stopped: list[_StoppedRun] = []
+        self._left: deque[_LeftRun] = deque()
         self._is_stopping = False
         self._telling: asyncio.Handle | None = None
         self._gathering: asyncio.TimerHandle | None = None
@@ -139,30 +146,38 @@
         job.answering_since = now
         self._state.probations.started(attempt_id, now)
 
-    def finished(self, attempt_id: str) -> None:
-        """Note the end of an attempt."""
+    def finished(self, attempt_id: str, *, may_work_on: bool = False) -> None:
+        """Note the end of an attempt.
+
+        Args:
+            attempt_id: The attempt.
+            may_work_on: Whether its runner may still be at work on it.
+        """
         found = self._active.pop(attempt_id, None)
-        if found is not None and found[0].is_fatal:
-            self._note_stopped(*found)
+        if found is not None and may_work_on:
+            self._note_left(*found)
         runner_id = self._state.probations.end(attempt_id)
         if runner_id is not None:
             self._tell_probation(runner_id, 0.0)
 
-    def _note_stopped(self, job: Job, runner: Runner) -> None:
+    def _note_left(self, job: Job, runner: Runner) -> None:
         now = self._clock()
-        self._stopped = [
-            stopped for stopped in self._stopped if now - stopped.at < JUST_STOPPED_SECONDS
-        ]
-        fingerprint, run = self._fingerprint(job), self._run(job, now)
-        self._stopped.append(_StoppedRun(runner.runner_id, now, fingerprint, run))
-
-    def _just_stopped(self, runner_id: str, ended_at: float) -> dict[int, RunAtEnd]:
-        """Return the fatal runs that this node ended at a runner just before it ended."""
-        return {
-            stopped.fingerprint: stopped.run
-            for stopped in self._stopped
-            if stopped.runner_id == runner_id and abs(ended_at - stopped.at) < JUST_STOPPED_SECONDS
-        }
+        while self._left and now - self._left[0].at >= LEFT_SECONDS:
+            self._left.popleft()
+        left = _LeftRun(job, runner.runner_id, now, job.sent_at, job.answering_since)
+        self._left.append(left)
+
+    def _left_at(self, runner_id: str, ended_at: float) -> dict[int, RunAtEnd]:
+        """Return the runs that this node left at a runner shortly before it ended."""
+        runs: dict[int, RunAtEnd] = {}
+        for left in self._left:
+            since = ended_at - left.at
+            if left.runner_id != runner_id or not -LEFT_SLACK_SECONDS < since < LEFT_SECONDS:
+                continue
+            answering = None if left.answering_since is None else ended_at - left.answering_since
+            run = RunAtEnd(ended_at - left.sent_at, answering, self._content(left.job))
+            runs[self._fingerprint(left.job)] = run
+        return runs
 
     def answered(self, job: Job, *, succeeded: bool) -> None:
         """Note that an answer was passed on: if its request was suspected, it is not any more.
@@ -289,12 +304,26 @@
         """
         if self._is_stopping or _is_expected(runner, now):
             return
-        runs = self._just_stopped(runner.runner_id, now) | {
-            self._fingerprint(job): self._run(job, now)
-        }
+        runs = self._left_at(runner.runner_id, now)
+        runs[self._fingerprint(job)] = self._run(job, now)
         for other, at in self._active.values():
             if at is runner:
                 runs.setdefault(self._fingerprint(other), self._run(other, now))
+        self._note_lost(runner, runs, now)
+
+    def unreachable(self, runner: Runner, now: float) -> None:
+        """Note that a runner takes no connections.
+
+        If this node has just left runs there, one of them may have ended it: nobody else need have
+        had a connection that broke.
+        """
+        if self._is_stopping or _is_expected(runner, now):
+            return
+        runs = self._left_at(runner.runner_id, now)
+        if runs and self._record.get(runner.runner_id) is None:
+            self._note_lost(runner, runs, now)
+
+    def _note_lost(self, runner: Runner, runs: dict[int, RunAtEnd], now: float) -> None:
         if runner.runner_id not in self._lost_here:
             self._metrics.runner_ends.labels("seen").inc()
             self._lost_here[runner.runner_id] = now
@@ -332,9 +361,9 @@
             if is_alive or _is_expected(runner, now):
                 return
         runs = {request.fingerprint: _told_run(request) for request in notice.requests}
-        stopped = self._just_stopped(notice.runner_id, ended_at)
-        if stopped and not stopped.keys() <= runs.keys():
-            runs |= stopped
+        left = self._left_at(notice.runner_id, ended_at)
+        if left and not left.keys() <= runs.keys():
+            runs |= left
             self._lost_here.setdefault(notice.runner_id, ended_at)
             self._untold.add(notice.runner_id)
         self._note_end(notice.runner_id, ended_at, runs, notice.running)
--- a/tests/fleet/test_crash_bound.py
+++ b/tests/fleet/test_crash_bound.py
@@ -13,6 +13,11 @@
 Second cause: a try with another query, prompt or model was a new request, and the ends of the tries
 before it said nothing of it. Proof: two requests whose query differs took up to 27 runners each,
 with the count in force; named by what all tries share, four each.
+
+Third cause: a run was at an end only while its node waited for it. Its runner works on after the
+caller has left or the time is over, and crashes all the same. Proof: callers that leave 15 ms
+before the crash hid up to 31 of them; with runs counted for a second after they were left, four
+at most.
 """
 
 from __future__ import annotations
@@ -122,3 +127,47 @@
     traffic = CrashTraffic(world, seed, 2, leaves_after=0.1)
     traffic.run(SECONDS)
     assert traffic.most_sends_later() <= SENDS_ALLOWED_LATER
+
+
+def test_a_crash_that_nobody_saw_is_found_by_the_next_that_is_turned_away() -> None:
+    world = World(3, 1)
+    world.runners.works_on = True
+    fatal = world.send("node-0", b"fatal 1")
+    world.run(0.1)
+    world.loop.call_soon(fatal.task.cancel)
+    world.run(0.1)
+    record = world.nodes["node-0"].state.runner_ends
+    assert len(world.runners.ended()) == 1
+    assert not record
+    for number in range(6):
+        world.send("node-0", b"short %d" % number)
+    world.run(0.3)
+    (end,) = record.ends()
+    assert len(end.runs) == 1
+
+
+def test_a_run_that_its_caller_left_is_told_when_a_peer_tells_of_the_end() -> None:
+    world = World(1, 2)
+    world.runners.works_on = True
+    beside = world.send("node-1", b"long 1")
+    fatal = world.send("node-0", b"fatal 1")
+    world.run(0.1)
+    world.loop.call_soon(fatal.task.cancel)
+    world.run(0.5)
+    assert beside.task.done() and beside.error is not None
+    for node in world.nodes.values():
+        (end,) = node.state.runner_ends.ends()
+        assert len(end.runs) == 2
+
+
+def test_a_run_that_was_left_long_before_is_not_at_the_end() -> None:
+    world = World(1, 1)
+    left = world.send("node-0", b"long 1")
+    world.send("node-0", b"long 2")
+    world.run(0.2)
+    world.loop.call_soon(left.task.cancel)
+    world.run(1.5)
+    world.runners.by_id["i-0"].end()
+    world.run(0.01)
+    (end,) = world.nodes["node-0"].state.runner_ends.ends()
+    assert len(end.runs) == 1
