--- a/tests/fleet/test_crash_bound.py
+++ b/tests/fleet/test_crash_bound.py
@@ -191,6 +191,7 @@
     _told_end(world, "i-0", 0)
     world.run(3.0)
     assert world.try_until_done("node-0", b"short 1").is_served
+    node.pipeline.runner_ends._refresh()
     assert node.state.crash_counts.count(77) == 1
     assert node.state.runner_ends.get("i-0") is not None
 
