--- a/tests/fleet/deployment.py
+++ b/tests/fleet/deployment.py
@@ -208,6 +208,7 @@
         region_of_zone: Mapping[str, str] | None = None,
         descriptors: float = 4_096,
         source: Path | None = None,
+        main: str = "hillstack.daemon.fleet_main",
         **bounds: Any,
     ) -> NodeProcess:
         """Start a node.
@@ -221,6 +222,7 @@
             region_of_zone: Region of each zone; all are one region by default.
             descriptors: How many it may have open.
             source: Where its package is found; this repository's own by default.
+            main: The module that it runs.
             bounds: Its bounds, by their names in the settings.
         """
         callers, readiness = (f"127.0.0.1:{free_port()}" for _ in range(2))
@@ -249,13 +251,14 @@
         settings = self.folder / f"{name}.toml"
         settings.write_text("\n".join(lines))
         log_path = self.folder / f"{name}.log"
-        source = source or Path(__file__).parents[2] / "src"
+        repository = Path(__file__).parents[2]
+        source = source or repository / "src"
         with log_path.open("ab") as log:
             process = subprocess.Popen(
-                [sys.executable, "-m", "hillstack.daemon.fleet_main", str(settings)],
+                [sys.executable, "-m", main, str(settings)],
                 stdout=log,
                 stderr=log,
-                env=os.environ | {"PYTHONPATH": str(source)},
+                env=os.environ | {"PYTHONPATH": f"{source}{os.pathsep}{repository}"},
             )
         node = NodeProcess(name, callers, readiness, metrics_port, process, log_path)
         self.nodes.append(node)
--- a/tests/fleet/test_crash_bound.py
+++ b/tests/fleet/test_crash_bound.py
@@ -19,9 +19,9 @@
 before the crash hid up to 31 of them; with runs counted for a second after they were left, four
 at most.
 
-Fourth cause, found by reading: ends were taken back by any later bytes of a runner, also by those of
-its next process at the same address, and by those that a node read late after a pause, which then
-told all others so. Proof: the last four tests, of which three fail without the mend.
+Fourth cause, found by reading: ends were taken back by any later bytes of a runner, also by those
+of its next process at the same address, and by those that a node read late after a pause, which
+then told all others so. Proof: the last four tests, of which three fail without the mend.
 """
 
 from __future__ import annotations
