Nodes measure time with a clock that counts the sleeps of their machine

Callers saw that a key which had been taken away was still accepted by a node whose machine had slept for some seconds without the store. Cause: ages, bounds, leases, deadlines and the timers of the event loop were all counted by the monotonic clock, which stands still in a sleep. Now all of them read one clock, that of the time since boot where there is one; the event loop is the standard one on that clock, so that timers which were due in a sleep are due after it, within a tenth of a second (the period of the shortest regular timer). No module reads the monotonic clock for itself, which a test checks. A sleep is logged and counted.

The libraries' own reading of the monotonic clock is left: the HTTP client's connector by it closes what has rested for long.

--- a/src/hillstack/cli/bundle.py
+++ b/src/hillstack/cli/bundle.py
@@ -5,7 +5,6 @@
 import asyncio
 import difflib
 import json
-import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Annotated, TypeVar
@@ -14,6 +13,7 @@
 import typer
 from pydantic import ValidationError
 
+from hillstack import clock
 from hillstack.cli.exits import ExitCode, errors_to_exit_codes
 from hillstack.cli.output import Output, OutputOption, emit, print_table
 from hillstack.cli.status import fetch_status_page
@@ -310,10 +310,10 @@
 
 async def _wait_in_force(router: str, version: int, wait: float) -> list[str]:
     """Return the serving nodes that do not have the version in force after ``wait`` seconds."""
-    deadline = time.monotonic() + wait
+    deadline = clock.seconds() + wait
     while True:
         behind = await _nodes_behind(router, version)
-        if not behind or time.monotonic() >= deadline:
+        if not behind or clock.seconds() >= deadline:
             return behind
         await asyncio.sleep(FORCE_POLL_SECONDS)
 
--- a/src/hillstack/daemon/early_listeners.py
+++ b/src/hillstack/daemon/early_listeners.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from hillstack import clock
 from hillstack.addresses import LISTEN_BACKLOG, split_address
 from hillstack.errors import SettingsError
 
@@ -49,7 +50,7 @@
     """
     addresses = _listen_addresses(settings_path)
     opened = [_listen(address) for address in addresses]
-    return EarlyListeners(opened[0], opened[1], time.monotonic())
+    return EarlyListeners(opened[0], opened[1], clock.seconds())
 
 
 def _listen_addresses(settings_path: Path) -> tuple[str, str]:
@@ -73,14 +74,14 @@
     opened = socket.socket(family, socket.SOCK_STREAM)
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     _watch_callers(opened)
-    gives_up_at = time.monotonic() + ADDRESS_WAIT_SECONDS
+    gives_up_at = clock.seconds() + ADDRESS_WAIT_SECONDS
     while True:
         try:
             opened.bind(split_address(address))
             opened.listen(LISTEN_BACKLOG)
         except (OSError, ValueError, OverflowError) as error:
             held = isinstance(error, OSError) and error.errno == errno.EADDRINUSE
-            if held and time.monotonic() < gives_up_at:
+            if held and clock.seconds() < gives_up_at:
                 time.sleep(ADDRESS_RETRY_SECONDS)
                 continue
             opened.close()
--- a/src/hillstack/daemon/fleet_main.py
+++ b/src/hillstack/daemon/fleet_main.py
@@ -10,9 +10,9 @@
 import os
 import signal
 import sys
-import time
 from pathlib import Path
 
+from hillstack import clock
 from hillstack.daemon.early_listeners import open_early_listeners
 from hillstack.errors import SettingsError
 
@@ -36,7 +36,7 @@
     Raises:
         SettingsError: The settings are invalid, or an address can't be listened on.
     """
-    entered_at = time.monotonic()
+    entered_at = clock.seconds()
     # A reload that is asked for before the node handles signals would end the process. It waits
     # until the node lets it through.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
@@ -50,7 +50,7 @@
     from hillstack.daemon.fleet_process import run_process
     from hillstack.daemon.start_times import StartTimes
 
-    times = StartTimes(entered_at, listeners.listening_at, loaded_at=time.monotonic())
+    times = StartTimes(entered_at, listeners.listening_at, loaded_at=clock.seconds())
     gc.freeze()
     gc.enable()
     run_process(path, listeners, times)
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -6,7 +6,6 @@
 import logging
 import resource
 import signal
-import time
 from collections.abc import Coroutine
 from pathlib import Path
 from random import Random
@@ -14,6 +13,7 @@
 
 import uvicorn
 
+from hillstack import clock
 from hillstack.config.fleet_settings import FleetSettings, load_fleet_settings
 from hillstack.core.bucket_holders import BucketHolders
 from hillstack.core.freshness import Freshness
@@ -110,7 +110,7 @@
         self._listeners = listeners
         self._times = times
         self._settings_path = settings_path
-        self._clock = time.monotonic
+        self._clock = clock.seconds
         self._lag = LoopLag(self._clock)
         self._stopping = False
         self._stop = asyncio.Event()
@@ -321,7 +321,9 @@
             self._duty.run(),
             self._observer.run(),
             self._rollouts.run(),
-            RunnerMonitor(self._state, self._peers, self._clock, self._lag).run(),
+            RunnerMonitor(
+                self._state, self._peers, self._clock, self._lag, self._metrics.suspended.inc
+            ).run(),
         ):
             self._start(work)
         self._note_started()
--- a/src/hillstack/daemon/fleet_process.py
+++ b/src/hillstack/daemon/fleet_process.py
@@ -9,6 +9,7 @@
 from hillstack.daemon.early_listeners import EarlyListeners
 from hillstack.daemon.fleet_node import FleetNode
 from hillstack.daemon.start_times import StartTimes
+from hillstack.daemon.suspensions import ClockedEventLoop
 from hillstack.logs import configure_bounded_logging
 
 
@@ -29,4 +30,5 @@
     async def run() -> None:
         await FleetNode(settings, listeners, times, path).run()
 
-    asyncio.run(run())
+    with asyncio.Runner(loop_factory=ClockedEventLoop) as runner:
+        runner.run(run())
--- a/src/hillstack/daemon/network_surroundings.py
+++ b/src/hillstack/daemon/network_surroundings.py
@@ -6,6 +6,7 @@
 import time
 from random import Random, SystemRandom
 
+from hillstack import clock
 from hillstack.addresses import split_address
 from hillstack.backends.cache_events import CacheEventFeeds
 from hillstack.backends.http_client import BackendClient
@@ -70,7 +71,7 @@
 
     def clock(self) -> float:
         """Return monotonic seconds."""
-        return time.monotonic()
+        return clock.seconds()
 
     def wall_clock(self) -> float:
         """Return seconds since the epoch."""
--- a/src/hillstack/daemon/runner_monitor.py
+++ b/src/hillstack/daemon/runner_monitor.py
@@ -9,6 +9,7 @@
 from hillstack.core.runner_pool import Runner
 from hillstack.daemon.loop_lag import TICK_SECONDS, LoopLag
 from hillstack.daemon.peer_exchange import PeerExchange
+from hillstack.daemon.suspensions import SuspensionWatch
 from hillstack.serving.fleet_state import FleetState
 
 logger = logging.getLogger(__name__)
@@ -23,8 +24,9 @@
     Args:
         state: What the node knows.
         peers: Where peers are told.
-        clock: Monotonic seconds.
+        clock: Seconds of the node's clock.
         lag: Is told of each look, which is as regular as the loop allows.
+        on_suspended: Called with the length of each sleep of the machine, in seconds.
     """
 
     def __init__(
@@ -33,7 +35,10 @@
         peers: PeerExchange,
         clock: Callable[[], float],
         lag: LoopLag,
+        on_suspended: Callable[[float], None] = lambda _: None,
     ) -> None:
+        self._suspensions = SuspensionWatch()
+        self._on_suspended = on_suspended
         self._lag = lag
         self._state = state
         self._peers = peers
@@ -44,6 +49,9 @@
         while True:
             await asyncio.sleep(CHECK_SECONDS)
             self._lag.ticked()
+            suspended = self._suspensions.look()
+            if suspended:
+                self._on_suspended(suspended)
             now = self._clock()
             for runner in self._state.pool.all():
                 # Most runners have none: ten looks a second at each.
--- a/src/hillstack/daemon/server.py
+++ b/src/hillstack/daemon/server.py
@@ -13,6 +13,7 @@
 from hillstack.core.fleet import Fleet
 from hillstack.daemon.network_surroundings import NetworkSurroundings
 from hillstack.daemon.node import Node
+from hillstack.daemon.suspensions import ClockedEventLoop
 from hillstack.gateway.app import make_app
 from hillstack.http_server import make_server
 
@@ -83,4 +84,5 @@
     async def main() -> None:
         await RouterProcess(settings).run()
 
-    asyncio.run(main())
+    with asyncio.Runner(loop_factory=ClockedEventLoop) as runner:
+        runner.run(main())
--- a/src/hillstack/logs.py
+++ b/src/hillstack/logs.py
@@ -6,11 +6,11 @@
 import math
 import os
 import sys
-import time
 from collections.abc import Callable
 
 import msgspec
 
+from hillstack import clock
 from hillstack.errors import HillstackError
 
 # What the library of logs keeps of each record: a line's other fields are the caller's.
@@ -88,7 +88,7 @@
         self,
         descriptor: int,
         lines_per_second: int,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = clock.seconds,
     ) -> None:
         super().__init__()
         os.set_blocking(descriptor, False)
--- a/src/hillstack/platform/connections.py
+++ b/src/hillstack/platform/connections.py
@@ -12,7 +12,6 @@
 import errno
 import functools
 import socket
-import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -20,6 +19,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from hillstack import clock
 from hillstack.addresses import split_address
 from hillstack.errors import BackendError
 from hillstack.platform import names
@@ -64,7 +64,7 @@
         """Note a connection to an address that has gone silent."""
         if len(self._found_at) >= MAX_SILENT_ADDRESSES:
             self._found_at.clear()
-        self._found_at[endpoint] = time.monotonic()
+        self._found_at[endpoint] = clock.seconds()
 
     def is_trusted(self, endpoint: Endpoint, heard_at: float) -> bool:
         """Return whether a connection that was last heard at a moment may be used again."""
@@ -103,16 +103,16 @@
         super().connection_made(transport)
         host, port = (transport.get_extra_info("peername") or NO_ENDPOINT)[:2]
         self._endpoint = (host, port)
-        self._heard_at = time.monotonic()
+        self._heard_at = clock.seconds()
 
     def data_received(self, data: bytes) -> None:
         """Take bytes, and note that the connection lives."""
-        self._heard_at = time.monotonic()
+        self._heard_at = clock.seconds()
         super().data_received(data)
 
     async def read(self) -> Any:
         """Return the next answer, passing over answers to other requests."""
-        self._asked_at = time.monotonic()
+        self._asked_at = clock.seconds()
         self._awaits_head = True
         while True:
             message, payload = await super().read()
@@ -150,7 +150,7 @@
         """
         if not super().is_connected() or self._buffer or self._tail:
             return False
-        if time.monotonic() >= self.rests_until:
+        if clock.seconds() >= self.rests_until:
             return False
         return self._silent.is_trusted(self._endpoint, self._heard_at)
 
@@ -158,7 +158,7 @@
         payload = self._payload
         owes_bytes = self._awaits_head or (payload is not None and not payload.is_eof())
         quiet_since = max(self._asked_at, self._heard_at)
-        owed_long = owes_bytes and time.monotonic() - quiet_since >= OWED_SILENCE_SECONDS
+        owed_long = owes_bytes and clock.seconds() - quiet_since >= OWED_SILENCE_SECONDS
         if owed_long or (isinstance(exc, OSError) and exc.errno == errno.ETIMEDOUT):
             self._silent.note(self._endpoint)
 
--- a/src/hillstack/platform/runner_signals.py
+++ b/src/hillstack/platform/runner_signals.py
@@ -6,11 +6,11 @@
 from __future__ import annotations
 
 import re
-import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from hillstack import clock
 from hillstack.core.runner_limit import AnswerKind, AnswerSource
 from hillstack.core.runner_signals import RunnerSignals
 from hillstack.platform import names
@@ -43,7 +43,7 @@
 
     kind: AnswerKind
     request_id: str = ""
-    at: float = field(default_factory=time.monotonic)
+    at: float = field(default_factory=clock.seconds)
 
 
 class SignalListener(Protocol):
@@ -98,7 +98,7 @@
         if asked.kind is AnswerKind.REQUEST:
             is_whole = is_whole and names.SIGNATURE in headers
         source = AnswerSource(
-            asked.kind, status, time.monotonic() - asked.at, asked.request_id, is_whole
+            asked.kind, status, clock.seconds() - asked.at, asked.request_id, is_whole
         )
         self._listener.heard(runner_id, signals_of(status, headers), source)
         for name in unknown_fields(headers):
--- a/src/hillstack/serving/metrics.py
+++ b/src/hillstack/serving/metrics.py
@@ -50,6 +50,11 @@
             "Items of the store that can't be read, once each revision.",
             registry=self.registry,
         )
+        self.suspended = Counter(
+            "hillstack_suspended_seconds",
+            "Time for which the machine was suspended.",
+            registry=self.registry,
+        )
         self.older_weights = self._counter(
             "older_weights_begins",
             "Requests that began on weights older than the newest, by whether it was too late.",
--- a/tests/fleet/test_suspended_machine.py
+++ b/tests/fleet/test_suspended_machine.py
@@ -3,16 +3,25 @@
 Seen: a node whose machine had slept for 14 s without the store served requests with keys for
 another 3.9 s, 17.9 s after it had last heard of revocations; a node that was only stopped refuses
 at once.
+Cause: all ages and bounds were counted by the monotonic clock, and so were the loop's timers.
+Proof: the first test, in which a node's own monotonic clock stands still while it is stopped; the
+same node on a clock that counts the sleep refuses from its first moment.
 """
 
 from __future__ import annotations
 
 import asyncio
+import re
 import signal
 from pathlib import Path
 
+import pytest
+
+from hillstack import clock
+from hillstack.daemon.suspensions import ClockedEventLoop, SuspensionWatch
 from tests.fleet.deployment import Deployment, deployment, until
 
+SOURCES = Path(__file__).parents[2] / "src" / "hillstack"
 SLEEPING_MAIN = "tests.fleet.suspended_main"
 # The node distrusts keys for less than that without the store.
 REVOKE_MS = 3_000
@@ -43,3 +52,52 @@
             await running.call_until(node, "/safe/x", 200)
 
     asyncio.run(check())
+
+
+def test_timers_that_were_due_in_a_sleep_are_due_after_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    slept = [0.0]
+    real = clock.seconds
+    monkeypatch.setattr(clock, "seconds", lambda: real() + slept[0])
+
+    async def check() -> None:
+        loop = asyncio.get_running_loop()
+        due = loop.create_future()
+        loop.call_later(3_600.0, due.set_result, None)
+        slept[0] = 3_601.0
+        await asyncio.wait({due}, timeout=0.0)
+        await asyncio.sleep(0)
+        assert due.done()
+
+    with asyncio.Runner(loop_factory=ClockedEventLoop) as runner:
+        runner.run(check())
+
+
+@pytest.mark.parametrize(("sleep", "told"), [(0.001, 0.0), (2.0, 2.0), (7 * 86_400.0, 604_800.0)])
+def test_a_sleep_is_noticed_once_with_its_length(
+    monkeypatch: pytest.MonkeyPatch, sleep: float, told: float
+) -> None:
+    suspended = [5.0]
+    monkeypatch.setattr(clock, "suspended_seconds", lambda: suspended[0])
+    watch = SuspensionWatch()
+    suspended[0] += sleep
+    assert watch.look() == pytest.approx(told)
+    assert watch.look() == 0.0
+
+
+def test_without_a_clock_of_the_time_since_boot_the_monotonic_one_is_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(clock, "BOOT_CLOCK", None)
+    monkeypatch.setattr("time.monotonic", lambda: 12.5)
+    assert clock.seconds() == 12.5
+    assert clock.suspended_seconds() == 0.0
+
+
+def test_no_module_of_a_node_reads_the_monotonic_clock_for_itself() -> None:
+    readers = {
+        str(path.relative_to(SOURCES))
+        for path in SOURCES.rglob("*.py")
+        if re.search(r"\bmonotonic\b\(|time\.monotonic|import monotonic", path.read_text())
+    }
+    stand_ins = {name for name in readers if name.startswith("emulator/")}
+    assert readers - stand_ins == {"clock.py"}
