Tries of one request at several nodes at the same moment go one at a time

Callers could see 502 and broken streams from more runners than the bound allows: three ends that came together count once in turn, so each node could send the request at the same moment again, later. Cause: the sends beyond the bound were counted from the third end in turn, and suspects of one rank were sent by all nodes at once. Now they are counted from the third end of any kind, and nodes choose 5 ms apart in an order that they share for each request, so that each hears of the one before. Found by a state machine of several nodes' counts, words in any order.

--- a/src/hillstack/core/crash_counts.py
+++ b/src/hillstack/core/crash_counts.py
@@ -89,6 +89,11 @@
     def ended_last(self) -> float:
         return self.runs[-1].ended_at
 
+    @property
+    def known_at(self) -> float:
+        """When all nodes know of the third end, whatever it has in common with the others."""
+        return self.runs[MAX_CRASHES - 1].ended_at + KNOWN_SECONDS
+
     def in_turn(self) -> list[CrashedRun]:
         """Return the runs at the ends that the request can have caused one by one.
 
@@ -106,9 +111,8 @@
         return sum(weights) >= MAX_CRASHES
 
     def sent_late(self) -> int:
-        """Return how many ends there are of runs that were sent when the bound was known."""
-        known_at = self.in_turn()[MAX_CRASHES - 1].ended_at + KNOWN_SECONDS
-        return sum(run.began_at > known_at for run in self.runs)
+        """Return how many ends there are of runs that were sent long after the third end."""
+        return sum(run.began_at > self.known_at for run in self.runs)
 
 
 class CrashCounts:
@@ -138,9 +142,18 @@
         crashes = self._get(name)
         return len(crashes.in_turn()) if crashes is not None else 0
 
-    def is_suspect(self, name: int) -> bool:
-        """Return whether a request that shares this name with others may end its runner."""
-        return self.count(name) >= SUSPECT_CRASHES
+    def is_suspect(self, name: int, now: float) -> bool:
+        """Return whether requests with a name go one at a time: the next end may be the last one.
+
+        Runners that ended together under one name are mostly a rack. If no run has set its count
+        back since, what comes later is one of the sends beyond the bound.
+        """
+        crashes = self._get(name)
+        if crashes is None:
+            return False
+        if len(crashes.in_turn()) >= SUSPECT_CRASHES:
+            return True
+        return len(crashes.runs) >= MAX_CRASHES and now > crashes.known_at
 
     def is_bounded(self, name: int) -> bool:
         """Return whether a request has had the ends that it may have."""
--- a/src/hillstack/serving/runner_ends.py
+++ b/src/hillstack/serving/runner_ends.py
@@ -236,7 +236,7 @@
             await self._wait_for_peers(fingerprint)
             suspicion = self._suspicion(fingerprint)
         job.suspect_rank = self._record.rank(fingerprint)
-        if job.suspect_rank is None and self._counts.is_suspect(self._content(job)):
+        if job.suspect_rank is None and self._counts.is_suspect(self._content(job), self._clock()):
             job.suspect_rank = self._record.place(fingerprint)
         if suspicion is Suspicion.FATAL or not self._is_within_bound(job):
             self._metrics.runner_ends.labels("refused").inc()
@@ -281,8 +281,10 @@
         """
         started_at = self._clock()
         latest = job.deadline - APART_SECONDS
-        # Those of a lower rank choose first, and their nodes' word is heard.
-        await asyncio.sleep(min(MAX_STAGGER_SECONDS, STAGGER_SECONDS * (job.suspect_rank or 0)))
+        # Those of a lower rank choose first, and their nodes' word is heard; so is that of nodes
+        # which try the same request at the same moment.
+        steps = (job.suspect_rank or 0) + self._node_rank(self._content(job))
+        await asyncio.sleep(min(MAX_STAGGER_SECONDS, STAGGER_SECONDS * steps))
         await self._judge(job)
         while job.is_suspect and self._clock() < latest:
             waited = self._clock() - started_at
@@ -298,7 +300,8 @@
     def _suspected_name(self, job: Job) -> int:
         """Return the name by which other tries are known as the same suspect."""
         content = self._content(job)
-        return content if self._counts.is_suspect(content) else self._fingerprint(job)
+        is_suspect = self._counts.is_suspect(content, self._clock())
+        return content if is_suspect else self._fingerprint(job)
 
     def ended_for_good(self, job: Job) -> Exception:
         """Return the error that ends a fatal request: it has run, if not in this try."""
--- a/tests/fleet/test_crash_bound.py
+++ b/tests/fleet/test_crash_bound.py
@@ -26,6 +26,8 @@
 
 from __future__ import annotations
 
+import functools
+from collections.abc import Callable
 from random import Random
 
 import pytest
@@ -34,6 +36,7 @@
 from hillstack.messages.runner_ends import RequestAtEnd, RunnerEndNotice
 from hillstack.serving.runner_ends import FATAL_TEXT
 from tests.fleet.crash_traffic import (
+    CONTACT_SECONDS,
     SENDS_ALLOWED_LATER,
     STEP_SECONDS,
     CrashTraffic,
@@ -70,6 +73,23 @@
     assert traffic.most_sends_later() <= SENDS_ALLOWED_LATER
 
 
+@pytest.mark.parametrize("pause", [0.7, 4.0, 13.0])
+@pytest.mark.parametrize("vary", [all_alike, other_query])
+def test_tries_at_all_nodes_at_the_same_moment_are_bounded_too(
+    vary: Variation, pause: float
+) -> None:
+    world = World(40, 6)
+    body = b"fatal 1"
+    for number in range(20):
+        for place, node in enumerate(world.nodes):
+            send: Callable[..., Outcome] = functools.partial(world.send, node, body)
+            send(**vary(10 * number + place))
+        world.run(pause)
+    known_at = world.runners.crashes_under(body)[2] + CONTACT_SECONDS
+    later = [at for at, sent in world.runners.arrivals if sent == body and at > known_at]
+    assert len(later) <= SENDS_ALLOWED_LATER
+
+
 def innocent_share(seed: int, word: bytes, *, one_body: bool) -> float:
     """Return the share of tries that are refused as fatal while runners end by themselves."""
     world = World(8, 4)
