--- a/tests/fleet/test_earlier_messages.py
+++ b/tests/fleet/test_earlier_messages.py
@@ -32,6 +32,7 @@
     "packing.PackedMessage",
     "peer_notices.AnnouncementNotice",
     "peer_notices.CacheNotice",
+    "peer_notices.LimitNotice",
     "peer_notices.LoadNotice",
     "peer_notices.PlacementNotice",
     "peer_notices.WeightsNotice",
