--- a/tests/fleet/test_start.py
+++ b/tests/fleet/test_start.py
@@ -43,6 +43,7 @@
 LOADED_BEFORE_LISTENING = {
     "hillstack",
     "hillstack.addresses",
+    "hillstack.clock",
     "hillstack.daemon",
     "hillstack.daemon.early_listeners",
     "hillstack.daemon.fleet_main",
