--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from random import SystemRandom
 
+from tests.soak.crash_faults import CRASH_FAULTS
 from tests.soak.earlier_builds import has_commit
 from tests.soak.fault_series import FAULTS
 from tests.soak.restart_faults import RESTART_FAULTS
@@ -19,7 +20,7 @@
 
 SEED_BITS = 31
 # Faults that are played only where they are asked for.
-NAMED_FAULTS = WEIGHTS_FAULTS + RESTART_FAULTS + SIGNAL_FAULTS + UPGRADE_FAULTS
+NAMED_FAULTS = WEIGHTS_FAULTS + RESTART_FAULTS + SIGNAL_FAULTS + UPGRADE_FAULTS + CRASH_FAULTS
 
 
 def main() -> int:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,7 +12,7 @@
 from tests.fleet.builders import HOST, MODEL
 from tests.fleet.deployment import NodeProcess
 from tests.soak.connections import CallerConnection, ConnectionBrokenError, WholeAnswer
-from tests.soak.fatal_requests import FatalRequests
+from tests.soak.fatal_requests import FatalRequests, is_varied
 from tests.soak.observations import Observations, Sent
 
 KINDS = ("safe", "once", "stream")
@@ -131,9 +131,12 @@
             headers |= {names.MODEL: MODEL, names.TOKEN_USAGE: "850,80"}
             headers |= {names.PROMPT_PARTS: self._prompt_parts(request)}
         body = request.fatal or request.request_id
-        return await connection.exchange(f"/{request.kind}/x", headers, body.encode())
+        query = f"?try={self._count}" if is_varied(request.fatal) else ""
+        return await connection.exchange(f"/{request.kind}/x{query}", headers, body.encode())
 
     def _prompt_parts(self, request: Sent) -> str:
+        if is_varied(request.fatal):
+            return f"a0:800,{self._count:x}:50"
         if request.fatal:
             return "a0:800,f:50"
         return f"a{self._rng.randrange(4):x}:800,{self._count:x}:50"
--- a/tests/soak/fatal_requests.py
+++ b/tests/soak/fatal_requests.py
@@ -8,6 +8,7 @@
 # Of the requests that callers send while one is about.
 SHARE = 0.04
 PREFIX = "fatal"
+VARIED_PREFIX = "fatal.varied"
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,10 +36,15 @@
     active: list[FatalRequest] = field(default_factory=list)
     _count: int = 0
 
-    def add(self, kind: str) -> FatalRequest:
-        """Begin to send one more."""
+    def add(self, kind: str, *, varied: bool = False) -> FatalRequest:
+        """Begin to send one more.
+
+        Args:
+            kind: Kind of its route.
+            varied: Whether its tries have no more than path, tenant and body in common.
+        """
         self._count += 1
-        request = FatalRequest(f"{PREFIX}.{self._count}", kind)
+        request = FatalRequest(f"{VARIED_PREFIX if varied else PREFIX}.{self._count}", kind)
         self.active.append(request)
         return request
 
@@ -53,3 +59,8 @@
     """Return the name of a try's content; empty if it ends no runner."""
     name = request_id.partition("-")[0]
     return name if name.startswith(PREFIX) else ""
+
+
+def is_varied(name: str) -> bool:
+    """Return whether the tries of a content differ in all that callers need not keep."""
+    return name.startswith(VARIED_PREFIX)
--- a/tests/soak/test_version_promises.py
+++ b/tests/soak/test_version_promises.py
@@ -159,3 +159,10 @@
         asyncio.run(play(proxy))
     finally:
         proxy.close()
+
+
+def test_varied_requests_may_end_three_runners_long_after_the_third_end() -> None:
+    ends = [RunnerEnd("fatal.varied.1", f"i-{number}", 10.0 * number) for number in range(6)]
+    assert not find_violations(Observations(runner_ends=ends))
+    more = [*ends, RunnerEnd("fatal.varied.1", "i-9", 70.0)]
+    assert find_violations(Observations(runner_ends=more))
--- a/tests/soak/version_promises.py
+++ b/tests/soak/version_promises.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 
 from tests.fleet.builders import APPLICATION, ENGINES
+from tests.soak.fatal_requests import is_varied
 from tests.soak.observations import NODE_PREFIX, STORE, Observations, Rollout, RunnerEnd
 from tests.soak.software import CANARY_SHARE, CANARY_SLACK, is_decided
 from tests.soak.timed_promises import CONTACT_SECONDS
@@ -13,6 +14,8 @@
 MOST_ENDS = 2
 # A node that was cut, paused or started between the ends may not know of the first one.
 MOST_ENDS_WITH_NODES_AWAY = 3
+# Sends of a request whose tries differ, once all nodes know of the third end under it.
+MOST_ENDS_LATER = 3
 
 
 def runners_ended(seen: Observations) -> Iterator[str]:
@@ -21,6 +24,9 @@
     for end in seen.runner_ends:
         by_request[end.fatal].append(end)
     for fatal, ends in by_request.items():
+        if is_varied(fatal):
+            yield from _ended_later(fatal, ends)
+            continue
         away = _nodes_away(seen, ends[0].at, ends[-1].at)
         most = MOST_ENDS_WITH_NODES_AWAY if away else MOST_ENDS
         if len(ends) > most:
@@ -28,6 +34,16 @@
             yield f"{fatal}: ended {len(ends)} runners: {times}"
 
 
+def _ended_later(fatal: str, ends: list[RunnerEnd]) -> Iterator[str]:
+    """Return a request of which too many tries ended a runner long after the third end."""
+    if len(ends) <= MOST_ENDS_WITH_NODES_AWAY:
+        return
+    known_at = ends[MOST_ENDS_WITH_NODES_AWAY - 1].at + CONTACT_SECONDS
+    later = sum(end.at > known_at for end in ends)
+    if later > MOST_ENDS_LATER:
+        yield f"{fatal}: ended {later} runners later than the third, {len(ends)} in all"
+
+
 def rollouts(seen: Observations) -> Iterator[str]:
     """Return what went wrong in rollouts of software."""
     for rollout in seen.rollouts.values():
