Ends that are told late keep whether they were settled; a peer that heard the runner at once takes an end back

A node whose own connections were cut believes in ends of runners that its peers still hear: their word undoes it, within 2 s of the end, since later they may hear the next process.

--- a/src/hillstack/serving/runner_ends.py
+++ b/src/hillstack/serving/runner_ends.py
@@ -366,8 +366,9 @@
                     self._counts.note_trial(name, now)
             return
         if notice.taken_back:
-            if notice.runner_id in self._lost_here:
-                # What this node saw itself is undone by what it hears itself.
+            end = self._record.get(notice.runner_id)
+            if end is not None and ended_at > end.ended_at + SAME_PROCESS_SECONDS:
+                # The peer may have heard the next process.
                 return
             if self._record.take_back(notice.runner_id, ended_at):
                 self._counts.take_back(notice.runner_id)
@@ -436,12 +437,18 @@
                 continue
             ended_at[run.runner_id] = run.ended_at
             age_ms = round((run.ended_at - run.began_at) * 1000)
+            answering_ms = age_ms if run.is_settled else 0
             told = requests.setdefault(run.runner_id, [])
-            told.append(RequestAtEnd(fingerprint, age_ms, started=False))
+            told.append(RequestAtEnd(fingerprint, age_ms, run.is_settled, answering_ms))
         return [
-            RunnerEndNotice(runner_id, round((now - ended_at[runner_id]) * 1000), told)
+            RunnerEndNotice(
+                runner_id,
+                round((now - ended_at[runner_id]) * 1000),
+                told[first : first + MAX_TOLD_REQUESTS],
+            )
             for runner_id, told in requests.items()
             if self._state.node_id in ranked(runner_id, others)[:EARLIER_ENDS_TELLERS]
+            for first in range(0, len(told), MAX_TOLD_REQUESTS)
         ]
 
     async def run(self) -> None:
