--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -847,6 +847,84 @@
         "        self.budget.set_node_count(MOST_NODES)\n",
         "",
     ),
+    Mutation(
+        "the runners that end under a request are not counted",
+        "serving/runner_ends.py",
+        "if suspicion is Suspicion.FATAL or not self._is_within_bound(job):",
+        "if suspicion is Suspicion.FATAL:",
+    ),
+    Mutation(
+        "a try with another query is another request",
+        "serving/runner_ends.py",
+        "                self._counts.note(run.content, crashed)",
+        "                pass",
+    ),
+    Mutation(
+        "a run that was left is at no end",
+        "serving/runner_ends.py",
+        "if found is not None and may_work_on:",
+        "if False:",
+    ),
+    Mutation(
+        "a crash that broke no connection is not told",
+        "serving/pipeline.py",
+        "                self.runner_ends.unreachable(runner, now)\n",
+        "",
+    ),
+    Mutation(
+        "failures that runners answer set the count of ends back",
+        "serving/runner_ends.py",
+        "        if succeeded:\n",
+        "        if True:\n",
+    ),
+    Mutation(
+        "bytes of the next process take an end back",
+        "serving/runner_ends.py",
+        "if heard_at < ended_at + SAME_PROCESS_SECONDS:",
+        "if True:",
+    ),
+    Mutation(
+        "bytes that were read late take an end back",
+        "serving/runner_ends.py",
+        " or heard_at < self._on_time_since()",
+        "",
+    ),
+    Mutation(
+        "all nodes try a suspect at the same moment",
+        "serving/runner_ends.py",
+        " + self._node_rank(self._content(job))",
+        "",
+    ),
+    Mutation(
+        "ends far back are not told to a node that starts",
+        "serving/runner_ends.py",
+        "        notices += self._earlier_ends(others, now)\n",
+        "",
+    ),
+    Mutation(
+        "streams that are moved along count in full",
+        "core/crash_counts.py",
+        "SETTLED_WEIGHT = 0.5",
+        "SETTLED_WEIGHT = 1.0",
+    ),
+    Mutation(
+        "trials beyond the bound are not counted",
+        "core/crash_counts.py",
+        "spent = max(crashes.sent_late(), crashes.trials)",
+        "spent = 0",
+    ),
+    Mutation(
+        "timers do not count the sleep of a machine",
+        "daemon/suspensions.py",
+        "        return clock.seconds()",
+        "        return super().time()",
+    ),
+    Mutation(
+        "ages do not count the sleep of a machine",
+        "clock.py",
+        "return time.clock_gettime(BOOT_CLOCK)",
+        "return time.monotonic()",
+    ),
 )
 
 
