--- /dev/null
+++ b/tests/soak/test_crashes.py
@@ -0,0 +1,21 @@
+"""Several requests at a time that end their runners, at real processes."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from tests.soak.crash_faults import send_varied_fatal_requests
+from tests.soak.faults import pause_node
+from tests.soak.soak import SoakPlan, run
+
+SEED = 4011
+SECONDS = 8.0
+
+
+def test_real_processes_keep_all_promises_while_requests_end_runners(tmp_path: Path) -> None:
+    plan = SoakPlan(SECONDS, faults=(send_varied_fatal_requests, pause_node))
+    result = run(SEED, plan, tmp_path)
+    assert result.violations == [], result.faults
+    assert "send_varied_fatal_requests" in {fault.partition(" ")[2] for fault in result.faults}
+    logged = "".join(log.read_text() for log in tmp_path.glob("node-*.log"))
+    assert "runner ended" in logged
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -956,7 +956,7 @@
             raise SystemExit(f"{mutation.name}: does not apply to {mutation.path}")
         if mutation.old:
             path.write_text(text.replace(mutation.old, mutation.new))
-        command = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider"]
+        command = [sys.executable, "-m", "pytest", "-q", "-x", "--tb=no", "-p", "no:cacheprovider"]
         command += ["tests/fleet", "-k", "not process and not settings and not adapter"]
         environment = os.environ | {"PYTHONPATH": str(copy / "src")}
         finished = subprocess.run(
