--- a/src/hillstack/serving/runner_ends.py
+++ b/src/hillstack/serving/runner_ends.py
@@ -388,8 +388,9 @@
             return
         runs = {request.fingerprint: _told_run(request) for request in notice.requests}
         left = self._left_at(notice.runner_id, ended_at)
-        if left and not left.keys() <= runs.keys():
-            runs |= left
+        runs |= left
+        # Told once: a notice that does not name all runs there must not be answered by another.
+        if left and notice.runner_id not in self._lost_here:
             self._lost_here.setdefault(notice.runner_id, ended_at)
             self._untold.add(notice.runner_id)
         self._note_end(notice.runner_id, ended_at, runs, notice.running)
--- a/tests/fleet/test_crash_bound.py
+++ b/tests/fleet/test_crash_bound.py
@@ -258,3 +258,24 @@
     world.run(3.0)
     tell(ends[1])
     assert [end.runner_id for end in node.state.runner_ends.ends()] == ends[1:]
+
+
+def test_nodes_that_left_runs_at_one_end_answer_no_notice_with_a_notice() -> None:
+    world = World(2, 2)
+    world.runners.works_on = True
+    tries = [world.send(f"node-{number % 2}", b"long %d" % number) for number in range(160)]
+    world.run(0.2)
+    for sent in tries:
+        world.loop.call_soon(sent.task.cancel)
+    world.run(0.1)
+    told = []
+    for node in world.nodes.values():
+        tell = node.placement.peers.runner_ended
+        node.placement.peers.runner_ended = lambda notice, tell=tell: (  # type: ignore[method-assign, misc]
+            told.append(notice),
+            tell(notice),
+        )
+    _told_end(world, "i-0", 0)
+    world.run(2.0)
+    assert told
+    assert len(told) < 20
