--- a/tests/fleet/test_crash_bound.py
+++ b/tests/fleet/test_crash_bound.py
@@ -46,7 +46,7 @@
     other_parts,
     other_query,
 )
-from tests.fleet.fatal_world import Outcome, World
+from tests.fleet.fatal_world import Node, Outcome, World
 
 SECONDS = 25.0
 # One in fifty: what the record's own bound is for racks that end (``test_runner_ends``), rounded.
@@ -268,13 +268,14 @@
     for sent in tries:
         world.loop.call_soon(sent.task.cancel)
     world.run(0.1)
-    told = []
-    for node in world.nodes.values():
-        tell = node.placement.peers.runner_ended
-        node.placement.peers.runner_ended = lambda notice, tell=tell: (  # type: ignore[method-assign, misc]
-            told.append(notice),
-            tell(notice),
-        )
+    told: list[RunnerEndNotice] = []
+    deliver = world.deliver
+
+    def count(source: str, node: Node, notice: RunnerEndNotice) -> None:
+        told.append(notice)
+        deliver(source, node, notice)
+
+    world.deliver = count  # type: ignore[method-assign]
     _told_end(world, "i-0", 0)
     world.run(2.0)
     assert told
