--- a/src/hillstack/core/crash_counts.py
+++ b/src/hillstack/core/crash_counts.py
@@ -13,6 +13,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from hillstack.core.runner_ends import ORDER_SLACK_SECONDS
+
 # From this number of ends under one content a request with it is a suspect, if its own fingerprint
 # was at no end. One end would make suspects of all that have a short body in common.
 SUSPECT_CRASHES = 2
@@ -45,8 +47,6 @@
 # Ends that are kept of a name, the first ones: they show when the bound was reached. Later ones are
 # few, since the request is refused then.
 MAX_ENDS_OF_NAME = 16
-# A peer's times are known to within the way of its notice, some milliseconds.
-ORDER_SLACK_SECONDS = 0.02
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hillstack/daemon/network_surroundings.py
+++ b/src/hillstack/daemon/network_surroundings.py
@@ -70,7 +70,7 @@
         self._server: PeerServer | None = None
 
     def clock(self) -> float:
-        """Return monotonic seconds."""
+        """Return seconds on the clock of nodes (``hillstack.clock``)."""
         return clock.seconds()
 
     def wall_clock(self) -> float:
--- a/src/hillstack/daemon/ports.py
+++ b/src/hillstack/daemon/ports.py
@@ -177,7 +177,7 @@
         ...
 
     def clock(self) -> float:
-        """Return monotonic seconds."""
+        """Return seconds on the clock of nodes (``hillstack.clock``)."""
         ...
 
     def wall_clock(self) -> float:
