Nodes of other zones that are heard with their zone are not silent

Cause: relays send signs of life in small deployments too. A node of another zone whose relay is heard is not noted one by one, so it seemed silent since the start, though it counts as alive.

Nodes that count as alive with their zone are now left out of the silent ones.

--- a/src/hillstack/core/cache_watch.py
+++ b/src/hillstack/core/cache_watch.py
@@ -109,13 +109,19 @@
         return self._zones
 
     def silent_for(self, seconds: float, zone: str | None, now: float) -> list[NodeEntry]:
-        """Return the listed nodes of a zone, or of all, that were not heard of for some seconds."""
+        """Return the listed nodes of a zone, or of all, that were not heard of for some seconds.
+
+        Those of another zone that is heard are not noted one by one: nothing is known of them.
+        """
         silent: list[NodeEntry] = []
         self._expire(now)
         for node_id in self._directory.relay_order(zone):
             node = self._directory.get(node_id)
             if node is None or node_id == self._node_id or node_id in self._heard_at:
                 continue
+            if self._is_heard_with_its_zone(node_id, now):
+                self._silent_since.pop(node_id, None)
+                continue
             if now - self._silent_since.setdefault(node_id, now) >= seconds:
                 silent.append(node)
         return silent
--- a/tests/fleet/test_relays.py
+++ b/tests/fleet/test_relays.py
@@ -9,6 +9,7 @@
 
 from hillstack.core.node_directory import NodeDirectory, NodeEntry
 from hillstack.daemon.change_log import StoredItem
+from hillstack.daemon.node_registry import GONE_SECONDS
 from hillstack.daemon.store_check import CHECK_SECONDS, CHECK_SECONDS_A_KEY
 from hillstack.errors import CodecError
 from hillstack.messages.packing import pack, unpack
@@ -550,3 +551,14 @@
     other_version = ChangesQuestion(PROTOCOL_VERSION + 1, "node-1", 1, 5)
     with pytest.raises(CodecError, match="version"):
         unpack(pack(other_version), ChangesQuestion, "peer")
+
+
+# Guards against nodes of other zones that are taken off the list though they are heard all along.
+@pytest.mark.parametrize("count", [5, 7, 9])
+def test_a_small_deployment_takes_no_node_that_lives_off_the_list(count: int) -> None:
+    network = NodeNetwork(count, 3)
+    network.run(3.0)
+    before = dict(network.store.items)
+    network.run(2.0 * GONE_SECONDS)
+    network.close()
+    assert network.store.items == before
