--- a/src/hillstack/core/node_directory.py
+++ b/src/hillstack/core/node_directory.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from hillstack.core.rendezvous import ranked
+from hillstack.core.store_revision import NO_REVISION, StoreRevision
 
 # A node hears of a change of the list within some seconds, also through an outage of a few; until
 # all have, shares of a budget that all hold together must not grow.
@@ -23,14 +24,14 @@
     Attributes:
         address: ``IP:PORT`` at which it takes datagrams of its peers.
         zone: Its zone.
-        revision: Revision of the entry in the store; 0 if it is not known.
+        revision: Revision of the entry in the store; ``NO_REVISION`` if it is not known.
         link_megabits: What its network link carries in a second, in Mbit; 0 if it is not known.
     """
 
     node_id: str
     address: str
     zone: str
-    revision: int = 0
+    revision: StoreRevision = NO_REVISION
     link_megabits: float = 0.0
 
     def is_same_but_revision(self, other: NodeEntry) -> bool:
--- a/src/hillstack/core/order_age.py
+++ b/src/hillstack/core/order_age.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from hillstack.core.software_rollouts import RolloutOrder, RolloutRecord
+from hillstack.core.software_rollouts import RolloutRecord
+from hillstack.core.store_revision import StoreRevision
 
 # How old an order is taken to be when a node first sees it: one look at the store, and one for new
 # orders.
@@ -13,14 +14,12 @@
     """Age of one order. A node that starts later, or hears late, learns it from the record.
 
     Args:
-        order: The order.
         seen_at: When this node saw it.
     """
 
-    def __init__(self, order: RolloutOrder, seen_at: float) -> None:
-        self._order_revision = order.revision
+    def __init__(self, seen_at: float) -> None:
         self._ordered_at = seen_at - HEARD_AFTER_SECONDS
-        self._record_revision: int | None = None
+        self._record_revision: StoreRevision | None = None
 
     @property
     def ordered_at(self) -> float:
@@ -35,10 +34,8 @@
         """
         self._ordered_at = min(self._ordered_at, ordered_at)
 
-    def note(self, record: RolloutRecord | None, now: float) -> None:
-        """Take over what the latest record says, which may be of another order."""
-        if record is None or record.order_revision != self._order_revision:
-            return
+    def note(self, record: RolloutRecord, now: float) -> None:
+        """Take over what the latest record of the order says."""
         if record.revision == self._record_revision:
             return
         self._record_revision = record.revision
--- a/src/hillstack/core/rollout_plan.py
+++ b/src/hillstack/core/rollout_plan.py
@@ -15,8 +15,10 @@
     RolloutOrder,
     RolloutRecord,
     RolloutStage,
+    is_of_order,
     is_trusted_before,
 )
+from hillstack.core.store_revision import NO_REVISION
 
 # A target without any runner that accepts work: longer than a suspicion or a load of weights lasts,
 # shorter than callers wait.
@@ -67,6 +69,7 @@
         live_nodes: Nodes that are alive, this one among them.
         apply_seconds: Time after which a change is in force on nodes that say nothing.
         passed_over: Targets of earlier orders of the service that were never trusted.
+        has_lost_record: Whether a restored store no longer has the record of the order.
     """
 
     order: RolloutOrder
@@ -80,6 +83,7 @@
     places: Places
     apply_seconds: float
     passed_over: frozenset[str] = frozenset()
+    has_lost_record: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,7 +91,7 @@
     """What should be written.
 
     Attributes:
-        record: With the revision of the record that it replaces; 0 if there is none.
+        record: With the revision of the record that it replaces; ``NO_REVISION`` if there is none.
         news: Whether the stage is another one than the operator was told.
     """
 
@@ -97,16 +101,16 @@
 
 def is_decided(order: RolloutOrder, record: RolloutRecord | None) -> bool:
     """Return whether nothing is left to be done for an order."""
-    return (
-        record is not None and record.order_revision == order.revision and record.stage in DECIDED
-    )
+    return record is not None and is_of_order(record, order) and record.stage in DECIDED
 
 
 def next_step(view: RolloutView) -> RolloutStep | None:
     """Return what should be written now; None if nothing."""
     record = view.record
-    if record is None or record.order_revision != view.order.revision:
+    if record is None or not is_of_order(record, view.order):
         return _first_step(view)
+    if view.has_lost_record:
+        return RolloutStep(_record(view, record.stage, record.reason), news=True)
     match record.stage:
         case RolloutStage.CANARY:
             return _after_canary(view) or _noted_age(view, record)
@@ -227,7 +231,7 @@
         stage,
         reason,
         _rejected(view, stage),
-        before.revision if before is not None else 0,
+        before.revision if before is not None else NO_REVISION,
         view.age_seconds,
     )
 
--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -9,11 +9,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from hillstack.core.runner_limit import AnswerSource, RunnerLimit
 from hillstack.core.runner_load import OwnAttempt, OwnAttempts, ReportedLoads, RunnerLoad
 from hillstack.core.runner_signals import ReceivedSignals, RunnerSignals, SignalRecord
+from hillstack.core.store_revision import StoreRevision
 
 # A runner that broke a request is tried again after a restart's usual time, longer each time.
 SUSPECT_SECONDS = 0.6
@@ -63,7 +64,7 @@
     slots: int
     draining: bool
     weights: dict[str, int]
-    revision: int
+    revision: StoreRevision
     software: str = ""
     listed_as: str = ""
     started_ms: int = 0
@@ -86,6 +87,7 @@
         has_ended: Whether its process has ended, since a later one of its name was heard of.
         signals: What it has told this node of itself; the directory does not change them.
         unlisted_until: The directory dropped it, but it may be used until then; None if listed.
+        unlisted_at: Revision at which the directory had dropped it; None if it is not known.
         hinted_until: Peers say that it leaves: until then it is used only where no other one is.
         hinted_at: When a peer last said so, or this node did.
     """
@@ -103,6 +105,7 @@
     leaving: bool = False
     has_ended: bool = False
     unlisted_until: float | None = None
+    unlisted_at: StoreRevision | None = None
     failures: int = 0
     last_heard_at: float = float("-inf")
     signals: ReceivedSignals = field(default_factory=ReceivedSignals)
@@ -193,6 +196,19 @@
         return max(0.0, self.prefill_done_at - now)
 
 
+@dataclass(frozen=True, slots=True)
+class _UnlistedRunner:
+    """A runner that the directory has dropped, and what is kept of it for a while.
+
+    Attributes:
+        revision: At which the directory had dropped it; None if it is not known.
+    """
+
+    runner: Runner
+    revision: StoreRevision | None
+    forget_at: float
+
+
 class RunnerPool:
     """All runners, by identifier.
 
@@ -203,7 +219,7 @@
     def __init__(self) -> None:
         self.generation = 0
         self._runners: dict[str, Runner] = {}
-        self._unlisted: dict[str, tuple[Runner, float]] = {}
+        self._unlisted: dict[str, _UnlistedRunner] = {}
         self._signals = SignalRecord()
         # Those of the runners above whose signals may keep requests away from them: mostly none.
         self._held_back: dict[str, Runner] = {}
@@ -240,10 +256,22 @@
 
         The directory's order counts, not that of the starts: a clock may have been set back between
         two of them. A write of a process that has ended, carried out late, lasts until the next
-        heartbeat of the one that lives.
+        heartbeat of the one that lives. Only what a restored store has from its copy goes by the
+        starts: the process that lives writes its entry again.
         """
         latest = self._latest.get(entry.directory_name)
-        return latest is not None and entry.revision < latest.revision
+        if latest is None:
+            return False
+        if entry.revision.era > latest.revision.era:
+            return entry.started_ms < latest.started_ms
+        return entry.revision < latest.revision
+
+    def is_gone_before(self, entry: RunnerEntry) -> bool:
+        """Return whether a runner was known to be gone in an earlier era than that of its entry."""
+        gone = self._unlisted.get(entry.runner_id)
+        if gone is None or gone.revision is None:
+            return False
+        return gone.revision.era < entry.revision.era
 
     def all(self) -> list[Runner]:
         """Return all runners."""
@@ -264,6 +292,7 @@
         """
         if self.is_outdated(entry):
             return None
+        entry = self._with_known_leave(entry)
         self._latest[entry.directory_name] = entry
         runner = self._runners.get(entry.runner_id) or self._relist(entry.runner_id)
         if runner is None:
@@ -282,6 +311,16 @@
             self.observe_weights(runner, model, version)
         return runner if changed else None
 
+    def _with_known_leave(self, entry: RunnerEntry) -> RunnerEntry:
+        """Return the first entry of a process in an era, as leaving if it said so before.
+
+        A restored store may have it from a copy that is older than the leave.
+        """
+        known = self._latest.get(entry.directory_name)
+        if known is None or known.runner_id != entry.runner_id or not known.draining:
+            return entry
+        return replace(entry, draining=True) if entry.revision.era > known.revision.era else entry
+
     def _add(self, entry: RunnerEntry) -> Runner:
         signals = self._signals.get(entry.runner_id)
         runner = Runner(entry, dict(entry.weights), signals=signals or ReceivedSignals())
@@ -427,9 +466,15 @@
     def _known(self, runner_id: str) -> Runner | None:
         """Return a runner that is listed, or was not long ago."""
         unlisted = self._unlisted.get(runner_id)
-        return self._runners.get(runner_id) or (unlisted[0] if unlisted is not None else None)
-
-    def unlist(self, runner_id: str, now: float, grace_seconds: float) -> Runner | None:
+        return self._runners.get(runner_id) or (unlisted.runner if unlisted is not None else None)
+
+    def unlist(
+        self,
+        runner_id: str,
+        now: float,
+        grace_seconds: float,
+        revision: StoreRevision | None = None,
+    ) -> Runner | None:
         """Note that the directory has dropped a runner.
 
         What is known of it is kept for a while: the directory may list the same process again.
@@ -438,16 +483,19 @@
             runner_id: The runner.
             now: Time on the node's clock.
             grace_seconds: How long it may still be used.
+            revision: At which the directory had dropped it; None if it is not known.
         """
         runner = self._runners.get(runner_id)
         if runner is None:
             return None
         if grace_seconds > 0:
             runner.unlisted_until = now + grace_seconds
+            runner.unlisted_at = revision
         else:
             self.note_leaving(runner)
             del self._runners[runner_id]
-            self._unlisted[runner_id] = (runner, now + UNLISTED_MEMORY_SECONDS)
+            forget_at = now + UNLISTED_MEMORY_SECONDS
+            self._unlisted[runner_id] = _UnlistedRunner(runner, revision, forget_at)
         return runner
 
     def note_leaving(self, runner: Runner) -> None:
@@ -459,8 +507,9 @@
         """Drop the runners whose grace is over, and forget those dropped long ago; return these."""
         for runner in self.all():
             if runner.unlisted_until is not None and now >= runner.unlisted_until:
-                self.unlist(runner.runner_id, now, 0.0)
-        forgotten = [runner for runner, until in self._unlisted.values() if now >= until]
+                self.unlist(runner.runner_id, now, 0.0, runner.unlisted_at)
+        gone = self._unlisted.values()
+        forgotten = [unlisted.runner for unlisted in gone if now >= unlisted.forget_at]
         for runner in forgotten:
             del self._unlisted[runner.runner_id]
             latest = self._latest.get(runner.entry.directory_name)
@@ -472,7 +521,7 @@
         found = self._unlisted.pop(runner_id, None)
         if found is None:
             return None
-        runner = self._runners[runner_id] = found[0]
+        runner = self._runners[runner_id] = found.runner
         if runner_id in self._signals:
             self._held_back[runner_id] = runner
         runner.leaving = runner.has_ended = False
--- a/src/hillstack/core/software_rollouts.py
+++ b/src/hillstack/core/software_rollouts.py
@@ -10,7 +10,9 @@
 
 import enum
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+
+from hillstack.core.store_revision import NO_REVISION, StoreRevision
 
 
 class RolloutStage(enum.StrEnum):
@@ -50,13 +52,21 @@
     Attributes:
         target: The version.
         over_seconds: Time within which the rollout should be decided.
-        revision: Of the order in the store: a later order is another rollout.
+        revision: Of the order in the store: a later order is another rollout, but for the same one
+            that is written again after a restore of the store.
+        first_revision: Under which this node saw it first; None if that is ``revision``.
     """
 
     service: str
     target: str
     over_seconds: float
-    revision: int
+    revision: StoreRevision
+    first_revision: StoreRevision | None = None
+
+    @property
+    def identity(self) -> StoreRevision:
+        """What names the rollout on this node, as long as it stands."""
+        return self.first_revision or self.revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,24 +77,31 @@
         order_revision: The order that it belongs to.
         reason: Why the stage was entered, for the operator.
         rejected: All versions of the service that were reverted or withdrawn before being trusted.
-        revision: Of the record in the store; 0 until it is written.
+        revision: Of the record in the store; ``NO_REVISION`` until it is written.
         elapsed_seconds: Age of the order when the record was written: a node that has seen the
             order later than that takes it from here.
     """
 
     service: str
     target: str
-    order_revision: int
+    order_revision: StoreRevision
     stage: RolloutStage
     reason: str = ""
     rejected: tuple[str, ...] = ()
-    revision: int = 0
+    revision: StoreRevision = NO_REVISION
     elapsed_seconds: float = 0.0
 
 
 # Targets of earlier orders that are remembered as never trusted, over all services; beyond that the
 # oldest is forgotten. Orders are given by hand, so there are few.
 MOST_LEFT_VERSIONS = 256
+# How far a stage is: one that a restored store has from its copy does not undo a later one.
+STAGE_ORDER = (
+    RolloutStage.CANARY,
+    RolloutStage.SHIFTING,
+    RolloutStage.COMPLETE,
+    RolloutStage.REVERTED,
+)
 # The target version may get all requests.
 TRUSTED = frozenset({RolloutStage.SHIFTING, RolloutStage.COMPLETE})
 
@@ -97,14 +114,28 @@
     return record.target == order.target and record.stage in TRUSTED
 
 
+def is_of_order(record: RolloutRecord | None, order: RolloutOrder) -> bool:
+    """Return whether a record is of an order, not of another one of its service."""
+    return record is not None and record.order_revision == order.revision
+
+
+def _is_behind(record: RolloutRecord, known: RolloutRecord) -> bool:
+    """Return whether a record tells of an earlier order than another, or of an earlier stage."""
+    if record.order_revision.number != known.order_revision.number:
+        return record.order_revision.number < known.order_revision.number
+    return STAGE_ORDER.index(record.stage) < STAGE_ORDER.index(known.stage)
+
+
 class SoftwareRollouts:
     """The rollouts of all services as one node knows them."""
 
     def __init__(self) -> None:
         self._orders: dict[str, RolloutOrder] = {}
         self._records: dict[str, RolloutRecord] = {}
-        # Revision of the order whose target was condemned, by service.
-        self._condemned: dict[str, int] = {}
+        # Services whose latest record a restored store does not have any more.
+        self._lost_records: set[str] = set()
+        # Identity of the order whose target was condemned, by service.
+        self._condemned: dict[str, StoreRevision] = {}
         # Targets of earlier orders that were never trusted, the latest last: whether each was found
         # bad, by service and version; and how many there are of each service.
         self._left: dict[tuple[str, str], bool] = {}
@@ -115,11 +146,26 @@
         known = self._orders.get(order.service)
         if known is not None and known.revision >= order.revision:
             return False
+        if known is not None and self._is_written_again(known, order):
+            self._orders[order.service] = replace(order, first_revision=known.identity)
+            self._renumber_record(known, order)
+            return False
         self._leave_behind(order.service)
         self._orders[order.service] = order
         return True
 
-    def withdraw(self, service: str, revision: int) -> bool:
+    def _is_written_again(self, known: RolloutOrder, order: RolloutOrder) -> bool:
+        """Return whether an order is one that was known before the store was restored."""
+        if order.revision.era == known.revision.era:
+            return False
+        return (order.target, order.over_seconds) == (known.target, known.over_seconds)
+
+    def _renumber_record(self, known: RolloutOrder, order: RolloutOrder) -> None:
+        record = self._records.get(order.service)
+        if record is not None and is_of_order(record, known):
+            self._records[order.service] = replace(record, order_revision=order.revision)
+
+    def withdraw(self, service: str, revision: StoreRevision) -> bool:
         """Note that an order was taken away; return whether it was known."""
         known = self._orders.get(service)
         if known is None or known.revision > revision:
@@ -130,21 +176,56 @@
 
     def take_record(self, record: RolloutRecord) -> bool:
         """Take over a record; return whether it is news."""
-        known = self._records.get(record.service)
+        service = record.service
+        known = self._records.get(service)
         if known is not None and known.revision >= record.revision:
             return False
-        self._records[record.service] = record
+        if known is not None and self._undoes(record, known):
+            self._lose_record(known, record.revision)
+            return False
+        self._lost_records.discard(service)
+        self._records[service] = record
         if record.stage in TRUSTED:
             self._forget_left(record.service, record.target)
         return True
 
-    def condemn(self, service: str, order_revision: int) -> None:
+    def _undoes(self, record: RolloutRecord, known: RolloutRecord) -> bool:
+        """Return whether a record is one that the store has from before what it has lost."""
+        order = self._orders.get(record.service)
+        if order is not None and is_of_order(record, order) and not is_of_order(known, order):
+            return False
+        return record.revision.era > known.revision.era and _is_behind(record, known)
+
+    def retain_records(self, listed: set[str], revision: StoreRevision) -> None:
+        """Note which records a whole list of a restored store no longer has."""
+        for service, record in list(self._records.items()):
+            if service not in listed and record.revision.era < revision.era:
+                self._lose_record(record, NO_REVISION)
+
+    def _lose_record(self, record: RolloutRecord, revision: StoreRevision) -> None:
+        """Keep a record that the store has lost, and note what it has in its place."""
+        order = self._orders.get(record.service)
+        of_order = record.order_revision
+        if order is not None and order.revision.number == of_order.number:
+            of_order = order.revision
+        self._records[record.service] = replace(record, revision=revision, order_revision=of_order)
+        self._lost_records.add(record.service)
+
+    def has_lost_record(self, service: str) -> bool:
+        """Return whether the record of the order that stands must be written again."""
+        order = self._orders.get(service)
+        if order is None or service not in self._lost_records:
+            return False
+        return is_of_order(self._records.get(service), order)
+
+    def condemn(self, service: str, order_identity: StoreRevision) -> None:
         """Use the target version of an order no more, whatever its record says.
 
         A node that has seen enough bad answers, or heard of them, stops at once: the holder's
         record may be late, or can't be written while the store is away.
         """
-        self._condemned[service] = max(order_revision, self._condemned.get(service, 0))
+        condemned = self._condemned.get(service, NO_REVISION)
+        self._condemned[service] = max(order_identity, condemned)
 
     def orders(self) -> list[RolloutOrder]:
         """Return all orders that stand."""
@@ -167,7 +248,7 @@
         known = self._known_stage(order, record)
         # The old runners of a complete rollout are gone: there is nothing to go back to.
         is_complete = record is not None and record.stage is RolloutStage.COMPLETE
-        if self._condemned.get(service) != order.revision:
+        if self._condemned.get(service) != order.identity:
             return known
         return known if is_complete and known in TRUSTED else RolloutStage.REVERTED
 
--- a/src/hillstack/core/version_exposure.py
+++ b/src/hillstack/core/version_exposure.py
@@ -15,6 +15,8 @@
 import math
 from dataclasses import dataclass, field
 
+from hillstack.core.store_revision import StoreRevision
+
 # Part of the share that is used: the rest is for requests that were counted and that callers sent
 # again to another node.
 SHARE_SAFETY = 0.95
@@ -40,14 +42,14 @@
     """What one node took and sent under one order.
 
     Attributes:
-        revision: Of the order.
+        revision: That names the order.
         opened_at: When this node saw the order.
         earns_until: The order's deadline: requests that come later earn no sends.
         has_slack: Whether this process may use its part of the slack.
         node_count: Most nodes that were known to share the slack.
     """
 
-    revision: int
+    revision: StoreRevision
     opened_at: float
     earns_until: float
     has_slack: bool
@@ -78,7 +80,12 @@
             account.node_count = max(account.node_count, self._node_count)
 
     def open(
-        self, service: str, revision: int, over_seconds: float, not_before: float, now: float
+        self,
+        service: str,
+        revision: StoreRevision,
+        over_seconds: float,
+        not_before: float,
+        now: float,
     ) -> None:
         """Begin the account of an order.
 
@@ -87,7 +94,7 @@
 
         Args:
             service: The service.
-            revision: Of the order.
+            revision: That names the order.
             over_seconds: Time from the order to its deadline.
             not_before: Earliest time at which the order can have been given; minus infinity if
                 that is not known.
--- a/src/hillstack/core/weights_versions.py
+++ b/src/hillstack/core/weights_versions.py
@@ -15,6 +15,8 @@
 import math
 from dataclasses import dataclass, replace
 
+from hillstack.core.store_revision import NO_REVISION, StoreRevision
+
 
 class BoundCause(enum.StrEnum):
     """What the bound of a version was last set or moved by.
@@ -52,7 +54,7 @@
     not_before: float = -math.inf
     told_by: str = ""
     cause: BoundCause = BoundCause.NAMED
-    revision: int = 0
+    revision: StoreRevision = NO_REVISION
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +68,7 @@
     model: str
     version: int
     acknowledged_after: float
-    revision: int = 0
+    revision: StoreRevision = NO_REVISION
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hillstack/daemon/change_log.py
+++ b/src/hillstack/daemon/change_log.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
+from hillstack.core.store_revision import NO_REVISION, StoreRevision
 from hillstack.serving.store_events import StoreEvent
 
 # Removed keys are remembered while changes since before their removal may still be asked for. A
@@ -24,7 +25,7 @@
     """
 
     key: str
-    revision: int
+    revision: StoreRevision
     value: bytes | None
 
 
@@ -50,6 +51,7 @@
         duty_held: Whether some node holds the duty of ordering weights.
         rollout_orders: The services with an order to roll software out.
         rollout_duties: The services whose rollout some node decides.
+        rollout_records: The services of which it is written how far a rollout is.
     """
 
     runner_ids: set[str]
@@ -57,6 +59,7 @@
     duty_held: bool
     rollout_orders: set[str] = field(default_factory=set)
     rollout_duties: set[str] = field(default_factory=set)
+    rollout_records: set[str] = field(default_factory=set)
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +73,7 @@
     """
 
     items: list[StoredItem]
-    revision: int
+    revision: StoreRevision
     keys: list[str] | None
 
 
@@ -78,17 +81,18 @@
     """The latest change of each key, oldest first.
 
     Attributes:
-        revision: Up to which revision all is known; 0 before the first reading of the store.
+        revision: Up to which revision all is known; ``NO_REVISION`` before the first reading of the
+            store. All items are of its era.
     """
 
     def __init__(self) -> None:
         self._items: OrderedDict[str, StoredItem] = OrderedDict()
-        self._removed: OrderedDict[str, int] = OrderedDict()
+        self._removed: OrderedDict[str, StoreRevision] = OrderedDict()
         # Removals up to this revision are not remembered.
-        self._removals_from = 0
-        self.revision = 0
+        self._removals_from = NO_REVISION
+        self.revision = NO_REVISION
 
-    def load(self, items: Iterable[StoredItem], revision: int) -> None:
+    def load(self, items: Iterable[StoredItem], revision: StoreRevision) -> None:
         """Take over all that the store holds."""
         self._items.clear()
         self._removed.clear()
@@ -97,7 +101,7 @@
         self.revision = max(self.revision, revision)
         self._removals_from = self.revision
 
-    def take(self, items: Iterable[StoredItem], revision: int) -> None:
+    def take(self, items: Iterable[StoredItem], revision: StoreRevision) -> None:
         """Take over changes, in the order of their revisions.
 
         All of them, whatever they say: what is news to this node may be known to the peer that it
@@ -120,7 +124,7 @@
             del self._items[key]
             self._removals_from = max(self._removals_from, removed_at)
 
-    def retain(self, keys: Collection[str], revision: int) -> None:
+    def retain(self, keys: Collection[str], revision: StoreRevision) -> None:
         """Drop all keys that a whole list, as of a revision, does not have."""
         listed = set(keys)
         for key in [key for key in self._items if key not in listed]:
@@ -128,7 +132,7 @@
         self._removed.clear()
         self._removals_from = max(self._removals_from, revision)
 
-    def since(self, revision: int) -> ChangesSince:
+    def since(self, revision: StoreRevision) -> ChangesSince:
         """Return what has changed since a revision."""
         changed: list[StoredItem] = []
         for item in reversed(self._items.values()):
@@ -141,7 +145,7 @@
             keys = [key for key, item in self._items.items() if item.value is not None]
         return ChangesSince(changed, self.revision, keys)
 
-    def differences(self, listed: Sequence[StoredItem], revision: int) -> list[str]:
+    def differences(self, listed: Sequence[StoredItem], revision: StoreRevision) -> list[str]:
         """Return the keys of which this log should know what a whole list of the store shows.
 
         Args:
@@ -169,12 +173,17 @@
                 missed.append(item.key)
         return missed
 
-    def _has_missed(self, item: StoredItem, revision: int) -> bool:
+    def _has_missed(self, item: StoredItem, revision: StoreRevision) -> bool:
         known = self._items.get(item.key)
         if known is None or known.revision < item.revision:
             return True
         return known.value is None and known.revision <= revision
 
+    def keys_beyond(self, listed: Iterable[str]) -> list[str]:
+        """Return the keys that exist, as far as is known, and that a whole list does not have."""
+        keys = set(listed)
+        return [key for key in self._items if key not in keys and self.has(key)]
+
     def has(self, key: str) -> bool:
         """Return whether a key exists, as far as is known."""
         known = self._items.get(key)
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -132,11 +132,15 @@
         self._store_session = make_store_session()
         self._runner_session = make_runner_session()
         self._metrics = FleetMetrics()
+        self._state.store_era.handle_new(lambda _: self._metrics.store_restores.inc())
         self._state.handle_restarted(
             lambda runner: note_silence(self._runner_session, runner.address)
         )
         store = MetadataStore(
-            settings.store.address, self._store_session, self._metrics.unreadable_items.inc
+            settings.store.address,
+            self._store_session,
+            self._metrics.unreadable_items.inc,
+            self._state.store_era,
         )
         zone = settings.node.zone
         self._link = PeerLink()
@@ -235,7 +239,14 @@
             self._sync.nearer_peers,
         )
         self._registry = NodeRegistry(store, self._state, self._peers.silent_nodes, self._clock)
-        lease = DutyLease(store, DUTY_KEY, settings.node.id, LEASE_TTL_SECONDS, self._clock)
+        lease = DutyLease(
+            store,
+            DUTY_KEY,
+            settings.node.id,
+            LEASE_TTL_SECONDS,
+            self._clock,
+            lambda: self._state.highest_fence,
+        )
         self._duty = WeightsRolloutDuty(
             self._state,
             lease,
@@ -366,7 +377,12 @@
         metrics.gauge(
             "store_revision",
             "Revision of the store up to which all is known.",
-            lambda: self._changes.revision,
+            lambda: self._changes.revision.number,
+        )
+        metrics.gauge(
+            "store_era",
+            "Era of the store: how often it was restored from an older copy.",
+            lambda: state.store_era.current,
         )
         metrics.gauge("runners_listed", "Runners known.", lambda: len(state.pool.all()))
         metrics.gauge("runners_accepting", "Runners that may get new work.", accepting)
--- a/src/hillstack/daemon/key_value.py
+++ b/src/hillstack/daemon/key_value.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from hillstack.core.store_revision import StoreRevision
+
 
 @dataclass(frozen=True, slots=True)
 class Entry:
@@ -13,7 +15,7 @@
 
     key: str
     value: bytes
-    mod_revision: int
+    mod_revision: StoreRevision
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,10 +37,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RevisionIs:
-    """Condition: the key was last changed at this revision; 0 means that it does not exist."""
+    """Condition: the key was last changed at this revision, or does not exist (``NO_REVISION``)."""
 
     key: str
-    revision: int
+    revision: StoreRevision
 
 
 Condition = ValueIs | RevisionIs
@@ -47,11 +49,18 @@
 class LeaseStore(Protocol):
     """The calls that a lease on a duty needs; each raises ``PlatformError`` when it fails."""
 
+    @property
+    def era(self) -> int:
+        """Rises when the service has come back with an older state: leases since are gone."""
+        ...
+
     async def get(self, key: str) -> Entry | None:
         """Return a key's entry, or None."""
         ...
 
-    async def transact(self, conditions: Sequence[ValueIs], puts: Sequence[Put]) -> int | None:
+    async def transact(
+        self, conditions: Sequence[Condition], puts: Sequence[Put]
+    ) -> StoreRevision | None:
         """Write if all conditions hold; return the revision, or None if one does not."""
         ...
 
--- a/src/hillstack/daemon/node_registry.py
+++ b/src/hillstack/daemon/node_registry.py
@@ -17,6 +17,7 @@
 from typing import Protocol
 
 from hillstack.core.node_directory import NodeEntry
+from hillstack.core.store_revision import StoreRevision
 from hillstack.errors import PlatformError
 from hillstack.logs import error_fields
 from hillstack.serving.fleet_state import FleetState
@@ -34,7 +35,7 @@
 class RegistryStore(Protocol):
     """The call that the registry needs."""
 
-    async def remove_node(self, node_id: str, revision: int) -> bool:
+    async def remove_node(self, node_id: str, revision: StoreRevision) -> bool:
         """Remove a node's entry if it has this revision; return whether it had.
 
         Raises ``PlatformError``.
--- a/src/hillstack/daemon/notice_outbox.py
+++ b/src/hillstack/daemon/notice_outbox.py
@@ -56,6 +56,7 @@
         self._restarted: list[str] = []
         self._leaving: list[str] = []
         self._limits: dict[str, LimitNotice] = {}
+        self._store_era: int | None = None
 
     def add_placement(self, notice: PlacementNotice) -> None:
         """Tell what was sent to a runner; beyond the bound it stays untold."""
@@ -130,6 +131,10 @@
         """Tell what was seen of the rollouts that are under way."""
         self._rollouts = reports
 
+    def set_store_era(self, era: int) -> None:
+        """Tell that the store is in an era that this node has just heard of."""
+        self._store_era = era
+
     def take(self) -> list[NodeNotice]:
         """Return all that was collected, as one notice, or several where there is much."""
         chunks = list(_chunks(self._cache))
@@ -151,7 +156,9 @@
             restarted=self._restarted,
             leaving=self._leaving,
             limits=list(self._limits.values()),
+            store_era=self._store_era,
         )
+        self._store_era = None
         self._placements, self._reads, self._changed, self._weights = [], [], {}, {}
         self._suspected, self._announcements, self._leaving = [], [], []
         self._runner_ends, self._rollouts, self._restarted = [], [], []
--- a/src/hillstack/daemon/notice_reader.py
+++ b/src/hillstack/daemon/notice_reader.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable, Iterable
 
+from hillstack.core.store_revision import StoreRevision
 from hillstack.messages.peer_notices import (
     NO_LIMIT,
     AnnouncementNotice,
@@ -88,6 +89,8 @@
         for limit in notice.limits:
             self._take_limit(limit, now)
         self._take_cache(notice, now)
+        if notice.store_era is not None:
+            self._state.store_era.hear(notice.store_era, notice.node_id)
         for entry in notice.announcements:
             self._take_announcement(notice.node_id, entry, now)
         if self._on_placement is not None:
@@ -134,10 +137,18 @@
         """
         state = self._state
         if entry.version > state.versions.newest(entry.model):
-            named = WeightsNamed(entry.model, entry.version, entry.revision)
-            not_before = state.proofs.latest_before(entry.revision)
+            revision = self._revision(entry)
+            named = WeightsNamed(entry.model, entry.version, revision)
+            not_before = state.proofs.latest_before(revision)
             state.note_weights_named(named, not_before, peer, now)
 
+    def _revision(self, entry: AnnouncementNotice) -> StoreRevision:
+        """Return at which revision a version was named: of a peer without eras the earliest."""
+        era = entry.store_era
+        if era is None:
+            era = self._state.proofs.earliest_era() or 0
+        return StoreRevision(era, entry.revision)
+
     def _take_limit(self, limit: LimitNotice, now: float) -> None:
         pool, age_seconds = self._state.pool, max(0.0, limit.age_ms / MILLISECONDS)
         if limit.rate == NO_LIMIT:
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -20,6 +20,7 @@
 from hillstack.core.relay_choice import RelayChoice
 from hillstack.core.runner_limit import RunnerLimit
 from hillstack.core.runner_pool import HINT_AGAIN_SECONDS, Runner
+from hillstack.core.store_era import STORE
 from hillstack.daemon.cache_follower import CacheEntry
 from hillstack.daemon.notice_outbox import NoticeOutbox
 from hillstack.daemon.notice_reader import (
@@ -117,6 +118,7 @@
         link.handle(DatagramKind.REGION_BATCH, self._take_region_batch)
         # Each node asks the store at its own times: the first to hear of a version tells the rest.
         state.handle_weights_named(self._tell_announcements)
+        state.store_era.handle_new(self._tell_store_era)
 
     def handle_placements(self, on_placement: PlacementHandler, on_read: ReadHandler) -> None:
         """Call handlers for each placement that a peer tells of, and when its prompt is read."""
@@ -328,12 +330,24 @@
 
     def _recent_announcements(self) -> list[AnnouncementNotice]:
         named = self._state.versions.recent(self._clock())
-        return [AnnouncementNotice(entry.model, entry.version, entry.revision) for entry in named]
+        return [
+            AnnouncementNotice(
+                entry.model, entry.version, entry.revision.number, entry.revision.era
+            )
+            for entry in named
+        ]
 
     def _tell_announcements(self) -> None:
         self._outbox.set_announcements(self._recent_announcements())
         self.flush(urgent=True)
 
+    def _tell_store_era(self, told_by: str) -> None:
+        """Tell at once that the store was restored, if this node has it from the store itself."""
+        if told_by != STORE:
+            return
+        self._outbox.set_store_era(self._state.store_era.current)
+        self.flush(urgent=True)
+
     def _send(self, notice: NodeNotice, urgent: bool) -> None:
         nodes = self._state.nodes
         if self._choice.group(self._zone) is None:
--- a/src/hillstack/daemon/ports.py
+++ b/src/hillstack/daemon/ports.py
@@ -14,7 +14,8 @@
 
 from hillstack.core.attempt import Attempt
 from hillstack.core.fleet import LoadReport
-from hillstack.daemon.key_value import Entry, Put, ValueIs
+from hillstack.core.store_revision import StoreRevision
+from hillstack.daemon.key_value import Condition, Entry, Put
 from hillstack.messages.types import Machine, Message
 
 RequestHandler = Callable[[Message, str], Awaitable[Message]]
@@ -94,6 +95,11 @@
 class KeyValue(Protocol):
     """The key-value service."""
 
+    @property
+    def era(self) -> int:
+        """Rises when the service has come back with an older state."""
+        ...
+
     async def get(self, key: str) -> Entry | None:
         """Return a key's entry."""
         ...
@@ -102,7 +108,9 @@
         """Return the entries below a prefix in descending key order."""
         ...
 
-    async def transact(self, conditions: Sequence[ValueIs], puts: Sequence[Put]) -> int | None:
+    async def transact(
+        self, conditions: Sequence[Condition], puts: Sequence[Put]
+    ) -> StoreRevision | None:
         """Write all keys if all conditions hold; return the revision or None."""
         ...
 
--- a/src/hillstack/daemon/rollout_decider.py
+++ b/src/hillstack/daemon/rollout_decider.py
@@ -29,7 +29,9 @@
     RolloutRecord,
     RolloutStage,
     VersionAccess,
+    is_of_order,
 )
+from hillstack.core.store_revision import StoreRevision
 from hillstack.errors import PlatformError, PlatformOutcomeUnknownError
 from hillstack.logs import error_fields
 from hillstack.serving.fleet_state import FleetState
@@ -48,8 +50,8 @@
     """The calls that a decision needs; each raises ``PlatformError`` when it fails."""
 
     async def write_rollout(
-        self, record: RolloutRecord, fence: int, tell_operator: bool
-    ) -> int | None:
+        self, record: RolloutRecord, fence: StoreRevision, tell_operator: bool
+    ) -> StoreRevision | None:
         """Replace a record if order, record and duty still have the revisions that it names.
 
         Args:
@@ -131,7 +133,12 @@
     def is_wanted(self) -> bool:
         """Return whether an order stands that is not decided yet."""
         order = self._state.rollouts.order(self._service)
-        return order is not None and not is_decided(order, self._record())
+        return order is not None and not self._is_settled(order)
+
+    def _is_settled(self, order: RolloutOrder) -> bool:
+        """Return whether an order is decided, and the store says so."""
+        has_lost_record = self._state.rollouts.has_lost_record(self._service)
+        return is_decided(order, self._record()) and not has_lost_record
 
     def look(self) -> RolloutView | None:
         """Watch and judge; return what is known, or None without an order to decide."""
@@ -140,14 +147,15 @@
             self._watch = None
             return None
         watch = self._watch
-        if watch is None or watch.order.revision != order.revision:
+        if watch is None or watch.order.identity != order.identity:
             watch = self._watch = self._begin(order)
+        watch.order = order
         self._note_record(watch)
-        if is_decided(order, self._record()):
+        if self._is_settled(order):
             return None
         return self._view(watch)
 
-    async def advance(self, view: RolloutView, fence: int) -> None:
+    async def advance(self, view: RolloutView, fence: StoreRevision) -> None:
         """Write the next step if there is one."""
         step = next_step(view)
         if step is None:
@@ -179,7 +187,7 @@
         if record is not None:
             self._take(record, record.revision)
 
-    def _take(self, record: RolloutRecord, revision: int) -> None:
+    def _take(self, record: RolloutRecord, revision: StoreRevision) -> None:
         written = replace(record, revision=revision)
         self._state.apply(RolloutRecorded(written), self._clock())
 
@@ -188,11 +196,11 @@
 
     def _begin(self, order: RolloutOrder) -> _Watch:
         now = self._clock()
-        return _Watch(order, OrderAge(order, now), usable_at=now)
+        return _Watch(order, OrderAge(now), usable_at=now)
 
     def _note_record(self, watch: _Watch) -> None:
         record = self._record()
-        if record is None or record.order_revision != watch.order.revision:
+        if record is None or not is_of_order(record, watch.order):
             return
         now = self._clock()
         watch.age.note(record, now)
@@ -218,6 +226,7 @@
             places=self._places(watch, now),
             apply_seconds=self._apply_seconds,
             passed_over=self._state.rollouts.left_undecided(self._service),
+            has_lost_record=self._state.rollouts.has_lost_record(self._service),
         )
 
     def _reporters(self, now: float) -> dict[str, ReporterState]:
@@ -256,7 +265,7 @@
         fields: dict[str, object] = {
             "service": self._service,
             "target": view.order.target,
-            "order_revision": view.order.revision,
+            "order_revision": str(view.order.revision),
             "stage": step.record.stage,
             "reason": step.record.reason,
             "age_seconds": round(view.age_seconds, 2),
--- a/src/hillstack/daemon/software_rollout_duty.py
+++ b/src/hillstack/daemon/software_rollout_duty.py
@@ -166,9 +166,9 @@
         try:
             while self._decider.is_wanted():
                 view = self._decider.look()
-                fence = self._lease.fence()
-                if view is not None and fence is not None:
-                    await self._decider.advance(view, fence)
+                key_revision = self._lease.key_revision()
+                if view is not None and key_revision is not None:
+                    await self._decider.advance(view, key_revision)
                 await asyncio.sleep(TICK_SECONDS)
             self._decider.look()
         finally:
--- a/src/hillstack/daemon/store_check.py
+++ b/src/hillstack/daemon/store_check.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from random import Random
 
+from hillstack.core.store_revision import NO_REVISION, StoreRevision
 from hillstack.daemon.change_log import ChangeLog, StoreChange
 from hillstack.daemon.store_sync import Peers, Store
 from hillstack.errors import PlatformError
@@ -81,7 +82,7 @@
     async def run(self) -> None:
         """Compare now and then until cancelled."""
         while True:
-            if self._log.revision == 0:
+            if self._log.revision == NO_REVISION:
                 # How long a list is, is known once the node has read one itself.
                 await asyncio.sleep(POLL_SECONDS)
                 continue
@@ -108,7 +109,7 @@
         if self._peers is None:
             return False
         for node_id in self._nearer_peers():
-            relayed = await self._peers.ask(node_id, 0)
+            relayed = await self._peers.ask(node_id, NO_REVISION)
             if relayed is None or not relayed.is_complete:
                 continue
             if await self._has_come_to(relayed.revision):
@@ -124,7 +125,7 @@
             logger.warning("changes of the store were missed", extra=fields)
             self._read_anew()
 
-    async def _has_come_to(self, revision: int) -> bool:
+    async def _has_come_to(self, revision: StoreRevision) -> bool:
         """Wait until the node's own knowledge goes as far as a list; return whether it does."""
         until = self._clock() + PATIENCE_SECONDS
         while self._log.revision < revision:
--- a/src/hillstack/daemon/store_relay.py
+++ b/src/hillstack/daemon/store_relay.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from hillstack.core.store_revision import StoreRevision
 from hillstack.core.weights_versions import NamedVersion
 from hillstack.daemon.change_log import ChangeLog, StoredItem
 from hillstack.daemon.peer_link import PeerLink
@@ -58,7 +59,7 @@
     """
 
     items: list[StoredItem]
-    revision: int
+    revision: StoreRevision
     proved_at: float
     outage_ended_at: float | None
     keys: list[str] | None
@@ -87,7 +88,7 @@
         link.handle(DatagramKind.CHANGES_QUESTION, self._take_question)
         link.handle(DatagramKind.CHANGES_ANSWER, self._take_answer)
 
-    async def ask(self, node_id: str, revision: int) -> RelayedChanges | None:
+    async def ask(self, node_id: str, revision: StoreRevision) -> RelayedChanges | None:
         """Return what a peer knows beyond a revision; None if it does not answer or knows nothing.
 
         Args:
@@ -100,12 +101,16 @@
         asked_at = self._clock()
 
         def send(number: int) -> None:
-            question = ChangesQuestion(PROTOCOL_VERSION, self._state.node_id, number, revision)
+            question = ChangesQuestion(
+                PROTOCOL_VERSION, self._state.node_id, number, revision.number, revision.era
+            )
             self._link.send(DatagramKind.CHANGES_QUESTION, pack(question), node.address)
 
         answer = await self._pending.ask(send)
         if answer is None:
             return None
+        if answer.era is not None:
+            self._state.store_era.hear(answer.era, node_id)
         return _relayed(answer, asked_at)
 
     def _take_question(self, payload: bytes, peer: str) -> None:
@@ -114,6 +119,8 @@
         if node is None:
             # It is new, and this node will hear of it from the store.
             return
+        if question.era is not None:
+            self._state.store_era.hear(question.era, question.node_id)
         payload = pack(self._answer(question))
         if len(payload) > MAX_ANSWER_BYTES:
             fields = {"peer": question.node_id, "bytes": len(payload)}
@@ -126,19 +133,29 @@
         self._pending.take(answer.number, answer)
 
     def _answer(self, question: ChangesQuestion) -> ChangesAnswer:
-        changes = self._log.since(question.revision)
+        asked = self._asked(question)
+        if question.era is None and asked > self._log.revision:
+            # An earlier build, before a restore: it would take no news for fresh knowledge.
+            return self._ages_only(question)
+        changes = self._log.since(asked)
         return ChangesAnswer(
             PROTOCOL_VERSION,
             self._state.node_id,
             question.number,
-            changes.revision,
+            changes.revision.number,
             self._age_ms(self._state.freshness.proved_at()),
             self._age_ms(self._state.outage_ended_at()),
-            [ItemChange(item.key, item.revision, item.value) for item in changes.items],
+            [ItemChange(item.key, item.revision.number, item.value) for item in changes.items],
             changes.keys,
             named=self._named(),
+            era=changes.revision.era,
         )
 
+    def _asked(self, question: ChangesQuestion) -> StoreRevision:
+        """Return the revision of a question; an earlier build follows some era without a name."""
+        era = self._log.revision.era if question.era is None else question.era
+        return StoreRevision(era, question.revision)
+
     def _ages_only(self, question: ChangesQuestion) -> ChangesAnswer:
         return ChangesAnswer(
             PROTOCOL_VERSION,
@@ -149,6 +166,7 @@
             self._age_ms(self._state.outage_ended_at()),
             is_complete=False,
             named=self._named(),
+            era=self._log.revision.era,
         )
 
     def _named(self) -> list[NamedWeights]:
@@ -172,13 +190,18 @@
     if answer.age_ms is None:
         return None
     outage = answer.outage_age_ms
+    # Changes that may be of any era are as good as none.
+    era = answer.era or 0
     return RelayedChanges(
-        [StoredItem(item.key, item.revision, item.value) for item in answer.items],
-        answer.revision,
+        [
+            StoredItem(item.key, StoreRevision(era, item.revision), item.value)
+            for item in answer.items
+        ],
+        StoreRevision(era, answer.revision),
         asked_at - answer.age_ms / MILLISECONDS,
         asked_at - outage / MILLISECONDS if outage is not None else None,
         answer.keys,
-        answer.is_complete,
+        answer.is_complete and answer.era is not None,
         [
             NamedVersion(entry.model, entry.version, asked_at - entry.age_ms / MILLISECONDS)
             for entry in answer.named
--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable, Collection, Iterable, Sequence
 from random import Random
@@ -15,6 +16,7 @@
 from hillstack.core.node_directory import NodeEntry, NodeGroup
 from hillstack.core.outage import OutageEvidence
 from hillstack.core.relay_choice import RelayChoice
+from hillstack.core.store_revision import NO_REVISION, StoreRevision
 from hillstack.daemon.change_log import ChangeLog, ListedKeys, StoreChange, StoredItem
 from hillstack.daemon.store_relay import RelayedChanges
 from hillstack.errors import (
@@ -24,7 +26,7 @@
     PlatformThrottledError,
 )
 from hillstack.logs import error_fields
-from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.fleet_state import FleetState, ListedRollouts
 from hillstack.serving.store_events import DutyHeld, NodeListed
 
 logger = logging.getLogger(__name__)
@@ -34,6 +36,8 @@
 WATCH_WAIT_SECONDS = 1.0
 # Between failed looks: the freshness bound of 4.5 s leaves room for ten.
 RETRY_SECONDS = 0.3
+# Spreads the looks of nodes that hear of a restore at once: the first ones answer the others.
+RESTORED_SPREAD_SECONDS = 0.2
 # Before everything is read anew; history that is gone stays gone.
 RELOAD_SECONDS = 0.05
 # Shorter failures are lost answers: no entry of a runner lapses in them (three heartbeats).
@@ -52,6 +56,10 @@
 SINGLE_GROUP_NODES = 64
 
 
+# Keys in one line of the log; their count is told besides.
+MAX_KEYS_LOGGED = 20
+
+
 class SnapshotView(Protocol):
     """Everything that the store holds."""
 
@@ -61,12 +69,12 @@
         ...
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> StoreRevision:
         """Revision from which to watch."""
         ...
 
     @property
-    def latest(self) -> int:
+    def latest(self) -> StoreRevision:
         """Revision up to which some of the items may go."""
         ...
 
@@ -80,7 +88,7 @@
         ...
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> StoreRevision:
         """Revision up to which they go."""
         ...
 
@@ -92,11 +100,11 @@
         """Return everything; raises ``PlatformError``."""
         ...
 
-    async def changes(self, revision: int, wait_seconds: float) -> ChangesView:
+    async def changes(self, revision: StoreRevision, wait_seconds: float) -> ChangesView:
         """Return the changes after a revision; raises ``PlatformError``."""
         ...
 
-    async def announce_node(self, node: NodeEntry) -> int:
+    async def announce_node(self, node: NodeEntry) -> StoreRevision:
         """Write a node's entry; return its revision; raises ``PlatformError``."""
         ...
 
@@ -112,7 +120,7 @@
 class Peers(Protocol):
     """Peers that may know what has changed."""
 
-    async def ask(self, node_id: str, revision: int) -> RelayedChanges | None:
+    async def ask(self, node_id: str, revision: StoreRevision) -> RelayedChanges | None:
         """Return what a peer knows beyond a revision, or None."""
         ...
 
@@ -163,22 +171,28 @@
         self._refusal: PlatformError | None = None
         self._source: str | None = None
         self._must_read_anew = False
+        self._history_lost = False
+        self._woken = asyncio.Event()
+        state.store_era.handle_new(self._wake)
+        state.store_era.handle_fallen(self.read_anew)
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
-        revision: int | None = None
+        revision: StoreRevision | None = None
         while True:
             started_at = self._clock()
             try:
                 if revision is None:
                     revision = await self._load(started_at)
+                elif self._history_lost:
+                    revision = await self._load_or_ask_peers(revision)
                 else:
                     revision = await self._follow(revision)
                 revision = await self._join(revision)
                 await self._ask_when_named(revision)
             except HistoryLostError as error:
                 logger.info("store history lost", extra=error_fields(error))
-                revision = None
+                self._history_lost = True
                 await asyncio.sleep(RELOAD_SECONDS)
                 continue
             except PlatformError as error:
@@ -187,17 +201,33 @@
                 await asyncio.sleep(RETRY_SECONDS * (0.5 + self._rng.random()))
                 continue
             self._state.expire(self._clock())
-            await asyncio.sleep(max(0.0, started_at + self._interval - self._clock()))
+            await self._pause_until(started_at + self._interval)
+
+    async def _pause_until(self, moment: float) -> None:
+        """Wait for the next look, or until the store is heard to be another one."""
+        wait = max(0.0, moment - self._clock())
+        if not self._woken.is_set():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait):
+                    await self._woken.wait()
+        if self._woken.is_set():
+            self._woken.clear()
+            await asyncio.sleep(RESTORED_SPREAD_SECONDS * self._rng.random())
+
+    def _wake(self, told_by: str) -> None:
+        """Look soon at a store that has come back with an older state."""
+        self._woken.set()
 
     def read_anew(self) -> None:
         """Read the whole store at the next look, since something is known otherwise."""
         self._must_read_anew = True
 
-    async def _load(self, started_at: float) -> int:
+    async def _load(self, started_at: float) -> StoreRevision:
         snapshot = await self._store.snapshot()
         self._regained()
-        self._apply(snapshot.changes)
         items = [change.item for change in snapshot.changes]
+        self._note_era(snapshot.revision, [item.key for item in items])
+        self._apply(snapshot.changes)
         self._log.load(items, snapshot.revision)
         self._retain([item.key for item in items], snapshot.revision)
         self._state.duty_known = True
@@ -205,7 +235,7 @@
         self._state.start_gate.open()
         return snapshot.revision
 
-    async def _try_load(self) -> int | None:
+    async def _try_load(self) -> StoreRevision | None:
         """Read the whole store; a node that it turns away goes on with what its peers know."""
         self._must_read_anew = False
         try:
@@ -214,7 +244,25 @@
             logger.warning("not read anew", extra=error_fields(error))
             return None
 
-    async def _join(self, revision: int) -> int:
+    async def _load_or_ask_peers(self, revision: StoreRevision) -> StoreRevision:
+        """Read the whole store, which lacks the changes that this node needs, or ask its peers.
+
+        Raises:
+            PlatformError: The store turns this node away, and no peer knows more.
+        """
+        try:
+            loaded = await self._load(self._clock())
+        except PlatformError:
+            usable = self._choice.others(self._groups()[-1], self._clock())
+            chosen = self._rng.sample(usable, min(MAX_PEERS_ASKED, len(usable)))
+            relayed = await self._ask_peers(self._with_last_source(chosen, usable), revision)
+            if relayed is None:
+                raise
+            loaded = self._take_relayed(relayed, revision)
+        self._history_lost = False
+        return loaded
+
+    async def _join(self, revision: StoreRevision) -> StoreRevision:
         """Let the other nodes know this one, and know them; return up to where it knows all.
 
         What it reads before its own entry is written lacks those that start with it. Of any two
@@ -241,7 +289,7 @@
         listed = NodeListed(own.node_id, own.address, own.zone, revision, own.link_megabits)
         self._state.apply(listed, self._clock())
 
-    async def _follow(self, revision: int) -> int:
+    async def _follow(self, revision: StoreRevision) -> StoreRevision:
         """Take over what has changed, from the first peer with fresh knowledge or the store."""
         if self._must_read_anew:
             loaded = await self._try_load()
@@ -254,7 +302,7 @@
         if relayed is not None:
             return self._take_relayed(relayed, revision)
         failure = await self._try_store(revision, may_pause=len(self._state.nodes) > 1)
-        if isinstance(failure, int):
+        if isinstance(failure, StoreRevision):
             return failure
         # The store turns this node away: it may serve others.
         usable = self._choice.others(groups[-1], self._clock())
@@ -292,7 +340,7 @@
         before = (self._choice.before_this(group, now) for group in groups)
         return next((nodes[:MAX_PEERS_ASKED] for nodes in before if nodes), [])
 
-    async def _look_again(self, revision: int) -> int:
+    async def _look_again(self, revision: StoreRevision) -> StoreRevision:
         """Look at once after a first look without an answer, and without waiting for a change.
 
         Its connection may have gone silent while new ones work. This answer comes over a new one
@@ -309,7 +357,9 @@
             return chosen
         return [self._source, *(node for node in chosen if node != self._source)]
 
-    async def _ask_peers(self, node_ids: Iterable[str], revision: int) -> RelayedChanges | None:
+    async def _ask_peers(
+        self, node_ids: Iterable[str], revision: StoreRevision
+    ) -> RelayedChanges | None:
         """Return what the first of several peers with fresh knowledge says; None without one."""
         for node_id in node_ids:
             relayed = await self._peers.ask(node_id, revision)
@@ -326,7 +376,7 @@
         for named in relayed.named:
             self._state.narrow_weights_named(named, node_id, now)
 
-    async def _ask_when_named(self, revision: int) -> None:
+    async def _ask_when_named(self, revision: StoreRevision) -> None:
         """Ask peers when versions were named that this node has found at its start.
 
         They may have been named long ago, for all it knows: without an answer all runners with
@@ -341,7 +391,9 @@
             if relayed is not None:
                 self._take_named(relayed, node_id)
 
-    async def _try_store(self, revision: int, *, may_pause: bool) -> int | PlatformError:
+    async def _try_store(
+        self, revision: StoreRevision, *, may_pause: bool
+    ) -> StoreRevision | PlatformError:
         """Return the new revision, or why the store could not be asked now.
 
         Args:
@@ -363,8 +415,12 @@
         self._refusal = None
         return revision
 
-    async def _follow_store(self, revision: int, wait_seconds: float = WATCH_WAIT_SECONDS) -> int:
+    async def _follow_store(
+        self, revision: StoreRevision, wait_seconds: float = WATCH_WAIT_SECONDS
+    ) -> StoreRevision:
         started_at = self._clock()
+        if revision.era < self._state.store_era.current:
+            raise HistoryLostError(f"restored since {revision}", step="watch")
         changes = await self._store.changes(revision, wait_seconds)
         self._regained()
         self._note_source(None)
@@ -374,14 +430,19 @@
         return changes.revision
 
     def _is_fresh(self, relayed: RelayedChanges) -> bool:
+        """Return whether a peer's knowledge is of the store as it stands, and young."""
+        if relayed.revision.era < self._state.store_era.current:
+            return False
         return self._clock() - relayed.proved_at <= self._fresh_seconds()
 
     def _fresh_seconds(self) -> float:
         return FRESH_LOOKS * self._interval + FRESH_MARGIN_SECONDS
 
-    def _take_relayed(self, relayed: RelayedChanges, revision: int) -> int:
+    def _take_relayed(self, relayed: RelayedChanges, revision: StoreRevision) -> StoreRevision:
         changes = self._store.read_items(relayed.items)
         self._take_outage(relayed)
+        if relayed.keys is not None:
+            self._note_era(relayed.revision, relayed.keys)
         self._apply(changes)
         self._log.take(relayed.items, relayed.revision)
         if relayed.keys is not None:
@@ -406,16 +467,37 @@
         if ended_at - self._state.freshness.proved_at() > self._fresh_seconds():
             self._state.store_regained(ended_at, self._clock())
 
-    def _retain(self, keys: Collection[str], revision: int) -> None:
+    def _retain(self, keys: Collection[str], revision: StoreRevision) -> None:
         """Drop what a whole list, as of a revision, no longer has."""
         listed = self._store.listed(keys)
         now = self._clock()
         self._state.retain_runners(listed.runner_ids, now, revision)
         self._state.retain_nodes(listed.node_ids, now, revision)
-        self._state.retain_rollouts(listed.rollout_orders, listed.rollout_duties, revision)
+        rollouts = ListedRollouts(
+            listed.rollout_orders, listed.rollout_records, listed.rollout_duties
+        )
+        self._state.retain_rollouts(rollouts, now, revision)
         if not listed.duty_held:
             self._state.apply(DutyHeld(None), now)
 
+    def _note_era(self, revision: StoreRevision, keys: Sequence[str]) -> None:
+        """Note that a whole list is of a later era than what this node knew."""
+        before = self._log.revision
+        if before == NO_REVISION or before.era >= revision.era:
+            return
+        now = self._clock()
+        lost = self._log.keys_beyond(keys)
+        fields: dict[str, object] = {
+            "before": str(before),
+            "revision": str(revision),
+            "age_seconds": round(self._state.freshness.age(now), 2),
+            "lost": lost[:MAX_KEYS_LOGGED],
+            "lost_count": len(lost),
+            "by_way_of": self._source or "itself",
+        }
+        logger.warning("store read after a restore", extra=fields)
+        self._state.note_restored(now)
+
     def _note_source(self, node_id: str | None) -> None:
         if node_id == self._source:
             return
--- a/src/hillstack/emulator/fleet_store.py
+++ b/src/hillstack/emulator/fleet_store.py
@@ -1,7 +1,7 @@
 """A small stand-in of the platform's metadata store, for tests of a fleet's node.
 
-It keeps items, revisions, leases and a history, and plays faults: down, lost answers, lost history.
-The names of the protocol come from the adapter.
+It keeps items, revisions, leases and a history, and plays faults: down, lost answers, lost history,
+a return from an older copy. The names of the protocol come from the adapter.
 """
 
 from __future__ import annotations
@@ -40,6 +40,21 @@
     ends_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """What the store held at some moment.
+
+    Attributes:
+        leases: Time to live of each lease.
+    """
+
+    revision: int
+    items: dict[str, StoreItem]
+    history: list[StoreItem]
+    forgotten: int
+    leases: dict[int, float]
+
+
 class FleetStore:
     """The store.
 
@@ -47,6 +62,10 @@
         down: Whether it refuses every call.
         lose_answers: Whether it does what is asked and never answers.
         calls: Number of calls, refused ones too.
+        era: Rises by one with each return from a copy; None if no answer names it.
+        wrong_era: What answers name in the place of the era; None if they name that.
+        page_items: Most items of one page of a list; None for all.
+        on_page: Called after each page but the last.
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
@@ -59,6 +78,31 @@
         self.down = False
         self.lose_answers = False
         self.calls = 0
+        self.era: int | None = 0
+        self.wrong_era: str | None = None
+        self.page_items: int | None = None
+        self.on_page: Callable[[], None] = lambda: None
+
+    def copy(self) -> StoreCopy:
+        """Return what it holds now, from which it may be restored later."""
+        leases = {lease_id: lease.ttl_seconds for lease_id, lease in self._leases.items()}
+        history = list(self._history)
+        return StoreCopy(self.revision, dict(self._items), history, self._forgotten, leases)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from an earlier copy.
+
+        What was written since is gone, leases too; those of the copy begin anew. Revisions go back
+        and are given out again.
+        """
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._forgotten = copy.forgotten
+        now = self._clock()
+        self._leases = {lease_id: _Lease(ttl, now + ttl) for lease_id, ttl in copy.leases.items()}
+        if self.era is not None:
+            self.era += 1
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write an item; return its revision."""
@@ -113,7 +157,7 @@
         async def guarded(request: Request) -> Response:
             self.calls += 1
             if self.down:
-                return Response(status_code=UNAVAILABLE)
+                return self._with_era(Response(status_code=UNAVAILABLE))
             self._expire()
             answer = handler(request)
             if asyncio.iscoroutine(answer):
@@ -121,10 +165,15 @@
             if self.lose_answers:
                 await asyncio.Event().wait()
             assert isinstance(answer, Response)
-            return answer
+            return self._with_era(answer)
 
         return guarded
 
+    def _with_era(self, response: Response) -> Response:
+        if self.era is not None and names.ERA_HEADER not in response.headers:
+            response.headers[names.ERA_HEADER] = self.wrong_era or str(self.era)
+        return response
+
     def _expire(self) -> None:
         now = self._clock()
         for lease_id in [n for n, lease in self._leases.items() if now >= lease.ends_at]:
@@ -137,8 +186,13 @@
 
     def _range(self, request: Request) -> Response:
         prefix = request.query_params.get(names.PREFIX_PARAMETER, "")
-        items = [self._items[key] for key in self.keys(prefix)]
-        return _json(RangeBody(items, False, self.revision))
+        after = request.query_params.get(names.AFTER_PARAMETER, "")
+        keys = [key for key in self.keys(prefix) if key > after]
+        page = [self._items[key] for key in keys[: self.page_items]]
+        answer = self._with_era(_json(RangeBody(page, len(page) < len(keys), self.revision)))
+        if len(page) < len(keys):
+            self.on_page()
+        return answer
 
     def _read(self, request: Request) -> Response:
         item = self._items.get(request.query_params[names.KEY_PARAMETER])
@@ -152,7 +206,7 @@
         while True:
             if self.down:
                 return Response(status_code=UNAVAILABLE)
-            if after < self._forgotten:
+            if after < self._forgotten or after > self.revision:
                 return Response(status_code=410)
             self._expire()
             events = self._events(prefix, after)
--- a/src/hillstack/emulator/platform.py
+++ b/src/hillstack/emulator/platform.py
@@ -21,7 +21,8 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
-from hillstack.daemon.key_value import Entry, Put, ValueIs
+from hillstack.core.store_revision import StoreRevision
+from hillstack.daemon.key_value import Condition, Entry, Put, RevisionIs
 
 COMPARE_FIELDS = {"VERSION": "version", "CREATE": "create_revision", "MOD": "mod_revision"}
 LEASE_CHECK_SECONDS = 0.1
@@ -87,10 +88,24 @@
     events: asyncio.Queue[dict[str, Any]] = field(default_factory=asyncio.Queue)
 
 
+@dataclass(frozen=True, slots=True)
+class KeyValueSnapshot:
+    """What the key-value service held at some moment."""
+
+    revision: int
+    values: dict[bytes, KeyValue]
+    next_lease: int
+
+
 class KeyValueStore:
-    """The state of the key-value service."""
+    """The state of the key-value service.
+
+    Attributes:
+        era: How often it was restored from a snapshot; no answer tells it.
+    """
 
     def __init__(self) -> None:
+        self.era = 0
         self.revision = 1
         self.values: dict[bytes, KeyValue] = {}
         self.leases: dict[int, Lease] = {}
@@ -112,21 +127,41 @@
             self.leases[lease].keys.add(key)
         self._notify("PUT", entry)
 
-    def transact(self, conditions: Sequence[ValueIs], puts: Sequence[Put]) -> int | None:
+    def transact(
+        self, conditions: Sequence[Condition], puts: Sequence[Put]
+    ) -> StoreRevision | None:
         """Write all keys if all conditions hold; return the revision, or None if one does not."""
-        for condition in conditions:
-            known = self.values.get(condition.key.encode())
-            if (known.value if known else None) != condition.value:
-                return None
+        if not all(self._holds(condition) for condition in conditions):
+            return None
         self.revision += 1
         for put in puts:
             self.put(put.key.encode(), put.value, put.lease_id, self.revision)
-        return self.revision
+        return StoreRevision(self.era, self.revision)
+
+    def _holds(self, condition: Condition) -> bool:
+        known = self.values.get(condition.key.encode())
+        if isinstance(condition, RevisionIs):
+            return (known.mod_revision if known else 0) == condition.revision.number
+        return (known.value if known else None) == condition.value
+
+    def snapshot(self) -> KeyValueSnapshot:
+        """Return what it holds now, from which it may be restored later."""
+        return KeyValueSnapshot(self.revision, dict(self.values), self._next_lease)
+
+    def restore(self, snapshot: KeyValueSnapshot) -> None:
+        """Come back from a snapshot: writes since are gone, leases too, and numbers come again."""
+        self.era += 1
+        self.revision = snapshot.revision
+        self.values = {key: value for key, value in snapshot.values.items() if not value.lease}
+        self.leases = {}
+        self._next_lease = snapshot.next_lease
 
     def entry(self, key: str) -> Entry | None:
         """Return a key's entry as the client of the service sees it."""
         known = self.values.get(key.encode())
-        return Entry(key, known.value, known.mod_revision) if known else None
+        if known is None:
+            return None
+        return Entry(key, known.value, StoreRevision(self.era, known.mod_revision))
 
     def delete(self, start: bytes, end: bytes, revision: int) -> int:
         """Delete a range and return the number of keys deleted."""
--- a/src/hillstack/errors.py
+++ b/src/hillstack/errors.py
@@ -64,8 +64,15 @@
     """The answer was lost; the operation may have taken effect."""
 
 
+class OutdatedAnswerError(PlatformOutcomeUnknownError):
+    """The answer is of a state that the key-value service has lost: it came back with an older one.
+
+    What a write did is lost with it, or was done after all in the state that stands.
+    """
+
+
 class HistoryLostError(PlatformError):
-    """The key-value service no longer has the changes since a revision."""
+    """The key-value service no longer has the changes since a revision, or was restored since."""
 
 
 class BackendError(HillstackError):
--- a/src/hillstack/etcd/key_value.py
+++ b/src/hillstack/etcd/key_value.py
@@ -2,20 +2,26 @@
 
 Errors keep apart what matters for a write: a refusal or a failed connection means that it did not
 take effect; a lost answer means that it may have.
+
+A cluster that was restored from a snapshot says so by nothing but its revision, which has fallen.
 """
 
 from __future__ import annotations
 
 import base64
 import json
+import logging
 from collections.abc import AsyncIterator, Sequence
 from typing import Any
 
 import aiohttp
 
-from hillstack.daemon.key_value import Entry, Put, ValueIs
+from hillstack.core.store_revision import StoreRevision
+from hillstack.daemon.key_value import Condition, Entry, Put, RevisionIs
 from hillstack.errors import PlatformError, PlatformOutcomeUnknownError, PlatformUnavailableError
 
+logger = logging.getLogger(__name__)
+
 REFUSED_STATUSES = frozenset({429, 503})
 WATCH_LINE_LIMIT_BYTES = 64 * 1024 * 1024
 
@@ -35,11 +41,17 @@
         self._endpoints = list(endpoints)
         self._session = session
         self._timeout = aiohttp.ClientTimeout(total=timeout, sock_connect=timeout / 2)
+        self._latest = StoreRevision(0, 0)
+
+    @property
+    def era(self) -> int:
+        """How often the cluster's revision has fallen, as far as this client has seen."""
+        return self._latest.era
 
     async def get(self, key: str) -> Entry | None:
         """Return a key's entry, or None."""
         answer = await self._call("/v3/kv/range", {"key": _encode(key)}, "read key")
-        entries = [_entry(item) for item in answer.get("kvs", [])]
+        entries = [self._entry(item) for item in answer.get("kvs", [])]
         return entries[0] if entries else None
 
     async def list_prefix(self, prefix: str, limit: int = 0) -> list[Entry]:
@@ -52,9 +64,11 @@
             "limit": str(limit),
         }
         answer = await self._call("/v3/kv/range", body, "list keys")
-        return [_entry(item) for item in answer.get("kvs", [])]
+        return [self._entry(item) for item in answer.get("kvs", [])]
 
-    async def transact(self, conditions: Sequence[ValueIs], puts: Sequence[Put]) -> int | None:
+    async def transact(
+        self, conditions: Sequence[Condition], puts: Sequence[Put]
+    ) -> StoreRevision | None:
         """Write all keys if all conditions hold.
 
         Returns:
@@ -71,7 +85,7 @@
         answer = await self._call("/v3/kv/txn", body, "transaction")
         if not answer.get("succeeded", False):
             return None
-        return int(answer["header"]["revision"])
+        return StoreRevision(self.era, int(answer["header"]["revision"]))
 
     async def grant_lease(self, ttl_seconds: float) -> int:
         """Make a lease and return its identifier."""
@@ -125,6 +139,7 @@
         self, endpoint: str, path: str, body: dict[str, Any], step: str
     ) -> dict[str, Any]:
         url = f"http://{endpoint}{path}"
+        known = self._latest
         try:
             async with self._session.post(url, json=body, timeout=self._timeout) as response:
                 if response.status in REFUSED_STATUSES:
@@ -134,12 +149,40 @@
                 if response.status != 200:
                     text = f"status {response.status}: {answer.get('error')}"
                     raise PlatformError(text, step=step, peer=endpoint)
+                self._note_revision(answer, known, endpoint)
                 return answer
         except aiohttp.ClientConnectorError as error:
             raise PlatformUnavailableError(str(error), step=step, peer=endpoint) from error
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise PlatformOutcomeUnknownError(repr(error), step=step, peer=endpoint) from error
 
+    def _note_revision(self, answer: dict[str, Any], known: StoreRevision, endpoint: str) -> None:
+        """Note the cluster's revision, and a new era where it has fallen.
+
+        Args:
+            answer: The answer that tells it.
+            known: The latest one that was known when the question was sent: an answer may be older
+                than one that overtook it.
+            endpoint: Who answered.
+        """
+        told = answer.get("header", {}).get("revision")
+        if told is None:
+            return
+        number = int(told)
+        if number < known.number and known.era == self._latest.era:
+            fields = {"before": known.number, "revision": number, "peer": endpoint}
+            logger.warning("key-value service restored", extra=fields)
+            self._latest = StoreRevision(self._latest.era + 1, number)
+        elif number > self._latest.number:
+            self._latest = StoreRevision(self._latest.era, number)
+
+    def _entry(self, item: dict[str, Any]) -> Entry:
+        return Entry(
+            base64.b64decode(item["key"]).decode(),
+            base64.b64decode(item.get("value", "")),
+            StoreRevision(self.era, int(item["mod_revision"])),
+        )
+
 
 def prefix_end(prefix: str) -> str:
     """Return the end of the range of all keys that start with an ASCII prefix."""
@@ -151,16 +194,11 @@
     return base64.b64encode(data).decode()
 
 
-def _entry(item: dict[str, Any]) -> Entry:
-    return Entry(
-        base64.b64decode(item["key"]).decode(),
-        base64.b64decode(item.get("value", "")),
-        int(item["mod_revision"]),
-    )
-
-
-def _condition(condition: ValueIs) -> dict[str, str]:
+def _condition(condition: Condition) -> dict[str, str]:
     key = _encode(condition.key)
+    if isinstance(condition, RevisionIs):
+        number = str(condition.revision.number)
+        return {"key": key, "target": "MOD", "result": "EQUAL", "mod_revision": number}
     if condition.value is None:
         return {"key": key, "target": "CREATE", "result": "EQUAL", "create_revision": "0"}
     value = _encode(condition.value)
--- a/src/hillstack/messages/peer_notices.py
+++ b/src/hillstack/messages/peer_notices.py
@@ -91,11 +91,13 @@
 
     Attributes:
         revision: Of the store's item that names it.
+        store_era: The era of the store that the revision is of; None if the sender knows none.
     """
 
     model: str
     version: int
     revision: int = 0
+    store_era: int | None = None
 
 
 class CacheNotice(msgspec.Struct, array_like=True, frozen=True):
@@ -143,6 +145,7 @@
         restarted: Runners whose processes have ended, since later ones of their names answered.
         leaving: Runners that have told the sender that they leave, before the directory says so.
         limits: What runners have told the sender of the limits that they name.
+        store_era: The era of the store, if the sender has just heard of it from the store itself.
     """
 
     protocol: int
@@ -162,6 +165,7 @@
     restarted: list[str] = []
     leaving: list[str] = []
     limits: list[LimitNotice] = []
+    store_era: int | None = None
 
     def is_news(self) -> bool:
         """Return whether it says more than that its sender is alive, and its loads."""
@@ -170,7 +174,7 @@
     def is_control(self) -> bool:
         """Return whether it says what each node must hear: not of single prompts or parts."""
         told = self.announcements or self.rollouts or self.leaving or self.limits
-        return bool(told) or self.is_urgent()
+        return bool(told) or self.store_era is not None or self.is_urgent()
 
     def is_urgent(self) -> bool:
         """Return whether it says what is sent at once, and never only repeats it."""
--- a/src/hillstack/messages/rollout_reports.py
+++ b/src/hillstack/messages/rollout_reports.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from hillstack.core.store_revision import StoreRevision
+
 
 class OutcomeCounts(msgspec.Struct, array_like=True, frozen=True):
     """Outcomes that one node saw of one version on one route, since it saw the order.
@@ -36,6 +38,8 @@
         bad: Whether it has enough evidence that the target version is bad.
         order_age_ms: How old the order is, as far as it knows, counted from the sending. It comes
             late by its way and can only be too young; of all that is told the oldest counts.
+        store_era: The era of the store that the order's revision is of; None if the sender knows
+            none.
     """
 
     service: str
@@ -45,3 +49,17 @@
     outcomes: list[OutcomeCounts] = []
     bad: bool = False
     order_age_ms: int = 0
+    store_era: int | None = None
+
+    def order(self, known: StoreRevision | None) -> StoreRevision:
+        """Return the revision of the order that it is about.
+
+        Args:
+            known: The order that stands: a sender that knows no eras can mean no other one, if the
+                number is the same.
+        """
+        if self.store_era is not None:
+            return StoreRevision(self.store_era, self.order_revision)
+        if known is not None and known.number == self.order_revision:
+            return known
+        return StoreRevision(0, self.order_revision)
--- a/src/hillstack/messages/store_changes.py
+++ b/src/hillstack/messages/store_changes.py
@@ -12,11 +12,13 @@
 
     Attributes:
         number: Comes back in the answer.
+        era: The era of the store that the revision is of; None if the sender knows none.
     """
 
     node_id: str
     number: int
     revision: int
+    era: int | None = None
 
 
 class ItemChange(msgspec.Struct, array_like=True, frozen=True):
@@ -49,6 +51,7 @@
         is_complete: Whether everything fitted; if not, only ages are told.
         named: Versions of weights that were named lately, with ages counted to the moment of
             sending, as far as they are proved to the sender.
+        era: The era of the store that all revisions are of; None if the sender knows none.
     """
 
     node_id: str
@@ -60,3 +63,4 @@
     keys: list[str] | None = None
     is_complete: bool = True
     named: list[NamedWeights] = msgspec.field(default_factory=list)
+    era: int | None = None
--- a/src/hillstack/platform/formats.py
+++ b/src/hillstack/platform/formats.py
@@ -24,6 +24,7 @@
 )
 from hillstack.core.runner_pool import RunnerEntry
 from hillstack.core.software_rollouts import RolloutOrder, RolloutRecord, RolloutStage
+from hillstack.core.store_revision import StoreRevision
 from hillstack.core.tenant_limits import LimitUnit, TenantLimit
 from hillstack.daemon.change_log import ListedKeys, StoredItem
 from hillstack.errors import PlatformError
@@ -80,7 +81,9 @@
     key = item.key
     value = item.value
     if key == names.DUTY_KEY:
-        return DutyHeld(value.decode(errors="replace") if value is not None else None)
+        if value is None:
+            return DutyHeld(None)
+        return DutyHeld(value.decode(errors="replace"), item.revision.number)
     if key.startswith(names.RUNNERS_PREFIX):
         instance = key[len(names.RUNNERS_PREFIX) :]
         if value is None:
@@ -128,6 +131,8 @@
             listed.node_ids.add(key.removeprefix(names.NODES_PREFIX))
         elif key.startswith(names.ROLLOUTS_PREFIX):
             listed.rollout_orders.add(key.removeprefix(names.ROLLOUTS_PREFIX))
+        elif key.startswith(names.ROLLOUT_RECORDS_PREFIX):
+            listed.rollout_records.add(key.removeprefix(names.ROLLOUT_RECORDS_PREFIX))
         elif key.startswith(names.ROLLOUT_DUTY_PREFIX):
             listed.rollout_duties.add(key.removeprefix(names.ROLLOUT_DUTY_PREFIX))
     return listed
@@ -223,7 +228,7 @@
     return RolloutRecord(
         service,
         body.target,
-        body.order_revision,
+        StoreRevision(item.revision.era, body.order_revision),
         stage,
         body.reason,
         tuple(body.rejected),
--- a/src/hillstack/platform/names.py
+++ b/src/hillstack/platform/names.py
@@ -51,6 +51,7 @@
 PREFIX_PARAMETER = "path_prefix"
 # Allows an answer that is seconds old, at a tenth of the price.
 STALE_PARAMETER = "stale"
+ERA_HEADER = "Store-Era"
 AFTER_PARAMETER = "after"
 WAIT_PARAMETER = "wait_ms"
 KEY_PARAMETER = "key"
--- a/src/hillstack/platform/rollouts.py
+++ b/src/hillstack/platform/rollouts.py
@@ -49,7 +49,7 @@
     """Return a record as it lies in the store."""
     body = RolloutRecordBody(
         record.target,
-        record.order_revision,
+        record.order_revision.number,
         record.stage.value,
         record.reason,
         list(record.rejected),
--- a/src/hillstack/platform/store.py
+++ b/src/hillstack/platform/store.py
@@ -3,20 +3,24 @@
 from __future__ import annotations
 
 import base64
+import logging
 import urllib.parse
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
-from typing import TypeVar
+from typing import TypeGuard, TypeVar
 
 import aiohttp
 import msgspec
 
 from hillstack.core.node_directory import NodeEntry
 from hillstack.core.software_rollouts import RolloutRecord
+from hillstack.core.store_era import StoreEra
+from hillstack.core.store_revision import NO_REVISION, StoreRevision
 from hillstack.daemon.change_log import ListedKeys, StoreChange, StoredItem
 from hillstack.daemon.key_value import Condition, Entry, Put, RevisionIs
 from hillstack.errors import (
     HistoryLostError,
+    OutdatedAnswerError,
     PlatformError,
     PlatformOutcomeUnknownError,
     PlatformThrottledError,
@@ -47,6 +51,8 @@
 from hillstack.platform.unreadable import UnreadableItems
 from hillstack.serving.store_events import RolloutRecorded, StoreEvent
 
+logger = logging.getLogger(__name__)
+
 OK = 200
 NOT_FOUND = 404
 GONE = 410
@@ -57,6 +63,8 @@
 CALL_LIMIT_SECONDS = 1.5
 # A quarter of the lease: a renewal without an answer is repeated while it runs.
 LEASE_CALL_LIMIT_SECONDS = 0.5
+# Eras are counted one by one.
+MOST_ERA_DIGITS = 15
 # What stands for a value that is not base64: no item is read from it.
 UNREADABLE_VALUE = b""
 
@@ -74,8 +82,8 @@
     """
 
     changes: list[StoreChange]
-    revision: int
-    latest: int
+    revision: StoreRevision
+    latest: StoreRevision
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +91,15 @@
     """Changes since a revision, and the revision up to which they go."""
 
     changes: list[StoreChange]
-    revision: int
+    revision: StoreRevision
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """The body of an answer, and the era that it is of."""
+
+    body: bytes
+    era: int
 
 
 class MetadataStore:
@@ -93,6 +109,7 @@
         address: ``IP:PORT``.
         session: HTTP session of ``make_store_session``; not closed here.
         on_unreadable: Called for each item that can't be read.
+        store_era: Where the eras that answers name are noted; one of its own by default.
     """
 
     def __init__(
@@ -100,60 +117,82 @@
         address: str,
         session: aiohttp.ClientSession,
         on_unreadable: Callable[[], None] = lambda: None,
+        store_era: StoreEra | None = None,
     ) -> None:
+        self._era = store_era or StoreEra()
+        self._unreadable_era: str | None = None
         self._unreadable = UnreadableItems(on_unreadable)
         self._base = f"http://{address}"
         self._address = address
         self._session = session
 
+    @property
+    def era(self) -> int:
+        """The latest era of the store that is known."""
+        return self._era.current
+
     async def snapshot(self, *, may_be_old: bool = False) -> Snapshot:
         """Return everything; the pages are no snapshot, so watch from the earliest revision.
 
         Args:
             may_be_old: Whether the answer may be some seconds old; it costs a tenth then.
+
+        Raises:
+            PlatformError: A call failed, or the store was restored between two pages.
         """
-        pages = await self._pages("", may_be_old)
-        revisions = [page.at for page in pages]
-        items = [_stored(item) for page in pages for item in page.items]
+        era, pages = await self._pages("", may_be_old)
+        revisions = [StoreRevision(era, page.at) for page in pages]
+        items = [_stored(item, era) for page in pages for item in page.items]
         return Snapshot(self.read_items(items), min(revisions), max(revisions))
 
     async def _list(self, prefix: str) -> list[StoredItem]:
         """Return the items below a prefix."""
-        pages = await self._pages(prefix, may_be_old=False)
-        return [_stored(item) for page in pages for item in page.items]
+        era, pages = await self._pages(prefix, may_be_old=False)
+        return [_stored(item, era) for page in pages for item in page.items]
 
-    async def _pages(self, prefix: str, may_be_old: bool) -> list[RangeBody]:
-        """Return all pages of the items below a prefix."""
+    async def _pages(self, prefix: str, may_be_old: bool) -> tuple[int, list[RangeBody]]:
+        """Return all pages of the items below a prefix, and the era that they are of."""
         pages: list[RangeBody] = []
+        eras: set[int] = set()
         after = ""
         while True:
             query = {names.PREFIX_PARAMETER: prefix}
             query |= {names.AFTER_PARAMETER: after} if after else {}
             query |= {names.STALE_PARAMETER: "1"} if may_be_old else {}
-            raw = await self._call("GET", names.RANGE_PATH, "list", query=query)
-            page = self._decode(raw, RangeBody)
+            answer = await self._call(
+                "GET", names.RANGE_PATH, "list", query=query, may_be_old=may_be_old
+            )
+            page = self._decode(answer, RangeBody)
             pages.append(page)
+            eras.add(answer.era)
+            if len(eras) > 1:
+                text = "restored between two pages"
+                raise OutdatedAnswerError(text, step="list", peer=self._address)
             if not page.more or not page.items:
-                return pages
+                return answer.era, pages
             after = page.items[-1].key
 
-    async def changes(self, revision: int, wait_seconds: float) -> Changes:
+    async def changes(self, revision: StoreRevision, wait_seconds: float) -> Changes:
         """Return the changes after a revision, waiting for one for a while.
 
         Raises:
-            HistoryLostError: The store no longer has them.
+            HistoryLostError: The store no longer has them, or has been restored since.
             PlatformError: The call failed.
         """
         query = {
             names.PREFIX_PARAMETER: "",
-            names.AFTER_PARAMETER: str(revision),
+            names.AFTER_PARAMETER: str(revision.number),
             names.WAIT_PARAMETER: str(int(wait_seconds * 1000)),
         }
         limit = wait_seconds + CALL_LIMIT_SECONDS
-        raw = await self._call("GET", names.WATCH_PATH, "watch", query=query, limit=limit)
-        body = self._decode(raw, WatchBody)
-        changes = self.read_items(map(_stored, body.events))
-        return Changes(changes, max(revision, body.at))
+        answer = await self._call("GET", names.WATCH_PATH, "watch", query=query, limit=limit)
+        if answer.era != revision.era:
+            # It counts from a revision that now is another change's.
+            text = f"restored since {revision}"
+            raise HistoryLostError(text, step="watch", peer=self._address)
+        body = self._decode(answer, WatchBody)
+        changes = self.read_items(_stored(item, answer.era) for item in body.events)
+        return Changes(changes, max(revision, StoreRevision(answer.era, body.at)))
 
     def read_items(self, items: Iterable[StoredItem]) -> list[StoreChange]:
         """Return what items mean; one that can't be read is told, and the others hold."""
@@ -163,7 +202,7 @@
         """Return what a whole list of keys says."""
         return listed_keys(keys)
 
-    async def announce_node(self, node: NodeEntry) -> int:
+    async def announce_node(self, node: NodeEntry) -> StoreRevision:
         """Write where a node listens for its peers, and what else they need of it.
 
         Returns:
@@ -175,56 +214,71 @@
             raise PlatformError("not written", step="announce node", peer=self._address)
         return revision
 
-    async def remove_node(self, node_id: str, revision: int) -> bool:
+    async def remove_node(self, node_id: str, revision: StoreRevision) -> bool:
         """Remove a node's entry if it has this revision; return whether it had."""
         key = names.NODES_PREFIX + node_id
-        body = TxnRequest([KeyRevision(key, revision)], [], [key])
-        return await self._transact(body) is not None
+        return await self._transact([RevisionIs(key, revision)], [], [key]) is not None
 
     async def get(self, key: str) -> Entry | None:
         """Return a key's entry, or None."""
         try:
-            raw = await self._call(
+            answer = await self._call(
                 "GET", names.KEY_PATH, "read key", query={names.KEY_PARAMETER: key}
             )
         except _StatusError as error:
             if error.status == NOT_FOUND:
                 return None
             raise
-        item = self._decode(raw, StoreItem)
-        return Entry(item.key, base64.b64decode(item.value), item.rev)
+        item = self._decode(answer, StoreItem)
+        revision = StoreRevision(answer.era, item.rev)
+        return Entry(item.key, base64.b64decode(item.value), revision)
 
-    async def transact(self, conditions: Sequence[Condition], puts: Sequence[Put]) -> int | None:
+    async def transact(
+        self, conditions: Sequence[Condition], puts: Sequence[Put]
+    ) -> StoreRevision | None:
         """Write if all conditions hold; return the revision or None.
 
         Raises:
             PlatformError: It failed, or a condition asks for a value: the store compares revisions.
         """
-        expected = [self._expected(condition) for condition in conditions]
-        return await self._transact(TxnRequest(expected, [_put(put) for put in puts]))
+        return await self._transact(conditions, puts, [])
 
     def _expected(self, condition: Condition) -> KeyRevision:
         """Return a condition as the store understands it."""
         if isinstance(condition, RevisionIs):
-            return KeyRevision(condition.key, condition.revision)
+            return KeyRevision(condition.key, condition.revision.number)
         if condition.value is None:
             return KeyRevision(condition.key, 0)
         text = f"no condition on the value of {condition.key}"
         raise PlatformError(text, step="transact", peer=self._address)
 
-    async def _transact(self, body: TxnRequest) -> int | None:
-        """Return the revision of a transaction, or None if its conditions do not hold."""
+    async def _transact(
+        self, conditions: Sequence[Condition], puts: Sequence[Put], removed: Sequence[str]
+    ) -> StoreRevision | None:
+        """Return the revision of a transaction, or None if its conditions do not hold.
+
+        A condition on a revision of an earlier era can't be asked for: the number may be that of
+        another change now.
+        """
+        expected = [self._expected(condition) for condition in conditions]
+        counted_in = {c.revision.era for c in conditions if _names_a_change(c)}
+        if counted_in - {self.era}:
+            return None
+        body = TxnRequest(expected, [_put(put) for put in puts], list(removed))
         try:
-            raw = await self._call("POST", names.TXN_PATH, "transact", body=body)
+            answer = await self._call("POST", names.TXN_PATH, "transact", body=body)
         except _StatusError as error:
             if error.status in (CONDITION_FAILED, NOT_FOUND):
                 return None
             raise
-        return self._decode(raw, TxnBody).rev
+        if counted_in - {answer.era}:
+            text = "restored under a write with conditions"
+            raise PlatformOutcomeUnknownError(text, step="transact", peer=self._address)
+        return StoreRevision(answer.era, self._decode(answer, TxnBody).rev)
 
     async def write_rollout(
-        self, record: RolloutRecord, fence: int, tell_operator: bool
-    ) -> int | None:
+        self, record: RolloutRecord, fence: StoreRevision, tell_operator: bool
+    ) -> StoreRevision | None:
         """Replace a record, with the operator's status, under the conditions of ``RolloutStore``.
 
         Returns:
@@ -263,10 +317,10 @@
     async def grant_lease(self, ttl_seconds: float) -> int:
         """Return the identifier of a new lease."""
         body = LeaseRequest(int(ttl_seconds * 1000))
-        raw = await self._call(
+        answer = await self._call(
             "POST", names.LEASE_PATH, "grant lease", body=body, limit=LEASE_CALL_LIMIT_SECONDS
         )
-        return self._decode(raw, LeaseBody).lease
+        return self._decode(answer, LeaseBody).lease
 
     async def keep_alive(self, lease_id: int) -> bool:
         """Renew a lease; return False if it is over."""
@@ -292,9 +346,9 @@
             # Without a value a configuration means nothing: the last good one stays in force.
             return to_event(StoredItem(item.key, item.revision, None))
 
-    def _decode(self, raw: bytes, kind: type[Body]) -> Body:
+    def _decode(self, answer: _Answer, kind: type[Body]) -> Body:
         try:
-            return msgspec.json.decode(raw, type=kind)
+            return msgspec.json.decode(answer.body, type=kind)
         except msgspec.MsgspecError as error:
             raise PlatformError(str(error), step="decode", peer=self._address) from error
 
@@ -307,19 +361,22 @@
         query: dict[str, str] | None = None,
         body: object = None,
         limit: float = CALL_LIMIT_SECONDS,
-    ) -> bytes:
+        may_be_old: bool = False,
+    ) -> _Answer:
         url = self._base + path
         if query:
             url += "?" + urllib.parse.urlencode(query)
         data = msgspec.json.encode(body) if body is not None else None
         headers = {"Content-Type": "application/json"} if data is not None else {}
         timeout = aiohttp.ClientTimeout(total=limit, sock_connect=CALL_LIMIT_SECONDS)
+        asked_in = self.era
         try:
             async with self._session.request(
                 method, url, data=data, headers=headers, timeout=timeout
             ) as response:
                 raw = await response.read()
                 status = response.status
+                told = self._told_era(response.headers.get(names.ERA_HEADER))
         except aiohttp.ClientConnectorError as error:
             raise PlatformUnavailableError(str(error), step=step, peer=self._address) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -327,8 +384,11 @@
                 note_silence(self._session, self._address)
             text = str(error) or type(error).__name__
             raise PlatformOutcomeUnknownError(text, step=step, peer=self._address) from error
+        era = self._era.of_answer(told, asked_in, may_be_old=may_be_old)
+        if era is None:
+            raise OutdatedAnswerError("of an earlier era", step=step, peer=self._address)
         if status == OK:
-            return raw
+            return _Answer(raw, era)
         if status == THROTTLED:
             raise PlatformThrottledError(f"status {status}", step=step, peer=self._address)
         if status == REFUSED:
@@ -337,6 +397,18 @@
             raise HistoryLostError("history gone", step=step, peer=self._address)
         raise _StatusError(status, step, self._address)
 
+    def _told_era(self, text: str | None) -> int | None:
+        """Return the era that an answer names; None if it names none that can be read."""
+        if text is None:
+            return None
+        if text.isascii() and text.isdecimal() and len(text) <= MOST_ERA_DIGITS:
+            return int(text)
+        if text != self._unreadable_era:
+            self._unreadable_era = text
+            shown = text[:MOST_ERA_DIGITS]
+            logger.error("store era can't be read", extra={"era": shown, "peer": self._address})
+        return None
+
 
 class _StatusError(PlatformError):
     def __init__(self, status: int, step: str, peer: str) -> None:
@@ -344,14 +416,20 @@
         self.status = status
 
 
-def _stored(item: StoreItem) -> StoredItem:
+def _names_a_change(condition: Condition) -> TypeGuard[RevisionIs]:
+    """Return whether a condition holds for one change only, not for a key that is absent."""
+    return isinstance(condition, RevisionIs) and condition.revision != NO_REVISION
+
+
+def _stored(item: StoreItem, era: int) -> StoredItem:
     """Return an item of the wire; a value that is not base64 becomes one that can't be read."""
+    revision = StoreRevision(era, item.rev)
     if item.gone:
-        return StoredItem(item.key, item.rev, None)
+        return StoredItem(item.key, revision, None)
     try:
-        return StoredItem(item.key, item.rev, base64.b64decode(item.value, validate=True))
+        return StoredItem(item.key, revision, base64.b64decode(item.value, validate=True))
     except ValueError:
-        return StoredItem(item.key, item.rev, UNREADABLE_VALUE)
+        return StoredItem(item.key, revision, UNREADABLE_VALUE)
 
 
 def _put(put: Put) -> PutBody:
--- a/src/hillstack/platform/unreadable.py
+++ b/src/hillstack/platform/unreadable.py
@@ -6,6 +6,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
+from hillstack.core.store_revision import StoreRevision
 from hillstack.daemon.change_log import StoredItem
 from hillstack.errors import PlatformError
 from hillstack.logs import error_fields
@@ -28,7 +29,7 @@
 
     def __init__(self, on_new: Callable[[], None] = lambda: None) -> None:
         self._on_new = on_new
-        self._revisions: OrderedDict[str, int] = OrderedDict()
+        self._revisions: OrderedDict[str, StoreRevision] = OrderedDict()
 
     def note(self, item: StoredItem, error: PlatformError) -> None:
         """Note an item, and tell of it unless that was done for this revision."""
@@ -38,7 +39,7 @@
         self._revisions.move_to_end(item.key)
         while len(self._revisions) > MAX_KEYS:
             self._revisions.popitem(last=False)
-        fields = error_fields(error) | {"revision": item.revision}
+        fields = error_fields(error) | {"revision": str(item.revision)}
         shortened = {
             name: value[:MAX_ERROR_CHARACTERS] if isinstance(value, str) else value
             for name, value in fields.items()
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from hillstack.core.cache_watch import CacheHolder
 from hillstack.core.crash_counts import CrashCounts
@@ -16,7 +17,9 @@
 from hillstack.core.runner_pool import Runner, RunnerEntry, RunnerPool
 from hillstack.core.shared_retry_budget import SharedRetryBudget
 from hillstack.core.software_rollouts import RolloutOrder, RolloutRecord, SoftwareRollouts
+from hillstack.core.store_era import StoreEra
 from hillstack.core.store_proofs import StoreProofs
+from hillstack.core.store_revision import StoreRevision
 from hillstack.core.topology import ONE_REGION, Distance, Topology
 from hillstack.core.traffic_split import TrafficSplit
 from hillstack.core.version_arrivals import VersionArrivals
@@ -52,6 +55,10 @@
 OUTAGE_EFFECT_SECONDS = 2.5
 # So long a runner without an entry is used on after an outage: below both, with a margin.
 UNLISTED_GRACE_SECONDS = 1.6
+# What the operator wrote is written again within some seconds of a restore.
+WRITTEN_AGAIN_SECONDS = 10.0
+# The entry of a runner that does not live is dropped after three heartbeats of 1.2 s.
+LAPSE_SECONDS = 5.0
 # Answers of several peers differ by some tenths of a millisecond: 702 of 823 moves of bounds on a
 # day of 69 nodes were shorter than one.
 LEAST_LOGGED_MOVE_SECONDS = 0.01
@@ -64,6 +71,21 @@
 MOST_NODES = 8_192
 
 
+@dataclass(frozen=True, slots=True)
+class ListedRollouts:
+    """What a whole list of the store says of rollouts of software.
+
+    Attributes:
+        ordered: The services with an order.
+        recorded: The services of which it is written how far a rollout is.
+        held: The services whose rollout some node decides.
+    """
+
+    ordered: set[str]
+    recorded: set[str]
+    held: set[str]
+
+
 class FleetState:
     """The beliefs of one node, changed by what the store, peers and requests show.
 
@@ -79,6 +101,8 @@
         start_gate: Holds requests until the store was read for the first time.
         peers_known: Whether this node knows all nodes that were listed before it, and those listed
             later know it. Until then it knows no part of what all share.
+        store_era: Which era the store is in.
+        highest_fence: Highest fence that any holder of the duty of weights was seen to have.
         rollout_deciders: Which node decides the rollout of a service.
         unjudged_until: Until then a node that has just started is not held to bounds in time, so
             a version that was named before its start need not be in use earlier.
@@ -96,6 +120,7 @@
         self.node_id = node_id
         self.topology = topology
         self.freshness = freshness
+        self.store_era = StoreEra()
         self.proofs = StoreProofs()
         self.versions = versions
         self.budget = budget
@@ -114,6 +139,11 @@
         self._holders: list[CacheHolder] = []
         self._holders_of: tuple[RoutingTable, int] | None = None
         self.duty_holder: str | None = None
+        self.highest_fence = 0
+        # Orders that a restored store has lost, with until when they stand all the same.
+        self._missing_orders: dict[str, float] = {}
+        # Entries of runners that were known to be gone before the store was restored.
+        self._doubtful: dict[str, tuple[RunnerEntry, float]] = {}
         self.rollout_deciders: dict[str, str | None] = {}
         self.duty_known = False
         self.directory_known = False
@@ -156,6 +186,7 @@
             case RolloutOrdered(order):
                 self._take_rollout_order(order, not_before, now)
             case RolloutWithdrawn(service, at_revision):
+                self._missing_orders.pop(service, None)
                 if self.rollouts.withdraw(service, at_revision):
                     logger.info("rollout order withdrawn", extra={"service": service})
             case RolloutRecorded(record):
@@ -164,12 +195,13 @@
                 self._list_node(NodeEntry(node_id, address, zone, revision, link), now)
             case NodeUnlisted(node_id):
                 self._unlist_node(node_id, now)
-            case DutyHeld(holder):
+            case DutyHeld(holder, fence):
                 self.duty_holder = holder
+                self.highest_fence = max(self.highest_fence, fence)
             case RolloutDutyHeld(service, decider):
                 self.rollout_deciders[service] = decider
 
-    def note_proof(self, revision: int, proved_at: float) -> None:
+    def note_proof(self, revision: StoreRevision, proved_at: float) -> None:
         """Note an answer of the store: its revision, and when it was asked for."""
         self.freshness.prove(proved_at)
         self.proofs.note(revision, proved_at)
@@ -203,27 +235,37 @@
         """Take over what a peer has proved of when a known version was named."""
         self._log_bound_moves(self.versions.narrow(named, source), now)
 
-    def retain_nodes(self, listed: set[str], now: float, revision: int) -> None:
+    def retain_nodes(self, listed: set[str], now: float, revision: StoreRevision) -> None:
         """Drop the nodes that a whole list, as of a revision, no longer has."""
         for node in self.nodes.all():
             if node.node_id not in listed and node.revision <= revision:
                 self._unlist_node(node.node_id, now)
 
-    def retain_runners(self, listed: set[str], now: float, revision: int) -> None:
+    def retain_runners(self, listed: set[str], now: float, revision: StoreRevision) -> None:
         """Drop the runners that a whole list of the directory, as of a revision, no longer has."""
+        for name in self._doubtful.keys() - listed:
+            del self._doubtful[name]
         for runner in self.pool.all():
             if runner.entry.directory_name in listed or runner.entry.revision > revision:
                 continue
             if runner.unlisted_until is None:
-                self._unlist_runner(runner.runner_id, now)
+                self._unlist_runner(runner.runner_id, revision, now)
         self.directory_known = True
 
-    def retain_rollouts(self, ordered: set[str], held: set[str], revision: int) -> None:
-        """Drop the orders and duties that a whole list, as of a revision, no longer has."""
+    def retain_rollouts(self, listed: ListedRollouts, now: float, revision: StoreRevision) -> None:
+        """Drop the orders and duties that a whole list, as of a revision, no longer has.
+
+        The operator writes an order again that a restored store has lost: it stands until then.
+        """
         for order in self.rollouts.orders():
-            if order.service not in ordered:
+            if order.service in listed.ordered or order.service in self._missing_orders:
+                continue
+            if order.revision.era < revision.era:
+                self._missing_orders[order.service] = now + WRITTEN_AGAIN_SECONDS
+            else:
                 self.rollouts.withdraw(order.service, revision)
-        for service in self.rollout_deciders.keys() - held:
+        self.rollouts.retain_records(listed.recorded, revision)
+        for service in self.rollout_deciders.keys() - listed.held:
             self.rollout_deciders[service] = None
 
     def note_calls_failed(self, until: float) -> None:
@@ -233,6 +275,13 @@
         """
         self._calls_failed_until = max(self._calls_failed_until, until)
 
+    def note_restored(self, now: float) -> None:
+        """Note that the store came back with an older state.
+
+        Entries of runners that live are missing until these write them again.
+        """
+        self.note_calls_failed(now)
+
     def store_regained(self, lost_until: float, now: float | None = None) -> None:
         """Note the end of an outage of the store, which lasted at least until a time.
 
@@ -279,11 +328,28 @@
         return self.table.tenants_by_key is None or self.freshness.is_fresh(now)
 
     def expire(self, now: float) -> None:
-        """Forget what has been gone for long."""
+        """Forget what has been gone for long; list runners that are back after all."""
+        self._withdraw_missing_orders(now)
+        for name, (entry, until) in list(self._doubtful.items()):
+            if now >= until:
+                del self._doubtful[name]
+                self._take_entry(entry, now)
         for runner in self.pool.expire_unlisted(now):
             self.index.forget(runner.runner_id)
         self._share_budgets(now)
 
+    def _withdraw_missing_orders(self, now: float) -> None:
+        """Withdraw the orders that were not written again after a restore of the store."""
+        for service, until in list(self._missing_orders.items()):
+            order = self.rollouts.order(service)
+            is_back = order is not None and order.revision.era == self.store_era.current
+            if not is_back and now < until:
+                continue
+            del self._missing_orders[service]
+            if order is not None and not is_back:
+                self.rollouts.withdraw(service, order.revision)
+                logger.info("rollout order withdrawn", extra={"service": service})
+
     def kept_cache_stores(self, now: float) -> list[KeptCacheStore]:
         """Return the stores of kept KV cache that answer."""
         stores = self.table.kept_cache_stores() if self.table is not None else []
@@ -370,12 +436,12 @@
     def _take_rollout_order(self, order: RolloutOrder, not_before: float, now: float) -> None:
         if not self.rollouts.take_order(order):
             return
-        self.exposure.open(order.service, order.revision, order.over_seconds, not_before, now)
+        self.exposure.open(order.service, order.identity, order.over_seconds, not_before, now)
         fields = {
             "service": order.service,
             "target": order.target,
             "over_seconds": order.over_seconds,
-            "revision": order.revision,
+            "revision": str(order.revision),
         }
         logger.info("rollout ordered", extra=fields)
 
@@ -388,7 +454,7 @@
             "target": record.target,
             "stage": record.stage,
             "reason": record.reason,
-            "order_revision": record.order_revision,
+            "order_revision": str(record.order_revision),
         }
         logger.info("rollout stage", extra=fields)
 
@@ -411,6 +477,10 @@
             # Its process says when it started: this was written by something else.
             self._take_removal(entry.directory_name, entry.revision, now)
             return
+        if not self._is_doubtful(entry, now):
+            self._take_entry(entry, now)
+
+    def _take_entry(self, entry: RunnerEntry, now: float) -> None:
         other = self.pool.other_process(entry)
         if other is not None:
             self._replace_process(other, entry, now)
@@ -428,10 +498,28 @@
             "draining": entry.draining,
             "weights": entry.weights,
             "software": entry.software,
-            "revision": entry.revision,
+            "revision": str(entry.revision),
         }
         logger.info("runner changed" if known else "runner listed", extra=fields)
 
+    def _is_doubtful(self, entry: RunnerEntry, now: float) -> bool:
+        """Return whether an entry is kept back: the store may have it from its copy alone.
+
+        The runner was known to be gone before the restore. One that is gone lapses from the copy;
+        one that lives is listed still after that, or has changed its entry by then.
+        """
+        name = entry.directory_name
+        kept = self._doubtful.get(name)
+        if kept is not None and kept[0].revision.era == entry.revision.era:
+            if kept[0].revision < entry.revision:
+                del self._doubtful[name]
+            return kept[0].revision == entry.revision
+        if not self.pool.is_gone_before(entry):
+            return False
+        self._doubtful[name] = entry, now + LAPSE_SECONDS
+        logger.info("runner kept back", extra={"runner": entry.runner_id})
+        return True
+
     def _replace_process(self, known: Runner, entry: RunnerEntry, now: float) -> None:
         """Put another process in the place of the one that is known under a name.
 
@@ -460,20 +548,21 @@
         if engine is not None:
             self.index.set_capacity(runner.runner_id, engine.kv_capacity_tokens)
 
-    def _take_removal(self, listed_as: str, revision: int | None, now: float) -> None:
+    def _take_removal(self, listed_as: str, revision: StoreRevision | None, now: float) -> None:
+        self._doubtful.pop(listed_as, None)
         runner = self.pool.listed_as(listed_as)
         if runner is None:
             return
         if revision is not None and runner.entry.revision > revision:
             # It was listed again since, and that was heard first.
             return
-        self._unlist_runner(runner.runner_id, now)
+        self._unlist_runner(runner.runner_id, revision, now)
 
-    def _unlist_runner(self, runner_id: str, now: float) -> None:
+    def _unlist_runner(self, runner_id: str, revision: StoreRevision | None, now: float) -> None:
         failed_ago = now - self._calls_failed_until
         after_outage = failed_ago < OUTAGE_EFFECT_SECONDS
         grace = UNLISTED_GRACE_SECONDS if after_outage else 0.0
-        runner = self.pool.unlist(runner_id, now, grace)
+        runner = self.pool.unlist(runner_id, now, grace, revision)
         if runner is None:
             return
         fields = {
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -8,6 +8,7 @@
 
 from hillstack.core.routing_table import Route, TenantEntry
 from hillstack.core.runner_pool import Runner
+from hillstack.core.store_revision import StoreRevision
 from hillstack.core.weights_versions import WeightsVersions
 from hillstack.serving.attempt_watch import NOT_WATCHED, AttemptWatch
 from hillstack.serving.event_framing import EventFraming
@@ -117,7 +118,7 @@
     trial_send: int | None = None
     answer_ready: bool = False
     is_fatal: bool = False
-    versions_of: int | None = None
+    versions_of: StoreRevision | None = None
     is_canary: bool = False
     watch: AttemptWatch = NOT_WATCHED
 
--- a/src/hillstack/serving/metrics.py
+++ b/src/hillstack/serving/metrics.py
@@ -50,6 +50,11 @@
             "Items of the store that can't be read, once each revision.",
             registry=self.registry,
         )
+        self.store_restores = Counter(
+            "hillstack_store_restores",
+            "Times that the store came back from an older copy of itself.",
+            registry=self.registry,
+        )
         self.suspended = Counter(
             "hillstack_suspended_seconds",
             "Time for which the machine was suspended.",
--- a/src/hillstack/serving/rollout_observer.py
+++ b/src/hillstack/serving/rollout_observer.py
@@ -22,7 +22,8 @@
 from hillstack.core.rollout_plan import is_decided
 from hillstack.core.routing_table import RouteKind
 from hillstack.core.runner_pool import Runner
-from hillstack.core.software_rollouts import RolloutOrder, RolloutStage
+from hillstack.core.software_rollouts import RolloutOrder, RolloutStage, is_of_order
+from hillstack.core.store_revision import StoreRevision
 from hillstack.messages.rollout_reports import OutcomeCounts, RolloutReport
 from hillstack.serving.attempt_watch import NOT_WATCHED, AttemptWatch
 from hillstack.serving.fleet_state import FleetState
@@ -53,7 +54,8 @@
 OWN_INCARNATION = -1
 JUDGED = (RolloutStage.CANARY, RolloutStage.SHIFTING)
 
-Rollout = tuple[str, int]
+# A service, and what names the order.
+Rollout = tuple[str, StoreRevision]
 
 
 class RolloutJudge(Protocol):
@@ -205,12 +207,15 @@
         self, node_id: str, incarnation: int, report: RolloutReport, now: float
     ) -> None:
         """Take over what a peer saw; its order may not be known here yet."""
-        watched = self._of_report((report.service, report.order_revision))
+        order = self._state.rollouts.order(report.service)
+        about = report.order(order.revision if order is not None else None)
+        is_standing = order is not None and about == order.revision
+        identity = order.identity if order is not None and is_standing else about
+        watched = self._of_report((report.service, identity))
         if watched is None:
             return
         watched.evidence.take(node_id, incarnation, report, now)
-        order = self._state.rollouts.order(report.service)
-        if order is not None and order.revision == report.order_revision:
+        if order is not None and is_standing:
             self._look(order, now)
 
     async def run(self) -> None:
@@ -299,11 +304,11 @@
 
     def _close(self, order: RolloutOrder, watched: _Watched, cause: str, now: float) -> None:
         watched.is_bad = True
-        self._state.rollouts.condemn(order.service, order.revision)
+        self._state.rollouts.condemn(order.service, order.identity)
         fields: dict[str, object] = {
             "service": order.service,
             "version": order.target,
-            "order_revision": order.revision,
+            "order_revision": str(order.revision),
             "cause": cause,
             "evidence": _summary(watched.evidence.totals()),
         }
@@ -331,14 +336,15 @@
         now = self._clock()
         # Cut off, not rounded: told on again and again it must never become older than it is.
         age_ms = max(0, int((now - self._ordered_at(order, watched, now)) * 1000))
-        return RolloutReport(
-            order.service, order.revision, stage, old_running, rows, is_bad, age_ms
-        )
+        number, era = order.revision.number, order.revision.era
+        return RolloutReport(order.service, number, stage, old_running, rows, is_bad, age_ms, era)
 
     def _ordered_at(self, order: RolloutOrder, watched: _Watched, now: float) -> float:
         """Return when the order was given, by what this node saw, the record and the peers."""
         assert watched.age is not None
-        watched.age.note(self._state.rollouts.record(order.service), now)
+        record = self._state.rollouts.record(order.service)
+        if record is not None and is_of_order(record, order):
+            watched.age.note(record, now)
         watched.age.note_told(watched.evidence.ordered_at)
         return watched.age.ordered_at
 
@@ -355,12 +361,12 @@
         return not is_decided(order, self._state.rollouts.record(order.service))
 
     def _of_order(self, order: RolloutOrder, now: float) -> _Watched:
-        key = (order.service, order.revision)
+        key = (order.service, order.identity)
         watched = self._watched.get(key)
         if watched is None:
             watched = self._watched[key] = _Watched()
         if watched.judge is None:
-            watched.age = OrderAge(order, now)
+            watched.age = OrderAge(now)
             watched.judge = self._make_judge(order, watched.age.ordered_at)
         return watched
 
@@ -383,7 +389,7 @@
             if order is None:
                 is_over = not watched.evidence.reporters(now)
             else:
-                is_over = key[1] < order.revision
+                is_over = key[1] != order.identity and key[1] <= order.revision
             if is_over:
                 del self._watched[key]
 
--- a/src/hillstack/serving/store_events.py
+++ b/src/hillstack/serving/store_events.py
@@ -7,6 +7,7 @@
 from hillstack.core.routing_table import RoutingTable
 from hillstack.core.runner_pool import RunnerEntry
 from hillstack.core.software_rollouts import RolloutOrder, RolloutRecord
+from hillstack.core.store_revision import NO_REVISION, StoreRevision
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +34,7 @@
     """
 
     listed_as: str
-    revision: int | None = None
+    revision: StoreRevision | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +43,7 @@
 
     model: str
     version: int
-    revision: int = 0
+    revision: StoreRevision = NO_REVISION
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +58,7 @@
     """The operator took the order of a rollout away, at a revision of the store."""
 
     service: str
-    revision: int
+    revision: StoreRevision
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +75,7 @@
     node_id: str
     address: str
     zone: str = ""
-    revision: int = 0
+    revision: StoreRevision = NO_REVISION
     link_megabits: float = 0.0
 
 
@@ -87,9 +88,14 @@
 
 @dataclass(frozen=True, slots=True)
 class DutyHeld:
-    """The duty of ordering weights is held, or is free when ``holder`` is None."""
+    """The duty of ordering weights is held, or is free when ``holder`` is None.
+
+    Attributes:
+        fence: Of the holder's orders; 0 if the duty is free.
+    """
 
     holder: str | None
+    fence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hillstack/serving/version_choice.py
+++ b/src/hillstack/serving/version_choice.py
@@ -203,9 +203,9 @@
     def _decide(self, job: Job, groups: _ByAccess, now: float) -> None:
         """Decide once under an order whether a request is a canary, and count it."""
         order = self._state.rollouts.order(job.service)
-        if order is None or job.versions_of == order.revision:
+        if order is None or job.versions_of == order.identity:
             return
-        job.versions_of = order.revision
+        job.versions_of = order.identity
         job.is_canary = False
         if self._state.rollouts.stage(job.service) is not RolloutStage.CANARY or job.sends:
             return
@@ -242,7 +242,7 @@
 def _ranked(order: RolloutOrder, runners: list[Runner]) -> list[Runner]:
     """Return runners in an order on which all nodes agree without a word."""
     by_id = {runner.runner_id: runner for runner in runners}
-    return [by_id[name] for name in ranked(f"canaries of {order.revision}", by_id)]
+    return [by_id[name] for name in ranked(f"canaries of {order.revision.number}", by_id)]
 
 
 def _has_place(job: Job, runner: Runner, now: float) -> bool:
--- a/src/hillstack/simulation/services.py
+++ b/src/hillstack/simulation/services.py
@@ -11,7 +11,8 @@
 
 from hillstack.core.fleet import LoadReport
 from hillstack.core.prefix import block_hashes
-from hillstack.daemon.key_value import Entry, Put, ValueIs
+from hillstack.core.store_revision import StoreRevision
+from hillstack.daemon.key_value import Condition, Entry, Put
 from hillstack.daemon.ports import BackendStatus
 from hillstack.emulator.platform import KeyValueStore
 from hillstack.errors import PlatformOutcomeUnknownError, PlatformUnavailableError
@@ -79,7 +80,7 @@
             raise PlatformOutcomeUnknownError("answer lost", step="platform")
         return answer
 
-    def transact(self, conditions: list[ValueIs], puts: list[Put]) -> int | None:
+    def transact(self, conditions: list[Condition], puts: list[Put]) -> StoreRevision | None:
         """Write all keys if all conditions hold."""
         self.store.expire(self.process.loop.time())
         return self.store.transact(conditions, puts)
--- a/src/hillstack/simulation/surroundings.py
+++ b/src/hillstack/simulation/surroundings.py
@@ -11,7 +11,8 @@
 from hillstack.core.attempt import Attempt, AttemptState
 from hillstack.core.cache_index import CacheIndex
 from hillstack.core.fleet import LoadReport
-from hillstack.daemon.key_value import Entry, Put, ValueIs
+from hillstack.core.store_revision import StoreRevision
+from hillstack.daemon.key_value import Condition, Entry, Put
 from hillstack.daemon.ports import Answer, BackendStatus, GossipHandler, RequestHandler
 from hillstack.errors import (
     BackendBrokenError,
@@ -265,6 +266,12 @@
         self._process = process
         self._network = network
         self._platform = platform
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """The era of the latest answer."""
+        return self._era
 
     async def get(self, key: str) -> Entry | None:
         """Return a key's entry."""
@@ -280,14 +287,16 @@
         """Not used by nodes."""
         raise NotImplementedError
 
-    async def transact(self, conditions: Sequence[ValueIs], puts: Sequence[Put]) -> int | None:
+    async def transact(
+        self, conditions: Sequence[Condition], puts: Sequence[Put]
+    ) -> StoreRevision | None:
         """Write all keys if all conditions hold."""
 
-        def transact(platform: SimPlatform) -> int | None:
+        def transact(platform: SimPlatform) -> StoreRevision | None:
             return platform.transact(list(conditions), list(puts))
 
         revision = await self._call(transact)
-        assert revision is None or isinstance(revision, int)
+        assert revision is None or isinstance(revision, StoreRevision)
         return revision
 
     async def grant_lease(self, ttl_seconds: float) -> int:
@@ -316,7 +325,9 @@
         address = self._platform.process.address
         try:
             async with asyncio.timeout(PLATFORM_TIMEOUT_SECONDS):
-                return await self._network.call(self._process, address, work)
+                answer = await self._network.call(self._process, address, work)
+                self._era = self._platform.store.era
+                return answer
         except ConnectionRefused as error:
             raise PlatformUnavailableError(repr(error), step="platform", peer=address) from error
         except (TimeoutError, ConnectionBroken) as error:
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -20,6 +20,7 @@
 )
 from hillstack.core.runner_pool import RunnerEntry
 from hillstack.core.shared_retry_budget import SharedRetryBudget
+from hillstack.core.store_revision import StoreRevision
 from hillstack.core.weights_versions import WeightsVersions
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.store_events import ConfigurationChanged, RunnerListed, WeightsNamed
@@ -41,6 +42,11 @@
 )
 
 
+def rev(number: int, era: int = 0) -> StoreRevision:
+    """Return a revision of the store."""
+    return StoreRevision(era, number)
+
+
 def make_route(
     kind: RouteKind = RouteKind.SAFE,
     *,
@@ -90,6 +96,7 @@
     draining: bool = False,
     weights: int = 0,
     revision: int = 1,
+    era: int = 0,
     software: str = "",
 ) -> RunnerEntry:
     return RunnerEntry(
@@ -100,7 +107,7 @@
         slots=8,
         draining=draining,
         weights={MODEL: weights} if weights else {},
-        revision=revision,
+        revision=rev(revision, era),
         software=software,
     )
 
--- a/tests/fleet/node_network.py
+++ b/tests/fleet/node_network.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any
 
@@ -16,6 +16,8 @@
 from hillstack.core.relay_choice import RelayChoice
 from hillstack.core.routing_table import RoutingTable
 from hillstack.core.runner_load import OwnAttempt
+from hillstack.core.store_era import STORE, StoreEra
+from hillstack.core.store_revision import StoreRevision
 from hillstack.core.tenant_limits import LimitTolerance
 from hillstack.core.token_buckets import TokenBuckets
 from hillstack.core.token_leases import TokenLeases
@@ -38,7 +40,14 @@
 from hillstack.platform.store import Changes, Snapshot
 from hillstack.serving.fleet_state import MOST_NODES, FleetState
 from hillstack.simulation.virtual_loop import Scheduler, VirtualLoop
-from tests.fleet.builders import ENGINES, make_entry, make_route, make_state, make_table
+from tests.fleet.builders import (
+    ENGINES,
+    make_entry,
+    make_route,
+    make_state,
+    make_table,
+    rev,
+)
 
 DELAY_SECONDS = 0.0015
 REGION_DELAY_SECONDS = 0.012
@@ -84,7 +93,7 @@
 
     def put(self, key: str, value: bytes | None) -> int:
         self.revision += 1
-        item = StoredItem(key, self.revision, value)
+        item = StoredItem(key, rev(self.revision, self.era), value)
         self.history.append(item)
         if value is None:
             self.items.pop(key, None)
@@ -98,11 +107,14 @@
 
     def restore(self, copy: StoreCopy) -> None:
         """Come back from an earlier copy: what was written since is gone, numbers come again."""
-        self.items = dict(copy.items)
-        self.history = list(copy.history)
+        self.era += 1
+        self.items = {key: self._of_era(item) for key, item in copy.items.items()}
+        self.history = [self._of_era(item) for item in copy.history]
         self.forgotten = copy.forgotten
         self.revision = copy.revision
-        self.era += 1
+
+    def _of_era(self, item: StoredItem) -> StoredItem:
+        return replace(item, revision=rev(item.revision.number, self.era))
 
     def is_down_for(self, node_id: str) -> bool:
         return self.down_for is None or node_id in self.down_for
@@ -111,9 +123,10 @@
 class StoreClient:
     """One node's access to the store."""
 
-    def __init__(self, store: MemoryStore, node_id: str) -> None:
+    def __init__(self, store: MemoryStore, node_id: str, store_era: StoreEra) -> None:
         self._store = store
         self._node_id = node_id
+        self._store_era = store_era
 
     async def snapshot(self, *, may_be_old: bool = False) -> Snapshot:
         if may_be_old:
@@ -122,7 +135,7 @@
             self._store.calls[self._node_id] += 1
         await self._answer()
         items = sorted(self._store.items.values(), key=lambda item: item.key)
-        revision = self._store.revision
+        revision = rev(self._store.revision, self._store.era)
         if self._store.page_pause <= 0:
             return Snapshot(self.read_items(items), revision, revision)
         # Two pages, of which the second is read later.
@@ -130,21 +143,28 @@
         await asyncio.sleep(self._store.page_pause)
         beyond = items[len(items) // 2].key if items else ""
         rest = [item for key, item in sorted(self._store.items.items()) if key >= beyond]
-        return Snapshot(self.read_items([*half, *rest]), revision, self._store.revision)
+        return Snapshot(
+            self.read_items([*half, *rest]),
+            revision,
+            rev(self._store.revision, revision.era),
+        )
 
-    async def changes(self, revision: int, wait_seconds: float) -> Changes:
+    async def changes(self, revision: StoreRevision, wait_seconds: float) -> Changes:
         await self._call()
-        if revision < self._store.forgotten or revision > self._store.revision:
+        if revision.era != self._store.era:
+            raise HistoryLostError("restored", step="watch", peer="store")
+        if not self._store.forgotten <= revision.number <= self._store.revision:
             raise HistoryLostError("history gone", step="watch", peer="store")
         items = [item for item in self._store.history if item.revision > revision]
-        return Changes(self.read_items(items), self._store.revision)
+        return Changes(self.read_items(items), rev(self._store.revision, self._store.era))
 
-    async def announce_node(self, node: NodeEntry) -> int:
+    async def announce_node(self, node: NodeEntry) -> StoreRevision:
         await self._call()
         body = msgspec.json.encode(NodeBody(node.address, node.zone, node.link_megabits))
-        return self._store.put(names.NODES_PREFIX + node.node_id, body)
+        number = self._store.put(names.NODES_PREFIX + node.node_id, body)
+        return rev(number, self._store.era)
 
-    async def remove_node(self, node_id: str, revision: int) -> bool:
+    async def remove_node(self, node_id: str, revision: StoreRevision) -> bool:
         await self._call()
         key = names.NODES_PREFIX + node_id
         known = self._store.items.get(key)
@@ -167,6 +187,7 @@
         await asyncio.sleep(STORE_SECONDS)
         if self._store.is_down_for(self._node_id):
             raise PlatformUnavailableError("status 503", step="call", peer="store")
+        self._store_era.hear(self._store.era, STORE)
 
 
 @dataclass
@@ -388,7 +409,7 @@
 
     def _start(self, node: SimulatedNode, rng: Random) -> None:
         clock = self.scheduler.clock
-        client = StoreClient(self.store, node.node_id)
+        client = StoreClient(self.store, node.node_id, node.state.store_era)
         registry = NodeRegistry(client, node.state, node.exchange.silent_nodes, clock)
         relay = StoreRelay(node.state, node.log, node.link, clock)
         sync = StoreSync(
--- a/tests/fleet/rollout_bench.py
+++ b/tests/fleet/rollout_bench.py
@@ -11,8 +11,9 @@
 from hillstack.core.rollout_evidence import DELAY_BUCKETS, RolloutEvidence
 from hillstack.core.rollout_judge import NO_OPINION, RolloutJudge, RolloutOpinion, opinion_of
 from hillstack.core.runner_pool import RunnerEntry
-from hillstack.core.software_rollouts import RolloutOrder, RolloutRecord, RolloutStage
-from hillstack.daemon.key_value import Entry, Put, RevisionIs, ValueIs
+from hillstack.core.software_rollouts import RolloutOrder, RolloutRecord, RolloutStage, is_of_order
+from hillstack.core.store_revision import NO_REVISION, StoreRevision
+from hillstack.daemon.key_value import Condition, Entry, Put
 from hillstack.daemon.software_rollout_duty import SoftwareRolloutDuty
 from hillstack.errors import PlatformOutcomeUnknownError, PlatformUnavailableError
 from hillstack.messages.rollout_reports import OutcomeCounts, RolloutReport
@@ -28,7 +29,14 @@
     StoreEvent,
 )
 from hillstack.simulation.virtual_loop import Scheduler
-from tests.fleet.builders import APPLICATION, make_rng, make_route, make_state, make_table
+from tests.fleet.builders import (
+    APPLICATION,
+    make_rng,
+    make_route,
+    make_state,
+    make_table,
+    rev,
+)
 
 OLD, NEW, NEWER = "v1", "v2", "v3"
 OVER_SECONDS = 12.0
@@ -74,10 +82,11 @@
     down: bool = False
     lose: int = 0
     hold: int = 0
-    held: list[tuple[RolloutRecord, int, bool]] = field(default_factory=list)
+    era: int = 0
+    held: list[tuple[RolloutRecord, StoreRevision, bool]] = field(default_factory=list)
     refused: int = 0
     told: list[tuple[float, str, str]] = field(default_factory=list)
-    told_of: list[int] = field(default_factory=list)
+    told_of: list[StoreRevision] = field(default_factory=list)
     records: list[tuple[float, RolloutRecord]] = field(default_factory=list)
 
     async def get(self, key: str) -> Entry | None:
@@ -85,15 +94,18 @@
         return self.keys[key][0] if key in self.keys else None
 
     async def transact(
-        self, conditions: Sequence[ValueIs | RevisionIs], puts: Sequence[Put]
-    ) -> int | None:
+        self, conditions: Sequence[Condition], puts: Sequence[Put]
+    ) -> StoreRevision | None:
         await self._call()
         if any(condition.key in self.keys for condition in conditions):
             return None
         self.revision += 1
         for put in puts:
-            self.keys[put.key] = (Entry(put.key, put.value, self.revision), put.lease_id)
-        return self.revision
+            self.keys[put.key] = (
+                Entry(put.key, put.value, rev(self.revision)),
+                put.lease_id,
+            )
+        return rev(self.revision)
 
     async def grant_lease(self, ttl_seconds: float) -> int:
         await self._call()
@@ -113,8 +125,8 @@
         self.expire()
 
     async def write_rollout(
-        self, record: RolloutRecord, fence: int, tell_operator: bool
-    ) -> int | None:
+        self, record: RolloutRecord, fence: StoreRevision, tell_operator: bool
+    ) -> StoreRevision | None:
         await self._call()
         if self.hold > 0:
             self.hold -= 1
@@ -132,13 +144,15 @@
         await self._call()
         return self.record
 
-    def take(self, record: RolloutRecord, fence: int, tell_operator: bool) -> int | None:
+    def take(
+        self, record: RolloutRecord, fence: StoreRevision, tell_operator: bool
+    ) -> StoreRevision | None:
         """Carry a write out if its conditions hold."""
         self.expire()
-        order = self.order.revision if self.order is not None else 0
-        known = self.record.revision if self.record is not None else 0
+        order = self.order.revision if self.order is not None else NO_REVISION
+        known = self.record.revision if self.record is not None else NO_REVISION
         duty = self.keys.get(duty_key(record.service))
-        held = duty[0].mod_revision if duty is not None else 0
+        held = duty[0].mod_revision if duty is not None else NO_REVISION
         if (order, known, held) != (record.order_revision, record.revision, fence):
             self.refused += 1
             return None
@@ -150,14 +164,14 @@
             record.stage,
             record.reason,
             record.rejected,
-            self.revision,
+            rev(self.revision),
             record.elapsed_seconds,
         )
         self.records.append((self.scheduler.now, self.record))
         if tell_operator:
             self.told.append((self.scheduler.now, STATUS[record.stage], record.target))
             self.told_of.append(record.order_revision)
-        return self.revision
+        return self.record.revision
 
     def expire(self) -> None:
         over = {lease for lease, end in self.ends.items() if self.scheduler.now >= end}
@@ -182,8 +196,8 @@
 
     scheduler: Scheduler
     state: FleetState
-    kept: dict[str, tuple[int, RolloutEvidence]] = field(default_factory=dict)
-    judges: dict[int, tuple[RolloutJudge, OrderAge]] = field(default_factory=dict)
+    kept: dict[str, tuple[StoreRevision, RolloutEvidence]] = field(default_factory=dict)
+    judges: dict[StoreRevision, tuple[RolloutJudge, OrderAge]] = field(default_factory=dict)
 
     def of(self, order: RolloutOrder) -> RolloutEvidence:
         known = self.kept.get(order.service)
@@ -201,11 +215,13 @@
             return NO_OPINION
         now = self.scheduler.now
         if order.revision not in self.judges:
-            age = OrderAge(order, now)
+            age = OrderAge(now)
             judge = RolloutJudge(order.target, age.ordered_at, order.over_seconds)
             self.judges[order.revision] = judge, age
         judge, age = self.judges[order.revision]
-        age.note(self.state.rollouts.record(service), now)
+        record = self.state.rollouts.record(service)
+        if record is not None and is_of_order(record, order):
+            age.note(record, now)
         judge.note_ordered_at(age.ordered_at)
         if judge.is_due(now):
             judge.look(self.of(order).totals(), now)
@@ -231,7 +247,7 @@
     old_running: int = 0
     says_bad: bool = False
     incarnation: int = 1
-    counted: dict[tuple[int, str], list[float]] = field(default_factory=dict)
+    counted: dict[tuple[StoreRevision, str], list[float]] = field(default_factory=dict)
 
     def talks(self) -> bool:
         """Return whether it answers requests and tells of them."""
@@ -239,7 +255,9 @@
 
 
 def entry(name: str, software: str, revision: int = 1) -> RunnerEntry:
-    return RunnerEntry(name, APPLICATION, "10.0.0.1:1", "zone-a", 8, False, {}, revision, software)
+    return RunnerEntry(
+        name, APPLICATION, "10.0.0.1:1", "zone-a", 8, False, {}, rev(revision), software
+    )
 
 
 class RolloutBench:
@@ -286,7 +304,7 @@
 
     def order(self, target: str = NEW, over: float = OVER_SECONDS) -> RolloutOrder:
         self.store.revision += 1
-        order = RolloutOrder(APPLICATION, target, over, self.store.revision)
+        order = RolloutOrder(APPLICATION, target, over, rev(self.store.revision))
         self.store.order = order
         return order
 
@@ -297,7 +315,7 @@
     def withdraw(self) -> None:
         self.store.revision += 1
         self.store.order = None
-        self.tell(RolloutWithdrawn(APPLICATION, self.store.revision))
+        self.tell(RolloutWithdrawn(APPLICATION, rev(self.store.revision)))
 
     def list_runner(self, name: str, software: str, revision: int = 1) -> None:
         self.tell(RunnerListed(entry(name, software, revision)))
@@ -381,5 +399,10 @@
         stage = teller.state.rollouts.stage(APPLICATION) or RolloutStage.CANARY
         old_running = teller.old_running
         return RolloutReport(
-            APPLICATION, order.revision, stage.value, old_running, outcomes, teller.says_bad
+            APPLICATION,
+            order.revision.number,
+            stage.value,
+            old_running,
+            outcomes,
+            teller.says_bad,
         )
--- a/tests/fleet/test_change_log.py
+++ b/tests/fleet/test_change_log.py
@@ -6,6 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from hillstack.daemon.change_log import ChangeLog, StoredItem
+from tests.fleet.builders import rev
 
 KEYS = ("runner-1", "runner-2", "runner-3")
 VALUES = (b"version 1", b"version 2")
@@ -22,19 +23,19 @@
 
     def write(self, key: str, value: bytes | None) -> None:
         self.revision += 1
-        item = StoredItem(key, self.revision, value)
+        item = StoredItem(key, rev(self.revision), value)
         self.history.append(item)
         self.held.pop(key, None)
         if value is not None:
             self.held[key] = item
 
     def changes(self, revision: int) -> list[StoredItem]:
-        return [item for item in self.history if item.revision > revision]
+        return [item for item in self.history if item.revision.number > revision]
 
     def held_at(self, revision: int) -> dict[str, StoredItem]:
         held: dict[str, StoredItem] = {}
         for item in self.history:
-            if item.revision <= revision:
+            if item.revision.number <= revision:
                 held.pop(item.key, None)
                 if item.value is not None:
                     held[item.key] = item
@@ -42,7 +43,7 @@
 
 
 def known(log: ChangeLog) -> dict[str, StoredItem]:
-    return {item.key: item for item in log.since(-1).items if item.value is not None}
+    return {item.key: item for item in log.since(rev(-1)).items if item.value is not None}
 
 
 class ChangeLogMachine(RuleBasedStateMachine):
@@ -72,11 +73,11 @@
     @rule(node=st.sampled_from(LOGS))
     def watch(self, node: int) -> None:
         log = self.logs[node]
-        log.take(self.store.changes(log.revision), self.store.revision)
+        log.take(self.store.changes(log.revision.number), rev(self.store.revision))
 
     @rule(node=st.sampled_from(LOGS))
     def load(self, node: int) -> None:
-        self.logs[node].load(self.store.held.values(), self.store.revision)
+        self.logs[node].load(self.store.held.values(), rev(self.store.revision))
 
     @rule(node=st.sampled_from(LOGS), peer=st.sampled_from(LOGS))
     def follow(self, node: int, peer: int) -> None:
@@ -91,15 +92,15 @@
     @invariant()
     def what_is_known_is_what_the_store_held(self) -> None:
         for log in self.logs:
-            assert known(log) == self.store.held_at(log.revision)
+            assert known(log) == self.store.held_at(log.revision.number)
 
     @invariant()
     def nothing_was_missed(self) -> None:
         for log in self.logs:
             for revision in range(self.store.revision + 1):
                 held = self.store.held_at(revision)
-                if revision <= log.revision and not any(k not in known(log) for k in held):
-                    assert log.differences(list(held.values()), revision) == []
+                if revision <= log.revision.number and not any(k not in known(log) for k in held):
+                    assert log.differences(list(held.values()), rev(revision)) == []
 
 
 TestChangeLog = ChangeLogMachine.TestCase
@@ -110,13 +111,16 @@
     for key in KEYS:
         store.write(key, VALUES[0])
     log = ChangeLog()
-    log.load([item for item in store.held.values() if item.key != KEYS[0]], store.revision)
-    assert log.differences(list(store.held.values()), store.revision) == [KEYS[0]]
-    log.load(store.held.values(), store.revision)
+    log.load(
+        [item for item in store.held.values() if item.key != KEYS[0]],
+        rev(store.revision),
+    )
+    assert log.differences(list(store.held.values()), rev(store.revision)) == [KEYS[0]]
+    log.load(store.held.values(), rev(store.revision))
     store.write(KEYS[1], VALUES[1])
     store.write(KEYS[2], None)
-    log.take([], store.revision)
-    missed = log.differences(list(store.held.values()), store.revision)
+    log.take([], rev(store.revision))
+    missed = log.differences(list(store.held.values()), rev(store.revision))
     assert sorted(missed) == [KEYS[1], KEYS[2]]
 
 
@@ -129,8 +133,8 @@
     store.write(KEYS[0], VALUES[1])
     store.write(KEYS[1], None)
     store.write(KEYS[2], VALUES[0])
-    log.take(store.history, store.revision)
-    assert log.differences(older, revision) == []
+    log.take(store.history, rev(store.revision))
+    assert log.differences(older, rev(revision)) == []
 
 
 def test_a_change_that_a_list_of_pages_went_beyond_is_not_taken_back() -> None:
@@ -139,6 +143,6 @@
     store.write(KEYS[0], None)
     store.write(KEYS[0], VALUES[1])
     log = ChangeLog()
-    log.load(store.held.values(), 1)
-    log.take(store.history[1:2], 2)
+    log.load(store.held.values(), rev(1))
+    log.take(store.history[1:2], rev(2))
     assert known(log) == store.held
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -25,7 +25,7 @@
 from hillstack.core.traffic_split import TrafficSplit
 from hillstack.core.weights_versions import Announcement, NamedVersion, WeightsVersions
 from hillstack.platform.formats import parse_shape
-from tests.fleet.builders import ENGINES, HOST, make_route, make_table
+from tests.fleet.builders import ENGINES, HOST, make_route, make_table, rev
 
 
 def test_the_longest_prefix_wins() -> None:
@@ -283,6 +283,6 @@
             revision += 1
             made_at[revision] = now
         # Asked a while ago, beside others perhaps; the answer tells the revision of its own moment.
-        proofs.note(revision, now - took)
+        proofs.note(rev(revision), now - took)
         for made, at in made_at.items():
-            assert proofs.latest_before(made) <= at
+            assert proofs.latest_before(rev(made)) <= at
--- a/tests/fleet/test_formats.py
+++ b/tests/fleet/test_formats.py
@@ -16,12 +16,13 @@
 from hillstack.platform.ingress import Ingress
 from hillstack.serving.store_events import ConfigurationChanged
 from hillstack.serving.types import ServingRequest
+from tests.fleet.builders import rev
 
 
 def limit_of(**fields: Any) -> TenantLimit | None:
     tenant = {"name": "tenant-1", "api_keys": ["key-1", "key-2"], **fields}
     value = json.dumps({"version": 1, "tenants": [tenant]}).encode()
-    event = to_event(StoredItem(names.CONFIGURATION_KEY, 1, value))
+    event = to_event(StoredItem(names.CONFIGURATION_KEY, rev(1), value))
     assert isinstance(event, ConfigurationChanged)
     keys = event.table.tenants_by_key
     assert keys is not None and keys["key-1"] is keys["key-2"]
--- a/tests/fleet/test_peer_exchange.py
+++ b/tests/fleet/test_peer_exchange.py
@@ -38,6 +38,7 @@
     make_route,
     make_state,
     make_table,
+    rev,
 )
 
 
@@ -244,9 +245,9 @@
     first, _, transport = make_node()
     second, receiver, answers = make_node()
     second.node_id = "node-2"
-    second.note_proof(40, 98.0)
-    second.note_proof(42, 99.0)
-    first.apply(WeightsNamed(MODEL, 7, revision=42), 99.5, 100.0)
+    second.note_proof(rev(40), 98.0)
+    second.note_proof(rev(42), 99.0)
+    first.apply(WeightsNamed(MODEL, 7, revision=rev(42)), 99.5, 100.0)
     deliver(transport, receiver)
     assert second.versions.newest(MODEL) == 7
     # It counts from what this node knows itself: how late the word was nobody knows.
--- a/tests/fleet/test_regions_placement.py
+++ b/tests/fleet/test_regions_placement.py
@@ -49,6 +49,7 @@
     make_entry,
     make_request,
     make_route,
+    rev,
 )
 from tests.fleet.fake_runners import FakePeers, answers, begins, breaks, refuses
 from tests.fleet.test_pipeline import EVENTS, Bench
@@ -107,7 +108,7 @@
     def _list(self, zone: str) -> None:
         for number in range(NODES_OF_A_ZONE):
             node_id = f"node-{zone}-{number}"
-            self.state.apply(NodeListed(node_id, f"10.0.0.{number}:1", zone, 1), 0.0)
+            self.state.apply(NodeListed(node_id, f"10.0.0.{number}:1", zone, rev(1)), 0.0)
         for number in range(RUNNERS_OF_A_ZONE):
             engine = make_entry(f"engine-{zone}-{number}", ENGINES, zone=zone, weights=1)
             self.state.apply(RunnerListed(engine), 0.0)
--- a/tests/fleet/test_relays.py
+++ b/tests/fleet/test_relays.py
@@ -8,6 +8,7 @@
 import pytest
 
 from hillstack.core.node_directory import NodeDirectory, NodeEntry
+from hillstack.core.store_era import StoreEra
 from hillstack.daemon.change_log import StoredItem
 from hillstack.daemon.node_registry import GONE_SECONDS
 from hillstack.daemon.store_check import CHECK_SECONDS, CHECK_SECONDS_A_KEY
@@ -18,7 +19,7 @@
 from hillstack.messages.runner_ends import RequestAtEnd, RunnerEndNotice
 from hillstack.messages.store_changes import ChangesAnswer, ChangesQuestion
 from hillstack.platform import names
-from tests.fleet.builders import ENGINES, MODEL
+from tests.fleet.builders import ENGINES, MODEL, rev
 from tests.fleet.node_network import (
     INTERVAL_SECONDS,
     NodeNetwork,
@@ -185,11 +186,11 @@
     directory = NodeDirectory()
     for number in range(40):
         link = 100.0 if number % 10 == 0 else 10.0 + number % 5
-        directory.list_node(NodeEntry(f"node-{number}", "10.0.0.1:1", "a", 1, link))
+        directory.list_node(NodeEntry(f"node-{number}", "10.0.0.1:1", "a", rev(1), link))
     order = directory.relay_order("a")
     assert set(order[:4]) == {"node-0", "node-10", "node-20", "node-30"}
     # A link that is a little faster changes nothing: the order stays as it is.
-    directory.list_node(NodeEntry("node-1", "10.0.0.1:1", "a", 2, 14.0))
+    directory.list_node(NodeEntry("node-1", "10.0.0.1:1", "a", rev(2), 14.0))
     assert directory.relay_order("a") == order
 
 
@@ -519,7 +520,9 @@
     known = network.store.items[key]
     assert known.value is not None
     network.store.put(key, known.value)
-    removing = StoreClient(network.store, "node-0").remove_node("node-1", known.revision)
+    removing = StoreClient(network.store, "node-0", StoreEra()).remove_node(
+        "node-1", known.revision
+    )
     task = network.scheduler.spawn(network.scheduler.new_loop(), removing)
     network.run(0.1)
     assert task.result() is False and key in network.store.items
--- a/tests/fleet/test_restored_store.py
+++ b/tests/fleet/test_restored_store.py
@@ -55,7 +55,7 @@
 
 def pass_lost_revisions(network: NodeNetwork) -> None:
     """Write until the store's revision is beyond all that the nodes know, before they ask."""
-    known = max(node.log.revision for node in network.nodes.values())
+    known = max(node.log.revision.number for node in network.nodes.values())
     while network.store.revision <= known + 10:
         write_runner(network, "i-0", seq=network.store.revision)
 
--- a/tests/fleet/test_rollout_observer.py
+++ b/tests/fleet/test_rollout_observer.py
@@ -38,6 +38,7 @@
     make_route,
     make_state,
     make_table,
+    rev,
 )
 from tests.fleet.fake_runners import FakeSink, answers, begins, breaks, hangs, refuses
 from tests.fleet.node_network import NodeNetwork
@@ -347,11 +348,11 @@
         )
         self.bench.pipeline._observer = self.observer
         if ordered:
-            order = RolloutOrder(APPLICATION, NEW, OVER_SECONDS, REVISION)
+            order = RolloutOrder(APPLICATION, NEW, OVER_SECONDS, rev(REVISION))
             self.state.apply(RolloutOrdered(order), 0.0)
 
     def record(self, stage: RolloutStage) -> None:
-        record = RolloutRecord(APPLICATION, NEW, REVISION, stage, revision=30)
+        record = RolloutRecord(APPLICATION, NEW, rev(REVISION), stage, revision=rev(30))
         self.state.apply(RolloutRecorded(record), 0.0)
 
     def judge(self) -> ThresholdJudge:
@@ -374,13 +375,20 @@
     holders replaced every 4.6 s a rollout of 12 s was decided after 19.0 s.
     """
     saw, starts = Observed(), Observed(ordered=False)
-    order = RolloutOrder(APPLICATION, NEW, OVER_SECONDS, REVISION)
+    order = RolloutOrder(APPLICATION, NEW, OVER_SECONDS, rev(REVISION))
     saw.observer.tick(0.0)
     for node in (saw, starts):
         node.bench.scheduler.run_until(30.0)
     saw.observer.tick(30.0)
     stage = RolloutStage.CANARY
-    record = RolloutRecord(APPLICATION, NEW, REVISION, stage, revision=30, elapsed_seconds=5.0)
+    record = RolloutRecord(
+        APPLICATION,
+        NEW,
+        rev(REVISION),
+        stage,
+        revision=rev(30),
+        elapsed_seconds=5.0,
+    )
     starts.state.apply(RolloutOrdered(order), 30.0)
     starts.state.apply(RolloutRecorded(record), 30.0)
     starts.observer.take_report("node-2", 7, saw.teller.latest(), 30.0)
@@ -462,7 +470,7 @@
 def test_a_bad_word_about_an_order_that_is_not_known_yet_counts_when_it_comes() -> None:
     observed = Observed(ordered=False)
     observed.observer.take_report("peer", 1, report(bad=True), 1.0)
-    order = RolloutOrder(APPLICATION, NEW, OVER_SECONDS, REVISION)
+    order = RolloutOrder(APPLICATION, NEW, OVER_SECONDS, rev(REVISION))
     observed.state.apply(RolloutOrdered(order), 1.1)
     observed.observer.tick(1.2)
     assert observed.state.rollouts.stage(APPLICATION) is RolloutStage.REVERTED
@@ -561,7 +569,12 @@
     observed.observer.opinion(APPLICATION)
     observed.bench.scheduler.run_until(1.0)
     record = RolloutRecord(
-        APPLICATION, NEW, REVISION, RolloutStage.CANARY, revision=30, elapsed_seconds=7.0
+        APPLICATION,
+        NEW,
+        rev(REVISION),
+        RolloutStage.CANARY,
+        revision=rev(30),
+        elapsed_seconds=7.0,
     )
     observed.state.apply(RolloutRecorded(record), 1.0)
     observed.observer.opinion(APPLICATION)
--- a/tests/fleet/test_rollout_placement.py
+++ b/tests/fleet/test_rollout_placement.py
@@ -38,6 +38,7 @@
     make_route,
     make_state,
     make_table,
+    rev,
 )
 from tests.fleet.fake_runners import Behaviour, FakeAnswer, answers, begins, breaks, refuses
 from tests.fleet.test_pipeline import (
@@ -91,13 +92,20 @@
 
 
 def order(bench: Bench, service: str = APPLICATION, revision: int = REVISION) -> None:
-    event = RolloutOrdered(RolloutOrder(service, NEW, 600.0, revision))
+    event = RolloutOrdered(RolloutOrder(service, NEW, 600.0, rev(revision)))
     bench.state.apply(event, bench.scheduler.now)
 
 
 def record(bench: Bench, stage: RolloutStage, service: str = APPLICATION) -> None:
     rejected = (NEW,) if stage is RolloutStage.REVERTED else ()
-    written = RolloutRecord(service, NEW, REVISION, stage, rejected=rejected, revision=30)
+    written = RolloutRecord(
+        service,
+        NEW,
+        rev(REVISION),
+        stage,
+        rejected=rejected,
+        revision=rev(30),
+    )
     bench.state.apply(RolloutRecorded(written), bench.scheduler.now)
 
 
@@ -336,7 +344,7 @@
 
 def test_a_recorded_completion_stands_before_a_late_condemnation() -> None:
     bench = make_bench()
-    bench.state.rollouts.condemn(APPLICATION, REVISION)
+    bench.state.rollouts.condemn(APPLICATION, rev(REVISION))
     record(bench, RolloutStage.COMPLETE)
     assert sends_to_new(serve(bench, 5)) == 5
 
@@ -349,7 +357,7 @@
 
 def test_a_condemned_version_gets_nothing_new_whatever_the_store_says() -> None:
     bench = make_bench()
-    bench.state.rollouts.condemn(APPLICATION, REVISION)
+    bench.state.rollouts.condemn(APPLICATION, rev(REVISION))
     assert sends_to_new(serve(bench, 50)) == 0
 
 
@@ -358,7 +366,7 @@
     slow = answers(EVENTS[0], 0.3, EVENTS[1], 0.3, EVENTS[2])
     behave(bench, slow, new=True)
     record(bench, RolloutStage.SHIFTING, ENGINES)
-    bench.scheduler.at(0.2, lambda: bench.state.rollouts.condemn(ENGINES, REVISION))
+    bench.scheduler.at(0.2, lambda: bench.state.rollouts.condemn(ENGINES, rev(REVISION)))
     sink, error = bench.serve(stream_request(), 5.0)
     assert error is None and sink.finished
     assert [dispatch.runner_id for dispatch in bench.client.dispatches] == ["n-0"]
@@ -367,7 +375,7 @@
 def test_after_a_withdrawn_order_a_version_that_was_never_trusted_stays_closed() -> None:
     bench = make_bench()
     record(bench, RolloutStage.CANARY)
-    bench.state.apply(RolloutWithdrawn(APPLICATION, REVISION + 1), bench.scheduler.now)
+    bench.state.apply(RolloutWithdrawn(APPLICATION, rev(REVISION + 1)), bench.scheduler.now)
     assert sends_to_new(serve(bench, 50)) == 0
 
 
@@ -376,7 +384,7 @@
     bench = make_bench(old=0)
     if recorded:
         record(bench, RolloutStage.CANARY)
-    bench.state.apply(RolloutWithdrawn(APPLICATION, REVISION + 1), bench.scheduler.now)
+    bench.state.apply(RolloutWithdrawn(APPLICATION, rev(REVISION + 1)), bench.scheduler.now)
     assert sends_to_new(serve(bench, 5)) == 5
 
 
@@ -388,14 +396,14 @@
     if stage is not None:
         record(bench, stage)
     if stage is not RolloutStage.REVERTED:
-        bench.state.rollouts.condemn(APPLICATION, REVISION)
-    bench.state.apply(RolloutWithdrawn(APPLICATION, REVISION + 1), bench.scheduler.now)
+        bench.state.rollouts.condemn(APPLICATION, rev(REVISION))
+    bench.state.apply(RolloutWithdrawn(APPLICATION, rev(REVISION + 1)), bench.scheduler.now)
     assert sends_to_new(serve(bench, 5)) == 0
 
 
 def test_after_a_withdrawn_order_its_target_does_not_help_out_where_others_are_listed() -> None:
     bench = make_bench()
-    bench.state.apply(RolloutWithdrawn(APPLICATION, REVISION + 1), bench.scheduler.now)
+    bench.state.apply(RolloutWithdrawn(APPLICATION, rev(REVISION + 1)), bench.scheduler.now)
     for runner in runners(bench, new=False):
         runner.suspected_until = bench.scheduler.now + 1e6
     assert sends_to_new(serve(bench, 5)) == 0
--- a/tests/fleet/test_rollout_plan.py
+++ b/tests/fleet/test_rollout_plan.py
@@ -28,11 +28,13 @@
     SoftwareRollouts,
     VersionAccess,
 )
+from hillstack.core.store_revision import NO_REVISION
+from tests.fleet.builders import rev
 
 APPLY_SECONDS = 2.0
 OVER_SECONDS = 12.0
-ORDER = RolloutOrder("app", "v2", OVER_SECONDS, 5)
-CANARY = RolloutRecord("app", "v2", 5, RolloutStage.CANARY, "ordered", (), 6, 5.0)
+ORDER = RolloutOrder("app", "v2", OVER_SECONDS, rev(5))
+CANARY = RolloutRecord("app", "v2", rev(5), RolloutStage.CANARY, "ordered", (), rev(6), 5.0)
 SHIFTING = replace(CANARY, stage=RolloutStage.SHIFTING)
 FOLLOWS = ReporterState("shifting", 0, 0.0)
 VIEW = RolloutView(
@@ -58,11 +60,11 @@
 def test_an_order_without_a_record_begins_with_the_canary() -> None:
     step = next_step(replace(VIEW, record=None))
     assert step is not None and step.news
-    assert step.record.stage is RolloutStage.CANARY and step.record.revision == 0
+    assert step.record.stage is RolloutStage.CANARY and step.record.revision == NO_REVISION
 
 
 def test_a_record_of_another_order_says_nothing_of_this_one() -> None:
-    complete = replace(CANARY, order_revision=3, stage=RolloutStage.COMPLETE, target="v1")
+    complete = replace(CANARY, order_revision=rev(3), stage=RolloutStage.COMPLETE, target="v1")
     step = next_step(replace(VIEW, record=complete, verdict=Verdict.BAD))
     assert step is not None
     assert step.record.stage is RolloutStage.CANARY
@@ -192,20 +194,20 @@
 
 
 def test_a_target_left_undecided_is_rejected_with_all_before_it() -> None:
-    before = replace(CANARY, order_revision=3, target="v1a", rejected=("v0",))
+    before = replace(CANARY, order_revision=rev(3), target="v1a", rejected=("v0",))
     step = next_step(replace(VIEW, record=before, passed_over=frozenset({"v1b"})))
     assert step is not None
     assert step.record.rejected == ("v0", "v1a", "v1b")
 
 
 def test_a_target_that_was_trusted_is_not_rejected_by_the_next_order() -> None:
-    before = replace(SHIFTING, order_revision=3, target="v1")
+    before = replace(SHIFTING, order_revision=rev(3), target="v1")
     step = next_step(replace(VIEW, record=before))
     assert step is not None and step.record.rejected == ()
 
 
 def test_a_version_that_is_ordered_again_is_tried_again() -> None:
-    before = replace(CANARY, order_revision=3, stage=RolloutStage.REVERTED, rejected=("v2",))
+    before = replace(CANARY, order_revision=rev(3), stage=RolloutStage.REVERTED, rejected=("v2",))
     step = next_step(replace(VIEW, record=before, passed_over=frozenset({"v2"})))
     assert step is not None and step.record.rejected == ()
 
@@ -227,7 +229,7 @@
 
 
 def test_a_version_that_has_the_traffic_already_is_not_tried_anew() -> None:
-    before = replace(SHIFTING, order_revision=3, stage=RolloutStage.COMPLETE)
+    before = replace(SHIFTING, order_revision=rev(3), stage=RolloutStage.COMPLETE)
     step = next_step(replace(VIEW, record=before))
     assert step is not None and step.news
     assert step.record.stage is RolloutStage.SHIFTING
@@ -240,14 +242,14 @@
 def test_a_version_that_was_reverted_is_tried_anew_by_the_next_order() -> None:
     rollouts = SoftwareRollouts()
     rollouts.take_order(ORDER)
-    rollouts.take_record(replace(CANARY, order_revision=3, stage=RolloutStage.REVERTED))
+    rollouts.take_record(replace(CANARY, order_revision=rev(3), stage=RolloutStage.REVERTED))
     assert rollouts.access("app", "v2") is VersionAccess.CANARY
 
 
 def test_an_order_that_replaced_another_says_nothing_of_its_condemnation() -> None:
     rollouts = SoftwareRollouts()
-    rollouts.take_order(replace(ORDER, revision=3))
-    rollouts.condemn("app", 3)
+    rollouts.take_order(replace(ORDER, revision=rev(3)))
+    rollouts.condemn("app", rev(3))
     rollouts.take_order(ORDER)
     assert rollouts.stage("app") is RolloutStage.CANARY
 
@@ -264,7 +266,7 @@
 ) -> None:
     rollouts = SoftwareRollouts()
     rollouts.take_order(ORDER)
-    rollouts.take_record(replace(CANARY, order_revision=3, stage=before))
+    rollouts.take_record(replace(CANARY, order_revision=rev(3), stage=before))
     rollouts.condemn("app", ORDER.revision)
     assert rollouts.stage("app") is stage
 
@@ -272,7 +274,7 @@
 def test_the_target_of_a_withdrawn_order_without_a_record_stays_closed() -> None:
     rollouts = SoftwareRollouts()
     rollouts.take_order(ORDER)
-    rollouts.withdraw("app", 6)
+    rollouts.withdraw("app", rev(6))
     assert rollouts.concerns("app")
     assert rollouts.access("app", "v2") is VersionAccess.CLOSED
     assert rollouts.access("app", "v1") is VersionAccess.OPEN
@@ -281,7 +283,7 @@
 def test_the_target_of_a_replaced_order_without_a_record_stays_closed() -> None:
     rollouts = SoftwareRollouts()
     rollouts.take_order(ORDER)
-    rollouts.take_order(replace(ORDER, target="v3", revision=7))
+    rollouts.take_order(replace(ORDER, target="v3", revision=rev(7)))
     assert rollouts.access("app", "v2") is VersionAccess.CLOSED
     assert rollouts.access("app", "v3") is VersionAccess.CANARY
     assert not rollouts.may_finish_shift("app", "v2")
@@ -292,7 +294,7 @@
     rollouts.take_order(ORDER)
     rollouts.take_record(SHIFTING)
     rollouts.condemn("app", ORDER.revision)
-    rollouts.withdraw("app", 7)
+    rollouts.withdraw("app", rev(7))
     assert rollouts.access("app", "v2") is VersionAccess.CLOSED
 
 
@@ -300,31 +302,31 @@
     rollouts = SoftwareRollouts()
     rollouts.take_order(ORDER)
     rollouts.take_record(SHIFTING)
-    rollouts.withdraw("app", 7)
+    rollouts.withdraw("app", rev(7))
     assert rollouts.access("app", "v2") is VersionAccess.OPEN
 
 
 def test_a_version_that_was_left_behind_is_tried_anew_and_open_once_trusted() -> None:
     rollouts = SoftwareRollouts()
     rollouts.take_order(ORDER)
-    rollouts.withdraw("app", 6)
-    again = replace(ORDER, revision=8)
+    rollouts.withdraw("app", rev(6))
+    again = replace(ORDER, revision=rev(8))
     rollouts.take_order(again)
     assert rollouts.access("app", "v2") is VersionAccess.CANARY
-    rollouts.take_record(replace(SHIFTING, order_revision=8, revision=9))
-    rollouts.withdraw("app", 10)
+    rollouts.take_record(replace(SHIFTING, order_revision=rev(8), revision=rev(9)))
+    rollouts.withdraw("app", rev(10))
     assert rollouts.access("app", "v2") is VersionAccess.OPEN
 
 
 def test_versions_that_were_left_behind_are_bounded() -> None:
     rollouts = SoftwareRollouts()
     for number in range(MOST_LEFT_VERSIONS + 2):
-        rollouts.take_order(replace(ORDER, target=f"v{number}", revision=2 * number + 1))
-        rollouts.withdraw("app", 2 * number + 2)
+        rollouts.take_order(replace(ORDER, target=f"v{number}", revision=rev(2 * number + 1)))
+        rollouts.withdraw("app", rev(2 * number + 2))
     left = rollouts.left_undecided("app")
     assert len(left) == MOST_LEFT_VERSIONS
     assert "v0" not in left and f"v{MOST_LEFT_VERSIONS + 1}" in left
     for number in range(MOST_LEFT_VERSIONS + 2):
         rollouts.take_order(replace(ORDER, service=f"app-{number}"))
-        rollouts.withdraw(f"app-{number}", 6)
+        rollouts.withdraw(f"app-{number}", rev(6))
     assert not rollouts.left_undecided("app")
--- a/tests/fleet/test_runner_restarts.py
+++ b/tests/fleet/test_runner_restarts.py
@@ -27,7 +27,7 @@
 from hillstack.platform.incarnations import check_process, instance_of, runner_id_of
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.store_events import RunnerUnlisted
-from tests.fleet.builders import ENGINES, MODEL, make_route, make_state, make_table
+from tests.fleet.builders import ENGINES, MODEL, make_route, make_state, make_table, rev
 
 FIRST, SECOND = "i-1#1000", "i-1#2000"
 PART = PromptPart("part", 900)
@@ -47,7 +47,7 @@
     }
     if born is not None:
         body["born"] = born
-    item = StoredItem(f"{names.RUNNERS_PREFIX}i-1", revision, msgspec.json.encode(body))
+    item = StoredItem(f"{names.RUNNERS_PREFIX}i-1", rev(revision), msgspec.json.encode(body))
     event = to_event(item)
     assert event is not None
     state.apply(event, now)
@@ -95,9 +95,9 @@
     write(state, 1_000, 11)
     assert usable(state) == [SECOND]
     # The entry of the process before has lapsed, which was heard after the next one's.
-    state.apply(RunnerUnlisted("i-1", 11), 10.0)
+    state.apply(RunnerUnlisted("i-1", rev(11)), 10.0)
     assert usable(state) == [SECOND]
-    state.apply(RunnerUnlisted("i-1", 13), 10.0)
+    state.apply(RunnerUnlisted("i-1", rev(13)), 10.0)
     assert usable(state) == []
     write(state, 1_000, 11)
     assert usable(state) == []
--- a/tests/fleet/test_runner_signals.py
+++ b/tests/fleet/test_runner_signals.py
@@ -62,6 +62,7 @@
     make_route,
     make_state,
     make_table,
+    rev,
 )
 from tests.fleet.deployment import Deployment, deployment
 from tests.fleet.fake_runners import Behaviour, FakeAnswer, FakeSink, answers, refuses
@@ -248,10 +249,10 @@
     for revision in (0, 1, 2, 3):
         state.apply(RunnerListed(make_entry("i-1", revision=revision)), NOW)
         assert not listed(state.pool, "i-1").stays(NOW)
-    state.apply(RunnerUnlisted("i-1", 4), NOW)
+    state.apply(RunnerUnlisted("i-1", rev(4)), NOW)
     state.apply(RunnerListed(make_entry("i-1", revision=5)), NOW + 1.0)
     assert not listed(state.pool, "i-1").stays(NOW + 1.0)
-    state.retain_runners(set(), NOW + 2.0, 6)
+    state.retain_runners(set(), NOW + 2.0, rev(6))
     forgotten_at = NOW + 2.0 + UNLISTED_GRACE_SECONDS + 2 * UNLISTED_MEMORY_SECONDS
     state.expire(forgotten_at)
     state.expire(forgotten_at + UNLISTED_MEMORY_SECONDS)
--- /dev/null
+++ b/tests/fleet/test_store_era.py
@@ -0,0 +1,171 @@
+"""The era of the store: which answers count, what is asked for by number, and bad headers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from hillstack.core.store_era import STORE, StoreEra
+from hillstack.daemon.key_value import Put, RevisionIs
+from hillstack.emulator.fleet_store import FleetStore
+from hillstack.emulator.free_ports import free_ports
+from hillstack.errors import HistoryLostError, OutdatedAnswerError, PlatformOutcomeUnknownError
+from hillstack.http_server import make_server
+from hillstack.platform.connections import make_store_session
+from hillstack.platform.store import MetadataStore
+from tests.fleet.builders import rev
+
+Scenario = Callable[[FleetStore, MetadataStore], Awaitable[None]]
+
+
+def with_store(scenario: Scenario) -> None:
+    """Play a scenario with the stand-in of the store, over HTTP."""
+
+    async def play() -> None:
+        stand_in = FleetStore()
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        server = make_server(stand_in.app(), address)
+        serving = asyncio.create_task(server.serve())
+        while not server.started:  # noqa: ASYNC110 (uvicorn offers no event)
+            await asyncio.sleep(0.01)
+        session = make_store_session()
+        try:
+            await scenario(stand_in, MetadataStore(address, session))
+        finally:
+            await session.close()
+            server.should_exit = True
+            await serving
+
+    asyncio.run(play())
+
+
+class NewEras:
+    """Notes who told of each new era."""
+
+    def __init__(self) -> None:
+        self.told_by: list[str] = []
+        self.fallen = 0
+        self.era = StoreEra()
+        self.era.handle_new(self.told_by.append)
+        self.era.handle_fallen(self._note_fallen)
+
+    def _note_fallen(self) -> None:
+        self.fallen += 1
+
+
+def test_the_first_era_that_is_named_is_no_new_one() -> None:
+    heard = NewEras()
+    assert heard.era.of_answer(7, 0, may_be_old=False) == 7
+    assert heard.told_by == []
+    assert heard.era.of_answer(9, 7, may_be_old=False) == 9
+    heard.era.hear(10, "node-2")
+    assert heard.told_by == [STORE, "node-2"]
+
+
+# Guards against an answer of before a restore that arrives after the news of it.
+def test_an_answer_that_crosses_a_restore_is_outdated() -> None:
+    heard = NewEras()
+    heard.era.hear(3, STORE)
+    heard.era.hear(4, "node-2")
+    assert heard.era.of_answer(3, 3, may_be_old=False) is None
+    assert heard.era.of_answer(None, 3, may_be_old=False) is None
+    assert heard.fallen == 0
+
+
+def test_a_list_that_may_be_old_says_nothing_of_an_era_that_fell() -> None:
+    heard = NewEras()
+    heard.era.hear(4, STORE)
+    assert heard.era.of_answer(3, 4, may_be_old=True) is None
+    assert heard.fallen == 0
+
+
+# Guards against a platform whose era falls: nodes would hear nothing of it any more.
+def test_a_store_that_names_a_lower_era_again_is_read_anew_once_and_followed() -> None:
+    heard = NewEras()
+    heard.era.hear(4, STORE)
+    for _ in range(3):
+        assert heard.era.of_answer(2, 4, may_be_old=False) == 4
+    assert heard.fallen == 1
+
+
+def test_a_store_without_eras_stays_in_the_first_one() -> None:
+    async def scenario(stand_in: FleetStore, store: MetadataStore) -> None:
+        stand_in.era = None
+        first = stand_in.put("key", b"1")
+        snapshot = await store.snapshot()
+        assert snapshot.revision == rev(first)
+        assert (await store.changes(snapshot.revision, 0.0)).revision == rev(first)
+
+    with_store(scenario)
+
+
+def test_what_is_asked_for_after_a_restore_counts_in_its_era() -> None:
+    async def scenario(stand_in: FleetStore, store: MetadataStore) -> None:
+        stand_in.put("key", b"1")
+        copy = stand_in.copy()
+        last = stand_in.put("key", b"2")
+        before = await store.snapshot()
+        stand_in.restore(copy)
+        stand_in.put("other", b"3")
+        with pytest.raises(HistoryLostError):
+            await store.changes(before.revision, 0.0)
+        after = await store.snapshot()
+        assert after.revision == rev(last, era=1) > before.revision
+        assert [change.item.revision.era for change in after.changes] == [1, 1]
+        assert store.era == 1
+
+    with_store(scenario)
+
+
+# Guards against a condition on a number that the restored store has given to another change.
+def test_a_condition_of_an_earlier_era_never_holds() -> None:
+    async def scenario(stand_in: FleetStore, store: MetadataStore) -> None:
+        copy = stand_in.copy()
+        await store.transact([], [Put("key", b"lost")])
+        known = await store.get("key")
+        assert known is not None
+        stand_in.restore(copy)
+        number = stand_in.put("key", b"another")
+        assert number == known.mod_revision.number
+        # Once before the node has heard of the restore, once after it.
+        with pytest.raises(PlatformOutcomeUnknownError):
+            await store.transact([RevisionIs("key", known.mod_revision)], [Put("x", b"")])
+        assert (
+            await store.transact([RevisionIs("key", known.mod_revision)], [Put("y", b"")]) is None
+        )
+        assert stand_in.value("y") is None
+
+    with_store(scenario)
+
+
+def test_pages_of_two_eras_are_no_list() -> None:
+    async def scenario(stand_in: FleetStore, store: MetadataStore) -> None:
+        for number in range(4):
+            stand_in.put(f"key-{number}", b"1")
+        copy = stand_in.copy()
+        stand_in.page_items = 2
+        stand_in.on_page = lambda: stand_in.restore(copy) if stand_in.era == 0 else None
+        with pytest.raises(OutdatedAnswerError):
+            await store.snapshot()
+        assert len((await store.snapshot()).changes) == 4
+
+    with_store(scenario)
+
+
+@pytest.mark.parametrize("text", ["-1", "three", "1.5", "9" * 40, "\u00b2"])
+def test_a_header_that_is_no_number_is_told_once_and_passed_over(
+    text: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def scenario(stand_in: FleetStore, store: MetadataStore) -> None:
+        stand_in.wrong_era = text
+        number = stand_in.put("key", b"1")
+        for _ in range(3):
+            assert (await store.snapshot()).revision == rev(number)
+
+    with caplog.at_level(logging.ERROR):
+        with_store(scenario)
+    told = [line for line in caplog.records if line.message == "store era can't be read"]
+    assert len(told) == 1
--- a/tests/fleet/test_store_sync.py
+++ b/tests/fleet/test_store_sync.py
@@ -11,6 +11,7 @@
 from hillstack.core.freshness import Freshness
 from hillstack.core.node_directory import NodeEntry
 from hillstack.core.relay_choice import RelayChoice
+from hillstack.core.store_revision import StoreRevision
 from hillstack.core.weights_versions import WeightsVersions
 from hillstack.daemon.change_log import ChangeLog, ListedKeys, StoreChange, StoredItem
 from hillstack.daemon.store_relay import RelayedChanges
@@ -44,6 +45,7 @@
     make_route,
     make_state,
     make_table,
+    rev,
 )
 
 
@@ -65,7 +67,7 @@
     for revision, event in enumerate(events, first_revision):
         gone = isinstance(event, RunnerUnlisted | NodeUnlisted)
         value = None if gone else repr(event).encode()
-        changes.append(StoreChange(StoredItem(key_of(event), revision, value), event))
+        changes.append(StoreChange(StoredItem(key_of(event), rev(revision), value), event))
     return changes
 
 
@@ -96,9 +98,9 @@
             raise self.failure
         self._hold_snapshot()
         self._carry_out_pending()
-        return Snapshot(list(self.held.values()), self.revision, self.revision)
+        return Snapshot(list(self.held.values()), rev(self.revision), rev(self.revision))
 
-    async def changes(self, revision: int, wait_seconds: float) -> Changes:
+    async def changes(self, revision: StoreRevision, wait_seconds: float) -> Changes:
         self.calls += 1
         if self.failure is not None:
             raise self.failure
@@ -110,17 +112,17 @@
             heard = len(self.history)
             self._carry_out_pending()
             del self.history[heard:]
-            return Changes([], self.revision)
+            return Changes([], rev(self.revision))
         self._carry_out_pending()
         news = [change for change in self.history if change.item.revision > revision]
-        return Changes(news, self.revision)
+        return Changes(news, rev(self.revision))
 
     def _hold_snapshot(self) -> None:
         scripted = self.snapshots[0]
         if scripted is not self.held_of:
             self.held_of = scripted
             self.held = {change.item.key: change for change in scripted.changes}
-            self.revision = scripted.revision
+            self.revision = scripted.revision.number
 
     def _carry_out_pending(self) -> None:
         events, self.pending = self.pending, []
@@ -132,11 +134,11 @@
             if change.item.value is not None:
                 self.held[change.item.key] = change
 
-    async def announce_node(self, node: NodeEntry) -> int:
+    async def announce_node(self, node: NodeEntry) -> StoreRevision:
         self.announced.append(f"{node.address} {node.zone}")
         self.listed_nodes.add(node.node_id)
         self.pending.append(NodeListed(node.node_id, node.address, node.zone))
-        return 11
+        return rev(11)
 
     def read_items(self, items: Iterable[StoredItem]) -> list[StoreChange]:
         return [StoreChange(item, self.meanings.get(item.value)) for item in items]
@@ -166,7 +168,7 @@
     answers: dict[str, RelayedChanges | None] = field(default_factory=dict)
     asked: list[str] = field(default_factory=list)
 
-    async def ask(self, node_id: str, revision: int) -> RelayedChanges | None:
+    async def ask(self, node_id: str, revision: StoreRevision) -> RelayedChanges | None:
         self.asked.append(node_id)
         return self.answers.get(node_id)
 
@@ -197,7 +199,7 @@
     state = make_state(make_table(make_route()))
     entries = [make_entry("i-1"), make_entry("i-2", ENGINES, weights=1)]
     events: list[StoreEvent] = [RunnerListed(entry) for entry in entries]
-    store = FakeStore([Snapshot(as_changes(events), 10, 10)])
+    store = FakeStore([Snapshot(as_changes(events), rev(10), rev(10))])
     scheduler = Scheduler()
     bench = Bench(state, store, scheduler)
     sync = make_sync(store, state, scheduler, is_behind=lambda: bench.is_behind)
@@ -229,7 +231,9 @@
 def test_after_lost_history_everything_is_read_again(bench: Bench) -> None:
     bench.store.failure = HistoryLostError("history gone", step="watch", peer="store")
     bench.store.snapshots[0] = Snapshot(
-        as_changes([RunnerListed(make_entry("i-2", ENGINES, weights=1))]), 99, 99
+        as_changes([RunnerListed(make_entry("i-2", ENGINES, weights=1))]),
+        rev(99),
+        rev(99),
     )
     bench.run(1.5)
     assert 2 <= bench.store.loads <= 4
@@ -296,9 +300,9 @@
     assert runner.weights_version(MODEL) == 3 and runner.accepts(bench.scheduler.now)
 
 
-@pytest.mark.parametrize("removal_revision", [None, 45])
+@pytest.mark.parametrize("removal_revision", [None, rev(45)])
 def test_an_entry_that_is_told_again_after_its_removal_is_kept(
-    bench: Bench, removal_revision: int | None
+    bench: Bench, removal_revision: StoreRevision | None
 ) -> None:
     # The entry is known ahead of its removal where a list of several pages has shown it.
     entry = make_entry("i-9", ENGINES, weights=1, revision=46)
@@ -314,9 +318,9 @@
 def test_a_removal_that_is_older_than_the_entry_is_passed_over(bench: Bench) -> None:
     entry = make_entry("i-9", ENGINES, weights=1, revision=46)
     bench.state.apply(RunnerListed(entry), bench.scheduler.now)
-    bench.state.apply(RunnerUnlisted("i-9", 45), bench.scheduler.now)
+    bench.state.apply(RunnerUnlisted("i-9", rev(45)), bench.scheduler.now)
     assert bench.state.pool.get("i-9") is not None
-    bench.state.apply(RunnerUnlisted("i-9", 47), bench.scheduler.now)
+    bench.state.apply(RunnerUnlisted("i-9", rev(47)), bench.scheduler.now)
     assert bench.state.pool.get("i-9") is None
 
 
@@ -409,7 +413,7 @@
 def test_requests_wait_for_the_first_read_of_the_store_but_not_for_a_store_that_is_down() -> None:
     for failure in (None, PlatformUnavailableError("refused", step="list", peer="store")):
         state = FleetState("node-1", Freshness(4.0), WeightsVersions(8.0), make_budget())
-        store = FakeStore([Snapshot([], 10, 10)], failure=failure)
+        store = FakeStore([Snapshot([], rev(10), rev(10))], failure=failure)
         scheduler = Scheduler()
         sync = make_sync(store, state, scheduler)
         loop = scheduler.new_loop()
--- a/tests/fleet/test_unreadable_items.py
+++ b/tests/fleet/test_unreadable_items.py
@@ -16,7 +16,7 @@
 from hillstack.platform.bodies import StoreItem
 from hillstack.platform.store import MetadataStore, _stored
 from hillstack.serving.fleet_state import FleetState
-from tests.fleet.builders import ENGINES, MODEL, make_route, make_state, make_table
+from tests.fleet.builders import ENGINES, MODEL, make_route, make_state, make_table, rev
 
 KINDS = (
     names.CONFIGURATION_KEY,
@@ -79,7 +79,7 @@
 
 def entry(revision: int, runner_id: str = "i-1", **changes: Any) -> StoredItem:
     body = {name: value for name, value in (GOOD | changes).items() if value is not ...}
-    return StoredItem(names.RUNNERS_PREFIX + runner_id, revision, json.dumps(body).encode())
+    return StoredItem(names.RUNNERS_PREFIX + runner_id, rev(revision), json.dumps(body).encode())
 
 
 def usable(state: FleetState) -> list[str]:
@@ -116,10 +116,10 @@
 ) -> None:
     state, store = make_state(make_table(make_route())), make_store()
     take(state, store, entry(10), entry(11, "i-2"))
-    take(state, store, StoredItem(names.RUNNERS_PREFIX + "i-1", 12, value))
+    take(state, store, StoredItem(names.RUNNERS_PREFIX + "i-1", rev(12), value))
     assert usable(state) == ["i-2"]
     # One that was written before the entry that is known changes nothing.
-    take(state, store, StoredItem(names.RUNNERS_PREFIX + "i-2", 5, value))
+    take(state, store, StoredItem(names.RUNNERS_PREFIX + "i-2", rev(5), value))
     assert usable(state) == ["i-2"]
     take(state, store, entry(13))
     assert usable(state) == ["i-2", "i-1"]
@@ -138,14 +138,14 @@
     state, store = make_state(make_table(make_route())), make_store()
     take(state, store, entry(10))
     for text in ("%%%", "abc", "é", "YQ"):
-        take(state, store, _stored(StoreItem(names.RUNNERS_PREFIX + "i-1", 12, text)))
+        take(state, store, _stored(StoreItem(names.RUNNERS_PREFIX + "i-1", 12, text), 0))
         assert usable(state) == []
 
 
 def test_a_wrong_configuration_leaves_the_last_good_one_in_force() -> None:
     state, store = make_state(make_table(make_route(), version=7)), make_store()
     for value in (b"", b"{}", b'{"version":"8"}', b'{"version":8,"routes":[{}]}'):
-        item = StoredItem(names.CONFIGURATION_KEY, 20, value)
+        item = StoredItem(names.CONFIGURATION_KEY, rev(20), value)
         take(state, store, item, entry(21))
         assert state.table is not None and state.table.version == 7
         assert usable(state) == ["i-1"]
@@ -159,8 +159,8 @@
     key = names.RUNNERS_PREFIX + "i-1"
     long = b'{"state":"' + b"x" * 50_000 + b'"}'
     for _ in range(3):
-        store.read_items([StoredItem(key, 12, long), StoredItem(key + "2", 12, b"")])
-    store.read_items([StoredItem(key, 13, long)])
+        store.read_items([StoredItem(key, rev(12), long), StoredItem(key + "2", rev(12), b"")])
+    store.read_items([StoredItem(key, rev(13), long)])
     told = [vars(each) for each in caplog.records if each.levelno == logging.ERROR]
     assert len(told) == len(counted) == 3
     assert all(len(str(fields["error"])) <= 200 for fields in told)
@@ -169,7 +169,7 @@
 @given(st.lists(st.tuples(st.sampled_from(KINDS), values), max_size=8))
 def test_no_item_ends_the_reading_or_drops_another_one(found: list[tuple[str, bytes]]) -> None:
     state, store = make_state(make_table(make_route())), make_store()
-    items = [StoredItem(key, 20 + number, value) for number, (key, value) in enumerate(found)]
+    items = [StoredItem(key, rev(20 + number), value) for number, (key, value) in enumerate(found)]
     take(state, store, entry(10), *items, entry(40, "i-2"))
     assert {"i-1", "i-2"} <= set(usable(state))
 
@@ -177,14 +177,14 @@
 @given(st.text(max_size=300), st.text(max_size=100), values)
 def test_no_key_ends_the_reading(prefix: str, rest: str, value: bytes) -> None:
     state, store = make_state(make_table(make_route())), make_store()
-    take(state, store, entry(10), StoredItem(prefix + rest, 11, value))
+    take(state, store, entry(10), StoredItem(prefix + rest, rev(11), value))
     store.listed([prefix + rest, names.RUNNERS_PREFIX, names.NODES_PREFIX + rest])
     assert "i-1" in usable(state)
 
 
 @given(st.text(max_size=40))
 def test_no_text_of_a_value_ends_the_reading(text: str) -> None:
-    item = _stored(StoreItem(names.RUNNERS_PREFIX + "i-1", 12, text))
+    item = _stored(StoreItem(names.RUNNERS_PREFIX + "i-1", 12, text), 0)
     assert make_store().read_items([item])[0].item is item
 
 
--- a/tests/fleet/test_version_exposure.py
+++ b/tests/fleet/test_version_exposure.py
@@ -15,6 +15,7 @@
     SLACK_SETTLE_SECONDS,
     VersionExposure,
 )
+from tests.fleet.builders import rev
 
 SERVICE = "service"
 ROUTE = "route"
@@ -26,7 +27,7 @@
 ) -> VersionExposure:
     exposure = VersionExposure(share, slack)
     exposure.set_node_count(nodes)
-    exposure.open(SERVICE, 5, 12.0, not_before, 0.0)
+    exposure.open(SERVICE, rev(5), 12.0, not_before, 0.0)
     return exposure
 
 
@@ -127,14 +128,14 @@
     exposure = opened()
     take(exposure, 100)
     exposure.on_send(SERVICE)
-    exposure.open(SERVICE, 6, 12.0, 0.0, 2.0)
+    exposure.open(SERVICE, rev(6), 12.0, 0.0, 2.0)
     assert exposure.left(SERVICE, 2.0) == 0
 
 
 def test_the_same_order_once_more_changes_nothing() -> None:
     exposure = opened()
     take(exposure, 100)
-    exposure.open(SERVICE, 5, 12.0, 1.0, 1.0)
+    exposure.open(SERVICE, rev(5), 12.0, 1.0, 1.0)
     assert exposure.left(SERVICE, 1.0) == pytest.approx(9.5)
 
 
--- a/tests/fleet/test_weights_rollout_duty.py
+++ b/tests/fleet/test_weights_rollout_duty.py
@@ -12,6 +12,7 @@
 
 from hillstack.core.planned_stop import STOP_MARGIN_SECONDS
 from hillstack.core.relay_choice import RelayChoice
+from hillstack.core.store_revision import StoreRevision
 from hillstack.core.weights_rollout import START_DELAY_SECONDS
 from hillstack.daemon.duty_keeper import (
     RENEW_REFUSED_SECONDS,
@@ -19,7 +20,7 @@
     renewal_pause,
 )
 from hillstack.daemon.duty_lease import DutyLease
-from hillstack.daemon.key_value import Entry, Put, ValueIs
+from hillstack.daemon.key_value import Condition, Entry, Put
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.peer_link import PeerLink
 from hillstack.daemon.weights_orders import OrderOutcome, RunnerReport, WeightsOrder
@@ -41,6 +42,7 @@
     make_route,
     make_state,
     make_table,
+    rev,
 )
 
 TTL = 2.0
@@ -58,6 +60,7 @@
     ends: dict[int, float] = field(default_factory=dict)
     ttl: float = TTL
     silent: bool = False
+    era: int = 0
 
     def expire(self) -> None:
         now = self.scheduler.now
@@ -69,14 +72,19 @@
         self.expire()
         return self.keys[key][0] if key in self.keys else None
 
-    async def transact(self, conditions: Sequence[ValueIs], puts: Sequence[Put]) -> int | None:
+    async def transact(
+        self, conditions: Sequence[Condition], puts: Sequence[Put]
+    ) -> StoreRevision | None:
         self.expire()
         if any(condition.key in self.keys for condition in conditions):
             return None
         self.revision += 1
         for put in puts:
-            self.keys[put.key] = (Entry(put.key, put.value, self.revision), put.lease_id)
-        return self.revision
+            self.keys[put.key] = (
+                Entry(put.key, put.value, rev(self.revision)),
+                put.lease_id,
+            )
+        return rev(self.revision)
 
     async def grant_lease(self, ttl_seconds: float) -> int:
         self.revision += 1
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,6 +12,7 @@
 from tests.soak.earlier_builds import has_commit
 from tests.soak.fault_series import FAULTS
 from tests.soak.restart_faults import RESTART_FAULTS
+from tests.soak.restore_faults import RESTORE_FAULTS
 from tests.soak.signal_faults import SIGNAL_FAULTS
 from tests.soak.soak import SoakPlan, SoakResult, run
 from tests.soak.system import NODE_COUNT
@@ -20,7 +21,9 @@
 
 SEED_BITS = 31
 # Faults that are played only where they are asked for.
-NAMED_FAULTS = WEIGHTS_FAULTS + RESTART_FAULTS + SIGNAL_FAULTS + UPGRADE_FAULTS + CRASH_FAULTS
+NAMED_FAULTS = (
+    WEIGHTS_FAULTS + RESTART_FAULTS + SIGNAL_FAULTS + UPGRADE_FAULTS + CRASH_FAULTS + RESTORE_FAULTS
+)
 
 
 def main() -> int:
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -180,6 +180,7 @@
         runner_ends: Runners that were ended by requests.
         rollouts: Orders by target version.
         software: Version of each runner's software.
+        left_at: When the store acknowledged that each runner leaves.
         weights_named: When each version of the weights was acknowledged.
         arrivals: Requests that reached runners.
         signals: What runners said of themselves.
@@ -196,6 +197,7 @@
     troubles: list[Trouble] = field(default_factory=list)
     stops: list[Stop] = field(default_factory=list)
     let_go: dict[str, float] = field(default_factory=dict)
+    left_at: dict[str, float] = field(default_factory=dict)
     weights_named: dict[int, float] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
     signals: list[SignalSent] = field(default_factory=list)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -12,6 +12,7 @@
     passed_limits,
     reached_leaving_runners,
     reached_runners_in_backoff,
+    reached_runners_that_left,
 )
 from tests.soak.timed_promises import (
     at_work_after_close,
@@ -46,6 +47,7 @@
         *rollouts(seen),
         *begun_on_older_weights(seen),
         *reached_leaving_runners(seen),
+        *reached_runners_that_left(seen),
         *reached_runners_in_backoff(seen),
         *passed_limits(seen),
     ]
--- a/tests/soak/signal_promises.py
+++ b/tests/soak/signal_promises.py
@@ -5,7 +5,14 @@
 from collections import defaultdict
 from collections.abc import Iterator
 
-from tests.soak.observations import Arrival, NamedLimit, Observations, Sent, SignalSent
+from tests.soak.observations import (
+    STORE,
+    Arrival,
+    NamedLimit,
+    Observations,
+    Sent,
+    SignalSent,
+)
 from tests.soak.timed_promises import CONTACT_SECONDS
 
 # A request that its caller sends later than that after its node has passed on an answer which says
@@ -50,6 +57,25 @@
             yield f"{arrival.request_id}: at {arrival.runner_id} {late:.2f} s after its signal"
 
 
+def reached_runners_that_left(seen: Observations) -> Iterator[str]:
+    """Return requests that reached a runner long after the store knew that it leaves."""
+    sent = {request.request_id: request for request in seen.sent}
+    for arrival in seen.arrivals:
+        left_at = seen.left_at.get(arrival.runner_id)
+        request = sent.get(arrival.request_id)
+        if left_at is None or request is None:
+            continue
+        late = arrival.at - left_at
+        if late <= LEAVE_SECONDS + seen.lag(left_at, arrival.at):
+            continue
+        if seen.is_earlier(request.node, arrival.at):
+            continue
+        since = left_at - CONTACT_SECONDS
+        targets = (request.node, arrival.runner_id, STORE)
+        if not any(seen.disturbed(target, since, arrival.at) for target in targets):
+            yield f"{arrival.request_id}: at {arrival.runner_id} {late:.2f} s after it left"
+
+
 def reached_runners_in_backoff(seen: Observations) -> Iterator[str]:
     """Return the backoffs in which a runner got more requests of a node than are allowed."""
     sent = {request.request_id: request for request in seen.sent}
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -363,6 +363,7 @@
         if runner_id in self._members:
             self._members[runner_id] = "draining"
             self.deployment.list_runner(runner_id, "draining")
+            self.observations.left_at.setdefault(runner_id, time.monotonic())
 
     def remove_runner(self, runner_id: str) -> None:
         """Take a runner off the list for good; it serves on for a little."""
@@ -436,6 +437,15 @@
         self.deployment.name_weights(self.weights)
         self.observations.weights_named[self.weights] = time.monotonic()
 
+    def write_operators_items_again(self) -> None:
+        """Write again what the operator wrote: the store was restored from an older copy."""
+        self._configure()
+        self.deployment.name_weights(self.weights)
+        for service, target in self.software.ordered.items():
+            rollout = self.observations.rollouts[target]
+            over_seconds = rollout.deadline - rollout.ordered_at
+            self.deployment.order_rollout(service, target, over_seconds)
+
     def engines_behind(self) -> list[str]:
         """Return the listed engines that do not serve the newest weights."""
         runners = [self.deployment.runners[runner_id] for runner_id in self.listed()]
