--- a/tests/stateful/test_runner_restarts.py
+++ b/tests/stateful/test_runner_restarts.py
@@ -19,7 +19,7 @@
 from hillstack.platform.incarnations import runner_id_of
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.store_events import RunnerListed, RunnerUnlisted, StoreEvent
-from tests.fleet.builders import ENGINES, MODEL, make_route, make_state, make_table
+from tests.fleet.builders import ENGINES, MODEL, make_route, make_state, make_table, rev
 
 NAME = "i-1"
 NODES = st.sampled_from([0, 1])
@@ -37,7 +37,7 @@
         8,
         False,
         {MODEL: WEIGHTS_OF_PROCESS * process},
-        revision,
+        rev(revision),
         listed_as=NAME,
         started_ms=process,
     )
@@ -55,7 +55,7 @@
         self.notices: list[NodeNotice] = []
         self.states: list[FleetState] = []
         # The latest revision that each node has heard of, of an entry.
-        self.heard = [0, 0]
+        self.heard = [rev(0), rev(0)]
         for number in range(2):
             state = make_state(make_table(make_route()))
             state.node_id = f"node-{number}"
@@ -82,7 +82,7 @@
     @rule()
     def lapse(self) -> None:
         self.revision += 1
-        self.history.append(RunnerUnlisted(NAME, self.revision))
+        self.history.append(RunnerUnlisted(NAME, rev(self.revision)))
 
     @rule(node=NODES, which=st.integers(0, 200))
     def hear_of_the_directory(self, node: int, which: int) -> None:
@@ -141,7 +141,7 @@
             state.expire(self.now)
             if not state.pool.is_outdated(entry_of(0, 0)):
                 # The last process was gone for long: the name is forgotten.
-                self.heard[node] = 0
+                self.heard[node] = rev(0)
 
     @rule()
     def both_nodes_hear_the_latest(self) -> None:
@@ -153,7 +153,7 @@
             assert [r.entry.started_ms for r in state.pool.accepting(ENGINES, later)] == [
                 self.process
             ]
-        self.heard = [self.revision, self.revision]
+        self.heard = [rev(self.revision), rev(self.revision)]
 
     @invariant()
     def at_most_one_process_of_a_name_is_known(self) -> None:
--- a/tests/stateful/test_runner_signals.py
+++ b/tests/stateful/test_runner_signals.py
@@ -12,7 +12,7 @@
 from hillstack.platform.incarnations import runner_id_of
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.store_events import RunnerListed, RunnerUnlisted, StoreEvent
-from tests.fleet.builders import ENGINES, make_route, make_state, make_table
+from tests.fleet.builders import ENGINES, make_route, make_state, make_table, rev
 
 RUNNERS = ("i-1", "i-2")
 NAMES = st.sampled_from(RUNNERS)
@@ -52,7 +52,7 @@
             8,
             draining,
             {},
-            self.revision,
+            rev(self.revision),
             listed_as=name,
             started_ms=process,
         )
@@ -78,7 +78,7 @@
     @rule(name=NAMES)
     def lapse(self, name: str) -> None:
         self.revision += 1
-        self.history.append(RunnerUnlisted(name, self.revision))
+        self.history.append(RunnerUnlisted(name, rev(self.revision)))
 
     @rule(which=st.integers(0, 300))
     def hear_of_the_directory(self, which: int) -> None:
@@ -88,7 +88,7 @@
     @rule()
     def read_the_whole_list_anew(self) -> None:
         listed = {name for name in RUNNERS if self.process[name] % 2}
-        self.state.retain_runners(listed, self.now, self.revision)
+        self.state.retain_runners(listed, self.now, rev(self.revision))
 
     @rule()
     def an_outage_ends(self) -> None:
--- a/tests/stateful/test_software_rollouts.py
+++ b/tests/stateful/test_software_rollouts.py
@@ -10,6 +10,7 @@
 
 from hillstack.core.rollout_plan import is_decided
 from hillstack.core.software_rollouts import RolloutStage
+from hillstack.core.store_revision import StoreRevision
 from tests.fleet.builders import APPLICATION
 from tests.fleet.rollout_bench import NEW, NEWER, OVER_SECONDS, RUNNERS_EACH, TTL, RolloutBench
 
@@ -29,9 +30,9 @@
         self.bench = RolloutBench(*NAMES)
         for n in range(RUNNERS_EACH):
             self.bench.list_runner(f"newer-{n}", NEWER)
-        self.always_bad: set[int] = set()
-        self.withdrawn: set[int] = set()
-        self.told_when_withdrawn: dict[int, int] = {}
+        self.always_bad: set[StoreRevision] = set()
+        self.withdrawn: set[StoreRevision] = set()
+        self.told_when_withdrawn: dict[StoreRevision, int] = {}
         self.busy_since: dict[str, float] = {}
 
     @rule(seconds=st.sampled_from([2.0, 4.0, 8.0]))
@@ -79,7 +80,7 @@
             self.withdrawn.add(order.revision)
             self.told_when_withdrawn[order.revision] = self.told_of(order.revision)
 
-    def told_of(self, revision: int) -> int:
+    def told_of(self, revision: StoreRevision) -> int:
         return self.bench.store.told_of.count(revision)
 
     @precondition(lambda self: len(self.bench.nodes) < MAX_NODES)
--- a/tests/stateful/test_version_exposure.py
+++ b/tests/stateful/test_version_exposure.py
@@ -13,6 +13,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from hillstack.core.version_exposure import SLACK_SETTLE_SECONDS, VersionExposure
+from tests.fleet.builders import rev
 
 SERVICE = "service"
 SHARE = 0.1
@@ -62,7 +63,7 @@
             return
         node.exposure.set_node_count(len(self.nodes))
         if self.ordered_at is not None:
-            node.exposure.open(SERVICE, 7, OVER_SECONDS, node.proved_at, self.now)
+            node.exposure.open(SERVICE, rev(7), OVER_SECONDS, node.proved_at, self.now)
         node.proved_at = self.now
 
     @rule(seconds=st.floats(0.0, 4.0))
--- a/tests/unit/test_lease.py
+++ b/tests/unit/test_lease.py
@@ -6,8 +6,9 @@
 from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass, field
 
+from hillstack.core.store_revision import StoreRevision
 from hillstack.daemon.duty_lease import DutyLease
-from hillstack.daemon.key_value import Entry, Put, ValueIs
+from hillstack.daemon.key_value import Condition, Entry, Put
 from hillstack.emulator.platform import KeyValueStore
 
 TTL = 8
@@ -20,6 +21,10 @@
     now: float = 0.0
     store: KeyValueStore = field(default_factory=KeyValueStore)
 
+    @property
+    def era(self) -> int:
+        return self.store.era
+
     async def get(self, key: str) -> Entry | None:
         self.store.expire(self.now)
         return self.store.entry(key)
@@ -27,7 +32,9 @@
     async def list_prefix(self, prefix: str, limit: int = 0) -> list[Entry]:
         raise NotImplementedError
 
-    async def transact(self, conditions: Sequence[ValueIs], puts: Sequence[Put]) -> int | None:
+    async def transact(
+        self, conditions: Sequence[Condition], puts: Sequence[Put]
+    ) -> StoreRevision | None:
         self.store.expire(self.now)
         return self.store.transact(conditions, puts)
 
@@ -60,7 +67,9 @@
         await self.let_go.wait()
         return alive
 
-    async def transact(self, conditions: Sequence[ValueIs], puts: Sequence[Put]) -> int | None:
+    async def transact(
+        self, conditions: Sequence[Condition], puts: Sequence[Put]
+    ) -> StoreRevision | None:
         revision = await super().transact(conditions, puts)
         await self.let_go.wait()
         return revision
@@ -166,3 +175,60 @@
         assert lease.fence() is None
 
     asyncio.run(scenario())
+
+
+# Guards against a holder that goes on by a lease which the restored service has lost.
+def test_a_holder_stops_at_once_when_the_service_was_restored() -> None:
+    service = MemoryKeyValue()
+    snapshot = service.store.snapshot()
+    lease = make_lease(service, "first")
+    asyncio.run(lease.renew_or_acquire())
+    assert lease.fence() is not None
+    service.store.restore(snapshot)
+    assert lease.fence() is None
+
+
+# Guards against a lease of somebody else that is renewed or ended by a number given out again.
+def test_a_lease_number_that_was_given_out_again_is_left_alone() -> None:
+    service = MemoryKeyValue()
+    snapshot = service.store.snapshot()
+    first = make_lease(service, "first")
+    asyncio.run(first.renew_or_acquire())
+    service.store.restore(snapshot)
+    second = make_lease(service, "second")
+    asyncio.run(second.renew_or_acquire())
+    assert list(service.store.leases) == [1], "the number of the first one's lease"
+    ends_at = service.store.leases[1].expires_at
+    service.now += 1.0
+    asyncio.run(first.renew_or_acquire())
+    asyncio.run(first.give_up())
+    assert first.fence() is None
+    assert service.store.leases[1].expires_at == ends_at
+    assert second.fence() is not None
+
+
+# Guards against orders that back ends refuse, since the restored service's revisions are lower.
+def test_a_fence_rises_across_a_restore() -> None:
+    service = MemoryKeyValue()
+    snapshot = service.store.snapshot()
+    for _ in range(40):
+        service.store.transact([], [Put("/other", b"1")])
+    first, second = make_lease(service, "first"), make_lease(service, "second")
+    asyncio.run(first.renew_or_acquire())
+    before = first.fence()
+    assert before is not None and before > 40
+    asyncio.run(second.renew_or_acquire())
+    service.store.restore(snapshot)
+    asyncio.run(second.renew_or_acquire())
+    after = second.fence()
+    assert after is not None and after > before
+    entry = asyncio.run(service.get("/duty"))
+    assert entry is not None and entry.mod_revision.number == after
+
+
+def test_a_fence_out_of_reach_leaves_the_duty_free() -> None:
+    service = MemoryKeyValue()
+    lease = DutyLease(service, "/duty", "first", TTL, lambda: service.now, lambda: 10_000)
+    asyncio.run(lease.renew_or_acquire())
+    assert lease.fence() is None
+    assert asyncio.run(service.get("/duty")) is None
--- a/tools/bench_node.py
+++ b/tools/bench_node.py
@@ -32,6 +32,7 @@
 from hillstack.core.routing_table import EngineProfile, KeptCacheStore
 from hillstack.core.runner_load import RunnerLoad
 from hillstack.core.runner_pool import RunnerEntry, RunnerPool
+from hillstack.core.store_revision import StoreRevision
 from hillstack.core.tenant_limits import LimitTolerance, LimitUnit, TenantLimit
 from hillstack.core.token_buckets import TokenBuckets
 from hillstack.core.token_leases import TokenLeases
@@ -163,7 +164,14 @@
     for number in range(runners):
         zone = f"zone-{number % ZONES}"
         entry = RunnerEntry(
-            f"runner-{number}", "engines", f"10.0.0.1:{number}", zone, 16, False, {"model": 1}, 1
+            f"runner-{number}",
+            "engines",
+            f"10.0.0.1:{number}",
+            zone,
+            16,
+            False,
+            {"model": 1},
+            StoreRevision(0, 1),
         )
         runner = pool.update(entry)
         assert runner is not None
--- a/tools/notice_cost.py
+++ b/tools/notice_cost.py
@@ -23,6 +23,7 @@
 )
 from hillstack.core.runner_pool import RunnerEntry
 from hillstack.core.shared_retry_budget import SharedRetryBudget
+from hillstack.core.store_revision import StoreRevision
 from hillstack.core.weights_versions import WeightsVersions
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.peer_link import PeerLink
@@ -94,11 +95,15 @@
     state.apply(ConfigurationChanged(table), 0.0)
     for number in range(NODES):
         zone = ZONES[number % len(ZONES)]
-        state.apply(NodeListed(f"node-{number}", f"10.0.0.{number}:1", zone, 1, 10.0), 0.0)
+        state.apply(
+            NodeListed(f"node-{number}", f"10.0.0.{number}:1", zone, StoreRevision(0, 1), 10.0), 0.0
+        )
     for number in range(RUNNERS):
         zone, address = ZONES[number % len(ZONES)], f"10.0.1.{number}:1"
         runner_id = _runner(number)
-        entry = RunnerEntry(runner_id, "engines", address, zone, 16, False, {"model": 3}, 1)
+        entry = RunnerEntry(
+            runner_id, "engines", address, zone, 16, False, {"model": 3}, StoreRevision(0, 1)
+        )
         state.apply(RunnerListed(entry), 0.0)
     return state
 
