A duty is taken after a restore no sooner than its lost lease would have ended

Cause, found by a state machine of three nodes before a service that is restored at any moment: a node that hears of a restore before the holder does could take the duty at once, and both ordered until the holder's next call.

The lease's first try in a new era waits for the time of a lease. The fields of a line on another node no longer replace the name of the node that wrote it.

--- a/src/hillstack/daemon/duty_lease.py
+++ b/src/hillstack/daemon/duty_lease.py
@@ -5,8 +5,9 @@
 orders of a holder that was paused and does not know that its lease has lapsed.
 
 A service that came back with an older state has lost leases or gives their numbers out again, so
-none is renewed or ended beyond that. Its revisions fall: a holder writes its key again until that
-has a higher revision than all fences before.
+none is renewed or ended beyond that. A holder that has not heard of it goes by its own clock, so
+the duty is taken no sooner than its lease would have ended. Revisions fall: a new holder writes its
+key again until that has a higher revision than all fences before.
 """
 
 from __future__ import annotations
@@ -46,6 +47,8 @@
         self._known_fence = highest_fence
         self._highest_seen = 0
         self._lease_era = 0
+        self._known_era = key_value.era
+        self._free_from = float("-inf")
         self._key_value = key_value
         self._key = key
         self._node_id = node_id
@@ -117,6 +120,7 @@
         held = await self._key_value.get(self._key)
         if held is not None:
             self._note_fence(held.mod_revision)
+        if held is not None or not self._may_acquire():
             return
         asked_at = self._clock()
         self._lease_id = await self._key_value.grant_lease(self._ttl)
@@ -135,6 +139,14 @@
         self._note_fence(revision)
         self._extend(asked_at)
 
+    def _may_acquire(self) -> bool:
+        """Return whether a holder that lost its lease in a restore has stopped by now."""
+        now, era = self._clock(), self._key_value.era
+        if era != self._known_era:
+            self._known_era = era
+            self._free_from = now + self._ttl
+        return now >= self._free_from
+
     async def _raise_fence(self, put: Put, revision: StoreRevision) -> StoreRevision | None:
         """Write the key again until its revision is above all fences; None if that failed."""
         highest = max(self._known_fence(), self._highest_seen)
--- a/src/hillstack/daemon/node_registry.py
+++ b/src/hillstack/daemon/node_registry.py
@@ -77,7 +77,10 @@
 
     async def _remove_gone(self) -> None:
         for node in self._silent_nodes(GONE_SECONDS)[:MAX_REMOVALS_A_CHECK]:
-            fields: dict[str, object] = {"node": node.node_id, "silent_seconds": GONE_SECONDS}
+            fields: dict[str, object] = {
+                "listed_node": node.node_id,
+                "silent_seconds": GONE_SECONDS,
+            }
             try:
                 removed = await self._store.remove_node(node.node_id, node.revision)
             except PlatformError as error:
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -465,7 +465,7 @@
     def _unlist_node(self, node_id: str, now: float) -> None:
         if self.nodes.unlist(node_id, now):
             self._share_budgets(now)
-            logger.info("node gone", extra={"node": node_id, "nodes": len(self.nodes)})
+            logger.info("node gone", extra={"listed_node": node_id, "nodes": len(self.nodes)})
 
     def _share_budgets(self, now: float) -> None:
         count = self.nodes.sharing_count(now)
--- a/tests/fleet/test_store_era.py
+++ b/tests/fleet/test_store_era.py
@@ -9,14 +9,23 @@
 import pytest
 
 from hillstack.core.store_era import STORE, StoreEra
+from hillstack.daemon.change_log import ChangeLog
 from hillstack.daemon.key_value import Put, RevisionIs
+from hillstack.daemon.peer_link import PeerLink
+from hillstack.daemon.store_relay import StoreRelay
 from hillstack.emulator.fleet_store import FleetStore
 from hillstack.emulator.free_ports import free_ports
 from hillstack.errors import HistoryLostError, OutdatedAnswerError, PlatformOutcomeUnknownError
 from hillstack.http_server import make_server
+from hillstack.messages.datagrams import DatagramKind, unwrap, wrap
+from hillstack.messages.packing import pack, unpack
+from hillstack.messages.peer_notices import PROTOCOL_VERSION
+from hillstack.messages.store_changes import ChangesAnswer, ChangesQuestion
 from hillstack.platform.connections import make_store_session
 from hillstack.platform.store import MetadataStore
-from tests.fleet.builders import rev
+from hillstack.serving.store_events import NodeListed
+from tests.fleet.builders import make_route, make_state, make_table, rev
+from tests.fleet.node_network import NodeNetwork, list_runners, write_runner
 
 Scenario = Callable[[FleetStore, MetadataStore], Awaitable[None]]
 
@@ -169,3 +178,63 @@
         with_store(scenario)
     told = [line for line in caplog.records if line.message == "store era can't be read"]
     assert len(told) == 1
+
+
+# Guards against knowledge of before a restore that passes for fresh since it was proved just now.
+def test_a_peer_that_has_not_heard_of_the_restore_proves_nothing() -> None:
+    network = NodeNetwork(2, 1)
+    list_runners(network)
+    network.run(4.0)
+    order = next(iter(network.nodes.values())).state.nodes.relay_order(None)
+    first, second = (network.nodes[node_id] for node_id in order)
+    network.store.down_for = None
+    second.state.store_era.hear(1, "node-9")
+    proved_at = second.state.freshness.proved_at()
+    network.run(1.5)
+    assert first.log.revision.era == second.log.revision.era == 0
+    assert second.state.freshness.proved_at() == proved_at
+    network.close()
+
+
+# Guards against a node that hears nothing while the store turns it away and its history is gone.
+def test_a_node_that_the_store_turns_away_learns_of_a_restore_from_its_peers() -> None:
+    network = NodeNetwork(2, 1)
+    list_runners(network)
+    network.run(4.0)
+    order = next(iter(network.nodes.values())).state.nodes.relay_order(None)
+    first = order[0]
+    copy = network.store.copy()
+    network.run(1.0)
+    network.store.restore(copy)
+    network.store.down_for = {first}
+    write_runner(network, "i-3", state="draining", seq=9)
+    network.nodes[first].state.store_era.hear(network.store.era, STORE)
+    network.run(2.0)
+    runner = network.nodes[first].state.pool.get("i-3")
+    network.close()
+    assert runner is not None and runner.leaves
+
+
+def test_an_answer_of_an_earlier_build_says_nothing_of_changes() -> None:
+    sent: list[bytes] = []
+    link = PeerLink()
+    state = make_state(make_table(make_route()))
+    state.apply(NodeListed("node-2", "10.0.0.2:1", "zone-a"), 0.0)
+    relay = StoreRelay(state, ChangeLog(), link, lambda: 0.0)
+
+    class Transport:
+        def sendto(self, data: bytes, endpoint: tuple[str, int]) -> None:
+            sent.append(data)
+
+    async def scenario() -> None:
+        link.connection_made(Transport())
+        asking = asyncio.create_task(relay.ask("node-2", rev(5)))
+        await asyncio.sleep(0)
+        _, payload = unwrap(sent[0], "peer")
+        number = unpack(payload, ChangesQuestion, "peer").number
+        answer = ChangesAnswer(PROTOCOL_VERSION, "node-2", number, 9, 10)
+        link.datagram_received(wrap(DatagramKind.CHANGES_ANSWER, pack(answer)), ("10.0.0.2", 1))
+        relayed = await asking
+        assert relayed is not None and not relayed.is_complete
+
+    asyncio.run(scenario())
--- a/tests/unit/test_lease.py
+++ b/tests/unit/test_lease.py
@@ -197,6 +197,7 @@
     service.store.restore(snapshot)
     second = make_lease(service, "second")
     asyncio.run(second.renew_or_acquire())
+    assert second.fence() is not None
     assert list(service.store.leases) == [1], "the number of the first one's lease"
     ends_at = service.store.leases[1].expires_at
     service.now += 1.0
@@ -220,6 +221,9 @@
     asyncio.run(second.renew_or_acquire())
     service.store.restore(snapshot)
     asyncio.run(second.renew_or_acquire())
+    assert second.fence() is None, "the first one may not have heard of the restore"
+    service.now += TTL
+    asyncio.run(second.renew_or_acquire())
     after = second.fence()
     assert after is not None and after > before
     entry = asyncio.run(service.get("/duty"))
@@ -232,3 +236,20 @@
     asyncio.run(lease.renew_or_acquire())
     assert lease.fence() is None
     assert asyncio.run(service.get("/duty")) is None
+
+
+def test_a_lease_that_was_granted_before_a_restore_is_not_ended_after_it() -> None:
+    async def scenario() -> None:
+        service = SlowKeyValue()
+        snapshot = service.store.snapshot()
+        lease = make_lease(service, "first")
+        asking = asyncio.create_task(lease.renew_or_acquire())
+        await asyncio.sleep(0)
+        service.store.restore(snapshot)
+        assert await service.grant_lease(TTL) == 1, "the number of the lease that was lost"
+        await lease.give_up()
+        service.let_go.set()
+        await asking
+        assert list(service.store.leases) == [1]
+
+    asyncio.run(scenario())
--- a/tests/unit/test_restored_key_value.py
+++ b/tests/unit/test_restored_key_value.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 
 import aiohttp
@@ -40,13 +39,16 @@
         snapshot = store.snapshot()
         for _ in range(5):
             await client.transact([], [Put("/other", b"1")])
-        lease = DutyLease(client, "/duty", "node-1", 6, time.monotonic)
+        now = 0.0
+        lease = DutyLease(client, "/duty", "node-1", 6, lambda: now)
         await lease.renew_or_acquire()
         before = lease.fence()
         assert before is not None and client.era == 0
         store.restore(snapshot)
         await lease.renew_or_acquire()
-        assert client.era == 1
+        assert client.era == 1 and lease.fence() is None
+        await lease.renew_or_acquire()
+        now += 6.0
         await lease.renew_or_acquire()
         after = lease.fence()
         assert after is not None and after > before
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -19,6 +19,10 @@
 ROOT = Path(__file__).resolve().parent.parent
 WORKERS = 4
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+RESTORED_MACHINES = (
+    "tests/stateful/test_restored_leases.py",
+    "tests/stateful/test_restored_store.py",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,13 +99,13 @@
     Mutation(
         "draining runners get work",
         "core/runner_pool.py",
-        "if self.leaving or self.entry.draining:",
-        "if False:",
+        "return self.leaving or self.entry.draining or self.signals.leaves",
+        "return False",
     ),
     Mutation(
         "entries go back",
         "core/runner_pool.py",
-        "return latest is not None and entry.revision < latest.revision",
+        "return entry.revision < latest.revision",
         "return False",
     ),
     Mutation(
@@ -483,8 +487,8 @@
     Mutation(
         "limits are shared before the other nodes are known",
         "daemon/limit_client.py",
-        "if table is None or not self._state.directory_known:",
-        "if table is None:",
+        "if self._state.table is None or not self._state.peers_known:",
+        "if self._state.table is None:",
     ),
     Mutation(
         "tokens that nobody asked for are taken",
@@ -616,7 +620,7 @@
     Mutation(
         "a word on named weights counts from its arrival",
         "daemon/notice_reader.py",
-        "not_before = state.proofs.latest_before(entry.revision)",
+        "not_before = state.proofs.latest_before(revision)",
         "not_before = now",
     ),
     Mutation(
@@ -925,6 +929,146 @@
         "return time.clock_gettime(BOOT_CLOCK)",
         "return time.monotonic()",
     ),
+    Mutation(
+        "revisions are ordered by their number alone",
+        "core/store_revision.py",
+        """    def __str__(self) -> str:
+""",
+        """    def __lt__(self, other: tuple[int, ...]) -> bool:
+        return self.number < other[1]
+
+    def __gt__(self, other: tuple[int, ...]) -> bool:
+        return self.number > other[1]
+
+    def __le__(self, other: tuple[int, ...]) -> bool:
+        return self.number <= other[1]
+
+    def __ge__(self, other: tuple[int, ...]) -> bool:
+        return self.number >= other[1]
+
+    def __str__(self) -> str:
+""",
+    ),
+    Mutation(
+        "a peer's knowledge of an earlier era is fresh",
+        "daemon/store_sync.py",
+        "if relayed.revision.era < self._state.store_era.current:",
+        "if False:",
+    ),
+    Mutation(
+        "a watch goes on over a restore",
+        "platform/store.py",
+        "if answer.era != revision.era:",
+        "if False:",
+    ),
+    Mutation(
+        "conditions of an earlier era are asked for",
+        "platform/store.py",
+        "if counted_in - {self.era}:",
+        "if False:",
+    ),
+    Mutation(
+        "pages of two eras are one list",
+        "platform/store.py",
+        "if len(eras) > 1:",
+        "if False:",
+    ),
+    Mutation(
+        "answers of an earlier era count",
+        "core/store_era.py",
+        "if may_be_old or asked_in < self.current:",
+        "if False:",
+    ),
+    Mutation(
+        "peers are not asked while history is lost",
+        "daemon/store_sync.py",
+        "            if relayed is None:\n                raise\n            loaded",
+        "            raise\n            loaded",
+    ),
+    Mutation(
+        "answers of earlier builds are taken for whole",
+        "daemon/store_relay.py",
+        "answer.is_complete and answer.era is not None",
+        "answer.is_complete",
+    ),
+    Mutation(
+        "a leave that the copy lacks is forgotten",
+        "core/runner_pool.py",
+        "replace(entry, draining=True) if entry.revision.era > known.revision.era else entry",
+        "entry",
+    ),
+    Mutation(
+        "a runner that was gone is used from the copy",
+        "core/runner_pool.py",
+        "return gone.revision.era < entry.revision.era",
+        "return False",
+    ),
+    Mutation(
+        "a process that ended comes back with the copy",
+        "core/runner_pool.py",
+        "return entry.started_ms < latest.started_ms",
+        "return False",
+    ),
+    Mutation(
+        "runners that the copy lacks are dropped at once",
+        "serving/fleet_state.py",
+        "        self.note_calls_failed(now)\n\n    def store_regained",
+        "        del now\n\n    def store_regained",
+    ),
+    Mutation(
+        "a lease outlives its era",
+        "daemon/duty_lease.py",
+        "        if self._lease_era != self._key_value.era:\n            return None\n",
+        "",
+    ),
+    Mutation(
+        "a lease of another is ended by its number",
+        "daemon/duty_lease.py",
+        "if self._lease_era == self._key_value.era:",
+        "if True:",
+    ),
+    Mutation(
+        "a duty is taken before its holder has heard of the restore",
+        "daemon/duty_lease.py",
+        "self._free_from = now + self._ttl",
+        "self._free_from = now",
+    ),
+    Mutation(
+        "a fence falls with the store's revision",
+        "daemon/duty_lease.py",
+        "if raised is None or raised.number > highest:",
+        "if True:",
+    ),
+    Mutation(
+        "an order that is written again is a new one",
+        "core/software_rollouts.py",
+        "if order.revision.era == known.revision.era:\n            return False",
+        "if True:\n            return False",
+    ),
+    Mutation(
+        "an earlier stage of the copy counts",
+        "core/software_rollouts.py",
+        "return record.revision.era > known.revision.era and _is_behind(record, known)",
+        "return False",
+    ),
+    Mutation(
+        "a record that the store has lost is not written again",
+        "core/software_rollouts.py",
+        "            if service not in listed and record.revision.era < revision.era:",
+        "            if False:",
+    ),
+    Mutation(
+        "an order that the store has lost is withdrawn at once",
+        "serving/fleet_state.py",
+        "if order.revision.era < revision.era:",
+        "if False:",
+    ),
+    Mutation(
+        "a change is proved by a later era",
+        "core/store_proofs.py",
+        "if known.era <= revision.era and known.number < revision.number:",
+        "if known < revision:",
+    ),
 )
 
 
@@ -957,7 +1101,8 @@
         if mutation.old:
             path.write_text(text.replace(mutation.old, mutation.new))
         command = [sys.executable, "-m", "pytest", "-q", "-x", "--tb=no", "-p", "no:cacheprovider"]
-        command += ["tests/fleet", "-k", "not process and not settings and not adapter"]
+        command += ["tests/fleet", "tests/unit/test_lease.py", *RESTORED_MACHINES]
+        command += ["-k", "not process and not settings and not adapter"]
         environment = os.environ | {"PYTHONPATH": str(copy / "src")}
         finished = subprocess.run(
             command, cwd=copy, env=environment, capture_output=True, timeout=900, check=False
