--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -8,6 +8,7 @@
 
 from hillstack.core.cache_watch import CacheHolder
 from hillstack.core.crash_counts import CrashCounts
+from hillstack.core.doubtful_entries import DoubtfulEntries
 from hillstack.core.freshness import Freshness
 from hillstack.core.node_directory import NodeDirectory, NodeEntry
 from hillstack.core.part_index import PartIndex
@@ -57,8 +58,6 @@
 UNLISTED_GRACE_SECONDS = 1.6
 # What the operator wrote is written again within some seconds of a restore.
 WRITTEN_AGAIN_SECONDS = 10.0
-# The entry of a runner that does not live is dropped after three heartbeats of 1.2 s.
-LAPSE_SECONDS = 5.0
 # Answers of several peers differ by some tenths of a millisecond: 702 of 823 moves of bounds on a
 # day of 69 nodes were shorter than one.
 LEAST_LOGGED_MOVE_SECONDS = 0.01
@@ -126,6 +125,7 @@
         self.budget = budget
         self.table: RoutingTable | None = None
         self.pool = RunnerPool()
+        self._doubtful = DoubtfulEntries(self.pool)
         self.runner_ends = RunnerEndRecord()
         self.crash_counts = CrashCounts()
         self.probations = Probations()
@@ -142,8 +142,6 @@
         self.highest_fence = 0
         # Orders that a restored store has lost, with until when they stand all the same.
         self._missing_orders: dict[str, float] = {}
-        # Entries of runners that were known to be gone before the store was restored.
-        self._doubtful: dict[str, tuple[RunnerEntry, float]] = {}
         self.rollout_deciders: dict[str, str | None] = {}
         self.duty_known = False
         self.directory_known = False
@@ -243,8 +241,7 @@
 
     def retain_runners(self, listed: set[str], now: float, revision: StoreRevision) -> None:
         """Drop the runners that a whole list of the directory, as of a revision, no longer has."""
-        for name in self._doubtful.keys() - listed:
-            del self._doubtful[name]
+        self._doubtful.retain(listed)
         for runner in self.pool.all():
             if runner.entry.directory_name in listed or runner.entry.revision > revision:
                 continue
@@ -330,10 +327,8 @@
     def expire(self, now: float) -> None:
         """Forget what has been gone for long; list runners that are back after all."""
         self._withdraw_missing_orders(now)
-        for name, (entry, until) in list(self._doubtful.items()):
-            if now >= until:
-                del self._doubtful[name]
-                self._take_entry(entry, now)
+        for entry in self._doubtful.take_due(now):
+            self._take_entry(entry, now)
         for runner in self.pool.expire_unlisted(now):
             self.index.forget(runner.runner_id)
         self._share_budgets(now)
@@ -477,7 +472,7 @@
             # Its process says when it started: this was written by something else.
             self._take_removal(entry.directory_name, entry.revision, now)
             return
-        if not self._is_doubtful(entry, now):
+        if not self._doubtful.keep_back(entry, now):
             self._take_entry(entry, now)
 
     def _take_entry(self, entry: RunnerEntry, now: float) -> None:
@@ -502,24 +497,6 @@
         }
         logger.info("runner changed" if known else "runner listed", extra=fields)
 
-    def _is_doubtful(self, entry: RunnerEntry, now: float) -> bool:
-        """Return whether an entry is kept back: the store may have it from its copy alone.
-
-        The runner was known to be gone before the restore. One that is gone lapses from the copy;
-        one that lives is listed still after that, or has changed its entry by then.
-        """
-        name = entry.directory_name
-        kept = self._doubtful.get(name)
-        if kept is not None and kept[0].revision.era == entry.revision.era:
-            if kept[0].revision < entry.revision:
-                del self._doubtful[name]
-            return kept[0].revision == entry.revision
-        if not self.pool.is_gone_before(entry):
-            return False
-        self._doubtful[name] = entry, now + LAPSE_SECONDS
-        logger.info("runner kept back", extra={"runner": entry.runner_id})
-        return True
-
     def _replace_process(self, known: Runner, entry: RunnerEntry, now: float) -> None:
         """Put another process in the place of the one that is known under a name.
 
@@ -549,7 +526,7 @@
             self.index.set_capacity(runner.runner_id, engine.kv_capacity_tokens)
 
     def _take_removal(self, listed_as: str, revision: StoreRevision | None, now: float) -> None:
-        self._doubtful.pop(listed_as, None)
+        self._doubtful.drop(listed_as)
         runner = self.pool.listed_as(listed_as)
         if runner is None:
             return
--- a/tests/fleet/test_restored_beliefs.py
+++ b/tests/fleet/test_restored_beliefs.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hillstack.core.doubtful_entries import LAPSE_SECONDS
 from hillstack.core.software_rollouts import (
     RolloutOrder,
     RolloutRecord,
@@ -19,7 +20,6 @@
 from hillstack.core.store_proofs import StoreProofs
 from hillstack.core.store_revision import NO_REVISION, StoreRevision
 from hillstack.serving.fleet_state import (
-    LAPSE_SECONDS,
     WRITTEN_AGAIN_SECONDS,
     FleetState,
     ListedRollouts,
