--- a/src/hillstack/core/rollout_plan.py
+++ b/src/hillstack/core/rollout_plan.py
@@ -242,7 +242,7 @@
     rejected = set(view.passed_over)
     if before is not None:
         rejected.update(before.rejected)
-        if before.order_revision != order.revision and before.stage not in TRUSTED:
+        if not is_of_order(before, order) and before.stage not in TRUSTED:
             rejected.add(before.target)
     rejected.discard(order.target)
     if stage is RolloutStage.REVERTED:
--- a/src/hillstack/core/software_rollouts.py
+++ b/src/hillstack/core/software_rollouts.py
@@ -256,7 +256,7 @@
         """Return how far an order is by the latest record, whichever order that belongs to."""
         if record is None:
             return RolloutStage.CANARY
-        if record.order_revision == order.revision:
+        if is_of_order(record, order):
             return record.stage
         return RolloutStage.SHIFTING if is_trusted_before(order, record) else RolloutStage.CANARY
 
--- a/src/hillstack/daemon/change_log.py
+++ b/src/hillstack/daemon/change_log.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from hillstack.core.store_revision import NO_REVISION, StoreRevision
-from hillstack.serving.store_events import StoreEvent
+from hillstack.serving.store_events import ListedRollouts, StoreEvent
 
 # Removed keys are remembered while changes since before their removal may still be asked for. A
 # removal is a runner or a node that ends: this is more than a day of the largest deployment brings
@@ -49,17 +49,13 @@
         runner_ids: The runners that are listed.
         node_ids: The nodes that are listed.
         duty_held: Whether some node holds the duty of ordering weights.
-        rollout_orders: The services with an order to roll software out.
-        rollout_duties: The services whose rollout some node decides.
-        rollout_records: The services of which it is written how far a rollout is.
+        rollouts: What it says of rollouts of software.
     """
 
     runner_ids: set[str]
     node_ids: set[str]
     duty_held: bool
-    rollout_orders: set[str] = field(default_factory=set)
-    rollout_duties: set[str] = field(default_factory=set)
-    rollout_records: set[str] = field(default_factory=set)
+    rollouts: ListedRollouts = field(default_factory=ListedRollouts)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hillstack/daemon/store_check.py
+++ b/src/hillstack/daemon/store_check.py
@@ -14,7 +14,7 @@
 
 from hillstack.core.store_revision import NO_REVISION, StoreRevision
 from hillstack.daemon.change_log import ChangeLog, StoreChange
-from hillstack.daemon.store_sync import Peers, Store
+from hillstack.daemon.store_sync import MAX_KEYS_LOGGED, Peers, Store
 from hillstack.errors import PlatformError
 from hillstack.logs import error_fields
 from hillstack.serving.fleet_state import FleetState
@@ -39,8 +39,6 @@
 # 67 nodes. A removal that the peer does not remember is found that much later: its runner takes no
 # connections meanwhile.
 STORE_ROUNDS = 8
-# Keys in one line of the log; their count is told besides.
-MAX_KEYS_LOGGED = 20
 
 
 class StoreCheck:
--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -26,7 +26,7 @@
     PlatformThrottledError,
 )
 from hillstack.logs import error_fields
-from hillstack.serving.fleet_state import FleetState, ListedRollouts
+from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.store_events import DutyHeld, NodeListed
 
 logger = logging.getLogger(__name__)
@@ -253,9 +253,7 @@
         try:
             loaded = await self._load(self._clock())
         except PlatformError:
-            usable = self._choice.others(self._groups()[-1], self._clock())
-            chosen = self._rng.sample(usable, min(MAX_PEERS_ASKED, len(usable)))
-            relayed = await self._ask_peers(self._with_last_source(chosen, usable), revision)
+            relayed = await self._ask_others(self._groups()[-1], [], revision)
             if relayed is None:
                 raise
             loaded = self._take_relayed(relayed, revision)
@@ -305,10 +303,7 @@
         if isinstance(failure, StoreRevision):
             return failure
         # The store turns this node away: it may serve others.
-        usable = self._choice.others(groups[-1], self._clock())
-        others = [node for node in usable if node not in asked]
-        chosen = self._rng.sample(others, min(MAX_PEERS_ASKED, len(others)))
-        relayed = await self._ask_peers(self._with_last_source(chosen, others), revision)
+        relayed = await self._ask_others(groups[-1], asked, revision)
         if relayed is not None:
             return self._take_relayed(relayed, revision)
         if was_known and isinstance(failure, PlatformOutcomeUnknownError):
@@ -351,6 +346,15 @@
         self._refusal = None
         return revision
 
+    async def _ask_others(
+        self, group: NodeGroup, asked: list[str], revision: StoreRevision
+    ) -> RelayedChanges | None:
+        """Return what a few nodes of a group say that were not asked before; None without one."""
+        usable = self._choice.others(group, self._clock())
+        others = [node for node in usable if node not in asked]
+        chosen = self._rng.sample(others, min(MAX_PEERS_ASKED, len(others)))
+        return await self._ask_peers(self._with_last_source(chosen, others), revision)
+
     def _with_last_source(self, chosen: list[str], others: list[str]) -> list[str]:
         """Return the peers to ask, the one that helped the last time first."""
         if self._source is None or self._source not in others:
@@ -473,10 +477,7 @@
         now = self._clock()
         self._state.retain_runners(listed.runner_ids, now, revision)
         self._state.retain_nodes(listed.node_ids, now, revision)
-        rollouts = ListedRollouts(
-            listed.rollout_orders, listed.rollout_records, listed.rollout_duties
-        )
-        self._state.retain_rollouts(rollouts, now, revision)
+        self._state.retain_rollouts(listed.rollouts, now, revision)
         if not listed.duty_held:
             self._state.apply(DutyHeld(None), now)
 
--- a/src/hillstack/platform/formats.py
+++ b/src/hillstack/platform/formats.py
@@ -130,11 +130,11 @@
         elif key.startswith(names.NODES_PREFIX):
             listed.node_ids.add(key.removeprefix(names.NODES_PREFIX))
         elif key.startswith(names.ROLLOUTS_PREFIX):
-            listed.rollout_orders.add(key.removeprefix(names.ROLLOUTS_PREFIX))
+            listed.rollouts.ordered.add(key.removeprefix(names.ROLLOUTS_PREFIX))
         elif key.startswith(names.ROLLOUT_RECORDS_PREFIX):
-            listed.rollout_records.add(key.removeprefix(names.ROLLOUT_RECORDS_PREFIX))
+            listed.rollouts.recorded.add(key.removeprefix(names.ROLLOUT_RECORDS_PREFIX))
         elif key.startswith(names.ROLLOUT_DUTY_PREFIX):
-            listed.rollout_duties.add(key.removeprefix(names.ROLLOUT_DUTY_PREFIX))
+            listed.rollouts.held.add(key.removeprefix(names.ROLLOUT_DUTY_PREFIX))
     return listed
 
 
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -4,7 +4,6 @@
 
 import logging
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from hillstack.core.cache_watch import CacheHolder
 from hillstack.core.crash_counts import CrashCounts
@@ -37,6 +36,7 @@
 from hillstack.serving.store_events import (
     ConfigurationChanged,
     DutyHeld,
+    ListedRollouts,
     NodeListed,
     NodeUnlisted,
     RolloutDutyHeld,
@@ -70,21 +70,6 @@
 MOST_NODES = 8_192
 
 
-@dataclass(frozen=True, slots=True)
-class ListedRollouts:
-    """What a whole list of the store says of rollouts of software.
-
-    Attributes:
-        ordered: The services with an order.
-        recorded: The services of which it is written how far a rollout is.
-        held: The services whose rollout some node decides.
-    """
-
-    ordered: set[str]
-    recorded: set[str]
-    held: set[str]
-
-
 class FleetState:
     """The beliefs of one node, changed by what the store, peers and requests show.
 
--- a/src/hillstack/serving/store_events.py
+++ b/src/hillstack/serving/store_events.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from hillstack.core.routing_table import RoutingTable
 from hillstack.core.runner_pool import RunnerEntry
@@ -119,3 +119,18 @@
     | DutyHeld
     | RolloutDutyHeld
 )
+
+
+@dataclass(frozen=True, slots=True)
+class ListedRollouts:
+    """What a whole list of the store says of rollouts of software.
+
+    Attributes:
+        ordered: The services with an order.
+        recorded: The services of which it is written how far a rollout is.
+        held: The services whose rollout some node decides.
+    """
+
+    ordered: set[str] = field(default_factory=set)
+    recorded: set[str] = field(default_factory=set)
+    held: set[str] = field(default_factory=set)
--- a/tests/fleet/test_restored_beliefs.py
+++ b/tests/fleet/test_restored_beliefs.py
@@ -22,9 +22,9 @@
 from hillstack.serving.fleet_state import (
     WRITTEN_AGAIN_SECONDS,
     FleetState,
-    ListedRollouts,
 )
 from hillstack.serving.store_events import (
+    ListedRollouts,
     RolloutOrdered,
     RolloutWithdrawn,
     RunnerListed,
--- a/tests/fleet/test_restored_store.py
+++ b/tests/fleet/test_restored_store.py
@@ -77,17 +77,26 @@
     network.store.put(f"{names.WEIGHTS_PREFIX}{MODEL}", body)
 
 
-# Guards against followers that take a restored store's lower revisions for old news.
-def test_changes_after_a_restore_reach_all_nodes_in_time(network: NodeNetwork) -> None:
-    lose_last(network, 4.0)
-    heartbeats(network, 2.0)
+def change_things(network: NodeNetwork) -> None:
+    """Let a runner say that it leaves, and name weights."""
     write_runner(network, "i-3", state="draining", seq=99)
     name_weights(network, 2)
+
+
+def expect_changes_in_time(network: NodeNetwork) -> None:
     heartbeats(network, BOUND_SECONDS)
     assert not unaware_of_leave(network, "i-3")
     assert not without_weights(network, 2)
 
 
+# Guards against followers that take a restored store's lower revisions for old news.
+def test_changes_after_a_restore_reach_all_nodes_in_time(network: NodeNetwork) -> None:
+    lose_last(network, 4.0)
+    heartbeats(network, 2.0)
+    change_things(network)
+    expect_changes_in_time(network)
+
+
 # Guards against changes that are missed where a restored store's revision has passed the lost ones.
 def test_changes_in_revisions_given_out_twice_reach_all_nodes(network: NodeNetwork) -> None:
     copy = network.store.copy()
@@ -95,13 +104,10 @@
     network.store.down_for = None
     network.run(AWAY_SECONDS)
     network.store.restore(copy)
-    write_runner(network, "i-3", state="draining", seq=99)
-    name_weights(network, 2)
+    change_things(network)
     pass_lost_revisions(network)
     network.store.down_for = set()
-    heartbeats(network, BOUND_SECONDS)
-    assert not unaware_of_leave(network, "i-3")
-    assert not without_weights(network, 2)
+    expect_changes_in_time(network)
 
 
 # Guards against a node that slept through a restore and goes on from a revision of before.
@@ -114,15 +120,12 @@
     network.run(AWAY_SECONDS)
     network.store.restore(copy)
     network.store.down_for = {"node-2"}
-    write_runner(network, "i-3", state="draining", seq=99)
-    name_weights(network, 2)
+    change_things(network)
     pass_lost_revisions(network)
     network.run(1.0)
     network.store.down_for = set()
     sleeper.cut = False
-    heartbeats(network, BOUND_SECONDS)
-    assert not unaware_of_leave(network, "i-3")
-    assert not without_weights(network, 2)
+    expect_changes_in_time(network)
 
 
 # Guards against a second restore that is taken for the end of the first one.
@@ -131,11 +134,8 @@
     heartbeats(network, 0.5)
     lose_last(network, 1.0)
     heartbeats(network, 1.0)
-    write_runner(network, "i-3", state="draining", seq=99)
-    name_weights(network, 2)
-    heartbeats(network, BOUND_SECONDS)
-    assert not unaware_of_leave(network, "i-3")
-    assert not without_weights(network, 2)
+    change_things(network)
+    expect_changes_in_time(network)
 
 
 # Guards against a leaving runner that is used again since the copy has it as ready.
--- a/tests/fleet/test_rollout_store.py
+++ b/tests/fleet/test_rollout_store.py
@@ -26,8 +26,8 @@
 from hillstack.platform.formats import listed_keys, to_event
 from hillstack.platform.rollouts import rollout_duty_key
 from hillstack.platform.store import MetadataStore
-from hillstack.serving.fleet_state import ListedRollouts
 from hillstack.serving.store_events import (
+    ListedRollouts,
     RolloutDutyHeld,
     RolloutOrdered,
     RolloutRecorded,
@@ -162,8 +162,7 @@
     state.apply(RolloutOrdered(RolloutOrder(SERVICE, "v2", 12.0, rev(5))), 0.0)
     state.apply(RolloutDutyHeld(SERVICE, "node-1"), 0.0)
     listed = listed_keys([ORDER_KEY, rollout_duty_key(SERVICE)])
-    rollouts = ListedRollouts(listed.rollout_orders, listed.rollout_records, listed.rollout_duties)
-    state.retain_rollouts(rollouts, 0.0, rev(6))
+    state.retain_rollouts(listed.rollouts, 0.0, rev(6))
     assert state.rollouts.order(SERVICE) is not None
     assert state.rollout_deciders == {SERVICE: "node-1"}
     state.retain_rollouts(NOTHING_LISTED, 0.0, rev(4))
