Store polls overlap: a change is in force in time after the store was silent

What callers saw: 404 on a route whose configuration had been acknowledged 2.8 s before; the bound is 2.0 s.

Cause: a poll hung for up to 2.5 s, more than the bound, and the node asked no peer meanwhile. All nodes had last been answered at the same moment, so their copies became stale together and their next polls began together; when all of them began just before the store's return, nobody knew of a change before they timed out. A second fault of the same class: a node that alone got no answers waited out each poll, and others followed its copy until it was 1.5 s old.

Ruled out: the spread of pauses, which is small beside the limit of a call; a shorter limit alone, since a slow store takes up to a second to answer.

Change: while a poll is unanswered the node starts another one at bounded intervals (.8 s for a bound of 2.0 s), and the first answer counts. A poll may wait for a change no longer than the poll interval. Peers are asked as soon as a poll is overdue; a node whose poll is overdue says so in its answers, and its copy is used only if no other is fresh. A node behind two others of its group polls less often in a large deployment. Refused polls keep their pause.

Why it works: from the store's first answer on, a node learns a change within .8 s and one answer; a node that follows it one poll interval (.5 s) later.

--- a/src/hillstack/daemon/store_relay.py
+++ b/src/hillstack/daemon/store_relay.py
@@ -58,6 +58,8 @@
         is_complete: Whether the answer contains the changes; otherwise only the times are valid.
         named: Recently announced weights versions. Their times are on this node's clock and never
             later than the announcement.
+        is_store_overdue: Whether the peer waits for an overdue answer of the store.
+        node_id: The peer.
     """
 
     items: list[StoredItem]
@@ -67,6 +69,8 @@
     keys: list[str] | None
     is_complete: bool
     named: list[NamedVersion] = field(default_factory=list)
+    is_store_overdue: bool = False
+    node_id: str = ""
 
 
 class StoreRelay:
@@ -154,6 +158,7 @@
             changes.keys,
             named=self._named(),
             era=changes.revision.era,
+            is_store_overdue=self._state.is_store_overdue,
         )
 
     def _asked_revision(self, question: ChangesQuestion) -> StoreRevision:
@@ -172,6 +177,7 @@
             is_complete=False,
             named=self._named(),
             era=self._log.revision.era,
+            is_store_overdue=self._state.is_store_overdue,
         )
 
     def _named(self) -> list[NamedWeights]:
@@ -211,4 +217,6 @@
             NamedVersion(entry.model, entry.version, asked_at - entry.age_ms / MILLISECONDS)
             for entry in answer.named
         ],
+        answer.is_store_overdue,
+        answer.node_id,
     )
--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -2,6 +2,10 @@
 
 At a fixed interval the node polls for changes, at a peer with a fresh copy or at the store itself.
 Each answer contains the changes and proves how fresh the node's copy is.
+
+While the store does not answer, the node polls it again at bounded intervals without waiting for
+the earlier polls to time out, and asks peers in between. So a change is applied within the time in
+which it must be in force, also right after the store was silent.
 """
 
 from __future__ import annotations
@@ -9,15 +13,18 @@
 import asyncio
 import contextlib
 import logging
+import math
 from collections.abc import Callable, Collection, Iterable, Sequence
 from random import Random
 from typing import Protocol
 
+from hillstack.config.fleet_settings import POLL_FRACTION
 from hillstack.core.node_directory import NodeEntry, NodeGroup
 from hillstack.core.relay_choice import RelayChoice
 from hillstack.core.store_outage import OutageEvidence
 from hillstack.core.store_revision import NO_REVISION, StoreRevision
 from hillstack.daemon.change_log import ChangeLog, ListedKeys, StoreChange, StoredItem
+from hillstack.daemon.store_polls import ChangesView, PollOutcome, StorePolls
 from hillstack.daemon.store_relay import RelayedChanges
 from hillstack.errors import (
     HistoryLostError,
@@ -31,12 +38,27 @@
 
 logger = logging.getLogger(__name__)
 
-# Long-poll timeout. The store answers at the next change, which comes within about ten milliseconds
-# while runners write heartbeats. Without changes, a call per second proves freshness well within
-# the bounds.
+# Longest long-poll timeout. The store answers at the next change, which comes within about ten
+# milliseconds while runners write heartbeats. Without changes, a call per interval proves freshness
+# well within the bounds.
 WATCH_WAIT_SECONDS = 1.0
-# Mean pause after a failed poll. Ten polls that are refused at once fit into the freshness bound of
-# 4.5 s; of polls that time out, only two do.
+# A poll whose answer is later than its long-poll timeout by this is overdue: several times the
+# usual duration of a call.
+OVERDUE_SECONDS = 0.25
+# A slow store takes up to a second to answer.
+SLOW_ANSWER_SECONDS = 1.0
+# Part of the time in which a change must be in force that is left for passing it to peers.
+RELAY_SECONDS = 0.2
+# In an outage all nodes together start a poll about this often, except for the first nodes of each
+# group, whose changes the others apply.
+SHARED_SPACING_SECONDS = 0.05
+# A node starts a poll at least this often, however many nodes there are.
+MAX_SPACING_SECONDS = 3.0
+# Mean pause after a poll that failed without delay. In an outage hundreds of nodes poll the store,
+# and each call has a cost.
+REFUSED_PAUSE_SECONDS = 1.0
+# Mean pause after the first read of the store has failed, and of a node without peers after a
+# refused poll. Ten polls that are refused at once fit into the freshness bound of 4.5 s.
 RETRY_SECONDS = 0.3
 # Spreads the polls of nodes that are notified of a restore at once, so that the first ones can
 # answer the others.
@@ -46,10 +68,6 @@
 # Shorter failures count as lost answers, not as an outage: a runner's entry expires only after
 # three heartbeats, which take longer.
 OUTAGE_SECONDS = 0.8
-# Mean pause after a failed poll of the store, in which only peers are asked; a node that knows no
-# other nodes waits ``RETRY_SECONDS`` instead. In an outage hundreds of nodes poll the store, and
-# each call has a cost.
-DIRECT_PAUSE_SECONDS = 1.0
 # Peers asked before the store, and others that are asked after the store has failed, besides the
 # last one that gave a fresh answer. A third one before the store would add its timeout to the delay
 # of a change.
@@ -85,20 +103,6 @@
         ...
 
 
-class ChangesView(Protocol):
-    """Changes since a revision."""
-
-    @property
-    def changes(self) -> Sequence[StoreChange]:
-        """The changes in order."""
-        ...
-
-    @property
-    def revision(self) -> StoreRevision:
-        """Revision up to which the changes are complete."""
-        ...
-
-
 class Store(Protocol):
     """The calls that the sync needs, and the decoding of their results."""
 
@@ -175,9 +179,9 @@
         # peer has sent a fresh copy since.
         self._failing_since: float | None = None
         self._failed_at = 0.0
-        # Until then ``_store_failure`` is returned again instead of a call, if peers can be asked.
-        self._next_direct_at = float("-inf")
-        self._store_failure: PlatformError | None = None
+        self._polls = StorePolls(store, clock)
+        # From then on the next poll may start, even if earlier ones have not ended.
+        self._next_poll_at = float("-inf")
         # The peer whose changes were applied last; None for the store itself.
         self._source: str | None = None
         # The local copy differs from the store: one attempt to reload it, then polls continue.
@@ -190,6 +194,12 @@
 
     async def run(self) -> None:
         """Poll and apply changes until cancelled."""
+        try:
+            await self._run()
+        finally:
+            self._polls.cancel()
+
+    async def _run(self) -> None:
         revision: StoreRevision | None = None
         while True:
             started_at = self._clock()
@@ -208,18 +218,18 @@
                 await asyncio.sleep(RELOAD_SECONDS)
                 continue
             except PlatformError as error:
-                # ``_try_store`` has already recorded the failure that it returned.
-                if error is not self._store_failure:
-                    self._note_failure(error)
+                self._note_failure(error)
                 await asyncio.sleep(RETRY_SECONDS * (0.5 + self._rng.random()))
                 continue
             self._state.expire(self._clock())
             await self._wait_until(started_at + self._interval)
 
     async def _wait_until(self, moment: float) -> None:
-        """Wait for the next poll, or until this node is notified of a restore of the store."""
+        """Wait for the next poll, the end of a pending one, or a notice of a restore."""
         wait = max(0.0, moment - self._clock())
-        if not self._restore_event.is_set():
+        if self._polls:
+            await self._polls.wait_ended(wait)
+        elif not self._restore_event.is_set():
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait):
                     await self._restore_event.wait()
@@ -237,6 +247,7 @@
 
     async def _load(self, started_at: float) -> StoreRevision:
         snapshot = await self._store.snapshot()
+        self._end_polls()
         self._note_success()
         items = [change.item for change in snapshot.changes]
         self._note_era(snapshot.revision, [item.key for item in items])
@@ -285,7 +296,7 @@
         if self._state.peers_known or own is None:
             return revision
         if revision < own.revision:
-            revision = await self._poll_again(revision)
+            revision = await self._poll_at_once(revision)
         if revision >= own.revision:
             self._state.note_peers_known(self._clock())
         return revision
@@ -302,28 +313,34 @@
         self._state.apply(listed, self._clock())
 
     async def _poll(self, revision: StoreRevision) -> StoreRevision:
-        """Apply the changes from the first peer with a fresh copy, or from the store."""
-        if self._must_reload:
-            loaded = await self._try_load()
-            if loaded is not None:
-                return loaded
-        groups = self._groups()
-        had_no_failure = self._store_failure is None
-        asked = self._peers_before_this(groups)
-        relayed = await self._ask_peers(asked, revision)
-        if relayed is not None:
-            return self._apply_relayed(relayed, revision)
-        failure = await self._try_store(revision, may_pause=len(self._state.nodes) > 1)
-        if isinstance(failure, StoreRevision):
-            return failure
-        # The store refuses this node, but may serve others.
-        relayed = await self._ask_others(groups[-1], asked, revision)
-        if relayed is not None:
-            return self._apply_relayed(relayed, revision)
-        # Only after the first of several failures, so that an outage does not double the calls.
-        if had_no_failure and isinstance(failure, PlatformOutcomeUnknownError):
-            return await self._poll_again(revision)
-        raise failure
+        """Apply the changes from the first peer with a fresh copy, or from the store.
+
+        Raises:
+            HistoryLostError: The store no longer has the changes, or was restored since then.
+        """
+        while True:
+            if self._must_reload:
+                loaded = await self._try_load()
+                if loaded is not None:
+                    return loaded
+            groups = self._groups()
+            asked = self._peers_before_this(groups)
+            preceding = await self._ask_peers(asked, revision)
+            if preceding is not None and not preceding.is_store_overdue:
+                self._end_polls()
+                return self._apply_relayed(preceding, revision)
+            spacing = self._poll_spacing(len(asked))
+            polled = await self._poll_store(revision, spacing)
+            if polled is not None:
+                return polled
+            # The store may not serve this node, but others.
+            relayed = await self._ask_others(groups[-1], asked, revision) or preceding
+            if relayed is not None:
+                return self._apply_relayed(relayed, revision)
+            pause = self._interval * (0.5 + 0.5 * self._rng.random())
+            polled = await self._await_poll(revision, pause, spacing)
+            if polled is not None:
+                return polled
 
     def nearer_peers(self) -> list[str]:
         """Return the peers that may be asked instead of a store in another region."""
@@ -350,18 +367,12 @@
         before = (self._choice.preceding_nodes(group, now) for group in groups)
         return next((nodes[:MAX_PEERS_ASKED] for nodes in before if nodes), [])
 
-    async def _poll_again(self, revision: StoreRevision) -> StoreRevision:
-        """Poll the store at once, without waiting for a change.
-
-        Called by ``_join`` to reach the revision of this node's entry, and after a first poll
-        without an answer: its connection may be broken while new ones work. The second poll uses a
-        new connection and proves freshness right away. With a poll each second, the copy becomes
-        4.2 s old if there is a pause before the second poll, and 3.7 s at most without one; the
-        shortest freshness bound seen is 4.5 s.
-        """
-        revision = await self._poll_store(revision, wait_seconds=0.0)
-        self._store_failure = None
-        return revision
+    async def _poll_at_once(self, revision: StoreRevision) -> StoreRevision:
+        """Poll the store without waiting for a change."""
+        started_at = self._clock()
+        changes = await self._store.changes(revision, 0.0)
+        self._note_success()
+        return self._apply_polled(changes, started_at)
 
     async def _ask_others(
         self, group: NodeGroup, asked: list[str], revision: StoreRevision
@@ -381,15 +392,22 @@
     async def _ask_peers(
         self, node_ids: Iterable[str], revision: StoreRevision
     ) -> RelayedChanges | None:
-        """Return the answer of the first peer with a fresh copy; None if no peer has one."""
+        """Return the answer of the first peer with a fresh copy; None if no peer has one.
+
+        A peer that waits for an overdue answer of the store counts only if no other has one: the
+        store may have lost its poll and serve others.
+        """
+        overdue: RelayedChanges | None = None
         for node_id in node_ids:
             relayed = await self._peers.ask(node_id, revision)
             if relayed is None:
                 self._choice.mark_unreachable(node_id, self._clock())
             elif relayed.is_complete and self._is_fresh(relayed):
-                self._note_source(node_id)
-                return relayed
-        return None
+                if not relayed.is_store_overdue:
+                    return relayed
+                if overdue is None or relayed.revision > overdue.revision:
+                    overdue = relayed
+        return overdue
 
     def _apply_announcement_times(self, relayed: RelayedChanges, node_id: str) -> None:
         """Apply a peer's announcement times of the weights versions that this node knows."""
@@ -413,39 +431,114 @@
             if relayed is not None:
                 self._apply_announcement_times(relayed, node_id)
 
-    async def _try_store(
-        self, revision: StoreRevision, *, may_pause: bool
-    ) -> StoreRevision | PlatformError:
-        """Poll the store; return the new revision, or the reason why the store can't be polled.
+    async def _poll_store(self, revision: StoreRevision, spacing: float) -> StoreRevision | None:
+        """Start a poll of the store if it is time, and wait for its answer until it is overdue.
 
         Args:
             revision: The revision up to which this node has all changes.
-            may_pause: Whether the last failure may be returned again for a while without a call,
-                because peers are asked too.
-        """
-        if may_pause and self._store_failure is not None and self._clock() < self._next_direct_at:
-            return self._store_failure
-        try:
-            revision = await self._poll_store(revision)
-        except HistoryLostError:
-            raise
-        except PlatformError as error:
-            pause = DIRECT_PAUSE_SECONDS * (0.5 + self._rng.random())
-            self._next_direct_at = self._clock() + pause
-            self._store_failure = error
-            self._note_failure(error)
-            return error
-        self._store_failure = None
-        return revision
+            spacing: Seconds between the starts of two polls while the store does not answer.
 
-    async def _poll_store(
-        self, revision: StoreRevision, wait_seconds: float = WATCH_WAIT_SECONDS
-    ) -> StoreRevision:
-        started_at = self._clock()
+        Returns:
+            The new revision, or None without an answer.
+
+        Raises:
+            HistoryLostError: The store no longer has the changes, or was restored since then.
+        """
         if revision.era < self._state.store_era.current:
             raise HistoryLostError(f"restored since {revision}", step="watch")
-        changes = await self._store.changes(revision, wait_seconds)
+        wait = OVERDUE_SECONDS if self._state.is_store_overdue else math.inf
+        if self._clock() >= self._next_poll_at:
+            self._start_poll(revision, spacing)
+        elif not self._polls:
+            return None
+        return await self._await_poll(revision, wait, spacing)
+
+    async def _await_poll(
+        self, revision: StoreRevision, seconds: float, spacing: float
+    ) -> StoreRevision | None:
+        """Wait until a poll ends, the next one is due or the time is over; apply an answer."""
+        until_next_poll = max(0.0, self._next_poll_at - self._clock())
+        outcome = await self._polls.next_outcome(min(seconds, until_next_poll))
+        if outcome is None:
+            self._state.is_store_overdue |= self._clock() >= self._next_poll_at
+            return None
+        if isinstance(outcome.answer, PlatformError):
+            self._take_failure(outcome, outcome.answer, spacing)
+            return None
+        return self._take_answer(outcome, outcome.answer, revision)
+
+    def _start_poll(self, revision: StoreRevision, spacing: float) -> None:
+        """Start a poll, which waits for a change unless an earlier poll is unanswered."""
+        if self._state.is_store_overdue:
+            self._polls.start(revision, 0.0)
+            self._next_poll_at = self._clock() + spacing
+            return
+        wait = min(WATCH_WAIT_SECONDS, self._interval)
+        self._polls.start(revision, wait)
+        self._next_poll_at = self._clock() + wait + OVERDUE_SECONDS
+
+    def _poll_spacing(self, preceding: int) -> float:
+        """Return the seconds between the starts of two polls while the store does not answer.
+
+        An answer of a slow store, to a poll that starts this long after the store's return, still
+        arrives before a change must be in force. A node after others in its group can rely on
+        them, and polls less often in a large deployment: each call has a cost.
+        """
+        apply_seconds = self._interval / POLL_FRACTION
+        spacing = max(self._interval, apply_seconds - SLOW_ANSWER_SECONDS - RELAY_SECONDS)
+        if preceding >= MAX_PEERS_ASKED:
+            shared = len(self._state.nodes) * SHARED_SPACING_SECONDS
+            spacing = max(spacing, min(shared, MAX_SPACING_SECONDS))
+        return spacing
+
+    def _take_answer(
+        self, outcome: PollOutcome, changes: ChangesView, revision: StoreRevision
+    ) -> StoreRevision | None:
+        """Apply the answer to a poll; return the new revision.
+
+        None if a peer's changes were applied after the poll began. The answer then only shows that
+        the store answers again, and the next poll starts at once.
+        """
+        self._end_polls()
         self._note_success()
+        if outcome.since != revision:
+            return None
+        return self._apply_polled(changes, outcome.started_at)
+
+    def _take_failure(self, outcome: PollOutcome, error: PlatformError, spacing: float) -> None:
+        """Record a failed poll, and decide when the next one starts.
+
+        After the first poll that was cut off, the next one starts at once: the connection may be
+        broken while new ones work.
+
+        Raises:
+            HistoryLostError: The store no longer has the changes.
+        """
+        if isinstance(error, HistoryLostError):
+            self._end_polls()
+            raise error
+        is_first, self._state.is_store_overdue = not self._state.is_store_overdue, True
+        self._note_failure(error)
+        now = self._clock()
+        if now - outcome.started_at >= OVERDUE_SECONDS:
+            return
+        may_be_connection = is_first and isinstance(error, PlatformOutcomeUnknownError)
+        self._next_poll_at = now if may_be_connection else now + self._pause(spacing)
+
+    def _pause(self, spacing: float) -> float:
+        """Return the pause before the next poll of a store that fails calls without delay."""
+        if len(self._state.nodes) <= 1:
+            return RETRY_SECONDS * (0.5 + self._rng.random())
+        longest = spacing * (0.75 + 0.25 * self._rng.random())
+        return min(longest, REFUSED_PAUSE_SECONDS * (0.5 + self._rng.random()))
+
+    def _end_polls(self) -> None:
+        """Abandon all polls, because the store has answered; the next one may start at once."""
+        self._polls.cancel()
+        self._state.is_store_overdue = False
+        self._next_poll_at = float("-inf")
+
+    def _apply_polled(self, changes: ChangesView, started_at: float) -> StoreRevision:
         self._note_source(None)
         self._apply(changes.changes)
         self._log.apply([change.item for change in changes.changes], changes.revision)
@@ -462,6 +555,7 @@
         return FRESH_INTERVALS * self._interval + FRESH_MARGIN_SECONDS
 
     def _apply_relayed(self, relayed: RelayedChanges, revision: StoreRevision) -> StoreRevision:
+        self._note_source(relayed.node_id)
         changes = self._store.read_items(relayed.items)
         self._apply_outage(relayed)
         if relayed.keys is not None:
@@ -471,7 +565,7 @@
         if relayed.keys is not None:
             self._log.retain(relayed.keys, relayed.revision)
             self._retain(relayed.keys, relayed.revision)
-        self._apply_announcement_times(relayed, self._source or "")
+        self._apply_announcement_times(relayed, relayed.node_id)
         self._state.note_proof(relayed.revision, relayed.proved_at)
         return max(revision, relayed.revision)
 
--- a/src/hillstack/messages/store_changes.py
+++ b/src/hillstack/messages/store_changes.py
@@ -59,6 +59,8 @@
         named: Versions of weights that were published recently, with their maximum ages when the
             answer was sent.
         era: Era of the store to which all revisions belong; None if the sender supports no eras.
+        is_store_overdue: Whether the sender waits for the answer to a poll of the store that is
+            overdue, so that others may know the store better.
     """
 
     node_id: str
@@ -71,3 +73,4 @@
     is_complete: bool = True
     named: list[NamedWeights] = msgspec.field(default_factory=list)
     era: int | None = None
+    is_store_overdue: bool = False
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -90,6 +90,8 @@
             neither requests nor grants tokens of rate limits. The exposure of untrusted versions is
             divided by the number of nodes known so far.
         store_era: Era of the store; a restore of the store begins a new one.
+        is_store_overdue: Whether the answer to this node's latest poll of the store is overdue, or
+            the poll has failed.
         highest_fence: Highest fencing token seen from any holder of the weights duty.
         rollout_deciders: Node that decides the rollout, by service.
         bounds_enforced_from: Time until which bounds are not enforced on a node that has just
@@ -135,6 +137,7 @@
         self.duty_known = False
         self.directory_known = False
         self.peers_known = False
+        self.is_store_overdue = False
         self.start_gate = StartGate()
         self.bounds_enforced_from = float("-inf")
         self._outage_until = float("-inf")
--- a/tests/fleet/node_network.py
+++ b/tests/fleet/node_network.py
@@ -32,12 +32,16 @@
 from hillstack.daemon.store_check import StoreCheck
 from hillstack.daemon.store_relay import StoreRelay
 from hillstack.daemon.store_sync import StoreSync
-from hillstack.errors import HistoryLostError, PlatformUnavailableError
+from hillstack.errors import (
+    HistoryLostError,
+    PlatformOutcomeUnknownError,
+    PlatformUnavailableError,
+)
 from hillstack.messages.peer_notices import PlacementNotice
 from hillstack.platform import names
 from hillstack.platform.bodies import NodeBody
 from hillstack.platform.formats import listed_keys, to_event
-from hillstack.platform.store import Changes, Snapshot
+from hillstack.platform.store import CALL_LIMIT_SECONDS, Changes, Snapshot
 from hillstack.serving.fleet_state import MAX_NODES, FleetState
 from hillstack.simulation.virtual_loop import Scheduler, VirtualLoop
 from tests.fleet.builders import (
@@ -56,6 +60,8 @@
 DATAGRAM_HEADER_BYTES = 28
 # Duration of a call to the store.
 STORE_SECONDS = 0.004
+# Interval at which a store that holds a poll looks for changes.
+HELD_STEP_SECONDS = 0.01
 # Interval at which a node polls the store.
 INTERVAL_SECONDS = 1.0
 # Machines start within this time of each other.
@@ -83,6 +89,12 @@
         stale_read_calls: Number of calls for lists that may be old, by node; each counts as a tenth
             of a call.
         page_pause: Seconds between the two pages of a list; 0 if it is read in one page.
+        answer_seconds: Time that each answer takes.
+        holds_polls: Whether a poll waits for the first change, as long as the caller asks for.
+        silent_for: Nodes whose calls are accepted but never answered, not even after the silence;
+            None for all nodes.
+        silences: Number of silences that have begun, by node; a call that was pending at the
+            beginning of one is lost.
     """
 
     def __init__(self, scheduler: Scheduler) -> None:
@@ -96,6 +108,10 @@
         self.calls: Counter[str] = Counter()
         self.stale_read_calls: Counter[str] = Counter()
         self.page_pause = 0.0
+        self.answer_seconds = STORE_SECONDS
+        self.holds_polls = False
+        self.silent_for: set[str] | None = set()
+        self.silences: Counter[str] = Counter()
 
     def put(self, key: str, value: bytes | None) -> int:
         self.revision += 1
@@ -127,6 +143,18 @@
     def is_down_for(self, node_id: str) -> bool:
         return self.down_for is None or node_id in self.down_for
 
+    def silence(self, node_ids: Iterable[str]) -> None:
+        """Stop answering these nodes; their pending calls are lost."""
+        self.silent_for = set(node_ids)
+        self.silences.update(self.silent_for)
+
+    def end_silence(self) -> None:
+        """Answer all calls that begin from now on."""
+        self.silent_for = set()
+
+    def is_silent_for(self, node_id: str) -> bool:
+        return self.silent_for is None or node_id in self.silent_for
+
 
 class MemoryStoreClient:
     """The store client of one node."""
@@ -158,7 +186,8 @@
         )
 
     async def changes(self, revision: StoreRevision, wait_seconds: float) -> Changes:
-        await self._call()
+        self._store.calls[self._node_id] += 1
+        await self._answer(revision, wait_seconds)
         if revision.era != self._store.era:
             raise HistoryLostError("restored", step="watch", peer="store")
         if not self._store.compacted_revision <= revision.number <= self._store.revision:
@@ -187,15 +216,31 @@
     def listed(self, keys: Iterable[str]) -> ListedKeys:
         return listed_keys(keys)
 
+    async def _hold(self, revision: StoreRevision, wait_seconds: float) -> None:
+        """Wait for the first change after a revision, as the store does for a poll."""
+        for _ in range(int(wait_seconds / HELD_STEP_SECONDS)):
+            if self._store.revision > revision.number:
+                return
+            await asyncio.sleep(HELD_STEP_SECONDS)
+
     async def _call(self) -> None:
         self._store.calls[self._node_id] += 1
         await self._answer()
 
-    async def _answer(self) -> None:
-        await asyncio.sleep(STORE_SECONDS)
-        if self._store.is_down_for(self._node_id):
+    async def _answer(self, revision: StoreRevision | None = None, wait: float = 0.0) -> None:
+        store = self._store
+        silences = store.silences[self._node_id]
+        loop = asyncio.get_running_loop()
+        limited_at = loop.time() + wait + CALL_LIMIT_SECONDS
+        await asyncio.sleep(store.answer_seconds)
+        if revision is not None and store.holds_polls:
+            await self._hold(revision, wait)
+        if store.is_silent_for(self._node_id) or store.silences[self._node_id] > silences:
+            await asyncio.sleep(limited_at - loop.time())
+            raise PlatformOutcomeUnknownError("no answer", step="call", peer="store")
+        if store.is_down_for(self._node_id):
             raise PlatformUnavailableError("status 503", step="call", peer="store")
-        self._store_era.observe(self._store.era, STORE)
+        self._store_era.observe(store.era, STORE)
 
 
 @dataclass
@@ -269,6 +314,7 @@
         latencies: The least and the greatest one-way latency within a region, in seconds.
         regions: Region of each zone; one region by default.
         start_spread: The nodes start within this time of each other, in seconds.
+        interval: Interval at which a node polls the store, in seconds.
 
     Attributes:
         cross_zone_bytes: Bytes of datagrams between zones.
@@ -290,8 +336,10 @@
         latencies: tuple[float, float] = (DELAY_SECONDS, DELAY_SECONDS),
         regions: Mapping[str, str] | None = None,
         start_spread: float = START_SPREAD_SECONDS,
+        interval: float = INTERVAL_SECONDS,
     ) -> None:
         self._start_spread = start_spread
+        self._interval = interval
         self.regions = dict(regions or {})
         self.cross_region_bytes = 0
         self.cross_region_datagrams: list[bytes] = []
@@ -439,7 +487,7 @@
             relay,
             node.choice,
             NodeEntry(node.node_id, node.address, node.zone),
-            INTERVAL_SECONDS,
+            self._interval,
             clock,
             rng,
         )
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -371,6 +371,18 @@
         "if not listed.has_duty_holder:",
         "if False:",
     ),
+    Mutation(
+        "no poll starts while an earlier one is unanswered",
+        "daemon/store_sync.py",
+        "        if self._clock() >= self._next_poll_at:",
+        "        if self._clock() >= self._next_poll_at and not self._polls:",
+    ),
+    Mutation(
+        "a peer whose poll is overdue is followed like any other",
+        "daemon/store_sync.py",
+        "if preceding is not None and not preceding.is_store_overdue:",
+        "if preceding is not None:",
+    ),
     Mutation(
         "a node that the store turns away asks nobody else",
         "daemon/store_sync.py",
@@ -561,8 +573,8 @@
     Mutation(
         "the store is not looked at again at once after a silent look",
         "daemon/store_sync.py",
-        "if had_no_failure and isinstance(failure, PlatformOutcomeUnknownError):",
-        "if False:",
+        "may_be_connection = is_first and isinstance(error, PlatformOutcomeUnknownError)",
+        "may_be_connection = False",
     ),
     Mutation(
         "a request stays on a connection that is silent while its runner speaks on others",
@@ -615,8 +627,8 @@
     Mutation(
         "a store that stays silent is asked twice each time",
         "daemon/store_sync.py",
-        "if had_no_failure and isinstance(failure, PlatformOutcomeUnknownError):",
-        "if isinstance(failure, PlatformOutcomeUnknownError):",
+        "may_be_connection = is_first and isinstance(error, PlatformOutcomeUnknownError)",
+        "may_be_connection = isinstance(error, PlatformOutcomeUnknownError)",
     ),
     Mutation(
         "a word on named weights counts from its arrival",
@@ -844,7 +856,7 @@
     Mutation(
         "a node takes its part before it knows the others",
         "daemon/store_sync.py",
-        "            revision = await self._poll_again(revision)\n        if",
+        "            revision = await self._poll_at_once(revision)\n        if",
         "            revision = own.revision\n        if",
     ),
     Mutation(
