A later report of a crash stands when contact refutes an earlier one

What callers saw: one request ended four runners, three allowed; the callers beside it lost their streams.

Cause: all reports of a runner's crash were merged under the time of the first one. A node that had lost only its own connection reported a crash; the runner crashed a little later under a fatal request, and that crash was filed under the earlier time. Bytes that had come in between, before the real crash, then refuted both, so the verdict on the request fell and its next tries were sent.

Contact takes a crash back only if it is later than the recorded time of the crash, so the recorded time was that of an earlier report.

Ruled out: bytes of the runner's next process.

Change: the time of each report is kept, for each run. Contact drops the runs that were only reported before it; the crash stays if a report is later. The counts do the same. The first time stays the one that orders crashes, since a node with a silent connection reports a crash late.

--- a/src/hillstack/core/crash_counts.py
+++ b/src/hillstack/core/crash_counts.py
@@ -15,7 +15,7 @@
 import math
 from collections import OrderedDict
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from hillstack.core.runner_crashes import ORDER_SLACK_SECONDS
 
@@ -68,12 +68,30 @@
         began_at: When the request was sent to the runner.
         crashed_at: When the runner crashed.
         is_settled: Whether the answer had been under way for long.
+        latest_reported_at: The latest time of the crash in any report; None if there is only one.
     """
 
     runner_id: str
     began_at: float
     crashed_at: float
     is_settled: bool = False
+    latest_reported_at: float | None = None
+
+    def reported_again(self, crashed_at: float) -> CrashedRun:
+        """Return the run after a further report of the crash."""
+        latest = self.crashed_at if self.latest_reported_at is None else self.latest_reported_at
+        return replace(self, latest_reported_at=max(latest, crashed_at))
+
+    def after_contact(self, contact_at: float) -> CrashedRun | None:
+        """Return the run after contact with the runner, which refutes earlier reports.
+
+        None if all reports are refuted.
+        """
+        if self.crashed_at > contact_at:
+            return self
+        if self.latest_reported_at is None or self.latest_reported_at <= contact_at:
+            return None
+        return replace(self, crashed_at=self.latest_reported_at)
 
 
 @dataclass(slots=True)
@@ -91,8 +109,10 @@
     last_trial_at: float = -math.inf
 
     def add(self, run: CrashedRun) -> None:
-        if any(known.runner_id == run.runner_id for known in self.runs):
-            return
+        for place, known in enumerate(self.runs):
+            if known.runner_id == run.runner_id:
+                self.runs[place] = known.reported_again(run.crashed_at)
+                return
         if len(self.runs) >= MAX_RUNS_PER_NAME:
             self.runs.pop()
         self.runs.append(run)
@@ -230,13 +250,23 @@
             self._cleared.popitem(last=False)
         return True
 
-    def retract(self, runner_id: str) -> None:
-        """Remove a runner's crash from all requests: the runner did not crash."""
+    def retract(self, runner_id: str, contact_at: float = math.inf) -> None:
+        """Remove a runner's crash from all requests: the runner did not crash.
+
+        Args:
+            runner_id: The runner.
+            contact_at: When the runner was last in contact; reports of a later crash stay.
+        """
         for name, crashes in [*self._single.items(), *self._repeated.items()]:
-            left = [run for run in crashes.runs if run.runner_id != runner_id]
-            if len(left) == len(crashes.runs):
+            if all(run.runner_id != runner_id for run in crashes.runs):
                 continue
-            crashes.runs = left
+            left = (
+                run if run.runner_id != runner_id else run.after_contact(contact_at)
+                for run in crashes.runs
+            )
+            crashes.runs = sorted(
+                (run for run in left if run is not None), key=lambda run: run.crashed_at
+            )
             self._store(name, crashes)
 
     def repeated(self) -> Iterator[tuple[int, CrashedRun]]:
--- a/src/hillstack/core/runner_crashes.py
+++ b/src/hillstack/core/runner_crashes.py
@@ -128,17 +128,36 @@
         crashed_at: Time of the crash, on this node's clock.
         running: Estimated number of requests of all nodes on the runner.
         runs: The runs on the runner that have been reported so far, by fingerprint.
+        reported_at: The latest time that a report of the crash gave, of all reports and by
+            fingerprint. A report that is earlier than contact with the runner was wrong: its node
+            had lost only its own connections. Later reports are not affected.
     """
 
     runner_id: str
     crashed_at: float
     running: int = 0
     runs: dict[int, RunAtCrash] = field(default_factory=dict)
+    latest_reported_at: float = float("-inf")
+    reported_at: dict[int, float] = field(default_factory=dict)
 
     def began_at(self, fingerprint: int) -> float:
         """Return when the run of a request was sent."""
         return self.crashed_at - self.runs[fingerprint].age
 
+    def add_report(self, crashed_at: float, fingerprints: Iterable[int]) -> None:
+        """Record the time of the crash in a report, and the runs in the report."""
+        self.latest_reported_at = max(self.latest_reported_at, crashed_at)
+        for fingerprint in fingerprints:
+            known = self.reported_at.get(fingerprint, crashed_at)
+            self.reported_at[fingerprint] = max(known, crashed_at)
+
+    def drop_reports_until(self, contact_at: float) -> None:
+        """Drop the runs that were only reported before contact with the runner."""
+        for fingerprint in [f for f, at in self.reported_at.items() if at <= contact_at]:
+            self.runs.pop(fingerprint, None)
+            del self.reported_at[fingerprint]
+        self.crashed_at = min(self.reported_at.values(), default=self.latest_reported_at)
+
     def share(self, fingerprint: int) -> float:
         """Return a run's share, at most 1, of the weights of all runs and of the runner itself."""
         unknown = max(0, self.running - len(self.runs))
@@ -246,6 +265,7 @@
         if crash is None:
             crash = self._crashes[runner_id] = RunnerCrash(runner_id, crashed_at)
         crash.running = max(crash.running, running)
+        crash.add_report(crashed_at, runs)
         for fingerprint, run in runs.items():
             self._add_run(crash, fingerprint, run)
         while len(self._crashes) > MAX_RECORDED_CRASHES:
@@ -257,7 +277,10 @@
         return crashed_at <= self._last_contact.get(runner_id, float("-inf"))
 
     def record_contact(self, runner_id: str, contact_at: float) -> bool:
-        """Record contact with a runner; return whether its recorded crash was dropped for that."""
+        """Record contact with a runner; return whether it refutes a report of the crash.
+
+        The crash is dropped unless it was reported again for a time after the contact.
+        """
         known = self._last_contact.get(runner_id, float("-inf"))
         self._last_contact[runner_id] = max(known, contact_at)
         self._last_contact.move_to_end(runner_id)
@@ -266,7 +289,10 @@
         crash = self._crashes.get(runner_id)
         if crash is None or crash.crashed_at > contact_at:
             return False
-        del self._crashes[runner_id]
+        if crash.latest_reported_at > contact_at:
+            crash.drop_reports_until(contact_at)
+        else:
+            del self._crashes[runner_id]
         self._is_classified = False
         return True
 
--- a/src/hillstack/serving/runner_crashes.py
+++ b/src/hillstack/serving/runner_crashes.py
@@ -393,7 +393,7 @@
                 # The peer may have received bytes from the next process.
                 return
             if self._record.record_contact(notice.runner_id, ended_at):
-                self._counts.retract(notice.runner_id)
+                self._counts.retract(notice.runner_id, ended_at)
                 fields = {"runner": notice.runner_id, "by": peer}
                 logger.info("runner has not ended", extra=fields)
             return
@@ -541,8 +541,9 @@
             if runner is None or not self._has_survived(runner, crash.crashed_at):
                 continue
             self._record.record_contact(crash.runner_id, runner.last_contact_at)
-            self._counts.retract(crash.runner_id)
-            self._locally_lost.pop(crash.runner_id, None)
+            self._counts.retract(crash.runner_id, runner.last_contact_at)
+            if self._record.get(crash.runner_id) is None:
+                self._locally_lost.pop(crash.runner_id, None)
             self._metrics.runner_ends.labels("taken_back").inc()
             logger.info("runner has not ended", extra={"runner": crash.runner_id})
             seen_ms_ago = max(0, int((now - runner.last_contact_at) * 1000))
--- a/tests/fleet/fatal_world.py
+++ b/tests/fleet/fatal_world.py
@@ -62,6 +62,7 @@
     runs: list[asyncio.Future[None]] = field(default_factory=list)
     served: list[str] = field(default_factory=list)
     running_bodies: list[bytes] = field(default_factory=list)
+    run_of_request: dict[str, asyncio.Future[None]] = field(default_factory=dict)
     crashed_at: float | None = None
     # Bodies of the requests that were running at the crash.
     bodies_at_crash: list[bytes] = field(default_factory=list)
@@ -81,6 +82,12 @@
         run = [run for run in self.runs if not run.done()][number]
         run.set_exception(CutConnectionError())
 
+    def cut_connection_of(self, request_id: str) -> None:
+        """Cut the connection of one request; the process keeps running."""
+        run = self.run_of_request.get(request_id)
+        if run is not None and not run.done():
+            run.set_exception(CutConnectionError())
+
 
 class FakeRun:
     """An answer that continues until its events are sent, its runner crashes, or it is closed."""
@@ -104,6 +111,7 @@
         self._next_at = asyncio.get_running_loop().time() + FIRST_EVENT_SECONDS
         self._continues_abandoned_runs = runners.continues_abandoned_runs
         runner.runs.append(self._ended_future)
+        runner.run_of_request[request.request_id] = self._ended_future
         runner.running_bodies.append(request.body)
         runner.served.append(request.request_id)
         self._timer: asyncio.TimerHandle | None = None
--- a/tests/fleet/test_crash_bound.py
+++ b/tests/fleet/test_crash_bound.py
@@ -270,3 +270,26 @@
     world.run(2.0)
     assert told
     assert len(told) < 20
+
+
+@pytest.mark.parametrize("cut_after", [0.0, 0.02, 0.04, 0.06])
+def test_a_crash_after_a_cut_connection_of_another_node_is_counted(cut_after: float) -> None:
+    """A runner crashes just after another node has lost only its own connection to it.
+
+    Guards against a request that crashed four runners: its crash was recorded with the time of the
+    cut, and bytes from between the two retracted the crash.
+    """
+    world = World(1, 2)
+    body = b"fatal 1"
+    world.send("node-1", b"long 1")
+    world.run(0.6)
+    outcome = world.send("node-0", body)
+    world.run(0.01 + cut_after)
+    world.loop.call_soon(world.runners.by_id["i-0"].cut_connection_of, "r-1")
+    for number in range(1, 6):
+        world.start_runner(f"i-{number}")
+    world.run(3.0)
+    assert outcome.task.done()
+    for number in range(4):
+        world.try_until_done(f"node-{number % 2}", body)
+    assert world.runners.crash_count(body) <= 2
