--- a/tests/fleet/test_crash_bound.py
+++ b/tests/fleet/test_crash_bound.py
@@ -292,4 +292,6 @@
     assert outcome.task.done()
     for number in range(4):
         world.try_until_done(f"node-{number % 2}", body)
-    assert world.runners.crash_count(body) <= 2
+    crashes = world.runners.crash_count(body)
+    world.scheduler.close()
+    assert crashes <= 2
--- /dev/null
+++ b/tests/fleet/test_crashes_across_regions.py
@@ -0,0 +1,108 @@
+"""Limits the runners that one request crashes when its tries reach nodes of several regions.
+
+Notices between regions arrive 20 to 80 ms late, or are lost while the regions are cut off from each
+other. The tests guard against callers whose streams break because one request crashed four runners.
+"""
+
+from __future__ import annotations
+
+import gc
+
+import pytest
+
+from hillstack.messages.runner_ends import RunnerEndNotice
+from tests.fleet.fatal_world import NOTICE_SECONDS, Node, World
+
+# Most runners that a request may crash while some nodes can't know of the crash before.
+MAX_CRASHES = 3
+BODY = b"fatal 1"
+REGIONS = 2
+NODES = 6
+RUNNERS = 12
+# Time in which a try and its notices are over.
+TRY_SECONDS = 2.5
+
+
+class RegionsWorld(World):
+    """Nodes of two regions, between which notices are late.
+
+    Args:
+        delay: One-way latency between the regions, in seconds.
+
+    Attributes:
+        is_cut: Whether notices between the regions are lost.
+    """
+
+    def __init__(self, delay: float) -> None:
+        super().__init__(RUNNERS, NODES)
+        self._delay = delay
+        self.is_cut = False
+
+    def deliver(self, source: str, node: Node, notice: RunnerEndNotice) -> None:
+        crosses = _region_of(source) != _region_of(node.state.node_id)
+        if crosses and self.is_cut:
+            return
+
+        def take() -> None:
+            now = self.scheduler.now
+            self.loop.call_soon(node.pipeline.runner_crashes.observe, source, notice, now)
+
+        delay = self._delay if crosses else NOTICE_SECONDS
+        self.scheduler.at(self.scheduler.now + delay, take)
+
+    def send_at_all_nodes(self) -> None:
+        """Send the request at all nodes at the same moment."""
+        for name in self.nodes:
+            self.send(name, BODY)
+        self.run(TRY_SECONDS)
+
+    def wait_for_crashes(self, count: int) -> None:
+        """Run until the request has crashed some runners."""
+        while self.runners.crash_count(BODY) < count:
+            self.run(0.005)
+
+    def final_crash_count(self) -> int:
+        """Return how many runners the request has crashed, and end the world.
+
+        The world's coroutines are freed here: the interpreter fails if that happens while pytest
+        parses the source of a failed assertion.
+        """
+        count = self.runners.crash_count(BODY)
+        self.scheduler.close()
+        self.nodes.clear()
+        gc.collect()
+        return count
+
+
+def _region_of(node_id: str) -> int:
+    return int(node_id.rpartition("-")[2]) % REGIONS
+
+
+@pytest.mark.parametrize("delay", [0.02, 0.04, 0.08])
+@pytest.mark.parametrize("crashes_before", [1, 2])
+@pytest.mark.parametrize("pause", [0.0, 0.05, 0.2, 1.0])
+def test_simultaneous_tries_in_two_regions_crash_at_most_three_runners(
+    delay: float, crashes_before: int, pause: float
+) -> None:
+    world = RegionsWorld(delay)
+    world.send("node-0", BODY)
+    world.wait_for_crashes(crashes_before)
+    world.run(pause)
+    for _ in range(3):
+        world.send_at_all_nodes()
+    assert world.final_crash_count() <= MAX_CRASHES
+
+
+@pytest.mark.parametrize("crashes_before", [0, 1])
+def test_regions_cut_off_from_each_other_crash_at_most_three_runners(crashes_before: int) -> None:
+    world = RegionsWorld(0.04)
+    if crashes_before:
+        world.send("node-0", BODY)
+        world.wait_for_crashes(crashes_before)
+        world.run(0.05)
+    world.is_cut = True
+    for _ in range(3):
+        for name in ("node-0", "node-1"):
+            world.try_until_done(name, BODY)
+            world.run(TRY_SECONDS)
+    assert world.final_crash_count() <= MAX_CRASHES
