A tenant without a weight is admitted while no request waits

What callers saw: 429 for the second request of a tenant without a weight, with Retry-After 60 s, although nothing waited. Cause: a mean wait of 0 times an infinite excess is not a number, and no comparison with the target holds. The new test failed before (refused as over its share) and passes now.

--- a/src/hillstack/core/admission.py
+++ b/src/hillstack/core/admission.py
@@ -132,7 +132,7 @@
         used = usage.decayed(now) if usage is not None else 0.0
         total = self._total.decayed(now)
         fair = total * self._share(request.tenant)
-        if used <= fair or total <= ACTIVE_TOKENS:
+        if used <= fair or total <= ACTIVE_TOKENS or request.mean_wait <= 0.0:
             return None
         excess = used / fair if fair > 0 else math.inf
         if request.mean_wait * excess**EXCESS_EXPONENT < self._target_wait:
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -253,6 +253,13 @@
         assert admission.try_admit(admission_request("a", 0.001), 0.0) is None
 
 
+# Guards against a tenant without a weight that is refused although no request waits.
+def test_a_tenant_without_a_weight_is_admitted_while_no_request_waits() -> None:
+    admission = Admission({"a": 1.0}, 1.0, 10.0)
+    for _ in range(3):
+        assert admission.try_admit(admission_request("unweighted", 0.0), 0.0) is None
+
+
 def test_only_a_tenant_over_its_share_is_refused() -> None:
     admission = Admission({"a": 1.0, "b": 1.0}, 1.0, 10.0)
     for _ in range(100):
