A gap in a holder's changes is closed by the next list, also soon after a list

What callers saw: requests sent to a runner for a part of the prompt that it no longer held. Cause: a gap within 5 s of the last complete list only moved the cursor on, and nothing read the missing changes later. Change: the position remembers that changes are missing, and the list is read as soon as the last one is old enough. The new test failed before (900 tokens still estimated after 20 s) and passes now; the bound on lists in the test beside it holds.

--- a/src/hillstack/daemon/cache_follower.py
+++ b/src/hillstack/daemon/cache_follower.py
@@ -124,11 +124,16 @@
 
 @dataclass(frozen=True, slots=True)
 class _Position:
-    """The position up to which a holder's changes were read."""
+    """The position up to which a holder's changes were read.
+
+    Attributes:
+        lacks_changes: Whether changes since the last complete list are missing.
+    """
 
     epoch: int
     cursor: int
     listed_at: float
+    lacks_changes: bool = False
 
 
 class CacheFollower:
@@ -217,9 +222,8 @@
     async def _advance(self, holder: CacheHolder, position: _Position | None) -> _Position:
         """Apply the next changes, or the complete list after a restart of the holder.
 
-        If changes are missing, the complete list is read, unless the last list is younger than
-        ``RELIST_SECONDS``. In that case the cursor moves on, and the missing changes are not read
-        later: only a later complete list corrects the estimate.
+        If changes are missing, the complete list is read, as soon as the last list is older than
+        ``RELIST_SECONDS``.
         """
         if position is None:
             return await self._relist(holder)
@@ -231,9 +235,10 @@
             self._observe(holder, entry)
         if holder.is_store:
             self._drop_unconfirmed(holder)
-        if changes.gap and self._clock() - position.listed_at >= RELIST_SECONDS:
+        lacks_changes = changes.gap or position.lacks_changes
+        if lacks_changes and self._clock() - position.listed_at >= RELIST_SECONDS:
             return await self._relist(holder)
-        return _Position(changes.epoch, changes.cursor, position.listed_at)
+        return _Position(changes.epoch, changes.cursor, position.listed_at, lacks_changes)
 
     async def _relist(self, holder: CacheHolder) -> _Position:
         asked_at = self._clock()
--- a/tests/fleet/test_cache_follower.py
+++ b/tests/fleet/test_cache_follower.py
@@ -196,6 +196,19 @@
     assert 2 <= holder.lists <= 5
 
 
+# Guards against an estimate that stays wrong: a gap soon after a list was passed over for good.
+def test_a_gap_soon_after_a_list_is_closed_by_the_next_list(bench: Bench) -> None:
+    holder = bench.feed.holders["i-1"]
+    bench.run(1.0)
+    bench.state.index.record_cached("i-1", SALT, [PromptPart("evicted", 900)])
+    holder.gap = True
+    bench.run(0.5)
+    holder.gap = False
+    bench.run(20.0)
+    assert bench.estimated("i-1", "evicted") == 0
+    assert holder.lists == 2
+
+
 def test_a_list_does_not_remove_a_part_that_was_just_sent(bench: Bench) -> None:
     bench.state.index.record_cached("i-1", SALT, [PromptPart("sent", 900)], ready_at=0.4)
     bench.run(0.3)
