A duty is not held any more once its lease has ended during a failed renewal

What could be seen: a node that took itself for the holder of a duty for one more round, up to .4 s, after its lease had ended while a renewal was unanswered; orders of that round carry a fence that the next holder's may have passed. Cause: the loop reports whether the duty is held only after calls that succeed. The new test failed before ([] reported) and passes now.

--- a/src/hillstack/daemon/lease_renewer.py
+++ b/src/hillstack/daemon/lease_renewer.py
@@ -85,7 +85,7 @@
         lease: The lease on the duty.
         slot: When this node may try to acquire the lease.
         note_held: Called with whether the lease is held, in each iteration except after a failed
-            call.
+            call that leaves the lease as it was.
     """
 
     def __init__(
@@ -111,6 +111,8 @@
             except PlatformError as error:
                 logger.info("duty lease not renewed", extra=error_fields(error))
                 pause = renewal_pause(error)
+                if held and self._lease.fence() is None:
+                    self._note_held(False)
                 continue
             self._note_held(self._lease.fence() is not None)
 
