Emulated store: silence; the soak injects it

The store accepts calls and answers neither them nor the pending ones, also after the silence. Calls that are never answered end with their connection.

--- a/src/hillstack/emulator/fleet_store.py
+++ b/src/hillstack/emulator/fleet_store.py
@@ -1,7 +1,7 @@
 """An emulated metadata store of the platform, for tests of a fleet's node.
 
-The store has items, revisions, leases and a history, and injects faults: outages, lost answers, a
-lost history, and a restore from an older copy. The paths and headers of the protocol come from the
+The store has items, revisions, leases and a history, and injects faults: outages, lost answers,
+silence, a lost history, and a restore from an older copy. The paths and headers of the protocol come from the
 platform adapter.
 """
 
@@ -32,6 +32,7 @@
 
 EXPIRY_CHECK_SECONDS = 0.05
 WATCH_POLL_SECONDS = 0.01
+DISCONNECT_CHECK_SECONDS = 0.1
 UNAVAILABLE = 503
 
 
@@ -79,6 +80,8 @@
         self.revision = 1
         self.down = False
         self.lose_answers = False
+        self._is_silent = False
+        self._silences = 0
         self.calls = 0
         self.era: int | None = 0
         self.era_override: str | None = None
@@ -108,6 +111,18 @@
         if self.era is not None:
             self.era += 1
 
+    def silence(self) -> None:
+        """Accept calls without answering them, also the pending ones, and also after the silence.
+
+        The calls are executed.
+        """
+        self._is_silent = True
+        self._silences += 1
+
+    def end_silence(self) -> None:
+        """Answer the calls that arrive from now on."""
+        self._is_silent = False
+
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write an item and return its revision."""
         self.revision += 1
@@ -163,11 +178,13 @@
             if self.down:
                 return self._with_era(Response(status_code=UNAVAILABLE))
             self._expire()
+            silences = self._silences
             answer = handler(request)
             if asyncio.iscoroutine(answer):
                 answer = await answer
-            if self.lose_answers:
-                await asyncio.Event().wait()
+            if self.lose_answers or self._is_silent or silences != self._silences:
+                while not await request.is_disconnected():
+                    await asyncio.sleep(DISCONNECT_CHECK_SECONDS)
             assert isinstance(answer, Response)
             return self._with_era(answer)
 
--- a/tests/soak/fault_series.py
+++ b/tests/soak/fault_series.py
@@ -97,6 +97,17 @@
             await asyncio.sleep(rng.uniform(0.0, 0.8))
 
 
+async def silence_store(system: SystemUnderTest, rng: Random) -> None:
+    """Let the store accept calls without answering them, once or twice in a row."""
+    store = system.deployment.store
+    with system.disturbance(STORE):
+        for _ in range(rng.randrange(1, 3)):
+            store.silence()
+            await asyncio.sleep(rng.uniform(0.3, 6.0))
+            store.end_silence()
+            await asyncio.sleep(rng.uniform(0.0, 1.0))
+
+
 async def silence_store_connections(system: SystemUnderTest, rng: Random) -> None:
     """Silence the open connections of one node, or of all, to the store for good."""
     all_of_them = rng.random() < 0.4
@@ -123,6 +134,7 @@
     change_in_quick_succession,
     lapse_in_an_outage,
     flap_store,
+    silence_store,
     silence_store_connections,
     silence_runner_connections,
 )
