Tests: overlapping first tries of one request in two regions

Two and six tries, 0 to .1 s apart, regions 20 to 80 ms apart: at most three runners crash in 24 of 24 worlds.

--- a/tests/fleet/test_crashes_across_regions.py
+++ b/tests/fleet/test_crashes_across_regions.py
@@ -93,6 +93,20 @@
     assert world.final_crash_count() <= MAX_CRASHES
 
 
+@pytest.mark.parametrize("delay", [0.02, 0.04, 0.08])
+@pytest.mark.parametrize("tries", [2, 6])
+@pytest.mark.parametrize("pause", [0.0, 0.02, 0.04, 0.1])
+def test_overlapping_first_tries_in_two_regions_crash_at_most_three_runners(
+    delay: float, tries: int, pause: float
+) -> None:
+    world = RegionsWorld(delay)
+    for number in range(tries):
+        world.send(f"node-{number}", BODY)
+        world.run(pause)
+    world.run(TRY_SECONDS)
+    assert world.final_crash_count() <= MAX_CRASHES
+
+
 @pytest.mark.parametrize("crashes_before", [0, 1])
 def test_regions_cut_off_from_each_other_crash_at_most_three_runners(crashes_before: int) -> None:
     world = RegionsWorld(0.04)
