--- a/tests/fleet/node_network.py
+++ b/tests/fleet/node_network.py
@@ -91,8 +91,7 @@
         page_pause: Seconds between the two pages of a list; 0 if it is read in one page.
         answer_seconds: Time that each answer takes.
         holds_polls: Whether a poll waits for the first change, as long as the caller asks for.
-        silent_for: Nodes whose calls are accepted but never answered, not even after the silence;
-            None for all nodes.
+        silent_for: Nodes whose calls are accepted but never answered, not even after the silence.
         silences: Number of silences that have begun, by node; a call that was pending at the
             beginning of one is lost.
     """
@@ -110,7 +109,7 @@
         self.page_pause = 0.0
         self.answer_seconds = STORE_SECONDS
         self.holds_polls = False
-        self.silent_for: set[str] | None = set()
+        self.silent_for: set[str] = set()
         self.silences: Counter[str] = Counter()
 
     def put(self, key: str, value: bytes | None) -> int:
@@ -152,9 +151,6 @@
         """Answer all calls that begin from now on."""
         self.silent_for = set()
 
-    def is_silent_for(self, node_id: str) -> bool:
-        return self.silent_for is None or node_id in self.silent_for
-
 
 class MemoryStoreClient:
     """The store client of one node."""
@@ -235,7 +231,7 @@
         await asyncio.sleep(store.answer_seconds)
         if revision is not None and store.holds_polls:
             await self._hold(revision, wait)
-        if store.is_silent_for(self._node_id) or store.silences[self._node_id] > silences:
+        if self._node_id in store.silent_for or store.silences[self._node_id] > silences:
             await asyncio.sleep(limited_at - loop.time())
             raise PlatformOutcomeUnknownError("no answer", step="call", peer="store")
         if store.is_down_for(self._node_id):
