A new node knows all crashes under a fatal request from any single peer

Cause, from the logs: two nodes of two regions lost three runners within 50 ms. A third node started 2.6 s later and got a try of the request 88 ms after that. It had heard of one peer by then, which had reported its own crash and the one that rendezvous hashing gave it. The two had come together and counted as one, so the request was a suspect and was sent; the peer with the first crash was heard 30 ms later.

Ruled out: the crash reports under one time (none was retracted there), and tries without word of each other (2.6 s apart).

Change: each node of the new node's region reports all crashes under fatal requests, two or three in most cases.

The new test fails for one of three reporters before (3 crashes, 2 known to each peer) and passes for all now.

--- a/src/hillstack/serving/runner_crashes.py
+++ b/src/hillstack/serving/runner_crashes.py
@@ -436,23 +436,37 @@
         """Report crashes to a node that has just started.
 
         This node reports the crashes that it saw itself. A crash that it did not see is reported by
-        one node, chosen by rendezvous hashing, because the nodes that saw it may have stopped.
+        one node, chosen by rendezvous hashing, because the nodes that saw it may have stopped. The
+        crashes under a fatal request are reported by each node of the region: the new node may
+        receive a try of the request as soon as it has heard of a single peer.
         Older crashes, known only from the counts of requests with several crashes, are reported by
         three nodes, because some nodes may have started since.
         """
         self._refresh()
         others = [node.node_id for node in self._state.nodes.all() if node.node_id != node_id]
         now = self._clock()
+        evidence = self._fatal_evidence() if self._is_in_own_region(node_id) else set()
         notices = [
             notice
             for crash in self._record.crashes()
             if crash.runner_id in self._locally_lost
+            or crash.runner_id in evidence
             or owner(crash.runner_id, others) == self._state.node_id
             for notice in self._notices(crash, now)
         ]
         notices += self._earlier_crash_notices(others, now)
         self._peers.send_runner_crashes(node_id, notices)
 
+    def _fatal_evidence(self) -> set[str]:
+        """Return the runners that crashed under fatal requests."""
+        fatal = self._record.fatal().keys()
+        crashes = self._record.crashes()
+        return {crash.runner_id for crash in crashes if not fatal.isdisjoint(crash.runs)}
+
+    def _is_in_own_region(self, node_id: str) -> bool:
+        node = self._state.nodes.get(node_id)
+        return node is None or self._state.topology.is_own_region(node.zone)
+
     def _earlier_crash_notices(self, others: list[str], now: float) -> list[RunnerEndNotice]:
         """Return notices of crashes that are no longer in the record but still counted."""
         crashed_at: dict[str, float] = {}
--- a/tests/fleet/test_crashes_across_regions.py
+++ b/tests/fleet/test_crashes_across_regions.py
@@ -120,3 +120,22 @@
             world.try_until_done(name, BODY)
             world.run(TRY_SECONDS)
     assert world.final_crash_count() <= MAX_CRASHES
+
+
+@pytest.mark.parametrize("reporter", ["node-1", "node-2", "node-3"])
+def test_a_new_node_that_has_heard_of_one_peer_refuses_a_fatal_request(reporter: str) -> None:
+    """The new node knows the crashes under the request from any single peer.
+
+    Guards against a fourth crash: the new node knew two of three crashes, which had come together.
+    """
+    world = RegionsWorld(0.0)
+    world.send("node-0", BODY)
+    world.run(0.11)
+    world.send("node-1", BODY)
+    world.run(TRY_SECONDS)
+    crashes = world.runners.crash_count(BODY)
+    world.add_node("node-9")
+    world.nodes[reporter].pipeline.runner_crashes.send_initial_state("node-9")
+    world.run(0.01)
+    world.try_until_done("node-9", BODY)
+    assert world.final_crash_count() == crashes
