One declaration of the poll call, and test worlds without copies of their base

Read once more; behaviour stays as it is. The store's protocol takes the poll from PolledStore instead of declaring it again; announcement times take the peer from its answer; the world of two regions overrides the latency of a notice instead of copying its delivery; a parameter that no test passed is gone.

--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -24,7 +24,7 @@
 from hillstack.core.store_outage import OutageEvidence
 from hillstack.core.store_revision import NO_REVISION, StoreRevision
 from hillstack.daemon.change_log import ChangeLog, ListedKeys, StoreChange, StoredItem
-from hillstack.daemon.store_polls import ChangesView, PollOutcome, StorePolls
+from hillstack.daemon.store_polls import ChangesView, PolledStore, PollOutcome, StorePolls
 from hillstack.daemon.store_relay import RelayedChanges
 from hillstack.errors import (
     HistoryLostError,
@@ -107,17 +107,13 @@
         ...
 
 
-class Store(Protocol):
+class Store(PolledStore, Protocol):
     """The calls that the sync needs, and the decoding of their results."""
 
     async def snapshot(self, *, allow_stale: bool = False) -> SnapshotView:
         """Return the whole content; raises ``PlatformError``."""
         ...
 
-    async def changes(self, revision: StoreRevision, wait_seconds: float) -> ChangesView:
-        """Return the changes after a revision; raises ``PlatformError``."""
-        ...
-
     async def announce_node(self, node: NodeEntry) -> StoreRevision:
         """Write a node's entry; return its revision; raises ``PlatformError``."""
         ...
@@ -415,11 +411,11 @@
                     overdue = relayed
         return overdue
 
-    def _apply_announcement_times(self, relayed: RelayedChanges, node_id: str) -> None:
+    def _apply_announcement_times(self, relayed: RelayedChanges) -> None:
         """Apply a peer's announcement times of the weights versions that this node knows."""
         now = self._clock()
         for named in relayed.named:
-            self._state.narrow_weights_bound(named, node_id, now)
+            self._state.narrow_weights_bound(named, relayed.node_id, now)
 
     async def _ask_announcement_times(self, revision: StoreRevision) -> None:
         """Ask peers when the weights versions were announced that this node found at its start.
@@ -435,7 +431,7 @@
         for node_id in self._rng.sample(others, min(MAX_PEERS_ASKED, len(others))):
             relayed = await self._peers.ask(node_id, revision)
             if relayed is not None:
-                self._apply_announcement_times(relayed, node_id)
+                self._apply_announcement_times(relayed)
 
     async def _poll_store(self, revision: StoreRevision, spacing: float) -> StoreRevision | None:
         """Start a poll of the store if it is time, and wait for its answer until it is overdue.
@@ -576,7 +572,7 @@
         if relayed.keys is not None:
             self._log.retain(relayed.keys, relayed.revision)
             self._retain(relayed.keys, relayed.revision)
-        self._apply_announcement_times(relayed, relayed.node_id)
+        self._apply_announcement_times(relayed)
         self._state.note_proof(relayed.revision, relayed.proved_at)
         return max(revision, relayed.revision)
 
--- a/tests/fleet/fatal_world.py
+++ b/tests/fleet/fatal_world.py
@@ -302,13 +302,21 @@
             and (other in self.partitioned_nodes) == (name in self.partitioned_nodes)
         ]
 
+    def notice_seconds(self, source: str, node: Node) -> float | None:
+        """Return the latency of a notice between two nodes; None if it is lost."""
+        return NOTICE_SECONDS
+
     def deliver(self, source: str, node: Node, notice: RunnerEndNotice) -> None:
+        delay = self.notice_seconds(source, node)
+        if delay is None:
+            return
+
         def take() -> None:
             self.loop.call_soon(
                 node.pipeline.runner_crashes.observe, source, notice, self.scheduler.now
             )
 
-        self.scheduler.at(self.scheduler.now + NOTICE_SECONDS, take)
+        self.scheduler.at(self.scheduler.now + delay, take)
 
     def send(
         self,
--- a/tests/fleet/test_crashes_across_regions.py
+++ b/tests/fleet/test_crashes_across_regions.py
@@ -10,7 +10,6 @@
 
 import pytest
 
-from hillstack.messages.runner_ends import RunnerEndNotice
 from tests.fleet.fatal_world import NOTICE_SECONDS, Node, World
 
 # Most runners that a request may crash while some nodes can't know of the crash before.
@@ -38,17 +37,10 @@
         self._delay = delay
         self.is_cut = False
 
-    def deliver(self, source: str, node: Node, notice: RunnerEndNotice) -> None:
-        crosses = _region_of(source) != _region_of(node.state.node_id)
-        if crosses and self.is_cut:
-            return
-
-        def take() -> None:
-            now = self.scheduler.now
-            self.loop.call_soon(node.pipeline.runner_crashes.observe, source, notice, now)
-
-        delay = self._delay if crosses else NOTICE_SECONDS
-        self.scheduler.at(self.scheduler.now + delay, take)
+    def notice_seconds(self, source: str, node: Node) -> float | None:
+        if _region_of(source) == _region_of(node.state.node_id):
+            return NOTICE_SECONDS
+        return None if self.is_cut else self._delay
 
     def send_at_all_nodes(self) -> None:
         """Send the request at all nodes at the same moment."""
--- a/tests/fleet/test_silent_store.py
+++ b/tests/fleet/test_silent_store.py
@@ -51,10 +51,9 @@
             self._heartbeats += 1
             self.network.store.put(f"unused/{self._heartbeats % 3}", b"")
 
-    def silence(self, seconds: float, node_ids: Iterable[str] | None = None) -> None:
-        """Silence the store for some nodes, or for all of them."""
-        silenced = self.network.nodes if node_ids is None else node_ids
-        self.network.store.silence(silenced)
+    def silence(self, seconds: float) -> None:
+        """Silence the store for all nodes."""
+        self.network.store.silence(self.network.nodes)
         self.run(seconds)
         self.network.store.end_silence()
 
