A late report of a crash does not undo the verdict on a fatal request, nor make its runs older

Callers saw: one request crashed three or four runners, where two are allowed while the nodes are undisturbed, and the streams beside it broke.

A new node added a run of 27 ms as 705 ms when it met the dead runner .7 s later.

Ruled out: a lost notice (all three nodes logged both crashes); bytes that refute a crash (no "runner has not ended").

Change: ages count up to the first report of the crash that stands; a run that was sent after it is not at the crash, unless contact refutes that first report. A node adds abandoned runs to a peer's report only if it did not observe the crash first, with their ages up to the known time. Where a peer dated the earlier crash, the order of a local run after it allows for the latency of a notice. A verdict stands once the first reports have come (.35 s after the last crash), until it is refuted: a success, contact with a runner that it is said to have crashed, or another cause of all its crashes.

--- a/src/hillstack/core/runner_crashes.py
+++ b/src/hillstack/core/runner_crashes.py
@@ -16,7 +16,7 @@
 import enum
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import combinations
 
 # Retention of crashes without a fatal request. A caller's next attempt, which would crash a second
@@ -54,6 +54,9 @@
 AGE_SLACK_SECONDS = 0.1
 # Tolerance for the order of events that peers report: the latency of a notice, some milliseconds.
 ORDER_SLACK_SECONDS = 0.02
+# Maximum latency of a notice, between regions and with the pauses of its relays. A node dates the
+# crashes that peers report too late by the latency of the report.
+MAX_NOTICE_LATENCY_SECONDS = 0.1
 # Score of the hypothesis that two runners crashed independently and a moved request was on both by
 # coincidence. It is compared with the score of the request, the product of its shares of both
 # crashes. The score of one of 24 settled streams at each crash is lower than this.
@@ -72,6 +75,9 @@
 # switch.
 RACK_CRASHES = 3
 RACK_SECONDS = 0.25
+# Time after the last crash under a fatal request by which the other crashes of a rack have been
+# reported. Reports that arrive later come from nodes whose connections stayed silent.
+VERDICT_SETTLING_SECONDS = RACK_SECONDS + MAX_NOTICE_LATENCY_SECONDS
 
 
 class Suspicion(enum.StrEnum):
@@ -109,6 +115,13 @@
         """Whether the answer had been under way for too long to be a likely cause."""
         return self.answering is not None and self.answering > SETTLED_SECONDS
 
+    def until(self, seconds_before: float) -> RunAtCrash:
+        """Return the run as it was some seconds earlier."""
+        answering = self.answering
+        if answering is not None:
+            answering = None if answering < seconds_before else answering - seconds_before
+        return replace(self, age=self.age - seconds_before, answering=answering)
+
     def similarity(self, other: RunAtCrash) -> float:
         """Return the similarity of two runs' ages when their runners crashed, at most 1."""
         if self.answering is not None and other.answering is not None:
@@ -127,36 +140,94 @@
         runner_id: The incarnation that crashed.
         crashed_at: Time of the crash, on this node's clock.
         running: Estimated number of requests of all nodes on the runner.
-        runs: The runs on the runner that have been reported so far, by fingerprint.
-        reported_at: The latest time that a report of the crash gave, of all reports and by
-            fingerprint. A report that is earlier than contact with the runner was wrong: its node
-            had lost only its own connections. Later reports are not affected.
+        runs: The runs that were on the runner when it crashed, by fingerprint.
+        is_local: Whether this node observed the crash first, so that ``crashed_at`` does not
+            include the latency of a notice.
     """
 
     runner_id: str
     crashed_at: float
     running: int = 0
     runs: dict[int, RunAtCrash] = field(default_factory=dict)
-    latest_reported_at: float = float("-inf")
-    reported_at: dict[int, float] = field(default_factory=dict)
+    is_local: bool = False
+    # The latest time that a report of the crash gave, of all reports and by fingerprint. A report
+    # that is earlier than contact with the runner was wrong: its node had lost only its own
+    # connections. Later reports are not affected.
+    _latest_reported_at: float = float("-inf")
+    _reported_at: dict[int, float] = field(default_factory=dict)
+    # The runs at the time of the crash that their report gave.
+    _reported_runs: dict[int, RunAtCrash] = field(default_factory=dict)
 
     def began_at(self, fingerprint: int) -> float:
         """Return when the run of a request was sent."""
         return self.crashed_at - self.runs[fingerprint].age
 
-    def add_report(self, crashed_at: float, fingerprints: Iterable[int]) -> None:
+    def was_reported_after(self, contact_at: float) -> bool:
+        """Return whether a report gave a time of the crash after contact with the runner."""
+        return self._latest_reported_at > contact_at
+
+    def add_report(
+        self, crashed_at: float, runs: Mapping[int, RunAtCrash], *, is_local: bool
+    ) -> None:
         """Record the time of the crash in a report, and the runs in the report."""
-        self.latest_reported_at = max(self.latest_reported_at, crashed_at)
-        for fingerprint in fingerprints:
-            known = self.reported_at.get(fingerprint, crashed_at)
-            self.reported_at[fingerprint] = max(known, crashed_at)
+        self._latest_reported_at = max(self._latest_reported_at, crashed_at)
+        for fingerprint, run in runs.items():
+            if fingerprint not in self._reported_runs:
+                if len(self._reported_runs) >= MAX_RUNS_PER_CRASH:
+                    continue
+                self._reported_at[fingerprint] = crashed_at
+            latest = max(self._reported_at[fingerprint], crashed_at)
+            self._reported_at[fingerprint] = latest
+            tolerance = 0.0 if is_local else MAX_NOTICE_LATENCY_SECONDS
+            self._add_run(fingerprint, run, crashed_at, tolerance)
+
+    def _add_run(
+        self, fingerprint: int, run: RunAtCrash, reported_at: float, tolerance: float
+    ) -> None:
+        # Where several callers sent the same request, the oldest run counts: a fatal request
+        # crashes runners at the same age each time, so the oldest run would be the cause.
+        known = self._reported_runs.get(fingerprint)
+        if known is None or run.age > known.age:
+            self._reported_runs[fingerprint] = run
+        at_crash = self._at_crash(run, reported_at, tolerance)
+        known = self.runs.get(fingerprint)
+        if at_crash is not None and (known is None or at_crash.age > known.age):
+            self.runs[fingerprint] = at_crash
+
+    def _at_crash(self, run: RunAtCrash, reported_at: float, tolerance: float) -> RunAtCrash | None:
+        """Return a reported run at the time of the crash; None if it was sent after the crash.
+
+        A node whose connections stay silent notices the crash late, and its runs seem older.
+
+        Args:
+            run: The run at the time of the crash in the report.
+            reported_at: The time of the crash in the report.
+            tolerance: Seconds by which this time may seem later than it is.
+        """
+        delay = reported_at - self.crashed_at
+        if delay <= tolerance:
+            return run
+        if run.age <= delay:
+            return None
+        # A peer's notice dates the crash too late by its latency.
+        excess = 0.0 if self.is_local else MAX_NOTICE_LATENCY_SECONDS
+        return run.until(min(delay + excess, run.age))
+
+    def remove_run(self, fingerprint: int) -> None:
+        """Remove the run of a request that did not cause the crash."""
+        self.runs.pop(fingerprint, None)
+        self._reported_runs.pop(fingerprint, None)
+        self._reported_at.pop(fingerprint, None)
 
     def drop_reports_until(self, contact_at: float) -> None:
         """Drop the runs that were only reported before contact with the runner."""
-        for fingerprint in [f for f, at in self.reported_at.items() if at <= contact_at]:
-            self.runs.pop(fingerprint, None)
-            del self.reported_at[fingerprint]
-        self.crashed_at = min(self.reported_at.values(), default=self.latest_reported_at)
+        for fingerprint in [f for f, at in self._reported_at.items() if at <= contact_at]:
+            self.remove_run(fingerprint)
+        self.crashed_at = min(self._reported_at.values(), default=self._latest_reported_at)
+        reported_runs, self._reported_runs, self.runs = self._reported_runs, {}, {}
+        for fingerprint, run in reported_runs.items():
+            reported_at = self._reported_at[fingerprint]
+            self._add_run(fingerprint, run, reported_at, MAX_NOTICE_LATENCY_SECONDS)
 
     def share(self, fingerprint: int) -> float:
         """Return a run's share, at most 1, of the weights of all runs and of the runner itself."""
@@ -190,6 +261,8 @@
         self._cleared: OrderedDict[int, float] = OrderedDict()
         self._last_contact: OrderedDict[str, float] = OrderedDict()
         self._fatal: dict[int, FatalRequest] = {}
+        # Verdicts that later reports of their crashes do not undo.
+        self._settled_verdicts: dict[int, FatalRequest] = {}
         self._suspects: set[int] = set()
         self._is_classified = True
 
@@ -247,6 +320,8 @@
         runs: Mapping[int, RunAtCrash],
         now: float,
         running: int = 0,
+        *,
+        is_local: bool = False,
     ) -> None:
         """Record a runner's crash, or add further requests to a recorded crash.
 
@@ -256,18 +331,20 @@
             runs: Requests that were running on it.
             now: Time on this node's clock.
             running: Estimated number of requests of all nodes on it.
+            is_local: Whether this node observed the crash itself.
         """
         if self.was_contacted_after(runner_id, crashed_at):
             return
         if now - crashed_at >= FATAL_CRASH_RETENTION_SECONDS:
             return
+        self._settle_verdicts(now)
         crash = self._crashes.get(runner_id)
         if crash is None:
-            crash = self._crashes[runner_id] = RunnerCrash(runner_id, crashed_at)
+            crash = RunnerCrash(runner_id, crashed_at, is_local=is_local)
+            self._crashes[runner_id] = crash
         crash.running = max(crash.running, running)
-        crash.add_report(crashed_at, runs)
-        for fingerprint, run in runs.items():
-            self._add_run(crash, fingerprint, run)
+        not_cleared = self._not_cleared(runs, crash.crashed_at)
+        crash.add_report(crashed_at, not_cleared, is_local=is_local)
         while len(self._crashes) > MAX_RECORDED_CRASHES:
             self._crashes.popitem(last=False)
         self._is_classified = False
@@ -289,7 +366,7 @@
         crash = self._crashes.get(runner_id)
         if crash is None or crash.crashed_at > contact_at:
             return False
-        if crash.latest_reported_at > contact_at:
+        if crash.was_reported_after(contact_at):
             crash.drop_reports_until(contact_at)
         else:
             del self._crashes[runner_id]
@@ -308,7 +385,7 @@
         while len(self._cleared) > MAX_CLEARED_REQUESTS:
             self._cleared.popitem(last=False)
         for runner_id in runner_ids:
-            del self._crashes[runner_id].runs[fingerprint]
+            self._crashes[runner_id].remove_run(fingerprint)
         self._is_classified = False
         return runner_ids
 
@@ -335,16 +412,44 @@
         if not self._crashes:
             self._cleared.clear()
 
-    def _add_run(self, crash: RunnerCrash, fingerprint: int, run: RunAtCrash) -> None:
-        if self._cleared.get(fingerprint, float("-inf")) >= crash.crashed_at:
-            return
-        known = crash.runs.get(fingerprint)
-        if known is None and len(crash.runs) >= MAX_RUNS_PER_CRASH:
-            return
-        # Where several callers sent the same request, the oldest run counts: a fatal request
-        # crashes runners at the same age each time, so the oldest run would be the cause.
-        if known is None or run.age > known.age:
-            crash.runs[fingerprint] = run
+    def _not_cleared(
+        self, runs: Mapping[int, RunAtCrash], crashed_at: float
+    ) -> dict[int, RunAtCrash]:
+        """Return the runs of requests that have not been cleared since a crash."""
+        return {
+            fingerprint: run
+            for fingerprint, run in runs.items()
+            if self._cleared.get(fingerprint, float("-inf")) < crashed_at
+        }
+
+    def _settle_verdicts(self, now: float) -> None:
+        """Settle the verdicts on requests whose last crash all nodes should have reported."""
+        self._reclassify()
+        for fingerprint, found in self._fatal.items():
+            if now >= self._last_crash_of(found) + VERDICT_SETTLING_SECONDS:
+                self._settled_verdicts[fingerprint] = found
+
+    def _last_crash_of(self, found: FatalRequest) -> float:
+        return max(self._crashes[runner_id].crashed_at for runner_id in found.runner_ids)
+
+    def _is_refuted(self, found: FatalRequest, explained: set[str]) -> bool:
+        """Return whether a verdict has lost its evidence, or another one explains its crashes."""
+        crashes = [self._crashes.get(runner_id) for runner_id in found.runner_ids]
+        if any(crash is None or found.fingerprint not in crash.runs for crash in crashes):
+            return True
+        return explained.issuperset(found.runner_ids)
+
+    def _keep_settled_verdicts(self, explained: set[str]) -> None:
+        """Keep the settled verdicts that a new classification lacks, unless they are refuted."""
+        self._settled_verdicts = {
+            fingerprint: found
+            for fingerprint, found in self._settled_verdicts.items()
+            if fingerprint in self._fatal or not self._is_refuted(found, explained)
+        }
+        for fingerprint, found in self._settled_verdicts.items():
+            if fingerprint not in self._fatal:
+                self._fatal[fingerprint] = found
+                explained.update(found.runner_ids)
 
     def _reclassify(self) -> None:
         """Classify the requests again if the record has changed since the last classification."""
@@ -362,6 +467,7 @@
             self._fatal[best.fingerprint] = best
             explained.update(best.runner_ids)
             repeated.discard(best.fingerprint)
+        self._keep_settled_verdicts(explained)
         self._suspects = set()
         for crash in self._crashes.values():
             if crash.runner_id not in explained:
@@ -477,7 +583,9 @@
     Many callers may send the same request to many runners at the same time. If these runners crash,
     that is no evidence against the request.
     """
-    return second.began_at(fingerprint) >= first.crashed_at - ORDER_SLACK_SECONDS
+    is_dated_late = second.is_local and not first.is_local
+    slack = MAX_NOTICE_LATENCY_SECONDS if is_dated_late else ORDER_SLACK_SECONDS
+    return second.began_at(fingerprint) >= first.crashed_at - slack
 
 
 def _count_sequential(crashes: list[RunnerCrash], fingerprint: int) -> int:
--- a/src/hillstack/serving/runner_crashes.py
+++ b/src/hillstack/serving/runner_crashes.py
@@ -372,7 +372,7 @@
             self._metrics.runner_ends.labels("seen").inc()
             self._locally_lost[runner.runner_id] = now
             _log_crash(runner, runs)
-        self._record_crash(runner.runner_id, now, runs, runner.running(now) + 1)
+        self._record_crash(runner.runner_id, now, runs, runner.running(now) + 1, is_local=True)
         self._unreported.add(runner.runner_id)
         self._schedule_reaction()
 
@@ -409,25 +409,51 @@
         ):
             return
         runs = {request.fingerprint: _run_at_end(request) for request in notice.requests}
-        abandoned_runs = self._abandoned_runs(notice.runner_id, ended_at)
-        runs |= abandoned_runs
-        # Reported only once: otherwise two nodes could answer each other's incomplete notices
-        # endlessly.
-        if abandoned_runs and notice.runner_id not in self._locally_lost:
-            self._locally_lost.setdefault(notice.runner_id, ended_at)
-            self._unreported.add(notice.runner_id)
         self._record_crash(notice.runner_id, ended_at, runs, notice.running)
+        if any(abandoned.runner_id == notice.runner_id for abandoned in self._abandoned):
+            self._record_abandoned_runs(notice.runner_id)
         self._schedule_reaction()
 
+    def _record_abandoned_runs(self, runner_id: str) -> None:
+        """Add the runs that this node abandoned at a runner to the crash that a peer reported.
+
+        Their ages are counted up to the first report of the crash: a later one of the same crash
+        would make them seem older. If this node observed the crash first, it has recorded them.
+        """
+        self._refresh()
+        crash = self._record.get(runner_id)
+        if crash is None or crash.is_local:
+            return
+        runs = self._abandoned_runs(runner_id, crash.crashed_at)
+        if not runs:
+            return
+        # Reported only once: otherwise two nodes could answer each other's incomplete notices
+        # endlessly.
+        if runner_id not in self._locally_lost:
+            self._locally_lost[runner_id] = crash.crashed_at
+            self._unreported.add(runner_id)
+        self._record_crash(runner_id, crash.crashed_at, runs, crash.running)
+
     def _record_crash(
-        self, runner_id: str, ended_at: float, runs: dict[int, RunAtCrash], running: int
+        self,
+        runner_id: str,
+        ended_at: float,
+        runs: dict[int, RunAtCrash],
+        running: int,
+        *,
+        is_local: bool = False,
     ) -> None:
         """Record a crash, and count it for each request that the runner was running."""
-        self._record.record_crash(runner_id, ended_at, runs, self._clock(), running)
+        now = self._clock()
+        self._record.record_crash(runner_id, ended_at, runs, now, running, is_local=is_local)
         if self._record.was_contacted_after(runner_id, ended_at):
             return
+        crash = self._record.get(runner_id)
         for fingerprint, run in runs.items():
-            crashed = CrashedRun(runner_id, ended_at - run.age, ended_at, run.is_settled)
+            crashed = _crashed_run(runner_id, ended_at, run)
+            if crash is not None and fingerprint in crash.runs:
+                known = crash.runs[fingerprint]
+                crashed = _crashed_run(runner_id, crash.crashed_at, known).reported_again(ended_at)
             self._counts.note(fingerprint, crashed)
             if run.content:
                 self._counts.note(run.content, crashed)
@@ -732,6 +758,10 @@
     return not runner.will_accept(now) or now < runner.loading_until
 
 
+def _crashed_run(runner_id: str, crashed_at: float, run: RunAtCrash) -> CrashedRun:
+    return CrashedRun(runner_id, crashed_at - run.age, crashed_at, run.is_settled)
+
+
 def _request_at_end(fingerprint: int, run: RunAtCrash) -> RequestAtEnd:
     answering_ms = 0 if run.answering is None else round(run.answering * 1000)
     return RequestAtEnd(
--- a/tests/fleet/fatal_world.py
+++ b/tests/fleet/fatal_world.py
@@ -66,6 +66,8 @@
     crashed_at: float | None = None
     # Bodies of the requests that were running at the crash.
     bodies_at_crash: list[bytes] = field(default_factory=list)
+    # Seconds from the crash to the end of a silent connection, by run; 0 for all other runs.
+    silent_seconds: dict[asyncio.Future[None], float] = field(default_factory=dict)
 
     def crash(self) -> None:
         if not self.is_alive:
@@ -74,9 +76,19 @@
         self.crashed_at = self.clock()
         self.bodies_at_crash = list(self.running_bodies)
         for run in self.runs:
+            self._break_connection(run)
+
+    def _break_connection(self, run: asyncio.Future[None]) -> None:
+        def end() -> None:
             if not run.done():
                 run.set_result(None)
 
+        silent_seconds = self.silent_seconds.get(run, 0.0)
+        if silent_seconds:
+            asyncio.get_running_loop().call_later(silent_seconds, end)
+        else:
+            end()
+
     def cut_connection(self, number: int = 0) -> None:
         """Cut one connection; the process keeps running."""
         run = [run for run in self.runs if not run.done()][number]
@@ -111,13 +123,16 @@
         self._next_at = asyncio.get_running_loop().time() + FIRST_EVENT_SECONDS
         self._continues_abandoned_runs = runners.continues_abandoned_runs
         runner.runs.append(self._ended_future)
+        runner.silent_seconds[self._ended_future] = runners.silent_seconds.get(
+            request.request_id, 0.0
+        )
         runner.run_of_request[request.request_id] = self._ended_future
         runner.running_bodies.append(request.body)
         runner.served.append(request.request_id)
         self._timer: asyncio.TimerHandle | None = None
         if request.body.startswith(b"fatal"):
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(FATAL_AGE_SECONDS, runner.crash)
+            self._timer = loop.call_later(runners.fatal_age_seconds, runner.crash)
 
     async def next_piece(self) -> bytes:
         if self._number >= self._last:
@@ -147,6 +162,8 @@
     async def _wait_until(self, when: float) -> None:
         left = when - asyncio.get_running_loop().time()
         await asyncio.wait({self._ended_future}, timeout=max(0.0, left))
+        if not self._runner.is_alive and not self._ended_future.done():
+            await asyncio.wait({self._ended_future})
         if self._ended_future.done():
             raise ConnectionLostError("reset", step="relay", peer=self._runner.runner_id)
 
@@ -159,6 +176,9 @@
         continues_abandoned_runs: Whether a runner continues a fatal request, and crashes, after
             the caller has left.
         arrivals: Time and body of each request that has reached a runner.
+        fatal_age_seconds: Age at which a fatal run crashes its runner.
+        silent_seconds: How long the connections of a request stay silent after their runner
+            crashed, by request identifier.
     """
 
     def __init__(self, runner_ids: list[str], clock: Callable[[], float]) -> None:
@@ -167,6 +187,8 @@
         self.heads: dict[str, int] = {}
         self.continues_abandoned_runs = False
         self.arrivals: list[tuple[float, bytes]] = []
+        self.fatal_age_seconds = FATAL_AGE_SECONDS
+        self.silent_seconds: dict[str, float] = {}
 
     async def send(self, request: ServingRequest, dispatch: Dispatch) -> FakeRun:
         runner = self.by_id[dispatch.runner_id]
@@ -285,6 +307,8 @@
         self.nodes: dict[str, Node] = {}
         self.notices_to_drop = 0
         self.partitioned_nodes: set[str] = set()
+        # How long a node's connections stay silent after their runner crashed.
+        self.silent_seconds: dict[str, float] = {}
         self._tries = 0
         for number in range(nodes):
             self.add_node(f"node-{number}")
@@ -337,6 +361,7 @@
         request.model = model or request.model
         request.body = body
         request.arrived_at = self.scheduler.now
+        self.runners.silent_seconds[request.request_id] = self.silent_seconds.get(node, 0.0)
         sink = FakeSink()
         at = self.nodes[node]
         at.state.freshness.prove(self.scheduler.now)
--- a/tests/fleet/test_runner_crashes.py
+++ b/tests/fleet/test_runner_crashes.py
@@ -257,6 +257,66 @@
     assert record.suspicion(7, NOW) is Suspicion.FATAL
 
 
+def record_with_settled_verdict() -> RunnerCrashRecord:
+    """Return a record with a verdict, and a late report by which the ages no longer match."""
+    record = RunnerCrashRecord()
+    record.record_crash("i-1", 1.0, {7: RunAtCrash(0.01)}, 1.0)
+    record.record_crash("i-2", 1.2, {7: RunAtCrash(0.01)}, 1.2)
+    assert record.suspicion(7, NOW) is Suspicion.FATAL
+    record.record_crash("i-2", 1.2, {7: RunAtCrash(0.7)}, 1.9)
+    return record
+
+
+def test_a_late_report_does_not_undo_a_verdict() -> None:
+    """Otherwise the request is sent again, and crashes a third runner."""
+    record = record_with_settled_verdict()
+    assert record.suspicion(7, NOW) is Suspicion.FATAL
+    assert record.suspects() == set()
+
+
+def test_a_runner_that_has_not_crashed_refutes_a_verdict_after_a_late_report() -> None:
+    record = record_with_settled_verdict()
+    assert record.record_contact("i-2", 1.3)
+    assert record.suspicion(7, NOW) is Suspicion.SUSPECT
+
+
+def test_a_successful_run_refutes_a_verdict_after_a_late_report() -> None:
+    record = record_with_settled_verdict()
+    record.clear(7, 2.0)
+    assert record.suspicion(7, NOW) is Suspicion.NONE
+
+
+def test_another_cause_of_both_crashes_refutes_a_verdict_after_a_late_report() -> None:
+    record = record_with_settled_verdict()
+    for runner_id, crashed_at in (("i-1", 1.0), ("i-2", 1.2), ("i-3", 2.2)):
+        record.record_crash(runner_id, crashed_at, {8: RunAtCrash(0.01)}, 2.2)
+    assert record.suspicion(8, NOW) is Suspicion.FATAL
+    assert record.suspicion(7, NOW) is Suspicion.NONE
+
+
+def test_a_late_report_counts_the_age_of_a_run_up_to_the_crash() -> None:
+    record = RunnerCrashRecord()
+    record.record_crash("i-1", 1.0, {7: RunAtCrash(0.01)}, 1.0, is_local=True)
+    record.record_crash("i-1", 1.7, {8: RunAtCrash(0.75, 0.72), 9: RunAtCrash(0.3)}, 1.7)
+    crash = record.get("i-1")
+    assert crash is not None
+    assert crash.runs[8].age == pytest.approx(0.05)
+    assert crash.runs[8].answering == pytest.approx(0.02)
+    # Sent after the crash, on a connection that stayed silent.
+    assert 9 not in crash.runs
+
+
+def test_a_run_that_was_sent_after_a_wrong_report_is_at_the_later_crash() -> None:
+    record = RunnerCrashRecord()
+    record.record_crash("i-1", 1.0, {7: RunAtCrash(0.01)}, 1.0)
+    record.record_crash("i-1", 1.7, {9: RunAtCrash(0.3)}, 1.7)
+    assert record.record_contact("i-1", 1.5)
+    crash = record.get("i-1")
+    assert crash is not None
+    assert crash.crashed_at == 1.7
+    assert {fingerprint: run.age for fingerprint, run in crash.runs.items()} == {9: 0.3}
+
+
 def test_reports_of_several_nodes_about_one_crash_are_merged() -> None:
     record = RunnerCrashRecord()
     record.record_crash("i-1", 1.000, {7: RunAtCrash(0.1)}, 1.0)
