A new node learns which weights the runners serve before it judges them too old

Callers saw: a node that had just started rejected every stream for 15 s ("no runner", four of four too old), while another node served.

Cause: a new node was told by its peers that a version had been named (announcements repeat with the heartbeats), but not which runners serve it: that was reported once, when they had loaded it. The directory lists new weights late. So it decided from half of what it needs.

Change: the nodes that send a new node its initial state also report the versions that runners serve and that their directory entries do not list yet: all nodes of a small deployment, three of the region of a larger one. Limits and weights now arrive before the cached parts, which open the start gate.

Test: test_weights_of_new_node, in a direct, a relayed and a two-region network: three of three failed before (the new node knew version 1 where all runners served 9).

The same class elsewhere: crashes under fatal requests (each node of the region reports all of them), limits of runners, rollouts' records (store) and cached parts are part of the initial state. That a runner is loading just now is not: such a runner refuses a request, which is then sent to another one.

--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -218,10 +218,10 @@
         self._pipeline.runner_crashes.set_lag_source(self._lag.lag_free_since)
         self._peers.handle_runner_crashes(self._pipeline.runner_crashes.observe)
         # The order matters: the cache contents open the start gate of the new peer (``StartGate``),
-        # so the reports of runner crashes have to arrive before them.
+        # so everything else that it decides from has to arrive before them.
         self._peers.handle_new_peers(self._pipeline.runner_crashes.send_initial_state)
-        self._peers.handle_new_peers(self._follower.send_initial_state)
         self._peers.handle_new_peers(self._peers.send_initial_state)
+        self._peers.handle_new_peers(self._follower.send_initial_state)
         own_address = f"{settings.node.address}:{settings.listen.peers_port}"
         own = NodeEntry(
             settings.node.id, own_address, zone, link_megabits=settings.node.link_megabits
--- a/src/hillstack/daemon/notice_outbox.py
+++ b/src/hillstack/daemon/notice_outbox.py
@@ -28,6 +28,8 @@
 MAX_LEAVING = 16
 # Changed runner limits per notice, of 30 bytes each; further ones go with a later heartbeat.
 MAX_LIMITS = 16
+# Weights phases per notice to a node that has just started, of 40 bytes each.
+MAX_WEIGHTS = 24
 # Crashed runners per notice: a rack of runners that fails at once. Further ones are not sent.
 MAX_RUNNER_ENDS = 16
 
@@ -131,6 +133,18 @@
         sent = limits[:MAX_LIMITS]
         return NodeNotice(PROTOCOL_VERSION, self._node_id, self._incarnation, limits=sent)
 
+    def weights_only(self, weights: Sequence[WeightsNotice]) -> list[NodeNotice]:
+        """Return notices with only the weights phases of runners."""
+        return [
+            NodeNotice(
+                PROTOCOL_VERSION,
+                self._node_id,
+                self._incarnation,
+                weights=list(weights[first : first + MAX_WEIGHTS]),
+            )
+            for first in range(0, len(weights), MAX_WEIGHTS)
+        ]
+
     def set_rollouts(self, reports: list[RolloutReport]) -> None:
         """Report the observations of the running rollouts."""
         self._rollouts = reports
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -11,7 +11,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from random import Random
 
 import msgspec
@@ -45,6 +45,7 @@
     NodeNotice,
     PlacementNotice,
     WeightsNotice,
+    WeightsPhase,
 )
 from hillstack.messages.relay_batches import NodeReport, RelayBatch
 from hillstack.messages.rollout_reports import RolloutReport
@@ -71,6 +72,9 @@
 INCARNATION_BITS = 32
 # If a peer reports a limit that has ended, this node corrects it, at most once in this time.
 LIMIT_CORRECTION_SECONDS = 0.25
+# Number of nodes that report the weights of runners to a node that has just started: two of their
+# datagrams may be lost.
+MAX_WEIGHTS_REPORTERS = 3
 MILLISECONDS = 1_000.0
 # Probability with which a node that knows of a leaving or limited runner repeats this with a
 # heartbeat. Nodes that receive a repetition don't send one themselves. Of 1,500 nodes about 20
@@ -241,18 +245,40 @@
         self._schedule()
 
     def send_initial_state(self, node_id: str) -> None:
-        """Send a newly started node the limits that runners have announced to this node.
+        """Send a newly started node what runners have announced and the directory lacks.
 
-        Without them it would send such a runner any number of requests until the first answer.
+        Without their limits it would send such a runner any number of requests until the first
+        answer. Without the weights that they serve it would reject all requests for a version that
+        the directory does not list yet.
         """
         node, now = self._state.nodes.get(node_id), self._clock()
-        limits = self._state.pool.directly_reported_limits(now)
-        if node is None or not limits:
+        if node is None:
             return
-        notice = self._outbox.limits_only(
-            [_limit_notice(runner_id, limit, now) for runner_id, limit in limits.items()]
-        )
-        self._link.send(DatagramKind.NOTICE, peer_notices.encode(notice), node.address)
+        limits = self._state.pool.directly_reported_limits(now)
+        notices = []
+        if limits:
+            limit_notices = [_limit_notice(name, limit, now) for name, limit in limits.items()]
+            notices.append(self._outbox.limits_only(limit_notices))
+        if self._reports_weights_to(node, now):
+            notices += self._outbox.weights_only(_unlisted_weights(self._state.pool.all()))
+        for notice in notices:
+            self._link.send(DatagramKind.NOTICE, peer_notices.encode(notice), node.address)
+
+    def _reports_weights_to(self, node: NodeEntry, now: float) -> bool:
+        """Return whether this node reports the weights of runners to a newly started node.
+
+        All nodes know them, so in a larger deployment a few nodes of its region suffice.
+        """
+        topology = self._choice.topology
+        if not topology.is_own_region(node.zone):
+            return False
+        group = self._choice.region_group(topology.region) if topology.has_regions() else None
+        reporters = [
+            other
+            for other in self._state.nodes.relay_order(group)
+            if other != node.node_id and self._liveness.is_directly_reachable(other, now)
+        ]
+        return self._state.node_id in reporters[:MAX_WEIGHTS_REPORTERS]
 
     def _correct_limit(self, runner_id: str) -> None:
         """Report this node's newer state of a limit after a peer reported an outdated one."""
@@ -486,5 +512,15 @@
     return LimitNotice(runner_id, rate, round((now - limit.request_sent_at) * MILLISECONDS))
 
 
+def _unlisted_weights(runners: Iterable[Runner]) -> list[WeightsNotice]:
+    """Return the versions that runners serve but that their directory entries do not list yet."""
+    return [
+        WeightsNotice(runner.runner_id, model, version, WeightsPhase.SERVED)
+        for runner in runners
+        for model, version in runner.weights.items()
+        if version > runner.entry.weights.get(model, 0)
+    ]
+
+
 def _is_urgent(notices: list[NodeNotice]) -> bool:
     return any(notice.is_urgent() for notice in notices)
