A request that may have crashed a runner is sent again only with a permit of the store

Cause: the bound was kept by what nodes had been told. Killed nodes forget it, and each side of a cut counts its own crashes.

Change: a ledger for each suspected request in the store names its crashes and the permits of its sends under way, never more than three together, by compare-and-set. Sends of one request with a permit go one at a time. While the store does not answer, the notices bound it as before; a node that hears no other region either sends no suspect again (docs/design/fatal-requests.md).

--- /dev/null
+++ b/src/hillstack/core/crash_ledger.py
@@ -0,0 +1,100 @@
+"""The crashes of runners under one request, and the permits for its sends, shared by all nodes.
+
+A request that was running when a runner crashed is sent again only with a permit. Permits are
+issued by compare-and-set on the request's ledger in the platform's store. The crashes and the
+permits together never exceed ``MAX_CRASHES``, so the request crashes no more runners than that,
+whatever the nodes know of one another. Its tries that were sent before the first crash was known
+have no permit; their crashes are counted as well.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+# Maximum number of runners that one request may crash.
+MAX_CRASHES = 3
+# How long a ledger is stored after its last change. After that a request counts as new, as it does
+# when its verdict expires (``runner_crashes.FATAL_REFUSAL_SECONDS``).
+LEDGER_RETENTION_SECONDS = 60.0
+# Maximum number of ledgers that a node knows. The oldest are forgotten first.
+MAX_KNOWN_LEDGERS = 4_096
+
+
+@dataclass(frozen=True, slots=True)
+class SendOutcome:
+    """The outcome of a request's sends that have ended.
+
+    Attributes:
+        permits: Permits of the sends.
+        crashed: Runners that crashed under them, also under a send without a permit.
+    """
+
+    permits: frozenset[str] = frozenset()
+    crashed: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class CrashLedger:
+    """The ledger of one request.
+
+    Attributes:
+        crashed: Runners that crashed under the request.
+        permits: Identifiers of the sends under way, each of which may crash a runner.
+    """
+
+    crashed: frozenset[str] = frozenset()
+    permits: frozenset[str] = frozenset()
+
+    def __bool__(self) -> bool:
+        return bool(self.crashed or self.permits)
+
+    def allows_send(self, known_crashed: Iterable[str], *, alone: bool) -> bool:
+        """Return whether a further send is within the bound.
+
+        Args:
+            alone: Whether the send is only allowed if no other one is under way.
+            known_crashed: Runners that crashed under the request according to this node, some of
+                which the ledger may not contain yet.
+        """
+        if alone and self.permits:
+            return False
+        crashed = self.crashed.union(known_crashed)
+        return len(crashed) + len(self.permits) < MAX_CRASHES
+
+    def with_permit(self, permit: str) -> CrashLedger:
+        """Return the ledger with a further send under way."""
+        return CrashLedger(self.crashed, self.permits | {permit})
+
+    def with_outcome(self, outcome: SendOutcome) -> CrashLedger:
+        """Return the ledger after sends have ended."""
+        return CrashLedger(self.crashed | outcome.crashed, self.permits - outcome.permits)
+
+
+class KnownLedgers:
+    """The requests that have a ledger, according to the changes of the store.
+
+    Args:
+        retention_seconds: How long a ledger is stored after its last change.
+    """
+
+    def __init__(self, retention_seconds: float = LEDGER_RETENTION_SECONDS) -> None:
+        self._retention = retention_seconds
+        self._expires_at: OrderedDict[int, float] = OrderedDict()
+
+    def __bool__(self) -> bool:
+        return bool(self._expires_at)
+
+    def update(self, fingerprint: int, *, is_removed: bool, now: float) -> None:
+        """Apply a change of the store."""
+        self._expires_at.pop(fingerprint, None)
+        if not is_removed:
+            self._expires_at[fingerprint] = now + self._retention
+        while len(self._expires_at) > MAX_KNOWN_LEDGERS:
+            self._expires_at.popitem(last=False)
+
+    def has(self, fingerprint: int, now: float) -> bool:
+        """Return whether a request has a ledger."""
+        return now < self._expires_at.get(fingerprint, -math.inf)
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -62,11 +62,13 @@
     make_store_session,
     record_silent_address,
 )
+from hillstack.platform.crash_ledgers import CrashLedgers
 from hillstack.platform.ingress import Ingress, Readiness
 from hillstack.platform.names import DUTY_KEY
 from hillstack.platform.rollouts import rollout_duty_key
 from hillstack.platform.runners import HttpRunnerClient
 from hillstack.platform.store import MetadataStore
+from hillstack.serving.crash_permits import CrashPermits
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.metrics import FleetMetrics
 from hillstack.serving.pipeline import RequestPipeline
@@ -216,6 +218,14 @@
             runner_limits,
         )
         self._pipeline.runner_crashes.set_lag_source(self._lag.lag_free_since)
+        self._pipeline.runner_crashes.set_permits(
+            CrashPermits(
+                CrashLedgers(store, self._clock),
+                settings.node.id,
+                self._clock,
+                self._peers.is_isolated,
+            )
+        )
         self._peers.handle_runner_crashes(self._pipeline.runner_crashes.observe)
         # The order matters: the cache contents open the start gate of the new peer (``StartGate``),
         # so everything else that it decides from has to arrive before them.
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -150,6 +150,12 @@
         """Return the zone of each live node; the same object until the result changes."""
         return self._liveness.zones(self._clock())
 
+    def is_isolated(self) -> bool:
+        """Return whether another region has nodes, and no messages arrive from that region."""
+        topology = self._choice.topology
+        live_regions = {topology.region_of(zone) for zone in self.live_zones().values()}
+        return not live_regions.issuperset(self._choice.other_regions())
+
     def silent_nodes(self, seconds: float) -> list[NodeEntry]:
         """Return the nodes of this node's group from which nothing came for a number of seconds.
 
@@ -267,7 +273,7 @@
     def _reports_weights_to(self, node: NodeEntry, now: float) -> bool:
         """Return whether this node reports the weights of runners to a newly started node.
 
-        All nodes know them, so in a larger deployment a few nodes of its region suffice.
+        All nodes know them, so in a larger deployment a few nodes of each zone suffice.
         """
         topology = self._choice.topology
         if not topology.is_own_region(node.zone):
--- a/src/hillstack/platform/bodies.py
+++ b/src/hillstack/platform/bodies.py
@@ -164,6 +164,13 @@
     elapsed_s: float = 0.0
 
 
+class CrashLedgerBody(msgspec.Struct):
+    """The runners that crashed under a request, and the permits for its sends under way."""
+
+    crashed: list[str] = []
+    permits: list[str] = []
+
+
 class NodeBody(msgspec.Struct):
     """A hillstack node: the address for its peers, its zone and its link speed in Mbit/s."""
 
--- /dev/null
+++ b/src/hillstack/platform/crash_ledgers.py
@@ -0,0 +1,89 @@
+"""The ledgers of runner crashes in the platform's store (``core.crash_ledger``)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from hillstack.core.crash_ledger import LEDGER_RETENTION_SECONDS, CrashLedger
+from hillstack.core.store_revision import NO_REVISION, StoreRevision
+from hillstack.daemon.key_value import Put, RevisionIs
+from hillstack.errors import PlatformError
+from hillstack.platform import names
+from hillstack.platform.bodies import CrashLedgerBody
+from hillstack.platform.store import MetadataStore
+from hillstack.serving.crash_permits import StoredLedger
+
+# A lease is used for all ledgers that are written within this time, which are stored this much
+# longer at most.
+LEASE_REUSE_SECONDS = 10.0
+
+
+class CrashLedgers:
+    """Reads and writes ledgers.
+
+    Args:
+        store: The platform's store.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(self, store: MetadataStore, clock: Callable[[], float]) -> None:
+        self._store = store
+        self._clock = clock
+        self._lease_id = 0
+        self._lease_era = 0
+        self._lease_granted_at = float("-inf")
+
+    async def read(self, fingerprint: int) -> StoredLedger:
+        """Return the ledger of a request; an empty one if there is none.
+
+        Raises:
+            PlatformError: The call failed, or the ledger can't be decoded.
+        """
+        entry = await self._store.get(_key(fingerprint))
+        if entry is None:
+            return StoredLedger(CrashLedger())
+        try:
+            body = msgspec.json.decode(entry.value, type=CrashLedgerBody)
+        except msgspec.MsgspecError as error:
+            raise PlatformError(str(error), step="read crash ledger", peer=entry.key) from error
+        ledger = CrashLedger(frozenset(body.crashed), frozenset(body.permits))
+        return StoredLedger(ledger, entry.mod_revision)
+
+    async def write(self, fingerprint: int, ledger: CrashLedger, expected: StoreRevision) -> bool:
+        """Write a ledger if its revision is the expected one; return whether it was written.
+
+        Raises:
+            PlatformError: The call failed.
+        """
+        key = _key(fingerprint)
+        body = CrashLedgerBody(sorted(ledger.crashed), sorted(ledger.permits))
+        put = Put(key, msgspec.json.encode(body), await self._lease())
+        revision = await self._store.transact([RevisionIs(key, expected)], [put])
+        if revision is None and expected == NO_REVISION:
+            # The lease may have ended, in a restored store or after a long pause of this node.
+            self._lease_granted_at = float("-inf")
+        return revision is not None
+
+    async def remove(self, fingerprint: int) -> None:
+        """Remove the ledger of a request.
+
+        Raises:
+            PlatformError: The call failed.
+        """
+        await self._store.remove(_key(fingerprint))
+
+    async def _lease(self) -> int:
+        now = self._clock()
+        is_usable = now - self._lease_granted_at < LEASE_REUSE_SECONDS
+        if not is_usable or self._lease_era != self._store.era:
+            ttl_seconds = LEDGER_RETENTION_SECONDS + LEASE_REUSE_SECONDS
+            self._lease_id = await self._store.grant_lease(ttl_seconds)
+            self._lease_era = self._store.era
+            self._lease_granted_at = now
+        return self._lease_id
+
+
+def _key(fingerprint: int) -> str:
+    return f"{names.CRASH_LEDGERS_PREFIX}{fingerprint:016x}"
--- a/src/hillstack/platform/formats.py
+++ b/src/hillstack/platform/formats.py
@@ -43,6 +43,7 @@
 from hillstack.platform.runner_identifiers import runner_id_of
 from hillstack.serving.store_events import (
     ConfigurationChanged,
+    CrashLedgerChanged,
     DutyHeld,
     NodeListed,
     NodeUnlisted,
@@ -110,6 +111,8 @@
         return RolloutDutyHeld(
             service, value.decode(errors="replace") if value is not None else None
         )
+    if key.startswith(names.CRASH_LEDGERS_PREFIX):
+        return _crash_ledger_changed(item)
     if value is None:
         return None
     if key.startswith(names.ROLLOUT_RECORDS_PREFIX):
@@ -179,6 +182,16 @@
         raise PlatformError(str(error), step="decode item", peer=item.key) from error
 
 
+def _crash_ledger_changed(item: StoredItem) -> CrashLedgerChanged | None:
+    text = item.key.removeprefix(names.CRASH_LEDGERS_PREFIX)
+    try:
+        return CrashLedgerChanged(int(text, 16), item.value is None)
+    except ValueError as error:
+        if item.value is None:
+            return None
+        raise PlatformError(str(error), step="read crash ledger", peer=item.key) from error
+
+
 def _runner_listed(instance: str, item: StoredItem, value: bytes) -> RunnerListed:
     body = _decode(item, value, RunnerBody)
     if body.state not in RUNNER_STATES:
--- a/src/hillstack/platform/store.py
+++ b/src/hillstack/platform/store.py
@@ -239,6 +239,10 @@
         revision = StoreRevision(answer.era, item.rev)
         return Entry(item.key, base64.b64decode(item.value), revision)
 
+    async def remove(self, key: str) -> None:
+        """Remove a key if it exists."""
+        await self._transact([], [], [key])
+
     async def transact(
         self, conditions: Sequence[Condition], puts: Sequence[Put]
     ) -> StoreRevision | None:
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -7,6 +7,7 @@
 
 from hillstack.core.cache_watch import CacheHolder
 from hillstack.core.crash_counts import CrashCounts
+from hillstack.core.crash_ledger import KnownLedgers
 from hillstack.core.freshness import Freshness
 from hillstack.core.node_directory import NodeDirectory, NodeEntry
 from hillstack.core.part_index import PartIndex
@@ -35,6 +36,7 @@
 from hillstack.serving.start_gate import StartGate
 from hillstack.serving.store_events import (
     ConfigurationChanged,
+    CrashLedgerChanged,
     DutyHeld,
     ListedRollouts,
     NodeListed,
@@ -120,6 +122,7 @@
         self.runner_crashes = RunnerCrashRecord()
         self.crash_counts = CrashCounts()
         self.probations = Probations()
+        self.crash_ledgers = KnownLedgers()
         self.index = PartIndex()
         self.split = TrafficSplit()
         self.rollouts = SoftwareRollouts()
@@ -190,6 +193,8 @@
                 self.highest_fence = max(self.highest_fence, fence)
             case RolloutDutyHeld(service, decider):
                 self.rollout_deciders[service] = decider
+            case CrashLedgerChanged(fingerprint, is_removed):
+                self.crash_ledgers.update(fingerprint, is_removed=is_removed, now=now)
 
     def note_proof(self, revision: StoreRevision, proved_at: float) -> None:
         """Record an answer of the store: its revision, and when the store was asked."""
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -96,6 +96,9 @@
             not suspected.
         trial_send: Value of ``sends`` at which one more send is allowed although the request has
             crashed so many runners that it is refused; None if none is allowed.
+        crash_permits: Permits of the request's sends whose outcome has not been recorded.
+        has_unused_permit: Whether the latest permit has not been used for a send.
+        crashed_runners: Runners that crashed under the request and have not been recorded.
         answer_ready: Whether the whole answer has been received and is being delivered.
         is_fatal: Whether the request was found to crash runners and was aborted for this reason.
         canary_decided_for: Rollout order under which it was decided whether this is a canary.
@@ -129,6 +132,9 @@
     content: int | None = None
     suspect_rank: int | None = None
     trial_send: int | None = None
+    crash_permits: set[str] = field(default_factory=set)
+    has_unused_permit: bool = False
+    crashed_runners: set[str] = field(default_factory=set)
     answer_ready: bool = False
     is_fatal: bool = False
     canary_decided_for: StoreRevision | None = None
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -203,6 +203,7 @@
                 raise self.runner_crashes.fatal_error(job) from None
             raise job.give_up_error(Verdict.TIMED_OUT, "the deadline passed") from None
         finally:
+            self.runner_crashes.job_ended(job)
             if job.charged_cost and not job.runs and not job.may_have_run:
                 self._limiter.give_back(job.tenant_name, job.charged_cost)
 
@@ -222,7 +223,7 @@
 
     async def _attempt_until_done(self, job: Job, sink: ResponseSink) -> None:
         while True:
-            await self.runner_crashes.check(job)
+            await self.runner_crashes.prepare_send(job)
             placed = await self._place(job)
             job.sends += 1
             try:
--- a/src/hillstack/serving/runner_crashes.py
+++ b/src/hillstack/serving/runner_crashes.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass
 
 from hillstack.core.crash_counts import CrashedRun
+from hillstack.core.crash_ledger import SendOutcome
 from hillstack.core.rendezvous import owner, ranked
 from hillstack.core.request_fingerprint import content_name, request_fingerprint
 from hillstack.core.runner_crashes import (
@@ -29,6 +30,7 @@
 )
 from hillstack.core.runner_pool import Runner
 from hillstack.messages.runner_ends import RequestAtEnd, RunnerEndNotice
+from hillstack.serving.crash_permits import CrashPermits
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import Job
 from hillstack.serving.metrics import FleetMetrics
@@ -135,6 +137,7 @@
         self._unreported: set[str] = set()
         self._announced_fatal: set[int] = set()
         self._abandoned: deque[_AbandonedRun] = deque()
+        self._permits: CrashPermits | None = None
         self._lag_free_since: Callable[[], float] = lambda: -math.inf
         self._is_stopping = False
         self._report_handle: asyncio.Handle | None = None
@@ -147,6 +150,10 @@
         """
         self._lag_free_since = lag_free_since
 
+    def set_permits(self, permits: CrashPermits) -> None:
+        """Set the permits that bound the runners which a request crashes across all nodes."""
+        self._permits = permits
+
     def _has_survived(self, runner: Runner, ended_at: float) -> bool:
         """Return whether a process that seemed to crash at a time has sent bytes afterwards."""
         received_at = runner.last_contact_at
@@ -161,6 +168,7 @@
         """Record an attempt that is being sent."""
         job.sent_at = now
         job.answering_since = None
+        job.has_unused_permit = False
         self._active[attempt_id] = job, runner
         if job.is_suspect:
             names = self._names(job)
@@ -222,6 +230,8 @@
             succeeded: Whether the answer is a success. Only a success resets the crash count,
                 because a runner may refuse or fail a request that would have crashed it.
         """
+        if succeeded:
+            self._remove_ledger(job)
         if not self._record and not self._counts:
             return
         if succeeded:
@@ -238,12 +248,27 @@
             RejectedError: The request is fatal.
             StreamCutError: The request is fatal and its answer has begun.
         """
+        if await self._classify_if_any_crash(job):
+            await self._wait_for_separation(job)
+
+    async def prepare_send(self, job: Job) -> None:
+        """Check whether a request may be sent now, and acquire a permit for a suspect.
+
+        Raises:
+            RejectedError: The request is fatal, or has no permit.
+            StreamCutError: The same, and its answer has begun.
+        """
+        if await self._classify_if_any_crash(job):
+            await self._acquire_permit(job)
+            await self._wait_for_separation(job)
+
+    async def _classify_if_any_crash(self, job: Job) -> bool:
+        """Classify a request if any crash is known; return whether it is a suspect."""
         job.suspect_rank = None
-        if not self._record and not self._counts:
-            return
+        if not self._record and not self._counts and not self._state.crash_ledgers:
+            return False
         await self._classify(job)
-        if job.is_suspect:
-            await self._wait_for_separation(job)
+        return job.is_suspect
 
     async def _classify(self, job: Job) -> None:
         fingerprint = self._fingerprint(job)
@@ -254,10 +279,72 @@
         job.suspect_rank = self._record.rank(fingerprint)
         if job.suspect_rank is None and self._counts.is_suspect(self._content(job), self._clock()):
             job.suspect_rank = self._record.place(fingerprint)
+        if job.suspect_rank is None and self._has_ledger(fingerprint):
+            job.suspect_rank = self._record.place(fingerprint)
         if suspicion is Suspicion.FATAL or not self._is_within_bound(job):
             self._metrics.runner_ends.labels("refused").inc()
             raise self.fatal_error(job)
 
+    def _has_ledger(self, fingerprint: int) -> bool:
+        return self._state.crash_ledgers.has(fingerprint, self._clock())
+
+    async def _acquire_permit(self, job: Job) -> None:
+        """Acquire a permit to send a suspect, or reject it."""
+        if self._permits is None:
+            return
+        fingerprint = self._fingerprint(job)
+        grant = await self._permits.acquire(
+            fingerprint,
+            _unrecorded_outcome(job),
+            lambda: self._crashed_under(fingerprint),
+            lambda: self._suspicion(fingerprint) is not Suspicion.NONE,
+        )
+        if grant.is_stored:
+            job.crash_permits.clear()
+            job.crashed_runners.clear()
+        if grant.permit is not None:
+            job.crash_permits.add(grant.permit)
+            job.has_unused_permit = True
+        if not grant.may_send:
+            self._metrics.runner_ends.labels("refused").inc()
+            raise job.give_up_error(Verdict.UNAVAILABLE, FATAL_REASON, grant.retry_after)
+
+    def _crashed_under(self, fingerprint: int) -> set[str]:
+        """Return the runners that crashed while a run of a request had not settled."""
+        return {
+            crash.runner_id
+            for crash in self._record.crashes()
+            if fingerprint in crash.runs and not crash.runs[fingerprint].is_settled
+        }
+
+    def _remove_ledger(self, job: Job) -> None:
+        if self._permits is None or not (job.crash_permits or self._state.crash_ledgers):
+            return
+        fingerprint = self._fingerprint(job)
+        if not job.crash_permits and not self._has_ledger(fingerprint):
+            return
+        job.crash_permits.clear()
+        job.crashed_runners.clear()
+        self._permits.report_success(fingerprint)
+
+    def job_ended(self, job: Job) -> None:
+        """Record the outcome of a request's sends in its ledger after work on it has ended."""
+        if self._permits is None or not (job.crash_permits or job.crashed_runners):
+            return
+        fingerprint = self._fingerprint(job)
+        if not job.crash_permits and self._suspicion(fingerprint) is Suspicion.NONE:
+            # The runner crashed together with others, or has not crashed.
+            return
+        # A runner may continue the last run for a while after its connection was closed.
+        has_ended = bool(job.crashed_runners) or job.has_unused_permit
+        delay = 0.0 if has_ended else ABANDONED_RUN_SECONDS
+
+        def outcome() -> SendOutcome:
+            known = _unrecorded_outcome(job)
+            return SendOutcome(known.permits, known.crashed | self._crashed_under(fingerprint))
+
+        self._permits.report_outcome(fingerprint, outcome, delay)
+
     def _is_within_bound(self, job: Job) -> bool:
         """Return whether a request is below the crash limit or may be sent as a trial."""
         if any(map(self._counts.has_reached_bound, self._names(job))):
@@ -350,6 +437,8 @@
             return
         runs = self._abandoned_runs(runner.runner_id, now)
         runs[self._fingerprint(job)] = self._run(job, now)
+        if not self._run(job, now).is_settled:
+            job.crashed_runners.add(runner.runner_id)
         for other, at in self._active.values():
             if at is runner:
                 runs.setdefault(self._fingerprint(other), self._run(other, now))
@@ -750,6 +839,10 @@
         return job.fingerprint
 
 
+def _unrecorded_outcome(job: Job) -> SendOutcome:
+    return SendOutcome(frozenset(job.crash_permits), frozenset(job.crashed_runners))
+
+
 def _is_expected_disconnect(runner: Runner, now: float) -> bool:
     """Return whether a runner breaks off runs because it is leaving or loading weights."""
     if runner.has_ended and not runner.entry.draining:
--- a/src/hillstack/serving/store_events.py
+++ b/src/hillstack/serving/store_events.py
@@ -106,6 +106,19 @@
     holder: str | None
 
 
+@dataclass(frozen=True, slots=True)
+class CrashLedgerChanged:
+    """The ledger of the crashes under a request was written, or removed.
+
+    Attributes:
+        fingerprint: The request (``core.request_fingerprint``).
+        is_removed: Whether there is no ledger any more.
+    """
+
+    fingerprint: int
+    is_removed: bool
+
+
 StoreEvent = (
     ConfigurationChanged
     | RunnerListed
@@ -118,6 +131,7 @@
     | NodeUnlisted
     | DutyHeld
     | RolloutDutyHeld
+    | CrashLedgerChanged
 )
 
 
--- a/tests/fleet/fatal_world.py
+++ b/tests/fleet/fatal_world.py
@@ -7,16 +7,23 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from hillstack.core.crash_ledger import CrashLedger
 from hillstack.core.node_directory import NodeEntry
 from hillstack.core.routing_table import RouteKind, RoutingTable
 from hillstack.core.runner_pool import Runner, RunnerEntry
 from hillstack.core.shared_retry_budget import SharedRetryBudget
-from hillstack.errors import BackendBrokenError, ConnectionLostError
+from hillstack.core.store_revision import StoreRevision
+from hillstack.errors import (
+    BackendBrokenError,
+    ConnectionLostError,
+    PlatformUnavailableError,
+)
 from hillstack.messages.peer_notices import PlacementNotice
 from hillstack.messages.runner_ends import RunnerEndNotice
+from hillstack.serving.crash_permits import CrashPermits, StoredLedger
 from hillstack.serving.pipeline import RequestPipeline
 from hillstack.serving.placement import RunnerPlacement
-from hillstack.serving.store_events import RunnerListed, RunnerUnlisted
+from hillstack.serving.store_events import CrashLedgerChanged, RunnerListed, RunnerUnlisted
 from hillstack.serving.types import (
     Dispatch,
     HeaderList,
@@ -45,6 +52,7 @@
 EVENT_SECONDS = 0.02
 FIRST_EVENT_SECONDS = 0.03
 NOTICE_SECONDS = 0.002
+STORE_SECONDS = 0.004
 PARTS = (("shared", 2_000), ("own", 500))
 
 
@@ -224,6 +232,47 @@
         return sum(body in runner.bodies_at_crash for runner in self.by_id.values())
 
 
+class FakeLedgers:
+    """The ledgers of all nodes in the store, as read and written by one node."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self._world = world
+        self._name = name
+
+    async def read(self, fingerprint: int) -> StoredLedger:
+        await self._call()
+        return self._world.ledgers.get(fingerprint, StoredLedger(CrashLedger()))
+
+    async def write(self, fingerprint: int, ledger: CrashLedger, expected: StoreRevision) -> bool:
+        await self._call()
+        known = self._world.ledgers.get(fingerprint, StoredLedger(CrashLedger()))
+        if known.revision != expected:
+            return False
+        self._world.ledger_writes += 1
+        revision = StoreRevision(0, self._world.ledger_writes)
+        self._world.ledgers[fingerprint] = StoredLedger(ledger, revision)
+        self._notify(fingerprint, is_removed=False)
+        return True
+
+    async def remove(self, fingerprint: int) -> None:
+        await self._call()
+        self._world.ledger_writes += 1
+        self._world.ledgers.pop(fingerprint, None)
+        self._notify(fingerprint, is_removed=True)
+
+    async def _call(self) -> None:
+        await asyncio.sleep(STORE_SECONDS)
+        if not self._world.reaches_store(self._name):
+            raise PlatformUnavailableError("no connection", step="call", peer="store")
+
+    def _notify(self, fingerprint: int, *, is_removed: bool) -> None:
+        world = self._world
+        for node in world.nodes.values():
+            if world.reaches_store(node.state.node_id):
+                event = CrashLedgerChanged(fingerprint, is_removed)
+                node.state.apply(event, world.scheduler.now)
+
+
 class _PeerNotifier:
     """Delivers the notices of one node to the other nodes."""
 
@@ -307,6 +356,8 @@
         self.nodes: dict[str, Node] = {}
         self.notices_to_drop = 0
         self.partitioned_nodes: set[str] = set()
+        self.ledgers: dict[int, StoredLedger] = {}
+        self.ledger_writes = 0
         # How long a node's connections stay silent after their runner crashed.
         self.silent_seconds: dict[str, float] = {}
         self._tries = 0
@@ -330,6 +381,14 @@
         """Return the latency of a notice between two nodes; None if it is lost."""
         return NOTICE_SECONDS
 
+    def reaches_store(self, name: str) -> bool:
+        """Return whether a node reaches the store."""
+        return True
+
+    def is_isolated(self, name: str) -> bool:
+        """Return whether a node receives nothing from another region."""
+        return False
+
     def deliver(self, source: str, node: Node, notice: RunnerEndNotice) -> None:
         delay = self.notice_seconds(source, node)
         if delay is None:
@@ -413,6 +472,16 @@
         self.pipeline = RequestPipeline(
             self.state, world.runners, self.placement, world.scheduler.clock, FakeLimiter()
         )
+        permits = CrashPermits(
+            FakeLedgers(world, name),
+            name,
+            world.scheduler.clock,
+            lambda: world.is_isolated(name),
+            lambda work: world.scheduler.spawn(world.loop, work),
+        )
+        self.pipeline.runner_crashes.set_permits(permits)
+        for fingerprint in world.ledgers:
+            self.state.apply(CrashLedgerChanged(fingerprint, is_removed=False), world.scheduler.now)
 
 
 def _make_table(application: bool, unsafe: bool) -> RoutingTable:
--- /dev/null
+++ b/tests/fleet/test_crash_ledger_store.py
@@ -0,0 +1,74 @@
+"""Ledgers of runner crashes in the store: conditions of their writes, leases and events."""
+
+from __future__ import annotations
+
+import pytest
+
+from hillstack import clock
+from hillstack.core.crash_ledger import MAX_KNOWN_LEDGERS, CrashLedger, KnownLedgers
+from hillstack.core.store_revision import NO_REVISION
+from hillstack.daemon.change_log import StoredItem
+from hillstack.emulator.fleet_store import FleetStore
+from hillstack.errors import PlatformError
+from hillstack.platform import names
+from hillstack.platform.crash_ledgers import CrashLedgers
+from hillstack.platform.formats import to_event
+from hillstack.platform.store import MetadataStore
+from hillstack.serving.store_events import CrashLedgerChanged
+from tests.fleet.builders import rev
+from tests.fleet.test_rollout_store import with_store
+
+FINGERPRINT = 0xAB
+KEY = f"{names.CRASH_LEDGERS_PREFIX}00000000000000ab"
+LEDGER = CrashLedger(frozenset({"i-1"}), frozenset({"node-1/1"}))
+
+
+def test_a_ledger_is_written_only_at_the_revision_that_was_read() -> None:
+    async def scenario(emulated_store: FleetStore, store: MetadataStore, address: str) -> None:
+        ledgers = CrashLedgers(store, clock.seconds)
+        empty = await ledgers.read(FINGERPRINT)
+        assert not empty.ledger
+        assert empty.revision == NO_REVISION
+        assert await ledgers.write(FINGERPRINT, LEDGER, empty.revision)
+        assert not await ledgers.write(FINGERPRINT, CrashLedger(), empty.revision)
+        stored = await ledgers.read(FINGERPRINT)
+        assert stored.ledger == LEDGER
+        more = LEDGER.with_permit("node-2/1")
+        assert await ledgers.write(FINGERPRINT, more, stored.revision)
+        assert (await ledgers.read(FINGERPRINT)).ledger == more
+        await ledgers.remove(FINGERPRINT)
+        assert not (await ledgers.read(FINGERPRINT)).ledger
+
+    with_store(scenario)
+
+
+def test_a_ledger_that_can_not_be_read_is_an_error() -> None:
+    async def scenario(emulated_store: FleetStore, store: MetadataStore, address: str) -> None:
+        emulated_store.put(KEY, b"[")
+        with pytest.raises(PlatformError):
+            await CrashLedgers(store, clock.seconds).read(FINGERPRINT)
+
+    with_store(scenario)
+
+
+def test_a_ledger_in_the_store_is_an_event() -> None:
+    written = StoredItem(KEY, rev(3), b"{}")
+    assert to_event(written) == CrashLedgerChanged(FINGERPRINT, is_removed=False)
+    removed = StoredItem(KEY, rev(4), None)
+    assert to_event(removed) == CrashLedgerChanged(FINGERPRINT, is_removed=True)
+    with pytest.raises(PlatformError):
+        to_event(StoredItem(names.CRASH_LEDGERS_PREFIX + "x", rev(5), b"{}"))
+    assert to_event(StoredItem(names.CRASH_LEDGERS_PREFIX + "x", rev(6), None)) is None
+
+
+def test_known_ledgers_expire_and_are_bounded() -> None:
+    known = KnownLedgers(retention_seconds=60.0)
+    known.update(1, is_removed=False, now=0.0)
+    assert known.has(1, 59.0)
+    assert not known.has(1, 60.0)
+    known.update(1, is_removed=True, now=1.0)
+    assert not known
+    for fingerprint in range(MAX_KNOWN_LEDGERS + 1):
+        known.update(fingerprint, is_removed=False, now=0.0)
+    assert not known.has(0, 1.0)
+    assert known.has(MAX_KNOWN_LEDGERS, 1.0)
--- a/tests/fleet/test_crashes_across_regions.py
+++ b/tests/fleet/test_crashes_across_regions.py
@@ -16,6 +16,7 @@
 MAX_CRASHES = 3
 BODY = b"fatal 1"
 REGIONS = 2
+STORE_REGION = 0
 NODES = 6
 RUNNERS = 12
 # Time in which a try and its notices are over.
@@ -42,6 +43,12 @@
             return NOTICE_SECONDS
         return None if self.is_cut else self._delay
 
+    def reaches_store(self, name: str) -> bool:
+        return not self.is_cut or _region_of(name) == STORE_REGION
+
+    def is_isolated(self, name: str) -> bool:
+        return self.is_cut
+
     def send_at_all_nodes(self) -> None:
         """Send the request at all nodes at the same moment."""
         for name in self.nodes:
--- a/tests/fleet/test_region_relays.py
+++ b/tests/fleet/test_region_relays.py
@@ -506,3 +506,18 @@
     assert group.zones == ("zone-3", "zone-4", "zone-5")
     order = directory.relay_order(group)
     assert sorted(order) == sorted(f"node-{n}" for n in range(30) if n % ZONES >= 3)
+
+
+def test_a_node_is_isolated_while_nothing_arrives_from_the_other_region() -> None:
+    network = make_network(12)
+    near, far = ordinary_of(network, NEAR), ordinary_of(network, FAR)
+    assert not near.exchange.is_isolated()
+    assert not far.exchange.is_isolated()
+    network.region_loss = 1.0
+    network.run(5.0)
+    assert near.exchange.is_isolated()
+    assert far.exchange.is_isolated()
+    network.region_loss = 0.0
+    network.run(5.0)
+    assert not near.exchange.is_isolated()
+    network.close()
