Earlier builds get all keys of a store that was restored lately

Cause, of a node that follows: its question names no era. Once the numbers of the restored store have caught up with the asked revision, this build answered with the changes since then, without the removals between the copy and the asked revision, and without the list of keys by which an earlier build drops what is gone.

Change: for 60 s after a restore such a question is answered with all keys.

Test: test_an_earlier_build_gets_all_keys_after_a_restore, keys None before.

--- a/src/hillstack/daemon/change_log.py
+++ b/src/hillstack/daemon/change_log.py
@@ -140,9 +140,13 @@
         changed.reverse()
         keys = None
         if revision < self._removals_forgotten_up_to:
-            keys = [key for key, item in self._items.items() if item.value is not None]
+            keys = self.keys()
         return ChangesSince(changed, self.revision, keys)
 
+    def keys(self) -> list[str]:
+        """Return all existing keys."""
+        return [key for key, item in self._items.items() if item.value is not None]
+
     def differences(self, listed: Sequence[StoredItem], revision: StoreRevision) -> list[str]:
         """Return the keys on which this log differs from a full list of the store.
 
--- a/src/hillstack/daemon/store_relay.py
+++ b/src/hillstack/daemon/store_relay.py
@@ -41,6 +41,9 @@
 # A larger answer is not sent, and the asking node queries the store instead. On an ordinary network
 # an answer of this size takes about 16 fragments, none of which may be lost.
 MAX_ANSWER_BYTES = 24_000
+# Time after a restore of the store for which earlier builds get all keys with each answer. By then
+# the writes of the runners have raised the revisions above those from before the restore.
+LIST_KEYS_SECONDS = 60.0
 MILLISECONDS = 1_000.0
 
 
@@ -90,6 +93,8 @@
         self._log = log
         self._link = link
         self._clock = clock
+        self._restored_at = float("-inf")
+        state.store_era.handle_new(self._note_restored)
         self._pending: PendingAnswers[ChangesAnswer] = PendingAnswers(ANSWER_SECONDS)
         link.handle(DatagramKind.CHANGES_QUESTION, self._take_question)
         link.handle(DatagramKind.CHANGES_ANSWER, self._take_answer)
@@ -147,6 +152,11 @@
             # list of changes as proof that its copy is fresh.
             return self._ages_only(question)
         changes = self._log.since(asked)
+        keys = changes.keys
+        if keys is None and question.era is None and self._is_recently_restored():
+            # An earlier build may have items of the era before. It drops those that a full list of
+            # keys lacks, once the revisions have risen above theirs.
+            keys = self._log.keys()
         return ChangesAnswer(
             PROTOCOL_VERSION,
             self._state.node_id,
@@ -155,12 +165,18 @@
             self._age_ms(self._state.freshness.proved_at()),
             self._age_ms(self._state.outage_ended_at()),
             [ItemChange(item.key, item.revision.number, item.value) for item in changes.items],
-            changes.keys,
+            keys,
             named=self._named(),
             era=changes.revision.era,
             is_store_overdue=self._state.is_store_overdue,
         )
 
+    def _is_recently_restored(self) -> bool:
+        return self._clock() < self._restored_at + LIST_KEYS_SECONDS
+
+    def _note_restored(self, source: str) -> None:
+        self._restored_at = self._clock()
+
     def _asked_revision(self, question: ChangesQuestion) -> StoreRevision:
         """Return the revision in a question; a question of an earlier build names no era."""
         era = self._log.revision.era if question.era is None else question.era
--- a/tests/fleet/test_store_era.py
+++ b/tests/fleet/test_store_era.py
@@ -9,10 +9,11 @@
 import pytest
 
 from hillstack.core.store_era import STORE, StoreEra
-from hillstack.daemon.change_log import ChangeLog
+from hillstack.core.store_revision import StoreRevision
+from hillstack.daemon.change_log import ChangeLog, StoredItem
 from hillstack.daemon.key_value import Put, RevisionIs
 from hillstack.daemon.peer_link import PeerLink
-from hillstack.daemon.store_relay import StoreRelay
+from hillstack.daemon.store_relay import LIST_KEYS_SECONDS, StoreRelay
 from hillstack.emulator.fleet_store import FleetStore
 from hillstack.emulator.free_ports import free_ports
 from hillstack.errors import HistoryLostError, OutdatedAnswerError, PlatformOutcomeUnknownError
@@ -238,3 +239,34 @@
         assert relayed is not None and not relayed.is_complete
 
     asyncio.run(scenario())
+
+
+# Guards against a node of an earlier build that keeps runners which a restored store lacks.
+def test_an_earlier_build_gets_all_keys_after_a_restore() -> None:
+    sent: list[bytes] = []
+    link, log, now = PeerLink(), ChangeLog(), [100.0]
+    state = make_state(make_table(make_route()))
+    state.apply(NodeListed("node-2", "10.0.0.2:1", "zone-a"), 0.0)
+    state.note_proof(rev(30), 100.0)
+    StoreRelay(state, log, link, lambda: now[0])
+    log.load([StoredItem("servers/i-1", rev(20), b"{}")], rev(30))
+
+    class Transport:
+        def sendto(self, data: bytes, endpoint: tuple[str, int]) -> None:
+            sent.append(data)
+
+    link.connection_made(Transport())
+
+    def keys_for(revision: int) -> list[str] | None:
+        question = ChangesQuestion(PROTOCOL_VERSION, "node-2", 1, revision)
+        link.datagram_received(wrap(DatagramKind.CHANGES_QUESTION, pack(question)), ("10.0.0.2", 1))
+        _, payload = unwrap(sent[-1], "peer")
+        return unpack(payload, ChangesAnswer, "peer").keys
+
+    assert keys_for(30) is None
+    state.store_era.observe(1, STORE)
+    state.store_era.observe(2, STORE)
+    log.load([StoredItem("servers/i-2", StoreRevision(2, 10), b"{}")], StoreRevision(2, 40))
+    assert keys_for(40) == ["servers/i-2"]
+    now[0] += LIST_KEYS_SECONDS
+    assert keys_for(40) is None
