Permits: a request whose bound is reached is rejected at once, and its ledger ends before its first trial

The ledger lasted up to 70 s, so the trial that the counts allow 60 s after the last crash was spent without a send; it lasts 58 s at most, and Retry-After says so.

--- a/src/hillstack/core/crash_ledger.py
+++ b/src/hillstack/core/crash_ledger.py
@@ -16,9 +16,13 @@
 
 # Maximum number of runners that one request may crash.
 MAX_CRASHES = 3
-# How long a ledger is stored after its last change. After that a request counts as new, as it does
-# when its verdict expires (``runner_crashes.FATAL_REFUSAL_SECONDS``).
-LEDGER_RETENTION_SECONDS = 60.0
+# Longest time for which a ledger is stored after its last change. After that a request counts as
+# new, as it does when its verdict expires. It is shorter than the time to the first trial of a
+# fatal request (``runner_crashes.FATAL_REFUSAL_SECONDS``), which would not get a permit.
+MAX_RETENTION_SECONDS = 58.0
+# All ledgers that a node writes within this time share a lease, so some are stored this much
+# shorter.
+LEASE_REUSE_SECONDS = 10.0
 # Maximum number of ledgers that a node knows. The oldest are forgotten first.
 MAX_KNOWN_LEDGERS = 4_096
 
@@ -51,6 +55,10 @@
     def __bool__(self) -> bool:
         return bool(self.crashed or self.permits)
 
+    def is_exhausted(self, known_crashed: Iterable[str]) -> bool:
+        """Return whether no further send is allowed, whatever the sends under way come to."""
+        return len(self.crashed.union(known_crashed)) >= MAX_CRASHES
+
     def allows_send(self, known_crashed: Iterable[str], *, alone: bool) -> bool:
         """Return whether a further send is within the bound.
 
@@ -77,10 +85,10 @@
     """The requests that have a ledger, according to the changes of the store.
 
     Args:
-        retention_seconds: How long a ledger is stored after its last change.
+        retention_seconds: How long a ledger is stored after its last change at most.
     """
 
-    def __init__(self, retention_seconds: float = LEDGER_RETENTION_SECONDS) -> None:
+    def __init__(self, retention_seconds: float = MAX_RETENTION_SECONDS) -> None:
         self._retention = retention_seconds
         self._expires_at: OrderedDict[int, float] = OrderedDict()
 
--- a/src/hillstack/platform/crash_ledgers.py
+++ b/src/hillstack/platform/crash_ledgers.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from hillstack.core.crash_ledger import LEDGER_RETENTION_SECONDS, CrashLedger
+from hillstack.core.crash_ledger import LEASE_REUSE_SECONDS, MAX_RETENTION_SECONDS, CrashLedger
 from hillstack.core.store_revision import NO_REVISION, StoreRevision
 from hillstack.daemon.key_value import Put, RevisionIs
 from hillstack.errors import PlatformError
@@ -15,10 +15,6 @@
 from hillstack.platform.store import MetadataStore
 from hillstack.serving.crash_permits import StoredLedger
 
-# A lease is used for all ledgers that are written within this time, which are stored this much
-# longer at most.
-LEASE_REUSE_SECONDS = 10.0
-
 
 class CrashLedgers:
     """Reads and writes ledgers.
@@ -78,8 +74,7 @@
         now = self._clock()
         is_usable = now - self._lease_granted_at < LEASE_REUSE_SECONDS
         if not is_usable or self._lease_era != self._store.era:
-            ttl_seconds = LEDGER_RETENTION_SECONDS + LEASE_REUSE_SECONDS
-            self._lease_id = await self._store.grant_lease(ttl_seconds)
+            self._lease_id = await self._store.grant_lease(MAX_RETENTION_SECONDS)
             self._lease_era = self._store.era
             self._lease_granted_at = now
         return self._lease_id
--- a/src/hillstack/serving/crash_permits.py
+++ b/src/hillstack/serving/crash_permits.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from hillstack.core.crash_ledger import LEDGER_RETENTION_SECONDS, CrashLedger, SendOutcome
+from hillstack.core.crash_ledger import MAX_RETENTION_SECONDS, CrashLedger, SendOutcome
 from hillstack.core.store_revision import NO_REVISION, StoreRevision
 from hillstack.errors import PlatformError
 
@@ -131,15 +131,18 @@
                     stored = await self._read(fingerprint)
                     if not stored.ledger and not is_suspect():
                         return Grant(may_send=True)
+                    crashed = known_crashed()
+                    if stored.ledger.with_outcome(earlier).is_exhausted(crashed):
+                        return Grant(may_send=False, retry_after=MAX_RETENTION_SECONDS)
                     is_issued = await self._issue(
-                        fingerprint, stored, permit, earlier, known_crashed(), alone=alone
+                        fingerprint, stored, permit, earlier, crashed, alone=alone
                     )
             except (PlatformError, TimeoutError) as error:
                 return self._without_store(fingerprint, permit, error)
             if is_issued:
                 return Grant(may_send=True, is_stored=True, permit=permit)
             if not alone:
-                return Grant(may_send=False, retry_after=LEDGER_RETENTION_SECONDS)
+                return Grant(may_send=False, retry_after=MAX_RETENTION_SECONDS)
             await asyncio.sleep(PERMIT_CHECK_SECONDS)
 
     def _without_store(self, fingerprint: int, permit: str, error: Exception) -> Grant:
--- a/tests/fleet/test_crash_permits.py
+++ b/tests/fleet/test_crash_permits.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from hillstack.core.crash_ledger import MAX_CRASHES
+from hillstack.core.crash_ledger import MAX_CRASHES, MAX_RETENTION_SECONDS
 from hillstack.serving.crash_permits import ISOLATED_RETRY_SECONDS
 from hillstack.serving.types import RejectedError, Verdict
 from tests.fleet.fatal_world import World
@@ -66,16 +66,18 @@
 
 def test_a_request_without_a_permit_is_rejected_as_not_run_with_the_time_to_come_back() -> None:
     world = RestartedWorld(runners=20, nodes=3)
-    outcomes = []
     for _ in range(4):
-        outcomes.append(world.try_until_done("node-0", BODY))
+        world.try_until_done("node-0", BODY)
         world.run(0.2)
         world.restart_all_nodes()
-    error = outcomes[-1].error
+    sent_at = world.scheduler.now
+    error = world.try_until_done("node-0", BODY).error
+    waited = world.scheduler.now - sent_at
     world.close()
+    assert waited < 0.2
     assert isinstance(error, RejectedError)
     assert error.verdict is Verdict.UNAVAILABLE
-    assert error.retry_after == 60.0
+    assert error.retry_after == MAX_RETENTION_SECONDS
 
 
 def test_an_innocent_suspect_is_served_while_the_store_is_down() -> None:
