Soak: a build without store eras that polls a restored store itself may keep removed runners

Traced with logs. Its build compares bare revisions in store_sync._retain, so it keeps each runner whose entry had a revision above that of the restored list. Nothing that this build sends reaches it: it asks no peer.

--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -61,6 +61,8 @@
 # starts.
 MAX_ENTRY_DELAY_SECONDS = 1.5
 MAX_SUCCESSOR_DELAY_SECONDS = 2.0
+# Module of the builds that know eras of the store, below the folder that contains the package.
+STORE_ERA_MODULE = Path("hillstack/core/store_era.py")
 # Signals that end a process.
 TERMINATING_SIGNALS = frozenset({signal.SIGTERM, signal.SIGKILL})
 # Requests of the limited tenant that its rate, burst and the settings above allow in a window.
@@ -291,6 +293,12 @@
         """Return whether a node currently runs its earlier build."""
         return name in self._running_earlier
 
+    def lacks_store_eras(self, name: str) -> bool:
+        """Return whether a node currently runs a build that knows no eras of the store."""
+        if not self.runs_earlier_build(name):
+            return False
+        return not (self._earlier_sources[name] / STORE_ERA_MODULE).exists()
+
     def replace_build(self, name: str, *, runs_earlier_build: bool) -> None:
         """Set whether a stopped node starts with its earlier build or with this one."""
         if name in self._earlier_sources:
