--- a/tests/soak/test_crashes.py
+++ b/tests/soak/test_crashes.py
@@ -5,11 +5,14 @@
 from pathlib import Path
 
 from tests.soak.crash_faults import send_varied_fatal_requests
-from tests.soak.faults import pause_node
+from tests.soak.faults import kill_all_nodes, pause_node
 from tests.soak.soak import SoakPlan, run
+from tests.soak.version_faults import send_fatal_request
 
 SEED = 4011
 SECONDS = 8.0
+KILLS_SEED = 3
+KILLS_SECONDS = 12.0
 
 
 def test_real_processes_keep_all_promises_while_requests_end_runners(tmp_path: Path) -> None:
@@ -19,3 +22,13 @@
     assert "send_varied_fatal_requests" in {fault.partition(" ")[2] for fault in result.faults}
     logged = "".join(log.read_text() for log in tmp_path.glob("node-*.log"))
     assert "runner ended" in logged
+
+
+# Guards against a request that crashes a fourth runner because all nodes were killed between its
+# tries and forgot the crashes.
+def test_real_processes_keep_all_promises_while_all_nodes_are_killed(tmp_path: Path) -> None:
+    plan = SoakPlan(KILLS_SECONDS, faults=(send_fatal_request, kill_all_nodes))
+    result = run(KILLS_SEED, plan, tmp_path)
+    assert result.violations == [], result.faults
+    logged = "".join(log.read_text() for log in tmp_path.glob("node-*.log"))
+    assert "runner ended" in logged
