The zone of a leaving runner does not count as failed

The zones of those that were tried count now.

Test: test_the_zone_of_a_leaving_runner_is_not_a_failed_zone, both kinds of request failed before.

--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -82,6 +82,7 @@
         excluded: Runners that the next attempt is not sent to: those already tried, unless they may
             accept the request now. While a runner is chosen, at first also those that are leaving
             according to peers (``RunnerPlacement.choose``).
+        leaving: Those of the excluded runners that were not tried, but leave according to peers.
         failure_answer: Failure answer of a runner, received before another runner was tried; passed
             on if no other runner answers.
         time_limit: Timeout after which work on the request ends.
@@ -123,6 +124,7 @@
     longest_gap: float = 0.0
     silent_since: float = 0.0
     excluded: set[str] = field(default_factory=set)
+    leaving: set[str] = field(default_factory=set)
     failure_answer: WholeAnswer | None = None
     time_limit: asyncio.Timeout | None = None
     has_waited: bool = False
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -171,14 +171,16 @@
         """Return a runner for the next attempt, or None if no runner accepts work.
 
         A runner that is leaving according to peers is chosen only if no other runner accepts the
-        request. In the first pass it counts as excluded, so with several regions its zone counts as
-        a failed one.
+        request. In the first pass it counts as excluded, but its zone does not count as a failed
+        one.
         """
         hinted_ids = self._state.pool.hinted(job.service, now) - job.excluded
         if hinted_ids:
             job.excluded |= hinted_ids
+            job.leaving = hinted_ids
             placed = self._choose_usable(job, now)
             job.excluded -= hinted_ids
+            job.leaving = set()
             if placed is not None:
                 return placed
         return self._choose_usable(job, now)
@@ -401,7 +403,7 @@
         other_zones = self._regions.other_zones()
         local = [runner for runner in candidates if runner.entry.zone not in other_zones]
         remote = [runner for runner in candidates if runner.entry.zone in other_zones]
-        failed_zones = self._regions.failed_zones(job.excluded)
+        failed_zones = self._regions.failed_zones(job.excluded - job.leaving)
         order = partial(self._application_order, failed_zones=failed_zones, now=now)
         borrowed = self._application_borrows(job, local, remote, now) if remote else None
         chosen = remote if borrowed else local
@@ -546,7 +548,7 @@
             gap_seconds=table.shortest_gap(job.service),
             idle_until=self._idle_until,
             topology=self._state.topology,
-            failed_zones=self._regions.failed_zones(job.excluded),
+            failed_zones=self._regions.failed_zones(job.excluded - job.leaving),
         )
 
     def _placed(self, choice: Choice, shape: PromptShape, now: float) -> PlacedAttempt:
--- a/src/hillstack/serving/region_choice.py
+++ b/src/hillstack/serving/region_choice.py
@@ -93,15 +93,11 @@
         if self.is_cross_region(runner):
             self._link_share.spend(_link_bytes(request))
 
-    def failed_zones(self, excluded: set[str]) -> frozenset[str]:
-        """Return the zones of a request's excluded runners; empty in a deployment with one region.
-
-        These are the runners already tried and, in the first pass of ``RunnerPlacement.choose``,
-        also those that are leaving according to peers.
-        """
-        if not excluded or not self.other_zones():
+    def failed_zones(self, tried_ids: set[str]) -> frozenset[str]:
+        """Return the zones of the runners tried for a request; empty with one region."""
+        if not tried_ids or not self.other_zones():
             return frozenset()
-        tried = (self._state.pool.get(runner_id) for runner_id in excluded)
+        tried = (self._state.pool.get(runner_id) for runner_id in tried_ids)
         return frozenset(runner.entry.zone for runner in tried if runner is not None)
 
     def _nodes_sharing_link(self, now: float) -> int:
--- a/tests/fleet/test_regions_placement.py
+++ b/tests/fleet/test_regions_placement.py
@@ -489,3 +489,30 @@
         'hillstack_cache_fetches_total{distance="other region"} 1.0',
     ]
     assert all(line in text for line in counted)
+
+
+# Guards against requests that avoid a whole zone because one of its runners leaves.
+@pytest.mark.parametrize("kind", ["call", "prompt"])
+def test_the_zone_of_a_leaving_runner_is_not_a_failed_zone(
+    kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    region = Region()
+    leaving = next(
+        runner
+        for runner in region.state.pool.of_service(APPLICATION if kind == "call" else ENGINES)
+        if runner.entry.zone == "a-1"
+    )
+    region.state.pool.apply_leaving_hint(leaving, 0.0)
+    failed: list[frozenset[str]] = []
+    find_failed_zones = region.regions.failed_zones
+
+    def failed_zones(tried_ids: set[str]) -> frozenset[str]:
+        failed.append(find_failed_zones(tried_ids))
+        return failed[-1]
+
+    monkeypatch.setattr(region.regions, "failed_zones", failed_zones)
+    placed = region.place(region.call() if kind == "call" else region.prompt())
+    assert placed is not None
+    assert placed.runner is not leaving
+    assert failed
+    assert set(failed) == {frozenset()}
