Permits: waiting tries read the ledger at growing intervals, and a node that stops ends its writes

A try that waited for another one's outcome read the ledger each 20 ms, 50 times in its second; with many callers of one request that would be a large part of the reads that the store allows all nodes. Six reads now.

--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -218,14 +218,13 @@
             runner_limits,
         )
         self._pipeline.runner_crashes.set_lag_source(self._lag.lag_free_since)
-        self._pipeline.runner_crashes.set_permits(
-            CrashPermits(
-                CrashLedgers(store, self._clock),
-                settings.node.id,
-                self._clock,
-                self._peers.is_isolated,
-            )
+        self._crash_permits = CrashPermits(
+            CrashLedgers(store, self._clock),
+            settings.node.id,
+            self._clock,
+            self._peers.is_isolated,
         )
+        self._pipeline.runner_crashes.set_permits(self._crash_permits)
         self._peers.handle_runner_crashes(self._pipeline.runner_crashes.observe)
         # The order matters: the cache contents open the start gate of the new peer (``StartGate``),
         # so everything else that it decides from has to arrive before them.
@@ -503,6 +502,7 @@
         logger.info("drained", extra={"active": self._pipeline.active})
 
     async def _close(self) -> None:
+        self._crash_permits.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/src/hillstack/serving/crash_permits.py
+++ b/src/hillstack/serving/crash_permits.py
@@ -22,6 +22,8 @@
 
 # Longest wait for a permit while other tries of the same request are under way.
 PERMIT_WAIT_SECONDS = 1.0
+# Pause before the first further read of the ledger; each later pause is twice as long, so that many
+# waiting tries cost the store few reads.
 PERMIT_CHECK_SECONDS = 0.02
 # Retry delay where neither the store nor another region can be reached.
 ISOLATED_RETRY_SECONDS = 2.0
@@ -29,7 +31,7 @@
 STORE_WAIT_SECONDS = 0.3
 # Attempts to write a ledger that other nodes change at the same time.
 MAX_WRITE_ATTEMPTS = 5
-# Ledgers that a node reads or writes at a time. When a rack crashes, some hundred requests are
+# Ledgers that a node reads at a time. When several runners crash, some hundred requests may be
 # suspects for a moment; requests beyond this number are sent without a permit.
 MAX_CONCURRENT_CALLS = 32
 
@@ -123,6 +125,7 @@
         self._issued += 1
         permit = f"{self._node_id}/{self._clock():.6f}/{self._issued}"
         latest = self._clock() + PERMIT_WAIT_SECONDS
+        pause = PERMIT_CHECK_SECONDS
         while True:
             # Other sends of the request usually end soon, and show whether it crashes runners.
             alone = self._clock() < latest
@@ -143,7 +146,8 @@
                 return Grant(may_send=True, is_stored=True, permit=permit)
             if not alone:
                 return Grant(may_send=False, retry_after=MAX_RETENTION_SECONDS)
-            await asyncio.sleep(PERMIT_CHECK_SECONDS)
+            await asyncio.sleep(pause)
+            pause *= 2
 
     def _without_store(self, fingerprint: int, permit: str, error: Exception) -> Grant:
         is_isolated = self._is_isolated()
@@ -212,6 +216,11 @@
             if await self._store.write(fingerprint, ledger, stored.revision):
                 return
 
+    def close(self) -> None:
+        """Stop the work in the background; what was not recorded expires with the ledgers."""
+        for task in self._tasks:
+            task.cancel()
+
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = self._start_task(_log_failure(work))
         self._tasks.add(task)
