Crash monitor: names, notices and permits of suspects in modules of their own

No change of behaviour. serving/runner_crashes.py had grown by the permits; request_names, crash_notices and suspect_permits hold what is not about monitoring.

--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -203,7 +203,7 @@
                 raise self.runner_crashes.fatal_error(job) from None
             raise job.give_up_error(Verdict.TIMED_OUT, "the deadline passed") from None
         finally:
-            self.runner_crashes.job_ended(job)
+            self.runner_crashes.ended(job)
             if job.charged_cost and not job.runs and not job.may_have_run:
                 self._limiter.give_back(job.tenant_name, job.charged_cost)
 
--- /dev/null
+++ b/src/hillstack/serving/request_names.py
@@ -0,0 +1,33 @@
+"""Names that stay the same when a caller sends a request again (``core.request_fingerprint``)."""
+
+from __future__ import annotations
+
+from hillstack.core.request_fingerprint import content_name, request_fingerprint
+from hillstack.serving.job import Job
+
+
+def names_of(job: Job) -> tuple[int, int]:
+    """Return the fingerprint and the content name of a request."""
+    return fingerprint_of(job), content_of(job)
+
+
+def content_of(job: Job) -> int:
+    """Return the content name of a request."""
+    if job.content is None:
+        job.content = content_name(job.tenant_name, job.request.path, job.request.body)
+    return job.content
+
+
+def fingerprint_of(job: Job) -> int:
+    """Return the fingerprint of a request."""
+    if job.fingerprint is None:
+        request = job.request
+        texts = (
+            job.tenant_name,
+            request.method,
+            request.host,
+            request.target,
+            request.model,
+        )
+        job.fingerprint = request_fingerprint(texts, request.shape, request.body)
+    return job.fingerprint
--- a/src/hillstack/serving/runner_crashes.py
+++ b/src/hillstack/serving/runner_crashes.py
@@ -17,9 +17,7 @@
 from dataclasses import dataclass
 
 from hillstack.core.crash_counts import CrashedRun
-from hillstack.core.crash_ledger import SendOutcome
 from hillstack.core.rendezvous import owner, ranked
-from hillstack.core.request_fingerprint import content_name, request_fingerprint
 from hillstack.core.runner_crashes import (
     CRASH_RETENTION_SECONDS,
     FATAL_REFUSAL_SECONDS,
@@ -30,12 +28,19 @@
 )
 from hillstack.core.runner_pool import Runner
 from hillstack.messages.runner_ends import RequestAtEnd, RunnerEndNotice
+from hillstack.serving.crash_notices import crash_notices, earlier_crash_notices, run_at_crash
 from hillstack.serving.crash_permits import CrashPermits
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import Job
 from hillstack.serving.metrics import FleetMetrics
 from hillstack.serving.placement import RunnerPlacement
-from hillstack.serving.types import Verdict
+from hillstack.serving.request_names import content_of, fingerprint_of, names_of
+from hillstack.serving.suspect_permits import (
+    ABANDONED_RUN_SECONDS,
+    FATAL_REASON,
+    SuspectPermits,
+)
+from hillstack.serving.types import RejectedError, StreamCutError, Verdict
 
 logger = logging.getLogger(__name__)
 
@@ -57,8 +62,6 @@
 # How long after a crash its notices are repeated, which makes six repetitions: if all are lost, the
 # network between the nodes is partitioned.
 NOTICE_REPEAT_SECONDS = 5.0
-# Requests in one notice: they fit a datagram of 1,400 bytes, at about 30 bytes each.
-MAX_NOTICE_REQUESTS = 32
 # Crashes whose notices are repeated at a time, usually one datagram each.
 MAX_REPEATED_CRASHES = 8
 # How long peers avoid a runner with a suspect if the end of the attempt is not reported: covers the
@@ -77,13 +80,8 @@
 # nodes share, then keeps them apart.
 STAGGER_SECONDS = 0.005
 MAX_STAGGER_SECONDS = 0.1
-# A runner may continue an abandoned run for a while, after the caller left, the deadline passed or
-# the request was found fatal. For this time the run counts as being at the runner: twice the half
-# second within which runners stop after their connection was closed.
-ABANDONED_RUN_SECONDS = 1.0
 # The crash time in a notice may be slightly earlier than an abandonment that preceded the crash.
 ABANDONED_RUN_SLACK_SECONDS = 0.1
-FATAL_REASON = "runners ended while they worked on this request"
 # Number of nodes that report each older crash to a node that has just started.
 EARLIER_CRASH_REPORTERS = 3
 # Runs of a crash that are logged: the largest runners have 64 slots.
@@ -137,7 +135,7 @@
         self._unreported: set[str] = set()
         self._announced_fatal: set[int] = set()
         self._abandoned: deque[_AbandonedRun] = deque()
-        self._permits: CrashPermits | None = None
+        self._permits = self._make_permits(None)
         self._lag_free_since: Callable[[], float] = lambda: -math.inf
         self._is_stopping = False
         self._report_handle: asyncio.Handle | None = None
@@ -152,7 +150,15 @@
 
     def set_permits(self, permits: CrashPermits) -> None:
         """Set the permits that bound the runners which a request crashes across all nodes."""
-        self._permits = permits
+        self._permits = self._make_permits(permits)
+
+    def _make_permits(self, permits: CrashPermits | None) -> SuspectPermits:
+        return SuspectPermits(
+            permits, self._record, self._state.crash_ledgers, self._is_suspected, self._clock
+        )
+
+    def _is_suspected(self, fingerprint: int) -> bool:
+        return self._suspicion(fingerprint) is not Suspicion.NONE
 
     def _has_survived(self, runner: Runner, ended_at: float) -> bool:
         """Return whether a process that seemed to crash at a time has sent bytes afterwards."""
@@ -171,7 +177,7 @@
         job.has_unused_permit = False
         self._active[attempt_id] = job, runner
         if job.is_suspect:
-            names = self._names(job)
+            names = names_of(job)
             self._state.probations.begin(attempt_id, runner.runner_id, names)
             for name in names:
                 self._counts.record_trial(name, now)
@@ -218,8 +224,8 @@
             answering = (
                 None if abandoned.answering_since is None else ended_at - abandoned.answering_since
             )
-            run = RunAtCrash(ended_at - abandoned.sent_at, answering, self._content(abandoned.job))
-            runs[self._fingerprint(abandoned.job)] = run
+            run = RunAtCrash(ended_at - abandoned.sent_at, answering, content_of(abandoned.job))
+            runs[fingerprint_of(abandoned.job)] = run
         return runs
 
     def answered(self, job: Job, *, succeeded: bool) -> None:
@@ -230,13 +236,16 @@
             succeeded: Whether the answer is a success. Only a success resets the crash count,
                 because a runner may refuse or fail a request that would have crashed it.
         """
-        if succeeded:
-            self._remove_ledger(job)
+        self._permits.answered(job, succeeded=succeeded)
         if not self._record and not self._counts:
             return
         if succeeded:
-            self._reset_counts(self._names(job))
-        self._clear_suspicion(self._fingerprint(job))
+            self._reset_counts(names_of(job))
+        self._clear_suspicion(fingerprint_of(job))
+
+    def ended(self, job: Job) -> None:
+        """Record that work on a request has ended."""
+        self._permits.ended(job)
 
     async def check(self, job: Job) -> None:
         """Check whether a request may be sent, and set its suspect rank.
@@ -259,7 +268,11 @@
             StreamCutError: The same, and its answer has begun.
         """
         if await self._classify_if_any_crash(job):
-            await self._acquire_permit(job)
+            try:
+                await self._permits.acquire(job)
+            except (RejectedError, StreamCutError):
+                self._metrics.runner_ends.labels("refused").inc()
+                raise
             await self._wait_for_separation(job)
 
     async def _classify_if_any_crash(self, job: Job) -> bool:
@@ -271,99 +284,39 @@
         return job.is_suspect
 
     async def _classify(self, job: Job) -> None:
-        fingerprint = self._fingerprint(job)
+        fingerprint = fingerprint_of(job)
         suspicion = self._suspicion(fingerprint)
         if suspicion is not Suspicion.NONE:
             await self._wait_for_peers(fingerprint)
             suspicion = self._suspicion(fingerprint)
         job.suspect_rank = self._record.rank(fingerprint)
-        if job.suspect_rank is None and self._counts.is_suspect(self._content(job), self._clock()):
+        if job.suspect_rank is None and self._counts.is_suspect(content_of(job), self._clock()):
             job.suspect_rank = self._record.place(fingerprint)
-        if job.suspect_rank is None and self._has_ledger(fingerprint):
+        if job.suspect_rank is None and self._permits.has_ledger(fingerprint):
             job.suspect_rank = self._record.place(fingerprint)
         if suspicion is Suspicion.FATAL or not self._is_within_bound(job):
             self._metrics.runner_ends.labels("refused").inc()
             raise self.fatal_error(job)
 
-    def _has_ledger(self, fingerprint: int) -> bool:
-        return self._state.crash_ledgers.has(fingerprint, self._clock())
-
-    async def _acquire_permit(self, job: Job) -> None:
-        """Acquire a permit to send a suspect, or reject it."""
-        if self._permits is None:
-            return
-        fingerprint = self._fingerprint(job)
-        grant = await self._permits.acquire(
-            fingerprint,
-            _unrecorded_outcome(job),
-            lambda: self._crashed_under(fingerprint),
-            lambda: self._suspicion(fingerprint) is not Suspicion.NONE,
-        )
-        if grant.is_stored:
-            job.crash_permits.clear()
-            job.crashed_runners.clear()
-        if grant.permit is not None:
-            job.crash_permits.add(grant.permit)
-            job.has_unused_permit = True
-        if not grant.may_send:
-            self._metrics.runner_ends.labels("refused").inc()
-            raise job.give_up_error(Verdict.UNAVAILABLE, FATAL_REASON, grant.retry_after)
-
-    def _crashed_under(self, fingerprint: int) -> set[str]:
-        """Return the runners that crashed while a run of a request had not settled."""
-        return {
-            crash.runner_id
-            for crash in self._record.crashes()
-            if fingerprint in crash.runs and not crash.runs[fingerprint].is_settled
-        }
-
-    def _remove_ledger(self, job: Job) -> None:
-        if self._permits is None or not (job.crash_permits or self._state.crash_ledgers):
-            return
-        fingerprint = self._fingerprint(job)
-        if not job.crash_permits and not self._has_ledger(fingerprint):
-            return
-        job.crash_permits.clear()
-        job.crashed_runners.clear()
-        self._permits.report_success(fingerprint)
-
-    def job_ended(self, job: Job) -> None:
-        """Record the outcome of a request's sends in its ledger after work on it has ended."""
-        if self._permits is None or not (job.crash_permits or job.crashed_runners):
-            return
-        fingerprint = self._fingerprint(job)
-        if not job.crash_permits and self._suspicion(fingerprint) is Suspicion.NONE:
-            # The runner crashed together with others, or has not crashed.
-            return
-        # A runner may continue the last run for a while after its connection was closed.
-        has_ended = bool(job.crashed_runners) or job.has_unused_permit
-        delay = 0.0 if has_ended else ABANDONED_RUN_SECONDS
-
-        def outcome() -> SendOutcome:
-            known = _unrecorded_outcome(job)
-            return SendOutcome(known.permits, known.crashed | self._crashed_under(fingerprint))
-
-        self._permits.report_outcome(fingerprint, outcome, delay)
-
     def _is_within_bound(self, job: Job) -> bool:
         """Return whether a request is below the crash limit or may be sent as a trial."""
-        if any(map(self._counts.has_reached_bound, self._names(job))):
+        if any(map(self._counts.has_reached_bound, names_of(job))):
             self._reset_survivor_counts()
-        bounded = [name for name in self._names(job) if self._counts.has_reached_bound(name)]
+        bounded = [name for name in names_of(job) if self._counts.has_reached_bound(name)]
         if not bounded:
             return True
         now = self._clock()
         if job.trial_send != job.sends:
             # The rank depends on the content, so all tries of one content see the same node order.
-            rank = self._node_rank(self._content(job))
-            pause = self._trial_pause(self._fingerprint(job))
+            rank = self._node_rank(content_of(job))
+            pause = self._trial_pause(fingerprint_of(job))
             if not all(self._counts.may_try(name, rank, now, pause) for name in bounded):
                 return False
             for name in bounded:
                 self._counts.record_trial(name, now)
             job.trial_send = job.sends
         if job.suspect_rank is None:
-            job.suspect_rank = self._record.place(self._fingerprint(job))
+            job.suspect_rank = self._record.place(fingerprint_of(job))
         return True
 
     def _trial_pause(self, fingerprint: int) -> float:
@@ -392,7 +345,7 @@
         latest = job.deadline - SEPARATION_WAIT_SECONDS
         # Suspects with a lower rank choose first, so that their nodes' notices arrive before this
         # one is placed. The same applies to nodes that try the same request at the same time.
-        steps = (job.suspect_rank or 0) + self._node_rank(self._content(job))
+        steps = (job.suspect_rank or 0) + self._node_rank(content_of(job))
         await asyncio.sleep(min(MAX_STAGGER_SECONDS, STAGGER_SECONDS * steps))
         await self._classify(job)
         while job.is_suspect and self._clock() < latest:
@@ -408,14 +361,14 @@
 
     def _suspected_name(self, job: Job) -> int:
         """Return the name that identifies other tries of the same suspect."""
-        content = self._content(job)
+        content = content_of(job)
         is_suspect = self._counts.is_suspect(content, self._clock())
-        return content if is_suspect else self._fingerprint(job)
+        return content if is_suspect else fingerprint_of(job)
 
     def fatal_error(self, job: Job) -> Exception:
         """Return the error for a fatal request, which has run in this try or in an earlier one."""
         job.may_have_run = True
-        fingerprint = self._fingerprint(job)
+        fingerprint = fingerprint_of(job)
         fields: dict[str, object] = {
             "request": job.request.request_id,
             "fingerprint": f"{fingerprint:016x}",
@@ -436,12 +389,12 @@
         if self._is_stopping or _is_expected_disconnect(runner, now):
             return
         runs = self._abandoned_runs(runner.runner_id, now)
-        runs[self._fingerprint(job)] = self._run(job, now)
+        runs[fingerprint_of(job)] = self._run(job, now)
         if not self._run(job, now).is_settled:
             job.crashed_runners.add(runner.runner_id)
         for other, at in self._active.values():
             if at is runner:
-                runs.setdefault(self._fingerprint(other), self._run(other, now))
+                runs.setdefault(fingerprint_of(other), self._run(other, now))
         self._note_lost_runs(runner, runs, now)
 
     def unreachable(self, runner: Runner, now: float) -> None:
@@ -497,7 +450,7 @@
             self._has_survived(runner, ended_at) or _is_expected_disconnect(runner, now)
         ):
             return
-        runs = {request.fingerprint: _run_at_end(request) for request in notice.requests}
+        runs = {request.fingerprint: run_at_crash(request) for request in notice.requests}
         self._record_crash(notice.runner_id, ended_at, runs, notice.running)
         if any(abandoned.runner_id == notice.runner_id for abandoned in self._abandoned):
             self._record_abandoned_runs(notice.runner_id)
@@ -567,9 +520,13 @@
             if crash.runner_id in self._locally_lost
             or crash.runner_id in evidence
             or owner(crash.runner_id, others) == self._state.node_id
-            for notice in self._notices(crash, now)
+            for notice in crash_notices(crash, now)
+        ]
+        notices += [
+            notice
+            for notice in earlier_crash_notices(self._counts, self._record, now)
+            if self._state.node_id in ranked(notice.runner_id, others)[:EARLIER_CRASH_REPORTERS]
         ]
-        notices += self._earlier_crash_notices(others, now)
         self._peers.send_runner_crashes(node_id, notices)
 
     def _fatal_evidence(self) -> set[str]:
@@ -582,29 +539,6 @@
         node = self._state.nodes.get(node_id)
         return node is None or self._state.topology.is_own_region(node.zone)
 
-    def _earlier_crash_notices(self, others: list[str], now: float) -> list[RunnerEndNotice]:
-        """Return notices of crashes that are no longer in the record but still counted."""
-        crashed_at: dict[str, float] = {}
-        requests: dict[str, list[RequestAtEnd]] = {}
-        for fingerprint, run in self._counts.repeated():
-            if self._record.get(run.runner_id) is not None:
-                continue
-            crashed_at[run.runner_id] = run.crashed_at
-            age_ms = round((run.crashed_at - run.began_at) * 1000)
-            answering_ms = age_ms if run.is_settled else 0
-            reported = requests.setdefault(run.runner_id, [])
-            reported.append(RequestAtEnd(fingerprint, age_ms, run.is_settled, answering_ms))
-        return [
-            RunnerEndNotice(
-                runner_id,
-                round((now - crashed_at[runner_id]) * 1000),
-                reported[first : first + MAX_NOTICE_REQUESTS],
-            )
-            for runner_id, reported in requests.items()
-            if self._state.node_id in ranked(runner_id, others)[:EARLIER_CRASH_REPORTERS]
-            for first in range(0, len(reported), MAX_NOTICE_REQUESTS)
-        ]
-
     async def run(self) -> None:
         """Repeat the notices of recent crashes periodically until cancelled."""
         try:
@@ -627,7 +561,7 @@
                 self._send_crash_notices(crash, now)
 
     def _send_crash_notices(self, crash: RunnerCrash, now: float) -> None:
-        for notice in self._notices(crash, now):
+        for notice in crash_notices(crash, now):
             self._peers.report_runner_crash(notice)
 
     def _send_probation(
@@ -639,11 +573,11 @@
         self._peers.report_runner_crash(notice)
 
     def _log_suspect(self, job: Job, runner: Runner) -> None:
-        fingerprint = self._fingerprint(job)
+        fingerprint = fingerprint_of(job)
         fields = {
             "request": job.request.request_id,
             "fingerprint": f"{fingerprint:016x}",
-            "content": f"{self._content(job):016x}",
+            "content": f"{content_of(job):016x}",
             "runner": runner.runner_id,
             "ended": [
                 crash.runner_id for crash in self._record.crashes() if fingerprint in crash.runs
@@ -654,7 +588,7 @@
 
     def _max_crash_count(self, job: Job) -> int:
         """Return how many runners a request crashed, by the name with the higher count."""
-        return max(self._counts.count(name) for name in self._names(job))
+        return max(self._counts.count(name) for name in names_of(job))
 
     def _suspicion(self, fingerprint: int) -> Suspicion:
         self._refresh()
@@ -701,9 +635,7 @@
             run = self._run(job, now)
             if not run.is_settled:
                 continue
-            survived = [
-                name for name in self._names(job) if self._counts.has_survived(name, run.age)
-            ]
+            survived = [name for name in names_of(job) if self._counts.has_survived(name, run.age)]
             self._reset_counts(survived)
 
     def _clear_suspicion(self, fingerprint: int) -> None:
@@ -774,7 +706,7 @@
         longest = max(found.ages, default=0.0)
         for job, _ in self._active.values():
             run = self._run(job, now)
-            if self._fingerprint(job) == found.fingerprint and run.is_settled and run.age > longest:
+            if fingerprint_of(job) == found.fingerprint and run.is_settled and run.age > longest:
                 self._clear_suspicion(found.fingerprint)
                 return True
         return False
@@ -790,57 +722,19 @@
                 continue
             if self._run(job, now).is_settled:
                 continue
-            if any(map(self._counts.has_reached_bound, self._names(job))):
+            if any(map(self._counts.has_reached_bound, names_of(job))):
                 job.is_fatal = True
                 job.expire_now()
 
     def _abort_runs(self, fingerprint: int) -> None:
         for job, _ in list(self._active.values()):
-            if self._fingerprint(job) == fingerprint and not job.answer_ready:
+            if fingerprint_of(job) == fingerprint and not job.answer_ready:
                 job.is_fatal = True
                 job.expire_now()
 
-    def _notices(self, crash: RunnerCrash, now: float) -> list[RunnerEndNotice]:
-        """Return the notices of a crash, one per datagram; usually a single one."""
-        parts = range(0, max(1, len(crash.runs)), MAX_NOTICE_REQUESTS)
-        return [self._notice(crash, now, first) for first in parts]
-
-    def _notice(self, crash: RunnerCrash, now: float, first: int = 0) -> RunnerEndNotice:
-        """Return one notice of a crash with some of its runs, the most suspected first."""
-        runs = sorted(crash.runs.items(), key=lambda item: (-item[1].weight, item[0]))
-        reported = runs[first : first + MAX_NOTICE_REQUESTS]
-        requests = [_request_at_end(fingerprint, run) for fingerprint, run in reported]
-        ended_ms_ago = max(0, round((now - crash.crashed_at) * 1000))
-        return RunnerEndNotice(crash.runner_id, ended_ms_ago, requests, crash.running)
-
-    def _names(self, job: Job) -> tuple[int, int]:
-        return self._fingerprint(job), self._content(job)
-
-    def _content(self, job: Job) -> int:
-        if job.content is None:
-            job.content = content_name(job.tenant_name, job.request.path, job.request.body)
-        return job.content
-
     def _run(self, job: Job, now: float) -> RunAtCrash:
         answering = None if job.answering_since is None else now - job.answering_since
-        return RunAtCrash(now - job.sent_at, answering, self._content(job))
-
-    def _fingerprint(self, job: Job) -> int:
-        if job.fingerprint is None:
-            request = job.request
-            texts = (
-                job.tenant_name,
-                request.method,
-                request.host,
-                request.target,
-                request.model,
-            )
-            job.fingerprint = request_fingerprint(texts, request.shape, request.body)
-        return job.fingerprint
-
-
-def _unrecorded_outcome(job: Job) -> SendOutcome:
-    return SendOutcome(frozenset(job.crash_permits), frozenset(job.crashed_runners))
+        return RunAtCrash(now - job.sent_at, answering, content_of(job))
 
 
 def _is_expected_disconnect(runner: Runner, now: float) -> bool:
@@ -855,22 +749,6 @@
     return CrashedRun(runner_id, crashed_at - run.age, crashed_at, run.is_settled)
 
 
-def _request_at_end(fingerprint: int, run: RunAtCrash) -> RequestAtEnd:
-    answering_ms = 0 if run.answering is None else round(run.answering * 1000)
-    return RequestAtEnd(
-        fingerprint,
-        round(run.age * 1000),
-        started=run.answering is not None,
-        answering_ms=answering_ms,
-        content=run.content,
-    )
-
-
-def _run_at_end(request: RequestAtEnd) -> RunAtCrash:
-    answering = request.answering_ms / 1000 if request.started else None
-    return RunAtCrash(request.age_ms / 1000, answering, request.content)
-
-
 def _log_crash(runner: Runner, runs: dict[int, RunAtCrash]) -> None:
     """Log this node's requests at a runner that crashed, the youngest runs first."""
     youngest = sorted(runs.items(), key=lambda item: item[1].age)[:MAX_LOGGED_RUNS]
--- a/tests/fleet/test_crash_bound.py
+++ b/tests/fleet/test_crash_bound.py
@@ -26,7 +26,7 @@
 
 from hillstack.core.request_fingerprint import content_name
 from hillstack.messages.runner_ends import RequestAtEnd, RunnerEndNotice
-from hillstack.serving.runner_crashes import FATAL_REASON
+from hillstack.serving.suspect_permits import FATAL_REASON
 from tests.fleet.crash_traffic import (
     CONTACT_SECONDS,
     MAX_LATE_SENDS,
--- a/tests/fleet/test_fatal_requests.py
+++ b/tests/fleet/test_fatal_requests.py
@@ -21,6 +21,7 @@
     MAX_RECORDED_CRASHES,
 )
 from hillstack.messages.runner_ends import RequestAtEnd, RunnerEndNotice
+from hillstack.serving.crash_notices import crash_notice
 from hillstack.serving.runner_crashes import NOTICE_INTERVAL_SECONDS
 from hillstack.serving.types import Verdict
 from tests.fleet.builders import HOST, MODEL
@@ -166,7 +167,7 @@
     at = next(runner for runner in world.runners.by_id.values() if FATAL in runner.running_bodies)
     crashes = world.nodes["node-0"].state.runner_crashes.crashes()
     for crash in crashes:
-        notice = world.nodes["node-0"].pipeline.runner_crashes._notice(crash, world.scheduler.now)
+        notice = crash_notice(crash, world.scheduler.now)
         world.deliver("node-0", world.nodes["node-1"], notice)
     world.run(0.02)
     assert again.task.done() and at.is_alive
@@ -499,7 +500,7 @@
     def fail(*_: object) -> int:
         raise AssertionError
 
-    monkeypatch.setattr("hillstack.serving.runner_crashes.request_fingerprint", fail)
+    monkeypatch.setattr("hillstack.serving.request_names.request_fingerprint", fail)
     world = World(4, 1)
     assert all(world.try_until_done("node-0", b"short %d" % n).is_served for n in range(5))
 
--- a/tools/mutate_fleet.py
+++ b/tools/mutate_fleet.py
@@ -910,14 +910,14 @@
     Mutation(
         "all nodes try a suspect at the same moment",
         "serving/runner_crashes.py",
-        " + self._node_rank(self._content(job))",
+        " + self._node_rank(content_of(job))",
         "",
     ),
     Mutation(
         "ends far back are not told to a node that starts",
         "serving/runner_crashes.py",
-        "        notices += self._earlier_crash_notices(others, now)\n",
-        "",
+        "            for notice in earlier_crash_notices(self._counts, self._record, now)\n",
+        "            for notice in ()\n",
     ),
     Mutation(
         "streams that are moved along count in full",
@@ -1083,6 +1083,42 @@
         "if known.era <= revision.era and known.number < revision.number:",
         "if known < revision:",
     ),
+    Mutation(
+        "a late report undoes a verdict",
+        "core/runner_crashes.py",
+        "        self._settle_verdicts(now)\n",
+        "",
+    ),
+    Mutation(
+        "ages count up to the report of a crash",
+        "core/runner_crashes.py",
+        "        if delay <= tolerance:\n            return run\n",
+        "        return run\n",
+    ),
+    Mutation(
+        "a suspect is sent without a permit",
+        "serving/runner_crashes.py",
+        "                await self._permits.acquire(job)\n",
+        "                pass\n",
+    ),
+    Mutation(
+        "the outcome of a suspect's send is not recorded",
+        "serving/suspect_permits.py",
+        "        self._permits.report_outcome(fingerprint, outcome, delay)\n",
+        "",
+    ),
+    Mutation(
+        "a new node is not told which weights runners serve",
+        "daemon/peer_exchange.py",
+        "        if self._reports_weights_to(node, now):\n",
+        "        if False:\n",
+    ),
+    Mutation(
+        "the zone of a leaving runner counts as failed",
+        "serving/placement.py",
+        "        failed_zones = self._regions.failed_zones(job.excluded - job.leaving)\n",
+        "        failed_zones = self._regions.failed_zones(job.excluded)\n",
+    ),
 )
 
 
