Permits: the crashes in the ledgers that a node knows count also while the store does not answer

Trace: two crashes; all nodes killed; node-2 read the ledger at its start and sent the request with a permit (third crash); .4 s later the store began to refuse calls, and node-3 sent it without a permit. node-3 had the ledger with two crashes from its first read and the third crash from a notice, but took only the existence of the ledger from the store's changes.

Change: nodes keep the ledgers' content. Where it and the crashes that the node knows come to three, the request is rejected at once, without a call.

Test: test_the_bound_holds_when_the_store_fails_after_all_nodes_restarted failed before.

--- a/src/hillstack/core/crash_ledger.py
+++ b/src/hillstack/core/crash_ledger.py
@@ -82,7 +82,7 @@
 
 
 class KnownLedgers:
-    """The requests that have a ledger, according to the changes of the store.
+    """The ledgers according to the changes of the store that this node has applied.
 
     Args:
         retention_seconds: How long a ledger is stored after its last change at most.
@@ -90,19 +90,21 @@
 
     def __init__(self, retention_seconds: float = MAX_RETENTION_SECONDS) -> None:
         self._retention = retention_seconds
-        self._expires_at: OrderedDict[int, float] = OrderedDict()
+        # Each ledger with the time at which it expires.
+        self._known: OrderedDict[int, tuple[CrashLedger, float]] = OrderedDict()
 
     def __bool__(self) -> bool:
-        return bool(self._expires_at)
-
-    def update(self, fingerprint: int, *, is_removed: bool, now: float) -> None:
-        """Apply a change of the store."""
-        self._expires_at.pop(fingerprint, None)
-        if not is_removed:
-            self._expires_at[fingerprint] = now + self._retention
-        while len(self._expires_at) > MAX_KNOWN_LEDGERS:
-            self._expires_at.popitem(last=False)
-
-    def has(self, fingerprint: int, now: float) -> bool:
-        """Return whether a request has a ledger."""
-        return now < self._expires_at.get(fingerprint, -math.inf)
+        return bool(self._known)
+
+    def update(self, fingerprint: int, ledger: CrashLedger | None, now: float) -> None:
+        """Apply a change of the store; None if there is no ledger any more."""
+        self._known.pop(fingerprint, None)
+        if ledger is not None:
+            self._known[fingerprint] = ledger, now + self._retention
+        while len(self._known) > MAX_KNOWN_LEDGERS:
+            self._known.popitem(last=False)
+
+    def get(self, fingerprint: int, now: float) -> CrashLedger | None:
+        """Return the ledger of a request, or None if it has none."""
+        ledger, expires_at = self._known.get(fingerprint, (None, -math.inf))
+        return ledger if now < expires_at else None
--- a/src/hillstack/platform/crash_ledgers.py
+++ b/src/hillstack/platform/crash_ledgers.py
@@ -8,10 +8,11 @@
 
 from hillstack.core.crash_ledger import LEASE_REUSE_SECONDS, MAX_RETENTION_SECONDS, CrashLedger
 from hillstack.core.store_revision import NO_REVISION, StoreRevision
+from hillstack.daemon.change_log import StoredItem
 from hillstack.daemon.key_value import Put, RevisionIs
-from hillstack.errors import PlatformError
 from hillstack.platform import names
 from hillstack.platform.bodies import CrashLedgerBody
+from hillstack.platform.formats import decode_crash_ledger
 from hillstack.platform.store import MetadataStore
 from hillstack.serving.crash_permits import StoredLedger
 
@@ -40,12 +41,8 @@
         entry = await self._store.get(_key(fingerprint))
         if entry is None:
             return StoredLedger(CrashLedger())
-        try:
-            body = msgspec.json.decode(entry.value, type=CrashLedgerBody)
-        except msgspec.MsgspecError as error:
-            raise PlatformError(str(error), step="read crash ledger", peer=entry.key) from error
-        ledger = CrashLedger(frozenset(body.crashed), frozenset(body.permits))
-        return StoredLedger(ledger, entry.mod_revision)
+        item = StoredItem(entry.key, entry.mod_revision, entry.value)
+        return StoredLedger(decode_crash_ledger(item), entry.mod_revision)
 
     async def write(self, fingerprint: int, ledger: CrashLedger, expected: StoreRevision) -> bool:
         """Write a ledger if its revision is the expected one; return whether it was written.
--- a/src/hillstack/platform/formats.py
+++ b/src/hillstack/platform/formats.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from hillstack.core.crash_ledger import CrashLedger
 from hillstack.core.part_index import PromptPart
 from hillstack.core.prompt_shape import PromptShape
 from hillstack.core.routing_table import (
@@ -31,6 +32,7 @@
 from hillstack.platform import names
 from hillstack.platform.bodies import (
     ConfigurationBody,
+    CrashLedgerBody,
     NodeBody,
     RolloutOrderBody,
     RolloutRecordBody,
@@ -185,11 +187,24 @@
 def _crash_ledger_changed(item: StoredItem) -> CrashLedgerChanged | None:
     text = item.key.removeprefix(names.CRASH_LEDGERS_PREFIX)
     try:
-        return CrashLedgerChanged(int(text, 16), item.value is None)
+        fingerprint = int(text, 16)
     except ValueError as error:
         if item.value is None:
             return None
         raise PlatformError(str(error), step="read crash ledger", peer=item.key) from error
+    if item.value is None:
+        return CrashLedgerChanged(fingerprint, None)
+    return CrashLedgerChanged(fingerprint, decode_crash_ledger(item))
+
+
+def decode_crash_ledger(item: StoredItem) -> CrashLedger:
+    """Return the ledger in an item of the store.
+
+    Raises:
+        PlatformError: The value can't be decoded.
+    """
+    body = _decode(item, item.value or b"", CrashLedgerBody)
+    return CrashLedger(frozenset(body.crashed), frozenset(body.permits))
 
 
 def _runner_listed(instance: str, item: StoredItem, value: bytes) -> RunnerListed:
--- a/src/hillstack/serving/crash_permits.py
+++ b/src/hillstack/serving/crash_permits.py
@@ -129,12 +129,14 @@
         while True:
             # Other sends of the request usually end soon, and show whether it crashes runners.
             alone = self._clock() < latest
+            crashed = known_crashed()
+            if CrashLedger().is_exhausted(crashed):
+                return Grant(may_send=False, retry_after=MAX_RETENTION_SECONDS)
             try:
                 async with asyncio.timeout(STORE_WAIT_SECONDS):
                     stored = await self._read(fingerprint)
                     if not stored.ledger and not is_suspect():
                         return Grant(may_send=True)
-                    crashed = known_crashed()
                     if stored.ledger.with_outcome(earlier).is_exhausted(crashed):
                         return Grant(may_send=False, retry_after=MAX_RETENTION_SECONDS)
                     is_issued = await self._issue(
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -193,8 +193,8 @@
                 self.highest_fence = max(self.highest_fence, fence)
             case RolloutDutyHeld(service, decider):
                 self.rollout_deciders[service] = decider
-            case CrashLedgerChanged(fingerprint, is_removed):
-                self.crash_ledgers.update(fingerprint, is_removed=is_removed, now=now)
+            case CrashLedgerChanged(fingerprint, ledger):
+                self.crash_ledgers.update(fingerprint, ledger, now)
 
     def note_proof(self, revision: StoreRevision, proved_at: float) -> None:
         """Record an answer of the store: its revision, and when the store was asked."""
--- a/src/hillstack/serving/store_events.py
+++ b/src/hillstack/serving/store_events.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from hillstack.core.crash_ledger import CrashLedger
 from hillstack.core.routing_table import RoutingTable
 from hillstack.core.runner_pool import RunnerEntry
 from hillstack.core.software_rollouts import RolloutOrder, RolloutRecord
@@ -112,11 +113,11 @@
 
     Attributes:
         fingerprint: The request (``core.request_fingerprint``).
-        is_removed: Whether there is no ledger any more.
+        ledger: The ledger; None if there is none any more.
     """
 
     fingerprint: int
-    is_removed: bool
+    ledger: CrashLedger | None
 
 
 StoreEvent = (
--- a/src/hillstack/serving/suspect_permits.py
+++ b/src/hillstack/serving/suspect_permits.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from hillstack.core.crash_ledger import KnownLedgers, SendOutcome
+from hillstack.core.crash_ledger import CrashLedger, KnownLedgers, SendOutcome
 from hillstack.core.runner_crashes import RunnerCrashRecord
 from hillstack.serving.crash_permits import CrashPermits
 from hillstack.serving.job import Job
@@ -45,7 +45,7 @@
 
     def has_ledger(self, fingerprint: int) -> bool:
         """Return whether a request needs a permit according to the store."""
-        return self._ledgers.has(fingerprint, self._clock())
+        return self._ledgers.get(fingerprint, self._clock()) is not None
 
     async def acquire(self, job: Job) -> None:
         """Acquire a permit to send a suspect.
@@ -60,7 +60,7 @@
         grant = await self._permits.acquire(
             fingerprint,
             _unrecorded_outcome(job),
-            lambda: self._crashed_under(fingerprint),
+            lambda: self._known_crashed(fingerprint),
             lambda: self._is_suspect(fingerprint),
         )
         if grant.is_stored:
@@ -103,6 +103,11 @@
 
         self._permits.report_outcome(fingerprint, outcome, delay)
 
+    def _known_crashed(self, fingerprint: int) -> set[str]:
+        """Return the runners that crashed according to this node, or to the ledger it knows."""
+        ledger = self._ledgers.get(fingerprint, self._clock()) or CrashLedger()
+        return self._crashed_under(fingerprint) | ledger.crashed
+
     def _crashed_under(self, fingerprint: int) -> set[str]:
         """Return the runners that crashed while a run of a request had not settled."""
         return {
--- a/tests/fleet/fatal_world.py
+++ b/tests/fleet/fatal_world.py
@@ -251,25 +251,25 @@
         self._world.ledger_writes += 1
         revision = StoreRevision(0, self._world.ledger_writes)
         self._world.ledgers[fingerprint] = StoredLedger(ledger, revision)
-        self._notify(fingerprint, is_removed=False)
+        self._notify(fingerprint, ledger)
         return True
 
     async def remove(self, fingerprint: int) -> None:
         await self._call()
         self._world.ledger_writes += 1
         self._world.ledgers.pop(fingerprint, None)
-        self._notify(fingerprint, is_removed=True)
+        self._notify(fingerprint, None)
 
     async def _call(self) -> None:
         await asyncio.sleep(STORE_SECONDS)
         if not self._world.reaches_store(self._name):
             raise PlatformUnavailableError("no connection", step="call", peer="store")
 
-    def _notify(self, fingerprint: int, *, is_removed: bool) -> None:
+    def _notify(self, fingerprint: int, ledger: CrashLedger | None) -> None:
         world = self._world
         for node in world.nodes.values():
             if world.reaches_store(node.state.node_id):
-                event = CrashLedgerChanged(fingerprint, is_removed)
+                event = CrashLedgerChanged(fingerprint, ledger)
                 node.state.apply(event, world.scheduler.now)
 
 
@@ -480,8 +480,8 @@
             lambda work: world.scheduler.spawn(world.loop, work),
         )
         self.pipeline.runner_crashes.set_permits(permits)
-        for fingerprint in world.ledgers:
-            self.state.apply(CrashLedgerChanged(fingerprint, is_removed=False), world.scheduler.now)
+        for fingerprint, stored in world.ledgers.items():
+            self.state.apply(CrashLedgerChanged(fingerprint, stored.ledger), world.scheduler.now)
 
 
 def _make_table(application: bool, unsafe: bool) -> RoutingTable:
--- a/tests/fleet/test_crash_ledger_store.py
+++ b/tests/fleet/test_crash_ledger_store.py
@@ -52,10 +52,12 @@
 
 
 def test_a_ledger_in_the_store_is_an_event() -> None:
-    written = StoredItem(KEY, rev(3), b"{}")
-    assert to_event(written) == CrashLedgerChanged(FINGERPRINT, is_removed=False)
+    written = StoredItem(KEY, rev(3), b'{"crashed":["i-1"],"permits":["node-1/1"]}')
+    assert to_event(written) == CrashLedgerChanged(FINGERPRINT, LEDGER)
     removed = StoredItem(KEY, rev(4), None)
-    assert to_event(removed) == CrashLedgerChanged(FINGERPRINT, is_removed=True)
+    assert to_event(removed) == CrashLedgerChanged(FINGERPRINT, None)
+    with pytest.raises(PlatformError):
+        to_event(StoredItem(KEY, rev(5), b"["))
     with pytest.raises(PlatformError):
         to_event(StoredItem(names.CRASH_LEDGERS_PREFIX + "x", rev(5), b"{}"))
     assert to_event(StoredItem(names.CRASH_LEDGERS_PREFIX + "x", rev(6), None)) is None
@@ -63,12 +65,12 @@
 
 def test_known_ledgers_expire_and_are_bounded() -> None:
     known = KnownLedgers(retention_seconds=60.0)
-    known.update(1, is_removed=False, now=0.0)
-    assert known.has(1, 59.0)
-    assert not known.has(1, 60.0)
-    known.update(1, is_removed=True, now=1.0)
+    known.update(1, LEDGER, 0.0)
+    assert known.get(1, 59.0) == LEDGER
+    assert known.get(1, 60.0) is None
+    known.update(1, None, 1.0)
     assert not known
     for fingerprint in range(MAX_KNOWN_LEDGERS + 1):
-        known.update(fingerprint, is_removed=False, now=0.0)
-    assert not known.has(0, 1.0)
-    assert known.has(MAX_KNOWN_LEDGERS, 1.0)
+        known.update(fingerprint, LEDGER, 0.0)
+    assert known.get(0, 1.0) is None
+    assert known.get(MAX_KNOWN_LEDGERS, 1.0) == LEDGER
--- a/tests/fleet/test_crash_permits.py
+++ b/tests/fleet/test_crash_permits.py
@@ -80,6 +80,23 @@
     assert error.retry_after == MAX_RETENTION_SECONDS
 
 
+# Guards against a fourth crash through a node that started after two of them, and whose store
+# fails after the third.
+def test_the_bound_holds_when_the_store_fails_after_all_nodes_restarted() -> None:
+    world = RestartedWorld(runners=20, nodes=3)
+    world.try_until_done("node-0", BODY)
+    world.run(0.5)
+    world.restart_all_nodes()
+    world.try_until_done("node-1", BODY)
+    world.is_store_down = True
+    for _ in range(3):
+        for name in world.nodes:
+            world.try_until_done(name, BODY)
+    crashes = world.runners.crash_count(BODY)
+    world.close()
+    assert crashes <= MAX_CRASHES
+
+
 def test_an_innocent_suspect_is_served_while_the_store_is_down() -> None:
     world = RestartedWorld(runners=6, nodes=2)
     world.is_store_down = True
