Permits: the outcome of a send is recorded once the store answers again

It is tried for some seconds now, with pauses after failures. Test: test_a_crash_is_recorded_once_the_store_answers_again failed before.

--- a/src/hillstack/serving/crash_permits.py
+++ b/src/hillstack/serving/crash_permits.py
@@ -31,6 +31,10 @@
 STORE_WAIT_SECONDS = 0.3
 # Attempts to write a ledger that other nodes change at the same time.
 MAX_WRITE_ATTEMPTS = 5
+# Attempts to record the outcome of a send, and the pause after each that failed: some seconds, so
+# that a store that is away for a moment gets it all the same.
+MAX_RECORD_ATTEMPTS = 20
+RECORD_PAUSE_SECONDS = 0.25
 # Ledgers that a node reads at a time. When several runners crash, some hundred requests may be
 # suspects for a moment; requests beyond this number are sent without a permit.
 MAX_CONCURRENT_CALLS = 32
@@ -210,13 +214,24 @@
         self, fingerprint: int, outcome: Callable[[], SendOutcome], delay: float
     ) -> None:
         await asyncio.sleep(delay)
-        for _ in range(MAX_WRITE_ATTEMPTS):
-            stored = await self._read(fingerprint)
-            ledger = stored.ledger.with_outcome(outcome())
-            if ledger == stored.ledger:
-                return
-            if await self._store.write(fingerprint, ledger, stored.revision):
-                return
+        failure: PlatformError | None = None
+        for _ in range(MAX_RECORD_ATTEMPTS):
+            try:
+                if await self._try_record(fingerprint, outcome()):
+                    return
+            except PlatformError as error:
+                failure = error
+                await asyncio.sleep(RECORD_PAUSE_SECONDS)
+        if failure is not None:
+            raise failure
+
+    async def _try_record(self, fingerprint: int, outcome: SendOutcome) -> bool:
+        """Write the outcome of sends; return whether the ledger contains it."""
+        stored = await self._read(fingerprint)
+        ledger = stored.ledger.with_outcome(outcome)
+        if ledger == stored.ledger:
+            return True
+        return await self._store.write(fingerprint, ledger, stored.revision)
 
     def close(self) -> None:
         """Stop the work in the background; what was not recorded expires with the ledgers."""
--- a/tests/fleet/test_crash_permits.py
+++ b/tests/fleet/test_crash_permits.py
@@ -151,3 +151,16 @@
     permits = [permit for stored in world.ledgers.values() for permit in stored.ledger.permits]
     world.close()
     assert permits == []
+
+
+def test_a_crash_is_recorded_once_the_store_answers_again() -> None:
+    world = RestartedWorld(runners=6, nodes=2)
+    world.is_store_down = True
+    world.try_until_done("node-0", BODY)
+    world.run(2.0)
+    world.is_store_down = False
+    world.run(1.0)
+    crashed = [len(stored.ledger.crashed) for stored in world.ledgers.values()]
+    crashes = world.runners.crash_count(BODY)
+    world.close()
+    assert crashed == [crashes]
