--- a/tests/fleet/deployment.py
+++ b/tests/fleet/deployment.py
@@ -174,11 +174,15 @@
     async def add_runner(
         self, runner_id: str, service: str = APPLICATION, software: str = ""
     ) -> FleetRunner:
-        model = MODEL if service == ENGINES else ""
-        runner = FleetRunner(runner_id, service, model=model, software=software)
+        runner = self.make_runner(runner_id, service, software)
         await self.start_runner(runner)
         return runner
 
+    def make_runner(self, runner_id: str, service: str, software: str = "") -> FleetRunner:
+        """Return a runner that is not started yet."""
+        model = MODEL if service == ENGINES else ""
+        return FleetRunner(runner_id, service, model=model, software=software)
+
     async def start_runner(
         self, runner: FleetRunner, listed_address: Callable[[str], str] = lambda address: address
     ) -> None:
--- a/tests/processes/fault_proxy.py
+++ b/tests/processes/fault_proxy.py
@@ -8,12 +8,18 @@
 import socket
 import struct
 import threading
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine, Iterable, Iterator
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TypeVar
+
+from tests.processes.node_cuts import CutKind, NodeCut
 
 PIECE_BYTES = 4_096
 RESET = struct.pack("ii", 1, 0)
+# Interval of the check whether held data may pass again.
+HOLD_CHECK_SECONDS = 0.05
+
+Result = TypeVar("Result")
 
 
 class Mode(enum.Enum):
@@ -63,10 +69,20 @@
     Attributes:
         writers: The writers to the client and to the server.
         silenced: Whether the proxy drops all further data and forwards no close.
+        held: Number of cuts that currently hold back all data in both directions.
     """
 
     writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
     silenced: bool = False
+    held: int = 0
+
+    @property
+    def ports(self) -> tuple[int, int]:
+        """The ports of the client and of the proxy; zeros if the client has disconnected."""
+        client = self.writers[0]
+        names = (client.get_extra_info(name) for name in ("peername", "sockname"))
+        client_port, proxy_port = (name[1] if name else 0 for name in names)
+        return client_port, proxy_port
 
 
 class FaultProxy:
@@ -77,6 +93,7 @@
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
         self.states: dict[str, ProxyState] = {}
+        self._cuts: list[NodeCut] = []
 
     def front(self, name: str, address: str) -> str:
         """Open a proxy for an address and return the address on which the proxy listens."""
@@ -114,6 +131,24 @@
         """Accept connections again for an address that was closed."""
         self.states[name].is_closed = False
 
+    @contextlib.contextmanager
+    def node_cut(
+        self, kind: CutKind, pids: Callable[[], set[int]], names: Iterable[str] | None = None
+    ) -> Iterator[None]:
+        """Cut some processes off from proxied addresses while the block runs.
+
+        Args:
+            kind: What the cut does.
+            pids: Returns the processes.
+            names: Names of the addresses; all by default, also those opened later.
+        """
+        cut = NodeCut(kind, None if names is None else frozenset(names), pids)
+        held = self._run(self._begin_cut(cut))
+        try:
+            yield
+        finally:
+            self._run(self._end_cut(cut, held))
+
     def close(self) -> None:
         """Close all connections and stop the thread."""
         asyncio.run_coroutine_threadsafe(self._cancel_connections(), self._loop).result(10)
@@ -132,13 +167,50 @@
             for writer in connection.writers:
                 _reset(writer)
 
-    def _run(self, work: Coroutine[Any, Any, str]) -> str:
+    async def _begin_cut(self, cut: NodeCut) -> list[ProxiedConnection]:
+        """Start a cut; return the list of the connections that it holds, which grows."""
+        self._cuts.append(cut)
+        if cut.kind is CutKind.REFUSE_NEW:
+            return []
+        held: list[ProxiedConnection] = []
+        for name, state in self.states.items():
+            for connection in list(state.connections):
+                if not cut.affects(name, *connection.ports):
+                    continue
+                if cut.kind is CutKind.HANG:
+                    connection.held += 1
+                    held.append(connection)
+                    continue
+                for writer in connection.writers:
+                    _reset(writer)
+        return held
+
+    async def _end_cut(self, cut: NodeCut, held: list[ProxiedConnection]) -> None:
+        self._cuts.remove(cut)
+        for connection in held:
+            connection.held -= 1
+
+    async def _is_refused_or_held(self, name: str, ports: tuple[int, int]) -> bool:
+        """Return whether a cut refuses a new connection; wait while a cut holds it."""
+        while True:
+            kinds = {cut.kind for cut in self._cuts if cut.affects(name, *ports)}
+            if kinds - {CutKind.HANG}:
+                return True
+            if not kinds:
+                return False
+            await asyncio.sleep(HOLD_CHECK_SECONDS)
+
+    def _run(self, work: Coroutine[Any, Any, Result]) -> Result:
         return asyncio.run_coroutine_threadsafe(work, self._loop).result(10)
 
     async def _listen(self, name: str, address: str) -> str:
         host, _, port = address.rpartition(":")
 
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            ports = writer.get_extra_info("peername")[1], writer.get_extra_info("sockname")[1]
+            if self._cuts and (await self._is_refused_or_held(name, ports) or _has_closed(reader)):
+                _reset(writer)
+                return
             await self._serve(self.states[name], host, int(port), reader, writer)
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
@@ -194,8 +266,12 @@
         passed = 0
         with contextlib.suppress(OSError, asyncio.CancelledError):
             while piece := await reader.read(PIECE_BYTES):
-                while state.mode is Mode.SILENT:  # noqa: ASYNC110 (set from another thread)
-                    await asyncio.sleep(0.05)
+                was_held = connection.held > 0
+                while state.mode is Mode.SILENT or connection.held:  # noqa: ASYNC110
+                    await asyncio.sleep(HOLD_CHECK_SECONDS)
+                if was_held and not answers and _has_closed(reader):
+                    # Held bytes are lost if their sender gives the connection up.
+                    return
                 if state.is_closed:
                     _reset(writer)
                     return
@@ -217,6 +293,11 @@
                 await writer.drain()
 
 
+def _has_closed(reader: asyncio.StreamReader) -> bool:
+    """Return whether the sender has closed the connection, even if bytes are still unread."""
+    return bool(reader._eof)  # type: ignore[attr-defined]
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     connection = writer.get_extra_info("socket")
     with contextlib.suppress(OSError):
