--- a/src/hillstack/core/crash_ledger.py
+++ b/src/hillstack/core/crash_ledger.py
@@ -11,7 +11,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 # Maximum number of runners that one request may crash.
@@ -80,6 +80,11 @@
         """Return the ledger after sends have ended."""
         return CrashLedger(self.crashed | outcome.crashed, self.permits - outcome.permits)
 
+    def without_survivors(self, has_survived: Callable[[str], bool]) -> CrashLedger:
+        """Return the ledger without the runners that turned out not to have crashed."""
+        crashed = frozenset(name for name in self.crashed if not has_survived(name))
+        return CrashLedger(crashed, self.permits)
+
 
 class KnownLedgers:
     """The ledgers according to the changes of the store that this node has applied.
--- a/src/hillstack/core/runner_crashes.py
+++ b/src/hillstack/core/runner_crashes.py
@@ -260,6 +260,8 @@
         self._crashes: OrderedDict[str, RunnerCrash] = OrderedDict()
         self._cleared: OrderedDict[int, float] = OrderedDict()
         self._last_contact: OrderedDict[str, float] = OrderedDict()
+        # Runners whose latest reported crash was refuted.
+        self._survivors: OrderedDict[str, None] = OrderedDict()
         self._fatal: dict[int, FatalRequest] = {}
         # Verdicts that later reports of their crashes do not undo.
         self._settled_verdicts: dict[int, FatalRequest] = {}
@@ -338,6 +340,7 @@
         if now - crashed_at >= FATAL_CRASH_RETENTION_SECONDS:
             return
         self._settle_verdicts(now)
+        self._survivors.pop(runner_id, None)
         crash = self._crashes.get(runner_id)
         if crash is None:
             crash = RunnerCrash(runner_id, crashed_at, is_local=is_local)
@@ -353,6 +356,10 @@
         """Return whether the runner was in contact after its supposed crash."""
         return crashed_at <= self._last_contact.get(runner_id, float("-inf"))
 
+    def has_survived(self, runner_id: str) -> bool:
+        """Return whether the latest reported crash of a runner was refuted by contact."""
+        return runner_id in self._survivors
+
     def record_contact(self, runner_id: str, contact_at: float) -> bool:
         """Record contact with a runner; return whether it refutes a report of the crash.
 
@@ -370,6 +377,9 @@
             crash.drop_reports_until(contact_at)
         else:
             del self._crashes[runner_id]
+            self._survivors[runner_id] = None
+            while len(self._survivors) > MAX_RECORDED_CRASHES:
+                self._survivors.popitem(last=False)
         self._is_classified = False
         return True
 
--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -109,6 +109,9 @@
         hinted_until: Peers report the runner as leaving: until this time it is used only if no
             other runner is available.
         leave_hinted_at: When a peer or this node last sent that hint.
+        path_lost_at: When this node's connections to the runner were last found cut off while a
+            peer reached the runner; attempts sent before say nothing about the runner.
+        is_peer_suspicion: Whether only peers suspect the runner.
     """
 
     entry: RunnerEntry
@@ -130,6 +133,8 @@
     signals: ReceivedSignals = field(default_factory=ReceivedSignals)
     hinted_until: float = float("-inf")
     leave_hinted_at: float = float("-inf")
+    path_lost_at: float = float("-inf")
+    is_peer_suspicion: bool = False
 
     @property
     def runner_id(self) -> str:
@@ -172,7 +177,10 @@
         limit = BUSY_SILENCE_SECONDS if busy else SILENCE_SECONDS
         if not self.attempts or now - self.last_contact_at < limit:
             return False
-        return any(attempt.started or now > attempt.due_at for attempt in self.attempts.all())
+        return any(
+            attempt.sent_at >= self.path_lost_at and (attempt.started or now > attempt.due_at)
+            for attempt in self.attempts.all()
+        )
 
     def weights_version(self, model: str) -> int:
         """Return the version of a model's weights that the runner is known to serve."""
@@ -597,14 +605,21 @@
         """Record the end of an attempt."""
         runner.attempts.remove(attempt_id)
 
-    def failed(self, runner: Runner, now: float) -> None:
-        """Suspect a runner that failed a request, for a time that doubles with each failure."""
+    def failed(self, runner: Runner, now: float, sent_at: float = float("inf")) -> None:
+        """Suspect a runner that failed a request, for a time that doubles with each failure.
+
+        An attempt that was sent before the path to the runner was found lost is ignored.
+        """
+        if sent_at < runner.path_lost_at:
+            return
+        runner.is_peer_suspicion = False
         runner.failures += 1
         pause = min(MAX_SUSPECT_SECONDS, SUSPECT_SECONDS * 2 ** (runner.failures - 1))
         runner.suspected_until = max(runner.suspected_until, now + pause)
 
     def unreachable(self, runner: Runner, now: float) -> None:
         """Suspect a runner that accepts no connections: it has stopped or is disconnected."""
+        runner.is_peer_suspicion = False
         runner.failures += 1
         runner.suspected_until = max(runner.suspected_until, now + UNREACHABLE_SECONDS)
 
@@ -617,8 +632,35 @@
 
     def apply_peer_suspicion(self, runner: Runner, now: float) -> None:
         """Apply a peer's suspicion, unless this node received bytes from the runner recently."""
-        if now - runner.last_contact_at >= SILENCE_SECONDS:
-            runner.suspected_until = max(runner.suspected_until, now + SUSPECT_SECONDS)
+        if now - runner.last_contact_at < SILENCE_SECONDS:
+            return
+        if now >= runner.suspected_until:
+            runner.is_peer_suspicion = True
+        runner.suspected_until = max(runner.suspected_until, now + SUSPECT_SECONDS)
+
+    def end_peer_suspicions(self, service: str, now: float) -> bool:
+        """End the suspicions that this node does not share; return whether there were any.
+
+        A peer may be cut off from runners that this node reaches. Its suspicions may make this node
+        prefer other runners, but must not leave it without one.
+        """
+        suspected = [
+            runner
+            for runner in self.of_service(service)
+            if runner.is_peer_suspicion and now < runner.suspected_until
+        ]
+        for runner in suspected:
+            runner.suspected_until = now
+        return bool(suspected)
+
+    def note_path_lost(self, runner: Runner, now: float) -> None:
+        """Record that this node is cut off from a runner that a peer reaches.
+
+        The runner is alive, so this ends a suspicion. Attempts on the lost connections are ignored.
+        """
+        runner.path_lost_at = now
+        runner.suspected_until = min(runner.suspected_until, now)
+        runner.failures = 0
 
     def succeeded(self, runner: Runner) -> None:
         """Record an answer, which ends a suspicion: the runner is alive."""
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -33,18 +33,24 @@
     close_idle_connections,
     max_caller_connections,
 )
+from hillstack.daemon.crash_checks import CrashChecks
 from hillstack.daemon.duty_lease import DutyLease
 from hillstack.daemon.early_listeners import EarlyListeners
 from hillstack.daemon.limit_client import LEASE_SECONDS, LimitClient
 from hillstack.daemon.limit_holder import LimitHolder
 from hillstack.daemon.limit_scopes import RUNNER_START_SHARE, RUNNER_TOLERANCE, runner_scope
-from hillstack.daemon.limited_calls import RateLimitedCacheFeed, RateLimitedOrderSender
+from hillstack.daemon.limited_calls import (
+    RateLimitedCacheFeed,
+    RateLimitedOrderSender,
+    RateLimitedProbe,
+)
 from hillstack.daemon.loop_lag import LoopLag
 from hillstack.daemon.metrics_page import MetricsPage
 from hillstack.daemon.metrics_server import serve_metrics
 from hillstack.daemon.node_registry import NodeRegistry
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.peer_link import PeerLink
+from hillstack.daemon.runner_access import RunnerAccess
 from hillstack.daemon.runner_monitor import RunnerMonitor
 from hillstack.daemon.software_rollout_duty import SoftwareRolloutDuty
 from hillstack.daemon.start_times import StartTimes
@@ -58,13 +64,13 @@
 from hillstack.platform.cache_feed import HttpCacheFeed
 from hillstack.platform.connections import (
     idle_connections,
-    make_runner_session,
     make_store_session,
     record_silent_address,
 )
 from hillstack.platform.crash_ledgers import CrashLedgers
 from hillstack.platform.ingress import Ingress, Readiness
 from hillstack.platform.names import DUTY_KEY
+from hillstack.platform.path_probe import PathProbe
 from hillstack.platform.rollouts import rollout_duty_key
 from hillstack.platform.runners import HttpRunnerClient
 from hillstack.platform.store import MetadataStore
@@ -141,12 +147,8 @@
         # longer.
         self._state.bounds_enforced_from = times.entered_at + contact
         self._store_session = make_store_session()
-        self._runner_session = make_runner_session()
         self._metrics = FleetMetrics()
         self._state.store_era.handle_new(lambda _: self._metrics.store_restores.inc())
-        self._state.handle_restarted(
-            lambda runner: record_silent_address(self._runner_session, runner.address)
-        )
         store = MetadataStore(
             settings.store.address,
             self._store_session,
@@ -164,6 +166,25 @@
             self._peers.leaving,
             self._peers.limit_changed,
         )
+        self._shared_runner_limits = self._share_runner_limits(choice, rng)
+        runner_limits = RunnerLimits(
+            self._state.pool, self._shared_runner_limits, self._metrics, self._clock
+        )
+        probe = RateLimitedProbe(PathProbe(settings.node.id, signals), runner_limits)
+        self._access = RunnerAccess(
+            self._state,
+            zone,
+            self._link,
+            probe,
+            self._metrics,
+            self._descriptors(),
+            self._clock,
+            rng,
+        )
+        self._runner_session = self._access.session
+        self._state.handle_restarted(
+            lambda runner: record_silent_address(self._runner_session, runner.address)
+        )
         runners = HttpRunnerClient(self._runner_session, signals)
         self._changes = ChangeLog()
         store_relay = StoreRelay(self._state, self._changes, self._link, self._clock)
@@ -176,10 +197,6 @@
             RegionChoice(self._state, settings.node.region_link_megabits),
         )
         self._peers.handle_placements(placement.observe_placement, placement.observe_prefilled)
-        self._shared_runner_limits = self._share_runner_limits(choice, rng)
-        runner_limits = RunnerLimits(
-            self._state.pool, self._shared_runner_limits, self._metrics, self._clock
-        )
         feed = RateLimitedCacheFeed(
             HttpCacheFeed(self._runner_session, signals),
             runner_limits,
@@ -225,7 +242,8 @@
             self._peers.is_isolated,
         )
         self._pipeline.runner_crashes.set_permits(self._crash_permits)
-        self._peers.handle_runner_crashes(self._pipeline.runner_crashes.observe)
+        checks = CrashChecks(self._state, self._pipeline.runner_crashes, probe, self._clock)
+        self._peers.handle_runner_crashes(checks.observe)
         # The order matters: the cache contents open the start gate of the new peer (``StartGate``),
         # so everything else that it decides from has to arrive before them.
         self._peers.handle_new_peers(self._pipeline.runner_crashes.send_initial_state)
@@ -307,6 +325,7 @@
         self._handle_signals()
         settings = self._settings
         await self._link.open(settings.node.address, settings.listen.peers_port)
+        await self._access.listen(settings.node.address, settings.listen.peers_port)
         callers = make_server(
             Ingress(
                 self._pipeline,
@@ -348,12 +367,18 @@
             self._shared_runner_limits.run(),
             self._pipeline.runner_crashes.run(),
             self._registry.run(),
+            self._access.run(),
             self._duty.maintain_lease(),
             self._duty.run(),
             self._observer.run(),
             self._rollouts.run(),
             RunnerMonitor(
-                self._state, self._peers, self._clock, self._lag, self._metrics.suspended.inc
+                self._state,
+                self._peers,
+                self._clock,
+                self._lag,
+                self._access.monitor,
+                self._metrics.suspended.inc,
             ).run(),
         ):
             self._start(work)
@@ -488,9 +513,10 @@
         logger.info("stopping", extra={"active": self._pipeline.active})
         self._duty.stop_acquiring()
         self._rollouts.stop_acquiring()
+        self._access.relay.stop_accepting()
         stop = PlannedStop(self._settings.bounds.grace_seconds)
         elapsed = 0.0
-        while not stop.is_over(elapsed, self._pipeline.active):
+        while not stop.is_over(elapsed, self._pipeline.active + self._access.relay.open_count):
             if not stop.accepts(elapsed):
                 self._pipeline.stop_accepting()
             close_idle_connections(
@@ -507,7 +533,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._link.close()
-        await self._runner_session.close()
+        await self._access.close()
         await self._store_session.close()
 
 
--- a/src/hillstack/daemon/limited_calls.py
+++ b/src/hillstack/daemon/limited_calls.py
@@ -13,6 +13,8 @@
 from hillstack.core.cache_watch import CacheHolder
 from hillstack.core.runner_pool import RunnerPool
 from hillstack.daemon.cache_follower import CacheChanges, CacheFeed, CacheListing
+from hillstack.daemon.path_monitor import ProbeResult, TargetProbe
+from hillstack.daemon.relayed_link import RelayRoute
 from hillstack.daemon.weights_orders import OrderOutcome, OrderSender, RunnerReport, WeightsOrder
 from hillstack.serving.runner_limits import RunnerLimits
 
@@ -97,3 +99,22 @@
         """Order a runner to load weights; raises ``BackendError``."""
         await self._limits.room_for_call(order.runner_id, ORDER_PATIENCE_SECONDS)
         return await self._sender.order_weights(order)
+
+
+class RateLimitedProbe:
+    """Probes paths to runners; a runner whose limit has no room is not probed.
+
+    Args:
+        probe: Calls the runners.
+        limits: Counts calls against the limits.
+    """
+
+    def __init__(self, probe: TargetProbe, limits: RunnerLimits) -> None:
+        self._probe = probe
+        self._limits = limits
+
+    async def probe(self, target_id: str, address: str, route: RelayRoute | None) -> ProbeResult:
+        """Call a runner; see ``TargetProbe``."""
+        if not await self._limits.room_for_call(target_id, 0.0):
+            return ProbeResult.SILENT
+        return await self._probe.probe(target_id, address, route)
--- /dev/null
+++ b/src/hillstack/daemon/path_monitor.py
@@ -0,0 +1,270 @@
+"""Finds out which runners this node does not reach while its peers do, and when it does again.
+
+A broken or silent connection starts a check: this node calls the runner over a new connection,
+directly and through a peer at the same time. If only the peer gets through, the path is lost, and
+connections go through peers until a direct probe is answered. If the runner answers either call,
+it has not crashed and is not silent, whatever its connections to this node suggest.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import logging
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from hillstack.core.runner_paths import RunnerPaths
+from hillstack.daemon.path_dialer import PathDialer
+from hillstack.daemon.relay_targets import RelayTargets
+from hillstack.daemon.relayed_link import RelayRoute
+from hillstack.logs import rounded_seconds
+from hillstack.serving.fleet_state import FleetState
+
+logger = logging.getLogger(__name__)
+
+# Bytes that were in transit when a connection broke are older than this.
+SETTLE_SECONDS = 0.03
+# A direct call that is answered later than this after the relayed one is not waited for.
+DIRECT_ANSWER_SECONDS = 0.15
+# Pause between two checks of one path.
+CHECK_PAUSE_SECONDS = 0.5
+# Answers of peers that are used for a check: a check is about the last moments.
+CHECK_ANSWER_SECONDS = 0.1
+# Paths checked or probed at a time.
+MAX_CONCURRENT_CHECKS = 8
+# Interval of the loop that probes lost paths, and of probes of one path.
+TICK_SECONDS = 0.1
+PROBE_INTERVAL_SECONDS = 0.5
+# A lost path that no connection needs is given up after this time.
+UNUSED_SECONDS = 30.0
+
+
+class ProbeResult(enum.Enum):
+    """Result of a call over a new connection.
+
+    Attributes:
+        SILENT: Nothing answered.
+        OTHER: Something answered, but not as the process that was called.
+        ANSWERED: The process answered.
+    """
+
+    SILENT = "silent"
+    OTHER = "other"
+    ANSWERED = "answered"
+
+
+class TargetProbe(Protocol):
+    """Calls runners over new connections."""
+
+    async def probe(self, target_id: str, address: str, route: RelayRoute | None) -> ProbeResult:
+        """Call a runner.
+
+        Args:
+            target_id: The process that should answer.
+            address: Its address.
+            route: The way through a peer; None for a direct connection.
+        """
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class _Target:
+    target_id: str
+    address: str
+
+
+class PathMonitor:
+    """Checks paths that look broken, and probes lost ones until they work again.
+
+    Args:
+        state: State of this node.
+        paths: Which paths are lost.
+        targets: Finds what listens on an address.
+        dialer: Knows the ways through peers; the monitor handles the paths that it finds lost.
+        probe: Calls a runner over a new connection.
+        record_silent: Called with an address whose idle connections must not be reused.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        state: FleetState,
+        paths: RunnerPaths,
+        targets: RelayTargets,
+        dialer: PathDialer[Any],
+        probe: TargetProbe,
+        record_silent: Callable[[str], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._state = state
+        self._paths = paths
+        self._targets = targets
+        self._dialer = dialer
+        self._probe = probe
+        self._record_silent = record_silent
+        self._clock = clock
+        self._checked_at: dict[str, float] = {}
+        self._checks: dict[str, asyncio.Task[None]] = {}
+        self._slots = asyncio.Semaphore(MAX_CONCURRENT_CHECKS)
+        dialer.handle_lost_paths(self)
+
+    def handle_contact(self, address: str) -> None:
+        """Record bytes that arrived over a direct connection."""
+        self._paths.record_contact(address, self._clock())
+
+    def handle_broken(self, address: str) -> None:
+        """Check a path on which a connection broke while an answer was due."""
+        self.check(address, "connection broke", after=SETTLE_SECONDS)
+
+    def check(self, address: str, cause: str, after: float = 0.0) -> asyncio.Task[None] | None:
+        """Start a check of a path, unless one runs or ran shortly before.
+
+        Args:
+            address: Address of the runner.
+            cause: Why the path is checked, for the log.
+            after: Seconds until the check begins; it is not made if bytes arrive in the meantime.
+
+        Returns:
+            The check; None if none was started.
+        """
+        now = self._clock()
+        is_recent = now < self._checked_at.get(address, float("-inf")) + CHECK_PAUSE_SECONDS
+        target_id = self._targets.target_id(address)
+        if is_recent or address in self._checks or target_id is None:
+            return None
+        self._checked_at[address] = now
+        # The latest relay may be what is silent.
+        self._paths.pause_latest_relay(address, now)
+        return self._start(address, self._check(_Target(target_id, address), cause, after))
+
+    def _start(self, address: str, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._checks[address] = task
+        task.add_done_callback(lambda _: self._checks.pop(address, None))
+        return task
+
+    async def _check(self, target: _Target, cause: str, after: float) -> None:
+        began_at = self._clock()
+        await asyncio.sleep(after)
+        address = target.address
+        if self._paths.contact_at(address) > began_at and not self._paths.is_lost(address):
+            return
+        async with self._slots:
+            direct = asyncio.create_task(self._probe_target(target, None))
+            try:
+                relay_id = await self._first_relay(target)
+                timeout = DIRECT_ANSWER_SECONDS if relay_id is not None else None
+                await asyncio.wait({direct}, timeout=timeout)
+                is_reached = direct.done() and direct.result()
+            finally:
+                direct.cancel()
+        if is_reached:
+            self._restore(address)
+        elif relay_id is not None:
+            self._handle_relayed_only(address, cause, relay_id)
+
+    async def _probe_target(self, target: _Target, route: RelayRoute | None) -> bool:
+        """Call a runner; return whether anything answered."""
+        result = await self._probe.probe(target.target_id, target.address, route)
+        now = self._clock()
+        if result is ProbeResult.SILENT:
+            return False
+        if route is None:
+            self._paths.record_contact(target.address, now)
+        runner = self._state.pool.get(target.target_id)
+        if runner is not None and result is ProbeResult.ANSWERED:
+            self._state.pool.record_contact(runner, now)
+        return True
+
+    async def _first_relay(self, target: _Target) -> str | None:
+        """Return the first peer through which a runner answers."""
+        routes = await self._dialer.routes(target.address, CHECK_ANSWER_SECONDS)
+        probes = [asyncio.create_task(self._probe_relay(target, route)) for route in routes]
+        try:
+            for probe in asyncio.as_completed(probes):
+                relay_id = await probe
+                if relay_id is not None:
+                    return relay_id
+            return None
+        finally:
+            for each in probes:
+                each.cancel()
+
+    async def _probe_relay(self, target: _Target, route: RelayRoute) -> str | None:
+        """Return the peer of a route if a runner answers through it."""
+        if not await self._probe_target(target, route):
+            self._paths.pause_relay(route.node_id, target.address, self._clock())
+            return None
+        self._paths.record_relayed_contact(route.node_id, target.address, self._clock())
+        return route.node_id
+
+    def _handle_relayed_only(self, address: str, cause: str, relay_id: str) -> None:
+        if self._paths.is_lost(address):
+            # The relay used so far has failed, and another one reaches the runner.
+            self._give_up_connections(address)
+        self._dialer.mark_lost(address, cause, relay_id)
+
+    def handle_lost(self, address: str, cause: str, relay_id: str) -> None:
+        """Handle that a path was found lost: check the paths to the service's other runners."""
+        self._give_up_connections(address)
+        target_id = self._targets.target_id(address)
+        siblings = self._targets.siblings(address)
+        fields: dict[str, object] = {
+            "runner": target_id,
+            "cause": cause,
+            "relay": relay_id,
+            "lost_paths": len(self._paths.lost),
+            "runners_of_service": len(siblings) + 1,
+        }
+        logger.warning("runner not reached, but a peer reaches it", extra=fields)
+        still_direct = [each for each in siblings if not self._paths.is_lost(each)]
+        if not still_direct:
+            logger.warning("no runner of a service reached, but peers reach them", extra=fields)
+        for sibling in still_direct:
+            self.check(sibling, f"path to {target_id} lost", after=SETTLE_SECONDS)
+
+    def _give_up_connections(self, address: str) -> None:
+        """Let attempts on silent connections to a runner be abandoned, and reuse none of them."""
+        self._record_silent(address)
+        runner = self._targets.runner_at(address)
+        if runner is not None:
+            self._state.pool.note_path_lost(runner, self._clock())
+
+    async def run(self) -> None:
+        """Probe lost paths until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            now = self._clock()
+            if not self._paths.lost:
+                continue
+            self._paths.retain(self._targets.addresses(), now)
+            for address in self._paths.probes_due(
+                now, PROBE_INTERVAL_SECONDS, MAX_CONCURRENT_CHECKS
+            ):
+                self._start_probe(address, now)
+
+    def _start_probe(self, address: str, now: float) -> None:
+        target_id = self._targets.target_id(address)
+        if target_id is None or now - self._paths.lost[address].used_at >= UNUSED_SECONDS:
+            self._restore(address)
+        elif address not in self._checks:
+            self._start(address, self._probe_directly(_Target(target_id, address)))
+
+    async def _probe_directly(self, target: _Target) -> None:
+        async with self._slots:
+            if await self._probe_target(target, None):
+                self._restore(target.address)
+
+    def _restore(self, address: str) -> None:
+        """Let connections to an address try the direct way first again."""
+        path = self._paths.restore(address)
+        if path is None:
+            return
+        fields = {
+            "runner": self._targets.target_id(address),
+            "lost_seconds": rounded_seconds(self._clock() - path.since),
+            "lost_paths": len(self._paths.lost),
+        }
+        logger.warning("runner reached directly again", extra=fields)
--- /dev/null
+++ b/src/hillstack/daemon/runner_access.py
@@ -0,0 +1,108 @@
+"""The ways from this node to runners: its own connections, and those that peers relay.
+
+All calls to runners and KV cache stores use ``session``, so requests, weights orders, reports and
+cache feeds have the same ways.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+from hillstack.core.runner_paths import RunnerPaths
+from hillstack.daemon.connection_relay import ConnectionRelay, max_relayed_connections
+from hillstack.daemon.path_dialer import PathDialer
+from hillstack.daemon.path_monitor import PathMonitor, TargetProbe
+from hillstack.daemon.peer_link import PeerLink
+from hillstack.daemon.reach_exchange import ReachExchange
+from hillstack.daemon.relay_targets import RelayTargets
+from hillstack.platform.connections import (
+    make_runner_session,
+    make_socket,
+    record_silent_address,
+)
+from hillstack.platform.runner_connector import RunnerConnector
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.metrics import FleetMetrics
+
+
+class RunnerAccess:
+    """Everything that decides and carries the way of a connection to a runner.
+
+    Args:
+        state: State of this node.
+        zone: Zone of this node.
+        link: Sends and receives datagrams.
+        probe: Calls runners over new connections.
+        metrics: Counts connections by their way.
+        descriptors: How many file descriptors the process may have open.
+        clock: Monotonic seconds.
+        rng: Source of randomness.
+
+    Attributes:
+        session: Session for all calls to runners.
+        relay: Relays connections for other nodes.
+        monitor: Finds out which paths are lost.
+    """
+
+    def __init__(
+        self,
+        state: FleetState,
+        zone: str,
+        link: PeerLink,
+        probe: TargetProbe,
+        metrics: FleetMetrics,
+        descriptors: int,
+        clock: Callable[[], float],
+        rng: Random,
+    ) -> None:
+        self._paths = paths = RunnerPaths(state.node_id, zone)
+        targets = RelayTargets(state)
+        self.relay = ConnectionRelay(
+            state,
+            paths,
+            targets,
+            metrics,
+            make_socket,
+            max_relayed_connections(descriptors),
+            clock,
+        )
+        reach = ReachExchange(state, paths, targets, link, clock, rng, lambda: self.relay.accepts)
+        dialer: PathDialer[ResponseHandler] = PathDialer(
+            state, paths, targets, reach, metrics, clock, rng
+        )
+        self.monitor = PathMonitor(state, paths, targets, dialer, probe, self._record_silent, clock)
+        connector = RunnerConnector(state.node_id, dialer, self.monitor, paths)
+        self.session: aiohttp.ClientSession = make_runner_session(connector)
+        metrics.gauge(
+            "runners_reached_by_peers_only",
+            "Runners and KV cache stores that this node reaches only through peers.",
+            lambda: len(paths.lost),
+        )
+        metrics.gauge(
+            "relayed_connections_open",
+            "Connections to runners that this node relays for others.",
+            lambda: self.relay.open_count,
+        )
+
+    def _record_silent(self, address: str) -> None:
+        record_silent_address(self.session, address)
+
+    async def run(self) -> None:
+        """Probe lost paths until cancelled."""
+        await self.monitor.run()
+
+    async def listen(self, host: str, port: int) -> None:
+        """Start to relay connections for other nodes."""
+        await self.relay.listen(host, port)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        self.relay.close()
+        await self.session.close()
+        # The transports close in the next iteration of the event loop.
+        await asyncio.sleep(0)
--- a/src/hillstack/daemon/runner_monitor.py
+++ b/src/hillstack/daemon/runner_monitor.py
@@ -8,6 +8,7 @@
 
 from hillstack.core.runner_pool import Runner
 from hillstack.daemon.loop_lag import TICK_SECONDS, LoopLag
+from hillstack.daemon.path_monitor import PathMonitor
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.suspensions import SuspensionWatch
 from hillstack.serving.fleet_state import FleetState
@@ -26,6 +27,7 @@
         peers: Sends suspicions to the peers.
         clock: Seconds of the node's clock.
         lag: Gets a tick from each check, which is as regular as the event loop allows.
+        path_monitor: Checks whether a silent runner is only out of this node's reach.
         on_suspended: Called with the length of each suspension of the machine, in seconds.
     """
 
@@ -35,11 +37,13 @@
         peers: PeerExchange,
         clock: Callable[[], float],
         lag: LoopLag,
+        path_monitor: PathMonitor,
         on_suspended: Callable[[float], None] = lambda _: None,
     ) -> None:
         self._suspensions = SuspensionWatch()
         self._on_suspended = on_suspended
         self._lag = lag
+        self._path_monitor = path_monitor
         self._state = state
         self._peers = peers
         self._clock = clock
@@ -61,7 +65,11 @@
 
     def _suspect(self, runner: Runner, now: float) -> None:
         self._state.pool.failed(runner, now)
-        self._peers.suspected(runner)
+        check = self._path_monitor.check(runner.address, "runner silent")
+        if check is None:
+            self._report(runner)
+        else:
+            check.add_done_callback(lambda _: self._report(runner))
         fields = {
             "runner": runner.runner_id,
             "silent_seconds": round(now - runner.last_contact_at, 2),
@@ -69,3 +77,8 @@
             "pause_seconds": round(runner.suspected_until - now, 2),
         }
         logger.info("runner suspected", extra=fields)
+
+    def _report(self, runner: Runner) -> None:
+        """Report a suspicion to the peers, unless the runner has been reached since."""
+        if self._clock() < runner.suspected_until:
+            self._peers.suspected(runner)
--- a/src/hillstack/errors.py
+++ b/src/hillstack/errors.py
@@ -48,6 +48,10 @@
     """A peer did not answer or answered with an error."""
 
 
+class RelayError(PeerError):
+    """A peer did not relay a connection to a runner; no byte reached the runner."""
+
+
 class PlatformError(HillstackError):
     """The key-value service or the machine list failed."""
 
@@ -79,6 +83,10 @@
     """A back end failed."""
 
 
+class BackendStatusError(BackendError):
+    """The back end answered a call with a status other than success."""
+
+
 class RunnerRestartedError(BackendError):
     """Another process with the same name answered, so the process that was addressed has ended."""
 
--- a/src/hillstack/messages/datagrams.py
+++ b/src/hillstack/messages/datagrams.py
@@ -27,6 +27,8 @@
         RUNNER_TOKEN_ANSWER: The answer to ``RUNNER_TOKEN_QUESTION``.
         RUNNER_TRANSFER_QUESTION: As ``TRANSFER_QUESTION``, for runners' limits.
         RUNNER_TRANSFER_ANSWER: The answer to ``RUNNER_TRANSFER_QUESTION``.
+        REACH_QUESTION: A node's question which runners a peer reaches.
+        REACH_ANSWER: The answer to ``REACH_QUESTION``.
     """
 
     NOTICE = 1
@@ -44,6 +46,8 @@
     RUNNER_TOKEN_ANSWER = 13
     RUNNER_TRANSFER_QUESTION = 14
     RUNNER_TRANSFER_ANSWER = 15
+    REACH_QUESTION = 16
+    REACH_ANSWER = 17
 
 
 def wrap(kind: DatagramKind, payload: bytes) -> bytes:
--- a/src/hillstack/platform/connections.py
+++ b/src/hillstack/platform/connections.py
@@ -15,7 +15,7 @@
 import socket
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -77,17 +77,37 @@
         return received_at > self._silent_at.get(endpoint, float("-inf"))
 
 
+class ConnectionObserver(Protocol):
+    """Observes what direct connections show of the path to their address."""
+
+    def handle_contact(self, address: str) -> None:
+        """Handle bytes that arrived from ``IP:PORT``."""
+        ...
+
+    def handle_broken(self, address: str) -> None:
+        """Handle that a connection to ``IP:PORT`` broke while an answer was due."""
+        ...
+
+
 class StrictResponseHandler(ResponseHandler):
     """The protocol of one connection; it checks answers and detects silence.
 
     Args:
         loop: The event loop.
         silent: Records the addresses whose connections are silent.
+        observer: Observes the path of the connection; None if it is not observed.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, silent: SilentAddresses) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        silent: SilentAddresses,
+        observer: ConnectionObserver | None = None,
+    ) -> None:
         super().__init__(loop)
         self._silent = silent
+        self._observer = observer
+        self._address = ""
         self._endpoint = NO_ENDPOINT
         self._expected_id: str | None = None
         self._read_started_at = 0.0
@@ -109,11 +129,14 @@
         super().connection_made(transport)
         host, port = (transport.get_extra_info("peername") or NO_ENDPOINT)[:2]
         self._endpoint = (host, port)
+        self._address = f"{host}:{port}"
         self._received_at = clock.seconds()
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes, and store the time of receipt."""
         self._received_at = clock.seconds()
+        if self._observer is not None:
+            self._observer.handle_contact(self._address)
         super().data_received(data)
 
     async def read(self) -> Any:
@@ -136,6 +159,8 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an answer that the lost connection cut off, and record a silent peer."""
         self._record_if_silent(exc)
+        if self._observer is not None and self._is_answer_due():
+            self._observer.handle_broken(self._address)
         payload = self._payload
         if exc is None or payload is None or payload.is_eof():
             super().connection_lost(exc)
@@ -164,11 +189,15 @@
             return False
         return self._silent.is_reusable(self._endpoint, self._received_at)
 
-    def _record_if_silent(self, exc: BaseException | None) -> None:
+    def _is_answer_due(self) -> bool:
         payload = self._payload
-        answer_due = self._awaiting_head or (payload is not None and not payload.is_eof())
+        return self._awaiting_head or (payload is not None and not payload.is_eof())
+
+    def _record_if_silent(self, exc: BaseException | None) -> None:
         silent_since = max(self._read_started_at, self._received_at)
-        timed_out = answer_due and clock.seconds() - silent_since >= UNANSWERED_LIMIT_SECONDS
+        timed_out = (
+            self._is_answer_due() and clock.seconds() - silent_since >= UNANSWERED_LIMIT_SECONDS
+        )
         if timed_out or (isinstance(exc, OSError) and exc.errno == errno.ETIMEDOUT):
             self._silent.record(self._endpoint)
 
@@ -188,12 +217,15 @@
 class SilenceAwareConnector(aiohttp.TCPConnector):
     """A connection pool that does not reuse idle connections to an address found silent.
 
+    Args:
+        observer: Observes the paths of the connections; None if they are not observed.
+
     Attributes:
         idle_until: Per ``IP:PORT`` with an idle connection, the monotonic time until which the
             connection that was released last may be reused.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, observer: ConnectionObserver | None = None) -> None:
         super().__init__(
             limit=0,
             limit_per_host=0,
@@ -203,7 +235,9 @@
         )
         self.silent = SilentAddresses()
         self.idle_until: dict[str, float] = {}
-        factory: Any = functools.partial(StrictResponseHandler, loop=self._loop, silent=self.silent)
+        factory: Any = functools.partial(
+            StrictResponseHandler, loop=self._loop, silent=self.silent, observer=observer
+        )
         self._factory = factory
 
     async def _get(self, key: Any, traces: Any) -> Any:
@@ -243,10 +277,14 @@
     return made
 
 
-def make_runner_session() -> aiohttp.ClientSession:
-    """Return a session for requests to runners; it never retries a request."""
+def make_runner_session(connector: SilenceAwareConnector | None = None) -> aiohttp.ClientSession:
+    """Return a session for requests to runners; it never retries a request.
+
+    Args:
+        connector: Opens the connections; directly by default.
+    """
     session = aiohttp.ClientSession(
-        connector=SilenceAwareConnector(),
+        connector=connector or SilenceAwareConnector(),
         response_class=StrictResponse,
         auto_decompress=False,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_LIMIT_SECONDS),
--- /dev/null
+++ b/src/hillstack/platform/runner_connector.py
@@ -0,0 +1,104 @@
+"""A pool of connections to runners, some of which are relayed by peers."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+from hillstack import clock
+from hillstack.core.runner_paths import RunnerPaths
+from hillstack.daemon.path_dialer import PathDialer
+from hillstack.daemon.relayed_link import RelayRoute, open_relayed
+from hillstack.platform.connections import (
+    ConnectionObserver,
+    SilenceAwareConnector,
+    SilentAddresses,
+    StrictResponseHandler,
+    make_socket,
+)
+
+
+class RelayedResponseHandler(StrictResponseHandler):
+    """The protocol of a relayed connection; it is not reused once the direct path works again.
+
+    Args:
+        loop: The event loop.
+        silent: Records the addresses whose connections are silent.
+        paths: Knows whether the direct path is lost; receives the contacts through the relay.
+        relay_id: The peer that relays the connection.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        silent: SilentAddresses,
+        paths: RunnerPaths,
+        relay_id: str,
+    ) -> None:
+        super().__init__(loop, silent)
+        self._paths = paths
+        self._relay_id = relay_id
+        self._is_relay_closing = False
+
+    def data_received(self, data: bytes) -> None:
+        """Process received bytes, and record that the relay works."""
+        self._paths.record_relayed_contact(self._relay_id, self._address, clock.seconds())
+        super().data_received(data)
+
+    def is_connected(self) -> bool:
+        """Return whether the connection can take a request."""
+        if self._is_relay_closing or not super().is_connected():
+            return False
+        return self._paths.is_lost(self._address)
+
+    def close_after_answer(self) -> None:
+        """Use the connection for no further request, because its relay is stopping."""
+        self._is_relay_closing = True
+        if self._is_answer_due():
+            self.force_close()
+        else:
+            self.close()
+
+
+class RunnerConnector(SilenceAwareConnector):
+    """Opens connections to runners directly, or through peers if this node cannot reach them.
+
+    Args:
+        node_id: This node.
+        dialer: Chooses the way of each connection.
+        observer: Observes the paths of direct connections.
+        paths: Which paths are lost.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        dialer: PathDialer[ResponseHandler],
+        observer: ConnectionObserver,
+        paths: RunnerPaths,
+    ) -> None:
+        super().__init__(observer)
+        self._node_id = node_id
+        self._dialer = dialer
+        self._paths = paths
+
+    async def _create_connection(
+        self, req: Any, traces: Any, timeout: aiohttp.ClientTimeout
+    ) -> Any:
+        """Open the connection for a request."""
+        address = f"{req.url.host}:{req.url.port}"
+        return await self._dialer.dial(
+            address,
+            functools.partial(super()._create_connection, req, traces, timeout),
+            self._open_relayed,
+            ResponseHandler.close,
+        )
+
+    async def _open_relayed(self, route: RelayRoute) -> StrictResponseHandler:
+        handler = RelayedResponseHandler(self._loop, self.silent, self._paths, route.node_id)
+        await open_relayed(route, self._node_id, make_socket, handler, handler.close_after_answer)
+        return handler
--- a/src/hillstack/platform/runners.py
+++ b/src/hillstack/platform/runners.py
@@ -15,7 +15,12 @@
     RunningRequests,
     WeightsOrder,
 )
-from hillstack.errors import BackendBrokenError, BackendError, ConnectionLostError
+from hillstack.errors import (
+    BackendBrokenError,
+    BackendError,
+    BackendStatusError,
+    ConnectionLostError,
+)
 from hillstack.platform import names
 from hillstack.platform.bodies import OrderBody, ReportBody
 from hillstack.platform.connections import OutgoingCall, send_call
@@ -166,7 +171,7 @@
         reply = await send_call(self._session, call)
         if reply.status != OK:
             self._signals.read(runner_id, reply.status, reply.headers, sent)
-            raise BackendError(f"status {reply.status}", step="report", peer=runner_id)
+            raise BackendStatusError(f"status {reply.status}", step="report", peer=runner_id)
         try:
             body = msgspec.json.decode(reply.body, type=ReportBody)
         except msgspec.MsgspecError as error:
--- a/src/hillstack/serving/crash_permits.py
+++ b/src/hillstack/serving/crash_permits.py
@@ -47,6 +47,10 @@
     ledger: CrashLedger
     revision: StoreRevision = NO_REVISION
 
+    def without_survivors(self, has_survived: Callable[[str], bool]) -> StoredLedger:
+        """Return the ledger without the runners that turned out not to have crashed."""
+        return StoredLedger(self.ledger.without_survivors(has_survived), self.revision)
+
 
 @dataclass(frozen=True, slots=True)
 class Grant:
@@ -116,6 +120,7 @@
         earlier: SendOutcome,
         known_crashed: Callable[[], set[str]],
         is_suspect: Callable[[], bool],
+        has_survived: Callable[[str], bool] = lambda _: False,
     ) -> Grant:
         """Request a permit to send a request.
 
@@ -125,6 +130,7 @@
             known_crashed: Returns the runners that crashed under it according to this node.
             is_suspect: Returns whether it may have crashed a runner according to this node. A
                 request that was cleared while it waited needs no permit.
+            has_survived: Returns whether a runner that the ledger contains has not crashed.
         """
         self._issued += 1
         permit = f"{self._node_id}/{self._clock():.6f}/{self._issued}"
@@ -138,13 +144,13 @@
                 return Grant(may_send=False, retry_after=MAX_RETENTION_SECONDS)
             try:
                 async with asyncio.timeout(STORE_WAIT_SECONDS):
-                    stored = await self._read(fingerprint)
+                    stored = (await self._read(fingerprint)).without_survivors(has_survived)
                     if not stored.ledger and not is_suspect():
                         return Grant(may_send=True)
                     if stored.ledger.with_outcome(earlier).is_exhausted(crashed):
                         return Grant(may_send=False, retry_after=MAX_RETENTION_SECONDS)
                     is_issued = await self._issue(
-                        fingerprint, stored, permit, earlier, crashed, alone=alone
+                        fingerprint, stored, permit, earlier, crashed, has_survived, alone=alone
                     )
             except (PlatformError, TimeoutError) as error:
                 return self._without_store(fingerprint, permit, error)
@@ -172,6 +178,7 @@
         permit: str,
         earlier: SendOutcome,
         known_crashed: set[str],
+        has_survived: Callable[[str], bool],
         *,
         alone: bool,
     ) -> bool:
@@ -182,7 +189,7 @@
                 return False
             if await self._store.write(fingerprint, ledger.with_permit(permit), stored.revision):
                 return True
-            stored = await self._read(fingerprint)
+            stored = (await self._read(fingerprint)).without_survivors(has_survived)
         return False
 
     async def _read(self, fingerprint: int) -> StoredLedger:
@@ -210,14 +217,26 @@
         """Remove the ledger of a request in the background after a successful run."""
         self._start(self._store.remove(fingerprint))
 
+    def report_survival(self, fingerprint: int, runner_id: str) -> None:
+        """Remove a runner that has not crashed from a request's ledger, in the background."""
+
+        def change(ledger: CrashLedger) -> CrashLedger:
+            return ledger.without_survivors(lambda name: name == runner_id)
+
+        self._start(self._change(fingerprint, change))
+
     async def _record_outcome(
         self, fingerprint: int, outcome: Callable[[], SendOutcome], delay: float
     ) -> None:
         await asyncio.sleep(delay)
+        await self._change(fingerprint, lambda ledger: ledger.with_outcome(outcome()))
+
+    async def _change(self, fingerprint: int, change: Callable[[CrashLedger], CrashLedger]) -> None:
+        """Change a ledger, also if the store is away for a moment."""
         failure: PlatformError | None = None
         for _ in range(MAX_RECORD_ATTEMPTS):
             try:
-                if await self._try_record(fingerprint, outcome()):
+                if await self._try_change(fingerprint, change):
                     return
             except PlatformError as error:
                 failure = error
@@ -225,10 +244,12 @@
         if failure is not None:
             raise failure
 
-    async def _try_record(self, fingerprint: int, outcome: SendOutcome) -> bool:
-        """Write the outcome of sends; return whether the ledger contains it."""
+    async def _try_change(
+        self, fingerprint: int, change: Callable[[CrashLedger], CrashLedger]
+    ) -> bool:
+        """Write a changed ledger; return whether the store has it."""
         stored = await self._read(fingerprint)
-        ledger = stored.ledger.with_outcome(outcome)
+        ledger = change(stored.ledger)
         if ledger == stored.ledger:
             return True
         return await self._store.write(fingerprint, ledger, stored.revision)
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -89,6 +89,8 @@
         has_waited: Whether the request has waited for a runner's backoff to end; it waits at most
             once.
         sent_at: When the latest attempt was sent.
+        received_at: When bytes last arrived on the connection of the latest attempt, or when the
+            attempt was sent.
         answering_since: When the first bytes of the latest attempt's answer arrived; None before.
         fingerprint: Identifies the request across all tries of its caller; None until first used.
         content: Hash of path, tenant and body, which all requests of one content share; None until
@@ -129,6 +131,7 @@
     time_limit: asyncio.Timeout | None = None
     has_waited: bool = False
     sent_at: float = 0.0
+    received_at: float = 0.0
     answering_since: float | None = None
     fingerprint: int | None = None
     content: int | None = None
@@ -174,6 +177,7 @@
     def note_bytes(self, now: float) -> None:
         """Record that bytes arrived on the connection of the current attempt."""
         self.silent_since = max(self.silent_since, now)
+        self.received_at = now
 
     def note_event(self, now: float) -> bool:
         """Record that events were passed on; return whether they are the first ones."""
--- a/src/hillstack/serving/metrics.py
+++ b/src/hillstack/serving/metrics.py
@@ -93,6 +93,12 @@
             "Attempts sent to a runner that leaves, or within a backoff that it asked for.",
             "signal",
         )
+        self.dials = self._counter(
+            "runner_connections", "Connections to runners through peers, by outcome.", "outcome"
+        )
+        self.relayed_connections = self._counter(
+            "relayed_connections", "Other nodes' requests to relay a connection.", "answer"
+        )
         self.first_event = self._histogram(
             "first_event_seconds", "From arrival to the first event.", LATENCY_BUCKETS
         )
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -41,6 +41,7 @@
 from hillstack.serving.runner_crashes import RunnerCrashMonitor
 from hillstack.serving.runner_limits import RunnerLimits
 from hillstack.serving.signal_receiver import log_held_back
+from hillstack.serving.silent_attempts import is_path_lost, silence_reason
 from hillstack.serving.types import (
     SERVER_ERROR,
     SUCCESS,
@@ -64,8 +65,6 @@
 BACKOFF_END_MARGIN_SECONDS = 0.002
 # How often a request that waits for a runner checks whether the runner is silent.
 SILENCE_CHECK_SECONDS = 0.15
-# A request abandons a runner that is silent for longer than the allowed pauses of 0.5 and 0.6 s.
-SILENCE_LIMIT_SECONDS = 0.7
 # An answer that a runner completes at the deadline is accepted this much later: twice the one-way
 # latency between regions, which is 8 to 20 ms on known deployments.
 DEADLINE_TRANSIT_SECONDS = 0.05
@@ -75,11 +74,6 @@
 # How long a caller may take to read an answer that is ready, also past its deadline: ten
 # retransmissions of a lost packet. A slower caller occupies memory, so its connection is cut.
 DELIVERY_SECONDS = 2.0
-# A request abandons a connection that is silent for this long while its runner sends on others. It
-# lies between the operating system's timeouts, which take up to 2.2 s (1.2 s for sent bytes, two
-# keepalive probes for a wait), and the 3.2 s after which callers of known deployments abandon a
-# stream.
-CONNECTION_SILENCE_SECONDS = 2.5
 
 
 class RequestPipeline:
@@ -428,16 +422,18 @@
         Otherwise the attempt continues, because the runner may send again.
         """
         now = self._clock()
-        is_silent = runner.is_silent(now) and now - runner.last_contact_at >= SILENCE_LIMIT_SECONDS
-        is_connection_silent = now - job.silent_since >= CONNECTION_SILENCE_SECONDS
-        if not (runner.has_ended or is_silent or is_connection_silent):
+        is_cut_off = is_path_lost(job, runner, now)
+        reason = silence_reason(job, runner, now)
+        if reason is None and not runner.has_ended and not is_cut_off:
             return
+        if is_cut_off and self._may_retry(job):
+            text = "the path to the runner is lost"
+            raise AttemptAbandonedError(text, step=step, peer=runner.runner_id)
         if self._may_try_other(job, runner):
             if runner.has_ended:
                 text = "the runner has started again"
                 raise ConnectionLostError(text, step=step, peer=runner.runner_id)
-            text = "the runner is silent" if is_silent else "the connection is silent"
-            raise AttemptAbandonedError(text, step=step, peer=runner.runner_id)
+            raise AttemptAbandonedError(str(reason), step=step, peer=runner.runner_id)
 
     def _may_try_other(self, job: Job, runner: Runner) -> bool:
         """Return whether another runner can serve the request if this attempt is abandoned."""
@@ -573,8 +569,9 @@
 
     def _handle_broken(self, job: Job, runner: Runner, error: BackendBrokenError) -> None:
         job.may_have_run = True
-        job.excluded.add(runner.runner_id)
-        self._state.pool.failed(runner, self._clock())
+        if job.sent_at >= runner.path_lost_at:
+            job.excluded.add(runner.runner_id)
+        self._state.pool.failed(runner, self._clock(), job.sent_at)
         if isinstance(error, ConnectionLostError):
             self.runner_crashes.lost(job, runner, self._clock())
         self._metrics.attempts.labels("broken").inc()
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -35,6 +35,7 @@
     exchange_bytes,
     is_late,
 )
+from hillstack.serving.runner_census import RunnerCensus, take_census
 from hillstack.serving.types import ServingRequest
 from hillstack.serving.version_choice import UsableRunners, VersionChoice
 
@@ -72,46 +73,6 @@
 # penalty equals half of an application server's slots in use.
 FAILED_ZONE_PENALTY = 0.5
 
-CENSUS_REASONS = (
-    "leaving",
-    "backing_off",
-    "limited",
-    "suspected",
-    "loading",
-    "too_old",
-    "closed",
-    "tried",
-)
-
-
-@dataclass(frozen=True, slots=True)
-class RunnerCensus:
-    """Number of runners of a service by the reason why they don't accept a request.
-
-    Each runner is counted under the first reason that applies.
-
-    Attributes:
-        known: All runners, whether they accept the request or not.
-        leaving: Runners that drain or were removed.
-        backing_off: Runners that asked for a backoff.
-        limited: Runners whose rate limit has no room for this node.
-        suspected: Runners that failed or were silent.
-        loading: Runners that load weights.
-        too_old: Runners with weights that must no longer be used.
-        closed: Runners with a software version that must not be used.
-        tried: Runners that were already tried for this request.
-    """
-
-    known: int = 0
-    leaving: int = 0
-    backing_off: int = 0
-    limited: int = 0
-    suspected: int = 0
-    loading: int = 0
-    too_old: int = 0
-    closed: int = 0
-    tried: int = 0
-
 
 @dataclass(slots=True)
 class _VersionTerms:
@@ -170,9 +131,9 @@
     def choose(self, job: Job, now: float) -> PlacedAttempt | None:
         """Return a runner for the next attempt, or None if no runner accepts work.
 
-        A runner that is leaving according to peers is chosen only if no other runner accepts the
-        request. In the first pass it counts as excluded, but its zone does not count as a failed
-        one.
+        A runner that is leaving or suspected according to peers is chosen only if no other runner
+        accepts the request. In the first pass one that is leaving counts as excluded, but its zone
+        does not count as a failed one.
         """
         hinted_ids = self._state.pool.hinted(job.service, now) - job.excluded
         if hinted_ids:
@@ -183,7 +144,10 @@
             job.leaving = set()
             if placed is not None:
                 return placed
-        return self._choose_usable(job, now)
+        placed = self._choose_usable(job, now)
+        if placed is None and self._state.pool.end_peer_suspicions(job.service, now):
+            placed = self._choose_usable(job, now)
+        return placed
 
     def _choose_usable(self, job: Job, now: float) -> PlacedAttempt | None:
         placed = self._choose_among(job, self.versions.usable(job, now), now)
@@ -222,28 +186,9 @@
 
     def census(self, job: Job, now: float) -> RunnerCensus:
         """Return why runners don't accept the request, for the log."""
-        model = job.request.model
-        oldest = self._state.versions.oldest_allowed(model, now + VERSION_MARGIN_SECONDS)
-        counts = dict.fromkeys(CENSUS_REASONS, 0)
         runners = self._state.pool.of_service(job.service)
-        for runner in runners:
-            if runner.is_leaving:
-                counts["leaving"] += 1
-            elif runner.signals.remaining_backoff(now) > 0:
-                counts["backing_off"] += 1
-            elif now < runner.signals.limit.exhausted_until:
-                counts["limited"] += 1
-            elif now < runner.suspected_until:
-                counts["suspected"] += 1
-            elif now < runner.loading_until:
-                counts["loading"] += 1
-            elif model and runner.likely_weights(model, now) < oldest:
-                counts["too_old"] += 1
-            elif not self.versions.may_use(job, runner, now):
-                counts["closed"] += 1
-            elif runner.runner_id in job.excluded:
-                counts["tried"] += 1
-        return RunnerCensus(known=len(runners), **counts)
+        oldest = self._oldest_allowed(job, now)
+        return take_census(job, runners, oldest, self.versions.may_use, now)
 
     def available_in_seconds(self, job: Job, now: float) -> float | None:
         """Return the seconds until the first runner is expected to accept the request.
--- a/src/hillstack/serving/runner_crashes.py
+++ b/src/hillstack/serving/runner_crashes.py
@@ -28,6 +28,7 @@
 )
 from hillstack.core.runner_pool import Runner
 from hillstack.messages.runner_ends import RequestAtEnd, RunnerEndNotice
+from hillstack.serving.crash_logs import evidence_fields, log_crash
 from hillstack.serving.crash_notices import crash_notices, earlier_crash_notices, run_at_crash
 from hillstack.serving.crash_permits import CrashPermits
 from hillstack.serving.fleet_state import FleetState
@@ -84,8 +85,6 @@
 ABANDONED_RUN_SLACK_SECONDS = 0.1
 # Number of nodes that report each older crash to a node that has just started.
 EARLIER_CRASH_REPORTERS = 3
-# Runs of a crash that are logged: the largest runners have 64 slots.
-MAX_LOGGED_RUNS = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,7 +171,7 @@
 
     def sent(self, job: Job, runner: Runner, attempt_id: str, now: float) -> None:
         """Record an attempt that is being sent."""
-        job.sent_at = now
+        job.sent_at = job.received_at = now
         job.answering_since = None
         job.has_unused_permit = False
         self._active[attempt_id] = job, runner
@@ -376,7 +375,7 @@
         }
         found = self._record.fatal().get(fingerprint)
         if found is not None:
-            fields |= _evidence(found)
+            fields |= evidence_fields(found)
         logger.info("fatal request not sent", extra=fields)
         return job.give_up_error(Verdict.FAILED, FATAL_REASON)
 
@@ -384,9 +383,11 @@
         """Record that an attempt failed because its connection broke.
 
         All of this node's attempts at the runner count as lost too. If one of them receives bytes
-        later, the runner has not crashed.
+        later, the runner has not crashed. A connection that was cut off from a runner in reach of a
+        peer may end at any time, which says nothing about the runner.
         """
-        if self._is_stopping or _is_expected_disconnect(runner, now):
+        is_cut_off = job.received_at < runner.path_lost_at
+        if self._is_stopping or is_cut_off or _is_expected_disconnect(runner, now):
             return
         runs = self._abandoned_runs(runner.runner_id, now)
         runs[fingerprint_of(job)] = self._run(job, now)
@@ -413,7 +414,7 @@
         if runner.runner_id not in self._locally_lost:
             self._metrics.runner_ends.labels("seen").inc()
             self._locally_lost[runner.runner_id] = now
-            _log_crash(runner, runs)
+            log_crash(runner, runs)
         self._record_crash(runner.runner_id, now, runs, runner.running(now) + 1, is_local=True)
         self._unreported.add(runner.runner_id)
         self._schedule_reaction()
@@ -603,22 +604,38 @@
             runner = self._state.pool.get(crash.runner_id)
             if runner is None or not self._has_survived(runner, crash.crashed_at):
                 continue
-            self._record.record_contact(crash.runner_id, runner.last_contact_at)
-            self._counts.retract(crash.runner_id, runner.last_contact_at)
-            if self._record.get(crash.runner_id) is None:
-                self._locally_lost.pop(crash.runner_id, None)
-            self._metrics.runner_ends.labels("taken_back").inc()
-            logger.info("runner has not ended", extra={"runner": crash.runner_id})
-            seen_ms_ago = max(0, int((now - runner.last_contact_at) * 1000))
-            self._peers.report_runner_crash(
-                RunnerEndNotice(crash.runner_id, seen_ms_ago, [], taken_back=True)
-            )
+            self._take_back(crash, runner.last_contact_at)
         self._locally_lost = {
             runner_id: ended_at
             for runner_id, ended_at in self._locally_lost.items()
             if now - ended_at < CRASH_RETENTION_SECONDS or self._record.get(runner_id) is not None
         }
 
+    def _take_back(self, crash: RunnerCrash, contact_at: float) -> None:
+        """Drop a crash of a runner that was in contact afterwards, and notify the peers."""
+        self._permits.retract(crash)
+        self._record.record_contact(crash.runner_id, contact_at)
+        self._counts.retract(crash.runner_id, contact_at)
+        if self._record.get(crash.runner_id) is None:
+            self._locally_lost.pop(crash.runner_id, None)
+        self._metrics.runner_ends.labels("taken_back").inc()
+        logger.info("runner has not ended", extra={"runner": crash.runner_id})
+        seen_ms_ago = max(0, int((self._clock() - contact_at) * 1000))
+        self._peers.report_runner_crash(
+            RunnerEndNotice(crash.runner_id, seen_ms_ago, [], taken_back=True)
+        )
+
+    def is_at_stake(self, notice: RunnerEndNotice) -> bool:
+        """Return whether this node runs a request that a crash notice may turn out fatal."""
+        reported = {request.fingerprint for request in notice.requests}
+        return any(fingerprint_of(job) in reported for job, _ in self._active.values())
+
+    def refute(self, runner_id: str, called_at: float) -> None:
+        """Take back a crash because the runner's process answers a call that was sent later."""
+        crash = self._record.get(runner_id)
+        if crash is not None and crash.crashed_at <= called_at:
+            self._take_back(crash, self._clock())
+
     def _reset_counts(self, names: Iterable[int]) -> None:
         """Reset the crash counts of these names after a successful run, and notify the peers."""
         now = self._clock()
@@ -695,7 +712,7 @@
             return
         self._announced_fatal.add(found.fingerprint)
         self._metrics.runner_ends.labels("fatal").inc()
-        logger.warning("request ends runners", extra=_evidence(found))
+        logger.warning("request ends runners", extra=evidence_fields(found))
 
     def _has_survived_crash_age(self, found: FatalRequest, now: float) -> bool:
         """Clear a fatal request if a run of it has outlasted the ages at its crashes.
@@ -747,23 +764,3 @@
 
 def _crashed_run(runner_id: str, crashed_at: float, run: RunAtCrash) -> CrashedRun:
     return CrashedRun(runner_id, crashed_at - run.age, crashed_at, run.is_settled)
-
-
-def _log_crash(runner: Runner, runs: dict[int, RunAtCrash]) -> None:
-    """Log this node's requests at a runner that crashed, the youngest runs first."""
-    youngest = sorted(runs.items(), key=lambda item: item[1].age)[:MAX_LOGGED_RUNS]
-    fields = {
-        "runner": runner.runner_id,
-        "requests": {f"{name:016x}": round(run.age * 1000) for name, run in youngest},
-        "running": len(runs),
-    }
-    logger.info("runner ended", extra=fields)
-
-
-def _evidence(found: FatalRequest) -> dict[str, object]:
-    return {
-        "fingerprint": f"{found.fingerprint:016x}",
-        "runners": list(found.runner_ids),
-        "ages_ms": [round(age * 1000) for age in found.ages],
-        "share": round(found.share, 3),
-    }
--- a/src/hillstack/serving/suspect_permits.py
+++ b/src/hillstack/serving/suspect_permits.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from hillstack.core.crash_ledger import CrashLedger, KnownLedgers, SendOutcome
-from hillstack.core.runner_crashes import RunnerCrashRecord
+from hillstack.core.runner_crashes import RunnerCrash, RunnerCrashRecord
 from hillstack.serving.crash_permits import CrashPermits
 from hillstack.serving.job import Job
 from hillstack.serving.request_names import fingerprint_of
@@ -59,9 +59,10 @@
         fingerprint = fingerprint_of(job)
         grant = await self._permits.acquire(
             fingerprint,
-            _unrecorded_outcome(job),
+            self._unrecorded_outcome(job),
             lambda: self._known_crashed(fingerprint),
             lambda: self._is_suspect(fingerprint),
+            self._record.has_survived,
         )
         if grant.is_stored:
             job.crash_permits.clear()
@@ -98,15 +99,23 @@
         delay = 0.0 if has_ended else ABANDONED_RUN_SECONDS
 
         def outcome() -> SendOutcome:
-            known = _unrecorded_outcome(job)
+            known = self._unrecorded_outcome(job)
             return SendOutcome(known.permits, known.crashed | self._crashed_under(fingerprint))
 
         self._permits.report_outcome(fingerprint, outcome, delay)
 
+    def retract(self, crash: RunnerCrash) -> None:
+        """Remove a runner that has not crashed from the ledgers of the requests that it ran."""
+        for fingerprint in crash.runs:
+            ledger = self._ledgers.get(fingerprint, self._clock())
+            if self._permits is not None and ledger and crash.runner_id in ledger.crashed:
+                self._permits.report_survival(fingerprint, crash.runner_id)
+
     def _known_crashed(self, fingerprint: int) -> set[str]:
         """Return the runners that crashed according to this node, or to the ledger it knows."""
         ledger = self._ledgers.get(fingerprint, self._clock()) or CrashLedger()
-        return self._crashed_under(fingerprint) | ledger.crashed
+        crashed = ledger.without_survivors(self._record.has_survived).crashed
+        return self._crashed_under(fingerprint) | crashed
 
     def _crashed_under(self, fingerprint: int) -> set[str]:
         """Return the runners that crashed while a run of a request had not settled."""
@@ -116,6 +125,6 @@
             if fingerprint in crash.runs and not crash.runs[fingerprint].is_settled
         }
 
-
-def _unrecorded_outcome(job: Job) -> SendOutcome:
-    return SendOutcome(frozenset(job.crash_permits), frozenset(job.crashed_runners))
+    def _unrecorded_outcome(self, job: Job) -> SendOutcome:
+        crashed = (name for name in job.crashed_runners if not self._record.has_survived(name))
+        return SendOutcome(frozenset(job.crash_permits), frozenset(crashed))
--- a/tests/fleet/cut_off_nodes.py
+++ b/tests/fleet/cut_off_nodes.py
@@ -24,6 +24,7 @@
 # Time after the start of a cut from which first tries count.
 CONTACT_SECONDS = 3.0
 BROKEN = 0
+BOUND_MAIN = "tests.fleet.bound_main"
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +59,7 @@
     ) -> Iterator[None]:
         """Cut nodes off from all runners, or from some, while the block runs."""
         self.cut_at = time.monotonic()
-        with self.proxy.node_cut(kind, lambda: {node.process.pid for node in nodes}, runners):
+        with self.proxy.node_cut(kind, [node.host for node in nodes], runners):
             yield
 
     @contextlib.asynccontextmanager
@@ -125,7 +126,10 @@
                 for number in range(count):
                     await _add_runner(running, proxy, f"{service}-{number}", service)
             launched = [
-                running.launch(f"node-{number}", zone=zone) for number, zone in enumerate(zones)
+                running.launch(
+                    f"node-{number}", zone=zone, main=BOUND_MAIN, host=f"127.0.0.{number + 2}"
+                )
+                for number, zone in enumerate(zones)
             ]
             for node in launched:
                 await running.wait_ready(node)
--- a/tests/fleet/deployment.py
+++ b/tests/fleet/deployment.py
@@ -35,6 +35,7 @@
     TenantBody,
     WeightsBody,
 )
+from tests.fleet.bound_main import HOST_VARIABLE
 from tests.fleet.builders import APPLICATION, ENGINES, HOST, KEY, MODEL
 
 WAIT_SECONDS = 60.0
@@ -76,6 +77,7 @@
     metrics_port: int
     process: subprocess.Popen[bytes]
     log_path: Path
+    host: str = "127.0.0.1"
 
     def listens(self) -> bool:
         """Return whether callers can connect; this is so before the node is ready."""
@@ -217,6 +219,7 @@
         descriptors: float = 4_096,
         source: Path | None = None,
         main: str = "hillstack.daemon.fleet_main",
+        host: str = "127.0.0.1",
         **bounds: Any,
     ) -> NodeProcess:
         """Start a node process.
@@ -231,6 +234,8 @@
             descriptors: Number of file descriptors that the node may have open.
             source: Directory of the package ``hillstack``; this repository's ``src`` by default.
             main: The module that the process runs.
+            host: Address of the node for its peers, and from which it connects if ``main`` is
+                ``tests.fleet.bound_main``.
             bounds: Values of the section ``bounds`` of the settings, by their names there.
         """
         callers, readiness = (f"127.0.0.1:{free_port()}" for _ in range(2))
@@ -242,7 +247,7 @@
             f'id = "{name}"',
             f'zone = "{zone}"',
             f'region = "{regions.get(zone, "")}"',
-            'address = "127.0.0.1"',
+            f'address = "{host}"',
             f"descriptors = {int(descriptors)}",
             "[listen]",
             f'callers = "{callers}"',
@@ -266,9 +271,10 @@
                 [sys.executable, "-m", main, str(settings)],
                 stdout=log,
                 stderr=log,
-                env=os.environ | {"PYTHONPATH": f"{source}{os.pathsep}{repository}"},
+                env=os.environ
+                | {"PYTHONPATH": f"{source}{os.pathsep}{repository}", HOST_VARIABLE: host},
             )
-        node = NodeProcess(name, callers, readiness, metrics_port, process, log_path)
+        node = NodeProcess(name, callers, readiness, metrics_port, process, log_path, host)
         self.nodes.append(node)
         return node
 
--- a/tests/fleet/test_suspicions_of_peers.py
+++ b/tests/fleet/test_suspicions_of_peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from random import Random
 
 from hillstack.core.routing_table import RouteKind
@@ -20,9 +21,8 @@
     list_runners(network)
     network.run(3.0)
     cut_off, healthy = network.nodes["node-0"], network.nodes["node-1"]
-    network.at_node(
-        cut_off, lambda: [cut_off.exchange.suspected(r) for r in cut_off.state.pool.all()]
-    )
+    for runner in cut_off.state.pool.all():
+        network.at_node(cut_off, partial(cut_off.exchange.suspected, runner))
     network.run(0.1)
     now = network.scheduler.now
     placement = RunnerPlacement(healthy.state, healthy.exchange, healthy.zone, Random(1))
--- a/tests/processes/fault_proxy.py
+++ b/tests/processes/fault_proxy.py
@@ -8,7 +8,7 @@
 import socket
 import struct
 import threading
-from collections.abc import Callable, Coroutine, Iterable, Iterator
+from collections.abc import Coroutine, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
@@ -77,12 +77,9 @@
     held: int = 0
 
     @property
-    def ports(self) -> tuple[int, int]:
-        """The ports of the client and of the proxy; zeros if the client has disconnected."""
-        client = self.writers[0]
-        names = (client.get_extra_info(name) for name in ("peername", "sockname"))
-        client_port, proxy_port = (name[1] if name else 0 for name in names)
-        return client_port, proxy_port
+    def client_host(self) -> str:
+        """The host from which the client connected; empty if it has disconnected."""
+        return _host_of(self.writers[0])
 
 
 class FaultProxy:
@@ -93,7 +90,7 @@
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
         self.states: dict[str, ProxyState] = {}
-        self._cuts: list[NodeCut] = []
+        self._cuts: set[NodeCut] = set()
 
     def front(self, name: str, address: str) -> str:
         """Open a proxy for an address and return the address on which the proxy listens."""
@@ -133,16 +130,16 @@
 
     @contextlib.contextmanager
     def node_cut(
-        self, kind: CutKind, pids: Callable[[], set[int]], names: Iterable[str] | None = None
+        self, kind: CutKind, hosts: Iterable[str], names: Iterable[str] | None = None
     ) -> Iterator[None]:
-        """Cut some processes off from proxied addresses while the block runs.
+        """Cut some nodes off from proxied addresses while the block runs.
 
         Args:
             kind: What the cut does.
-            pids: Returns the processes.
+            hosts: Hosts from which the nodes connect.
             names: Names of the addresses; all by default, also those opened later.
         """
-        cut = NodeCut(kind, None if names is None else frozenset(names), pids)
+        cut = NodeCut(kind, frozenset(hosts), None if names is None else frozenset(names))
         held = self._run(self._begin_cut(cut))
         try:
             yield
@@ -169,13 +166,13 @@
 
     async def _begin_cut(self, cut: NodeCut) -> list[ProxiedConnection]:
         """Start a cut; return the list of the connections that it holds, which grows."""
-        self._cuts.append(cut)
+        self._cuts.add(cut)
         if cut.kind is CutKind.REFUSE_NEW:
             return []
         held: list[ProxiedConnection] = []
         for name, state in self.states.items():
             for connection in list(state.connections):
-                if not cut.affects(name, *connection.ports):
+                if not cut.affects(name, connection.client_host):
                     continue
                 if cut.kind is CutKind.HANG:
                     connection.held += 1
@@ -190,15 +187,14 @@
         for connection in held:
             connection.held -= 1
 
-    async def _is_refused_or_held(self, name: str, ports: tuple[int, int]) -> bool:
+    async def _is_refused_or_held(self, name: str, host: str) -> bool:
         """Return whether a cut refuses a new connection; wait while a cut holds it."""
-        while True:
-            kinds = {cut.kind for cut in self._cuts if cut.affects(name, *ports)}
-            if kinds - {CutKind.HANG}:
-                return True
-            if not kinds:
-                return False
+        affecting = [cut for cut in self._cuts if cut.affects(name, host)]
+        if any(cut.kind is not CutKind.HANG for cut in affecting):
+            return True
+        while not self._cuts.isdisjoint(affecting):  # noqa: ASYNC110
             await asyncio.sleep(HOLD_CHECK_SECONDS)
+        return False
 
     def _run(self, work: Coroutine[Any, Any, Result]) -> Result:
         return asyncio.run_coroutine_threadsafe(work, self._loop).result(10)
@@ -207,8 +203,9 @@
         host, _, port = address.rpartition(":")
 
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            ports = writer.get_extra_info("peername")[1], writer.get_extra_info("sockname")[1]
-            if self._cuts and (await self._is_refused_or_held(name, ports) or _has_closed(reader)):
+            if self._cuts and (
+                await self._is_refused_or_held(name, _host_of(writer)) or _has_closed(reader)
+            ):
                 _reset(writer)
                 return
             await self._serve(self.states[name], host, int(port), reader, writer)
@@ -293,6 +290,12 @@
                 await writer.drain()
 
 
+def _host_of(writer: asyncio.StreamWriter) -> str:
+    """Return the host at the other end of a connection; empty if it has disconnected."""
+    name = writer.get_extra_info("peername")
+    return str(name[0]) if name else ""
+
+
 def _has_closed(reader: asyncio.StreamReader) -> bool:
     """Return whether the sender has closed the connection, even if bytes are still unread."""
     return bool(reader._eof)  # type: ignore[attr-defined]
