--- a/tests/fleet/bound_main.py
+++ b/tests/fleet/bound_main.py
@@ -11,6 +11,8 @@
 from typing import Any
 
 HOST_VARIABLE = "BOUND_HOST"
+# Name of this module.
+BOUND_MAIN = "tests.fleet.bound_main"
 # Linux: ``bind`` chooses no port, ``connect`` does, so ports are shared between destinations.
 IP_BIND_ADDRESS_NO_PORT = 24
 
--- a/tests/fleet/cut_off_nodes.py
+++ b/tests/fleet/cut_off_nodes.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 
+from tests.fleet.bound_main import BOUND_MAIN
 from tests.fleet.builders import APPLICATION, ENGINES
 from tests.fleet.deployment import Deployment, NodeProcess, deployment
 from tests.processes.fault_proxy import FaultProxy
@@ -24,7 +25,6 @@
 # Time after the start of a cut from which first tries count.
 CONTACT_SECONDS = 3.0
 BROKEN = 0
-BOUND_MAIN = "tests.fleet.bound_main"
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +59,8 @@
     ) -> Iterator[None]:
         """Cut nodes off from all runners, or from some, while the block runs."""
         self.cut_at = time.monotonic()
-        with self.proxy.node_cut(kind, [node.host for node in nodes], runners):
+        hosts = [node.host for node in nodes]
+        with self.proxy.node_cut(kind, hosts, lambda name: runners is None or name in runners):
             yield
 
     @contextlib.asynccontextmanager
--- a/tests/processes/fault_proxy.py
+++ b/tests/processes/fault_proxy.py
@@ -8,7 +8,7 @@
 import socket
 import struct
 import threading
-from collections.abc import Coroutine, Iterable, Iterator
+from collections.abc import Callable, Coroutine, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
@@ -130,16 +130,17 @@
 
     @contextlib.contextmanager
     def node_cut(
-        self, kind: CutKind, hosts: Iterable[str], names: Iterable[str] | None = None
+        self, kind: CutKind, hosts: Iterable[str], is_cut: Callable[[str], bool]
     ) -> Iterator[None]:
         """Cut some nodes off from proxied addresses while the block runs.
 
         Args:
             kind: What the cut does.
             hosts: Hosts from which the nodes connect.
-            names: Names of the addresses; all by default, also those opened later.
+            is_cut: Returns whether the cut affects an address, by its name; asked also for
+                addresses that are opened later.
         """
-        cut = NodeCut(kind, frozenset(hosts), None if names is None else frozenset(names))
+        cut = NodeCut(kind, frozenset(hosts), is_cut)
         held = self._run(self._begin_cut(cut))
         try:
             yield
--- a/tests/processes/node_cuts.py
+++ b/tests/processes/node_cuts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 from dataclasses import dataclass
 
 
@@ -26,13 +27,13 @@
 
     Attributes:
         hosts: Hosts from which the cut nodes connect.
-        names: Names of the proxied addresses; None for all.
+        is_cut: Returns whether the cut affects a proxied address, by its name.
     """
 
     kind: CutKind
     hosts: frozenset[str]
-    names: frozenset[str] | None
+    is_cut: Callable[[str], bool]
 
     def affects(self, name: str, host: str) -> bool:
         """Return whether the cut affects a connection from a host to a proxied address."""
-        return host in self.hosts and (self.names is None or name in self.names)
+        return host in self.hosts and self.is_cut(name)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,6 +9,7 @@
 from random import SystemRandom
 
 from tests.soak.crash_faults import CRASH_FAULTS
+from tests.soak.cut_faults import CUT_FAULTS
 from tests.soak.earlier_builds import has_commit
 from tests.soak.fault_series import FAULTS, SILENCE_FAULTS
 from tests.soak.restart_faults import RESTART_FAULTS
@@ -29,6 +30,7 @@
     + CRASH_FAULTS
     + RESTORE_FAULTS
     + SILENCE_FAULTS
+    + CUT_FAULTS
 )
 
 
@@ -48,6 +50,13 @@
         choices=sorted(faults),
         help="inject only this fault; may be repeated",
     )
+    parser.add_argument(
+        "--also",
+        action="append",
+        default=[],
+        choices=sorted(faults),
+        help="inject this fault too; if repeated, it is drawn as much more often",
+    )
     parser.add_argument(
         "--from",
         action="append",
@@ -61,6 +70,7 @@
     # The emulated runners raise errors on purpose; the nodes log in their own processes.
     logging.disable(logging.CRITICAL)
     chosen = tuple(faults[name] for name in arguments.fault or ()) or FAULTS
+    chosen += tuple(faults[name] for name in arguments.also)
     for commit in arguments.earlier:
         if not has_commit(commit):
             parser.error(f"no commit {commit!r} in this repository's history")
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -136,6 +136,20 @@
     planned: bool = False
 
 
+@dataclass(slots=True)
+class RunnerCut:
+    """A period in which some nodes were cut off from runners, but not from the store and peers.
+
+    Attributes:
+        service: Service of the runners; None for all.
+    """
+
+    nodes: list[str]
+    service: str | None
+    began_at: float
+    ended_at: float = math.inf
+
+
 @dataclass(frozen=True, slots=True)
 class Stop:
     """A graceful stop of a node, from SIGTERM to the end of its process."""
@@ -193,6 +207,7 @@
             whose tenant has a limit.
         troubles: Targets and periods of the disturbances by faults.
         stops: Graceful stops of nodes.
+        runner_cuts: Periods in which nodes were cut off from runners.
         let_go: When the node closed its connection to a hung runner, by request and runner.
         left_at: When the store acknowledged that each runner is leaving.
         weights_named: When the store acknowledged each version of the weights.
@@ -213,6 +228,7 @@
     most_runs: dict[str, float] = field(default_factory=dict)
     troubles: list[Disturbance] = field(default_factory=list)
     stops: list[Stop] = field(default_factory=list)
+    runner_cuts: list[RunnerCut] = field(default_factory=list)
     let_go: dict[str, float] = field(default_factory=dict)
     left_at: dict[str, float] = field(default_factory=dict)
     weights_named: dict[int, float] = field(default_factory=dict)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -7,6 +7,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 
+from tests.soak.cut_promises import served_worse_at_cut_nodes
 from tests.soak.observations import CallerRequest, Observations, Run
 from tests.soak.signal_promises import (
     exceeded_limits,
@@ -50,6 +51,7 @@
         *reached_runners_that_left(seen),
         *reached_runners_in_backoff(seen),
         *exceeded_limits(seen),
+        *served_worse_at_cut_nodes(seen),
     ]
 
 
--- a/tests/soak/recovery.py
+++ b/tests/soak/recovery.py
@@ -170,5 +170,5 @@
 
 async def read_gauges(session: aiohttp.ClientSession, node: NodeProcess) -> dict[str, float]:
     """Return a node's metrics that have no labels, by name."""
-    async with session.get(f"http://127.0.0.1:{node.metrics_port}/metrics") as response:
+    async with session.get(f"http://{node.host}:{node.metrics_port}/metrics") as response:
         return {name: float(text) for name, text in GAUGE.findall(await response.text())}
--- a/tests/soak/regions.py
+++ b/tests/soak/regions.py
@@ -20,6 +20,8 @@
 from tests.processes.fault_proxy import FaultProxy, Mode
 
 REGION_OF_ZONE = {"zone-a": "east", "zone-b": "west"}
+# Prefix of the names under which the proxy knows the link to each runner.
+LINK_PREFIX = "link to "
 ONE_WAY_LATENCY_SECONDS = 0.02
 # Applies to each connection separately, and to all datagrams to one node together.
 LINK_BYTES_PER_SECOND = 400_000
@@ -43,7 +45,7 @@
 
     def add_runner(self, runner_id: str, zone: str, address: str) -> None:
         """Route the other zone's connections to a runner through the link."""
-        name = f"link to {runner_id}"
+        name = LINK_PREFIX + runner_id
         front = self._proxy.front(name, address)
         self._proxy.set_link(name, ONE_WAY_LATENCY_SECONDS, LINK_BYTES_PER_SECOND)
         self._runner_fronts.append(name)
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -21,9 +21,11 @@
 from hillstack.emulator.fleet_runner import FleetRunner
 from hillstack.platform import names
 from hillstack.platform.bodies import TenantBody
+from tests.fleet.bound_main import BOUND_MAIN
 from tests.fleet.builders import APPLICATION, ENGINES, MODEL
 from tests.fleet.deployment import Deployment, NodeProcess, free_port, until
 from tests.processes.fault_proxy import FaultProxy
+from tests.processes.node_cuts import CutKind
 from tests.soak import fatal_requests
 from tests.soak.fatal_requests import FatalRequests
 from tests.soak.observations import (
@@ -35,10 +37,11 @@
     Observations,
     Run,
     RunnerCrash,
+    RunnerCut,
     SignalSent,
     Stop,
 )
-from tests.soak.regions import REGION_OF_ZONE, Regions
+from tests.soak.regions import LINK_PREFIX, REGION_OF_ZONE, Regions
 from tests.soak.software import CANARY_SHARE, CANARY_SLACK, Software, StatusRecordingStore
 from tests.soak.timed_promises import GRACE_SECONDS
 
@@ -47,6 +50,7 @@
 APPLICATION_COUNT = 3
 KEY_COUNT = 3
 ONE_ZONE = "zone-a"
+HOSTS_PER_NET = 200
 LIMITED_TENANT = TenantBody("tenant-2", ["limited-key"], rate_per_s=10, burst=10)
 # API key for fatal requests, of the tenant without a limit; it is never revoked.
 FATAL_KEY = "fatal-key"
@@ -197,7 +201,9 @@
             # A restarted node keeps its peers port, as it would on its own machine.
             self._peers_ports[name] = free_port()
             if self.regions is not None:
-                await self.regions.add_node(name, zone, f"127.0.0.1:{self._peers_ports[name]}")
+                await self.regions.add_node(
+                    name, zone, f"{self._host_of(name)}:{self._peers_ports[name]}"
+                )
             self.start_node(name)
         with self.disturbance(*self._node_names, planned=True):
             for node in self._nodes.values():
@@ -263,6 +269,25 @@
             named.ended_at = time.monotonic()
             runner.faults = replace(runner.faults, limit=None)
 
+    @contextlib.contextmanager
+    def cut_from_runners(
+        self, names: Sequence[str], kind: CutKind, service: str | None
+    ) -> Iterator[None]:
+        """Cut nodes off from the runners of a service, or of all, while the block runs."""
+
+        def is_cut(front: str) -> bool:
+            runner = self.deployment.runners.get(front.removeprefix(LINK_PREFIX))
+            return runner is not None and service in (None, runner.service)
+
+        cut = RunnerCut(list(names), service, time.monotonic())
+        self.observations.runner_cuts.append(cut)
+        hosts = [self._host_of(name) for name in names]
+        try:
+            with self.disturbance(*names), self.proxy.node_cut(kind, hosts, is_cut):
+                yield
+        finally:
+            cut.ended_at = time.monotonic()
+
     @contextlib.contextmanager
     def suppress_restart(self, name: str) -> Iterator[None]:
         """Prevent ``check_processes`` from restarting a node while the block runs."""
@@ -285,6 +310,8 @@
             zone=self._zone_of(name),
             region_of_zone=REGION_OF_ZONE if self.regions is not None else None,
             source=self._earlier_sources[name] if self.runs_earlier_build(name) else None,
+            main=BOUND_MAIN,
+            host=self._host_of(name),
             grace_seconds=GRACE_SECONDS,
             **NODE_SETTINGS,
         )
@@ -486,6 +513,11 @@
         zones = list(REGION_OF_ZONE) if self.regions is not None else [ONE_ZONE]
         return zones[int(name.rpartition("-")[2]) % len(zones)]
 
+    def _host_of(self, name: str) -> str:
+        """Return the host of a node for its peers, from which it connects to runners."""
+        number = self._node_names.index(name)
+        return f"127.0.{1 + number // HOSTS_PER_NET}.{1 + number % HOSTS_PER_NET}"
+
     async def _store_addresses(self) -> dict[str, str]:
         """Return the store's address for each zone."""
         if self.regions is None:
