--- a/src/hillstack/serving/attempt_monitor.py
+++ b/src/hillstack/serving/attempt_monitor.py
@@ -81,8 +81,16 @@
         else:
             self._abandoned = True
 
+    @property
+    def runner_id(self) -> str:
+        """The runner that the attempt was sent to."""
+        return self._runner_id
+
     def stopped(self) -> None:
-        """Record that the node aborted a fatal request, so the time waited does not count."""
+        """Record that the node aborted the attempt, so the time waited does not count.
+
+        It aborts fatal requests, and attempts on connections that were cut off from their runner.
+        """
         self._was_stopped = True
 
     def ended(self, now: float) -> None:
--- a/src/hillstack/serving/rollout_observer.py
+++ b/src/hillstack/serving/rollout_observer.py
@@ -15,7 +15,7 @@
 from random import Random
 from typing import Protocol
 
-from hillstack.core.local_outcomes import AttemptOutcome, LocalOutcomes
+from hillstack.core.local_outcomes import DISCONNECT_WINDOW_SECONDS, AttemptOutcome, LocalOutcomes
 from hillstack.core.order_age import OrderAge
 from hillstack.core.rollout_evidence import OutcomeKey, OutcomeTotals, RolloutEvidence
 from hillstack.core.rollout_judge import NO_OPINION, RolloutOpinion, Verdict, opinion_of
@@ -200,7 +200,9 @@
 
     def ended(self, job: Job, now: float) -> None:
         """Record that the attempt of a request has ended and no longer loads its runner."""
-        if job.is_fatal:
+        runner = self._state.pool.get(job.watch.runner_id)
+        is_cut_off = runner is not None and job.sent_at < runner.path_lost_at
+        if job.is_fatal or is_cut_off:
             job.watch.stopped()
         job.watch.ended(now)
         job.watch = UNMONITORED
@@ -275,11 +277,17 @@
 
     def _settle_outcomes(self, order: RolloutOrder, now: float) -> None:
         observed = self._rollout_of_order(order, now)
-        for outcome in observed.outcomes.settle(now, self._crashed_by_requests()):
+        excused = self._crashed_by_requests() | self._cut_off_lately(now)
+        for outcome in observed.outcomes.settle(now, excused):
             self._count_outcome(order, outcome)
         if self._is_undecided(order):
             self._add_local_evidence(order, observed, now)
 
+    def _cut_off_lately(self, now: float) -> set[str]:
+        """Return the runners to which this node's path was lost while broken attempts waited."""
+        since = now - 2 * DISCONNECT_WINDOW_SECONDS
+        return {r.runner_id for r in self._state.pool.all() if r.path_lost_at >= since}
+
     def _crashed_by_requests(self) -> set[str]:
         """Return the runners crashed by requests that crash runners of several versions.
 
