--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -254,6 +254,8 @@
         self._restricted_runners: dict[str, Runner] = {}
         # Limits that processes or peers have reported; usually empty.
         self._limits: dict[str, RunnerLimit] = {}
+        # Processes that say that they are brittle; usually empty.
+        self._brittle: dict[str, RunnerLimit] = {}
         # Runners that a peer has reported as leaving; usually empty.
         self._hinted: dict[str, Runner] = {}
         # The latest directory entry of each name, also after the directory has dropped it.
@@ -388,6 +390,63 @@
             return received is not None and received.limit.apply(None, source, now)
         return self._limit(runner_id).apply(rate, source, now)
 
+    def apply_brittleness(
+        self, runner_id: str, rejections: float | None, source: AnswerSource, now: float
+    ) -> bool:
+        """Apply whether an answer says that its process is brittle; return whether this changed.
+
+        Args:
+            runner_id: The process, whether it is listed or not.
+            rejections: Rejections in a second that the process bears; None if it is not brittle.
+            source: The answer.
+            now: When the answer arrived, on the node's clock.
+        """
+        received = self._signals.get(runner_id)
+        if rejections is None:
+            if received is None:
+                return False
+            changed = received.brittleness.apply(None, source, now)
+        else:
+            received = self._received(runner_id)
+            changed = received.brittleness.apply(rejections, source, now)
+        if received.brittleness.rate is None:
+            self._brittle.pop(runner_id, None)
+        else:
+            self._brittle[runner_id] = received.brittleness
+        return changed
+
+    def brittle_runners(self, now: float) -> list[Runner]:
+        """Return the runners of all services of which some runner is brittle."""
+        if not self._brittle:
+            return []
+        known = {runner_id: self._runners.get(runner_id) for runner_id in list(self._brittle)}
+        for runner_id, runner in known.items():
+            if runner is None:
+                del self._brittle[runner_id]
+        services = {runner.entry.service for runner in known.values() if runner is not None}
+        return [runner for runner in self._runners.values() if runner.entry.service in services]
+
+    def bearable_rejections(self, runner: Runner) -> float | None:
+        """Return the rejections in a second that a runner bears; None if it is not brittle.
+
+        A runner that has not answered yet counts as brittle as another one of its service.
+        """
+        if not self._brittle:
+            return None
+        own = self._brittle.get(runner.runner_id)
+        if own is not None:
+            return own.rate
+        rates = [
+            limit.rate
+            for runner_id, limit in self._brittle.items()
+            if limit.rate is not None and self._is_of_service(runner_id, runner.entry.service)
+        ]
+        return min(rates, default=None)
+
+    def _is_of_service(self, runner_id: str, service: str) -> bool:
+        runner = self._runners.get(runner_id)
+        return runner is not None and runner.entry.service == service
+
     def apply_limit_hint(self, runner_id: str, rate: float, age_seconds: float, now: float) -> bool:
         """Apply a peer's hint that a process reports a limit.
 
--- a/src/hillstack/core/runner_signals.py
+++ b/src/hillstack/core/runner_signals.py
@@ -27,15 +27,18 @@
         backoff_seconds: Time for which this node should send no requests; 0 without a backoff.
         limit: Requests per second that the runner accepts from all nodes together; None without a
             limit.
+        rejections: Rejections in a second that the runner bears; None if it is not brittle.
     """
 
     leaving: bool = False
     backoff_seconds: float = 0.0
     limit: float | None = None
+    rejections: float | None = None
 
     def __bool__(self) -> bool:
         """Return whether the answer contains any signal."""
-        return self.leaving or self.backoff_seconds > 0 or self.limit is not None
+        is_rated = self.limit is not None or self.rejections is not None
+        return self.leaving or self.backoff_seconds > 0 or is_rated
 
 
 @dataclass(slots=True)
@@ -50,6 +53,10 @@
         backoff_received_at: When that backoff arrived.
         backoff_source: The answer with that backoff, for the log.
         limit: The limit on the requests of all nodes together.
+        brittleness: The rejections in a second that the process bears; its ``rate`` is None while
+            it is not brittle.
+        no_place_until: All places of the brittle process are in use, and this node sends no
+            requests before this time.
     """
 
     leaving_since: float | None = None
@@ -58,6 +65,8 @@
     backoff_received_at: float = float("-inf")
     backoff_source: str = ""
     limit: RunnerLimit = field(default_factory=RunnerLimit)
+    brittleness: RunnerLimit = field(default_factory=RunnerLimit)
+    no_place_until: float = float("-inf")
 
     @property
     def is_leaving(self) -> bool:
@@ -70,8 +79,8 @@
 
     @property
     def unavailable_until(self) -> float:
-        """Until when this node may send no requests, for a backoff or an exhausted limit."""
-        return max(self.backoff_until, self.limit.exhausted_until)
+        """Until when this node may send no requests: for a backoff, a limit or want of a place."""
+        return max(self.backoff_until, self.limit.exhausted_until, self.no_place_until)
 
     def restricts_requests(self, now: float) -> bool:
         """Return whether the signals may keep requests away from the process."""
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -52,6 +52,7 @@
 from hillstack.daemon.peer_link import PeerLink
 from hillstack.daemon.runner_access import RunnerAccess
 from hillstack.daemon.runner_monitor import RunnerMonitor
+from hillstack.daemon.runner_places import RunnerPlaces
 from hillstack.daemon.software_rollout_duty import SoftwareRolloutDuty
 from hillstack.daemon.start_times import StartTimes
 from hillstack.daemon.store_check import StoreCheck
@@ -167,8 +168,10 @@
             self._peers.limit_changed,
         )
         self._shared_runner_limits = self._share_runner_limits(choice, rng)
+        self._places = RunnerPlaces(self._state, self._link, self._peers.live_zones, self._clock)
+        self._peers.handle_load_changes(self._places.report_change)
         runner_limits = RunnerLimits(
-            self._state.pool, self._shared_runner_limits, self._metrics, self._clock
+            self._state.pool, self._shared_runner_limits, self._metrics, self._clock, self._places
         )
         probe = RateLimitedProbe(PathProbe(settings.node.id, signals), runner_limits)
         self._access = RunnerAccess(
@@ -368,6 +371,7 @@
             self._pipeline.runner_crashes.run(),
             self._registry.run(),
             self._access.run(),
+            self._places.run(),
             self._duty.maintain_lease(),
             self._duty.run(),
             self._observer.run(),
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -121,6 +121,7 @@
         self._flush_handle: asyncio.TimerHandle | None = None
         self._placement_handle: asyncio.TimerHandle | None = None
         self._on_new_peer: list[PeerHandler] = []
+        self._on_load: Callable[[Runner], None] = lambda _: None
         link.handle(DatagramKind.NOTICE, self._on_notice)
         link.handle(DatagramKind.REPORT, self._on_report)
         link.handle(DatagramKind.ZONE_BATCH, self._on_zone_batch)
@@ -142,6 +143,10 @@
         """Set the handler for each runner crash that a peer reports."""
         self._reader.handle_runner_crashes(handler)
 
+    def handle_load_changes(self, handler: Callable[[Runner], None]) -> None:
+        """Set the handler for each change of this node's load on a runner."""
+        self._on_load = handler
+
     def handle_new_peers(self, handler: PeerHandler) -> None:
         """Add a handler that gets a peer's name at the first notice from each of its processes."""
         self._on_new_peer.append(handler)
@@ -190,6 +195,7 @@
 
     def load_changed(self, runner: Runner) -> None:
         """Report the load that this node has on a runner."""
+        self._on_load(runner)
         self._outbox.add_load(runner)
         self._schedule()
 
--- a/src/hillstack/daemon/pending_answers.py
+++ b/src/hillstack/daemon/pending_answers.py
@@ -28,8 +28,7 @@
         Args:
             send: Sends the question with a number, which the answer repeats.
         """
-        self._number += 1
-        number = self._number
+        number = self.next_number()
         answered: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self._waiting[number] = answered
         send(number)
@@ -41,6 +40,11 @@
         finally:
             del self._waiting[number]
 
+    def next_number(self) -> int:
+        """Return the number of the next question, or of a message without an answer."""
+        self._number += 1
+        return self._number
+
     def take(self, number: int, answer: Answer) -> None:
         """Deliver an answer if a caller still waits for it."""
         waiting = self._waiting.get(number)
--- a/src/hillstack/messages/datagrams.py
+++ b/src/hillstack/messages/datagrams.py
@@ -29,6 +29,8 @@
         RUNNER_TRANSFER_ANSWER: The answer to ``RUNNER_TRANSFER_QUESTION``.
         REACH_QUESTION: A node's question which runners a peer reaches.
         REACH_ANSWER: The answer to ``REACH_QUESTION``.
+        PLACE_QUESTION: A node's report of its places at a brittle runner, and its question for one.
+        PLACE_ANSWER: The answer to ``PLACE_QUESTION``.
     """
 
     NOTICE = 1
@@ -48,6 +50,8 @@
     RUNNER_TRANSFER_ANSWER = 15
     REACH_QUESTION = 16
     REACH_ANSWER = 17
+    PLACE_QUESTION = 18
+    PLACE_ANSWER = 19
 
 
 def wrap(kind: DatagramKind, payload: bytes) -> bytes:
--- a/src/hillstack/platform/expected_headers.py
+++ b/src/hillstack/platform/expected_headers.py
@@ -35,6 +35,7 @@
     "Via",
 )
 _RUNNER_FIELDS = (
+    names.BRITTLE,
     names.INSTANCE,
     names.KEEP_ALIVE,
     names.LEAVING,
--- a/src/hillstack/platform/runner_signals.py
+++ b/src/hillstack/platform/runner_signals.py
@@ -1,7 +1,7 @@
 """Reads the signals that a runner sets in the headers of its answers.
 
 A runner can announce that it is about to stop, ask for a backoff, or state the requests per second
-that it accepts from all nodes together.
+that it accepts from all nodes together, or the rejections in a second that it bears.
 """
 
 from __future__ import annotations
@@ -113,7 +113,8 @@
     backoff = 0.0
     if status == SERVICE_UNAVAILABLE:
         backoff = parse_backoff(headers.get(names.RETRY_AFTER, ""))
-    return RunnerSignals(leaving, backoff, parse_limit(headers.get(names.REQUEST_LIMIT, "")))
+    limit = parse_limit(headers.get(names.REQUEST_LIMIT, ""))
+    return RunnerSignals(leaving, backoff, limit, parse_limit(headers.get(names.BRITTLE, "")))
 
 
 def parse_backoff(text: str) -> float:
@@ -125,7 +126,7 @@
 
 
 def parse_limit(text: str) -> float | None:
-    """Return the limit in requests per second that a text states; None if it can't be parsed."""
+    """Return the number per second that a text states; None if it can't be parsed."""
     text = text.strip()
     if not DECIMAL.fullmatch(text):
         return None
--- a/src/hillstack/serving/ports.py
+++ b/src/hillstack/serving/ports.py
@@ -4,6 +4,7 @@
 
 from typing import Protocol
 
+from hillstack.core.runner_pool import Runner
 from hillstack.core.tenant_limits import TenantLimit
 from hillstack.serving.attempt_monitor import UNMONITORED, AttemptMonitor
 from hillstack.serving.job import Job, PlacedAttempt
@@ -84,6 +85,19 @@
         ...
 
 
+class PlaceSource(Protocol):
+    """Grants places at brittle runners across all nodes."""
+
+    async def take(self, runner: Runner, rejections_per_second: float) -> bool:
+        """Return whether a request may be sent to a brittle runner now.
+
+        Args:
+            runner: The runner.
+            rejections_per_second: Rejections that it bears.
+        """
+        ...
+
+
 class ResponseSink(Protocol):
     """Receives the answer to the caller."""
 
--- a/src/hillstack/serving/runner_limits.py
+++ b/src/hillstack/serving/runner_limits.py
@@ -15,7 +15,7 @@
 from hillstack.core.tenant_limits import TenantLimit
 from hillstack.serving.job import Job
 from hillstack.serving.metrics import FleetMetrics
-from hillstack.serving.ports import TenantLimiter
+from hillstack.serving.ports import PlaceSource, TenantLimiter
 
 logger = logging.getLogger(__name__)
 
@@ -24,6 +24,8 @@
 HOLDER_TIMEOUT_SECONDS = 0.03
 # Without an answer, the runner is skipped for as long as it takes to find another holder.
 NO_ANSWER_PAUSE_SECONDS = 0.1
+# A runner without a free place is tried again after a part of the shortest work seen.
+NO_PLACE_PAUSE_SECONDS = 0.02
 # A runner whose limit had no room is tried again after this time at the latest: other nodes may not
 # have used their shares.
 MAX_PAUSE_SECONDS = 1.0
@@ -42,6 +44,7 @@
         limiter: Shares the token buckets with the other nodes.
         metrics: Counts limited calls.
         clock: Monotonic seconds.
+        places: Grants places at brittle runners; None to ignore that runners are brittle.
     """
 
     def __init__(
@@ -50,7 +53,9 @@
         limiter: TenantLimiter,
         metrics: FleetMetrics,
         clock: Callable[[], float],
+        places: PlaceSource | None = None,
     ) -> None:
+        self._places = places
         self._pool = pool
         self._limiter = limiter
         self._metrics = metrics
@@ -59,8 +64,11 @@
     async def admits(self, job: Job, runner: Runner) -> bool:
         """Charge an attempt to a runner's limit; return whether the limit has room.
 
-        A runner whose limit has no room accepts no work of this node for a while.
+        A runner whose limit has no room, or a brittle one without a free place, accepts no work of
+        this node for a while.
         """
+        if not await self._has_place(runner):
+            return False
         limit = runner.signals.limit
         rate = limit.rate_to_use(self._clock())
         if rate is None:
@@ -77,6 +85,18 @@
         self._log_result(job, runner, rate, "no room")
         return False
 
+    async def _has_place(self, runner: Runner) -> bool:
+        """Return whether a runner is not brittle, or has a place for one more request."""
+        rejections = self._pool.bearable_rejections(runner)
+        if rejections is None or self._places is None:
+            return True
+        # A brittle runner that has just rejected a request is fuller than the places tell.
+        if self._clock() >= runner.shed_until and await self._places.take(runner, rejections):
+            return True
+        runner.signals.no_place_until = self._clock() + NO_PLACE_PAUSE_SECONDS
+        self._metrics.limited_attempts.labels("no place").inc()
+        return False
+
     async def room_for_call(self, runner_id: str, patience_seconds: float) -> bool:
         """Wait until a runner's limit has room for a call other than a request, and charge it.
 
--- a/src/hillstack/serving/signal_receiver.py
+++ b/src/hillstack/serving/signal_receiver.py
@@ -19,6 +19,7 @@
 LEAVING = "leaving"
 BACKOFF = "backoff"
 LIMIT = "limit"
+BRITTLE = "brittle"
 # Skipped runners of one attempt that are named in the log: all runners of a small service.
 MAX_LOGGED_RUNNERS = 4
 # Unknown header fields that are counted by name, and logged characters of their values. Both are
@@ -56,6 +57,7 @@
     def receive(self, runner_id: str, signals: RunnerSignals, source: AnswerSource) -> None:
         """Apply the signals in the head of a process's answer."""
         self._receive_limit(runner_id, signals.limit, source)
+        self._receive_brittleness(runner_id, signals.rejections, source)
         if signals.leaving or signals.backoff_seconds > 0:
             self._receive_signals(runner_id, signals, str(source))
 
@@ -71,6 +73,17 @@
         if limit is not None:
             self._on_limit(runner_id, limit)
 
+    def _receive_brittleness(
+        self, runner_id: str, rejections: float | None, source: AnswerSource
+    ) -> None:
+        if rejections is not None:
+            self._metrics.runner_signals.labels(BRITTLE).inc()
+        if self._pool.apply_brittleness(runner_id, rejections, source, self._clock()):
+            fields = {"runner": runner_id, "bears_rejections": rejections, "source": str(source)}
+            logger.info(
+                "runner brittle" if rejections is not None else "runner sound", extra=fields
+            )
+
     def handle_unknown_field(self, runner_id: str, name: str, value: str) -> None:
         """Count a header field that is not known, and log the first one of each name."""
         if name not in self._unknown_fields:
