--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -247,6 +247,7 @@
         self._pipeline.runner_crashes.set_permits(self._crash_permits)
         checks = CrashChecks(self._state, self._pipeline.runner_crashes, probe, self._clock)
         self._peers.handle_runner_crashes(checks.observe)
+        self._access.monitor.handle_answered(self._pipeline.runner_crashes.refute)
         # The order matters: the cache contents open the start gate of the new peer (``StartGate``),
         # so everything else that it decides from has to arrive before them.
         self._peers.handle_new_peers(self._pipeline.runner_crashes.send_initial_state)
--- a/src/hillstack/daemon/path_monitor.py
+++ b/src/hillstack/daemon/path_monitor.py
@@ -69,6 +69,9 @@
         ...
 
 
+AnswerHandler = Callable[[str, float], None]
+
+
 @dataclass(frozen=True, slots=True)
 class _Target:
     target_id: str
@@ -105,11 +108,16 @@
         self._probe = probe
         self._record_silent = record_silent
         self._clock = clock
+        self._on_answered: AnswerHandler = lambda runner_id, called_at: None
         self._checked_at: dict[str, float] = {}
         self._checks: dict[str, asyncio.Task[None]] = {}
         self._slots = asyncio.Semaphore(MAX_CONCURRENT_CHECKS)
         dialer.handle_lost_paths(self)
 
+    def handle_answered(self, handler: AnswerHandler) -> None:
+        """Set the handler for each runner whose process answers a call, and when it was called."""
+        self._on_answered = handler
+
     def handle_contact(self, address: str) -> None:
         """Record bytes that arrived over a direct connection."""
         self._paths.record_contact(address, self._clock())
@@ -167,6 +175,7 @@
 
     async def _probe_target(self, target: _Target, route: RelayRoute | None) -> bool:
         """Call a runner; return whether anything answered."""
+        called_at = self._clock()
         result = await self._probe.probe(target.target_id, target.address, route)
         now = self._clock()
         if result is ProbeResult.SILENT:
@@ -176,6 +185,7 @@
         runner = self._state.pool.get(target.target_id)
         if runner is not None and result is ProbeResult.ANSWERED:
             self._state.pool.record_contact(runner, now)
+            self._on_answered(runner.runner_id, called_at)
         return True
 
     async def _first_relay(self, target: _Target) -> str | None:
--- a/src/hillstack/platform/connections.py
+++ b/src/hillstack/platform/connections.py
@@ -29,7 +29,8 @@
 # loss is repaired sooner.
 UNACKNOWLEDGED_LIMIT_MS = 1_200
 # TCP keepalive probes, for connections that wait for an answer. The operating system accepts only
-# whole seconds, so 1 is the minimum.
+# whole seconds, so 1 is the minimum. Because of TCP_USER_TIMEOUT it gives up at the first probe
+# time after ``UNACKNOWLEDGED_LIMIT_MS`` without bytes, 2 s, whatever the count.
 PROBE_IDLE_SECONDS = 1
 PROBE_INTERVAL_SECONDS = 1
 PROBE_COUNT = 2
--- a/src/hillstack/serving/silent_attempts.py
+++ b/src/hillstack/serving/silent_attempts.py
@@ -8,9 +8,9 @@
 # A request abandons a runner that is silent for longer than the allowed pauses of 0.5 and 0.6 s.
 SILENCE_LIMIT_SECONDS = 0.7
 # A request abandons a connection that is silent for this long while its runner sends on others. It
-# lies between the operating system's timeouts, which take up to 2.2 s (1.2 s for sent bytes, two
-# keepalive probes for a wait), and the 3.2 s after which callers of known deployments abandon a
-# stream.
+# lies between the operating system's timeouts, which take up to 2 s (1.2 s for sent bytes, the
+# second keepalive probe for a wait), and the 3.2 s after which callers of known deployments abandon
+# a stream.
 CONNECTION_SILENCE_SECONDS = 2.5
 
 
