--- a/src/hillstack/daemon/connection_limiter.py
+++ b/src/hillstack/daemon/connection_limiter.py
@@ -45,6 +45,8 @@
         max_connections: How many caller connections may be open.
         connections: Returns the open caller connections.
         clock: Monotonic seconds.
+        relayed_count: Returns the number of connections that this node relays for others; each
+            takes as many descriptors as one of a caller.
     """
 
     def __init__(
@@ -52,7 +54,9 @@
         max_connections: int,
         connections: Callable[[], Collection[CallerConnection]],
         clock: Callable[[], float],
+        relayed_count: Callable[[], int] = lambda: 0,
     ) -> None:
+        self._relayed_count = relayed_count
         self._max_connections = max_connections
         self._connections = connections
         self._clock = clock
@@ -60,7 +64,7 @@
 
     def is_full(self) -> bool:
         """Return whether connections should be closed after their answer."""
-        return len(self._connections()) > self._max_connections
+        return self._open_count() > self._max_connections
 
     def can_accept(self) -> bool:
         """Return whether connections can be accepted; close idle ones if too many are open.
@@ -68,11 +72,12 @@
         Connections that have had no request yet are not closed.
         """
         if self.is_full():
-            self._close_idle(
-                len(self._connections()) - int(self._max_connections * LOW_WATER_SHARE)
-            )
+            self._close_idle(self._open_count() - int(self._max_connections * LOW_WATER_SHARE))
         return not self.is_full() and self._clock() >= self._exhausted_until
 
+    def _open_count(self) -> int:
+        return len(self._connections()) + self._relayed_count()
+
     def note_exhausted(self) -> None:
         """Record that no descriptor was left to accept a connection, and close idle connections."""
         now = self._clock()
--- a/src/hillstack/daemon/connection_relay.py
+++ b/src/hillstack/daemon/connection_relay.py
@@ -60,6 +60,9 @@
         make_socket: Makes the sockets to runners.
         max_connections: How many connections are relayed at a time.
         clock: Monotonic seconds.
+
+    Attributes:
+        is_stopping: Whether the node is shutting down.
     """
 
     def __init__(
@@ -81,13 +84,13 @@
         self._clock = clock
         self._server: asyncio.Server | None = None
         self._origins: set[_OriginSide] = set()
-        self._is_stopping = False
+        self.is_stopping = False
 
     @property
     def accepts(self) -> bool:
         """Whether the node relays further connections."""
         has_room = len(self._origins) < self._max_connections
-        return self._server is not None and not self._is_stopping and has_room
+        return self._server is not None and not self.is_stopping and has_room
 
     @property
     def open_count(self) -> int:
@@ -104,7 +107,7 @@
 
     def stop_accepting(self) -> None:
         """Relay no further connections; origins give up the open ones after their answers."""
-        self._is_stopping = True
+        self.is_stopping = True
         for origin in list(self._origins):
             origin.announce_closing()
 
@@ -260,6 +263,8 @@
         self.transport.write(bytes((status,)))
         if status is RelayStatus.CONNECTED:
             self.transport.resume_reading()
+            if self._relay.is_stopping:
+                self.announce_closing()
         else:
             self.transport.close()
 
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -346,6 +346,7 @@
             max_caller_connections(self._descriptors()),
             lambda: callers.server_state.connections,
             self._clock,
+            lambda: self._access.relay.open_count,
         )
         readiness = make_server(
             Readiness(self._is_ready), settings.listen.readiness, date_header=False
--- a/src/hillstack/daemon/path_monitor.py
+++ b/src/hillstack/daemon/path_monitor.py
@@ -126,6 +126,10 @@
         """Check a path on which a connection broke while an answer was due."""
         self.check(address, "connection broke", after=SETTLE_SECONDS)
 
+    def is_lost(self, address: str) -> bool:
+        """Return whether this node reaches an address only through peers."""
+        return self._paths.is_lost(address)
+
     def check(self, address: str, cause: str, after: float = 0.0) -> asyncio.Task[None] | None:
         """Start a check of a path, unless one runs or ran shortly before.
 
--- a/src/hillstack/daemon/runner_monitor.py
+++ b/src/hillstack/daemon/runner_monitor.py
@@ -66,10 +66,10 @@
     def _suspect(self, runner: Runner, now: float) -> None:
         self._state.pool.failed(runner, now)
         check = self._path_monitor.check(runner.address, "runner silent")
-        if check is None:
-            self._report(runner)
-        else:
+        if check is not None:
             check.add_done_callback(lambda _: self._report(runner))
+        elif not self._path_monitor.is_lost(runner.address):
+            self._report(runner)
         fields = {
             "runner": runner.runner_id,
             "silent_seconds": round(now - runner.last_contact_at, 2),
--- a/tests/fleet/test_connection_limiter.py
+++ b/tests/fleet/test_connection_limiter.py
@@ -34,13 +34,16 @@
 
     open: list[CallerConnection] = field(default_factory=list)
     now: float = 0.0
+    relayed: int = 0
 
     def add(self, count: int, *, idle: bool) -> None:
         for _ in range(count):
             self.open.append(FakeConnection(self, Cycle(idle)))
 
     def limiter(self, max_connections: int) -> ConnectionLimiter:
-        return ConnectionLimiter(max_connections, lambda: self.open, lambda: self.now)
+        return ConnectionLimiter(
+            max_connections, lambda: self.open, lambda: self.now, lambda: self.relayed
+        )
 
 
 class FakeConnection:
@@ -70,6 +73,15 @@
     assert len(connections.open) == 100 * LOW_WATER_SHARE
 
 
+def test_relayed_connections_take_the_place_of_callers() -> None:
+    connections = FakeConnections()
+    limiter = connections.limiter(100)
+    connections.add(95, idle=True)
+    connections.relayed = 10
+    assert limiter.is_full() and limiter.can_accept()
+    assert len(connections.open) == 100 * LOW_WATER_SHARE - 10
+
+
 def test_a_node_without_idle_connections_is_not_ready() -> None:
     connections = FakeConnections()
     limiter = connections.limiter(100)
