--- a/src/hillstack/serving/runner_crashes.py
+++ b/src/hillstack/serving/runner_crashes.py
@@ -383,11 +383,9 @@
         """Record that an attempt failed because its connection broke.
 
         All of this node's attempts at the runner count as lost too. If one of them receives bytes
-        later, the runner has not crashed. A connection that was cut off from a runner in reach of a
-        peer may end at any time, which says nothing about the runner.
+        later, or the runner answers a call (``refute``), it has not crashed.
         """
-        is_cut_off = job.received_at < runner.path_lost_at
-        if self._is_stopping or is_cut_off or _is_expected_disconnect(runner, now):
+        if self._is_stopping or _is_expected_disconnect(runner, now):
             return
         runs = self._abandoned_runs(runner.runner_id, now)
         runs[fingerprint_of(job)] = self._run(job, now)
@@ -631,10 +629,13 @@
         return any(fingerprint_of(job) in reported for job, _ in self._active.values())
 
     def refute(self, runner_id: str, called_at: float) -> None:
-        """Take back a crash because the runner's process answers a call that was sent later."""
+        """Take back a crash because the runner's process answers a call that was sent later.
+
+        The process may have crashed since it was called, so this proves no more than that time.
+        """
         crash = self._record.get(runner_id)
         if crash is not None and crash.crashed_at <= called_at:
-            self._take_back(crash, self._clock())
+            self._take_back(crash, called_at)
 
     def _reset_counts(self, names: Iterable[int]) -> None:
         """Reset the crash counts of these names after a successful run, and notify the peers."""
--- a/tests/fleet/test_cut_off_pipeline.py
+++ b/tests/fleet/test_cut_off_pipeline.py
@@ -84,7 +84,11 @@
     assert any(runner.failures for runner in bench.state.pool.all())
 
 
-def test_a_cut_connection_that_breaks_later_is_no_crash() -> None:
+# Guards against crashes that are not counted: a request that a cut has held back reaches its runner
+# when the path works again, and may crash it then.
+def test_a_connection_that_was_cut_off_and_breaks_later_is_a_crash_until_the_runner_answers() -> (
+    None
+):
     async def breaks_late(request: ServingRequest, dispatch: Dispatch) -> FakeAnswer:
         await asyncio.sleep(2.0)
         raise ConnectionLostError("reset", step="await answer", peer=dispatch.runner_id)
@@ -94,7 +98,24 @@
     bench.client.behaviours["i-1"] = breaks_late
     loses_path(bench, "i-1", LOST_AFTER_SECONDS)
     bench.serve(make_request(patience=5.0))
-    assert not bench.peers.runner_ends
+    crashes = bench.pipeline.runner_crashes
+    assert [notice.taken_back for notice in bench.peers.runner_ends] == [False]
+    assert bench.state.runner_crashes.get("i-1") is not None
+    crashes.refute("i-1", bench.scheduler.now)
+    assert [notice.taken_back for notice in bench.peers.runner_ends] == [False, True]
+    assert bench.state.runner_crashes.get("i-1") is None
+
+
+def test_an_answer_to_a_call_before_the_crash_refutes_nothing() -> None:
+    async def breaks_off(request: ServingRequest, dispatch: Dispatch) -> FakeAnswer:
+        await asyncio.sleep(0.5)
+        raise ConnectionLostError("reset", step="await answer", peer=dispatch.runner_id)
+
+    bench = make_bench(i_1=breaks_off)
+    called_at = bench.scheduler.now + 0.4
+    bench.serve(make_request(patience=2.0), within=2.0)
+    bench.pipeline.runner_crashes.refute("i-1", called_at)
+    assert bench.state.runner_crashes.get("i-1") is not None
 
 
 @pytest.mark.parametrize("is_cut_off", [True, False])
