--- a/src/hillstack/core/runner_paths.py
+++ b/src/hillstack/core/runner_paths.py
@@ -153,7 +153,7 @@
             self.pause_relay(node_id, address, now)
 
     def needs_answers(self, address: str, now: float, max_age: float) -> bool:
-        """Return whether no peer has told within ``max_age`` seconds that it may reach an address.
+        """Return whether no peer reported within ``max_age`` seconds that it may reach an address.
 
         Args:
             address: The address.
@@ -163,15 +163,25 @@
         relays = (self._peers[node_id] for node_id in self.relays(address, now))
         return not any(now - peer.answered_at <= max_age for peer in relays)
 
-    def relays(self, address: str, now: float) -> list[str]:
+    def relays(self, address: str, now: float, *, with_paused: bool = False) -> list[str]:
         """Return the peers that may reach an address, the best first.
 
         Peers that have reached the address since this node was cut off come first, those of this
         node's zone before others. The other peers follow, those with the latest contact first, and
         alternately of this zone and of others, because a whole zone may be cut off. Among equal
         peers the order differs from node to node, which spreads the load.
+
+        Args:
+            address: The address.
+            now: Time on the node's clock.
+            with_paused: Whether peers that failed as relays lately are included.
         """
-        usable = [peer for peer in self._peers.values() if self._is_usable(peer, address, now)]
+        usable = [
+            peer
+            for peer in self._peers.values()
+            if self._may_reach(peer, address, now)
+            and (with_paused or not self._is_paused(peer, address, now))
+        ]
         by_name = {peer.node_id: peer for peer in usable}
         spread = [by_name[n] for n in ranked(f"{self.node_id} {address}", list(by_name))]
         lost = self.lost.get(address)
@@ -196,10 +206,11 @@
         pairs = itertools.zip_longest(own_zone, elsewhere)
         return [peer for pair in pairs for peer in pair if peer is not None]
 
-    def _is_usable(self, peer: PeerReach, address: str, now: float) -> bool:
-        if now - peer.answered_at > ANSWER_VALID_SECONDS or address in peer.lost:
-            return False
-        return now >= self._paused_until.get((peer.node_id, address), float("-inf"))
+    def _may_reach(self, peer: PeerReach, address: str, now: float) -> bool:
+        return now - peer.answered_at <= ANSWER_VALID_SECONDS and address not in peer.lost
+
+    def _is_paused(self, peer: PeerReach, address: str, now: float) -> bool:
+        return now < self._paused_until.get((peer.node_id, address), float("-inf"))
 
     def retain(self, addresses: Iterable[str], now: float) -> list[str]:
         """Drop the state of addresses that are no longer known, and outdated answers.
--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -11,6 +11,7 @@
 
 from dataclasses import dataclass, field, replace
 
+from hillstack.core.brittle_runners import BrittleRunners
 from hillstack.core.runner_limit import AnswerSource, RunnerLimit
 from hillstack.core.runner_load import OwnAttempt, OwnAttempts, ReportedLoads, RunnerLoad
 from hillstack.core.runner_signals import ReceivedSignals, RunnerSignals, SignalRecord
@@ -254,8 +255,7 @@
         self._restricted_runners: dict[str, Runner] = {}
         # Limits that processes or peers have reported; usually empty.
         self._limits: dict[str, RunnerLimit] = {}
-        # Processes that say that they are brittle; usually empty.
-        self._brittle: dict[str, RunnerLimit] = {}
+        self._brittle = BrittleRunners()
         # Runners that a peer has reported as leaving; usually empty.
         self._hinted: dict[str, Runner] = {}
         # The latest directory entry of each name, also after the directory has dropped it.
@@ -393,59 +393,35 @@
     def apply_brittleness(
         self, runner_id: str, rejections: float | None, source: AnswerSource, now: float
     ) -> bool:
-        """Apply whether an answer says that its process is brittle; return whether this changed.
+        """Apply whether an answer reports its process as brittle; return whether this changed.
 
         Args:
             runner_id: The process, whether it is listed or not.
-            rejections: Rejections in a second that the process bears; None if it is not brittle.
+            rejections: Rejections in a second that the process tolerates; None if it is not
+                brittle.
             source: The answer.
             now: When the answer arrived, on the node's clock.
         """
         received = self._signals.get(runner_id)
-        if rejections is None:
-            if received is None:
-                return False
-            changed = received.brittleness.apply(None, source, now)
-        else:
-            received = self._received(runner_id)
-            changed = received.brittleness.apply(rejections, source, now)
-        if received.brittleness.rate is None:
-            self._brittle.pop(runner_id, None)
-        else:
-            self._brittle[runner_id] = received.brittleness
-        return changed
+        if received is None and rejections is None:
+            return False
+        state = (received or self._received(runner_id)).brittleness
+        return self._brittle.apply(runner_id, state, rejections, source, now)
 
-    def brittle_runners(self, now: float) -> list[Runner]:
+    def brittle_runners(self) -> list[Runner]:
         """Return the runners of all services of which some runner is brittle."""
         if not self._brittle:
             return []
-        known = {runner_id: self._runners.get(runner_id) for runner_id in list(self._brittle)}
-        for runner_id, runner in known.items():
-            if runner is None:
-                del self._brittle[runner_id]
-        services = {runner.entry.service for runner in known.values() if runner is not None}
-        return [runner for runner in self._runners.values() if runner.entry.service in services]
-
-    def bearable_rejections(self, runner: Runner) -> float | None:
-        """Return the rejections in a second that a runner bears; None if it is not brittle.
+        runners = self._runners.values()
+        services = self._brittle.services({r.runner_id: r.entry.service for r in runners})
+        return [runner for runner in runners if runner.entry.service in services]
 
-        A runner that has not answered yet counts as brittle as another one of its service.
-        """
+    def tolerated_rejections(self, runner: Runner) -> float | None:
+        """Return the rejections in a second that a runner tolerates; None if it is not brittle."""
         if not self._brittle:
             return None
-        own = self._brittle.get(runner.runner_id)
-        if own is not None:
-            return own.rate
-        rates = [
-            limit.rate
-            for runner_id, limit in self._brittle.items()
-            if limit.rate is not None and self._is_of_service(runner_id, runner.entry.service)
-        ]
-        return min(rates, default=None)
-
-    def _is_of_service(self, runner_id: str, service: str) -> bool:
-        runner = self._runners.get(runner_id)
-        return runner is not None and runner.entry.service == service
+        siblings = [other.runner_id for other in self.of_service(runner.entry.service)]
+        return self._brittle.tolerated_rejections(runner.runner_id, siblings)
 
     def apply_limit_hint(self, runner_id: str, rate: float, age_seconds: float, now: float) -> bool:
         """Apply a peer's hint that a process reports a limit.
--- a/src/hillstack/core/runner_signals.py
+++ b/src/hillstack/core/runner_signals.py
@@ -27,7 +27,7 @@
         backoff_seconds: Time for which this node should send no requests; 0 without a backoff.
         limit: Requests per second that the runner accepts from all nodes together; None without a
             limit.
-        rejections: Rejections in a second that the runner bears; None if it is not brittle.
+        rejections: Rejections in a second that the runner tolerates; None if it is not brittle.
     """
 
     leaving: bool = False
@@ -53,8 +53,8 @@
         backoff_received_at: When that backoff arrived.
         backoff_source: The answer with that backoff, for the log.
         limit: The limit on the requests of all nodes together.
-        brittleness: The rejections in a second that the process bears; its ``rate`` is None while
-            it is not brittle.
+        brittleness: The rejections in a second that the process tolerates; its ``rate`` is None
+            while it is not brittle.
         no_place_until: All places of the brittle process are in use, and this node sends no
             requests before this time.
     """
--- a/src/hillstack/daemon/connection_relay.py
+++ b/src/hillstack/daemon/connection_relay.py
@@ -274,13 +274,13 @@
             self.transport.write(encode_frame(FrameKind.DATA, data))
 
     def end(self, kind: FrameKind) -> None:
-        """Tell the origin how the connection to the runner ended, and close."""
+        """Report to the origin how the connection to the runner ended, and close."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(encode_frame(kind))
             self.transport.close()
 
     def announce_closing(self) -> None:
-        """Tell the origin not to use the connection for a further request."""
+        """Notify the origin that the connection must not be used for a further request."""
         if self._runner is not None and self.transport is not None:
             self.transport.write(encode_frame(FrameKind.CLOSING))
 
@@ -328,7 +328,7 @@
 
 
 def end_kind(error: Exception | None) -> FrameKind:
-    """Return the frame that tells an origin how the connection to its runner ended."""
+    """Return the kind of the frame that reports how a connection to a runner ended."""
     if error is None:
         return FrameKind.ENDED
     is_reset = isinstance(error, OSError) and error.errno in (errno.ECONNRESET, errno.EPIPE)
--- a/src/hillstack/daemon/path_dialer.py
+++ b/src/hillstack/daemon/path_dialer.py
@@ -1,12 +1,13 @@
 """Opens connections to runners: directly, or through a peer if this node cannot reach the runner.
 
-No byte of a request is sent before a connection is open, so trying a second way costs no attempt
+No byte of a request is sent before a connection is open, so trying a second route costs no attempt
 and no retry budget, and a request still runs at most once.
 """
 
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Generic, Protocol, TypeVar
@@ -16,9 +17,12 @@
 from hillstack.daemon.relay_targets import RelayTargets
 from hillstack.daemon.relayed_link import RelayRoute
 from hillstack.errors import RelayError
+from hillstack.logs import error_fields
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.metrics import FleetMetrics
 
+logger = logging.getLogger(__name__)
+
 Connection = TypeVar("Connection")
 
 # If a direct connection is not open after this time, a relay is tried beside it: several times the
@@ -48,7 +52,7 @@
         paths: Which paths are lost, and which peers may relay.
         targets: Names runners in messages.
         reach: Asks peers which runners they reach.
-        metrics: Counts connections by their way.
+        metrics: Counts relayed connections.
         clock: Monotonic seconds.
         rng: Spreads probes.
     """
@@ -121,10 +125,10 @@
         relayed: Callable[[RelayRoute], Awaitable[Connection]],
         close: Callable[[Connection], None],
     ) -> Connection:
-        """Return the direct connection or a relayed one, whichever is open first.
+        """Return the direct connection or a relayed one, whichever opens first.
 
         Raises:
-            Exception: The error of the direct connection, if both ways fail.
+            Exception: The error of the direct connection, if both fail.
         """
         relaying = asyncio.ensure_future(self._dial_relays(address, relayed))
         try:
@@ -182,31 +186,53 @@
         Raises:
             RelayError: No peer relayed the connection.
         """
-        failure = RelayError("no peer may reach the runner", step="relay", peer=address)
-        for route in await self.routes(address):
-            try:
-                connection = await relayed(route)
-            except RelayError as error:
-                self._metrics.dials.labels("relay failed").inc()
-                self._paths.pause_relay(route.node_id, address, self._clock())
-                failure = error
-                continue
-            self._metrics.dials.labels("relayed").inc()
-            self._paths.note_relay(route.node_id, address)
-            return route.node_id, connection
-        raise failure
-
-    async def routes(self, address: str, max_age: float = FRESH_ANSWER_SECONDS) -> list[RelayRoute]:
-        """Return the ways through peers to an address, the best first.
-
-        Peers are asked first if none has answered within ``max_age`` seconds.
+        tried: set[str] = set()
+        # Once a path is lost, a peer has reached the runner: all are asked again, also those that
+        # failed lately.
+        for is_last in (False, True) if self._paths.is_lost(address) else (False,):
+            max_age = 0.0 if is_last else FRESH_ANSWER_SECONDS
+            for route in await self.routes(address, max_age, with_paused=is_last):
+                if route.node_id in tried:
+                    continue
+                tried.add(route.node_id)
+                connection = await self._try_relay(route, relayed)
+                if connection is not None:
+                    return route.node_id, connection
+        raise RelayError("no peer relays a connection", step="relay", peer=address)
+
+    async def _try_relay(
+        self, route: RelayRoute, relayed: Callable[[RelayRoute], Awaitable[Connection]]
+    ) -> Connection | None:
+        """Return a connection through a peer; None if the peer does not open one."""
+        address = route.target_address
+        try:
+            connection = await relayed(route)
+        except RelayError as error:
+            logger.info("connection not relayed", extra=error_fields(error))
+            self._metrics.dials.labels("relay failed").inc()
+            self._paths.pause_relay(route.node_id, address, self._clock())
+            return None
+        self._metrics.dials.labels("relayed").inc()
+        self._paths.note_relay(route.node_id, address)
+        return connection
+
+    async def routes(
+        self, address: str, max_age: float, *, with_paused: bool = False
+    ) -> list[RelayRoute]:
+        """Return the routes through peers to an address, the best first.
+
+        Args:
+            address: The address.
+            max_age: Peers are asked first if none has answered within this many seconds.
+            with_paused: Whether peers that failed as relays lately are included.
         """
         if self._paths.needs_answers(address, self._clock(), max_age):
             await self._reach.ask([address])
         target_id = self._targets.target_id(address)
         if target_id is None:
             return []
-        found = (self._state.nodes.get(n) for n in self._paths.relays(address, self._clock()))
+        relays = self._paths.relays(address, self._clock(), with_paused=with_paused)
+        found = (self._state.nodes.get(node_id) for node_id in relays)
         nodes = [node for node in found if node is not None]
         return [
             RelayRoute(node.node_id, node.address, target_id, address)
--- a/src/hillstack/daemon/path_monitor.py
+++ b/src/hillstack/daemon/path_monitor.py
@@ -64,7 +64,7 @@
         Args:
             target_id: The process that should answer.
             address: Its address.
-            route: The way through a peer; None for a direct connection.
+            route: The route through a peer; None for a direct connection.
         """
         ...
 
@@ -85,7 +85,7 @@
         state: State of this node.
         paths: Which paths are lost.
         targets: Finds what listens on an address.
-        dialer: Knows the ways through peers; the monitor handles the paths that it finds lost.
+        dialer: Knows the routes through peers; reports the paths that it finds lost to the monitor.
         probe: Calls a runner over a new connection.
         record_silent: Called with an address whose idle connections must not be reused.
         clock: Monotonic seconds.
@@ -272,7 +272,7 @@
                 self._restore(target.address)
 
     def _restore(self, address: str) -> None:
-        """Let connections to an address try the direct way first again."""
+        """Let connections to an address be opened directly again."""
         path = self._paths.restore(address)
         if path is None:
             return
--- a/src/hillstack/daemon/relayed_link.py
+++ b/src/hillstack/daemon/relayed_link.py
@@ -39,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayRoute:
-    """A way to a runner through a peer.
+    """A route to a runner through a peer.
 
     Attributes:
         node_id: The peer.
--- a/src/hillstack/daemon/runner_access.py
+++ b/src/hillstack/daemon/runner_access.py
@@ -1,7 +1,7 @@
-"""The ways from this node to runners: its own connections, and those that peers relay.
+"""Connects this node to runners, directly or through peers, and relays connections for peers.
 
 All calls to runners and KV cache stores use ``session``, so requests, weights orders, reports and
-cache feeds have the same ways.
+cache feeds are connected alike.
 """
 
 from __future__ import annotations
@@ -31,14 +31,14 @@
 
 
 class RunnerAccess:
-    """Everything that decides and carries the way of a connection to a runner.
+    """The parts that choose and open the connections to runners.
 
     Args:
         state: State of this node.
         zone: Zone of this node.
         link: Sends and receives datagrams.
         probe: Calls runners over new connections.
-        metrics: Counts connections by their way.
+        metrics: Counts relayed connections.
         descriptors: How many file descriptors the process may have open.
         clock: Monotonic seconds.
         rng: Source of randomness.
--- a/src/hillstack/daemon/runner_places.py
+++ b/src/hillstack/daemon/runner_places.py
@@ -5,7 +5,7 @@
 soon. If only some of the listed nodes are alive according to the issuer, it issues the same part of
 the places, since the others may be alive in another partition. A node that gets no answer sends a
 request only now and then, so that all such nodes together stay below the rejections that the runner
-bears.
+tolerates.
 """
 
 from __future__ import annotations
@@ -31,7 +31,7 @@
 ANSWER_SECONDS = 0.03
 # Interval at which unchanged places are reported again; a lost report is repaired by then.
 REPEAT_SECONDS = 0.2
-# Share of the rejections that a runner bears which all nodes without an issuer use together.
+# Share of the rejections that a runner tolerates which all nodes without an issuer use together.
 UNISSUED_SHARE = 0.5
 
 
@@ -70,7 +70,7 @@
 
         Args:
             runner: The runner.
-            rejections_per_second: Rejections that it bears.
+            rejections_per_second: Rejections that it tolerates.
         """
         runner_id = runner.runner_id
         issuer = self._issuer(runner)
@@ -155,7 +155,7 @@
         """Repeat the reports of places until cancelled."""
         while True:
             await asyncio.sleep(REPEAT_SECONDS)
-            brittle = self._state.pool.brittle_runners(self._clock())
+            brittle = self._state.pool.brittle_runners()
             if not brittle:
                 self._reported.clear()
                 self._unissued_at.clear()
@@ -165,7 +165,7 @@
 
     def report_change(self, runner: Runner) -> None:
         """Report at once that a request has begun or ended at a runner, if it is brittle."""
-        if self._state.pool.bearable_rejections(runner) is not None:
+        if self._state.pool.tolerated_rejections(runner) is not None:
             self._report(runner)
 
     def _report(self, runner: Runner) -> None:
--- a/src/hillstack/platform/path_probe.py
+++ b/src/hillstack/platform/path_probe.py
@@ -56,7 +56,7 @@
         Args:
             target_id: The process that should answer.
             address: Its address.
-            route: The way through a peer; None for a direct connection.
+            route: The route through a peer; None for a direct connection.
         """
         connector = None if route is None else _RouteConnector(route, self._node_id)
         async with make_runner_session(connector) as session:
--- a/src/hillstack/platform/runner_connector.py
+++ b/src/hillstack/platform/runner_connector.py
@@ -55,13 +55,10 @@
             return False
         return self._paths.is_lost(self._address)
 
-    def close_after_answer(self) -> None:
+    def retire(self) -> None:
         """Use the connection for no further request, because its relay is stopping."""
         self._is_relay_closing = True
-        if self._is_answer_due():
-            self.force_close()
-        else:
-            self.close()
+        self.force_close()
 
 
 class RunnerConnector(SilenceAwareConnector):
@@ -69,7 +66,7 @@
 
     Args:
         node_id: This node.
-        dialer: Chooses the way of each connection.
+        dialer: Chooses how each connection is opened.
         observer: Observes the paths of direct connections.
         paths: Which paths are lost.
     """
@@ -100,5 +97,25 @@
 
     async def _open_relayed(self, route: RelayRoute) -> StrictResponseHandler:
         handler = RelayedResponseHandler(self._loop, self.silent, self._paths, route.node_id)
-        await open_relayed(route, self._node_id, make_socket, handler, handler.close_after_answer)
+
+        def retire() -> None:
+            handler.retire()
+            self._close_if_idle(handler)
+
+        await open_relayed(route, self._node_id, make_socket, handler, retire)
         return handler
+
+    def _close_if_idle(self, handler: ResponseHandler) -> None:
+        """Close a connection unless a request uses it; such a connection closes after its answer.
+
+        Whether an answer is due does not show this: a request may be about to be sent.
+        """
+        for key, idle in list(self._conns.items()):
+            kept = [each for each in idle if each[0] is not handler]
+            if len(kept) == len(idle):
+                continue
+            handler.close()
+            idle.clear()
+            idle.extend(kept)
+            if not idle:
+                del self._conns[key]
--- a/src/hillstack/platform/runner_signals.py
+++ b/src/hillstack/platform/runner_signals.py
@@ -1,7 +1,7 @@
 """Reads the signals that a runner sets in the headers of its answers.
 
 A runner can announce that it is about to stop, ask for a backoff, or state the requests per second
-that it accepts from all nodes together, or the rejections in a second that it bears.
+that it accepts from all nodes together, or the rejections in a second that it tolerates.
 """
 
 from __future__ import annotations
--- a/src/hillstack/serving/ports.py
+++ b/src/hillstack/serving/ports.py
@@ -93,7 +93,7 @@
 
         Args:
             runner: The runner.
-            rejections_per_second: Rejections that it bears.
+            rejections_per_second: Rejections that it tolerates.
         """
         ...
 
--- a/src/hillstack/serving/runner_limits.py
+++ b/src/hillstack/serving/runner_limits.py
@@ -87,10 +87,10 @@
 
     async def _has_place(self, runner: Runner) -> bool:
         """Return whether a runner is not brittle, or has a place for one more request."""
-        rejections = self._pool.bearable_rejections(runner)
+        rejections = self._pool.tolerated_rejections(runner)
         if rejections is None or self._places is None:
             return True
-        # A brittle runner that has just rejected a request is fuller than the places tell.
+        # A brittle runner that has just rejected a request is fuller than the count of places.
         if self._clock() >= runner.shed_until and await self._places.take(runner, rejections):
             return True
         runner.signals.no_place_until = self._clock() + NO_PLACE_PAUSE_SECONDS
--- a/src/hillstack/serving/signal_receiver.py
+++ b/src/hillstack/serving/signal_receiver.py
@@ -79,10 +79,13 @@
         if rejections is not None:
             self._metrics.runner_signals.labels(BRITTLE).inc()
         if self._pool.apply_brittleness(runner_id, rejections, source, self._clock()):
-            fields = {"runner": runner_id, "bears_rejections": rejections, "source": str(source)}
-            logger.info(
-                "runner brittle" if rejections is not None else "runner sound", extra=fields
-            )
+            fields = {
+                "runner": runner_id,
+                "tolerated_rejections": rejections,
+                "source": str(source),
+            }
+            is_brittle = rejections is not None
+            logger.info("runner brittle" if is_brittle else "runner sound", extra=fields)
 
     def handle_unknown_field(self, runner_id: str, name: str, value: str) -> None:
         """Count a header field that is not known, and log the first one of each name."""
--- a/tests/fleet/brittle_traffic.py
+++ b/tests/fleet/brittle_traffic.py
@@ -33,12 +33,12 @@
     """A runner without a queue.
 
     Attributes:
-        bears: Rejections in a second that it bears; None while it is not brittle.
+        tolerated: Rejections in a second that it tolerates; None while it is not brittle.
         falls: When it fell over.
     """
 
     runner_id: str
-    bears: int | None = None
+    tolerated: int | None = None
     running: int = 0
     falls: list[float] = field(default_factory=list)
     _rejected: deque[float] = field(default_factory=deque)
@@ -53,7 +53,7 @@
         self._rejected.append(now)
         while now - self._rejected[0] >= 1.0:
             self._rejected.popleft()
-        if self.bears is not None and len(self._rejected) > self.bears:
+        if self.tolerated is not None and len(self._rejected) > self.tolerated:
             self.falls.append(now)
             self._rejected.clear()
         return True
@@ -97,9 +97,9 @@
         limits = RunnerLimits(node.state.pool, node.runner_limits, metrics, clock, source)
         return node, limits, SignalReceiver(node.state.pool, metrics, clock)
 
-    def make_brittle(self, bears: int) -> None:
+    def make_brittle(self, tolerated: int) -> None:
         for runner in self.runners.values():
-            runner.bears = bears
+            runner.tolerated = tolerated
 
     def send(self, seconds: float, per_second: float) -> None:
         """Let requests arrive at random nodes for some seconds, and wait for their answers."""
@@ -159,7 +159,7 @@
         if status is None:
             node.state.pool.unreachable(runner, now)
             return False
-        signals = RunnerSignals(rejections=at.bears)
+        signals = RunnerSignals(rejections=at.tolerated)
         is_served = status == 200
         source = AnswerSource(AnswerKind.REQUEST, status, now - sent_at, was_carried_out=is_served)
         receiver.receive(runner.runner_id, signals, source)
--- a/tests/fleet/test_brittle_runners.py
+++ b/tests/fleet/test_brittle_runners.py
@@ -14,7 +14,7 @@
 from tests.fleet.brittle_traffic import DOWN_SECONDS, SLOTS, WORK_SECONDS, BrittleTraffic
 from tests.fleet.builders import make_entry
 
-BEARS = 3
+TOLERATED = 3
 SECONDS = 8.0
 # From the first answer that says so, runners may let fewer wait.
 CONTACT_SECONDS = 3.0
@@ -36,7 +36,7 @@
     load: float, nodes: int, runners: int, seed: int
 ) -> None:
     traffic = BrittleTraffic(nodes, runners, seed=seed)
-    traffic.make_brittle(BEARS)
+    traffic.make_brittle(TOLERATED)
     traffic.send(SECONDS, load * capacity(traffic))
     assert traffic.falls <= allowed_falls(runners)
     # Most of what the runners that are up have room for is served.
@@ -47,7 +47,7 @@
 
 def test_without_places_brittle_runners_fall_again_and_again() -> None:
     traffic = BrittleTraffic(4, 3, with_places=False)
-    traffic.make_brittle(BEARS)
+    traffic.make_brittle(TOLERATED)
     traffic.send(SECONDS, 1.4 * capacity(traffic))
     assert traffic.falls > allowed_falls(3)
     traffic.network.close()
@@ -55,7 +55,7 @@
 
 def test_runners_fall_seldom_when_the_issuer_ends() -> None:
     traffic = BrittleTraffic(5, 3)
-    traffic.make_brittle(BEARS)
+    traffic.make_brittle(TOLERATED)
     for node_id in ("node-1", "node-3"):
         traffic.send(2.0, 0.9 * capacity(traffic))
         traffic.network.kill(node_id)
@@ -67,7 +67,7 @@
 
 def test_a_node_that_hears_no_peer_sends_little() -> None:
     traffic = BrittleTraffic(4, 3)
-    traffic.make_brittle(BEARS)
+    traffic.make_brittle(TOLERATED)
     traffic.send(1.0, 0.5 * capacity(traffic))
     traffic.network.nodes["node-0"].cut = True
     traffic.send(SECONDS, 0.8 * capacity(traffic))
@@ -86,10 +86,10 @@
     assert runner is not None and other is not None
     source = AnswerSource(AnswerKind.REQUEST, 200, 0.1, was_carried_out=True)
     assert pool.apply_brittleness("i-1", 3, source, 1.0)
-    assert (pool.bearable_rejections(runner), pool.bearable_rejections(other)) == (3, 3)
-    assert {each.runner_id for each in pool.brittle_runners(1.0)} == {"i-1", "i-22"}
+    assert (pool.tolerated_rejections(runner), pool.tolerated_rejections(other)) == (3, 3)
+    assert {each.runner_id for each in pool.brittle_runners()} == {"i-1", "i-22"}
     assert pool.apply_brittleness("i-1", None, source, 2.0)
-    assert pool.bearable_rejections(runner) is None and not pool.brittle_runners(2.0)
+    assert pool.tolerated_rejections(runner) is None and not pool.brittle_runners()
 
 
 def test_an_issuer_that_has_just_begun_grants_a_part() -> None:
