--- a/src/hillstack/daemon/path_monitor.py
+++ b/src/hillstack/daemon/path_monitor.py
@@ -142,9 +142,11 @@
             The check; None if none was started.
         """
         now = self._clock()
-        is_recent = now < self._checked_at.get(address, float("-inf")) + CHECK_PAUSE_SECONDS
+        for checked, at in list(self._checked_at.items()):
+            if now >= at + CHECK_PAUSE_SECONDS:
+                del self._checked_at[checked]
         target_id = self._targets.target_id(address)
-        if is_recent or address in self._checks or target_id is None:
+        if address in self._checked_at or address in self._checks or target_id is None:
             return None
         self._checked_at[address] = now
         # The latest relay may be what is silent.
