Soak: each run listens on loopback hosts of its own

Cause: all soaks listened on 127.0.0.1 with ports that the system draws. The port of a runner that had ended was given to a server of another soak, to which the nodes of the first one still sent. The nodes are right to do so until the directory drops the runner, and the check is right too.

Change: store, runners, proxies and nodes of a soak listen on hosts of a network 127.A.B.0/24 that is drawn from the identifier of the soak's process.

--- a/tests/fleet/deployment.py
+++ b/tests/fleet/deployment.py
@@ -104,11 +104,16 @@
 
 @dataclass
 class Deployment:
-    """An emulated store, emulated runners and the node processes that use them."""
+    """An emulated store, emulated runners and the node processes that use them.
+
+    Attributes:
+        host: Host on which all of them listen.
+    """
 
     folder: Path
     store: FleetStore = field(default_factory=FleetStore)
     store_address: str = ""
+    host: str = "127.0.0.1"
     runners: dict[str, FleetRunner] = field(default_factory=dict)
     addresses: dict[str, str] = field(default_factory=dict)
     nodes: list[NodeProcess] = field(default_factory=list)
@@ -219,7 +224,7 @@
         descriptors: float = 4_096,
         source: Path | None = None,
         main: str = "hillstack.daemon.fleet_main",
-        host: str = "127.0.0.1",
+        host: str | None = None,
         **bounds: Any,
     ) -> NodeProcess:
         """Start a node process.
@@ -235,10 +240,11 @@
             source: Directory of the package ``hillstack``; this repository's ``src`` by default.
             main: The module that the process runs.
             host: Address of the node for its peers, and from which it connects if ``main`` is
-                ``tests.fleet.bound_main``.
+                ``tests.fleet.bound_main``; the deployment's host by default.
             bounds: Values of the section ``bounds`` of the settings, by their names there.
         """
-        callers, readiness = (f"127.0.0.1:{free_port()}" for _ in range(2))
+        host = host or self.host
+        callers, readiness = (f"{self.host}:{free_port()}" for _ in range(2))
         metrics_port = metrics_port or free_port()
         regions = region_of_zone or {}
         limits = {"fail_closed": True, "grace_seconds": 8.0} | bounds
@@ -346,13 +352,13 @@
     async def serve(self, app: Any) -> str:
         """Serve an ASGI application in this process; return its address."""
         config = uvicorn.Config(
-            app, host="127.0.0.1", port=0, ws="none", lifespan="off", log_config=None
+            app, host=self.host, port=0, ws="none", lifespan="off", log_config=None
         )
         server = uvicorn.Server(config)
         task = asyncio.create_task(server._serve())
         self._servers.append((server, task))
         await until(lambda: server.started, "the emulated service listens")
-        return f"127.0.0.1:{server.servers[0].sockets[0].getsockname()[1]}"
+        return f"{self.host}:{server.servers[0].sockets[0].getsockname()[1]}"
 
 
 @contextlib.asynccontextmanager
--- a/tests/processes/fault_proxy.py
+++ b/tests/processes/fault_proxy.py
@@ -83,9 +83,14 @@
 
 
 class FaultProxy:
-    """Proxies any number of addresses in a background thread."""
+    """Proxies any number of addresses in a background thread.
 
-    def __init__(self) -> None:
+    Args:
+        host: Host on which the proxies listen.
+    """
+
+    def __init__(self, host: str = "127.0.0.1") -> None:
+        self._host = host
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
@@ -211,8 +216,8 @@
                 return
             await self._serve(self.states[name], host, int(port), reader, writer)
 
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        server = await asyncio.start_server(serve, self._host, 0)
+        return f"{self._host}:{server.sockets[0].getsockname()[1]}"
 
     async def _serve(
         self,
--- a/tests/soak/regions.py
+++ b/tests/soak/regions.py
@@ -34,10 +34,12 @@
 
     Args:
         proxy: Proxies the connections to runners.
+        host: Host on which the link's end for nodes listens.
     """
 
-    def __init__(self, proxy: FaultProxy) -> None:
+    def __init__(self, proxy: FaultProxy, host: str = "127.0.0.1") -> None:
         self._proxy = proxy
+        self._host = host
         self._fronts: dict[str, dict[str, str]] = {zone: {} for zone in REGION_OF_ZONE}
         self._runner_fronts: list[str] = []
         self._cuts = 0
@@ -56,7 +58,7 @@
         """Route the other zone's datagrams to a node, or to its next process, through the link."""
         front = self._nodes.get(name)
         if front is None:
-            front = self._nodes[name] = DatagramFront()
+            front = self._nodes[name] = DatagramFront(self._host)
             await front.open()
         front.forward_to(address)
         self._publish_front(zone, address, front.address)
@@ -109,7 +111,8 @@
 class DatagramFront(asyncio.DatagramProtocol):
     """An address that forwards datagrams to a node with the link's latency and bandwidth."""
 
-    def __init__(self) -> None:
+    def __init__(self, host: str = "127.0.0.1") -> None:
+        self._host = host
         self.address = ""
         self.is_cut = False
         self.extra_seconds: Callable[[], float] = lambda: 0.0
@@ -120,7 +123,7 @@
         """Start listening."""
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=("127.0.0.1", 0)
+            lambda: self, local_addr=(self._host, 0)
         )
         host, port = self._transport.get_extra_info("sockname")[:2]
         self.address = f"{host}:{port}"
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -26,6 +26,7 @@
 from tests.fleet.deployment import Deployment, NodeProcess, free_port, until
 from tests.processes.fault_proxy import FaultProxy
 from tests.processes.node_cuts import CutKind
+from tests.processes.own_hosts import own_host
 from tests.soak import fatal_requests
 from tests.soak.fatal_requests import FatalRequests
 from tests.soak.observations import (
@@ -50,7 +51,6 @@
 APPLICATION_COUNT = 3
 KEY_COUNT = 3
 ONE_ZONE = "zone-a"
-HOSTS_PER_NET = 200
 LIMITED_TENANT = TenantBody("tenant-2", ["limited-key"], rate_per_s=10, burst=10)
 # API key for fatal requests, of the tenant without a limit; it is never revoked.
 FATAL_KEY = "fatal-key"
@@ -159,12 +159,12 @@
         self.observations = Observations()
         self.software = Software()
         store = StatusRecordingStore(self.observations.rollouts)
-        self.deployment = Deployment(folder, store)
+        self.deployment = Deployment(folder, store, host=own_host())
         self.fatal = FatalRequests(FATAL_KEY)
         self.observations.most_runs = {"limited-key": MAX_LIMITED_RUNS}
-        self.proxy = FaultProxy()
+        self.proxy = FaultProxy(own_host())
         self.weights = 1
-        self.regions = Regions(self.proxy) if has_regions else None
+        self.regions = Regions(self.proxy, own_host()) if has_regions else None
         self._peers_ports: dict[str, int] = {}
         self._nodes: dict[str, NodeProcess] = {}
         self._store_fronts: dict[str, str] = {}
@@ -515,8 +515,7 @@
 
     def _host_of(self, name: str) -> str:
         """Return the host of a node for its peers, from which it connects to runners."""
-        number = self._node_names.index(name)
-        return f"127.0.{1 + number // HOSTS_PER_NET}.{1 + number % HOSTS_PER_NET}"
+        return own_host(1 + self._node_names.index(name))
 
     async def _store_addresses(self) -> dict[str, str]:
         """Return the store's address for each zone."""
