Permits: an abandoned run counts until its runner has survived it

Callers' streams broke.

Cause, from the trace of these worlds: a node sends a suspect with a permit; its runner crashes, and the connection stays silent for up to .3 s. Meanwhile the node learns of another crash, finds the request fatal and aborts the run. One second later it removed the permit, as of a run whose runner goes on, though it had heard nothing of that runner. So the ledger lacked a crash, and issued one more permit. The same where the caller leaves in that moment, and where the node gives a silent run up and sends the request again: the next permit took the place of the first.

Ruled out: lost writes (each was done), two nodes that write one revision (compare-and-set), contact that refuted a crash (no such line).

Change: each send under a permit keeps its runner and how it ended (PermittedSends). A permit goes only if the send was refused, its answer has ended, the crash is in the ledger, or the runner has been heard from 1 s after the run was abandoned: over any connection, or by a call (RunSurvival). A permit whose runner can't be reached stays until its ledger expires. While a request is sent again by the same node, its own open permits count as possible crashes, but it does not wait for them.

The log line of a suspect names the permit.

--- a/src/hillstack/core/crash_ledger.py
+++ b/src/hillstack/core/crash_ledger.py
@@ -59,15 +59,23 @@
         """Return whether no further send is allowed, whatever the sends under way come to."""
         return len(self.crashed.union(known_crashed)) >= MAX_CRASHES
 
-    def allows_send(self, known_crashed: Iterable[str], *, alone: bool) -> bool:
+    def allows_send(
+        self,
+        known_crashed: Iterable[str],
+        *,
+        alone: bool,
+        own_permits: frozenset[str] = frozenset(),
+    ) -> bool:
         """Return whether a further send is within the bound.
 
         Args:
             alone: Whether the send is only allowed if no other one is under way.
             known_crashed: Runners that crashed under the request according to this node, some of
                 which the ledger may not contain yet.
+            own_permits: Permits of earlier sends that this one replaces, which don't count as under
+                way, but as possible crashes.
         """
-        if alone and self.permits:
+        if alone and self.permits - own_permits:
             return False
         crashed = self.crashed.union(known_crashed)
         return len(crashed) + len(self.permits) < MAX_CRASHES
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -50,6 +50,7 @@
 from hillstack.daemon.node_registry import NodeRegistry
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.peer_link import PeerLink
+from hillstack.daemon.permit_services import make_permit_services
 from hillstack.daemon.runner_access import RunnerAccess
 from hillstack.daemon.runner_monitor import RunnerMonitor
 from hillstack.daemon.runner_places import RunnerPlaces
@@ -75,7 +76,6 @@
 from hillstack.platform.rollouts import rollout_duty_key
 from hillstack.platform.runners import HttpRunnerClient
 from hillstack.platform.store import MetadataStore
-from hillstack.serving.crash_permits import CrashPermits
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.metrics import FleetMetrics
 from hillstack.serving.pipeline import RequestPipeline
@@ -238,13 +238,15 @@
             runner_limits,
         )
         self._pipeline.runner_crashes.set_lag_source(self._lag.lag_free_since)
-        self._crash_permits = CrashPermits(
+        permits = make_permit_services(
+            self._state,
             CrashLedgers(store, self._clock),
-            settings.node.id,
-            self._clock,
+            probe,
             self._peers.is_isolated,
+            self._clock,
         )
-        self._pipeline.runner_crashes.set_permits(self._crash_permits)
+        self._ledger_recorder = permits.recorder
+        self._pipeline.runner_crashes.set_permits(permits)
         checks = CrashChecks(self._state, self._pipeline.runner_crashes, probe, self._clock)
         self._peers.handle_runner_crashes(checks.observe)
         self._access.monitor.handle_answered(self._pipeline.runner_crashes.refute)
@@ -534,7 +536,7 @@
         logger.info("drained", extra={"active": self._pipeline.active})
 
     async def _close(self) -> None:
-        self._crash_permits.close()
+        self._ledger_recorder.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- /dev/null
+++ b/src/hillstack/daemon/permit_services.py
@@ -0,0 +1,44 @@
+"""Connects the permits of suspects with the store and the runners."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from hillstack.core.runner_pool import Runner
+from hillstack.daemon.path_monitor import ProbeResult, TargetProbe
+from hillstack.serving.crash_permits import CrashPermits
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.ledger_recorder import LedgerRecorder
+from hillstack.serving.ledger_store import LedgerStore, LimitedLedgerStore
+from hillstack.serving.run_survival import RunSurvival
+from hillstack.serving.suspect_permits import PermitServices
+
+
+def make_permit_services(
+    state: FleetState,
+    store: LedgerStore,
+    probe: TargetProbe,
+    is_isolated: Callable[[], bool],
+    clock: Callable[[], float],
+) -> PermitServices:
+    """Return what a node needs to acquire permits and to end them.
+
+    Args:
+        state: State of the node.
+        store: The ledgers of all nodes.
+        probe: Calls a runner over a new connection.
+        is_isolated: Returns whether the node does not receive the notices of another region.
+        clock: Monotonic seconds.
+    """
+    ledgers = LimitedLedgerStore(store)
+
+    async def answers_call(runner: Runner) -> bool:
+        result = await probe.probe(runner.runner_id, runner.address, None)
+        return result is ProbeResult.ANSWERED
+
+    return PermitServices(
+        CrashPermits(ledgers, state.node_id, clock, is_isolated),
+        LedgerRecorder(ledgers, asyncio.create_task),
+        RunSurvival(state.pool, clock, answers_call),
+    )
--- a/src/hillstack/platform/crash_ledgers.py
+++ b/src/hillstack/platform/crash_ledgers.py
@@ -14,7 +14,7 @@
 from hillstack.platform.bodies import CrashLedgerBody
 from hillstack.platform.formats import decode_crash_ledger
 from hillstack.platform.store import MetadataStore
-from hillstack.serving.crash_permits import StoredLedger
+from hillstack.serving.ledger_store import StoredLedger
 
 
 class CrashLedgers:
--- a/src/hillstack/serving/crash_logs.py
+++ b/src/hillstack/serving/crash_logs.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Iterable
 
-from hillstack.core.runner_crashes import FatalRequest, RunAtCrash
+from hillstack.core.runner_crashes import FatalRequest, RunAtCrash, RunnerCrash
 from hillstack.core.runner_pool import Runner
+from hillstack.serving.job import Job
+from hillstack.serving.request_names import content_of, fingerprint_of
 
 logger = logging.getLogger(__name__)
 
@@ -24,6 +27,29 @@
     logger.info("runner ended", extra=fields)
 
 
+def log_suspect(job: Job, runner: Runner, crashes: Iterable[RunnerCrash], count: int) -> None:
+    """Log that a suspect is sent, with the crashes that this node knows and the permits.
+
+    Args:
+        job: The suspect.
+        runner: The runner to which it is sent.
+        crashes: All crashes that this node knows.
+        count: Number of runners that it crashed, according to the count.
+    """
+    fingerprint = fingerprint_of(job)
+    latest = job.permitted.sends[-1] if job.permitted.sends else None
+    fields = {
+        "request": job.request.request_id,
+        "fingerprint": f"{fingerprint:016x}",
+        "content": f"{content_of(job):016x}",
+        "runner": runner.runner_id,
+        "ended": [crash.runner_id for crash in crashes if fingerprint in crash.runs],
+        "ends": count,
+        "permit": latest.permit if latest is not None else None,
+    }
+    logger.info("suspect sent", extra=fields)
+
+
 def evidence_fields(found: FatalRequest) -> dict[str, object]:
     """Return the log fields of the evidence against a fatal request."""
     return {
--- a/src/hillstack/serving/crash_permits.py
+++ b/src/hillstack/serving/crash_permits.py
@@ -9,14 +9,14 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Protocol
 
 from hillstack.core.crash_ledger import MAX_RETENTION_SECONDS, CrashLedger, SendOutcome
-from hillstack.core.store_revision import NO_REVISION, StoreRevision
 from hillstack.errors import PlatformError
+from hillstack.serving.ledger_store import LedgerStore
 
 logger = logging.getLogger(__name__)
 
@@ -31,25 +31,29 @@
 STORE_WAIT_SECONDS = 0.3
 # Attempts to write a ledger that other nodes change at the same time.
 MAX_WRITE_ATTEMPTS = 5
-# Attempts to record the outcome of a send, and the pause after each that failed: some seconds, so
-# that a store that is away for a moment gets it all the same.
-MAX_RECORD_ATTEMPTS = 20
-RECORD_PAUSE_SECONDS = 0.25
-# Ledgers that a node reads at a time. When several runners crash, some hundred requests may be
-# suspects for a moment; requests beyond this number are sent without a permit.
-MAX_CONCURRENT_CALLS = 32
+NO_OUTCOME = SendOutcome()
 
 
 @dataclass(frozen=True, slots=True)
-class StoredLedger:
-    """A ledger and the revision at which it was last changed; ``NO_REVISION`` if there is none."""
+class Suspect:
+    """A request that may have crashed runners, as the node knows it that wants to send it.
 
-    ledger: CrashLedger
-    revision: StoreRevision = NO_REVISION
+    Attributes:
+        fingerprint: The request.
+        known_crashed: Returns the runners that crashed under it according to this node.
+        is_suspected: Returns whether it may have crashed a runner according to this node. A request
+            that was cleared while it waited needs no permit.
+        has_survived: Returns whether a runner that the ledger contains has not crashed.
+        earlier: Outcome of its sends on this node that the ledger may not contain yet.
+        open_permits: Permits of its sends on this node that may still crash their runners.
+    """
 
-    def without_survivors(self, has_survived: Callable[[str], bool]) -> StoredLedger:
-        """Return the ledger without the runners that turned out not to have crashed."""
-        return StoredLedger(self.ledger.without_survivors(has_survived), self.revision)
+    fingerprint: int
+    known_crashed: Callable[[], set[str]]
+    is_suspected: Callable[[], bool]
+    has_survived: Callable[[str], bool] = lambda _: False
+    earlier: SendOutcome = NO_OUTCOME
+    open_permits: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,20 +74,22 @@
     retry_after: float = 0.0
 
 
-class LedgerStore(Protocol):
-    """The ledgers in the platform's store; each call raises ``PlatformError`` on failure."""
-
-    async def read(self, fingerprint: int) -> StoredLedger:
-        """Return the ledger of a request; an empty one if there is none."""
-        ...
+class _Answer(enum.Enum):
+    """What a node gets when it asks a ledger for a permit.
 
-    async def write(self, fingerprint: int, ledger: CrashLedger, expected: StoreRevision) -> bool:
-        """Write a ledger if its revision is the expected one; return whether it was written."""
-        ...
+    Attributes:
+        ISSUED: The permit was written.
+        NOT_NEEDED: The request is no suspect any more.
+        BUSY: Another send is under way.
+        EXHAUSTED: The request has crashed too many runners.
+        NO_STORE: The store does not answer in time.
+    """
 
-    async def remove(self, fingerprint: int) -> None:
-        """Remove the ledger of a request."""
-        ...
+    ISSUED = "issued"
+    NOT_NEEDED = "not needed"
+    BUSY = "busy"
+    EXHAUSTED = "exhausted"
+    NO_STORE = "no store"
 
 
 class CrashPermits:
@@ -94,7 +100,6 @@
         node_id: This node; part of the permits' identifiers.
         clock: Monotonic seconds.
         is_isolated: Returns whether this node does not receive the notices of another region.
-        start_task: Starts a task in the node's event loop.
     """
 
     def __init__(
@@ -103,170 +108,86 @@
         node_id: str,
         clock: Callable[[], float],
         is_isolated: Callable[[], bool],
-        start_task: Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]] = asyncio.create_task,
     ) -> None:
         self._store = store
         self._node_id = node_id
         self._clock = clock
         self._is_isolated = is_isolated
-        self._start_task = start_task
         self._issued = 0
-        self._calls = 0
-        self._tasks: set[asyncio.Task[None]] = set()
 
-    async def acquire(
-        self,
-        fingerprint: int,
-        earlier: SendOutcome,
-        known_crashed: Callable[[], set[str]],
-        is_suspect: Callable[[], bool],
-        has_survived: Callable[[str], bool] = lambda _: False,
-    ) -> Grant:
-        """Request a permit to send a request.
-
-        Args:
-            fingerprint: The request.
-            earlier: Outcome of its sends on this node that the ledger may not contain yet.
-            known_crashed: Returns the runners that crashed under it according to this node.
-            is_suspect: Returns whether it may have crashed a runner according to this node. A
-                request that was cleared while it waited needs no permit.
-            has_survived: Returns whether a runner that the ledger contains has not crashed.
-        """
-        self._issued += 1
-        permit = f"{self._node_id}/{self._clock():.6f}/{self._issued}"
+    async def acquire(self, suspect: Suspect) -> Grant:
+        """Request a permit to send a request."""
+        permit = self._new_permit()
         latest = self._clock() + PERMIT_WAIT_SECONDS
         pause = PERMIT_CHECK_SECONDS
         while True:
             # Other sends of the request usually end soon, and show whether it crashes runners.
             alone = self._clock() < latest
-            crashed = known_crashed()
-            if CrashLedger().is_exhausted(crashed):
-                return Grant(may_send=False, retry_after=MAX_RETENTION_SECONDS)
-            try:
-                async with asyncio.timeout(STORE_WAIT_SECONDS):
-                    stored = (await self._read(fingerprint)).without_survivors(has_survived)
-                    if not stored.ledger and not is_suspect():
-                        return Grant(may_send=True)
-                    if stored.ledger.with_outcome(earlier).is_exhausted(crashed):
-                        return Grant(may_send=False, retry_after=MAX_RETENTION_SECONDS)
-                    is_issued = await self._issue(
-                        fingerprint, stored, permit, earlier, crashed, has_survived, alone=alone
-                    )
-            except (PlatformError, TimeoutError) as error:
-                return self._without_store(fingerprint, permit, error)
-            if is_issued:
-                return Grant(may_send=True, is_stored=True, permit=permit)
+            answer = await self._ask_ledger(suspect, permit, alone=alone)
+            grant = self._grant_for(answer, permit)
+            if grant is not None:
+                return grant
             if not alone:
-                return Grant(may_send=False, retry_after=MAX_RETENTION_SECONDS)
+                return Grant(may_send=False, permit=permit, retry_after=MAX_RETENTION_SECONDS)
             await asyncio.sleep(pause)
             pause *= 2
 
-    def _without_store(self, fingerprint: int, permit: str, error: Exception) -> Grant:
-        is_isolated = self._is_isolated()
-        fields = {
-            "fingerprint": f"{fingerprint:016x}",
-            "error": str(error) or type(error).__name__,
-            "isolated": is_isolated,
-        }
-        logger.warning("no crash permit", extra=fields)
-        return Grant(not is_isolated, permit=permit, retry_after=ISOLATED_RETRY_SECONDS)
+    def _grant_for(self, answer: _Answer, permit: str) -> Grant | None:
+        """Return the grant that follows from a ledger's answer; None if another send runs."""
+        match answer:
+            case _Answer.ISSUED:
+                return Grant(may_send=True, is_stored=True, permit=permit)
+            case _Answer.NOT_NEEDED:
+                return Grant(may_send=True)
+            case _Answer.EXHAUSTED:
+                return Grant(may_send=False, retry_after=MAX_RETENTION_SECONDS)
+            case _Answer.NO_STORE:
+                is_sent = not self._is_isolated()
+                return Grant(is_sent, permit=permit, retry_after=ISOLATED_RETRY_SECONDS)
+            case _:
+                return None
+
+    def _new_permit(self) -> str:
+        self._issued += 1
+        return f"{self._node_id}/{self._clock():.6f}/{self._issued}"
 
-    async def _issue(
+    async def _ask_ledger(self, suspect: Suspect, permit: str, *, alone: bool) -> _Answer:
+        """Write a permit to the ledger if that is within the bound."""
+        crashed = suspect.known_crashed()
+        if CrashLedger().is_exhausted(crashed):
+            return _Answer.EXHAUSTED
+        try:
+            async with asyncio.timeout(STORE_WAIT_SECONDS):
+                return await self._write_permit(suspect, permit, crashed, alone=alone)
+        except (PlatformError, TimeoutError) as error:
+            fields = {
+                "fingerprint": f"{suspect.fingerprint:016x}",
+                "error": str(error) or type(error).__name__,
+                "isolated": self._is_isolated(),
+            }
+            logger.warning("no crash permit", extra=fields)
+            return _Answer.NO_STORE
+
+    async def _write_permit(
         self,
-        fingerprint: int,
-        stored: StoredLedger,
+        suspect: Suspect,
         permit: str,
-        earlier: SendOutcome,
         known_crashed: set[str],
-        has_survived: Callable[[str], bool],
         *,
         alone: bool,
-    ) -> bool:
-        """Write a permit; return whether it was written."""
+    ) -> _Answer:
         for _ in range(MAX_WRITE_ATTEMPTS):
-            ledger = stored.ledger.with_outcome(earlier)
-            if not ledger.allows_send(known_crashed, alone=alone):
-                return False
-            if await self._store.write(fingerprint, ledger.with_permit(permit), stored.revision):
-                return True
-            stored = (await self._read(fingerprint)).without_survivors(has_survived)
-        return False
-
-    async def _read(self, fingerprint: int) -> StoredLedger:
-        if self._calls >= MAX_CONCURRENT_CALLS:
-            raise PlatformError("too many concurrent calls", step="crash permit", peer="store")
-        self._calls += 1
-        try:
-            return await self._store.read(fingerprint)
-        finally:
-            self._calls -= 1
-
-    def report_outcome(
-        self, fingerprint: int, outcome: Callable[[], SendOutcome], delay: float = 0.0
-    ) -> None:
-        """Record in the background that a request's sends have ended.
-
-        Args:
-            fingerprint: The request.
-            outcome: Returns the outcome of its sends.
-            delay: Seconds to wait before, while a runner may still run the request.
-        """
-        self._start(self._record_outcome(fingerprint, outcome, delay))
-
-    def report_success(self, fingerprint: int) -> None:
-        """Remove the ledger of a request in the background after a successful run."""
-        self._start(self._store.remove(fingerprint))
-
-    def report_survival(self, fingerprint: int, runner_id: str) -> None:
-        """Remove a runner that has not crashed from a request's ledger, in the background."""
-
-        def change(ledger: CrashLedger) -> CrashLedger:
-            return ledger.without_survivors(lambda name: name == runner_id)
-
-        self._start(self._change(fingerprint, change))
-
-    async def _record_outcome(
-        self, fingerprint: int, outcome: Callable[[], SendOutcome], delay: float
-    ) -> None:
-        await asyncio.sleep(delay)
-        await self._change(fingerprint, lambda ledger: ledger.with_outcome(outcome()))
-
-    async def _change(self, fingerprint: int, change: Callable[[CrashLedger], CrashLedger]) -> None:
-        """Change a ledger, also if the store is away for a moment."""
-        failure: PlatformError | None = None
-        for _ in range(MAX_RECORD_ATTEMPTS):
-            try:
-                if await self._try_change(fingerprint, change):
-                    return
-            except PlatformError as error:
-                failure = error
-                await asyncio.sleep(RECORD_PAUSE_SECONDS)
-        if failure is not None:
-            raise failure
-
-    async def _try_change(
-        self, fingerprint: int, change: Callable[[CrashLedger], CrashLedger]
-    ) -> bool:
-        """Write a changed ledger; return whether the store has it."""
-        stored = await self._read(fingerprint)
-        ledger = change(stored.ledger)
-        if ledger == stored.ledger:
-            return True
-        return await self._store.write(fingerprint, ledger, stored.revision)
-
-    def close(self) -> None:
-        """Stop the work in the background; what was not recorded expires with the ledgers."""
-        for task in self._tasks:
-            task.cancel()
-
-    def _start(self, work: Coroutine[Any, Any, None]) -> None:
-        task = self._start_task(_log_failure(work))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-
-async def _log_failure(work: Coroutine[Any, Any, None]) -> None:
-    try:
-        await work
-    except PlatformError as error:
-        logger.warning("crash ledger not written", extra={"error": str(error)})
+            stored = await self._store.read(suspect.fingerprint)
+            stored = stored.without_survivors(suspect.has_survived)
+            if not stored.ledger and not suspect.is_suspected():
+                return _Answer.NOT_NEEDED
+            ledger = stored.ledger.with_outcome(suspect.earlier)
+            if ledger.is_exhausted(known_crashed):
+                return _Answer.EXHAUSTED
+            own = suspect.open_permits
+            if not ledger.allows_send(known_crashed, alone=alone, own_permits=own):
+                return _Answer.BUSY
+            changed = ledger.with_permit(permit)
+            if await self._store.write(suspect.fingerprint, changed, stored.revision):
+                return _Answer.ISSUED
+        return _Answer.BUSY
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -12,6 +12,7 @@
 from hillstack.core.weights_versions import WeightsVersions
 from hillstack.serving.attempt_monitor import UNMONITORED, AttemptMonitor
 from hillstack.serving.event_framing import EventFraming
+from hillstack.serving.permitted_sends import PermittedSends
 from hillstack.serving.types import (
     Dispatch,
     HeaderList,
@@ -99,9 +100,7 @@
             not suspected.
         trial_send: Value of ``sends`` at which one more send is allowed although the request has
             crashed so many runners that it is refused; None if none is allowed.
-        crash_permits: Permits of the request's sends whose outcome has not been recorded.
-        has_unused_permit: Whether the latest permit has not been used for a send.
-        crashed_runners: Runners that crashed under the request and have not been recorded.
+        permitted: The sends under permits, and the crashes, that its ledger does not contain yet.
         answer_ready: Whether the whole answer has been received and is being delivered.
         is_fatal: Whether the request was found to crash runners and was aborted for this reason.
         canary_decided_for: Rollout order under which it was decided whether this is a canary.
@@ -137,9 +136,7 @@
     content: int | None = None
     suspect_rank: int | None = None
     trial_send: int | None = None
-    crash_permits: set[str] = field(default_factory=set)
-    has_unused_permit: bool = False
-    crashed_runners: set[str] = field(default_factory=set)
+    permitted: PermittedSends = field(default_factory=PermittedSends)
     answer_ready: bool = False
     is_fatal: bool = False
     canary_decided_for: StoreRevision | None = None
--- a/src/hillstack/serving/runner_crashes.py
+++ b/src/hillstack/serving/runner_crashes.py
@@ -28,19 +28,15 @@
 )
 from hillstack.core.runner_pool import Runner
 from hillstack.messages.runner_ends import RequestAtEnd, RunnerEndNotice
-from hillstack.serving.crash_logs import evidence_fields, log_crash
+from hillstack.serving.crash_logs import evidence_fields, log_crash, log_suspect
 from hillstack.serving.crash_notices import crash_notices, earlier_crash_notices, run_at_crash
-from hillstack.serving.crash_permits import CrashPermits
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import Job
 from hillstack.serving.metrics import FleetMetrics
 from hillstack.serving.placement import RunnerPlacement
 from hillstack.serving.request_names import content_of, fingerprint_of, names_of
-from hillstack.serving.suspect_permits import (
-    ABANDONED_RUN_SECONDS,
-    FATAL_REASON,
-    SuspectPermits,
-)
+from hillstack.serving.run_survival import ABANDONED_RUN_SECONDS
+from hillstack.serving.suspect_permits import FATAL_REASON, PermitServices, SuspectPermits
 from hillstack.serving.types import RejectedError, StreamCutError, Verdict
 
 logger = logging.getLogger(__name__)
@@ -147,13 +143,13 @@
         """
         self._lag_free_since = lag_free_since
 
-    def set_permits(self, permits: CrashPermits) -> None:
+    def set_permits(self, services: PermitServices) -> None:
         """Set the permits that bound the runners which a request crashes across all nodes."""
-        self._permits = self._make_permits(permits)
+        self._permits = self._make_permits(services)
 
-    def _make_permits(self, permits: CrashPermits | None) -> SuspectPermits:
+    def _make_permits(self, services: PermitServices | None) -> SuspectPermits:
         return SuspectPermits(
-            permits, self._record, self._state.crash_ledgers, self._is_suspected, self._clock
+            services, self._record, self._state.crash_ledgers, self._is_suspected, self._clock
         )
 
     def _is_suspected(self, fingerprint: int) -> bool:
@@ -173,7 +169,7 @@
         """Record an attempt that is being sent."""
         job.sent_at = job.received_at = now
         job.answering_since = None
-        job.has_unused_permit = False
+        self._permits.sent(job, runner.runner_id)
         self._active[attempt_id] = job, runner
         if job.is_suspect:
             names = names_of(job)
@@ -182,7 +178,7 @@
                 self._counts.record_trial(name, now)
             self._send_probation(runner.runner_id, PROBATION_SECONDS, names)
             self._metrics.runner_ends.labels("suspect_sent").inc()
-            self._log_suspect(job, runner)
+            log_suspect(job, runner, self._record.crashes(), self._max_crash_count(job))
 
     def started(self, job: Job, attempt_id: str, now: float) -> None:
         """Record the first bytes of an attempt's answer."""
@@ -197,6 +193,8 @@
             may_still_run: Whether the runner may still run it.
         """
         found = self._active.pop(attempt_id, None)
+        if found is not None:
+            self._permits.finished(found[0], found[1].runner_id, may_still_run=may_still_run)
         if found is not None and may_still_run:
             self._note_abandoned(*found)
         runner_id = self._state.probations.end(attempt_id)
@@ -390,7 +388,7 @@
         runs = self._abandoned_runs(runner.runner_id, now)
         runs[fingerprint_of(job)] = self._run(job, now)
         if not self._run(job, now).is_settled:
-            job.crashed_runners.add(runner.runner_id)
+            job.permitted.crashed_runners.add(runner.runner_id)
         for other, at in self._active.values():
             if at is runner:
                 runs.setdefault(fingerprint_of(other), self._run(other, now))
@@ -571,20 +569,6 @@
         notice = RunnerEndNotice(runner_id, 0, requests, probation_ms=round(seconds * 1000))
         self._peers.report_runner_crash(notice)
 
-    def _log_suspect(self, job: Job, runner: Runner) -> None:
-        fingerprint = fingerprint_of(job)
-        fields = {
-            "request": job.request.request_id,
-            "fingerprint": f"{fingerprint:016x}",
-            "content": f"{content_of(job):016x}",
-            "runner": runner.runner_id,
-            "ended": [
-                crash.runner_id for crash in self._record.crashes() if fingerprint in crash.runs
-            ],
-            "ends": self._max_crash_count(job),
-        }
-        logger.info("suspect sent", extra=fields)
-
     def _max_crash_count(self, job: Job) -> int:
         """Return how many runners a request crashed, by the name with the higher count."""
         return max(self._counts.count(name) for name in names_of(job))
--- a/src/hillstack/serving/suspect_permits.py
+++ b/src/hillstack/serving/suspect_permits.py
@@ -2,27 +2,44 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
-from hillstack.core.crash_ledger import CrashLedger, KnownLedgers, SendOutcome
-from hillstack.core.runner_crashes import RunnerCrash, RunnerCrashRecord
-from hillstack.serving.crash_permits import CrashPermits
+from hillstack.core.crash_ledger import KnownLedgers, SendOutcome
+from hillstack.core.runner_crashes import SETTLED_SECONDS, RunnerCrash, RunnerCrashRecord
+from hillstack.serving.crash_knowledge import CrashKnowledge
+from hillstack.serving.crash_permits import CrashPermits, Suspect
 from hillstack.serving.job import Job
+from hillstack.serving.ledger_recorder import LedgerRecorder
+from hillstack.serving.permitted_sends import PermittedSend
 from hillstack.serving.request_names import fingerprint_of
+from hillstack.serving.run_survival import RunSurvival
 from hillstack.serving.types import Verdict
 
-# A runner may continue an abandoned run for a while, after the caller left, the deadline passed or
-# the request was found fatal. For this time the run counts as being at the runner: twice the half
-# second within which runners stop after their connection was closed.
-ABANDONED_RUN_SECONDS = 1.0
 FATAL_REASON = "runners ended while they worked on this request"
 
 
+@dataclass(frozen=True, slots=True)
+class PermitServices:
+    """What one node needs to acquire permits and to end them.
+
+    Attributes:
+        permits: Issues permits.
+        recorder: Records the outcome of sends in the ledgers.
+        survival: Checks runners on which this node abandoned a run.
+    """
+
+    permits: CrashPermits
+    recorder: LedgerRecorder
+    survival: RunSurvival
+
+
 class SuspectPermits:
-    """Acquires permits for jobs, and reports the outcome of their sends.
+    """Acquires permits for jobs, and records the outcome of their sends.
 
     Args:
-        permits: Permits of all nodes; None if there are none.
+        services: Permits of all nodes; None if there are none.
         record: Runner crashes that this node knows.
         ledgers: Requests that have a ledger.
         is_suspect: Returns whether this node suspects a request, by fingerprint.
@@ -31,15 +48,16 @@
 
     def __init__(
         self,
-        permits: CrashPermits | None,
+        services: PermitServices | None,
         record: RunnerCrashRecord,
         ledgers: KnownLedgers,
         is_suspect: Callable[[int], bool],
         clock: Callable[[], float],
     ) -> None:
-        self._permits = permits
+        self._services = services
         self._record = record
         self._ledgers = ledgers
+        self._knowledge = CrashKnowledge(record, ledgers, clock)
         self._is_suspect = is_suspect
         self._clock = clock
 
@@ -54,77 +72,87 @@
             RejectedError: The request may not be sent now.
             StreamCutError: The same, and its answer has begun.
         """
-        if self._permits is None:
+        if self._services is None:
             return
         fingerprint = fingerprint_of(job)
-        grant = await self._permits.acquire(
-            fingerprint,
-            self._unrecorded_outcome(job),
-            lambda: self._known_crashed(fingerprint),
-            lambda: self._is_suspect(fingerprint),
-            self._record.has_survived,
+        earlier = self._outcome(job)
+        grant = await self._services.permits.acquire(
+            Suspect(
+                fingerprint,
+                lambda: self._knowledge.crashed(fingerprint),
+                lambda: self._is_suspect(fingerprint),
+                self._record.has_survived,
+                earlier,
+                frozenset(send.permit for send in job.permitted.abandoned()),
+            )
         )
         if grant.is_stored:
-            job.crash_permits.clear()
-            job.crashed_runners.clear()
+            job.permitted.recorded(earlier)
         if grant.permit is not None:
-            job.crash_permits.add(grant.permit)
-            job.has_unused_permit = True
+            job.permitted.sends.append(PermittedSend(grant.permit))
         if not grant.may_send:
             raise job.give_up_error(Verdict.UNAVAILABLE, FATAL_REASON, grant.retry_after)
 
+    def sent(self, job: Job, runner_id: str) -> None:
+        """Record that a request is sent to a runner."""
+        job.permitted.sent(runner_id)
+
+    def finished(self, job: Job, runner_id: str, *, may_still_run: bool) -> None:
+        """Record the end of a send; a run that had settled is no cause of a later crash."""
+        now = self._clock()
+        is_settled = job.answering_since is not None and now - job.answering_since > SETTLED_SECONDS
+        job.permitted.finished(runner_id, now, may_still_run=may_still_run and not is_settled)
+
     def answered(self, job: Job, *, succeeded: bool) -> None:
         """Remove the ledger of a request after a successful run."""
-        if not succeeded or self._permits is None:
+        if not succeeded or self._services is None:
             return
-        if not job.crash_permits and not self._ledgers:
+        if not job.permitted.sends and not self._ledgers:
             return
         fingerprint = fingerprint_of(job)
-        if not job.crash_permits and not self.has_ledger(fingerprint):
+        if not job.permitted.sends and not self.has_ledger(fingerprint):
             return
-        job.crash_permits.clear()
-        job.crashed_runners.clear()
-        self._permits.report_success(fingerprint)
+        job.permitted.sends.clear()
+        job.permitted.crashed_runners.clear()
+        self._services.recorder.report_success(fingerprint)
 
     def ended(self, job: Job) -> None:
         """Record the outcome of a request's sends after work on it has ended."""
-        if self._permits is None or not (job.crash_permits or job.crashed_runners):
+        if self._services is None or not job.permitted:
             return
-        fingerprint = fingerprint_of(job)
-        if not job.crash_permits and not self._is_suspect(fingerprint):
+        if not job.permitted.sends and not self._is_suspect(fingerprint_of(job)):
             # The runner crashed together with others, or has not crashed.
             return
-        # A runner may continue the last run for a while after its connection was closed.
-        has_ended = bool(job.crashed_runners) or job.has_unused_permit
-        delay = 0.0 if has_ended else ABANDONED_RUN_SECONDS
+        job.permitted.will_not_be_sent()
+        self._services.recorder.start(self._record_outcome(job))
 
-        def outcome() -> SendOutcome:
-            known = self._unrecorded_outcome(job)
-            return SendOutcome(known.permits, known.crashed | self._crashed_under(fingerprint))
+    async def _record_outcome(self, job: Job) -> None:
+        """Record the outcome of the sends that have ended, and of the abandoned ones later.
 
-        self._permits.report_outcome(fingerprint, outcome, delay)
+        A permit of a send whose runner may have crashed stays until its ledger expires.
+        """
+        assert self._services is not None
+        abandoned = job.permitted.abandoned()
+        if len(abandoned) < len(job.permitted.sends) or job.permitted.crashed_runners:
+            await self._record_ended(job)
+        if abandoned:
+            await asyncio.gather(*(self._services.survival.check(send) for send in abandoned))
+            await self._record_ended(job)
+
+    async def _record_ended(self, job: Job) -> None:
+        assert self._services is not None
+        outcome = self._outcome(job)
+        noticed = self._knowledge.noticed(fingerprint_of(job))
+        recorded = SendOutcome(outcome.permits, outcome.crashed | noticed)
+        await self._services.recorder.record_outcome(fingerprint_of(job), recorded)
 
     def retract(self, crash: RunnerCrash) -> None:
         """Remove a runner that has not crashed from the ledgers of the requests that it ran."""
         for fingerprint in crash.runs:
             ledger = self._ledgers.get(fingerprint, self._clock())
-            if self._permits is not None and ledger and crash.runner_id in ledger.crashed:
-                self._permits.report_survival(fingerprint, crash.runner_id)
-
-    def _known_crashed(self, fingerprint: int) -> set[str]:
-        """Return the runners that crashed according to this node, or to the ledger it knows."""
-        ledger = self._ledgers.get(fingerprint, self._clock()) or CrashLedger()
-        crashed = ledger.without_survivors(self._record.has_survived).crashed
-        return self._crashed_under(fingerprint) | crashed
-
-    def _crashed_under(self, fingerprint: int) -> set[str]:
-        """Return the runners that crashed while a run of a request had not settled."""
-        return {
-            crash.runner_id
-            for crash in self._record.crashes()
-            if fingerprint in crash.runs and not crash.runs[fingerprint].is_settled
-        }
-
-    def _unrecorded_outcome(self, job: Job) -> SendOutcome:
-        crashed = (name for name in job.crashed_runners if not self._record.has_survived(name))
-        return SendOutcome(frozenset(job.crash_permits), frozenset(crashed))
+            if self._services is not None and ledger and crash.runner_id in ledger.crashed:
+                self._services.recorder.report_survival(fingerprint, crash.runner_id)
+
+    def _outcome(self, job: Job) -> SendOutcome:
+        noticed = self._knowledge.noticed(fingerprint_of(job))
+        return job.permitted.outcome(noticed, self._record.has_survived)
--- a/tests/fleet/fatal_world.py
+++ b/tests/fleet/fatal_world.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TypeVar
 
 from hillstack.core.crash_ledger import CrashLedger
 from hillstack.core.node_directory import NodeEntry
@@ -20,10 +20,14 @@
 )
 from hillstack.messages.peer_notices import PlacementNotice
 from hillstack.messages.runner_ends import RunnerEndNotice
-from hillstack.serving.crash_permits import CrashPermits, StoredLedger
+from hillstack.serving.crash_permits import CrashPermits
+from hillstack.serving.ledger_recorder import LedgerRecorder
+from hillstack.serving.ledger_store import LimitedLedgerStore, StoredLedger
 from hillstack.serving.pipeline import RequestPipeline
 from hillstack.serving.placement import RunnerPlacement
+from hillstack.serving.run_survival import RunSurvival
 from hillstack.serving.store_events import CrashLedgerChanged, RunnerListed, RunnerUnlisted
+from hillstack.serving.suspect_permits import PermitServices
 from hillstack.serving.types import (
     Dispatch,
     HeaderList,
@@ -55,6 +59,8 @@
 STORE_SECONDS = 0.004
 PARTS = (("shared", 2_000), ("own", 500))
 
+Result = TypeVar("Result")
+
 
 class CutConnectionError(Exception):
     """Signals a run that only its own connection is cut."""
@@ -220,6 +226,11 @@
                 raise
         return run
 
+    async def answers_call(self, runner: Runner) -> bool:
+        """Return whether a runner answers a call over a new connection."""
+        await asyncio.sleep(0.001)
+        return self.by_id[runner.runner_id].is_alive
+
     def ended(self) -> list[FakeRunner]:
         return [runner for runner in self.by_id.values() if not runner.is_alive]
 
@@ -240,13 +251,19 @@
         self._name = name
 
     async def read(self, fingerprint: int) -> StoredLedger:
-        await self._call()
-        return self._world.ledgers.get(fingerprint, StoredLedger(CrashLedger()))
+        return await self._call(lambda: self._stored(fingerprint))
 
     async def write(self, fingerprint: int, ledger: CrashLedger, expected: StoreRevision) -> bool:
-        await self._call()
-        known = self._world.ledgers.get(fingerprint, StoredLedger(CrashLedger()))
-        if known.revision != expected:
+        return await self._call(lambda: self._write(fingerprint, ledger, expected))
+
+    async def remove(self, fingerprint: int) -> None:
+        await self._call(lambda: self._remove(fingerprint))
+
+    def _stored(self, fingerprint: int) -> StoredLedger:
+        return self._world.ledgers.get(fingerprint, StoredLedger(CrashLedger()))
+
+    def _write(self, fingerprint: int, ledger: CrashLedger, expected: StoreRevision) -> bool:
+        if self._stored(fingerprint).revision != expected:
             return False
         self._world.ledger_writes += 1
         revision = StoreRevision(0, self._world.ledger_writes)
@@ -254,24 +271,39 @@
         self._notify(fingerprint, ledger)
         return True
 
-    async def remove(self, fingerprint: int) -> None:
-        await self._call()
+    def _remove(self, fingerprint: int) -> None:
         self._world.ledger_writes += 1
         self._world.ledgers.pop(fingerprint, None)
         self._notify(fingerprint, None)
 
-    async def _call(self) -> None:
-        await asyncio.sleep(STORE_SECONDS)
+    async def _call(self, effect: Callable[[], Result]) -> Result:
+        """Call the store, which also handles calls whose caller no longer waits."""
+        handling = asyncio.ensure_future(self._handle(effect))
+        handling.add_done_callback(lambda done: done.cancelled() or done.exception())
+        return await asyncio.shield(handling)
+
+    async def _handle(self, effect: Callable[[], Result]) -> Result:
+        one_way = self._world.store_seconds(self._name) / 2
+        await asyncio.sleep(one_way)
         if not self._world.reaches_store(self._name):
             raise PlatformUnavailableError("no connection", step="call", peer="store")
+        result = effect()
+        await asyncio.sleep(one_way)
+        return result
 
     def _notify(self, fingerprint: int, ledger: CrashLedger | None) -> None:
         world = self._world
+        event = CrashLedgerChanged(fingerprint, ledger)
         for node in world.nodes.values():
-            if world.reaches_store(node.state.node_id):
-                event = CrashLedgerChanged(fingerprint, ledger)
+            name = node.state.node_id
+            if not world.reaches_store(name):
+                continue
+
+            def apply(node: Node = node) -> None:
                 node.state.apply(event, world.scheduler.now)
 
+            world.scheduler.at(world.scheduler.now + world.store_seconds(name) / 2, apply)
+
 
 class _PeerNotifier:
     """Delivers the notices of one node to the other nodes."""
@@ -341,11 +373,20 @@
         nodes: Number of nodes.
         application: Whether the runners are application servers.
         unsafe: Whether requests to the application may run at most once.
+        lists_later_nodes: Whether a node also knows the nodes that were added after it. Suspects
+            are sent in an order of the known nodes, so without them the first node is first.
     """
 
     def __init__(
-        self, runners: int, nodes: int, *, application: bool = False, unsafe: bool = False
+        self,
+        runners: int,
+        nodes: int,
+        *,
+        application: bool = False,
+        unsafe: bool = False,
+        lists_later_nodes: bool = False,
     ) -> None:
+        self.lists_later_nodes = lists_later_nodes
         self.scheduler = Scheduler()
         self.loop = self.scheduler.new_loop()
         self.runners = FakeRunners(
@@ -385,6 +426,10 @@
         """Return whether a node reaches the store."""
         return True
 
+    def store_seconds(self, name: str) -> float:
+        """Return how long a call of a node to the store takes."""
+        return STORE_SECONDS
+
     def is_isolated(self, name: str) -> bool:
         """Return whether a node receives nothing from another region."""
         return False
@@ -427,6 +472,13 @@
         task = self.scheduler.spawn(self.loop, at.pipeline.serve(request, sink))
         return Outcome(sink, task)
 
+    def lose_ledgers(self) -> None:
+        """Remove all ledgers, as a store does that is restored from an older copy."""
+        for fingerprint in self.ledgers:
+            for node in self.nodes.values():
+                node.state.apply(CrashLedgerChanged(fingerprint, None), self.scheduler.now)
+        self.ledgers.clear()
+
     def start_runner(self, runner_id: str) -> None:
         """Start a runner and list it on all nodes immediately."""
         self.runners.by_id[runner_id] = FakeRunner(runner_id, self.scheduler.clock)
@@ -465,25 +517,32 @@
         self.state.node_id = name
         self.state.budget = SharedRetryBudget(1.0, 1_000.0, 10.0)
         for other in (*world.nodes, name):
-            self.state.nodes.list_node(NodeEntry(other, f"10.1.0.1:{len(other)}", "zone-a"))
+            self.state.nodes.list_node(_entry_of(other))
+        if world.lists_later_nodes:
+            for node in world.nodes.values():
+                node.state.nodes.list_node(_entry_of(name))
         self.placement = RunnerPlacement(
             self.state, _PeerNotifier(world, name), "zone-a", make_rng()
         )
         self.pipeline = RequestPipeline(
             self.state, world.runners, self.placement, world.scheduler.clock, FakeLimiter()
         )
-        permits = CrashPermits(
-            FakeLedgers(world, name),
-            name,
-            world.scheduler.clock,
-            lambda: world.is_isolated(name),
-            lambda work: world.scheduler.spawn(world.loop, work),
+        clock = world.scheduler.clock
+        ledgers = LimitedLedgerStore(FakeLedgers(world, name))
+        services = PermitServices(
+            CrashPermits(ledgers, name, clock, lambda: world.is_isolated(name)),
+            LedgerRecorder(ledgers, lambda work: world.scheduler.spawn(world.loop, work)),
+            RunSurvival(self.state.pool, clock, world.runners.answers_call),
         )
-        self.pipeline.runner_crashes.set_permits(permits)
+        self.pipeline.runner_crashes.set_permits(services)
         for fingerprint, stored in world.ledgers.items():
             self.state.apply(CrashLedgerChanged(fingerprint, stored.ledger), world.scheduler.now)
 
 
+def _entry_of(name: str) -> NodeEntry:
+    return NodeEntry(name, f"{name}:1", "zone-a")
+
+
 def _make_table(application: bool, unsafe: bool) -> RoutingTable:
     if not application:
         route = make_route(
