Permits: where the store gives none, one send with the votes of the peers

One request crashed four runners where three are allowed, and their callers' streams broke.

Cause: a send without a permit is counted by nothing. A permit takes two calls of the store within .3 s, so a store that takes 150 ms a call gives none, like one that refuses or is silent. Each node then sent a suspect without a permit, by what the notices had told it. While notices are late or lost, nodes that know of the same crash each send once more. A ledger that had two crashes issued a third permit beside that, also to a node that knew only one of them while its peers called the request fatal.

Ruled out: connections that stay silent.

Change: a send needs a permit, always. A ledger issues one less than the bound. The last one within the bound is the peers': up to five voters, the same for all nodes, each of which grants one permit of a request at a time; a majority is needed. While the store does not answer, that one is the only permit, and after two crashes there is none. So after the first crash there is one send by compare-and-set and one by majority, in any order of messages, whether the store is slow, refuses or is silent. Voters refuse what they know as fatal, or as having crashed too many runners together with what the asking node knows. What gets no permit is rejected with the time to come back: 2 s without the store or a majority. With two crashes known a node waits up to 1 s for the store.

The test of an aborted fatal run sends a try through a node that is cut off from its peers, with two crashes in the ledger. That send needs a vote now, so the test's store loses the ledger before; its checks are the same.

--- a/src/hillstack/core/crash_ledger.py
+++ b/src/hillstack/core/crash_ledger.py
@@ -1,8 +1,9 @@
 """The crashes of runners under one request, and the permits for its sends, shared by all nodes.
 
 A request that was running when a runner crashed is sent again only with a permit. Permits are
-issued by compare-and-set on the request's ledger in the platform's store. The crashes and the
-permits together never exceed ``MAX_CRASHES``, so the request crashes no more runners than that,
+issued by compare-and-set on the request's ledger in the platform's store, and the last one within
+the bound only together with a permit of the peers (``peer_permits``). While the store does not
+answer, that one is the only permit. So the request crashes no more than ``MAX_CRASHES`` runners,
 whatever the nodes know of one another. Its tries that were sent before the first crash was known
 have no permit; their crashes are counted as well.
 """
@@ -16,6 +17,10 @@
 
 # Maximum number of runners that one request may crash.
 MAX_CRASHES = 3
+# Crashes and permits, together, that a ledger issues. The last send within the bound needs a permit
+# of the peers as well (``peer_permits``), which nodes get without the store too. So it is sent
+# once, with or without the store.
+MAX_LEDGER_CRASHES = MAX_CRASHES - 1
 # Longest time for which a ledger is stored after its last change. After that a request counts as
 # new, as it does when its verdict expires. It is shorter than the time to the first trial of a
 # fatal request (``runner_crashes.FATAL_REFUSAL_SECONDS``), which would not get a permit.
@@ -77,8 +82,14 @@
         """
         if alone and self.permits - own_permits:
             return False
-        crashed = self.crashed.union(known_crashed)
-        return len(crashed) + len(self.permits) < MAX_CRASHES
+        return self._possible_crashes(known_crashed) < MAX_CRASHES
+
+    def needs_peers(self, known_crashed: Iterable[str]) -> bool:
+        """Return whether a further send would be the last one, which needs the peers' permit."""
+        return self._possible_crashes(known_crashed) >= MAX_LEDGER_CRASHES
+
+    def _possible_crashes(self, known_crashed: Iterable[str]) -> int:
+        return len(self.crashed.union(known_crashed)) + len(self.permits)
 
     def with_permit(self, permit: str) -> CrashLedger:
         """Return the ledger with a further send under way."""
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -241,6 +241,7 @@
         permits = make_permit_services(
             self._state,
             CrashLedgers(store, self._clock),
+            self._link,
             probe,
             self._peers.is_isolated,
             self._clock,
--- a/src/hillstack/daemon/permit_services.py
+++ b/src/hillstack/daemon/permit_services.py
@@ -1,4 +1,4 @@
-"""Connects the permits of suspects with the store and the runners."""
+"""Connects the permits of suspects with the store, the peers and the runners."""
 
 from __future__ import annotations
 
@@ -7,10 +7,13 @@
 
 from hillstack.core.runner_pool import Runner
 from hillstack.daemon.path_monitor import ProbeResult, TargetProbe
+from hillstack.daemon.peer_link import PeerLink
+from hillstack.daemon.peer_permits import PeerPermits
 from hillstack.serving.crash_permits import CrashPermits
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.ledger_recorder import LedgerRecorder
 from hillstack.serving.ledger_store import LedgerStore, LimitedLedgerStore
+from hillstack.serving.permit_voter import PermitVoter
 from hillstack.serving.run_survival import RunSurvival
 from hillstack.serving.suspect_permits import PermitServices
 
@@ -18,6 +21,7 @@
 def make_permit_services(
     state: FleetState,
     store: LedgerStore,
+    link: PeerLink,
     probe: TargetProbe,
     is_isolated: Callable[[], bool],
     clock: Callable[[], float],
@@ -27,18 +31,22 @@
     Args:
         state: State of the node.
         store: The ledgers of all nodes.
+        link: Sends and receives datagrams.
         probe: Calls a runner over a new connection.
         is_isolated: Returns whether the node does not receive the notices of another region.
         clock: Monotonic seconds.
     """
     ledgers = LimitedLedgerStore(store)
+    voter = PermitVoter(state.runner_crashes, state.crash_ledgers, clock)
+    peers = PeerPermits(state, voter, link)
 
     async def answers_call(runner: Runner) -> bool:
         result = await probe.probe(runner.runner_id, runner.address, None)
         return result is ProbeResult.ANSWERED
 
     return PermitServices(
-        CrashPermits(ledgers, state.node_id, clock, is_isolated),
+        CrashPermits(ledgers, state.node_id, clock, is_isolated, peers),
+        peers,
         LedgerRecorder(ledgers, asyncio.create_task),
         RunSurvival(state.pool, clock, answers_call),
     )
--- a/src/hillstack/messages/datagrams.py
+++ b/src/hillstack/messages/datagrams.py
@@ -31,6 +31,8 @@
         REACH_ANSWER: The answer to ``REACH_QUESTION``.
         PLACE_QUESTION: A node's report of its places at a brittle runner, and its question for one.
         PLACE_ANSWER: The answer to ``PLACE_QUESTION``.
+        PERMIT_QUESTION: A node's question to a voter for the permit to send a suspect request.
+        PERMIT_ANSWER: The answer to ``PERMIT_QUESTION``.
     """
 
     NOTICE = 1
@@ -52,6 +54,8 @@
     REACH_ANSWER = 17
     PLACE_QUESTION = 18
     PLACE_ANSWER = 19
+    PERMIT_QUESTION = 20
+    PERMIT_ANSWER = 21
 
 
 def wrap(kind: DatagramKind, payload: bytes) -> bytes:
--- a/src/hillstack/serving/crash_logs.py
+++ b/src/hillstack/serving/crash_logs.py
@@ -46,6 +46,7 @@
         "ended": [crash.runner_id for crash in crashes if fingerprint in crash.runs],
         "ends": count,
         "permit": latest.permit if latest is not None else None,
+        "peer_permit": latest.peer_permit if latest is not None else None,
     }
     logger.info("suspect sent", extra=fields)
 
--- a/src/hillstack/serving/crash_permits.py
+++ b/src/hillstack/serving/crash_permits.py
@@ -1,9 +1,11 @@
 """Permits to send a request again that may have crashed a runner.
 
 The permits bound the runners that one request crashes across all nodes: also while notices between
-nodes are late or lost, and after all nodes were restarted. While the store does not answer, nodes
-fall back to what their peers report (``RunnerCrashMonitor``); a node that neither reaches the store
-nor the other regions sends no suspect again.
+nodes are late or lost, while the store is slow or does not answer, and after all nodes were
+restarted. They are issued by the ledgers in the store (``core.crash_ledger``); the last one within
+the bound, and any while the store does not answer, by the request's voters
+(``core.peer_permits``). A node that neither reaches the store nor the other regions sends no
+suspect again.
 """
 
 from __future__ import annotations
@@ -13,8 +15,16 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
-from hillstack.core.crash_ledger import MAX_RETENTION_SECONDS, CrashLedger, SendOutcome
+from hillstack.core.crash_ledger import (
+    MAX_CRASHES,
+    MAX_LEDGER_CRASHES,
+    MAX_RETENTION_SECONDS,
+    CrashLedger,
+    SendOutcome,
+)
+from hillstack.core.peer_permits import PeerPermitRequest, Vote
 from hillstack.errors import PlatformError
 from hillstack.serving.ledger_store import LedgerStore
 
@@ -25,10 +35,12 @@
 # Pause before the first further read of the ledger; each later pause is twice as long, so that many
 # waiting tries cost the store few reads.
 PERMIT_CHECK_SECONDS = 0.02
-# Retry delay where neither the store nor another region can be reached.
+# Retry delay where neither the store nor enough peers can be reached.
 ISOLATED_RETRY_SECONDS = 2.0
 # Longest wait for the store. An answer takes some milliseconds.
 STORE_WAIT_SECONDS = 0.3
+# The same for a request that is not sent without the store.
+REQUIRED_STORE_WAIT_SECONDS = 1.0
 # Attempts to write a ledger that other nodes change at the same time.
 MAX_WRITE_ATTEMPTS = 5
 NO_OUTCOME = SendOutcome()
@@ -65,21 +77,36 @@
         is_stored: Whether the ledger contains the permit and the outcome of earlier sends.
         permit: The permit; None if there is none. If the store did not answer, it may have been
             stored all the same.
+        peer_permit: The permit of the peers; None if there is none.
         retry_after: Seconds after which a request that may not be sent may be tried again.
     """
 
     may_send: bool
     is_stored: bool = False
     permit: str | None = None
+    peer_permit: str | None = None
     retry_after: float = 0.0
 
 
+class PeerPermitSource(Protocol):
+    """Gets permits from the voters of requests."""
+
+    async def acquire(self, request: PeerPermitRequest) -> Vote | None:
+        """Ask for a permit, whose identifier must be new; None if too few voters answered."""
+        ...
+
+    def give_back(self, fingerprint: int, permit: str) -> None:
+        """Return a permit whose request was not sent, or whose send has ended without a crash."""
+        ...
+
+
 class _Answer(enum.Enum):
     """What a node gets when it asks a ledger for a permit.
 
     Attributes:
         ISSUED: The permit was written.
         NOT_NEEDED: The request is no suspect any more.
+        NEEDS_PEERS: The last send within the bound needs the peers' permit first.
         BUSY: Another send is under way.
         EXHAUSTED: The request has crashed too many runners.
         NO_STORE: The store does not answer in time.
@@ -87,6 +114,7 @@
 
     ISSUED = "issued"
     NOT_NEEDED = "not needed"
+    NEEDS_PEERS = "needs peers"
     BUSY = "busy"
     EXHAUSTED = "exhausted"
     NO_STORE = "no store"
@@ -100,6 +128,7 @@
         node_id: This node; part of the permits' identifiers.
         clock: Monotonic seconds.
         is_isolated: Returns whether this node does not receive the notices of another region.
+        peers: Gets permits from other nodes.
     """
 
     def __init__(
@@ -108,11 +137,13 @@
         node_id: str,
         clock: Callable[[], float],
         is_isolated: Callable[[], bool],
+        peers: PeerPermitSource,
     ) -> None:
         self._store = store
         self._node_id = node_id
         self._clock = clock
         self._is_isolated = is_isolated
+        self._peers = peers
         self._issued = 0
 
     async def acquire(self, suspect: Suspect) -> Grant:
@@ -124,7 +155,12 @@
             # Other sends of the request usually end soon, and show whether it crashes runners.
             alone = self._clock() < latest
             answer = await self._ask_ledger(suspect, permit, alone=alone)
-            grant = self._grant_for(answer, permit)
+            if answer is _Answer.NEEDS_PEERS:
+                grant = await self._acquire_last(suspect, permit, alone=alone)
+            elif answer is _Answer.NO_STORE:
+                grant = await self._acquire_without_store(suspect, permit)
+            else:
+                grant = _grant_for(answer, permit)
             if grant is not None:
                 return grant
             if not alone:
@@ -132,38 +168,82 @@
             await asyncio.sleep(pause)
             pause *= 2
 
-    def _grant_for(self, answer: _Answer, permit: str) -> Grant | None:
-        """Return the grant that follows from a ledger's answer; None if another send runs."""
-        match answer:
-            case _Answer.ISSUED:
-                return Grant(may_send=True, is_stored=True, permit=permit)
-            case _Answer.NOT_NEEDED:
-                return Grant(may_send=True)
-            case _Answer.EXHAUSTED:
-                return Grant(may_send=False, retry_after=MAX_RETENTION_SECONDS)
-            case _Answer.NO_STORE:
-                is_sent = not self._is_isolated()
-                return Grant(is_sent, permit=permit, retry_after=ISOLATED_RETRY_SECONDS)
-            case _:
-                return None
+    async def _acquire_last(self, suspect: Suspect, permit: str, *, alone: bool) -> Grant | None:
+        """Get the last permit within the bound from the peers and the ledger; None if it is taken.
+
+        The ledger has it as well, for nodes that start later.
+        """
+        peer_permit = self._new_permit()
+        vote = await self._ask_peers(suspect, peer_permit, MAX_CRASHES)
+        if vote is not Vote.GRANTED:
+            return _rejection_of(vote)
+        answer: _Answer | None = None
+        try:
+            answer = await self._ask_ledger(suspect, permit, alone=alone, has_peer_permit=True)
+        finally:
+            if answer is not _Answer.ISSUED:
+                self._peers.give_back(suspect.fingerprint, peer_permit)
+        if answer is _Answer.ISSUED:
+            return Grant(may_send=True, is_stored=True, permit=permit, peer_permit=peer_permit)
+        if answer is _Answer.NO_STORE:
+            return Grant(may_send=False, permit=permit, retry_after=ISOLATED_RETRY_SECONDS)
+        return _grant_for(answer, permit)
+
+    async def _acquire_without_store(self, suspect: Suspect, permit: str) -> Grant | None:
+        """Get a permit from the peers alone; None if it is taken.
+
+        After two crashes there is none: the ledger may have issued others.
+        """
+        crashes = len(suspect.known_crashed())
+        vote: Vote | None = None
+        peer_permit = self._new_permit()
+        if crashes < MAX_LEDGER_CRASHES and not self._is_isolated():
+            vote = await self._ask_peers(suspect, peer_permit, MAX_LEDGER_CRASHES)
+        fields = {
+            "fingerprint": f"{suspect.fingerprint:016x}",
+            "isolated": self._is_isolated(),
+            "crashes": crashes,
+            "vote": vote.name.lower() if vote is not None else None,
+        }
+        logger.info("permit without the store", extra=fields)
+        if vote is Vote.TAKEN:
+            return None
+        is_granted = vote is Vote.GRANTED
+        return Grant(
+            is_granted,
+            permit=permit,
+            peer_permit=peer_permit if is_granted else None,
+            retry_after=ISOLATED_RETRY_SECONDS,
+        )
 
     def _new_permit(self) -> str:
         self._issued += 1
         return f"{self._node_id}/{self._clock():.6f}/{self._issued}"
 
-    async def _ask_ledger(self, suspect: Suspect, permit: str, *, alone: bool) -> _Answer:
+    async def _ask_peers(self, suspect: Suspect, peer_permit: str, max_crashes: int) -> Vote | None:
+        crashed = frozenset(suspect.known_crashed())
+        return await self._peers.acquire(
+            PeerPermitRequest(suspect.fingerprint, peer_permit, crashed, max_crashes)
+        )
+
+    async def _ask_ledger(
+        self, suspect: Suspect, permit: str, *, alone: bool, has_peer_permit: bool = False
+    ) -> _Answer:
         """Write a permit to the ledger if that is within the bound."""
         crashed = suspect.known_crashed()
         if CrashLedger().is_exhausted(crashed):
             return _Answer.EXHAUSTED
+        is_required = len(crashed) >= MAX_LEDGER_CRASHES
+        wait = REQUIRED_STORE_WAIT_SECONDS if is_required else STORE_WAIT_SECONDS
         try:
-            async with asyncio.timeout(STORE_WAIT_SECONDS):
-                return await self._write_permit(suspect, permit, crashed, alone=alone)
+            async with asyncio.timeout(wait):
+                return await self._write_permit(
+                    suspect, permit, crashed, alone=alone, has_peer_permit=has_peer_permit
+                )
         except (PlatformError, TimeoutError) as error:
             fields = {
                 "fingerprint": f"{suspect.fingerprint:016x}",
                 "error": str(error) or type(error).__name__,
-                "isolated": self._is_isolated(),
             }
             logger.warning("no crash permit", extra=fields)
             return _Answer.NO_STORE
@@ -175,6 +255,7 @@
         known_crashed: set[str],
         *,
         alone: bool,
+        has_peer_permit: bool,
     ) -> _Answer:
         for _ in range(MAX_WRITE_ATTEMPTS):
             stored = await self._store.read(suspect.fingerprint)
@@ -187,7 +268,33 @@
             own = suspect.open_permits
             if not ledger.allows_send(known_crashed, alone=alone, own_permits=own):
                 return _Answer.BUSY
+            if ledger.needs_peers(known_crashed) and not has_peer_permit:
+                return _Answer.NEEDS_PEERS
             changed = ledger.with_permit(permit)
             if await self._store.write(suspect.fingerprint, changed, stored.revision):
                 return _Answer.ISSUED
         return _Answer.BUSY
+
+
+def _grant_for(answer: _Answer, permit: str) -> Grant | None:
+    """Return the grant that follows from a ledger's answer alone; None if another send runs."""
+    match answer:
+        case _Answer.ISSUED:
+            return Grant(may_send=True, is_stored=True, permit=permit)
+        case _Answer.NOT_NEEDED:
+            return Grant(may_send=True)
+        case _Answer.EXHAUSTED:
+            return Grant(may_send=False, retry_after=MAX_RETENTION_SECONDS)
+        case _:
+            return None
+
+
+def _rejection_of(vote: Vote | None) -> Grant | None:
+    """Return the rejection that follows from a vote; None if another send is under way."""
+    match vote:
+        case Vote.REFUSED:
+            return Grant(may_send=False, retry_after=MAX_RETENTION_SECONDS)
+        case Vote.TAKEN:
+            return None
+        case _:
+            return Grant(may_send=False, retry_after=ISOLATED_RETRY_SECONDS)
--- /dev/null
+++ b/src/hillstack/serving/permit_voter.py
@@ -0,0 +1,39 @@
+"""This node as a voter on permits of suspects (``core.peer_permits``)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from hillstack.core.crash_ledger import KnownLedgers
+from hillstack.core.peer_permits import PeerPermitRequest, PeerPermitVotes, Vote
+from hillstack.core.runner_crashes import RunnerCrashRecord, Suspicion
+from hillstack.serving.crash_knowledge import CrashKnowledge
+
+
+class PermitVoter:
+    """Votes by this node's earlier votes and by the crashes that it knows.
+
+    Args:
+        record: Runner crashes that this node knows.
+        ledgers: Ledgers that this node knows.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(
+        self, record: RunnerCrashRecord, ledgers: KnownLedgers, clock: Callable[[], float]
+    ) -> None:
+        self._record = record
+        self._knowledge = CrashKnowledge(record, ledgers, clock)
+        self._clock = clock
+        self._votes = PeerPermitVotes()
+
+    def vote(self, request: PeerPermitRequest) -> Vote:
+        """Vote on a node's request for a permit; a request that is known to be fatal gets none."""
+        now = self._clock()
+        if self._record.suspicion(request.fingerprint, now) is Suspicion.FATAL:
+            return Vote.REFUSED
+        return self._votes.vote(request, self._knowledge.crashed(request.fingerprint), now)
+
+    def withdraw(self, fingerprint: int, permit: str) -> None:
+        """Withdraw the vote for a permit whose send has ended without a crash."""
+        self._votes.withdraw(fingerprint, permit)
--- a/src/hillstack/serving/permitted_sends.py
+++ b/src/hillstack/serving/permitted_sends.py
@@ -14,6 +14,7 @@
 
     Attributes:
         permit: The ledger's permit, which the store may not have.
+        peer_permit: The permit of the peers; None without one.
         runner_id: The runner; empty before the request was sent.
         abandoned_at: When this node abandoned the run, after which its runner may still crash; None
             if the run is under way or has ended.
@@ -21,6 +22,7 @@
     """
 
     permit: str
+    peer_permit: str | None = None
     runner_id: str = ""
     abandoned_at: float | None = None
     is_over: bool = False
@@ -88,6 +90,16 @@
         ended = {send.permit for send in self.sends if send.is_over or send.runner_id in runners}
         return SendOutcome(frozenset(ended), frozenset(crashed))
 
+    def unused_peer_permits(self, outcome: SendOutcome) -> list[str]:
+        """Return the peers' permits of the sends that ended without a crash."""
+        return [
+            send.peer_permit
+            for send in self.sends
+            if send.peer_permit is not None
+            and send.permit in outcome.permits
+            and (send.is_over or send.runner_id not in outcome.crashed)
+        ]
+
     def recorded(self, outcome: SendOutcome) -> None:
         """Record that an outcome is in the ledger."""
         self.sends = [send for send in self.sends if send.permit not in outcome.permits]
--- a/src/hillstack/serving/suspect_permits.py
+++ b/src/hillstack/serving/suspect_permits.py
@@ -9,7 +9,7 @@
 from hillstack.core.crash_ledger import KnownLedgers, SendOutcome
 from hillstack.core.runner_crashes import SETTLED_SECONDS, RunnerCrash, RunnerCrashRecord
 from hillstack.serving.crash_knowledge import CrashKnowledge
-from hillstack.serving.crash_permits import CrashPermits, Suspect
+from hillstack.serving.crash_permits import CrashPermits, PeerPermitSource, Suspect
 from hillstack.serving.job import Job
 from hillstack.serving.ledger_recorder import LedgerRecorder
 from hillstack.serving.permitted_sends import PermittedSend
@@ -26,11 +26,13 @@
 
     Attributes:
         permits: Issues permits.
+        peers: Takes the permits of the peers back.
         recorder: Records the outcome of sends in the ledgers.
         survival: Checks runners on which this node abandoned a run.
     """
 
     permits: CrashPermits
+    peers: PeerPermitSource
     recorder: LedgerRecorder
     survival: RunSurvival
 
@@ -76,6 +78,7 @@
             return
         fingerprint = fingerprint_of(job)
         earlier = self._outcome(job)
+        self._give_back_peer_permits(job, earlier)
         grant = await self._services.permits.acquire(
             Suspect(
                 fingerprint,
@@ -89,7 +92,7 @@
         if grant.is_stored:
             job.permitted.recorded(earlier)
         if grant.permit is not None:
-            job.permitted.sends.append(PermittedSend(grant.permit))
+            job.permitted.sends.append(PermittedSend(grant.permit, grant.peer_permit))
         if not grant.may_send:
             raise job.give_up_error(Verdict.UNAVAILABLE, FATAL_REASON, grant.retry_after)
 
@@ -112,6 +115,9 @@
         fingerprint = fingerprint_of(job)
         if not job.permitted.sends and not self.has_ledger(fingerprint):
             return
+        for send in job.permitted.sends:
+            if send.peer_permit is not None:
+                self._services.peers.give_back(fingerprint, send.peer_permit)
         job.permitted.sends.clear()
         job.permitted.crashed_runners.clear()
         self._services.recorder.report_success(fingerprint)
@@ -142,10 +148,16 @@
     async def _record_ended(self, job: Job) -> None:
         assert self._services is not None
         outcome = self._outcome(job)
+        self._give_back_peer_permits(job, outcome)
         noticed = self._knowledge.noticed(fingerprint_of(job))
         recorded = SendOutcome(outcome.permits, outcome.crashed | noticed)
         await self._services.recorder.record_outcome(fingerprint_of(job), recorded)
 
+    def _give_back_peer_permits(self, job: Job, outcome: SendOutcome) -> None:
+        assert self._services is not None
+        for permit in job.permitted.unused_peer_permits(outcome):
+            self._services.peers.give_back(fingerprint_of(job), permit)
+
     def retract(self, crash: RunnerCrash) -> None:
         """Remove a runner that has not crashed from the ledgers of the requests that it ran."""
         for fingerprint in crash.runs:
--- a/tests/fleet/fatal_world.py
+++ b/tests/fleet/fatal_world.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
@@ -13,16 +13,20 @@
 from hillstack.core.runner_pool import Runner, RunnerEntry
 from hillstack.core.shared_retry_budget import SharedRetryBudget
 from hillstack.core.store_revision import StoreRevision
+from hillstack.daemon.peer_link import PeerLink
+from hillstack.daemon.peer_permits import PeerPermits
 from hillstack.errors import (
     BackendBrokenError,
     ConnectionLostError,
     PlatformUnavailableError,
 )
+from hillstack.messages.datagrams import DatagramKind, wrap
 from hillstack.messages.peer_notices import PlacementNotice
 from hillstack.messages.runner_ends import RunnerEndNotice
 from hillstack.serving.crash_permits import CrashPermits
 from hillstack.serving.ledger_recorder import LedgerRecorder
 from hillstack.serving.ledger_store import LimitedLedgerStore, StoredLedger
+from hillstack.serving.permit_voter import PermitVoter
 from hillstack.serving.pipeline import RequestPipeline
 from hillstack.serving.placement import RunnerPlacement
 from hillstack.serving.run_survival import RunSurvival
@@ -305,6 +309,30 @@
             world.scheduler.at(world.scheduler.now + world.store_seconds(name) / 2, apply)
 
 
+class FakeLink(PeerLink):
+    """Delivers the datagrams of one node like its notices."""
+
+    def __init__(self, world: World, name: str) -> None:
+        super().__init__()
+        self._world = world
+        self._name = name
+
+    def send_to_all(self, kind: DatagramKind, payload: bytes, addresses: Iterable[str]) -> None:
+        for address in addresses:
+            node = self._world.nodes.get(_name_at(address))
+            if node is None or node not in self._world.reached_from(self._name):
+                continue
+            delay = self._world.notice_seconds(self._name, node)
+            if delay is not None:
+                self._deliver(node, wrap(kind, payload), delay)
+
+    def _deliver(self, node: Node, datagram: bytes, delay: float) -> None:
+        def receive() -> None:
+            self._world.loop.call_soon(node.link.datagram_received, datagram, (self._name, 0))
+
+        self._world.scheduler.at(self._world.scheduler.now + delay, receive)
+
+
 class _PeerNotifier:
     """Delivers the notices of one node to the other nodes."""
 
@@ -529,8 +557,12 @@
         )
         clock = world.scheduler.clock
         ledgers = LimitedLedgerStore(FakeLedgers(world, name))
+        voter = PermitVoter(self.state.runner_crashes, self.state.crash_ledgers, clock)
+        self.link = FakeLink(world, name)
+        self.peers = PeerPermits(self.state, voter, self.link)
         services = PermitServices(
-            CrashPermits(ledgers, name, clock, lambda: world.is_isolated(name)),
+            CrashPermits(ledgers, name, clock, lambda: world.is_isolated(name), self.peers),
+            self.peers,
             LedgerRecorder(ledgers, lambda work: world.scheduler.spawn(world.loop, work)),
             RunSurvival(self.state.pool, clock, world.runners.answers_call),
         )
@@ -543,6 +575,10 @@
     return NodeEntry(name, f"{name}:1", "zone-a")
 
 
+def _name_at(address: str) -> str:
+    return address.rpartition(":")[0]
+
+
 def _make_table(application: bool, unsafe: bool) -> RoutingTable:
     if not application:
         route = make_route(
--- a/tests/fleet/test_fatal_requests.py
+++ b/tests/fleet/test_fatal_requests.py
@@ -160,6 +160,8 @@
     world.partitioned_nodes = {"node-1"}
     world.try_until_done("node-0", FATAL)
     record = world.nodes["node-1"].state.runner_crashes
+    # Without a ledger and the notices, the other node does not know that it may not send it.
+    world.lose_ledgers()
     again = world.send("node-1", FATAL)
     world.run(0.09)
     world.partitioned_nodes = set()
