Permits: read as a newcomer; a permit that was written without an answer is not counted against itself

Wording: "peer permit" throughout; one log line for each question to the voters ("peer permit requested": the crashes that the node knew, and the vote), and "no crash permit" names the crashes that the node knew.

Found while reading, each without a run that showed it: - A node whose write of a permit was done but not answered in time found its own permit in the ledger at the next try, and waited for it as for another send. - While the store was away, the outcome of a request with crashes was tried for some seconds, and its abandoned runs were only checked after that, or not at all: their peer permits were not returned. The two run apart now. - A node that has started again uses the numbers of questions again; a late answer to its process before could have been taken for a vote. Answers name the permit.

--- a/src/hillstack/core/crash_ledger.py
+++ b/src/hillstack/core/crash_ledger.py
@@ -2,7 +2,7 @@
 
 A request that was running when a runner crashed is sent again only with a permit. Permits are
 issued by compare-and-set on the request's ledger in the platform's store, and the last one within
-the bound only together with a permit of the peers (``peer_permits``). While the store does not
+the bound only together with the peer permit (``peer_permits``). While the store does not
 answer, that one is the only permit. So the request crashes no more than ``MAX_CRASHES`` runners,
 whatever the nodes know of one another. Its tries that were sent before the first crash was known
 have no permit; their crashes are counted as well.
@@ -17,9 +17,9 @@
 
 # Maximum number of runners that one request may crash.
 MAX_CRASHES = 3
-# Crashes and permits, together, that a ledger issues. The last send within the bound needs a permit
-# of the peers as well (``peer_permits``), which nodes get without the store too. So it is sent
-# once, with or without the store.
+# Crashes and permits, together, up to which a ledger alone issues permits. The last send within the
+# bound needs the peer permit (``peer_permits``) as well, which nodes get without the store too. So
+# it is sent once, with or without the store.
 MAX_LEDGER_CRASHES = MAX_CRASHES - 1
 # Longest time for which a ledger is stored after its last change. After that a request counts as
 # new, as it does when its verdict expires. It is shorter than the time to the first trial of a
@@ -85,7 +85,7 @@
         return self._possible_crashes(known_crashed) < MAX_CRASHES
 
     def needs_peers(self, known_crashed: Iterable[str]) -> bool:
-        """Return whether a further send would be the last one, which needs the peers' permit."""
+        """Return whether a further send would be the last one, which needs the peer permit."""
         return self._possible_crashes(known_crashed) >= MAX_LEDGER_CRASHES
 
     def _possible_crashes(self, known_crashed: Iterable[str]) -> int:
--- a/src/hillstack/core/peer_permits.py
+++ b/src/hillstack/core/peer_permits.py
@@ -1,10 +1,10 @@
-"""Permits that a majority of a request's voters grants, where the ledger in the store can't.
+"""Peer permits: permits to send a suspect that a majority of its voters grants.
 
-A ledger (``crash_ledger``) issues permits up to one below the bound of crashes. The last send
-within the bound, and any send while the store does not answer, needs the votes of a majority of the
-request's voters. A voter grants one permit of a request at a time, and any two majorities of the
-same voters share one, so nodes get at most one such permit for a request, whatever notices of
-crashes they have received. It is free again when its send has ended without a crash.
+A ledger in the store (``crash_ledger``) issues permits up to one below the bound of crashes. The
+last send within the bound, and any send while the store does not answer, needs the peer permit of
+the request. A voter grants it to one send at a time, and any two majorities of the same voters
+share one, so one send has it, whatever notices of crashes the nodes have received. It is free again
+when that send has ended without a crash.
 
 All nodes choose the same voters if they know the same nodes. The list of nodes is in the store, so
 it does not change while the store does not answer.
@@ -31,7 +31,7 @@
 
     Attributes:
         GRANTED: The permit is granted.
-        TAKEN: The permit of the request is taken; its send may end without a crash.
+        TAKEN: Another send has the permit; it may end without a crash.
         REFUSED: The voter knows that the request has crashed too many runners.
     """
 
@@ -42,11 +42,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerPermitRequest:
-    """A node's request for the permit.
+    """A node's request for a peer permit.
 
     Attributes:
         fingerprint: The request to send.
-        permit: Identifier of the permit.
+        permit: Identifier that the node has given to the permit, for one send.
         crashed: Runners that crashed under the request, according to the node that asks.
         max_crashes: Number of crashes, known to that node and the voter together, from which the
             voter refuses.
--- a/src/hillstack/daemon/peer_permits.py
+++ b/src/hillstack/daemon/peer_permits.py
@@ -1,4 +1,4 @@
-"""Asks the voters of a request for its permit, and votes on the permits of peers."""
+"""Asks the voters of a request for its peer permit, and votes on the requests of other nodes."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 
 class PeerPermits:
-    """Permits from the voters of requests.
+    """Acquires peer permits, and answers the questions of other nodes for them.
 
     Args:
         state: State of this node.
@@ -45,9 +45,9 @@
         link.handle(DatagramKind.PERMIT_ANSWER, self._take_answer)
 
     async def acquire(self, request: PeerPermitRequest) -> Vote | None:
-        """Ask for a permit; None if too few voters answered.
+        """Ask for a permit, whose identifier must be new; None if too few voters answered.
 
-        Votes that don't suffice are returned.
+        Votes that are no majority are returned.
         """
         voters = self._voters(request.fingerprint)
         needed = majority_of(len(voters))
@@ -95,7 +95,9 @@
             answer = await self._pending.ask(send)
         finally:
             repeating[0].cancel()
-        return Vote(answer.vote) if answer is not None else None
+        if answer is None or answer.permit != request.permit:
+            return None
+        return Vote(answer.vote)
 
     def _send(
         self,
@@ -133,7 +135,9 @@
                 question.max_crashes,
             )
         )
-        answer = PermitAnswer(PROTOCOL_VERSION, self._state.node_id, question.number, vote)
+        answer = PermitAnswer(
+            PROTOCOL_VERSION, self._state.node_id, question.number, vote, question.permit
+        )
         self._link.send(DatagramKind.PERMIT_ANSWER, pack(answer), node.address)
 
     def _take_answer(self, payload: bytes, peer: str) -> None:
--- a/src/hillstack/messages/permit_messages.py
+++ b/src/hillstack/messages/permit_messages.py
@@ -35,8 +35,10 @@
         node_id: The voter.
         number: Number of the question.
         vote: The vote, as a value of ``peer_permits.Vote``.
+        permit: The permit in the question; a restarted node uses numbers again.
     """
 
     node_id: str
     number: int
     vote: int
+    permit: str
--- a/src/hillstack/serving/crash_permits.py
+++ b/src/hillstack/serving/crash_permits.py
@@ -3,9 +3,8 @@
 The permits bound the runners that one request crashes across all nodes: also while notices between
 nodes are late or lost, while the store is slow or does not answer, and after all nodes were
 restarted. They are issued by the ledgers in the store (``core.crash_ledger``); the last one within
-the bound, and any while the store does not answer, by the request's voters
-(``core.peer_permits``). A node that neither reaches the store nor the other regions sends no
-suspect again.
+the bound, and any while the store does not answer, are peer permits (``core.peer_permits``). A node
+that neither reaches the store nor the other regions sends no suspect again.
 """
 
 from __future__ import annotations
@@ -77,7 +76,7 @@
         is_stored: Whether the ledger contains the permit and the outcome of earlier sends.
         permit: The permit; None if there is none. If the store did not answer, it may have been
             stored all the same.
-        peer_permit: The permit of the peers; None if there is none.
+        peer_permit: The peer permit; None if there is none.
         retry_after: Seconds after which a request that may not be sent may be tried again.
     """
 
@@ -89,7 +88,7 @@
 
 
 class PeerPermitSource(Protocol):
-    """Gets permits from the voters of requests."""
+    """Gets peer permits from the voters of requests."""
 
     async def acquire(self, request: PeerPermitRequest) -> Vote | None:
         """Ask for a permit, whose identifier must be new; None if too few voters answered."""
@@ -100,13 +99,13 @@
         ...
 
 
-class _Answer(enum.Enum):
+class _LedgerAnswer(enum.Enum):
     """What a node gets when it asks a ledger for a permit.
 
     Attributes:
         ISSUED: The permit was written.
         NOT_NEEDED: The request is no suspect any more.
-        NEEDS_PEERS: The last send within the bound needs the peers' permit first.
+        NEEDS_PEERS: The last send within the bound needs the peer permit first.
         BUSY: Another send is under way.
         EXHAUSTED: The request has crashed too many runners.
         NO_STORE: The store does not answer in time.
@@ -128,7 +127,7 @@
         node_id: This node; part of the permits' identifiers.
         clock: Monotonic seconds.
         is_isolated: Returns whether this node does not receive the notices of another region.
-        peers: Gets permits from other nodes.
+        peers: Gets peer permits.
     """
 
     def __init__(
@@ -147,7 +146,7 @@
         self._issued = 0
 
     async def acquire(self, suspect: Suspect) -> Grant:
-        """Request a permit to send a request."""
+        """Request a permit to send a request; wait for a while if another send is under way."""
         permit = self._new_permit()
         latest = self._clock() + PERMIT_WAIT_SECONDS
         pause = PERMIT_CHECK_SECONDS
@@ -155,9 +154,9 @@
             # Other sends of the request usually end soon, and show whether it crashes runners.
             alone = self._clock() < latest
             answer = await self._ask_ledger(suspect, permit, alone=alone)
-            if answer is _Answer.NEEDS_PEERS:
+            if answer is _LedgerAnswer.NEEDS_PEERS:
                 grant = await self._acquire_last(suspect, permit, alone=alone)
-            elif answer is _Answer.NO_STORE:
+            elif answer is _LedgerAnswer.NO_STORE:
                 grant = await self._acquire_without_store(suspect, permit)
             else:
                 grant = _grant_for(answer, permit)
@@ -169,52 +168,41 @@
             pause *= 2
 
     async def _acquire_last(self, suspect: Suspect, permit: str, *, alone: bool) -> Grant | None:
-        """Get the last permit within the bound from the peers and the ledger; None if it is taken.
+        """Get the peer permit for the last send within the bound; None if another send has it.
 
-        The ledger has it as well, for nodes that start later.
+        The ledger issues a permit for this send too, so that nodes which start later know of it.
         """
         peer_permit = self._new_permit()
         vote = await self._ask_peers(suspect, peer_permit, MAX_CRASHES)
         if vote is not Vote.GRANTED:
             return _rejection_of(vote)
-        answer: _Answer | None = None
+        answer: _LedgerAnswer | None = None
         try:
             answer = await self._ask_ledger(suspect, permit, alone=alone, has_peer_permit=True)
         finally:
-            if answer is not _Answer.ISSUED:
+            if answer is not _LedgerAnswer.ISSUED:
                 self._peers.give_back(suspect.fingerprint, peer_permit)
-        if answer is _Answer.ISSUED:
+        if answer is _LedgerAnswer.ISSUED:
             return Grant(may_send=True, is_stored=True, permit=permit, peer_permit=peer_permit)
-        if answer is _Answer.NO_STORE:
+        if answer is _LedgerAnswer.NO_STORE:
             return Grant(may_send=False, permit=permit, retry_after=ISOLATED_RETRY_SECONDS)
         return _grant_for(answer, permit)
 
     async def _acquire_without_store(self, suspect: Suspect, permit: str) -> Grant | None:
-        """Get a permit from the peers alone; None if it is taken.
+        """Get the peer permit alone; None if another send has it.
 
-        After two crashes there is none: the ledger may have issued others.
+        After two crashes nothing is sent: the ledger may have issued a permit in the meantime.
         """
-        crashes = len(suspect.known_crashed())
-        vote: Vote | None = None
+        rejection = Grant(may_send=False, permit=permit, retry_after=ISOLATED_RETRY_SECONDS)
+        if len(suspect.known_crashed()) >= MAX_LEDGER_CRASHES or self._is_isolated():
+            return rejection
         peer_permit = self._new_permit()
-        if crashes < MAX_LEDGER_CRASHES and not self._is_isolated():
-            vote = await self._ask_peers(suspect, peer_permit, MAX_LEDGER_CRASHES)
-        fields = {
-            "fingerprint": f"{suspect.fingerprint:016x}",
-            "isolated": self._is_isolated(),
-            "crashes": crashes,
-            "vote": vote.name.lower() if vote is not None else None,
-        }
-        logger.info("permit without the store", extra=fields)
+        vote = await self._ask_peers(suspect, peer_permit, MAX_LEDGER_CRASHES)
         if vote is Vote.TAKEN:
             return None
-        is_granted = vote is Vote.GRANTED
-        return Grant(
-            is_granted,
-            permit=permit,
-            peer_permit=peer_permit if is_granted else None,
-            retry_after=ISOLATED_RETRY_SECONDS,
-        )
+        if vote is not Vote.GRANTED:
+            return rejection
+        return Grant(may_send=True, permit=permit, peer_permit=peer_permit)
 
     def _new_permit(self) -> str:
         self._issued += 1
@@ -222,17 +210,25 @@
 
     async def _ask_peers(self, suspect: Suspect, peer_permit: str, max_crashes: int) -> Vote | None:
         crashed = frozenset(suspect.known_crashed())
-        return await self._peers.acquire(
+        vote = await self._peers.acquire(
             PeerPermitRequest(suspect.fingerprint, peer_permit, crashed, max_crashes)
         )
+        fields = {
+            "fingerprint": f"{suspect.fingerprint:016x}",
+            "permit": peer_permit,
+            "crashed": sorted(crashed),
+            "vote": vote.name.lower() if vote is not None else "no majority",
+        }
+        logger.info("peer permit requested", extra=fields)
+        return vote
 
     async def _ask_ledger(
         self, suspect: Suspect, permit: str, *, alone: bool, has_peer_permit: bool = False
-    ) -> _Answer:
+    ) -> _LedgerAnswer:
         """Write a permit to the ledger if that is within the bound."""
         crashed = suspect.known_crashed()
         if CrashLedger().is_exhausted(crashed):
-            return _Answer.EXHAUSTED
+            return _LedgerAnswer.EXHAUSTED
         is_required = len(crashed) >= MAX_LEDGER_CRASHES
         wait = REQUIRED_STORE_WAIT_SECONDS if is_required else STORE_WAIT_SECONDS
         try:
@@ -244,9 +240,11 @@
             fields = {
                 "fingerprint": f"{suspect.fingerprint:016x}",
                 "error": str(error) or type(error).__name__,
+                "isolated": self._is_isolated(),
+                "crashed": sorted(crashed),
             }
             logger.warning("no crash permit", extra=fields)
-            return _Answer.NO_STORE
+            return _LedgerAnswer.NO_STORE
 
     async def _write_permit(
         self,
@@ -256,34 +254,36 @@
         *,
         alone: bool,
         has_peer_permit: bool,
-    ) -> _Answer:
+    ) -> _LedgerAnswer:
+        # An earlier write of the permit may have succeeded although its answer did not arrive.
+        unused = SendOutcome(frozenset({permit}))
         for _ in range(MAX_WRITE_ATTEMPTS):
             stored = await self._store.read(suspect.fingerprint)
             stored = stored.without_survivors(suspect.has_survived)
             if not stored.ledger and not suspect.is_suspected():
-                return _Answer.NOT_NEEDED
-            ledger = stored.ledger.with_outcome(suspect.earlier)
+                return _LedgerAnswer.NOT_NEEDED
+            ledger = stored.ledger.with_outcome(suspect.earlier).with_outcome(unused)
             if ledger.is_exhausted(known_crashed):
-                return _Answer.EXHAUSTED
+                return _LedgerAnswer.EXHAUSTED
             own = suspect.open_permits
             if not ledger.allows_send(known_crashed, alone=alone, own_permits=own):
-                return _Answer.BUSY
+                return _LedgerAnswer.BUSY
             if ledger.needs_peers(known_crashed) and not has_peer_permit:
-                return _Answer.NEEDS_PEERS
+                return _LedgerAnswer.NEEDS_PEERS
             changed = ledger.with_permit(permit)
             if await self._store.write(suspect.fingerprint, changed, stored.revision):
-                return _Answer.ISSUED
-        return _Answer.BUSY
+                return _LedgerAnswer.ISSUED
+        return _LedgerAnswer.BUSY
 
 
-def _grant_for(answer: _Answer, permit: str) -> Grant | None:
+def _grant_for(answer: _LedgerAnswer, permit: str) -> Grant | None:
     """Return the grant that follows from a ledger's answer alone; None if another send runs."""
     match answer:
-        case _Answer.ISSUED:
+        case _LedgerAnswer.ISSUED:
             return Grant(may_send=True, is_stored=True, permit=permit)
-        case _Answer.NOT_NEEDED:
+        case _LedgerAnswer.NOT_NEEDED:
             return Grant(may_send=True)
-        case _Answer.EXHAUSTED:
+        case _LedgerAnswer.EXHAUSTED:
             return Grant(may_send=False, retry_after=MAX_RETENTION_SECONDS)
         case _:
             return None
--- a/src/hillstack/serving/permit_voter.py
+++ b/src/hillstack/serving/permit_voter.py
@@ -1,4 +1,4 @@
-"""This node as a voter on permits of suspects (``core.peer_permits``)."""
+"""This node as a voter on peer permits (``core.peer_permits``)."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
         self._votes = PeerPermitVotes()
 
     def vote(self, request: PeerPermitRequest) -> Vote:
-        """Vote on a node's request for a permit; a request that is known to be fatal gets none."""
+        """Vote on a node's request for a peer permit; a request known to be fatal gets none."""
         now = self._clock()
         if self._record.suspicion(request.fingerprint, now) is Suspicion.FATAL:
             return Vote.REFUSED
--- a/src/hillstack/serving/permitted_sends.py
+++ b/src/hillstack/serving/permitted_sends.py
@@ -14,7 +14,7 @@
 
     Attributes:
         permit: The ledger's permit, which the store may not have.
-        peer_permit: The permit of the peers; None without one.
+        peer_permit: The peer permit; None without one.
         runner_id: The runner; empty before the request was sent.
         abandoned_at: When this node abandoned the run, after which its runner may still crash; None
             if the run is under way or has ended.
@@ -91,7 +91,7 @@
         return SendOutcome(frozenset(ended), frozenset(crashed))
 
     def unused_peer_permits(self, outcome: SendOutcome) -> list[str]:
-        """Return the peers' permits of the sends that ended without a crash."""
+        """Return the peer permits of the sends that ended without a crash."""
         return [
             send.peer_permit
             for send in self.sends
--- a/src/hillstack/serving/suspect_permits.py
+++ b/src/hillstack/serving/suspect_permits.py
@@ -26,7 +26,7 @@
 
     Attributes:
         permits: Issues permits.
-        peers: Takes the permits of the peers back.
+        peers: Takes peer permits back.
         recorder: Records the outcome of sends in the ledgers.
         survival: Checks runners on which this node abandoned a run.
     """
@@ -130,22 +130,23 @@
             # The runner crashed together with others, or has not crashed.
             return
         job.permitted.will_not_be_sent()
-        self._services.recorder.start(self._record_outcome(job))
+        abandoned = job.permitted.abandoned()
+        if len(abandoned) < len(job.permitted.sends) or job.permitted.crashed_runners:
+            self._services.recorder.start(self._record_ended(job))
+        if abandoned:
+            self._services.recorder.start(self._record_abandoned(job, abandoned))
 
-    async def _record_outcome(self, job: Job) -> None:
-        """Record the outcome of the sends that have ended, and of the abandoned ones later.
+    async def _record_abandoned(self, job: Job, abandoned: list[PermittedSend]) -> None:
+        """Record the outcome of abandoned sends once it is known.
 
         A permit of a send whose runner may have crashed stays until its ledger expires.
         """
         assert self._services is not None
-        abandoned = job.permitted.abandoned()
-        if len(abandoned) < len(job.permitted.sends) or job.permitted.crashed_runners:
-            await self._record_ended(job)
-        if abandoned:
-            await asyncio.gather(*(self._services.survival.check(send) for send in abandoned))
-            await self._record_ended(job)
+        await asyncio.gather(*(self._services.survival.check(send) for send in abandoned))
+        await self._record_ended(job)
 
     async def _record_ended(self, job: Job) -> None:
+        """Record the outcome of the sends that have ended, and return their peer permits."""
         assert self._services is not None
         outcome = self._outcome(job)
         self._give_back_peer_permits(job, outcome)
