Soak tests: one caller of the fatal request

The test of a slow store had written again what the test of a node that starts had: a source of randomness that always draws the fatal request, and a call of a single node with it. Both use tests/soak/fatal_caller.py now. The checks and bounds of both tests are the same; one caller numbers all its requests, where each call had its own before.

--- a/tests/soak/test_fatal_start.py
+++ b/tests/soak/test_fatal_start.py
@@ -8,12 +8,10 @@
 import asyncio
 import signal
 from pathlib import Path
-from random import Random
 
 import pytest
 
-from tests.soak.callers import Callers
-from tests.soak.observations import CallerRequest
+from tests.soak.fatal_caller import FatalRequestCaller
 from tests.soak.system import SystemUnderTest
 
 MAX_ENDS = 2
@@ -29,7 +27,7 @@
         try:
             await system.start()
             system.fatal.add(kind)
-            fatal = _FatalRequestCaller(system)
+            fatal = FatalRequestCaller(system)
             for _ in range(TRIES):
                 await fatal.call("node-1")
             assert len(system.observations.runner_ends) == MAX_ENDS
@@ -44,23 +42,3 @@
             await system.close()
 
     asyncio.run(scenario())
-
-
-class _FatalRequestCaller:
-    """A caller that sends only the fatal request."""
-
-    def __init__(self, system: SystemUnderTest) -> None:
-        self._system = system
-        self._callers = Callers(
-            system.observations, system.callable_nodes, system.keys, system.fatal, _ZeroRandom()
-        )
-
-    async def call(self, name: str) -> CallerRequest:
-        return await self._callers.call_once(self._system.node(name), may_close_early=False)
-
-
-class _ZeroRandom(Random):
-    """A source of randomness with which callers always draw the fatal request."""
-
-    def random(self) -> float:
-        return 0.0
--- a/tests/soak/test_slow_store.py
+++ b/tests/soak/test_slow_store.py
@@ -15,7 +15,7 @@
 from tests.fleet.deployment import until
 from tests.processes.fault_proxy import Mode
 from tests.processes.own_hosts import own_host
-from tests.soak.callers import Callers
+from tests.soak.fatal_caller import FatalRequestCaller
 from tests.soak.regions import REGION_OF_ZONE, Regions
 from tests.soak.system import SystemUnderTest
 
@@ -38,13 +38,6 @@
             self._fronts[other][address] = front
 
 
-class AlwaysFatal(Random):
-    """A source of randomness with which callers always draw the fatal request."""
-
-    def random(self) -> float:
-        return 0.0
-
-
 def test_a_request_crashes_at_most_three_runners_while_store_and_notices_are_slow(
     tmp_path: Path,
 ) -> None:
@@ -56,24 +49,18 @@
             for _ in range(MORE_ENGINES):
                 await system.add_runner(ENGINES)
             system.fatal.add("stream")
+            caller = FatalRequestCaller(system)
             for name in system.node_names():
                 system.proxy.set(f"store of {name}", Mode.DELAY, delay=STORE_DELAY_SECONDS)
-            first = asyncio.create_task(_call(system, "node-1"))
+            first = asyncio.create_task(caller.call("node-1"))
             await until(lambda: bool(system.observations.runner_ends), "the first crash")
             await asyncio.sleep(FIRST_NOTICES_SECONDS)
             with regions.delayed_datagrams(Random(1), MIN_NOTICE_SECONDS, MAX_NOTICE_SECONDS):
                 for _ in range(TRIES):
-                    await asyncio.gather(*(_call(system, name) for name in system.node_names()))
+                    await asyncio.gather(*(caller.call(name) for name in system.node_names()))
             await first
             return len(system.observations.runner_ends)
         finally:
             await system.close()
 
     assert 1 <= asyncio.run(crashes()) <= MAX_CRASHES
-
-
-async def _call(system: SystemUnderTest, name: str) -> None:
-    callers = Callers(
-        system.observations, system.callable_nodes, system.keys, system.fatal, AlwaysFatal()
-    )
-    await callers.call_once(system.node(name), may_close_early=False)
