Paths: a check that no peer answered is repeated

What callers saw: a node whose connections to runners broke before any peer had answered it rejected all requests of a service for up to 3 s, although its peers reached the runners; the first requests after that went out on connections that were reset, and unsafe ones ended with 502.

Its connections to three runners of the application fail, no relay is found, and each is suspected for 3 s as a machine that accepts no connections. 0.2 to 0.7 s later the peers are known: the engines' paths are found lost because their cache feeds call again, the application's are not looked at until the suspicion ends.

Ruled out: the permits (no permit and no suspect before the lost tries); the stop of the relay (the tries are lost before it, or with node-2 left).

Change: if no connection opens, or a check finds neither the runner nor a peer that has answered, nothing is known about the runner, and the path is checked again every 0.5 s, for as long as it may be suspected. An answer of any peer ends that, so a runner that has stopped costs no more checks than before.

Tests, virtual time: four fail on the code before (peers that answer late, refused and hanging; peers that become known; a check), two bound the checks.

--- a/src/hillstack/core/runner_paths.py
+++ b/src/hillstack/core/runner_paths.py
@@ -163,6 +163,10 @@
         relays = (self._peers[node_id] for node_id in self.relays(address, now))
         return not any(now - peer.answered_at <= max_age for peer in relays)
 
+    def has_relays(self, address: str, now: float) -> bool:
+        """Return whether some peer has answered that may reach an address, or has failed to."""
+        return any(self._may_reach(peer, address, now) for peer in self._peers.values())
+
     def relays(self, address: str, now: float, *, with_paused: bool = False) -> list[str]:
         """Return the peers that may reach an address, the best first.
 
--- a/src/hillstack/daemon/path_dialer.py
+++ b/src/hillstack/daemon/path_dialer.py
@@ -37,12 +37,16 @@
 
 
 class LostPathHandler(Protocol):
-    """Receives the paths that are found lost."""
+    """Receives the paths that are found lost, and the addresses that were not reached at all."""
 
     def handle_lost(self, address: str, cause: str, relay_id: str) -> None:
         """Handle that a peer reaches an address which this node does not reach."""
         ...
 
+    def handle_unreached(self, address: str) -> None:
+        """Handle that no connection to an address opened, directly or through a peer."""
+        ...
+
 
 class PathDialer(Generic[Connection]):
     """Opens connections.
@@ -99,6 +103,20 @@
         Returns:
             The connection that was open first; a relayed one first if the path is lost.
         """
+        try:
+            return await self._dial(address, direct, relayed, close)
+        except Exception:
+            for handler in self._handlers:
+                handler.handle_unreached(address)
+            raise
+
+    async def _dial(
+        self,
+        address: str,
+        direct: Callable[[], Awaitable[Connection]],
+        relayed: Callable[[RelayRoute], Awaitable[Connection]],
+        close: Callable[[Connection], None],
+    ) -> Connection:
         self._paths.note_use(address, self._clock())
         if self._paths.is_lost(address):
             try:
--- a/src/hillstack/daemon/path_monitor.py
+++ b/src/hillstack/daemon/path_monitor.py
@@ -4,6 +4,9 @@
 directly and through a peer at the same time. If only the peer gets through, the path is lost, and
 connections go through peers until a direct probe is answered. If the runner answers either call,
 it has not crashed and is not silent, whatever its connections to this node suggest.
+
+Without an answer of any peer a check decides nothing: the peers may be unknown to a node that has
+just started, or slow. Such a check is repeated while the runner may be suspected for it.
 """
 
 from __future__ import annotations
@@ -16,6 +19,7 @@
 from typing import Any, Protocol
 
 from hillstack.core.runner_paths import RunnerPaths
+from hillstack.core.runner_pool import UNREACHABLE_SECONDS
 from hillstack.daemon.path_dialer import PathDialer
 from hillstack.daemon.relay_targets import RelayTargets
 from hillstack.daemon.relayed_link import RelayRoute
@@ -110,6 +114,9 @@
         self._clock = clock
         self._on_answered: AnswerHandler = lambda runner_id, called_at: None
         self._checked_at: dict[str, float] = {}
+        # Addresses that neither this node nor, for want of answers, any peer was found to reach,
+        # with the time until which they are checked again.
+        self._undecided: dict[str, float] = {}
         self._checks: dict[str, asyncio.Task[None]] = {}
         self._slots = asyncio.Semaphore(MAX_CONCURRENT_CHECKS)
         dialer.handle_lost_paths(self)
@@ -141,6 +148,15 @@
         Returns:
             The check; None if none was started.
         """
+        target = self._claim_check(address)
+        if target is None:
+            return None
+        # The latest relay may be what is silent.
+        self._paths.pause_latest_relay(address, self._clock())
+        return self._start(address, self._check(target, cause, after))
+
+    def _claim_check(self, address: str) -> _Target | None:
+        """Return the target to check now; None if a check runs, or ran shortly before."""
         now = self._clock()
         for checked, at in list(self._checked_at.items()):
             if now >= at + CHECK_PAUSE_SECONDS:
@@ -149,9 +165,7 @@
         if address in self._checked_at or address in self._checks or target_id is None:
             return None
         self._checked_at[address] = now
-        # The latest relay may be what is silent.
-        self._paths.pause_latest_relay(address, now)
-        return self._start(address, self._check(_Target(target_id, address), cause, after))
+        return _Target(target_id, address)
 
     def _start(self, address: str, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work)
@@ -165,6 +179,20 @@
         address = target.address
         if self._paths.contact_at(address) > began_at and not self._paths.is_lost(address):
             return
+        if not await self._decide(target, cause):
+            self.handle_unreached(address)
+
+    async def _check_again(self, target: _Target) -> None:
+        if await self._decide(target, "connect: no peer had answered"):
+            self._undecided.pop(target.address, None)
+
+    async def _decide(self, target: _Target, cause: str) -> bool:
+        """Call a runner directly and through a peer, and handle the result.
+
+        Returns:
+            Whether that decides the state of the path: the runner or at least a peer has answered.
+        """
+        address = target.address
         async with self._slots:
             direct = asyncio.create_task(self._probe_target(target, None))
             try:
@@ -178,6 +206,7 @@
             self._restore(address)
         elif relay_id is not None:
             self._handle_relayed_only(address, cause, relay_id)
+        return is_reached or self._paths.has_relays(address, self._clock())
 
     async def _probe_target(self, target: _Target, route: RelayRoute | None) -> bool:
         """Call a runner; return whether anything answered."""
@@ -241,6 +270,12 @@
         for sibling in still_direct:
             self.check(sibling, f"path to {target_id} lost", after=SETTLE_SECONDS)
 
+    def handle_unreached(self, address: str) -> None:
+        """Handle that no connection opened: check the path again unless a peer has answered."""
+        now = self._clock()
+        if not self._paths.has_relays(address, now):
+            self._undecided[address] = now + UNREACHABLE_SECONDS
+
     def _give_up_connections(self, address: str) -> None:
         """Let attempts on silent connections to a runner be abandoned, and reuse none of them."""
         self._record_silent(address)
@@ -249,10 +284,11 @@
             self._state.pool.note_path_lost(runner, self._clock())
 
     async def run(self) -> None:
-        """Probe lost paths until cancelled."""
+        """Probe lost paths, and check undecided ones again, until cancelled."""
         while True:
             await asyncio.sleep(TICK_SECONDS)
             now = self._clock()
+            self._check_undecided(now)
             if not self._paths.lost:
                 continue
             self._paths.retain(self._targets.addresses(), now)
@@ -261,6 +297,15 @@
             ):
                 self._start_probe(address, now)
 
+    def _check_undecided(self, now: float) -> None:
+        for address, until in list(self._undecided.items()):
+            if now >= until or self._paths.is_lost(address):
+                del self._undecided[address]
+                continue
+            target = self._claim_check(address)
+            if target is not None:
+                self._start(address, self._check_again(target))
+
     def _start_probe(self, address: str, now: float) -> None:
         target_id = self._targets.target_id(address)
         if target_id is None or now - self._paths.lost[address].used_at >= UNUSED_SECONDS:
--- a/tests/fleet/test_runner_access.py
+++ b/tests/fleet/test_runner_access.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from hillstack.core.runner_pool import UNREACHABLE_SECONDS, Runner
 from hillstack.daemon.path_dialer import RELAY_DELAY_SECONDS
 from hillstack.daemon.reach_exchange import MAX_ASKED_PEERS
 from tests.fleet.path_world import DIRECT, ConnectError, PathWorld, address_of, make_world
@@ -14,6 +15,8 @@
 RUNNER = "i-0"
 # From the end of a cut until connections are direct again.
 DIRECT_AGAIN_SECONDS = 1.0
+# From the first answer of a peer until a node knows that the peer reaches the runner.
+FOUND_SECONDS = 1.0
 
 
 @pytest.fixture
@@ -143,6 +146,81 @@
     assert world.dial("node-0", RUNNER) != DIRECT
 
 
+def suspect_unreached(world: PathWorld, node_id: str) -> Runner:
+    """Let a node fail to reach a runner, and suspect it as the pipeline does; return the runner."""
+    with pytest.raises(ConnectError):
+        world.dial(node_id, RUNNER)
+    pool = world.nodes[node_id].node.state.pool
+    runner = pool.get(RUNNER)
+    assert runner is not None
+    pool.unreachable(runner, world.network.scheduler.now)
+    return runner
+
+
+def check_found_through_peers(world: PathWorld, node_id: str, runner: Runner) -> None:
+    """Check that a node finds out on its own that a peer reaches a runner, and uses the peer."""
+    world.run(FOUND_SECONDS)
+    assert address_of(RUNNER) in lost(world, node_id)
+    assert runner.accepts(world.network.scheduler.now)
+    assert world.dial(node_id, RUNNER) != DIRECT
+
+
+# Guards against a service that a node takes for unreachable for seconds, because no peer had
+# answered at the moment when its connections failed.
+@pytest.mark.parametrize("kind", ["hanging", "refused"])
+def test_a_runner_is_served_as_soon_as_peers_answer(world: PathWorld, kind: str) -> None:
+    getattr(world, kind).add("node-0")
+    world.dead = set(world.nodes) - {"node-0"}
+    runner = suspect_unreached(world, "node-0")
+    world.dead.clear()
+    check_found_through_peers(world, "node-0", runner)
+
+
+# Guards against the same at a node that started a moment before the cut.
+def test_a_runner_is_served_as_soon_as_peers_are_known(world: PathWorld) -> None:
+    world.refused = {"node-0"}
+    directory = world.nodes["node-0"].node.state.nodes
+    peers = [entry for entry in directory.all() if entry.node_id != "node-0"]
+    for peer in peers:
+        directory.unlist(peer.node_id, world.network.scheduler.now)
+    runner = suspect_unreached(world, "node-0")
+    for peer in peers:
+        directory.list_node(peer)
+    check_found_through_peers(world, "node-0", runner)
+
+
+# Guards against the same where connections open and then hang.
+def test_a_check_that_no_peer_answered_is_repeated(world: PathWorld) -> None:
+    world.hanging = {"node-0"}
+    world.dead = set(world.nodes) - {"node-0"}
+    check(world, "node-0")
+    world.run(1.0)
+    assert not lost(world, "node-0")
+    world.dead.clear()
+    world.run(FOUND_SECONDS)
+    assert address_of(RUNNER) in lost(world, "node-0")
+
+
+# Guards against checks of a stopped runner that go on although the peers have answered.
+def test_a_runner_that_no_peer_reaches_is_not_checked_again(world: PathWorld) -> None:
+    world.down = {RUNNER}
+    suspect_unreached(world, "node-0")
+    asked = world.questions.total()
+    world.run(2 * UNREACHABLE_SECONDS)
+    assert world.questions.total() == asked
+
+
+# Guards against checks without end while no peer answers.
+def test_without_peers_a_runner_is_checked_only_while_it_may_be_suspected(world: PathWorld) -> None:
+    world.down = {RUNNER}
+    world.dead = set(world.nodes) - {"node-0"}
+    suspect_unreached(world, "node-0")
+    world.run(UNREACHABLE_SECONDS + 1.0)
+    asked = world.questions.total()
+    world.run(2 * UNREACHABLE_SECONDS)
+    assert world.questions.total() == asked
+
+
 def test_nodes_that_do_not_answer_are_never_chosen(world: PathWorld) -> None:
     world.refused = {"node-0"}
     world.dead = {"node-1", "node-3"}
