Permits: voters and suspects share the node's knowledge of crashes

PermitVoter and SuspectPermits each made a CrashKnowledge of the same parts; PermitServices holds the one of the node. The outcome of ended sends reads the noticed crashes once, and the end of an attempt without a permit reads no clock. No change of behaviour; the tests of permits, ledgers and peer permits pass.

--- a/src/hillstack/daemon/permit_services.py
+++ b/src/hillstack/daemon/permit_services.py
@@ -9,6 +9,7 @@
 from hillstack.daemon.path_monitor import ProbeResult, TargetProbe
 from hillstack.daemon.peer_link import PeerLink
 from hillstack.daemon.peer_permits import PeerPermits
+from hillstack.serving.crash_knowledge import CrashKnowledge
 from hillstack.serving.crash_permits import CrashPermits
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.ledger_recorder import LedgerRecorder
@@ -37,7 +38,8 @@
         clock: Monotonic seconds.
     """
     ledgers = LimitedLedgerStore(store)
-    voter = PermitVoter(state.runner_crashes, state.crash_ledgers, clock)
+    knowledge = CrashKnowledge(state.runner_crashes, state.crash_ledgers, clock)
+    voter = PermitVoter(state.runner_crashes, knowledge, clock)
     peers = PeerPermits(state, voter, link)
 
     async def answers_call(runner: Runner) -> bool:
@@ -45,6 +47,7 @@
         return result is ProbeResult.ANSWERED
 
     return PermitServices(
+        knowledge,
         CrashPermits(ledgers, state.node_id, clock, is_isolated, peers),
         peers,
         LedgerRecorder(ledgers, asyncio.create_task),
--- a/src/hillstack/serving/permit_voter.py
+++ b/src/hillstack/serving/permit_voter.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 
-from hillstack.core.crash_ledger import KnownLedgers
 from hillstack.core.peer_permits import PeerPermitRequest, PeerPermitVotes, Vote
 from hillstack.core.runner_crashes import RunnerCrashRecord, Suspicion
 from hillstack.serving.crash_knowledge import CrashKnowledge
@@ -14,16 +13,16 @@
     """Votes by this node's earlier votes and by the crashes that it knows.
 
     Args:
-        record: Runner crashes that this node knows.
-        ledgers: Ledgers that this node knows.
+        record: Runner crashes that this node knows, and its verdicts.
+        knowledge: Runners that crashed under a request.
         clock: Monotonic seconds.
     """
 
     def __init__(
-        self, record: RunnerCrashRecord, ledgers: KnownLedgers, clock: Callable[[], float]
+        self, record: RunnerCrashRecord, knowledge: CrashKnowledge, clock: Callable[[], float]
     ) -> None:
         self._record = record
-        self._knowledge = CrashKnowledge(record, ledgers, clock)
+        self._knowledge = knowledge
         self._clock = clock
         self._votes = PeerPermitVotes()
 
--- a/src/hillstack/serving/suspect_permits.py
+++ b/src/hillstack/serving/suspect_permits.py
@@ -25,12 +25,14 @@
     """What one node needs to acquire permits and to end them.
 
     Attributes:
+        knowledge: Runners that crashed under a request.
         permits: Issues permits.
         peers: Takes peer permits back.
         recorder: Records the outcome of sends in the ledgers.
         survival: Checks runners on which this node abandoned a run.
     """
 
+    knowledge: CrashKnowledge
     permits: CrashPermits
     peers: PeerPermitSource
     recorder: LedgerRecorder
@@ -59,7 +61,6 @@
         self._services = services
         self._record = record
         self._ledgers = ledgers
-        self._knowledge = CrashKnowledge(record, ledgers, clock)
         self._is_suspect = is_suspect
         self._clock = clock
 
@@ -77,12 +78,13 @@
         if self._services is None:
             return
         fingerprint = fingerprint_of(job)
-        earlier = self._outcome(job)
+        knowledge = self._services.knowledge
+        earlier = self._outcome(job, knowledge.noticed(fingerprint))
         self._give_back_peer_permits(job, earlier)
         grant = await self._services.permits.acquire(
             Suspect(
                 fingerprint,
-                lambda: self._knowledge.crashed(fingerprint),
+                lambda: knowledge.crashed(fingerprint),
                 lambda: self._is_suspect(fingerprint),
                 self._record.has_survived,
                 earlier,
@@ -102,6 +104,8 @@
 
     def finished(self, job: Job, runner_id: str, *, may_still_run: bool) -> None:
         """Record the end of a send; a run that had settled is no cause of a later crash."""
+        if not job.permitted.sends:
+            return
         now = self._clock()
         is_settled = job.answering_since is not None and now - job.answering_since > SETTLED_SECONDS
         job.permitted.finished(runner_id, now, may_still_run=may_still_run and not is_settled)
@@ -148,9 +152,9 @@
     async def _record_ended(self, job: Job) -> None:
         """Record the outcome of the sends that have ended, and return their peer permits."""
         assert self._services is not None
-        outcome = self._outcome(job)
+        noticed = self._services.knowledge.noticed(fingerprint_of(job))
+        outcome = self._outcome(job, noticed)
         self._give_back_peer_permits(job, outcome)
-        noticed = self._knowledge.noticed(fingerprint_of(job))
         recorded = SendOutcome(outcome.permits, outcome.crashed | noticed)
         await self._services.recorder.record_outcome(fingerprint_of(job), recorded)
 
@@ -166,6 +170,5 @@
             if self._services is not None and ledger and crash.runner_id in ledger.crashed:
                 self._services.recorder.report_survival(fingerprint, crash.runner_id)
 
-    def _outcome(self, job: Job) -> SendOutcome:
-        noticed = self._knowledge.noticed(fingerprint_of(job))
+    def _outcome(self, job: Job, noticed: set[str]) -> SendOutcome:
         return job.permitted.outcome(noticed, self._record.has_survived)
--- a/tests/fleet/fatal_world.py
+++ b/tests/fleet/fatal_world.py
@@ -23,6 +23,7 @@
 from hillstack.messages.datagrams import DatagramKind, wrap
 from hillstack.messages.peer_notices import PlacementNotice
 from hillstack.messages.runner_ends import RunnerEndNotice
+from hillstack.serving.crash_knowledge import CrashKnowledge
 from hillstack.serving.crash_permits import CrashPermits
 from hillstack.serving.ledger_recorder import LedgerRecorder
 from hillstack.serving.ledger_store import LimitedLedgerStore, StoredLedger
@@ -557,10 +558,12 @@
         )
         clock = world.scheduler.clock
         ledgers = LimitedLedgerStore(FakeLedgers(world, name))
-        voter = PermitVoter(self.state.runner_crashes, self.state.crash_ledgers, clock)
+        knowledge = CrashKnowledge(self.state.runner_crashes, self.state.crash_ledgers, clock)
+        voter = PermitVoter(self.state.runner_crashes, knowledge, clock)
         self.link = FakeLink(world, name)
         self.peers = PeerPermits(self.state, voter, self.link)
         services = PermitServices(
+            knowledge,
             CrashPermits(ledgers, name, clock, lambda: world.is_isolated(name), self.peers),
             self.peers,
             LedgerRecorder(ledgers, lambda work: world.scheduler.spawn(world.loop, work)),
