--- a/src/hillstack/daemon/path_monitor.py
+++ b/src/hillstack/daemon/path_monitor.py
@@ -114,8 +114,8 @@
         self._clock = clock
         self._on_answered: AnswerHandler = lambda runner_id, called_at: None
         self._checked_at: dict[str, float] = {}
-        # Addresses that neither this node nor, for want of answers, any peer was found to reach,
-        # with the time until which they are checked again.
+        # Addresses that this node does not reach and about which no peer has answered, with the
+        # time until which they are checked again.
         self._undecided: dict[str, float] = {}
         self._checks: dict[str, asyncio.Task[None]] = {}
         self._slots = asyncio.Semaphore(MAX_CONCURRENT_CHECKS)
