--- a/src/hillstack/core/runner_paths.py
+++ b/src/hillstack/core/runner_paths.py
@@ -164,7 +164,7 @@
         return not any(now - peer.answered_at <= max_age for peer in relays)
 
     def has_relays(self, address: str, now: float) -> bool:
-        """Return whether a peer has answered that may reach an address, or failed to do so lately."""
+        """Return whether a peer has answered that may reach an address, or failed to lately."""
         return any(self._may_reach(peer, address, now) for peer in self._peers.values())
 
     def relays(self, address: str, now: float, *, with_paused: bool = False) -> list[str]:
