Retry budget: a process starts with nothing saved, so kills of nodes add no repeats

Cause: the budget was counted in memory, and both parts of it could be saved up. Each life of a node had its part of the slack anew, and its own requests covered as many retries again as its predecessor had just sent. Ruled out: arrivals that nothing counts. Refused, failed and resumed attempts equal the counted ones.

Now requests and time earn attempts, up to a bounded saved amount, and a process starts with none.

--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -138,7 +138,12 @@
             settings.node.id,
             Freshness(settings.freshness_bound()),
             WeightsVersions(bounds.version_ms / 1000 - VERSION_MARGIN_SECONDS),
-            SharedRetryBudget(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_seconds),
+            SharedRetryBudget(
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window_seconds,
+                times.entered_at,
+            ),
             VersionExposure(bounds.canary_share, bounds.canary_slack),
             settings.topology(),
         )
--- a/tests/fleet/test_shared_retry_budget.py
+++ b/tests/fleet/test_shared_retry_budget.py
@@ -63,6 +63,19 @@
     assert_bound(traffic)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_nodes_that_their_peers_do_not_know_yet_keep_to_the_budget(seed: int) -> None:
+    traffic = RetryTraffic(BOUND, 2, seed)
+    for number in range(6):
+        traffic.start(f"node-{number + 2}", traffic.now)
+        traffic.send(20.0, 3.0)
+        traffic.listed += 1
+        for budget in traffic.nodes.values():
+            budget.set_node_count(traffic.listed)
+        traffic.send(20.0, 2.0)
+    assert_bound(traffic)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("nodes", [1, 4])
 def test_nodes_keep_to_the_budget_when_traffic_falls(nodes: int, seed: int) -> None:
