--- a/src/hillstack/daemon/runner_places.py
+++ b/src/hillstack/daemon/runner_places.py
@@ -21,11 +21,13 @@
 from hillstack.core.runner_pool import Runner
 from hillstack.daemon.peer_link import PeerLink
 from hillstack.daemon.pending_answers import PendingAnswers
+from hillstack.messages import place_messages
 from hillstack.messages.datagrams import DatagramKind
 from hillstack.messages.packing import pack, unpack
 from hillstack.messages.peer_notices import PROTOCOL_VERSION
-from hillstack.messages.place_messages import PlaceAnswer, PlaceQuestion
+from hillstack.messages.place_messages import PlaceQuestion
 from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.ports import PlaceAnswer
 
 # Several round trips between zones.
 ANSWER_SECONDS = 0.03
@@ -61,11 +63,11 @@
         self._asking: Counter[str] = Counter()
         self._reported: dict[str, tuple[int, float]] = {}
         self._unissued_at: dict[str, float] = {}
-        self._pending: PendingAnswers[PlaceAnswer] = PendingAnswers(ANSWER_SECONDS)
+        self._pending: PendingAnswers[place_messages.PlaceAnswer] = PendingAnswers(ANSWER_SECONDS)
         link.handle(DatagramKind.PLACE_QUESTION, self._take_question)
         link.handle(DatagramKind.PLACE_ANSWER, self._take_answer)
 
-    async def take(self, runner: Runner, rejections_per_second: float) -> bool:
+    async def take(self, runner: Runner, rejections_per_second: float) -> PlaceAnswer:
         """Return whether a request may be sent to a brittle runner now.
 
         Args:
@@ -76,10 +78,9 @@
         issuer = self._issuer(runner)
         if issuer is None:
             own_id, used = self._state.node_id, self._used(runner)
-            return self._grant(runner, own_id, next(self._numbers), used) or (
-                not self._issued_places(runner)
-                and self._take_unissued(runner, rejections_per_second)
-            )
+            if self._issued_places(runner):
+                return PlaceAnswer(self._grant(runner, own_id, next(self._numbers), used), own_id)
+            return PlaceAnswer(self._take_unissued(runner, rejections_per_second))
         self._asking[runner_id] += 1
         try:
             answer = await self._pending.ask(
@@ -88,8 +89,8 @@
         finally:
             self._asking[runner_id] -= 1
         if answer is not None:
-            return answer.granted
-        return self._take_unissued(runner, rejections_per_second)
+            return PlaceAnswer(answer.granted, issuer.node_id)
+        return PlaceAnswer(self._take_unissued(runner, rejections_per_second))
 
     def _take_unissued(self, runner: Runner, rejections_per_second: float) -> bool:
         """Return whether a request may be sent although no issuer answers."""
@@ -194,9 +195,9 @@
             return
         runner = self._state.pool.get(runner_id)
         granted = runner is not None and self._grant(runner, node_id, number, used)
-        answer = PlaceAnswer(PROTOCOL_VERSION, self._state.node_id, number, granted)
+        answer = place_messages.PlaceAnswer(PROTOCOL_VERSION, self._state.node_id, number, granted)
         self._link.send(DatagramKind.PLACE_ANSWER, pack(answer), node.address)
 
     def _take_answer(self, payload: bytes, peer: str) -> None:
-        answer = unpack(payload, PlaceAnswer, peer)
+        answer = unpack(payload, place_messages.PlaceAnswer, peer)
         self._pending.take(answer.number, answer)
--- a/src/hillstack/emulator/fleet_runner.py
+++ b/src/hillstack/emulator/fleet_runner.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -67,6 +67,8 @@
         leaving: Report in all answers that the runner is leaving.
         limit: Limit in requests per second, over all nodes, that all answers report; None for no
             limit.
+        rejections: Rejections in a second that the runner tolerates as a brittle runner, which lets
+            no request wait; None if it is not brittle.
         refuse_weights_orders: Refuse orders to load weights, as a runner does while it carries out
             another.
         software: Faults of the runner's software.
@@ -79,6 +81,7 @@
     backoff_seconds: float = 0.0
     leaving: bool = False
     limit: float | None = None
+    rejections: int | None = None
     refuse_weights_orders: bool = False
     software: SoftwareFaults = SoftwareFaults()
 
@@ -102,6 +105,9 @@
         running: Number of requests that are running.
         born: Start time of the process in Unix milliseconds; 0 if the runner does not report it.
         call_times: Arrival time of each call, of requests and of others, on the monotonic clock.
+        slots: Number of requests that a brittle runner works on at a time.
+        rejected_at: Times of rejections for want of room, on the monotonic clock.
+        on_fall: Called when the runner falls over because it has rejected too many requests.
         cache: Cache of prompt parts.
     """
 
@@ -123,6 +129,9 @@
     running: int = 0
     born: int = 0
     call_times: list[float] = field(default_factory=list)
+    slots: int = 8
+    rejected_at: list[float] = field(default_factory=list)
+    on_fall: Callable[[], None] = lambda: None
     cache: FleetCache = field(init=False)
     _rng: Random = field(default_factory=lambda: Random(1))
 
@@ -133,7 +142,7 @@
         """Return the runner's entry in the platform's directory of runners."""
         models = [ModelVersion(self.model, self.weights)] if self.model else []
         body = RunnerBody(
-            self.service, address, self.zone, 8, state, models, self.software, self.born
+            self.service, address, self.zone, self.slots, state, models, self.software, self.born
         )
         return msgspec.json.encode(body)
 
@@ -205,6 +214,9 @@
                     request_id, RunnerSignals(backoff_seconds=self.faults.backoff_seconds)
                 )
             return Response(status_code=503, headers=headers)
+        if self._rejects():
+            headers = {names.NOT_EXECUTED: "1", names.REQUEST_ID: request_id}
+            return Response(status_code=503, headers=headers)
         self.record_run(request_id, dict(request.headers))
         body = await request.body()
         if self.faults.hang:
@@ -230,6 +242,17 @@
             self._stream(request_id, after), headers=headers, media_type="text/event-stream"
         )
 
+    def _rejects(self) -> bool:
+        """Return whether the runner is brittle and full; too many rejections make it fall over."""
+        tolerated = self.faults.rejections
+        if tolerated is None or self.running < self.slots:
+            return False
+        now = time.monotonic()
+        self.rejected_at.append(now)
+        if sum(1 for at in self.rejected_at if at > now - 1.0) > tolerated:
+            self.on_fall()
+        return True
+
     async def _work(self, path: str) -> bool:
         """Wait as long as a request takes; return whether a software fault makes it fail."""
         faults = self.faults.software
@@ -287,11 +310,15 @@
 
     def _add_signals(self, headers: MutableHeaders) -> None:
         faults = self._runner.faults
-        signals = RunnerSignals(leaving=faults.leaving, limit=faults.limit)
+        signals = RunnerSignals(
+            leaving=faults.leaving, limit=faults.limit, rejections=faults.rejections
+        )
         if not signals:
             return
         if faults.leaving:
             headers[names.LEAVING] = "1"
         if faults.limit is not None:
             headers[names.REQUEST_LIMIT] = f"{faults.limit:g}"
+        if faults.rejections is not None:
+            headers[names.BRITTLE] = str(faults.rejections)
         self._runner.record_signals(headers.get(names.REQUEST_ID, ""), signals)
--- a/src/hillstack/serving/metrics.py
+++ b/src/hillstack/serving/metrics.py
@@ -83,6 +83,9 @@
         self.limited_attempts = self._counter(
             "limited_attempts", "Attempts asked of the limits that runners name.", "result"
         )
+        self.places = self._counter(
+            "places", "Places asked for at brittle runners, by answer.", "answer"
+        )
         self.held_back = self._counter(
             "held_back_runners",
             "Runners that an attempt was kept from, by what they said of themselves.",
--- a/src/hillstack/serving/ports.py
+++ b/src/hillstack/serving/ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Protocol
 
 from hillstack.core.runner_pool import Runner
@@ -85,10 +86,23 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class PlaceAnswer:
+    """Whether a request may be sent to a brittle runner.
+
+    Attributes:
+        granted: Whether it may be sent now.
+        issuer: The node that granted or refused the place; empty if no issuer answered.
+    """
+
+    granted: bool
+    issuer: str = ""
+
+
 class PlaceSource(Protocol):
     """Grants places at brittle runners across all nodes."""
 
-    async def take(self, runner: Runner, rejections_per_second: float) -> bool:
+    async def take(self, runner: Runner, rejections_per_second: float) -> PlaceAnswer:
         """Return whether a request may be sent to a brittle runner now.
 
         Args:
--- a/src/hillstack/serving/runner_limits.py
+++ b/src/hillstack/serving/runner_limits.py
@@ -15,7 +15,7 @@
 from hillstack.core.tenant_limits import TenantLimit
 from hillstack.serving.job import Job
 from hillstack.serving.metrics import FleetMetrics
-from hillstack.serving.ports import PlaceSource, TenantLimiter
+from hillstack.serving.ports import PlaceAnswer, PlaceSource, TenantLimiter
 
 logger = logging.getLogger(__name__)
 
@@ -67,7 +67,7 @@
         A runner whose limit has no room, or a brittle one without a free place, accepts no work of
         this node for a while.
         """
-        if not await self._has_place(runner):
+        if not await self._has_place(job, runner):
             return False
         limit = runner.signals.limit
         rate = limit.rate_to_use(self._clock())
@@ -85,14 +85,17 @@
         self._log_result(job, runner, rate, "no room")
         return False
 
-    async def _has_place(self, runner: Runner) -> bool:
+    async def _has_place(self, job: Job, runner: Runner) -> bool:
         """Return whether a runner is not brittle, or has a place for one more request."""
         rejections = self._pool.tolerated_rejections(runner)
         if rejections is None or self._places is None:
             return True
         # A brittle runner that has just rejected a request is fuller than the count of places.
-        if self._clock() >= runner.shed_until and await self._places.take(runner, rejections):
-            return True
+        if self._clock() >= runner.shed_until:
+            answer = await self._places.take(runner, rejections)
+            self._log_place(job, runner, answer)
+            if answer.granted:
+                return True
         runner.signals.no_place_until = self._clock() + NO_PLACE_PAUSE_SECONDS
         self._metrics.limited_attempts.labels("no place").inc()
         return False
@@ -123,6 +126,17 @@
         except TimeoutError:
             return NO_ANSWER_PAUSE_SECONDS
 
+    def _log_place(self, job: Job, runner: Runner, answer: PlaceAnswer) -> None:
+        result = "granted" if answer.granted else "refused"
+        self._metrics.places.labels(result if answer.issuer else f"{result} unissued").inc()
+        fields = {
+            "request": job.request.request_id,
+            "runner": runner.runner_id,
+            "granted": answer.granted,
+            "issuer": answer.issuer,
+        }
+        logger.info("place asked", extra=fields)
+
     def _log_result(self, job: Job, runner: Runner, rate: float, result: str) -> None:
         self._metrics.limited_attempts.labels(result).inc()
         fields = {
