Brittle runners: fixed parts of the places for each issuer, and a place before the first answer

Causes, all of one kind, what a node knows is lost with it: (1) a node that has just started had not heard that runners are brittle and sent as to any (10 of 15 and 7 of 11 rejected requests had no place); (2) the successor of an issuer that died granted half of the places without knowing those in use, and while nodes disagreed on who is alive two issuers granted them twice; (3) the messages of a restarted node began at number 1 and were taken for old ones, so its requests were refused for 1.5 s.

Now up to four listed nodes issue a fixed part of the slots each, whatever they know of one another. A node that has just started issues nothing for 1 s, until its places in use are reported. Places of a killed process stay in use 1 s after its last report. Requests need a place before any runner of the service has answered the node; an issuer's answer says if the service is known to be sound.

Tried and left: an issuer not asked for .02 s after a refusal costs more messages for the same.

Tests: test_an_issuer_that_has_just_begun_grants_a_part asked for half of the places in the first .3 s; now none are granted in the first second, and the sum of all parts is tested instead.

--- a/src/hillstack/core/runner_places.py
+++ b/src/hillstack/core/runner_places.py
@@ -1,95 +1,94 @@
-"""Counts the places of brittle runners that nodes use, and grants further ones.
+"""Counts the places of brittle runners that nodes hold from one issuer, and grants further ones.
 
 A brittle runner falls over if it has to reject more than a few requests in a second. Rejections
 come from requests of several nodes that meet at a full runner, since no node sees what the others
-send. So one node, the issuer, counts the places that all nodes use at a runner, and each further
-request needs a place.
+send. So each request needs a place, and each place has one issuer (``place_parts``), which counts
+the nodes that hold one.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
-# A node that has reported nothing for this long has ended, and its requests with it.
-REPORT_VALID_SECONDS = 1.5
-# An issuer that has just begun to count does not know all requests under way. Until all nodes have
-# reported, it grants only a part of the places.
-COUNTING_SECONDS = 0.3
-COUNTING_SHARE = 0.5
+# The requests of a process that has reported nothing for this long have ended.
+REPORT_VALID_SECONDS = 1.0
+
+# A process of a node: the node and the incarnation.
+Holder = tuple[str, int]
 
 
 @dataclass(slots=True)
-class _NodeUse:
-    """Places that a node uses.
+class _HeldPlaces:
+    """Places that a process holds.
 
     Attributes:
-        number: Number of the node's latest message.
-        used: Places in use, including granted ones whose request has not been sent yet.
+        number: Number of the process's latest message.
+        held: Places held, including granted ones whose request has not been sent yet.
         reported_at: When the message arrived.
     """
 
     number: int
-    used: int
+    held: int
     reported_at: float
 
 
 @dataclass(slots=True)
-class _RunnerUse:
-    began_at: float
-    by_node: dict[str, _NodeUse] = field(default_factory=dict)
+class _RunnerPlaces:
+    by_holder: dict[Holder, _HeldPlaces] = field(default_factory=dict)
 
 
 class PlaceCounts:
-    """The places of all runners for which this node is the issuer."""
+    """The places that this node issues, by runner."""
 
     def __init__(self) -> None:
-        self._runners: dict[str, _RunnerUse] = {}
+        self._runners: dict[str, _RunnerPlaces] = {}
+
+    def report(self, runner_id: str, holder: Holder, number: int, held: int, now: float) -> bool:
+        """Record how many places a process holds; return whether the message is its latest.
 
-    def report(self, runner_id: str, node_id: str, number: int, used: int, now: float) -> bool:
-        """Record how many places a node uses; return whether the message is the node's latest."""
-        use = self._runners.setdefault(runner_id, _RunnerUse(now))
-        known = use.by_node.get(node_id)
+        The places of an earlier process of the same node stay in use until its last report
+        expires, since the runner may go on with the requests of a process that was killed.
+        """
+        places = self._runners.setdefault(runner_id, _RunnerPlaces())
+        known = places.by_holder.get(holder)
         if known is not None and number <= known.number:
             return False
-        use.by_node[node_id] = _NodeUse(number, used, now)
+        places.by_holder[holder] = _HeldPlaces(number, held, now)
         return True
 
     def take(
-        self, runner_id: str, node_id: str, number: int, used: int, slots: int, now: float
+        self, runner_id: str, holder: Holder, number: int, held: int, part: int, now: float
     ) -> bool:
-        """Grant a node one more place, unless all are in use.
+        """Grant a process one more place, unless all that this node issues are in use.
 
         Args:
             runner_id: The runner.
-            node_id: The node that asks.
+            holder: The process that asks.
             number: Number of its message; an earlier message than the latest one is refused.
-            used: Places that it uses without this one.
-            slots: Places of the runner.
+            held: Places that it holds from this issuer, without this one.
+            part: Number of places that this node issues.
             now: Time on this node's clock.
         """
-        if not self.report(runner_id, node_id, number, used, now):
+        if not self.report(runner_id, holder, number, held, now):
             return False
-        use = self._runners[runner_id]
-        is_counting = now < use.began_at + COUNTING_SECONDS
-        allowed = max(1, int(slots * COUNTING_SHARE)) if is_counting else slots
-        if self.in_use(runner_id, now) >= allowed:
+        if self.in_use(runner_id, now) >= part:
             return False
-        use.by_node[node_id].used += 1
+        self._runners[runner_id].by_holder[holder].held += 1
         return True
 
     def in_use(self, runner_id: str, now: float) -> int:
         """Return how many places of a runner are in use."""
-        use = self._runners.get(runner_id)
-        if use is None:
+        places = self._runners.get(runner_id)
+        if places is None:
             return 0
-        for node_id, node_use in list(use.by_node.items()):
-            if now - node_use.reported_at > REPORT_VALID_SECONDS:
-                del use.by_node[node_id]
-        return sum(node_use.used for node_use in use.by_node.values())
+        for holder, held in list(places.by_holder.items()):
+            if now - held.reported_at > REPORT_VALID_SECONDS:
+                del places.by_holder[holder]
+        return sum(held.held for held in places.by_holder.values())
 
     def expire(self, now: float) -> None:
-        """Forget the runners at which no node uses a place any more."""
+        """Forget the runners at which no process holds a place any more."""
         for runner_id in list(self._runners):
             self.in_use(runner_id, now)
-            if not self._runners[runner_id].by_node:
+            if not self._runners[runner_id].by_holder:
                 del self._runners[runner_id]
--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -256,6 +256,8 @@
         # Limits that processes or peers have reported; usually empty.
         self._limits: dict[str, RunnerLimit] = {}
         self._brittle = BrittleRunners()
+        # Services of which a runner has answered, or is known to a peer not to be brittle.
+        self._answered: set[str] = set()
         # Runners that a peer has reported as leaving; usually empty.
         self._hinted: dict[str, Runner] = {}
         # The latest directory entry of each name, also after the directory has dropped it.
@@ -402,12 +404,23 @@
             source: The answer.
             now: When the answer arrived, on the node's clock.
         """
+        runner = self._known(runner_id)
+        if runner is not None:
+            self._answered.add(runner.entry.service)
         received = self._signals.get(runner_id)
         if received is None and rejections is None:
             return False
         state = (received or self._received(runner_id)).brittleness
         return self._brittle.apply(runner_id, state, rejections, source, now)
 
+    def has_answered(self, service: str) -> bool:
+        """Return whether this node knows from answers whether a service's runners are brittle."""
+        return service in self._answered
+
+    def note_sound(self, service: str) -> None:
+        """Record that the answers to a peer report no runner of a service as brittle."""
+        self._answered.add(service)
+
     def brittle_runners(self) -> list[Runner]:
         """Return the runners of all services of which some runner is brittle."""
         if not self._brittle:
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -173,7 +173,7 @@
             self._peers.limit_changed,
         )
         self._shared_runner_limits = self._share_runner_limits(choice, rng)
-        self._places = RunnerPlaces(self._state, self._link, self._peers.live_zones, self._clock)
+        self._places = RunnerPlaces(self._state, self._link, self._clock, rng)
         self._peers.handle_load_changes(self._places.report_change)
         runner_limits = RunnerLimits(
             self._state.pool, self._shared_runner_limits, self._metrics, self._clock, self._places
--- a/src/hillstack/serving/runner_limits.py
+++ b/src/hillstack/serving/runner_limits.py
@@ -29,6 +29,8 @@
 # A runner whose limit had no room is tried again after this time at the latest: other nodes may not
 # have used their shares.
 MAX_PAUSE_SECONDS = 1.0
+# Rejections in a second that a runner is presumed to tolerate before any of its service answered.
+PRESUMED_REJECTIONS = 1.0
 # Orders and reports take precedence over requests, and urgent requests over others: a lower rank
 # goes first. Orders to load weights have a time bound, and no other node may give them.
 CALL_RANK = 0
@@ -86,10 +88,13 @@
         return False
 
     async def _has_place(self, job: Job, runner: Runner) -> bool:
-        """Return whether a runner is not brittle, or has a place for one more request."""
+        """Return whether a runner is known not to be brittle, or has a place for a request."""
         rejections = self._pool.tolerated_rejections(runner)
-        if rejections is None or self._places is None:
+        if rejections is None and self._pool.has_answered(runner.entry.service):
             return True
+        if self._places is None:
+            return True
+        rejections = PRESUMED_REJECTIONS if rejections is None else rejections
         # A brittle runner that has just rejected a request is fuller than the count of places.
         if self._clock() >= runner.shed_until:
             answer = await self._places.take(runner, rejections)
--- a/tests/fleet/brittle_traffic.py
+++ b/tests/fleet/brittle_traffic.py
@@ -66,6 +66,16 @@
         return True
 
 
+@dataclass
+class _Side:
+    """The parts of a node that send requests to runners."""
+
+    node: SimulatedNode
+    limits: RunnerLimits
+    receiver: SignalReceiver
+    work: asyncio.Task[None]
+
+
 @dataclass
 class BrittleTraffic:
     """Sends requests to the runners of one service.
@@ -88,21 +98,33 @@
         self.network = NodeNetwork(self.node_count, 2)
         self.network.runner_ids = [f"i-{number}" for number in range(self.runner_count)]
         list_runners(self.network)
+        self._sides: dict[str, _Side] = {}
+        for node_id, node in self.network.nodes.items():
+            self._sides[node_id] = self._side(node)
         self.network.run(3.0)
         self.runners = {name: BrittleRunner(name) for name in self.network.runner_ids}
-        self._sides = {node_id: self._side(node) for node_id, node in self.network.nodes.items()}
         self._job = Job(
             make_request(), make_route(), ENGINES, None, 0, 1e9, EventFraming(None)
         )  # fmt: skip
 
-    def _side(self, node: SimulatedNode) -> tuple[SimulatedNode, RunnerLimits, SignalReceiver]:
+    def kill(self, node_id: str) -> None:
+        """Kill a node; the runners go on with its requests."""
+        self.network.kill(node_id)
+        self._sides.pop(node_id).work.cancel()
+
+    def restart(self, node_id: str, zone: str) -> None:
+        """Start a node that was killed."""
+        self._sides[node_id] = self._side(self.network.add(node_id, zone))
+
+    def _side(self, node: SimulatedNode) -> _Side:
         clock, metrics = self.network.scheduler.clock, FleetMetrics()
-        places = RunnerPlaces(node.state, node.link, node.exchange.live_zones, clock)
-        self.network.scheduler.spawn(node.loop, places.run())
+        rng = Random(f"{self.seed}/{node.node_id}/{clock()}")
+        places = RunnerPlaces(node.state, node.link, clock, rng)
+        work = self.network.scheduler.spawn(node.loop, places.run())
         source = places if self.with_places else None
         node.exchange.handle_load_changes(places.report_change)
         limits = RunnerLimits(node.state.pool, node.runner_limits, metrics, clock, source)
-        return node, limits, SignalReceiver(node.state.pool, metrics, clock)
+        return _Side(node, limits, SignalReceiver(node.state.pool, metrics, clock), work)
 
     def make_brittle(self, tolerated: int) -> None:
         for runner in self.runners.values():
@@ -122,17 +144,16 @@
         return sum(len(runner.falls) for runner in self.runners.values())
 
     def _arrive(self) -> None:
-        node, limits, receiver = self._sides[self._rng.choice(sorted(self._sides))]
-        if not node.alive:
+        if not self._sides:
             return
+        side = self._sides[self._rng.choice(sorted(self._sides))]
         self.sent += 1
-        self.network.scheduler.spawn(node.loop, self._serve(node, limits, receiver, self.sent))
+        self.network.scheduler.spawn(side.node.loop, self._serve(side, self.sent))
 
-    async def _serve(
-        self, node: SimulatedNode, limits: RunnerLimits, receiver: SignalReceiver, number: int
-    ) -> None:
+    async def _serve(self, side: _Side, number: int) -> None:
+        node = side.node
         tried: set[str] = set()
-        while len(tried) < MAX_SENDS:
+        while node.alive and len(tried) < MAX_SENDS:
             now = self.network.scheduler.now
             candidates = [
                 runner
@@ -142,10 +163,10 @@
             if not candidates:
                 return
             chosen = min(candidates, key=lambda runner: (runner.running(now), self._rng.random()))
-            if not await limits.admits(self._job, chosen):
+            if not await side.limits.admits(self._job, chosen) or not node.alive:
                 continue
             tried.add(chosen.runner_id)
-            if await self._attempt(node, receiver, chosen, f"{number}/{len(tried)}"):
+            if await self._attempt(node, side.receiver, chosen, f"{number}/{len(tried)}"):
                 self.served += 1
                 return
 
@@ -162,8 +183,11 @@
             await asyncio.sleep(LATENCY_SECONDS)
         finally:
             runner.attempts.remove(attempt_id)
-            node.exchange.load_changed(runner)
+            if node.alive:
+                node.exchange.load_changed(runner)
         now = self.network.scheduler.now
+        if not node.alive:
+            return False
         if status is None:
             node.state.pool.unreachable(runner, now)
             return False
