--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -218,6 +218,7 @@
         "part": shape.shared[-1].part_id if shape is not None and shape.shared else None,
         "attempt": job.sends,
         "runner": placed.runner.runner_id,
+        "software": placed.runner.entry.software,
         "delay_ms": round(placed.delay * 1000, 1),
         "prefill": placed.prefill_tokens,
         "cached": placed.matched_tokens,
