Streams go on only at the software version that began them

Callers got streams with events of two versions of a runner's software, which don't fit together. Cause: further attempts of a stream went to any runner, and a node at which a caller takes a stream up neither read which try began it nor knew the version that did.

Within an answer the version of the runner as it was when the attempt was sent is kept on the job and restricts further attempts, also where a rollout has closed it. Over callers' tries each stream's version is reported, before its first event is passed on, to two nodes by rendezvous of the try that brought it, while more than one version is listed or was within 30 s. The node that takes it up asks them. A version that is not known, or has no runner, is refused at once, 503 without a time to come back. Without `Resumes`, or with one that nobody knows, a stream goes on only if no asked node knows of two versions.

Cost while versions are mixed: two datagrams of at most 64 bytes a stream, a question and an answer for one that is taken up; no messages otherwise.

--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -22,6 +22,7 @@
 from hillstack.core.relay_choice import RelayChoice
 from hillstack.core.rollout_judge import RolloutJudge
 from hillstack.core.shared_retry_budget import SharedRetryBudget
+from hillstack.core.stream_origins import StreamOrigins
 from hillstack.core.token_buckets import TokenBuckets
 from hillstack.core.token_leases import TokenLeases
 from hillstack.core.version_exposure import VersionExposure
@@ -48,6 +49,7 @@
 from hillstack.daemon.metrics_page import MetricsPage
 from hillstack.daemon.metrics_server import serve_metrics
 from hillstack.daemon.node_registry import NodeRegistry
+from hillstack.daemon.origin_exchange import OriginExchange
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.peer_link import PeerLink
 from hillstack.daemon.permit_services import make_permit_services
@@ -84,6 +86,7 @@
 from hillstack.serving.rollout_observer import RolloutObserver
 from hillstack.serving.runner_limits import RunnerLimits
 from hillstack.serving.signal_receiver import SignalReceiver
+from hillstack.serving.stream_versions import StreamVersions
 
 logger = logging.getLogger(__name__)
 
@@ -232,6 +235,15 @@
         self._limits = LimitClient(
             self._state, leases, holders, limit_holder, self._link, self._clock, rng
         )
+        own_address = f"{settings.node.address}:{settings.listen.peers_port}"
+        origins = StreamOrigins(self._clock())
+        self._streams = StreamVersions(
+            self._state,
+            origins,
+            OriginExchange(self._state, self._link, origins, own_address, self._clock),
+            self._clock,
+        )
+        placement.versions.handle_began(self._streams.began)
         self._pipeline = RequestPipeline(
             self._state,
             runners,
@@ -241,6 +253,7 @@
             self._metrics,
             self._observer,
             runner_limits,
+            self._streams,
         )
         self._pipeline.runner_crashes.set_lag_source(self._lag.lag_free_since)
         permits = make_permit_services(
@@ -261,7 +274,6 @@
         self._peers.handle_new_peers(self._pipeline.runner_crashes.send_initial_state)
         self._peers.handle_new_peers(self._peers.send_initial_state)
         self._peers.handle_new_peers(self._follower.send_initial_state)
-        own_address = f"{settings.node.address}:{settings.listen.peers_port}"
         own = NodeEntry(
             settings.node.id, own_address, zone, link_megabits=settings.node.link_megabits
         )
@@ -382,6 +394,7 @@
             self._registry.run(),
             self._access.run(),
             self._places.run(),
+            self._streams.run(),
             self._duty.maintain_lease(),
             self._duty.run(),
             self._observer.run(),
--- a/src/hillstack/messages/datagrams.py
+++ b/src/hillstack/messages/datagrams.py
@@ -33,6 +33,9 @@
         PLACE_ANSWER: The answer to ``PLACE_QUESTION``.
         PERMIT_QUESTION: A node's question to a voter for the permit to send a suspect request.
         PERMIT_ANSWER: The answer to ``PERMIT_QUESTION``.
+        ORIGIN_REPORT: A node's report which software version began its streams.
+        ORIGIN_QUESTION: A node's question which version began a stream.
+        ORIGIN_ANSWER: The answer to ``ORIGIN_QUESTION``.
     """
 
     NOTICE = 1
@@ -56,6 +59,9 @@
     PLACE_ANSWER = 19
     PERMIT_QUESTION = 20
     PERMIT_ANSWER = 21
+    ORIGIN_REPORT = 22
+    ORIGIN_QUESTION = 23
+    ORIGIN_ANSWER = 24
 
 
 def wrap(kind: DatagramKind, payload: bytes) -> bytes:
--- a/src/hillstack/platform/ingress.py
+++ b/src/hillstack/platform/ingress.py
@@ -253,6 +253,7 @@
         ),
         tokens=parse_usage(usage),
         last_event_id=_parse_integer(headers.get(_header_name(names.LAST_EVENT_ID))),
+        resumes=_header_text(headers, _header_name(names.RESUMES)),
     )
 
 
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -105,6 +105,9 @@
         is_fatal: Whether the request was found to crash runners and was aborted for this reason.
         canary_decided_for: Rollout order under which it was decided whether this is a canary.
         is_canary: Whether the next attempt goes to a version that is not trusted yet.
+        software: Version of the runner that brought the first event of the stream, to which all
+            further attempts are restricted; None before, and for other requests.
+        sent_software: Version of the runner of the current attempt when the attempt was sent.
         watch: Monitors the current attempt, as evidence for a rollout.
     """
 
@@ -141,6 +144,8 @@
     is_fatal: bool = False
     canary_decided_for: StoreRevision | None = None
     is_canary: bool = False
+    software: str | None = None
+    sent_software: str = ""
     watch: AttemptMonitor = UNMONITORED
 
     @property
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -17,6 +17,7 @@
 from hillstack.core.routing_table import RouteKind
 from hillstack.core.runner_pool import Runner
 from hillstack.errors import BackendBrokenError, ConnectionLostError
+from hillstack.serving.abandoned_answers import close_pending_answer
 from hillstack.serving.admission import RequestAdmission
 from hillstack.serving.backoff_waits import BackoffWaits
 from hillstack.serving.fleet_state import FleetState
@@ -42,6 +43,7 @@
 from hillstack.serving.runner_limits import RunnerLimits
 from hillstack.serving.signal_receiver import log_held_back
 from hillstack.serving.silent_attempts import is_path_lost, silence_reason
+from hillstack.serving.stream_versions import StreamVersions
 from hillstack.serving.types import (
     SERVER_ERROR,
     SUCCESS,
@@ -88,6 +90,7 @@
         metrics: Counts results and latencies.
         observer: Observes attempts during a rollout; None to observe nothing.
         runner_limits: Enforces the rate limits that runners announce; None to ignore them.
+        streams: Keeps streams at the version that began them; None to take up any stream.
     """
 
     def __init__(
@@ -100,7 +103,9 @@
         metrics: FleetMetrics | None = None,
         observer: AttemptObserver | None = None,
         runner_limits: RunnerLimits | None = None,
+        streams: StreamVersions | None = None,
     ) -> None:
+        self._streams = streams
         self._runner_limits = runner_limits
         self._limiter = limiter
         self._observer = observer or NoObserver()
@@ -185,6 +190,8 @@
         try:
             async with asyncio.timeout(max(0.0, job.deadline - self._clock())) as job.time_limit:
                 await self.runner_crashes.check(job)
+                if self._streams is not None:
+                    await self._streams.restrict(job)
                 await self._charge_tenant_limit(job)
                 if not self._state.start_gate.caches_known:
                     # Peers report runner crashes to a node that has just started before they report
@@ -402,7 +409,7 @@
                 self._check_silence(job, placed.runner, "await answer")
                 self._check_weights(job, placed.runner, dispatch)
         except asyncio.CancelledError:
-            _close_pending_answer(sending)
+            close_pending_answer(sending)
             raise
         finally:
             sending.cancel()
@@ -590,12 +597,3 @@
     if request.patience_seconds is None:
         return math.inf
     return max(0.0, request.patience_seconds - MIN_REMAINING_SECONDS)
-
-
-def _close_pending_answer(sending: asyncio.Future[RunnerAnswer]) -> None:
-    """Close an answer whose head arrived in the event loop iteration in which the caller left.
-
-    Closing the answer makes the runner stop.
-    """
-    if sending.done() and not sending.cancelled() and sending.exception() is None:
-        sending.result().close()
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -285,6 +285,7 @@
 
     def started(self, job: Job, placed: PlacedAttempt, attempt_id: str, now: float) -> None:
         """Record the first event of an attempt."""
+        self.versions.started(job)
         attempt = placed.runner.attempts.get(attempt_id)
         if attempt is not None and not self.versions.is_untrusted(placed.runner):
             self._learn_rate(job.service, placed, attempt, now)
--- a/src/hillstack/serving/ports.py
+++ b/src/hillstack/serving/ports.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
 from hillstack.core.runner_pool import Runner
+from hillstack.core.stream_origins import StreamOrigin
 from hillstack.core.tenant_limits import TenantLimit
 from hillstack.serving.attempt_monitor import UNMONITORED, AttemptMonitor
 from hillstack.serving.job import Job, PlacedAttempt
@@ -112,6 +114,38 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class OriginFinding:
+    """What other nodes know of the version that began a stream.
+
+    Attributes:
+        software: The version; None if no node that was asked knows it.
+        is_mixed: Whether one of them knows of several recent versions of the service.
+        has_answer: Whether one of them answered, or there was none to ask.
+    """
+
+    software: str | None
+    is_mixed: bool
+    has_answer: bool
+
+
+class OriginSource(Protocol):
+    """Reports to other nodes which versions began streams, and asks them."""
+
+    def report(self, origins: Iterable[StreamOrigin]) -> None:
+        """Report the origins of streams."""
+        ...
+
+    async def find(self, service: str, attempt_id: str) -> OriginFinding:
+        """Return what other nodes know of the origin of a stream.
+
+        Args:
+            service: Service of the stream.
+            attempt_id: The caller's try that brought its first event; empty if it is not known.
+        """
+        ...
+
+
 class ResponseSink(Protocol):
     """Receives the answer to the caller."""
 
--- /dev/null
+++ b/src/hillstack/serving/stream_versions.py
@@ -0,0 +1,122 @@
+"""Keeps each stream at the software version that began it, over all tries of its caller.
+
+A caller that takes a stream up names the last event that it has, and the try that brought the first
+one. The stream goes on only if the version that began it is known and has runners; otherwise the
+caller is refused at once, without a time to come back, since only a new stream can be served.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from hillstack.core.routing_table import RouteKind
+from hillstack.core.stream_origins import StreamOrigin, StreamOrigins
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.job import Job
+from hillstack.serving.ports import OriginSource
+from hillstack.serving.types import RejectedError, Verdict
+
+logger = logging.getLogger(__name__)
+
+# Interval of the check whether a service has runners of another version than before.
+CHECK_SECONDS = 0.5
+
+
+class StreamVersions:
+    """Restricts streams that are taken up to the version that began them.
+
+    Args:
+        state: State of the node.
+        origins: The origins of streams that this node knows.
+        source: Reports origins to other nodes, and finds theirs.
+        clock: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        state: FleetState,
+        origins: StreamOrigins,
+        source: OriginSource,
+        clock: Callable[[], float],
+    ) -> None:
+        self._state = state
+        self._origins = origins
+        self._source = source
+        self._clock = clock
+        # Versions of the listed runners by service, and the generation of the pool.
+        self._listed: dict[str, set[str]] = {}
+        self._generation = -1
+
+    async def run(self) -> None:
+        """Check the versions of all services regularly until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            services = {runner.entry.service for runner in self._state.pool.all()}
+            for service in services:
+                self._update(service)
+
+    def began(self, job: Job, software: str) -> None:
+        """Record the version of the runner that brings the first event of a stream."""
+        self._update(job.service)
+        attempt_id = job.request.resumes or job.request.request_id
+        origin = StreamOrigin(attempt_id, job.service, software, self._clock())
+        self._origins.record(origin)
+        if self._origins.is_mixed(job.service, origin.began_at):
+            self._source.report([origin])
+
+    async def restrict(self, job: Job) -> None:
+        """Restrict a stream that is taken up to the version that began it.
+
+        Raises:
+            RejectedError: The version is not known, or has no runners.
+        """
+        if job.route.kind is not RouteKind.STREAM or not job.request.last_event_id:
+            return
+        self._update(job.service)
+        job.software = await self._find_version(job)
+        if job.software is not None and not self._has_runner(job, job.software):
+            raise self._refusal(job, f"no runner of version {job.software} that began the stream")
+
+    async def _find_version(self, job: Job) -> str | None:
+        """Return the version that began a stream, or None if the service has one version only."""
+        service, attempt_id, now = job.service, job.request.resumes, self._clock()
+        software = self._origins.find(attempt_id, service, now)
+        if software is not None:
+            return software
+        is_mixed = self._origins.is_mixed(service, now)
+        if not is_mixed and self._origins.knows_all_versions(now):
+            return None
+        finding = await self._source.find(service, attempt_id)
+        if finding.software is not None:
+            return finding.software
+        if is_mixed or finding.is_mixed or not finding.has_answer:
+            raise self._refusal(job, "the version that began the stream is not known")
+        return None
+
+    def _has_runner(self, job: Job, software: str) -> bool:
+        now = self._clock()
+        return any(
+            runner.entry.software == software and runner.will_accept(now)
+            for runner in self._state.pool.of_service(job.service)
+        )
+
+    def _refusal(self, job: Job, text: str) -> RejectedError:
+        fields = {"request": job.request.request_id, "resumes": job.request.resumes}
+        logger.info("stream not taken up", extra=fields | {"reason": text})
+        return RejectedError(Verdict.UNAVAILABLE, text, step="resume")
+
+    def _update(self, service: str) -> None:
+        """Apply the versions that are listed; report the known streams if there are new ones."""
+        pool = self._state.pool
+        if pool.generation != self._generation:
+            self._generation = pool.generation
+            self._listed.clear()
+        listed = self._listed.get(service)
+        if listed is None:
+            listed = {runner.entry.software for runner in pool.of_service(service)}
+            self._listed[service] = listed
+        now = self._clock()
+        if self._origins.note_versions(service, listed, now):
+            self._source.report(self._origins.of_service(service, now))
--- a/src/hillstack/serving/types.py
+++ b/src/hillstack/serving/types.py
@@ -27,6 +27,7 @@
         shape: Parts of the prompt; None if the request does not give them.
         tokens: Prompt tokens plus maximum output tokens; None if the request does not give them.
         last_event_id: Identifier of the last event of this stream that the caller has received.
+        resumes: The caller's try that brought the first event of this stream; empty if not named.
     """
 
     request_id: str
@@ -43,6 +44,7 @@
     shape: PromptShape | None = None
     tokens: int | None = None
     last_event_id: int | None = None
+    resumes: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hillstack/serving/version_choice.py
+++ b/src/hillstack/serving/version_choice.py
@@ -17,6 +17,7 @@
 from random import Random
 
 from hillstack.core.rendezvous import ranked
+from hillstack.core.routing_table import RouteKind
 from hillstack.core.runner_pool import Runner
 from hillstack.core.software_rollouts import RolloutOrder, RolloutStage, VersionAccess
 from hillstack.serving.fleet_state import FleetState
@@ -72,15 +73,29 @@
     def __init__(self, state: FleetState, rng: Random) -> None:
         self._state = state
         self._rng = rng
+        self._on_began: Callable[[Job, str], None] = lambda job, version: None
         self._on_canary: Callable[[str, str], None] = lambda service, version: None
 
     def handle_canaries(self, handler: Callable[[str, str], None]) -> None:
         """Set a handler that is called with service and version for each canary that is sent."""
         self._on_canary = handler
 
+    def handle_began(self, handler: Callable[[Job, str], None]) -> None:
+        """Set a handler that is called with the version that brings a stream's first event."""
+        self._on_began = handler
+
+    def started(self, job: Job) -> None:
+        """Restrict a stream whose first event has arrived to the version that sent it."""
+        if job.route.kind is RouteKind.STREAM and job.software is None:
+            job.software = job.sent_software
+            self._on_began(job, job.software)
+
     def usable(self, job: Job, now: float) -> UsableRunners:
         """Return the runners for the next attempt; decide whether the request is a canary."""
         accepting = self._state.pool.accepting(job.service, now)
+        if job.software is not None:
+            same = _of_version(accepting, job.software)
+            return UsableRunners(same, same)
         if not self._may_differ(job.service, now):
             return UsableRunners(accepting, accepting)
         by_access = self._by_access(job.service, accepting, now)
@@ -99,6 +114,8 @@
     def accepting(self, job: Job, now: float) -> list[Runner]:
         """Return the runners that accept work and that the request may use."""
         accepting = self._state.pool.accepting(job.service, now)
+        if job.software is not None:
+            return _of_version(accepting, job.software)
         if not self._may_differ(job.service, now):
             return accepting
         by_access = self._by_access(job.service, accepting, now)
@@ -106,6 +123,8 @@
 
     def may_use(self, job: Job, runner: Runner, now: float) -> bool:
         """Return whether a request may use a runner with this version, if it accepts work."""
+        if job.software is not None:
+            return runner.entry.software == job.software
         if not self._may_differ(job.service, now):
             return True
         match self._access(job.service, runner, now):
@@ -136,6 +155,7 @@
         """Record an attempt that is being sent, and count it if it is a canary."""
         rollouts = self._state.rollouts
         job.is_canary = False
+        job.sent_software = runner.entry.software
         if not rollouts.concerns(job.service):
             return
         version = runner.entry.software
@@ -248,6 +268,10 @@
         return share * len(groups.open) / max(1.0 - share, share)
 
 
+def _of_version(runners: list[Runner], software: str) -> list[Runner]:
+    return [runner for runner in runners if runner.entry.software == software]
+
+
 def _ranked_runners(order: RolloutOrder, runners: list[Runner]) -> list[Runner]:
     """Return runners in an order that all nodes compute alike without communication."""
     by_id = {runner.runner_id: runner for runner in runners}
