--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,6 +12,7 @@
 from tests.soak.cut_faults import CUT_FAULTS
 from tests.soak.earlier_builds import has_commit
 from tests.soak.fault_series import FAULTS, SILENCE_FAULTS
+from tests.soak.mixed_version_faults import MIXED_VERSION_FAULTS
 from tests.soak.restart_faults import RESTART_FAULTS
 from tests.soak.restore_faults import RESTORE_FAULTS
 from tests.soak.signal_faults import SIGNAL_FAULTS
@@ -31,6 +32,7 @@
     + RESTORE_FAULTS
     + SILENCE_FAULTS
     + CUT_FAULTS
+    + MIXED_VERSION_FAULTS
 )
 
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -15,6 +15,7 @@
     reached_runners_in_backoff,
     reached_runners_that_left,
 )
+from tests.soak.stream_promises import streams_of_two_versions
 from tests.soak.timed_promises import (
     continued_after_close,
     lost_in_planned_stops,
@@ -52,6 +53,7 @@
         *reached_runners_in_backoff(seen),
         *exceeded_limits(seen),
         *served_worse_at_cut_nodes(seen),
+        *streams_of_two_versions(seen),
     ]
 
 
--- a/tests/soak/software.py
+++ b/tests/soak/software.py
@@ -25,9 +25,11 @@
 
     Attributes:
         ordered: Target version of the current rollout, by service.
+        beside: Versions whose runners serve beside the others with no order.
     """
 
     ordered: dict[str, str] = field(default_factory=dict)
+    beside: set[str] = field(default_factory=set)
     _current: dict[str, str] = field(default_factory=dict)
     _bad: dict[str, SoftwareFaults] = field(default_factory=dict)
     _count: int = 1
@@ -51,8 +53,8 @@
         return self._current.get(service, FIRST_VERSION)
 
     def version_for_start(self, service: str, software: str) -> str:
-        """Return ``software`` if it is a current rollout's target, else the current version."""
-        if software == self.ordered.get(service):
+        """Return ``software`` if its runners may start now, else the current version."""
+        if software in self.beside or software == self.ordered.get(service):
             return software
         return self.current_version(service)
 
