Brittle runners: one that comes back after all have fallen counts as brittle until it answers

Cause: what a runner says of itself is dropped with it, so where all runners of a service fall, their successors counted as sound from earlier answers of the service, and got requests without places. The latest word of the service is kept now, until an answer to a request has none. The test failed before (None instead of 3).

--- a/src/hillstack/core/runner_pool.py
+++ b/src/hillstack/core/runner_pool.py
@@ -258,6 +258,8 @@
         self._brittle = BrittleRunners()
         # Services of which a runner has answered, or is known to a peer not to be brittle.
         self._answered: set[str] = set()
+        # Rejections that the latest answers of a service tolerate, also of runners that are gone.
+        self._latest_rejections: dict[str, float] = {}
         # Runners that a peer has reported as leaving; usually empty.
         self._hinted: dict[str, Runner] = {}
         # The latest directory entry of each name, also after the directory has dropped it.
@@ -407,6 +409,7 @@
         runner = self._known(runner_id)
         if runner is not None:
             self._answered.add(runner.entry.service)
+            self._note_rejections(runner.entry.service, rejections, source)
         received = self._signals.get(runner_id)
         if received is None and rejections is None:
             return False
@@ -421,6 +424,14 @@
         """Record that the answers to a peer report no runner of a service as brittle."""
         self._answered.add(service)
 
+    def _note_rejections(
+        self, service: str, rejections: float | None, source: AnswerSource
+    ) -> None:
+        if rejections is not None:
+            self._latest_rejections[service] = rejections
+        elif source.was_carried_out:
+            self._latest_rejections.pop(service, None)
+
     def brittle_runners(self) -> list[Runner]:
         """Return the runners of all services of which some runner is brittle."""
         if not self._brittle:
@@ -432,9 +443,10 @@
     def tolerated_rejections(self, runner: Runner) -> float | None:
         """Return the rejections in a second that a runner tolerates; None if it is not brittle."""
         if not self._brittle:
-            return None
+            return self._latest_rejections.get(runner.entry.service)
         siblings = [other.runner_id for other in self.of_service(runner.entry.service)]
-        return self._brittle.tolerated_rejections(runner.runner_id, siblings)
+        known = self._brittle.tolerated_rejections(runner.runner_id, siblings)
+        return self._latest_rejections.get(runner.entry.service) if known is None else known
 
     def apply_limit_hint(self, runner_id: str, rate: float, age_seconds: float, now: float) -> bool:
         """Apply a peer's hint that a process reports a limit.
--- a/tests/fleet/test_brittle_runners.py
+++ b/tests/fleet/test_brittle_runners.py
@@ -176,6 +176,23 @@
     assert held.held_from("n-1") == 2
 
 
+# Guards against runners that have all fallen over and come back: their first answers are not known.
+def test_a_runner_that_comes_back_counts_as_brittle_until_it_answers() -> None:
+    pool = RunnerPool()
+    pool.update(make_entry("i-1"))
+    source = AnswerSource(AnswerKind.REQUEST, 200, 0.1, was_carried_out=True)
+    pool.apply_brittleness("i-1", 3, source, 1.0)
+    pool.unlist("i-1", 2.0, 0.0)
+    pool.expire_unlisted(3.0)
+    pool.update(make_entry("i-22"))
+    pool.brittle_runners()
+    successor = pool.get("i-22")
+    assert successor is not None
+    assert pool.tolerated_rejections(successor) == 3
+    pool.apply_brittleness("i-22", None, source, 4.0)
+    assert pool.tolerated_rejections(successor) is None
+
+
 def test_places_of_a_node_that_has_ended_become_free() -> None:
     counts = PlaceCounts()
     counts.report("i-1", ("n-1", 1), 1, 6, 10.0)
