--- a/tests/soak/mixed_version_faults.py
+++ b/tests/soak/mixed_version_faults.py
@@ -28,7 +28,8 @@
     broken = [runner for runner in system.runners_of(ENGINES) if rng.random() < 0.5]
     for runner in broken:
         runner.faults.break_after = BREAK_AFTER
-    await asyncio.sleep(rng.uniform(*SERVE_SECONDS))
+    with system.disturbance(*(runner.runner_id for runner in broken)):
+        await asyncio.sleep(rng.uniform(*SERVE_SECONDS))
     for runner in broken:
         runner.faults.break_after = None
     joined = [r for r in system.runners_of(ENGINES) if r.software == VERSION]
