Places: reports kept in plain maps, and the topology's own comparison of regions

Read once more as a newcomer: a class with one field held the reports of a runner, and the comparison of two zones' regions stood again beside Topology.are_same_region.

--- a/src/hillstack/core/runner_places.py
+++ b/src/hillstack/core/runner_places.py
@@ -8,7 +8,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from collections import defaultdict
+from dataclasses import dataclass
 
 # The requests of a process that has reported nothing for this long have ended.
 REPORT_VALID_SECONDS = 1.0
@@ -32,16 +33,11 @@
     received_at: float
 
 
-@dataclass(slots=True)
-class _RunnerPlaces:
-    by_holder: dict[Holder, _Report] = field(default_factory=dict)
-
-
 class PlaceCounts:
     """The places that this node issues, by runner."""
 
     def __init__(self) -> None:
-        self._runners: dict[str, _RunnerPlaces] = {}
+        self._reports: defaultdict[str, dict[Holder, _Report]] = defaultdict(dict)
 
     def report(self, runner_id: str, holder: Holder, number: int, held: int, now: float) -> bool:
         """Record how many places a process holds; return whether the message is its latest.
@@ -49,11 +45,11 @@
         The places of an earlier process of the same node stay in use until its last report
         expires, since the runner may go on with the requests of a process that was killed.
         """
-        places = self._runners.setdefault(runner_id, _RunnerPlaces())
-        known = places.by_holder.get(holder)
+        reports = self._reports[runner_id]
+        known = reports.get(holder)
         if known is not None and number <= known.number:
             return False
-        places.by_holder[holder] = _Report(number, held, now)
+        reports[holder] = _Report(number, held, now)
         return True
 
     def take(
@@ -73,22 +69,20 @@
             return False
         if self.in_use(runner_id, now) >= part:
             return False
-        self._runners[runner_id].by_holder[holder].count += 1
+        self._reports[runner_id][holder].count += 1
         return True
 
     def in_use(self, runner_id: str, now: float) -> int:
         """Return how many places of a runner are in use."""
-        places = self._runners.get(runner_id)
-        if places is None:
-            return 0
-        for holder, report in list(places.by_holder.items()):
+        reports = self._reports.get(runner_id, {})
+        for holder, report in list(reports.items()):
             if now - report.received_at > REPORT_VALID_SECONDS:
-                del places.by_holder[holder]
-        return sum(report.count for report in places.by_holder.values())
+                del reports[holder]
+        return sum(report.count for report in reports.values())
 
     def expire(self, now: float) -> None:
         """Forget the runners at which no process holds a place any more."""
-        for runner_id in list(self._runners):
+        for runner_id in list(self._reports):
             self.in_use(runner_id, now)
-            if not self._runners[runner_id].by_holder:
-                del self._runners[runner_id]
+            if not self._reports[runner_id]:
+                del self._reports[runner_id]
--- a/src/hillstack/daemon/runner_places.py
+++ b/src/hillstack/daemon/runner_places.py
@@ -197,8 +197,7 @@
             self._parts.list_nodes(nodes.all(), self._clock())
 
     def _are_near(self, zone: str, other: str) -> bool:
-        topology = self._state.topology
-        return topology.region_of(zone) == topology.region_of(other)
+        return self._state.topology.are_same_region(zone, other)
 
     async def run(self) -> None:
         """Repeat the reports of places until cancelled."""
