Crash logs: the shared prompt parts of the runs at a crash

runner ended named requests only, so a log could not tell a cause that requests share from one request each. The runs at a crash and the abandoned runs move to modules of their own; no behaviour changes.

--- a/src/hillstack/core/probations.py
+++ b/src/hillstack/core/probations.py
@@ -10,7 +10,7 @@
 import math
 from collections.abc import Sequence
 
-from hillstack.core.runner_crashes import SETTLED_SECONDS
+from hillstack.core.run_at_crash import SETTLED_SECONDS
 from hillstack.core.runner_pool import Runner
 
 # Runners are ordered by their running requests in steps of this size. Nodes receive load reports at
--- a/src/hillstack/core/request_fingerprint.py
+++ b/src/hillstack/core/request_fingerprint.py
@@ -1,8 +1,9 @@
-"""Names that identify a request across all attempts of its caller.
+"""Names under which crashes are counted: of requests across all attempts of a caller, and of parts.
 
-Each attempt has an identifier of its own, but asks for the same work. There are two names. The
+Each attempt has an identifier of its own, but asks for the same work. A request has two names. The
 fingerprint covers all stable properties of an attempt and separates requests that have only the
 body in common. The content name covers only what callers are known to send unchanged on each retry.
+A prompt part has one name, whatever else the prompts hold that contain it.
 """
 
 from __future__ import annotations
@@ -46,6 +47,11 @@
     return _hash([tenant.encode(), path.encode(), body])
 
 
+def part_name(part_id: str) -> int:
+    """Return a 64-bit hash of the identifier of a prompt part, which many requests share."""
+    return _hash([part_id.encode()])
+
+
 def _hash(fields: list[bytes]) -> int:
     # The lengths make the encoding unique: no two lists of fields give the same bytes.
     lengths = b"".join(len(field).to_bytes(LENGTH_BYTES, "big") for field in fields)
--- a/src/hillstack/core/runner_crashes.py
+++ b/src/hillstack/core/runner_crashes.py
@@ -16,9 +16,11 @@
 import enum
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from itertools import combinations
 
+from hillstack.core.run_at_crash import RunAtCrash
+
 # Retention of crashes without a fatal request. A caller's next attempt, which would crash a second
 # runner, arrives within some seconds.
 CRASH_RETENTION_SECONDS = 30.0
@@ -36,22 +38,10 @@
 # Maximum number of cleared fingerprints. They are stored so that runs of these requests which peers
 # report late are not added to a recorded crash again.
 MAX_CLEARED_REQUESTS = 1_024
-# A run is settled once this time has passed since the first bytes of its answer: it is an unlikely
-# cause of a crash and continues on another runner without restriction. Four times the age at which
-# fatal runs were observed to crash their runners.
-SETTLED_SECONDS = 0.5
-# Weight of a run that has just settled; a run that has not settled has weight 1. The weight falls
-# with the age of the answer to MIN_WEIGHT, so that a request which crashes runners late is still
-# detected eventually.
-JUST_SETTLED_WEIGHT = 0.2
-MIN_WEIGHT = 0.02
 # Weight of each request that is counted but not identified, since its node has not reported it yet.
 UNIDENTIFIED_WEIGHT = 0.3
 # Weight of the runner itself as the cause of its crash: half of that of a run that has just begun.
 RUNNER_WEIGHT = 0.5
-# Added to both ages before they are compared. Runs wait in their runner's queue for some time, so a
-# difference of this size is not significant.
-AGE_SLACK_SECONDS = 0.1
 # Tolerance for the order of events that peers report: the latency of a notice, some milliseconds.
 ORDER_SLACK_SECONDS = 0.02
 # Maximum latency of a notice, between regions and with the pauses of its relays. A node dates the
@@ -88,50 +78,6 @@
     FATAL = "fatal"
 
 
-@dataclass(frozen=True, slots=True)
-class RunAtCrash:
-    """A run of a request that was on a runner when the runner crashed.
-
-    Attributes:
-        age: Seconds from the sending of the request to the crash.
-        answering: Seconds from the first bytes of the answer to the crash; None before them.
-        content: Content name of the request; 0 if it is not known.
-    """
-
-    age: float
-    answering: float | None = None
-    content: int = 0
-
-    @property
-    def weight(self) -> float:
-        """Weight of the run as a possible cause, relative to the other runs at the crash."""
-        if not self.is_settled:
-            return 1.0
-        assert self.answering is not None
-        return max(MIN_WEIGHT, JUST_SETTLED_WEIGHT * SETTLED_SECONDS / self.answering)
-
-    @property
-    def is_settled(self) -> bool:
-        """Whether the answer had been under way for too long to be a likely cause."""
-        return self.answering is not None and self.answering > SETTLED_SECONDS
-
-    def until(self, seconds_before: float) -> RunAtCrash:
-        """Return the run as it was some seconds earlier."""
-        answering = self.answering
-        if answering is not None:
-            answering = None if answering < seconds_before else answering - seconds_before
-        return replace(self, age=self.age - seconds_before, answering=answering)
-
-    def similarity(self, other: RunAtCrash) -> float:
-        """Return the similarity of two runs' ages when their runners crashed, at most 1."""
-        if self.answering is not None and other.answering is not None:
-            own, others = self.answering, other.answering
-        else:
-            own, others = self.age, other.age
-        low, high = sorted((own + AGE_SLACK_SECONDS, others + AGE_SLACK_SECONDS))
-        return low / high
-
-
 @dataclass(slots=True)
 class RunnerCrash:
     """The crash of a runner.
--- a/src/hillstack/serving/crash_logs.py
+++ b/src/hillstack/serving/crash_logs.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from collections.abc import Iterable
 
-from hillstack.core.runner_crashes import FatalRequest, RunAtCrash, RunnerCrash
+from hillstack.core.run_at_crash import RunAtCrash
+from hillstack.core.runner_crashes import FatalRequest, RunnerCrash
 from hillstack.core.runner_pool import Runner
 from hillstack.serving.job import Job
 from hillstack.serving.request_names import content_of, fingerprint_of
@@ -14,6 +16,8 @@
 
 # Runs of a crash that are logged: the largest runners have 64 slots.
 MAX_LOGGED_RUNS = 16
+# Shared prompt parts of a crash that are logged.
+MAX_LOGGED_PARTS = 24
 
 
 def log_crash(runner: Runner, runs: dict[int, RunAtCrash]) -> None:
@@ -23,10 +27,17 @@
         "runner": runner.runner_id,
         "requests": {f"{name:016x}": round(run.age * 1000) for name, run in youngest},
         "running": len(runs),
+        "parts": _count_parts(runs.values()),
     }
     logger.info("runner ended", extra=fields)
 
 
+def _count_parts(runs: Iterable[RunAtCrash]) -> dict[str, int]:
+    """Return in how many of the runs that had not settled each shared part was."""
+    counts = Counter(part for run in runs if not run.is_settled for part in run.part_ids)
+    return dict(counts.most_common(MAX_LOGGED_PARTS))
+
+
 def log_suspect(job: Job, runner: Runner, crashes: Iterable[RunnerCrash], count: int) -> None:
     """Log that a suspect is sent, with the crashes that this node knows and the permits.
 
--- a/src/hillstack/serving/crash_notices.py
+++ b/src/hillstack/serving/crash_notices.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from hillstack.core.crash_counts import CrashCounts
-from hillstack.core.runner_crashes import RunAtCrash, RunnerCrash, RunnerCrashRecord
+from hillstack.core.run_at_crash import RunAtCrash
+from hillstack.core.runner_crashes import RunnerCrash, RunnerCrashRecord
 from hillstack.messages.runner_ends import RequestAtEnd, RunnerEndNotice
 
 # Requests in one notice: they fit a datagram of 1,400 bytes, at about 30 bytes each.
--- a/src/hillstack/serving/request_names.py
+++ b/src/hillstack/serving/request_names.py
@@ -1,4 +1,4 @@
-"""Names that stay the same when a caller sends a request again (``core.request_fingerprint``)."""
+"""Names of requests and of their prompt parts (``core.request_fingerprint``)."""
 
 from __future__ import annotations
 
@@ -31,3 +31,9 @@
         )
         job.fingerprint = request_fingerprint(texts, request.shape, request.body)
     return job.fingerprint
+
+
+def shared_part_ids(job: Job) -> tuple[str, ...]:
+    """Return the identifiers of the prompt parts that other requests may share."""
+    shape = job.request.shape
+    return tuple(part.part_id for part in shape.shared) if shape is not None else ()
--- a/src/hillstack/serving/runner_crashes.py
+++ b/src/hillstack/serving/runner_crashes.py
@@ -12,22 +12,21 @@
 import asyncio
 import logging
 import math
-from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from hillstack.core.crash_counts import CrashedRun
 from hillstack.core.rendezvous import owner, ranked
+from hillstack.core.run_at_crash import RunAtCrash
 from hillstack.core.runner_crashes import (
     CRASH_RETENTION_SECONDS,
     FATAL_REFUSAL_SECONDS,
     FatalRequest,
-    RunAtCrash,
     RunnerCrash,
     Suspicion,
 )
 from hillstack.core.runner_pool import Runner
 from hillstack.messages.runner_ends import RequestAtEnd, RunnerEndNotice
+from hillstack.serving.abandoned_runs import AbandonedRuns, run_of
 from hillstack.serving.crash_logs import evidence_fields, log_crash, log_suspect
 from hillstack.serving.crash_notices import crash_notices, earlier_crash_notices, run_at_crash
 from hillstack.serving.fleet_state import FleetState
@@ -35,7 +34,6 @@
 from hillstack.serving.metrics import FleetMetrics
 from hillstack.serving.placement import RunnerPlacement
 from hillstack.serving.request_names import content_of, fingerprint_of, names_of
-from hillstack.serving.run_survival import ABANDONED_RUN_SECONDS
 from hillstack.serving.suspect_permits import FATAL_REASON, PermitServices, SuspectPermits
 from hillstack.serving.types import RejectedError, StreamCutError, Verdict
 
@@ -77,29 +75,10 @@
 # nodes share, then keeps them apart.
 STAGGER_SECONDS = 0.005
 MAX_STAGGER_SECONDS = 0.1
-# The crash time in a notice may be slightly earlier than an abandonment that preceded the crash.
-ABANDONED_RUN_SLACK_SECONDS = 0.1
 # Number of nodes that report each older crash to a node that has just started.
 EARLIER_CRASH_REPORTERS = 3
 
 
-@dataclass(frozen=True, slots=True)
-class _AbandonedRun:
-    """A run that this node abandoned before its end.
-
-    Attributes:
-        at: When the run was abandoned, on the node's clock.
-        sent_at: When the attempt was sent.
-        answering_since: When the first bytes of the answer arrived; None before.
-    """
-
-    job: Job
-    runner_id: str
-    at: float
-    sent_at: float
-    answering_since: float | None
-
-
 class RunnerCrashMonitor:
     """Monitors runner crashes and suspected requests for one node.
 
@@ -129,7 +108,7 @@
         self._locally_lost: dict[str, float] = {}
         self._unreported: set[str] = set()
         self._announced_fatal: set[int] = set()
-        self._abandoned: deque[_AbandonedRun] = deque()
+        self._abandoned = AbandonedRuns()
         self._permits = self._make_permits(None)
         self._lag_free_since: Callable[[], float] = lambda: -math.inf
         self._is_stopping = False
@@ -196,35 +175,11 @@
         if found is not None:
             self._permits.finished(found[0], found[1].runner_id, may_still_run=may_still_run)
         if found is not None and may_still_run:
-            self._note_abandoned(*found)
+            self._abandoned.add(*found, self._clock())
         runner_id = self._state.probations.end(attempt_id)
         if runner_id is not None:
             self._send_probation(runner_id, 0.0)
 
-    def _note_abandoned(self, job: Job, runner: Runner) -> None:
-        now = self._clock()
-        while self._abandoned and now - self._abandoned[0].at >= ABANDONED_RUN_SECONDS:
-            self._abandoned.popleft()
-        abandoned = _AbandonedRun(job, runner.runner_id, now, job.sent_at, job.answering_since)
-        self._abandoned.append(abandoned)
-
-    def _abandoned_runs(self, runner_id: str, ended_at: float) -> dict[int, RunAtCrash]:
-        """Return the runs that this node abandoned at a runner shortly before its crash."""
-        runs: dict[int, RunAtCrash] = {}
-        for abandoned in self._abandoned:
-            since = ended_at - abandoned.at
-            if (
-                abandoned.runner_id != runner_id
-                or not -ABANDONED_RUN_SLACK_SECONDS < since < ABANDONED_RUN_SECONDS
-            ):
-                continue
-            answering = (
-                None if abandoned.answering_since is None else ended_at - abandoned.answering_since
-            )
-            run = RunAtCrash(ended_at - abandoned.sent_at, answering, content_of(abandoned.job))
-            runs[fingerprint_of(abandoned.job)] = run
-        return runs
-
     def answered(self, job: Job, *, succeeded: bool) -> None:
         """Record that an answer was passed on, and clear any suspicion against its request.
 
@@ -385,13 +340,13 @@
         """
         if self._is_stopping or _is_expected_disconnect(runner, now):
             return
-        runs = self._abandoned_runs(runner.runner_id, now)
-        runs[fingerprint_of(job)] = self._run(job, now)
-        if not self._run(job, now).is_settled:
+        runs = self._abandoned.at_crash(runner.runner_id, now)
+        runs[fingerprint_of(job)] = run_of(job, now)
+        if not run_of(job, now).is_settled:
             job.permitted.crashed_runners.add(runner.runner_id)
         for other, at in self._active.values():
             if at is runner:
-                runs.setdefault(fingerprint_of(other), self._run(other, now))
+                runs.setdefault(fingerprint_of(other), run_of(other, now))
         self._note_lost_runs(runner, runs, now)
 
     def unreachable(self, runner: Runner, now: float) -> None:
@@ -402,7 +357,7 @@
         """
         if self._is_stopping or _is_expected_disconnect(runner, now):
             return
-        runs = self._abandoned_runs(runner.runner_id, now)
+        runs = self._abandoned.at_crash(runner.runner_id, now)
         if runs and self._record.get(runner.runner_id) is None:
             self._note_lost_runs(runner, runs, now)
 
@@ -449,7 +404,7 @@
             return
         runs = {request.fingerprint: run_at_crash(request) for request in notice.requests}
         self._record_crash(notice.runner_id, ended_at, runs, notice.running)
-        if any(abandoned.runner_id == notice.runner_id for abandoned in self._abandoned):
+        if self._abandoned.any_at(notice.runner_id):
             self._record_abandoned_runs(notice.runner_id)
         self._schedule_reaction()
 
@@ -463,7 +418,7 @@
         crash = self._record.get(runner_id)
         if crash is None or crash.is_local:
             return
-        runs = self._abandoned_runs(runner_id, crash.crashed_at)
+        runs = self._abandoned.at_crash(runner_id, crash.crashed_at)
         if not runs:
             return
         # Reported only once: otherwise two nodes could answer each other's incomplete notices
@@ -634,7 +589,7 @@
             return
         now = self._clock()
         for job, _ in self._active.values():
-            run = self._run(job, now)
+            run = run_of(job, now)
             if not run.is_settled:
                 continue
             survived = [name for name in names_of(job) if self._counts.has_survived(name, run.age)]
@@ -707,7 +662,7 @@
         """
         longest = max(found.ages, default=0.0)
         for job, _ in self._active.values():
-            run = self._run(job, now)
+            run = run_of(job, now)
             if fingerprint_of(job) == found.fingerprint and run.is_settled and run.age > longest:
                 self._clear_suspicion(found.fingerprint)
                 return True
@@ -722,7 +677,7 @@
         for job, _ in list(self._active.values()):
             if job.trial_send is not None or job.answer_ready:
                 continue
-            if self._run(job, now).is_settled:
+            if run_of(job, now).is_settled:
                 continue
             if any(map(self._counts.has_reached_bound, names_of(job))):
                 job.is_fatal = True
@@ -734,10 +689,6 @@
                 job.is_fatal = True
                 job.expire_now()
 
-    def _run(self, job: Job, now: float) -> RunAtCrash:
-        answering = None if job.answering_since is None else now - job.answering_since
-        return RunAtCrash(now - job.sent_at, answering, content_of(job))
-
 
 def _is_expected_disconnect(runner: Runner, now: float) -> bool:
     """Return whether a runner breaks off runs because it is leaving or loading weights."""
--- a/src/hillstack/serving/suspect_permits.py
+++ b/src/hillstack/serving/suspect_permits.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 
 from hillstack.core.crash_ledger import KnownLedgers, SendOutcome
-from hillstack.core.runner_crashes import SETTLED_SECONDS, RunnerCrash, RunnerCrashRecord
+from hillstack.core.run_at_crash import SETTLED_SECONDS
+from hillstack.core.runner_crashes import RunnerCrash, RunnerCrashRecord
 from hillstack.serving.crash_knowledge import CrashKnowledge
 from hillstack.serving.crash_permits import CrashPermits, PeerPermitSource, Suspect
 from hillstack.serving.job import Job
--- a/tests/fleet/test_probations.py
+++ b/tests/fleet/test_probations.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from hillstack.core.probations import LOAD_STEP_REQUESTS, Probations
-from hillstack.core.runner_crashes import SETTLED_SECONDS
+from hillstack.core.run_at_crash import SETTLED_SECONDS
 from hillstack.core.runner_load import OwnAttempt
 from hillstack.core.runner_pool import Runner
 from tests.fleet.builders import ENGINES, make_entry
--- a/tests/fleet/test_rollout_observer.py
+++ b/tests/fleet/test_rollout_observer.py
@@ -26,7 +26,7 @@
     RolloutEvidence,
 )
 from hillstack.core.rollout_judge import NO_OPINION, RolloutOpinion, Verdict
-from hillstack.core.runner_crashes import RunAtCrash
+from hillstack.core.run_at_crash import RunAtCrash
 from hillstack.core.software_rollouts import RolloutOrder, RolloutRecord, RolloutStage
 from hillstack.errors import BackendBrokenError
 from hillstack.messages.rollout_reports import OutcomeCounts, RolloutReport
--- a/tests/fleet/test_runner_crashes.py
+++ b/tests/fleet/test_runner_crashes.py
@@ -24,11 +24,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from hillstack.core.run_at_crash import RunAtCrash
 from hillstack.core.runner_crashes import (
     CRASH_RETENTION_SECONDS,
     FATAL_CRASH_RETENTION_SECONDS,
     FATAL_REFUSAL_SECONDS,
-    RunAtCrash,
     RunnerCrashRecord,
     Suspicion,
 )
--- a/tests/fleet/test_runner_restarts.py
+++ b/tests/fleet/test_runner_restarts.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from hillstack.core.part_index import PromptPart
-from hillstack.core.runner_crashes import RunAtCrash, RunnerCrashRecord, Suspicion
+from hillstack.core.run_at_crash import RunAtCrash
+from hillstack.core.runner_crashes import RunnerCrashRecord, Suspicion
 from hillstack.core.runner_load import OwnAttempt, RunnerLoad
 from hillstack.core.runner_pool import Runner
 from hillstack.daemon.change_log import StoredItem
