--- a/tests/fleet/brittle_fleet.py
+++ b/tests/fleet/brittle_fleet.py
@@ -63,8 +63,11 @@
         running = sum(runner.running for runner in self.up.values())
         return 1.0 - running / places if places else 0.0
 
+    def make_runner(self, runner_id: str) -> FleetRunner:
+        return self.running.make_runner(runner_id, APPLICATION)
+
     async def _start_runner(self) -> None:
-        runner = self.running.make_runner(f"i-{len(self.all)}", APPLICATION)
+        runner = self.make_runner(f"i-{len(self.all)}")
         runner.work_seconds = self.work_seconds
         runner.faults.rejections = self.tolerated
         runner.on_fall = lambda: self._fall(runner)
--- a/tests/fleet/fatal_world.py
+++ b/tests/fleet/fatal_world.py
@@ -63,10 +63,21 @@
 NOTICE_SECONDS = 0.002
 STORE_SECONDS = 0.004
 PARTS = (("shared", 2_000), ("own", 500))
+# Beginning of the identifiers of parts that crash each runner which begins an answer on them.
+FATAL_PART = "fatal"
 
 Result = TypeVar("Result")
 
 
+def is_fatal(request: ServingRequest) -> bool:
+    """Return whether a request crashes its runners, by its body or by a shared part."""
+    if request.body.startswith(b"fatal"):
+        return True
+    return request.shape is not None and any(
+        part.part_id.startswith(FATAL_PART) for part in request.shape.shared
+    )
+
+
 class CutConnectionError(Exception):
     """Signals a run that only its own connection is cut."""
 
@@ -149,7 +160,7 @@
         runner.running_bodies.append(request.body)
         runner.served.append(request.request_id)
         self._timer: asyncio.TimerHandle | None = None
-        if request.body.startswith(b"fatal"):
+        if is_fatal(request):
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(runners.fatal_age_seconds, runner.crash)
 
@@ -487,7 +498,7 @@
     ) -> Outcome:
         """Begin a try of a caller, with a separate request identifier."""
         self._tries += 1
-        parts = () if self.application else parts
+        parts = () if self.application and parts is PARTS else parts
         path = path or ("/app/x" if self.application else "/gen/x")
         request = make_request(path, request_id=f"r-{self._tries}", parts=parts, patience=10.0)
         request.target = f"{path}?{query}" if query else path
--- /dev/null
+++ b/tests/fleet/test_fatal_parts.py
@@ -0,0 +1,191 @@
+"""A prompt part that crashes each runner that begins an answer on it, in requests otherwise unlike.
+
+Guards against callers who find no runner because requests that share nothing but one part of their
+prompts crash one runner after the other, each as if it were the first.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import pytest
+
+from tests.fleet.fatal_world import FATAL_PART, World
+from tests.fleet.part_traffic import (
+    CONTACT_SECONDS,
+    MAX_LATE_SENDS,
+    FatalPart,
+    PartTraffic,
+    read_errors,
+)
+from tests.fleet.test_crash_permits import RestartedWorld
+
+# Sound requests are served at least half as often as before, at the first try.
+MIN_SERVED_SHARE = 0.5
+# From this time after the fifth crash on they must be.
+SETTLED_SECONDS = 2 * CONTACT_SECONDS
+SEEDS = range(2)
+
+
+class SilentStoreWorld(World):
+    """The store answers nobody for a while.
+
+    Attributes:
+        silent_from: When the store becomes silent.
+        silent_until: When it answers again.
+    """
+
+    silent_from = float("inf")
+    silent_until = float("inf")
+
+    def reaches_store(self, name: str) -> bool:
+        return not self.silent_from <= self.scheduler.now < self.silent_until
+
+
+@contextmanager
+def playing(traffic: PartTraffic) -> Iterator[PartTraffic]:
+    """End the world of the traffic, and read what it left unread."""
+    try:
+        yield traffic
+    finally:
+        read_errors([sound.outcome for sound in traffic.sound])
+        traffic.world.scheduler.close()
+
+
+def assert_bounded(traffic: PartTraffic, part_id: str = FATAL_PART) -> None:
+    crashes = traffic.crashes(part_id)
+    late = traffic.late_sends(part_id)
+    assert late <= MAX_LATE_SENDS, f"{late} late sends, crashes at {crashes}"
+
+
+def assert_served(traffic: PartTraffic, since: float) -> None:
+    now = traffic.world.scheduler.now
+    share = traffic.served_share(since, now - 1.0)
+    assert share >= MIN_SERVED_SHARE, f"{share:.2f} of the sound requests were served"
+
+
+def first_crashes(traffic: PartTraffic, seconds: float = 6.0) -> float:
+    """Run until the crashes that are allowed have happened; return the time of the last one."""
+    traffic.run(seconds)
+    crashes = traffic.crashes()
+    return crashes[min(len(crashes), 5) - 1]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("per_second", [1.0, 8.0])
+@pytest.mark.parametrize(("before", "after"), [(0, 0), (1, 0), (1, 2), (None, 1)])
+def test_a_part_in_any_place_is_sent_at_most_three_times_after_five_crashes(
+    seed: int, per_second: float, before: int | None, after: int
+) -> None:
+    world = World(8, 4, lists_later_nodes=True)
+    part = FatalPart(per_second=per_second, before=before, after=after)
+    with playing(PartTraffic(world, seed, [part])) as traffic:
+        fifth = first_crashes(traffic)
+        traffic.run(14.0)
+        assert_bounded(traffic)
+        assert_served(traffic, fifth + SETTLED_SECONDS)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_part_of_requests_that_may_run_once_is_bounded_too(seed: int) -> None:
+    world = World(8, 4, lists_later_nodes=True)
+    with playing(PartTraffic(world, seed, path="/once/x")) as traffic:
+        fifth = first_crashes(traffic)
+        traffic.run(14.0)
+        assert_bounded(traffic)
+        assert_served(traffic, fifth + SETTLED_SECONDS)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_part_of_requests_without_cache_is_bounded_too(seed: int) -> None:
+    world = World(8, 4, application=True, lists_later_nodes=True)
+    with playing(PartTraffic(world, seed)) as traffic:
+        fifth = first_crashes(traffic)
+        traffic.run(14.0)
+        assert_bounded(traffic)
+        assert_served(traffic, fifth + SETTLED_SECONDS)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_two_parts_at_a_time_are_bounded_each(seed: int) -> None:
+    world = World(12, 6, lists_later_nodes=True)
+    parts = [FatalPart("fatal-1"), FatalPart("fatal-2", before=2)]
+    with playing(PartTraffic(world, seed, parts)) as traffic:
+        traffic.run(20.0)
+        for part in parts:
+            assert_bounded(traffic, part.part_id)
+        assert_served(traffic, 6.0 + SETTLED_SECONDS)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("pause", [20.0, 70.0, 150.0])
+def test_a_part_is_bounded_after_a_pause_without_it(seed: int, pause: float) -> None:
+    world = World(10, 4, lists_later_nodes=True)
+    part = FatalPart()
+    with playing(PartTraffic(world, seed, [part], sound_per_second=20.0)) as traffic:
+        first_crashes(traffic)
+        traffic.run(8.0)
+        part.per_second = 0.0
+        traffic.run(pause)
+        part.per_second = 3.0
+        traffic.run(30.0)
+        assert_bounded(traffic)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_part_is_bounded_after_all_nodes_were_restarted(seed: int) -> None:
+    world = RestartedWorld(10, 4, lists_later_nodes=True)
+    with playing(PartTraffic(world, seed)) as traffic:
+        fifth = first_crashes(traffic, 4.0)
+        for _ in range(3):
+            traffic.run(5.0)
+            world.restart_all_nodes()
+        traffic.run(10.0)
+        assert_bounded(traffic)
+        assert_served(traffic, fifth + 15.0 + SETTLED_SECONDS)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_part_is_bounded_after_the_ledgers_were_lost(seed: int) -> None:
+    world = World(10, 4, lists_later_nodes=True)
+    with playing(PartTraffic(world, seed)) as traffic:
+        first_crashes(traffic)
+        for _ in range(4):
+            world.lose_ledgers()
+            traffic.run(20.0)
+        assert_bounded(traffic)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_part_is_bounded_at_nodes_that_join(seed: int) -> None:
+    world = RestartedWorld(10, 2, lists_later_nodes=True)
+    with playing(PartTraffic(world, seed)) as traffic:
+        first_crashes(traffic)
+        for number in range(2, 5):
+            world.add_node(f"node-{number}")
+            traffic.run(6.0)
+        assert_bounded(traffic)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_part_is_bounded_while_the_store_is_silent(seed: int) -> None:
+    world = SilentStoreWorld(10, 4, lists_later_nodes=True)
+    world.silent_from, world.silent_until = 0.0, 10.0
+    with playing(PartTraffic(world, seed)) as traffic:
+        fifth = first_crashes(traffic)
+        traffic.run(20.0)
+        assert_bounded(traffic)
+        assert_served(traffic, fifth + SETTLED_SECONDS)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_part_is_bounded_where_a_node_was_cut_off(seed: int) -> None:
+    world = World(10, 4, lists_later_nodes=True)
+    with playing(PartTraffic(world, seed)) as traffic:
+        world.partitioned_nodes = {"node-3"}
+        traffic.run(3.0)
+        world.partitioned_nodes = set()
+        first_crashes(traffic)
+        traffic.run(14.0)
+        assert_bounded(traffic)
