--- a/tests/fleet/fatal_part_fleet.py
+++ b/tests/fleet/fatal_part_fleet.py
@@ -106,7 +106,7 @@
     _sent: int = 0
 
     async def send(self, per_second: float, seconds: float, part: str = "") -> None:
-        """Send requests at a steady mean rate for some seconds, with a fatal part if one is given."""
+        """Send requests at a steady mean rate for some seconds, with a fatal part if given."""
         rng = Random(f"{self.seed}/{part}")
         at, calls = time.monotonic(), []
         ends_at = at + seconds
