--- a/src/hillstack/core/crash_counts.py
+++ b/src/hillstack/core/crash_counts.py
@@ -157,6 +157,11 @@
         self._single: OrderedDict[int, _Crashes] = OrderedDict()
         self._repeated: OrderedDict[int, _Crashes] = OrderedDict()
         self._cleared: OrderedDict[int, float] = OrderedDict()
+        self._explained: frozenset[str] = frozenset()
+
+    def set_explained_by_parts(self, runner_ids: frozenset[str]) -> None:
+        """Set the runners whose crash a prompt part explains; they count for no request."""
+        self._explained = runner_ids
 
     def __bool__(self) -> bool:
         """Return whether a crash is recorded for any request."""
@@ -173,7 +178,7 @@
 
     def count(self, name: int) -> int:
         """Return how many runners crashed under a request, one after another."""
-        crashes = self._get(name)
+        crashes = self._unexplained(name)
         return len(crashes.sequential_runs()) if crashes is not None else 0
 
     def is_suspect(self, name: int, now: float) -> bool:
@@ -183,7 +188,7 @@
         MAX_CRASHES of them crashed and no successful run has reset the count since, any later run
         is a send beyond the bound.
         """
-        crashes = self._get(name)
+        crashes = self._unexplained(name)
         if crashes is None:
             return False
         if len(crashes.sequential_runs()) >= MIN_SUSPECT_CRASHES:
@@ -192,7 +197,7 @@
 
     def has_reached_bound(self, name: int) -> bool:
         """Return whether a request has reached the bound of crashes."""
-        crashes = self._get(name)
+        crashes = self._unexplained(name)
         return crashes is not None and crashes.has_reached_bound()
 
     def has_survived(self, name: int, age: float) -> bool:
@@ -217,7 +222,7 @@
             now: Time on the node's clock.
             min_pause: Minimum seconds between the latest crash and a trial.
         """
-        crashes = self._get(name)
+        crashes = self._unexplained(name)
         if crashes is None or not crashes.has_reached_bound():
             return True
         spent = max(crashes.sends_beyond_bound(), crashes.trials)
@@ -285,6 +290,14 @@
     def _get(self, name: int) -> _Crashes | None:
         return self._repeated.get(name) or self._single.get(name)
 
+    def _unexplained(self, name: int) -> _Crashes | None:
+        """Return the crashes under a request that no prompt part explains; None without any."""
+        crashes = self._get(name)
+        if crashes is None or self._explained.isdisjoint(run.runner_id for run in crashes.runs):
+            return crashes
+        runs = [run for run in crashes.runs if run.runner_id not in self._explained]
+        return replace(crashes, runs=runs) if runs else None
+
     def _store(self, name: int, crashes: _Crashes) -> None:
         self._single.pop(name, None)
         self._repeated.pop(name, None)
--- /dev/null
+++ b/src/hillstack/core/part_crashes.py
@@ -0,0 +1,327 @@
+"""Counts the runners that crashed under each prompt part, and judges which parts crash runners.
+
+A request that crashes runners may do so because of one part of its prompt, which it shares with
+requests that are otherwise unlike it. All parts of the runs on a crashed runner are candidates,
+including those that many sound requests contain. Success tells them apart: a part is cleared when a
+run with it, sent no earlier than those on the crashed runners, outlasts the age at which they
+crashed.
+
+Parts that remain may still occur only together. A part is fatal for a request if the request
+contains all candidates that could explain the crashes under the part instead. If one of them is not
+in the request, a single run of the request shows which of the two is the cause, so the part is a
+suspect. If such a candidate was at more crashes, it explains those under the part, which is then no
+suspect.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections import OrderedDict
+from collections.abc import Collection, Iterator, Mapping
+from dataclasses import dataclass, replace
+
+# Crashes from which a part is a suspect. With 1, each crash would make all parts of its runs
+# suspects, although most crashes have other causes.
+MIN_SUSPECT_CRASHES = 2
+# Crashes from which a part may be fatal, two of which must be independent.
+MIN_FATAL_CRASHES = 3
+MIN_INDEPENDENT_CRASHES = 2
+# Crashes within this time may have a common cause, such as the power of a rack. Includes the
+# latency of the notices that date them.
+COMMON_CAUSE_SECONDS = 0.35
+# Tolerance for the order of events that peers report: the latency of a notice, some milliseconds.
+ORDER_SLACK_SECONDS = 0.02
+# Time without any send after the latest crash under a fatal part, by the number of its trials that
+# crashed a runner. No trial follows the third.
+TRIAL_PAUSES_SECONDS = (60.0, 60.0, 1_800.0)
+# A run has outlasted the crashes under a part when its answer has been under way for this multiple
+# of the longest time at them, plus the margin.
+SURVIVAL_FACTOR = 2.0
+SURVIVAL_MARGIN_SECONDS = 0.25
+# The same for the age of a run whose answer comes as a whole. The age includes the time in a queue.
+WHOLE_SURVIVAL_MARGIN_SECONDS = 1.0
+# Retention of parts with one crash, and of parts with several.
+SINGLE_RETENTION_SECONDS = 3_600.0
+REPEATED_RETENTION_SECONDS = 6 * 3_600.0
+# Parts stored: those of 32 runners with 64 requests each, most of which share their parts.
+MAX_PARTS = 4_096
+# Crashes stored for a part: the first ones, and the latest one.
+MAX_CRASHES_PER_PART = 16
+
+
+class PartSuspicion(enum.IntEnum):
+    """How a request is treated for its parts.
+
+    Attributes:
+        NONE: It is sent as any other.
+        SUSPECT: It needs a permit for each suspected part.
+        FATAL: It is not sent.
+    """
+
+    NONE = 0
+    SUSPECT = 1
+    FATAL = 2
+
+
+@dataclass(frozen=True, slots=True)
+class PartRun:
+    """The oldest run with a part on a runner that crashed.
+
+    Attributes:
+        age: Seconds from the sending of the request to the crash.
+        answering: Seconds from the first bytes of the answer to the crash; 0 before them.
+    """
+
+    age: float
+    answering: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class PartCrash:
+    """The crash of a runner under a part, with times on this node's clock."""
+
+    crashed_at: float
+    run: PartRun
+
+    @property
+    def began_at(self) -> float:
+        """When the run was sent."""
+        return self.crashed_at - self.run.age
+
+
+@dataclass(frozen=True, slots=True)
+class PartVerdict:
+    """The judgement of a request by its parts.
+
+    Attributes:
+        parts: The suspected or fatal parts that decided it.
+        retry_after: Seconds until a request with a fatal part may be sent again.
+    """
+
+    suspicion: PartSuspicion = PartSuspicion.NONE
+    parts: tuple[int, ...] = ()
+    retry_after: float = 0.0
+
+
+NO_SUSPICION = PartVerdict()
+
+
+class PartCrashes:
+    """Runner crashes by prompt part, bounded in number and in age.
+
+    Attributes:
+        revision: Rises with each change of the crashes.
+    """
+
+    def __init__(self) -> None:
+        self._by_part: OrderedDict[int, dict[str, PartCrash]] = OrderedDict()
+        self._parts_at: dict[str, set[int]] = {}
+        self._cleared: OrderedDict[int, float] = OrderedDict()
+        # Runners that crashed under trials, which count toward the bound for good.
+        self._trials: dict[int, frozenset[str]] = {}
+        self.revision = 0
+
+    def __bool__(self) -> bool:
+        """Return whether a crash is recorded under any part."""
+        return bool(self._by_part)
+
+    def record(self, runner_id: str, crashed_at: float, runs: Mapping[int, PartRun]) -> None:
+        """Record the crash of a runner under parts, or a further report of it."""
+        for part, run in runs.items():
+            if crashed_at <= self._cleared.get(part, -math.inf):
+                continue
+            crashes = self._by_part.setdefault(part, {})
+            known = crashes.get(runner_id)
+            if known is None and len(crashes) >= MAX_CRASHES_PER_PART:
+                self._remove_crash(part, max(crashes, key=lambda name: crashes[name].crashed_at))
+            crashes[runner_id] = _merge(known, PartCrash(crashed_at, run))
+            self._parts_at.setdefault(runner_id, set()).add(part)
+            self._by_part.move_to_end(part)
+            self.revision += known is None
+        while len(self._by_part) > MAX_PARTS:
+            self._evict()
+
+    def record_trials(self, part: int, crashed: Collection[str]) -> None:
+        """Record runners that crashed under trials of a part."""
+        if crashed:
+            self._trials[part] = self._trials.get(part, frozenset()).union(crashed)
+
+    def trials(self, part: int) -> frozenset[str]:
+        """Return the runners that crashed under trials of a part."""
+        return self._trials.get(part, frozenset())
+
+    def crashes(self, part: int) -> Mapping[str, PartCrash]:
+        """Return the crashes under a part, by runner."""
+        return self._by_part.get(part, {})
+
+    def runs_at(self, runner_id: str) -> dict[int, PartCrash]:
+        """Return the crash of a runner as recorded under each part that is not cleared."""
+        parts = self._parts_at.get(runner_id, ())
+        return {part: self._by_part[part][runner_id] for part in parts}
+
+    def runner_ids(self) -> Iterator[str]:
+        """Yield the crashed runners."""
+        yield from self._parts_at
+
+    def clear(self, part: int, now: float) -> bool:
+        """Clear a part after a run with it survived; return whether it had crashes."""
+        self._trials.pop(part, None)
+        if part not in self._by_part:
+            return False
+        self._remove(part)
+        self._cleared[part] = now
+        self._cleared.move_to_end(part)
+        while len(self._cleared) > MAX_PARTS:
+            self._cleared.popitem(last=False)
+        return True
+
+    def is_evidence(self, part: int, sent_at: float) -> bool:
+        """Return whether the success of a run would clear a part.
+
+        A run that was sent before the first of the crashed ones may have begun its answer before
+        the part crashed runners.
+        """
+        crashes = self._by_part.get(part)
+        if not crashes:
+            return False
+        return sent_at >= min(crash.began_at for crash in crashes.values())
+
+    def has_survived(self, part: int, sent_at: float, age: float, answering: float | None) -> bool:
+        """Return whether a run that is under way has outlasted the crashes under a part.
+
+        Args:
+            part: Name of the part.
+            sent_at: When the request was sent.
+            age: Seconds since then.
+            answering: Seconds since the first bytes of the answer; None before them.
+        """
+        if not self.is_evidence(part, sent_at):
+            return False
+        runs = [crash.run for crash in self._by_part[part].values()]
+        if answering is not None:
+            longest = max(run.answering for run in runs)
+            return answering > SURVIVAL_FACTOR * longest + SURVIVAL_MARGIN_SECONDS
+        oldest = max(run.age for run in runs)
+        return age > SURVIVAL_FACTOR * oldest + WHOLE_SURVIVAL_MARGIN_SECONDS
+
+    def judge(self, parts: Collection[int], now: float) -> PartVerdict:
+        """Judge a request by the crashes under its parts."""
+        suspects: list[int] = []
+        for part in parts:
+            suspicion = self._judge_part(part, parts)
+            if suspicion is PartSuspicion.FATAL:
+                retry_after = self._refused_until(part) - now
+                if retry_after > 0:
+                    return PartVerdict(PartSuspicion.FATAL, (part,), retry_after)
+            if suspicion is not PartSuspicion.NONE:
+                suspects.append(part)
+        if not suspects:
+            return NO_SUSPICION
+        return PartVerdict(PartSuspicion.SUSPECT, tuple(sorted(suspects)))
+
+    def explained_runners(self) -> frozenset[str]:
+        """Return the runners whose crash a part explains, whatever else ran on them."""
+        return frozenset(
+            runner_id
+            for crashes in self._by_part.values()
+            if is_fatal_count(crashes)
+            for runner_id in crashes
+        )
+
+    def fatal_parts(self) -> list[int]:
+        """Return the parts under which so many runners crashed that they may be fatal."""
+        return [part for part, crashes in self._by_part.items() if is_fatal_count(crashes)]
+
+    def retract(self, runner_id: str, contact_at: float = math.inf) -> None:
+        """Remove a runner's crash under all parts, unless it crashed after a contact."""
+        for part in list(self._parts_at.get(runner_id, ())):
+            if self._by_part[part][runner_id].crashed_at <= contact_at:
+                self._remove_crash(part, runner_id)
+
+    def expire(self, now: float) -> list[int]:
+        """Drop parts whose latest crash is older than the retention; return those with trials."""
+        old = [
+            part
+            for part, crashes in self._by_part.items()
+            if now - _last_crash_at(crashes)
+            >= (REPEATED_RETENTION_SECONDS if len(crashes) > 1 else SINGLE_RETENTION_SECONDS)
+        ]
+        for part in old:
+            self._remove(part)
+        return [part for part in old if self._trials.pop(part, None)]
+
+    def _judge_part(self, part: int, parts: Collection[int]) -> PartSuspicion:
+        crashes = self._by_part.get(part, {})
+        if len(crashes) < MIN_SUSPECT_CRASHES:
+            return PartSuspicion.NONE
+        others = set.intersection(*(self._parts_at[runner_id] for runner_id in crashes))
+        others.difference_update(parts)
+        if any(len(self._by_part[other]) > len(crashes) for other in others):
+            return PartSuspicion.NONE
+        if others or not is_fatal_count(crashes):
+            return PartSuspicion.SUSPECT
+        return PartSuspicion.FATAL
+
+    def _refused_until(self, part: int) -> float:
+        trials = len(self.trials(part))
+        last = _last_crash_at(self._by_part[part])
+        if trials >= len(TRIAL_PAUSES_SECONDS):
+            return last + REPEATED_RETENTION_SECONDS
+        return last + TRIAL_PAUSES_SECONDS[trials]
+
+    def _remove(self, part: int) -> None:
+        for runner_id in list(self._by_part[part]):
+            self._remove_crash(part, runner_id)
+
+    def _remove_crash(self, part: int, runner_id: str) -> None:
+        self.revision += 1
+        crashes = self._by_part[part]
+        del crashes[runner_id]
+        if not crashes:
+            del self._by_part[part]
+        self._parts_at[runner_id].discard(part)
+        if not self._parts_at[runner_id]:
+            del self._parts_at[runner_id]
+
+    def _evict(self) -> None:
+        """Drop the part that was reported the longest ago, one with a single crash if possible."""
+        single = (part for part, crashes in self._by_part.items() if len(crashes) == 1)
+        self._remove(next(single, next(iter(self._by_part))))
+
+
+def is_fatal_count(crashes: Mapping[str, PartCrash]) -> bool:
+    """Return whether crashes are so many, and so independent, that their part may be fatal."""
+    if len(crashes) < MIN_FATAL_CRASHES:
+        return False
+    return _count_independent(crashes) >= MIN_INDEPENDENT_CRASHES
+
+
+def _count_independent(crashes: Mapping[str, PartCrash]) -> int:
+    """Return how many crashes can't have a common cause with the independent one before."""
+    count = 0
+    last: PartCrash | None = None
+    for crash in sorted(crashes.values(), key=lambda crash: crash.crashed_at):
+        if last is None or _is_independent(last, crash):
+            count += 1
+            last = crash
+    return count
+
+
+def _is_independent(earlier: PartCrash, later: PartCrash) -> bool:
+    if later.began_at >= earlier.crashed_at - ORDER_SLACK_SECONDS:
+        return True
+    return later.crashed_at > earlier.crashed_at + COMMON_CAUSE_SECONDS
+
+
+def _merge(known: PartCrash | None, reported: PartCrash) -> PartCrash:
+    """Return a crash after a further report: the earliest time, and the oldest run."""
+    if known is None:
+        return reported
+    crashed_at = min(known.crashed_at, reported.crashed_at)
+    oldest = known.run if known.run.age >= reported.run.age else reported.run
+    return replace(known, crashed_at=crashed_at, run=oldest)
+
+
+def _last_crash_at(crashes: Mapping[str, PartCrash]) -> float:
+    return max(crash.crashed_at for crash in crashes.values())
--- a/src/hillstack/core/peer_permits.py
+++ b/src/hillstack/core/peer_permits.py
@@ -75,20 +75,27 @@
         # Each granted permit by its request, with the time at which it expires.
         self._granted: OrderedDict[int, tuple[str, float]] = OrderedDict()
 
-    def vote(self, request: PeerPermitRequest, known_crashed: Iterable[str], now: float) -> Vote:
+    def vote(
+        self,
+        request: PeerPermitRequest,
+        known_crashed: Iterable[str],
+        now: float,
+        retention_seconds: float = MAX_RETENTION_SECONDS,
+    ) -> Vote:
         """Vote on a node's request; a repeated request gets the same vote.
 
         Args:
             request: The node's request.
             known_crashed: Runners that crashed under it, according to the voter.
             now: Time on the voter's clock.
+            retention_seconds: How long a granted permit is stored unless it is returned.
         """
         if len(request.crashed.union(known_crashed)) >= request.max_crashes:
             return Vote.REFUSED
         permit, expires_at = self._granted.get(request.fingerprint, (request.permit, now))
         if permit != request.permit and now < expires_at:
             return Vote.TAKEN
-        self._granted[request.fingerprint] = request.permit, now + MAX_RETENTION_SECONDS
+        self._granted[request.fingerprint] = request.permit, now + retention_seconds
         self._granted.move_to_end(request.fingerprint)
         while len(self._granted) > MAX_STORED_VOTES:
             self._granted.popitem(last=False)
--- a/src/hillstack/core/runner_crashes.py
+++ b/src/hillstack/core/runner_crashes.py
@@ -212,6 +212,7 @@
         # Verdicts that later reports of their crashes do not undo.
         self._settled_verdicts: dict[int, FatalRequest] = {}
         self._suspects: set[int] = set()
+        self._explained_by_parts: frozenset[str] = frozenset()
         self._is_classified = True
 
     def __bool__(self) -> bool:
@@ -225,6 +226,12 @@
         """Return the crash of a runner, or None if none is recorded."""
         return self._crashes.get(runner_id)
 
+    def set_explained_by_parts(self, runner_ids: frozenset[str]) -> None:
+        """Set the runners whose crash a prompt part explains; their runs are no suspects."""
+        if runner_ids != self._explained_by_parts:
+            self._explained_by_parts = runner_ids
+            self._is_classified = False
+
     def fatal(self) -> Mapping[int, FatalRequest]:
         """Return the fatal requests by fingerprint."""
         self._reclassify()
@@ -413,7 +420,7 @@
             return
         self._is_classified = True
         self._fatal = {}
-        explained: set[str] = set()
+        explained = set(self._explained_by_parts)
         repeated = self._repeated()
         while repeated:
             findings = [self._find_cause(fingerprint, explained) for fingerprint in repeated]
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -73,7 +73,7 @@
 )
 from hillstack.platform.crash_ledgers import CrashLedgers
 from hillstack.platform.ingress import Ingress, Readiness
-from hillstack.platform.names import DUTY_KEY
+from hillstack.platform.names import DUTY_KEY, PART_LEDGERS_PREFIX
 from hillstack.platform.path_probe import PathProbe
 from hillstack.platform.rollouts import rollout_duty_key
 from hillstack.platform.runners import HttpRunnerClient
@@ -259,12 +259,13 @@
         permits = make_permit_services(
             self._state,
             CrashLedgers(store, self._clock),
+            CrashLedgers(store, self._clock, PART_LEDGERS_PREFIX, is_leased=False),
             self._link,
             probe,
             self._peers.is_isolated,
             self._clock,
         )
-        self._ledger_recorder = permits.recorder
+        self._permits = permits
         self._pipeline.runner_crashes.set_permits(permits)
         checks = CrashChecks(self._state, self._pipeline.runner_crashes, probe, self._clock)
         self._peers.handle_runner_crashes(checks.observe)
@@ -571,7 +572,7 @@
         logger.info("drained", extra={"active": self._pipeline.active})
 
     async def _close(self) -> None:
-        self._ledger_recorder.close()
+        self._permits.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/src/hillstack/daemon/permit_services.py
+++ b/src/hillstack/daemon/permit_services.py
@@ -9,7 +9,7 @@
 from hillstack.daemon.path_monitor import ProbeResult, TargetProbe
 from hillstack.daemon.peer_link import PeerLink
 from hillstack.daemon.peer_permits import PeerPermits
-from hillstack.serving.crash_knowledge import CrashKnowledge
+from hillstack.serving.crash_knowledge import CrashKnowledge, PartKnowledge
 from hillstack.serving.crash_permits import CrashPermits
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.ledger_recorder import LedgerRecorder
@@ -22,6 +22,7 @@
 def make_permit_services(
     state: FleetState,
     store: LedgerStore,
+    part_store: LedgerStore,
     link: PeerLink,
     probe: TargetProbe,
     is_isolated: Callable[[], bool],
@@ -31,7 +32,8 @@
 
     Args:
         state: State of the node.
-        store: The ledgers of all nodes.
+        store: The ledgers of all nodes for requests.
+        part_store: The same for prompt parts.
         link: Sends and receives datagrams.
         probe: Calls a runner over a new connection.
         is_isolated: Returns whether the node does not receive the notices of another region.
@@ -39,17 +41,28 @@
     """
     ledgers = LimitedLedgerStore(store)
     knowledge = CrashKnowledge(state.runner_crashes, state.crash_ledgers, clock)
-    voter = PermitVoter(state.runner_crashes, knowledge, clock)
+    part_ledgers = LimitedLedgerStore(part_store)
+    part_knowledge = PartKnowledge(state.part_crashes, state.part_ledgers, clock)
+    voter = PermitVoter(state.runner_crashes, knowledge, part_knowledge, clock)
     peers = PeerPermits(state, voter, link)
 
     async def answers_call(runner: Runner) -> bool:
         result = await probe.probe(runner.runner_id, runner.address, None)
         return result is ProbeResult.ANSWERED
 
+    survival = RunSurvival(state.pool, clock, answers_call)
+    parts = PermitServices(
+        part_knowledge,
+        CrashPermits(part_ledgers, state.node_id, clock, is_isolated, peers),
+        peers,
+        LedgerRecorder(part_ledgers, asyncio.create_task),
+        survival,
+    )
     return PermitServices(
         knowledge,
         CrashPermits(ledgers, state.node_id, clock, is_isolated, peers),
         peers,
         LedgerRecorder(ledgers, asyncio.create_task),
-        RunSurvival(state.pool, clock, answers_call),
+        survival,
+        parts,
     )
--- a/src/hillstack/messages/runner_ends.py
+++ b/src/hillstack/messages/runner_ends.py
@@ -24,6 +24,20 @@
     content: int = 0
 
 
+class PartAtEnd(msgspec.Struct, array_like=True, frozen=True):
+    """A prompt part that runs at a runner contained when the runner crashed.
+
+    Attributes:
+        name: Name of the part (``core.request_fingerprint``).
+        age_ms: Time from the sending of the oldest of these requests to the crash.
+        answering_ms: Time from the first bytes of its answer; 0 if no bytes had been received.
+    """
+
+    name: int
+    age_ms: int
+    answering_ms: int = 0
+
+
 class RunnerEndNotice(msgspec.Struct, array_like=True, frozen=True):
     """A crash of a runner, or an update about suspect requests or an earlier crash.
 
@@ -40,8 +54,10 @@
             data since then.
         probation_ms: Maximum time for which the sender runs a suspect request at the runner, which
             has not crashed; 0 when the suspect request is over. None for all other notices.
-        succeeded: Hashes of requests that a runner has since processed successfully. Earlier builds
+        succeeded: Hashes of requests and names of prompt parts that a runner has since processed
+            successfully. Earlier builds
             do not send this field; the requests in their ``cleared`` may have failed.
+        parts: Prompt parts, not yet cleared, of the runs at the crash that had not settled.
     """
 
     runner_id: str
@@ -52,3 +68,4 @@
     taken_back: bool = False
     probation_ms: int | None = None
     succeeded: list[int] = []
+    parts: list[PartAtEnd] = []
--- a/src/hillstack/platform/crash_ledgers.py
+++ b/src/hillstack/platform/crash_ledgers.py
@@ -16,6 +16,8 @@
 from hillstack.platform.store import MetadataStore
 from hillstack.serving.ledger_store import StoredLedger
 
+NO_LEASE = 0
+
 
 class CrashLedgers:
     """Reads and writes ledgers.
@@ -23,10 +25,21 @@
     Args:
         store: The platform's store.
         clock: Monotonic seconds.
+        prefix: Prefix of the ledgers' keys.
+        is_leased: Whether a ledger expires some time after its last change.
     """
 
-    def __init__(self, store: MetadataStore, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        store: MetadataStore,
+        clock: Callable[[], float],
+        prefix: str = names.CRASH_LEDGERS_PREFIX,
+        *,
+        is_leased: bool = True,
+    ) -> None:
         self._store = store
+        self._prefix = prefix
+        self._is_leased = is_leased
         self._clock = clock
         self._lease_id = 0
         self._lease_era = 0
@@ -38,7 +51,7 @@
         Raises:
             PlatformError: The call failed, or the ledger can't be decoded.
         """
-        entry = await self._store.get(_key(fingerprint))
+        entry = await self._store.get(self._key(fingerprint))
         if entry is None:
             return StoredLedger(CrashLedger())
         item = StoredItem(entry.key, entry.mod_revision, entry.value)
@@ -50,7 +63,7 @@
         Raises:
             PlatformError: The call failed.
         """
-        key = _key(fingerprint)
+        key = self._key(fingerprint)
         body = CrashLedgerBody(sorted(ledger.crashed), sorted(ledger.permits))
         put = Put(key, msgspec.json.encode(body), await self._lease())
         revision = await self._store.transact([RevisionIs(key, expected)], [put])
@@ -65,9 +78,11 @@
         Raises:
             PlatformError: The call failed.
         """
-        await self._store.remove(_key(fingerprint))
+        await self._store.remove(self._key(fingerprint))
 
     async def _lease(self) -> int:
+        if not self._is_leased:
+            return NO_LEASE
         now = self._clock()
         is_usable = now - self._lease_granted_at < LEASE_REUSE_SECONDS
         if not is_usable or self._lease_era != self._store.era:
@@ -76,6 +91,5 @@
             self._lease_granted_at = now
         return self._lease_id
 
-
-def _key(fingerprint: int) -> str:
-    return f"{names.CRASH_LEDGERS_PREFIX}{fingerprint:016x}"
+    def _key(self, fingerprint: int) -> str:
+        return f"{self._prefix}{fingerprint:016x}"
--- a/src/hillstack/platform/formats.py
+++ b/src/hillstack/platform/formats.py
@@ -49,6 +49,7 @@
     DutyHeld,
     NodeListed,
     NodeUnlisted,
+    PartLedgerChanged,
     RolloutDutyHeld,
     RolloutOrdered,
     RolloutRecorded,
@@ -114,7 +115,11 @@
             service, value.decode(errors="replace") if value is not None else None
         )
     if key.startswith(names.CRASH_LEDGERS_PREFIX):
-        return _crash_ledger_changed(item)
+        found = _ledger_of(item, names.CRASH_LEDGERS_PREFIX)
+        return CrashLedgerChanged(*found) if found is not None else None
+    if key.startswith(names.PART_LEDGERS_PREFIX):
+        found = _ledger_of(item, names.PART_LEDGERS_PREFIX)
+        return PartLedgerChanged(*found) if found is not None else None
     if value is None:
         return None
     if key.startswith(names.ROLLOUT_RECORDS_PREFIX):
@@ -184,17 +189,15 @@
         raise PlatformError(str(error), step="decode item", peer=item.key) from error
 
 
-def _crash_ledger_changed(item: StoredItem) -> CrashLedgerChanged | None:
-    text = item.key.removeprefix(names.CRASH_LEDGERS_PREFIX)
+def _ledger_of(item: StoredItem, prefix: str) -> tuple[int, CrashLedger | None] | None:
+    """Return the name in a ledger's key, and the ledger; None for a removed key without a name."""
     try:
-        fingerprint = int(text, 16)
+        name = int(item.key.removeprefix(prefix), 16)
     except ValueError as error:
         if item.value is None:
             return None
         raise PlatformError(str(error), step="read crash ledger", peer=item.key) from error
-    if item.value is None:
-        return CrashLedgerChanged(fingerprint, None)
-    return CrashLedgerChanged(fingerprint, decode_crash_ledger(item))
+    return name, decode_crash_ledger(item) if item.value is not None else None
 
 
 def decode_crash_ledger(item: StoredItem) -> CrashLedger:
--- a/src/hillstack/platform/names.py
+++ b/src/hillstack/platform/names.py
@@ -87,6 +87,7 @@
 ROLLOUT_DUTY_PREFIX = "hillstack/duties/rollout/"
 ROLLOUT_RECORDS_PREFIX = "hillstack/rollouts/"
 CRASH_LEDGERS_PREFIX = "hillstack/crashes/"
+PART_LEDGERS_PREFIX = "hillstack/part-crashes/"
 
 # Headers that apply to one connection only and are never forwarded. ``SET_BY_ROUTER`` holds the
 # headers that only the router may set, so a caller's values of them are dropped.
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -10,6 +10,7 @@
 from hillstack.core.crash_ledger import KnownLedgers
 from hillstack.core.freshness import Freshness
 from hillstack.core.node_directory import NodeDirectory, NodeEntry
+from hillstack.core.part_crashes import REPEATED_RETENTION_SECONDS, PartCrashes
 from hillstack.core.part_index import PartIndex
 from hillstack.core.probations import Probations
 from hillstack.core.routing_table import EngineProfile, KvCacheStore, RoutingTable
@@ -41,6 +42,7 @@
     ListedRollouts,
     NodeListed,
     NodeUnlisted,
+    PartLedgerChanged,
     RolloutDutyHeld,
     RolloutOrdered,
     RolloutRecorded,
@@ -123,6 +125,8 @@
         self.crash_counts = CrashCounts()
         self.probations = Probations()
         self.crash_ledgers = KnownLedgers()
+        self.part_crashes = PartCrashes()
+        self.part_ledgers = KnownLedgers(REPEATED_RETENTION_SECONDS)
         self.index = PartIndex()
         self.split = TrafficSplit()
         self.rollouts = SoftwareRollouts()
@@ -195,6 +199,10 @@
                 self.rollout_deciders[service] = decider
             case CrashLedgerChanged(fingerprint, ledger):
                 self.crash_ledgers.update(fingerprint, ledger, now)
+            case PartLedgerChanged(part, ledger):
+                self.part_ledgers.update(part, ledger, now)
+                if ledger is not None:
+                    self.part_crashes.record_trials(part, ledger.crashed)
 
     def note_proof(self, revision: StoreRevision, proved_at: float) -> None:
         """Record an answer of the store: its revision, and when the store was asked."""
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -101,6 +101,8 @@
         trial_send: Value of ``sends`` at which one more send is allowed although the request has
             crashed so many runners that it is refused; None if none is allowed.
         permitted: The sends under permits, and the crashes, that its ledger does not contain yet.
+        part_names: Names of the parts of its prompt; None until first used.
+        part_permits: The sends under permits for a suspected part, by the name of the part.
         answer_ready: Whether the whole answer has been received and is being delivered.
         is_fatal: Whether the request was found to crash runners and was aborted for this reason.
         canary_decided_for: Rollout order under which it was decided whether this is a canary.
@@ -140,6 +142,8 @@
     suspect_rank: int | None = None
     trial_send: int | None = None
     permitted: PermittedSends = field(default_factory=PermittedSends)
+    part_names: tuple[int, ...] | None = None
+    part_permits: dict[int, PermittedSends] = field(default_factory=dict)
     answer_ready: bool = False
     is_fatal: bool = False
     canary_decided_for: StoreRevision | None = None
--- /dev/null
+++ b/src/hillstack/serving/part_crashes.py
@@ -0,0 +1,413 @@
+"""Stops requests with a prompt part that crashes runners, together with the peers.
+
+Requests that share such a part may be unlike each other in everything else. This node reports the
+parts of its runs at a crash to the peers, and clears parts whose runs succeed
+(``core.part_crashes``). A request with a fatal part is rejected at once. One with a suspected part
+needs a permit, of which there are three for a part over all nodes, until a run with the part
+succeeds. While no runner has crashed, a request costs a look at two empty collections.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from collections.abc import Callable, Iterable, Mapping
+
+from hillstack.core.crash_ledger import CrashLedger
+from hillstack.core.part_crashes import (
+    NO_SUSPICION,
+    REPEATED_RETENTION_SECONDS,
+    SURVIVAL_MARGIN_SECONDS,
+    PartCrash,
+    PartRun,
+    PartSuspicion,
+    PartVerdict,
+)
+from hillstack.core.rendezvous import ranked
+from hillstack.core.request_fingerprint import part_name
+from hillstack.core.run_at_crash import RunAtCrash
+from hillstack.core.runner_pool import Runner
+from hillstack.messages.runner_ends import PartAtEnd, RunnerEndNotice
+from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.job import Job
+from hillstack.serving.metrics import FleetMetrics
+from hillstack.serving.peers import PeerNotifier
+from hillstack.serving.permitted_sends import PermittedSends
+from hillstack.serving.request_names import (
+    fingerprint_of,
+    part_names_of,
+    shared_part_ids,
+    shared_part_names,
+)
+from hillstack.serving.suspect_permits import PermitServices, SuspectPermits
+from hillstack.serving.types import Verdict
+
+logger = logging.getLogger(__name__)
+
+PART_REASON = "runners ended while they worked on a part of this prompt"
+# Parts in one notice: they fit a datagram of 1,400 bytes, at about 15 bytes each.
+MAX_NOTICE_PARTS = 64
+# Longest wait of a request for the outcome of a trial of one of its parts.
+TRIAL_WAIT_SECONDS = 1.0
+TRIAL_CHECK_SECONDS = 0.02
+# Retry delay while a trial is under way, which ends or settles in most cases within this time.
+TRIAL_RETRY_SECONDS = 1.0
+# A check of a stream that is due a little early would find that it has not survived yet.
+SURVIVAL_CHECK_SECONDS = SURVIVAL_MARGIN_SECONDS + 0.01
+# Pause before a mark is written again that the store does not show. Longer than the attempts of
+# ``LedgerRecorder``.
+MARK_PAUSE_SECONDS = 6.0
+# Number of nodes that report a crash to a node that has just started, and that mark a fatal part.
+CRASH_REPORTERS = 3
+
+ActiveAttempts = Mapping[str, tuple[Job, Runner]]
+
+
+class PartCrashMonitor:
+    """Judges requests of one node by the parts of their prompts.
+
+    Args:
+        state: State of the node.
+        peers: Sends notices to the peers.
+        clock: Monotonic seconds.
+        metrics: Counts verdicts.
+        active: This node's attempts under way, by identifier.
+    """
+
+    def __init__(
+        self,
+        state: FleetState,
+        peers: PeerNotifier,
+        clock: Callable[[], float],
+        metrics: FleetMetrics,
+        active: ActiveAttempts,
+    ) -> None:
+        self._state = state
+        self._crashes = state.part_crashes
+        self._ledgers = state.part_ledgers
+        self._peers = peers
+        self._clock = clock
+        self._metrics = metrics
+        self._active = active
+        # Parts of which a request of this node acquires a permit, or runs under one.
+        self._trials: dict[int, Job] = {}
+        self._announced: set[int] = set()
+        # When this node last wrote a mark of a fatal part to the store.
+        self._marked_at: dict[int, float] = {}
+        self._revision = self._crashes.revision
+        self.set_permits(None)
+
+    def set_permits(self, services: PermitServices | None) -> None:
+        """Set the permits for suspected parts."""
+        self._services = services
+        self._permits = SuspectPermits(
+            services, self._state.runner_crashes, self._ledgers, self._is_suspect, self._clock
+        )
+
+    def check(self, job: Job) -> None:
+        """Check whether the parts of a request allow to send it, now or after a trial.
+
+        Raises:
+            RejectedError: The request has a fatal part.
+            StreamCutError: The same, and its answer has begun.
+        """
+        if self._is_active():
+            self._judge_or_reject(job)
+
+    async def prepare_send(self, job: Job) -> None:
+        """Check whether a request may be sent now, and acquire permits for its suspected parts.
+
+        Raises:
+            RejectedError: The request has a fatal part, or one of whose trials it got no permit.
+            StreamCutError: The same, and its answer has begun.
+        """
+        latest = self._clock() + TRIAL_WAIT_SECONDS
+        while self._is_active():
+            verdict = self._judge_or_reject(job)
+            missing = [part for part in verdict.parts if not _has_unused_permit(job, part)]
+            if not missing:
+                if verdict.parts:
+                    job.suspect_rank = self._state.runner_crashes.place(verdict.parts[0])
+                return
+            if not any(part in self._trials for part in missing):
+                await self._acquire(job, missing)
+            elif self._clock() >= latest:
+                raise job.give_up_error(Verdict.UNAVAILABLE, PART_REASON, TRIAL_RETRY_SECONDS)
+            else:
+                await asyncio.sleep(TRIAL_CHECK_SECONDS)
+
+    async def _acquire(self, job: Job, parts: Iterable[int]) -> None:
+        for part in parts:
+            self._trials[part] = job
+        for part in parts:
+            permitted = job.part_permits.setdefault(part, PermittedSends())
+            await self._permits.acquire(job, part, permitted)
+            if not _has_unused_permit(job, part):
+                # The store has no ledger of the part, and this node no longer suspects it.
+                self._ledgers.update(part, None, self._clock())
+
+    def sent(self, job: Job, runner_id: str) -> None:
+        """Record that a request is sent to a runner."""
+        for part, permitted in job.part_permits.items():
+            if not _has_unused_permit(job, part):
+                continue
+            permitted.sent(runner_id)
+            fields = {"request": job.request.request_id, "runner": runner_id}
+            logger.info("suspected part sent", extra=fields | {"part_name": f"{part:016x}"})
+            self._metrics.runner_ends.labels("part_sent").inc()
+
+    def started(self, attempt_id: str) -> None:
+        """Record the first bytes of an attempt's answer; check later whether it survives."""
+        if self._is_active():
+            loop = asyncio.get_running_loop()
+            loop.call_later(SURVIVAL_CHECK_SECONDS, self._check_survival, attempt_id)
+
+    def finished(self, job: Job, runner_id: str, *, may_still_run: bool) -> None:
+        """Record the end of an attempt."""
+        for permitted in job.part_permits.values():
+            self._permits.finished(job, permitted, runner_id, may_still_run=may_still_run)
+        self._release_trials(job)
+
+    def answered(self, job: Job, *, succeeded: bool) -> None:
+        """Record that an answer was passed on; a success clears the parts of its request."""
+        if not succeeded or not self._is_active():
+            return
+        for part, permitted in job.part_permits.items():
+            self._permits.answered(part, permitted, succeeded=True)
+        self._clear(job, [part for part in shared_part_names(job) if self._refutes(job, part)])
+
+    def ended(self, job: Job) -> None:
+        """Record that work on a request has ended."""
+        self._release_trials(job)
+        for part, permitted in job.part_permits.items():
+            crashed = self._crashes.crashes(part).keys()
+            runners = {send.runner_id for send in permitted.sends}
+            self._crashes.record_trials(part, runners & crashed)
+            self._permits.ended(part, permitted)
+
+    def record(self, runner_id: str, crashed_at: float, runs: Iterable[RunAtCrash]) -> None:
+        """Record a crash that this node observed, under the parts of its runs."""
+        found: dict[int, PartRun] = {}
+        for run in runs:
+            if run.is_settled:
+                continue
+            for part in map(part_name, run.part_ids):
+                known = found.get(part)
+                if known is None or run.age > known.age:
+                    found[part] = PartRun(run.age, run.answering or 0.0)
+        self._crashes.record(runner_id, crashed_at, found)
+        self._react()
+
+    def observe(self, notice: RunnerEndNotice, ended_at: float) -> None:
+        """Record the parts in a peer's notice of a crash."""
+        if notice.parts:
+            runs = {
+                part.name: PartRun(part.age_ms / 1000, part.answering_ms / 1000)
+                for part in notice.parts
+            }
+            self._crashes.record(notice.runner_id, ended_at, runs)
+        self._react()
+
+    def observe_success(self, names: Iterable[int], now: float) -> None:
+        """Clear the parts with which runs have succeeded at a peer."""
+        for name in names:
+            self._crashes.clear(name, now)
+        self._react()
+
+    def retract(self, runner_id: str, contact_at: float) -> None:
+        """Remove the crash of a runner that has not crashed."""
+        self._crashes.retract(runner_id, contact_at)
+        self._react()
+
+    def notices(self, runner_ids: Iterable[str]) -> list[RunnerEndNotice]:
+        """Return the notices of the parts that crashes of runners may have been caused by."""
+        now = self._clock()
+        return [
+            notice
+            for runner_id in runner_ids
+            for notice in _notices_of(runner_id, self._crashes.runs_at(runner_id), now)
+        ]
+
+    def initial_notices(self, others: list[str]) -> list[RunnerEndNotice]:
+        """Return the notices for a node that has just started, which some nodes share.
+
+        Args:
+            others: The nodes that know of the crashes.
+        """
+        return self.notices(
+            runner_id
+            for runner_id in self._crashes.runner_ids()
+            if self._state.node_id in ranked(runner_id, others)[:CRASH_REPORTERS]
+        )
+
+    def refresh(self, now: float) -> None:
+        """Expire old crashes, clear parts whose runs survive, and repeat marks that were lost."""
+        if not self._is_active():
+            return
+        for part in self._crashes.expire(now):
+            if self._services is not None:
+                self._services.recorder.report_success(part)
+        for attempt_id in list(self._active):
+            self._check_survival(attempt_id)
+        self._react()
+
+    def must_abort(self, job: Job) -> bool:
+        """Return whether a run under way has a fatal part; a trial goes on to its end."""
+        if not self._is_active() or any(trial is job for trial in self._trials.values()):
+            return False
+        return self._judge(job).suspicion is PartSuspicion.FATAL
+
+    def _is_active(self) -> bool:
+        return bool(self._crashes) or bool(self._ledgers)
+
+    def _judge(self, job: Job) -> PartVerdict:
+        """Judge a request by the crashes that this node knows, or else by the ledgers."""
+        now = self._clock()
+        parts = part_names_of(job)
+        verdict = self._crashes.judge(parts, now) if parts else NO_SUSPICION
+        if verdict.suspicion is PartSuspicion.FATAL or not self._ledgers:
+            return verdict
+        unknown = [part for part in parts if not self._crashes.crashes(part)]
+        listed = [part for part in unknown if self._permits.has_ledger(part)]
+        return _with_ledgers(verdict, {part: self._ledger(part) for part in listed})
+
+    def _ledger(self, part: int) -> CrashLedger:
+        return self._ledgers.get(part, self._clock()) or CrashLedger()
+
+    def _judge_or_reject(self, job: Job) -> PartVerdict:
+        verdict = self._judge(job)
+        if verdict.suspicion is not PartSuspicion.FATAL:
+            return verdict
+        self._metrics.runner_ends.labels("part_refused").inc()
+        part = verdict.parts[0]
+        fields = {
+            "request": job.request.request_id,
+            "part": _part_id(job, part),
+            "part_name": f"{part:016x}",
+            "runners": list(self._crashes.crashes(part)),
+            "trials": sorted(self._crashes.trials(part)),
+        }
+        logger.info("request with a fatal part not sent", extra=fields)
+        if self._state.runner_crashes.last_crash_under(fingerprint_of(job)) > -math.inf:
+            # An earlier try of this request has run.
+            job.may_have_run = True
+        raise job.give_up_error(Verdict.UNAVAILABLE, PART_REASON, verdict.retry_after)
+
+    def _is_suspect(self, part: int) -> bool:
+        return len(self._crashes.crashes(part)) > 1
+
+    def _release_trials(self, job: Job) -> None:
+        if job.part_permits:
+            self._trials = {part: at for part, at in self._trials.items() if at is not job}
+
+    def _refutes(self, job: Job, part: int) -> bool:
+        """Return whether a success of a request shows that a part does not crash runners."""
+        if self._crashes.crashes(part):
+            return self._crashes.is_evidence(part, job.sent_at)
+        return self._permits.has_ledger(part)
+
+    def _check_survival(self, attempt_id: str) -> None:
+        """Clear the parts whose crashes a run under way has outlasted."""
+        job, _ = self._active.get(attempt_id, (None, None))
+        if job is None or not self._crashes:
+            return
+        now = self._clock()
+        answering = None if job.answering_since is None else now - job.answering_since
+        survived = [
+            part
+            for part in shared_part_names(job)
+            if self._crashes.has_survived(part, job.sent_at, now - job.sent_at, answering)
+        ]
+        self._clear(job, survived)
+
+    def _clear(self, job: Job, parts: list[int]) -> None:
+        if not parts:
+            return
+        now = self._clock()
+        for part in parts:
+            self._crashes.clear(part, now)
+            if self._services is not None and self._permits.has_ledger(part):
+                self._services.recorder.report_success(part)
+            fields = {"request": job.request.request_id, "part": _part_id(job, part)}
+            logger.info("part cleared", extra=fields | {"part_name": f"{part:016x}"})
+        self._peers.report_runner_crash(RunnerEndNotice("", 0, [], succeeded=parts))
+        self._react()
+
+    def _react(self) -> None:
+        """Apply changed crashes: what they explain, and which parts are fatal."""
+        fatal = self._crashes.fatal_parts()
+        self._mark(fatal)
+        if self._crashes.revision == self._revision:
+            return
+        self._revision = self._crashes.revision
+        explained = self._crashes.explained_runners()
+        self._state.runner_crashes.set_explained_by_parts(explained)
+        self._state.crash_counts.set_explained_by_parts(explained)
+        self._announce(fatal)
+
+    def _mark(self, fatal: Iterable[int]) -> None:
+        """Make sure that the store has a ledger of each fatal part, for nodes that start."""
+        now = self._clock()
+        for part in fatal:
+            is_due = now >= self._marked_at.get(part, -math.inf) + MARK_PAUSE_SECONDS
+            if self._services is None or not is_due or self._permits.has_ledger(part):
+                continue
+            self._marked_at[part] = now
+            nodes = {node.node_id for node in self._state.nodes.all()} | {self._state.node_id}
+            if self._state.node_id in ranked(f"{part:016x}", nodes)[:CRASH_REPORTERS]:
+                self._services.recorder.mark(part, min(self._crashes.crashes(part)))
+
+    def _announce(self, fatal: list[int]) -> None:
+        for part in fatal:
+            if part in self._announced:
+                continue
+            self._metrics.runner_ends.labels("fatal_part").inc()
+            crashes = self._crashes.crashes(part)
+            fields = {"part_name": f"{part:016x}", "runners": list(crashes)}
+            logger.warning("part ends runners", extra=fields)
+        self._announced = set(fatal)
+
+
+def _has_unused_permit(job: Job, part: int) -> bool:
+    permitted = job.part_permits.get(part)
+    return permitted is not None and any(not send.runner_id for send in permitted.sends)
+
+
+def _with_ledgers(verdict: PartVerdict, ledgers: Mapping[int, CrashLedger]) -> PartVerdict:
+    """Return a verdict together with that on parts of which only the ledgers are known."""
+    for part, ledger in ledgers.items():
+        if ledger.is_exhausted(()):
+            return PartVerdict(PartSuspicion.FATAL, (part,), REPEATED_RETENTION_SECONDS)
+    if not ledgers:
+        return verdict
+    return PartVerdict(PartSuspicion.SUSPECT, tuple(sorted({*verdict.parts, *ledgers})))
+
+
+def _part_id(job: Job, part: int) -> str:
+    """Return the identifier of a part of a request, by its name."""
+    ids = dict(zip(shared_part_names(job), shared_part_ids(job), strict=True))
+    return ids.get(part, "")
+
+
+def _notices_of(
+    runner_id: str, crashes: Mapping[int, PartCrash], now: float
+) -> Iterable[RunnerEndNotice]:
+    """Yield the notices of one crash, one per datagram."""
+    parts = sorted(crashes)
+    for first in range(0, len(parts), MAX_NOTICE_PARTS):
+        named = parts[first : first + MAX_NOTICE_PARTS]
+        crashed_at = min(crashes[part].crashed_at for part in named)
+        yield RunnerEndNotice(
+            runner_id,
+            max(0, round((now - crashed_at) * 1000)),
+            [],
+            parts=[
+                PartAtEnd(
+                    part,
+                    round(crashes[part].run.age * 1000),
+                    round(crashes[part].run.answering * 1000),
+                )
+                for part in named
+            ],
+        )
--- a/src/hillstack/serving/permit_voter.py
+++ b/src/hillstack/serving/permit_voter.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Callable
 
+from hillstack.core.part_crashes import REPEATED_RETENTION_SECONDS
 from hillstack.core.peer_permits import PeerPermitRequest, PeerPermitVotes, Vote
 from hillstack.core.runner_crashes import RunnerCrashRecord, Suspicion
-from hillstack.serving.crash_knowledge import CrashKnowledge
+from hillstack.serving.crash_knowledge import CrashKnowledge, PartKnowledge
 
 
 class PermitVoter:
@@ -15,12 +16,18 @@
     Args:
         record: Runner crashes that this node knows, and its verdicts.
         knowledge: Runners that crashed under a request.
+        parts: Runners that crashed under a prompt part.
         clock: Monotonic seconds.
     """
 
     def __init__(
-        self, record: RunnerCrashRecord, knowledge: CrashKnowledge, clock: Callable[[], float]
+        self,
+        record: RunnerCrashRecord,
+        knowledge: CrashKnowledge,
+        parts: PartKnowledge,
+        clock: Callable[[], float],
     ) -> None:
+        self._parts = parts
         self._record = record
         self._knowledge = knowledge
         self._clock = clock
@@ -31,6 +38,9 @@
         now = self._clock()
         if self._record.suspicion(request.fingerprint, now) is Suspicion.FATAL:
             return Vote.REFUSED
+        if self._parts.is_part(request.fingerprint):
+            crashed = self._parts.crashed(request.fingerprint)
+            return self._votes.vote(request, crashed, now, REPEATED_RETENTION_SECONDS)
         return self._votes.vote(request, self._knowledge.crashed(request.fingerprint), now)
 
     def withdraw(self, fingerprint: int, permit: str) -> None:
--- a/src/hillstack/serving/request_names.py
+++ b/src/hillstack/serving/request_names.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from hillstack.core.request_fingerprint import content_name, request_fingerprint
+from hillstack.core.request_fingerprint import content_name, part_name, request_fingerprint
 from hillstack.serving.job import Job
 
 
@@ -37,3 +37,17 @@
     """Return the identifiers of the prompt parts that other requests may share."""
     shape = job.request.shape
     return tuple(part.part_id for part in shape.shared) if shape is not None else ()
+
+
+def part_names_of(job: Job) -> tuple[int, ...]:
+    """Return the names of all parts of a request's prompt, in order."""
+    if job.part_names is None:
+        shape = job.request.shape
+        parts = shape.parts if shape is not None else ()
+        job.part_names = tuple(part_name(part.part_id) for part in parts)
+    return job.part_names
+
+
+def shared_part_names(job: Job) -> tuple[int, ...]:
+    """Return the names of the parts that other requests may share: all but the last one."""
+    return part_names_of(job)[:-1]
--- a/src/hillstack/serving/runner_crashes.py
+++ b/src/hillstack/serving/runner_crashes.py
@@ -32,6 +32,7 @@
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import Job
 from hillstack.serving.metrics import FleetMetrics
+from hillstack.serving.part_crashes import PartCrashMonitor
 from hillstack.serving.placement import RunnerPlacement
 from hillstack.serving.request_names import content_of, fingerprint_of, names_of
 from hillstack.serving.suspect_permits import FATAL_REASON, PermitServices, SuspectPermits
@@ -110,6 +111,7 @@
         self._announced_fatal: set[int] = set()
         self._abandoned = AbandonedRuns()
         self._permits = self._make_permits(None)
+        self._parts = PartCrashMonitor(state, self._peers, clock, metrics, self._active)
         self._lag_free_since: Callable[[], float] = lambda: -math.inf
         self._is_stopping = False
         self._report_handle: asyncio.Handle | None = None
@@ -125,6 +127,7 @@
     def set_permits(self, services: PermitServices) -> None:
         """Set the permits that bound the runners which a request crashes across all nodes."""
         self._permits = self._make_permits(services)
+        self._parts.set_permits(services.parts)
 
     def _make_permits(self, services: PermitServices | None) -> SuspectPermits:
         return SuspectPermits(
@@ -148,7 +151,8 @@
         """Record an attempt that is being sent."""
         job.sent_at = job.received_at = now
         job.answering_since = None
-        self._permits.sent(job, runner.runner_id)
+        job.permitted.sent(runner.runner_id)
+        self._parts.sent(job, runner.runner_id)
         self._active[attempt_id] = job, runner
         if job.is_suspect:
             names = names_of(job)
@@ -163,6 +167,7 @@
         """Record the first bytes of an attempt's answer."""
         job.answering_since = now
         self._state.probations.started(attempt_id, now)
+        self._parts.started(attempt_id)
 
     def finished(self, attempt_id: str, *, may_still_run: bool = False) -> None:
         """Record the end of an attempt.
@@ -173,12 +178,14 @@
         """
         found = self._active.pop(attempt_id, None)
         if found is not None:
-            self._permits.finished(found[0], found[1].runner_id, may_still_run=may_still_run)
+            job, runner_id = found[0], found[1].runner_id
+            self._permits.finished(job, job.permitted, runner_id, may_still_run=may_still_run)
+            self._parts.finished(job, runner_id, may_still_run=may_still_run)
         if found is not None and may_still_run:
             self._abandoned.add(*found, self._clock())
-        runner_id = self._state.probations.end(attempt_id)
-        if runner_id is not None:
-            self._send_probation(runner_id, 0.0)
+        probation_at = self._state.probations.end(attempt_id)
+        if probation_at is not None:
+            self._send_probation(probation_at, 0.0)
 
     def answered(self, job: Job, *, succeeded: bool) -> None:
         """Record that an answer was passed on, and clear any suspicion against its request.
@@ -188,7 +195,9 @@
             succeeded: Whether the answer is a success. Only a success resets the crash count,
                 because a runner may refuse or fail a request that would have crashed it.
         """
-        self._permits.answered(job, succeeded=succeeded)
+        if job.permitted.sends or self._state.crash_ledgers:
+            self._permits.answered(fingerprint_of(job), job.permitted, succeeded=succeeded)
+        self._parts.answered(job, succeeded=succeeded)
         if not self._record and not self._counts:
             return
         if succeeded:
@@ -197,7 +206,9 @@
 
     def ended(self, job: Job) -> None:
         """Record that work on a request has ended."""
-        self._permits.ended(job)
+        if job.permitted:
+            self._permits.ended(fingerprint_of(job), job.permitted)
+        self._parts.ended(job)
 
     async def check(self, job: Job) -> None:
         """Check whether a request may be sent, and set its suspect rank.
@@ -209,6 +220,7 @@
             RejectedError: The request is fatal.
             StreamCutError: The request is fatal and its answer has begun.
         """
+        self._parts.check(job)
         if await self._classify_if_any_crash(job):
             await self._wait_for_separation(job)
 
@@ -221,11 +233,12 @@
         """
         if await self._classify_if_any_crash(job):
             try:
-                await self._permits.acquire(job)
+                await self._permits.acquire(job, fingerprint_of(job), job.permitted)
             except (RejectedError, StreamCutError):
                 self._metrics.runner_ends.labels("refused").inc()
                 raise
             await self._wait_for_separation(job)
+        await self._parts.prepare_send(job)
 
     async def _classify_if_any_crash(self, job: Job) -> bool:
         """Classify a request if any crash is known; return whether it is a suspect."""
@@ -367,6 +380,7 @@
             self._locally_lost[runner.runner_id] = now
             log_crash(runner, runs)
         self._record_crash(runner.runner_id, now, runs, runner.running(now) + 1, is_local=True)
+        self._parts.record(runner.runner_id, now, runs.values())
         self._unreported.add(runner.runner_id)
         self._schedule_reaction()
 
@@ -388,22 +402,27 @@
                 return
             if self._record.record_contact(notice.runner_id, ended_at):
                 self._counts.retract(notice.runner_id, ended_at)
+                self._parts.retract(notice.runner_id, ended_at)
                 fields = {"runner": notice.runner_id, "by": peer}
                 logger.info("runner has not ended", extra=fields)
             return
         for fingerprint in notice.succeeded:
             self._counts.clear(fingerprint, now)
+        self._parts.observe_success(notice.succeeded, now)
         for fingerprint in notice.cleared:
             self._record.clear(fingerprint, now)
-        if not notice.requests:
+        if not notice.requests and not notice.parts:
             return
         runner = self._state.pool.get(notice.runner_id)
         if runner is not None and (
             self._has_survived(runner, ended_at) or _is_expected_disconnect(runner, now)
         ):
             return
+        if not self._record.was_contacted_after(notice.runner_id, ended_at):
+            self._parts.observe(notice, ended_at)
         runs = {request.fingerprint: run_at_crash(request) for request in notice.requests}
-        self._record_crash(notice.runner_id, ended_at, runs, notice.running)
+        if runs:
+            self._record_crash(notice.runner_id, ended_at, runs, notice.running)
         if self._abandoned.any_at(notice.runner_id):
             self._record_abandoned_runs(notice.runner_id)
         self._schedule_reaction()
@@ -427,6 +446,7 @@
             self._locally_lost[runner_id] = crash.crashed_at
             self._unreported.add(runner_id)
         self._record_crash(runner_id, crash.crashed_at, runs, crash.running)
+        self._parts.record(runner_id, crash.crashed_at, runs.values())
 
     def _record_crash(
         self,
@@ -479,6 +499,7 @@
             for notice in earlier_crash_notices(self._counts, self._record, now)
             if self._state.node_id in ranked(notice.runner_id, others)[:EARLIER_CRASH_REPORTERS]
         ]
+        notices += self._parts.initial_notices(others)
         self._peers.send_runner_crashes(node_id, notices)
 
     def _fatal_evidence(self) -> set[str]:
@@ -505,6 +526,7 @@
         self._refresh()
         self._reset_survivor_counts()
         now = self._clock()
+        self._parts.refresh(now)
         latest = [
             crash for crash in self._record.crashes() if crash.runner_id in self._locally_lost
         ]
@@ -513,7 +535,7 @@
                 self._send_crash_notices(crash, now)
 
     def _send_crash_notices(self, crash: RunnerCrash, now: float) -> None:
-        for notice in crash_notices(crash, now):
+        for notice in crash_notices(crash, now) + self._parts.notices([crash.runner_id]):
             self._peers.report_runner_crash(notice)
 
     def _send_probation(
@@ -553,6 +575,7 @@
         self._permits.retract(crash)
         self._record.record_contact(crash.runner_id, contact_at)
         self._counts.retract(crash.runner_id, contact_at)
+        self._parts.retract(crash.runner_id, contact_at)
         if self._record.get(crash.runner_id) is None:
             self._locally_lost.pop(crash.runner_id, None)
         self._metrics.runner_ends.labels("taken_back").inc()
@@ -679,7 +702,8 @@
                 continue
             if run_of(job, now).is_settled:
                 continue
-            if any(map(self._counts.has_reached_bound, names_of(job))):
+            is_bounded = any(map(self._counts.has_reached_bound, names_of(job)))
+            if is_bounded or self._parts.must_abort(job):
                 job.is_fatal = True
                 job.expire_now()
 
--- a/src/hillstack/serving/store_events.py
+++ b/src/hillstack/serving/store_events.py
@@ -120,6 +120,19 @@
     ledger: CrashLedger | None
 
 
+@dataclass(frozen=True, slots=True)
+class PartLedgerChanged:
+    """The ledger of the trials of a prompt part was written, or removed.
+
+    Attributes:
+        part: Name of the part (``core.request_fingerprint``).
+        ledger: The ledger; None if there is none any more.
+    """
+
+    part: int
+    ledger: CrashLedger | None
+
+
 StoreEvent = (
     ConfigurationChanged
     | RunnerListed
@@ -133,6 +146,7 @@
     | DutyHeld
     | RolloutDutyHeld
     | CrashLedgerChanged
+    | PartLedgerChanged
 )
 
 
--- a/tests/fleet/fatal_world.py
+++ b/tests/fleet/fatal_world.py
@@ -23,7 +23,7 @@
 from hillstack.messages.datagrams import DatagramKind, wrap
 from hillstack.messages.peer_notices import PlacementNotice
 from hillstack.messages.runner_ends import RunnerEndNotice
-from hillstack.serving.crash_knowledge import CrashKnowledge
+from hillstack.serving.crash_knowledge import CrashKnowledge, Knowledge, PartKnowledge
 from hillstack.serving.crash_permits import CrashPermits
 from hillstack.serving.ledger_recorder import LedgerRecorder
 from hillstack.serving.ledger_store import LimitedLedgerStore, StoredLedger
@@ -31,7 +31,13 @@
 from hillstack.serving.pipeline import RequestPipeline
 from hillstack.serving.placement import RunnerPlacement
 from hillstack.serving.run_survival import RunSurvival
-from hillstack.serving.store_events import CrashLedgerChanged, RunnerListed, RunnerUnlisted
+from hillstack.serving.store_events import (
+    CrashLedgerChanged,
+    PartLedgerChanged,
+    RunnerListed,
+    RunnerUnlisted,
+    StoreEvent,
+)
 from hillstack.serving.suspect_permits import PermitServices
 from hillstack.serving.types import (
     Dispatch,
@@ -67,6 +73,7 @@
 FATAL_PART = "fatal"
 
 Result = TypeVar("Result")
+LedgerChange = type[CrashLedgerChanged] | type[PartLedgerChanged]
 
 
 def is_fatal(request: ServingRequest) -> bool:
@@ -262,9 +269,11 @@
 class FakeLedgers:
     """The ledgers of all nodes in the store, as read and written by one node."""
 
-    def __init__(self, world: World, name: str) -> None:
+    def __init__(self, world: World, name: str, change: LedgerChange = CrashLedgerChanged) -> None:
         self._world = world
         self._name = name
+        self._change = change
+        self._ledgers = world.ledgers if change is CrashLedgerChanged else world.part_ledgers
 
     async def read(self, fingerprint: int) -> StoredLedger:
         return await self._call(lambda: self._stored(fingerprint))
@@ -276,20 +285,20 @@
         await self._call(lambda: self._remove(fingerprint))
 
     def _stored(self, fingerprint: int) -> StoredLedger:
-        return self._world.ledgers.get(fingerprint, StoredLedger(CrashLedger()))
+        return self._ledgers.get(fingerprint, StoredLedger(CrashLedger()))
 
     def _write(self, fingerprint: int, ledger: CrashLedger, expected: StoreRevision) -> bool:
         if self._stored(fingerprint).revision != expected:
             return False
         self._world.ledger_writes += 1
         revision = StoreRevision(0, self._world.ledger_writes)
-        self._world.ledgers[fingerprint] = StoredLedger(ledger, revision)
+        self._ledgers[fingerprint] = StoredLedger(ledger, revision)
         self._notify(fingerprint, ledger)
         return True
 
     def _remove(self, fingerprint: int) -> None:
         self._world.ledger_writes += 1
-        self._world.ledgers.pop(fingerprint, None)
+        self._ledgers.pop(fingerprint, None)
         self._notify(fingerprint, None)
 
     async def _call(self, effect: Callable[[], Result]) -> Result:
@@ -309,7 +318,7 @@
 
     def _notify(self, fingerprint: int, ledger: CrashLedger | None) -> None:
         world = self._world
-        event = CrashLedgerChanged(fingerprint, ledger)
+        event = self._change(fingerprint, ledger)
         for node in world.nodes.values():
             name = node.state.node_id
             if not world.reaches_store(name):
@@ -438,6 +447,7 @@
         self.notices_to_drop = 0
         self.partitioned_nodes: set[str] = set()
         self.ledgers: dict[int, StoredLedger] = {}
+        self.part_ledgers: dict[int, StoredLedger] = {}
         self.ledger_writes = 0
         # How long a node's connections stay silent after their runner crashed.
         self.silent_seconds: dict[str, float] = {}
@@ -514,10 +524,15 @@
 
     def lose_ledgers(self) -> None:
         """Remove all ledgers, as a store does that is restored from an older copy."""
-        for fingerprint in self.ledgers:
+        events: list[StoreEvent] = [
+            *(CrashLedgerChanged(fingerprint, None) for fingerprint in self.ledgers),
+            *(PartLedgerChanged(part, None) for part in self.part_ledgers),
+        ]
+        for event in events:
             for node in self.nodes.values():
-                node.state.apply(CrashLedgerChanged(fingerprint, None), self.scheduler.now)
+                node.state.apply(event, self.scheduler.now)
         self.ledgers.clear()
+        self.part_ledgers.clear()
 
     def start_runner(self, runner_id: str) -> None:
         """Start a runner and list it on all nodes immediately."""
@@ -570,19 +585,31 @@
         clock = world.scheduler.clock
         ledgers = LimitedLedgerStore(FakeLedgers(world, name))
         knowledge = CrashKnowledge(self.state.runner_crashes, self.state.crash_ledgers, clock)
-        voter = PermitVoter(self.state.runner_crashes, knowledge, clock)
+        parts = PartKnowledge(self.state.part_crashes, self.state.part_ledgers, clock)
+        voter = PermitVoter(self.state.runner_crashes, knowledge, parts, clock)
         self.link = FakeLink(world, name)
         self.peers = PeerPermits(self.state, voter, self.link)
-        services = PermitServices(
-            knowledge,
-            CrashPermits(ledgers, name, clock, lambda: world.is_isolated(name), self.peers),
-            self.peers,
-            LedgerRecorder(ledgers, lambda work: world.scheduler.spawn(world.loop, work)),
-            RunSurvival(self.state.pool, clock, world.runners.answers_call),
-        )
+        survival = RunSurvival(self.state.pool, clock, world.runners.answers_call)
+
+        def make_services(
+            of: Knowledge, ledgers: LimitedLedgerStore, parts: PermitServices | None = None
+        ) -> PermitServices:
+            return PermitServices(
+                of,
+                CrashPermits(ledgers, name, clock, lambda: world.is_isolated(name), self.peers),
+                self.peers,
+                LedgerRecorder(ledgers, lambda work: world.scheduler.spawn(world.loop, work)),
+                survival,
+                parts,
+            )
+
+        part_ledgers = LimitedLedgerStore(FakeLedgers(world, name, PartLedgerChanged))
+        services = make_services(knowledge, ledgers, make_services(parts, part_ledgers))
         self.pipeline.runner_crashes.set_permits(services)
         for fingerprint, stored in world.ledgers.items():
             self.state.apply(CrashLedgerChanged(fingerprint, stored.ledger), world.scheduler.now)
+        for part, stored in world.part_ledgers.items():
+            self.state.apply(PartLedgerChanged(part, stored.ledger), world.scheduler.now)
 
 
 def _entry_of(name: str) -> NodeEntry:
--- a/tests/fleet/part_traffic.py
+++ b/tests/fleet/part_traffic.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from hillstack.serving.types import RejectedError
+from hillstack.serving.types import RejectedError, StreamCutError
 from tests.fleet.fatal_world import FATAL_PART, Outcome, World
 
 # Time by which all nodes must know of a crash, and the sends that are allowed after it.
@@ -133,14 +133,20 @@
         ]
         return sum(outcomes) / len(outcomes)
 
-    def rejections(self, part_id: str = FATAL_PART) -> list[RejectedError]:
-        """Return the rejections of the latest tries with a part."""
-        errors = [
-            caller.outcome.error
-            for caller in self._callers
-            if self._fatal_bodies[caller.body] == part_id and caller.outcome.task.done()
-        ]
-        return [error for error in errors if isinstance(error, RejectedError)]
+    def rejections(self) -> list[RejectedError]:
+        """Return the rejections of the latest tries with a fatal part."""
+        return [error for error in self._errors() if isinstance(error, RejectedError)]
+
+    def unexpected_errors(self) -> list[BaseException]:
+        """Return the errors that no request may end with."""
+        allowed = RejectedError, StreamCutError
+        return [error for error in self._errors() if not isinstance(error, allowed)]
+
+    def _errors(self) -> list[BaseException]:
+        outcomes = [caller.outcome for caller in self._callers]
+        outcomes += [sound.outcome for sound in self.sound]
+        errors = [outcome.error for outcome in outcomes if outcome.task.done()]
+        return [error for error in errors if error is not None]
 
     def _send_fatal(self, part: FatalPart) -> None:
         self._sent += 1
--- a/tests/fleet/test_crash_permits.py
+++ b/tests/fleet/test_crash_permits.py
@@ -173,7 +173,9 @@
     bodies = [b"fatal %d" % number for number in range(4)]
     for _ in range(3):
         for number, body in enumerate(bodies):
-            world.send(f"node-{number % 3}", body)
+            # Without a part in common, which would bound the four together.
+            parts = ((f"first-{number}", 2_000), ("own", 500))
+            world.send(f"node-{number % 3}", body, parts=parts)
             world.run(0.05)
         world.run(1.5)
         world.restart_all_nodes()
--- a/tests/fleet/test_fatal_parts.py
+++ b/tests/fleet/test_fatal_parts.py
@@ -56,6 +56,7 @@
 def assert_bounded(traffic: PartTraffic, part_id: str = FATAL_PART) -> None:
     crashes = traffic.crashes(part_id)
     late = traffic.late_sends(part_id)
+    assert not traffic.unexpected_errors()
     assert late <= MAX_LATE_SENDS, f"{late} late sends, crashes at {crashes}"
 
 
