Brittle runners: one node that gets most connections uses the places that it has released

Cause: an issuer that had no free place was not asked for 50 ms, and the runner not chosen for 20 ms, also if this node itself released a place there meanwhile. Of four nodes each loses a quarter so, one node loses all.

Change: a released place ends both pauses.

--- a/src/hillstack/daemon/runner_places.py
+++ b/src/hillstack/daemon/runner_places.py
@@ -13,6 +13,7 @@
 
 import asyncio
 import itertools
+import math
 from collections import defaultdict
 from collections.abc import Callable
 from random import Random
@@ -237,6 +238,9 @@
         first = issuers[0] if issuers else None
         for issuer in held.update(len(runner.attempts), first, self._clock()):
             self._report(issuer, runner)
+            # The issuer has this place again, whatever it answered before.
+            self._full_until.pop((runner.runner_id, issuer), None)
+            runner.signals.no_place_until = -math.inf
 
     def _report(self, issuer: str, runner: Runner) -> None:
         """Report to an issuer how many of its places are held."""
--- a/tests/fleet/brittle_traffic.py
+++ b/tests/fleet/brittle_traffic.py
@@ -95,6 +95,7 @@
 
     def __post_init__(self) -> None:
         self._rng = Random(self.seed)
+        self._chosen = ""
         self.network = NodeNetwork(self.node_count, 2)
         self.network.runner_ids = [f"i-{number}" for number in range(self.runner_count)]
         list_runners(self.network)
@@ -131,8 +132,12 @@
             runner.tolerated = tolerated
             runner.queue_until = self.network.scheduler.now + CONTACT_SECONDS
 
-    def send(self, seconds: float, per_second: float) -> None:
-        """Let requests arrive at random nodes for some seconds, and wait for their answers."""
+    def send(self, seconds: float, per_second: float, node_id: str = "") -> None:
+        """Let requests arrive for some seconds, and wait for their answers.
+
+        They arrive at random nodes, or all at one node if it is given.
+        """
+        self._chosen = node_id
         scheduler = self.network.scheduler
         at, end = scheduler.now, scheduler.now + seconds
         while (at := at + self._rng.expovariate(per_second)) < end:
@@ -146,7 +151,7 @@
     def _arrive(self) -> None:
         if not self._sides:
             return
-        side = self._sides[self._rng.choice(sorted(self._sides))]
+        side = self._sides[self._chosen or self._rng.choice(sorted(self._sides))]
         self.sent += 1
         self.network.scheduler.spawn(side.node.loop, self._serve(side, self.sent))
 
--- a/tests/fleet/node_kills.py
+++ b/tests/fleet/node_kills.py
@@ -96,11 +96,15 @@
         ends_at = at + seconds
         while (at := at + rng.expovariate(per_second)) < ends_at:
             await asyncio.sleep(max(0.0, at - time.monotonic()))
-            ready = sorted(self.nodes.ready)
-            if ready:
-                self._call(rng.choice(ready))
+            names = sorted(self.names())
+            if names:
+                self._call(rng.choice(names))
         await asyncio.gather(*self._calls)
 
+    def names(self) -> set[str]:
+        """Return the nodes to which requests are sent now."""
+        return self.nodes.ready
+
     def _call(self, name: str) -> None:
         number = len(self.sent_at)
         self.sent_at.append(time.monotonic())
