Answers that end with their connection: such an end breaks no path

A runner that ends an answer without a length by closing the connection was observed as a broken path. The test fails before (1 broken connection, 0 expected). Cause: the observer asked whether the answer was at its end before the library had ended it. Further tests, which passed before: such a connection is not used again, a reset in one is a crash and does not look complete, a stream that ends inside an event goes on elsewhere.

--- a/src/hillstack/platform/connections.py
+++ b/src/hillstack/platform/connections.py
@@ -160,8 +160,15 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an answer that the lost connection cut off, and record a silent peer."""
         self._record_if_silent(exc)
-        if self._observer is not None and self._is_answer_due():
+        was_due, payload = self._is_answer_due(), self._payload
+        self._fail_answer(exc)
+        # An answer without a length ends so; one with a length has failed by now.
+        has_ended = exc is None and not self._awaiting_head
+        has_ended = has_ended and payload is not None and payload.exception() is None
+        if self._observer is not None and was_due and not has_ended:
             self._observer.handle_broken(self._address)
+
+    def _fail_answer(self, exc: BaseException | None) -> None:
         payload = self._payload
         if exc is None or payload is None or payload.is_eof():
             super().connection_lost(exc)
