--- a/src/hillstack/serving/part_crashes.py
+++ b/src/hillstack/serving/part_crashes.py
@@ -19,19 +19,17 @@
     NO_SUSPICION,
     REPEATED_RETENTION_SECONDS,
     SURVIVAL_MARGIN_SECONDS,
-    PartCrash,
-    PartRun,
     PartSuspicion,
     PartVerdict,
 )
 from hillstack.core.rendezvous import ranked
-from hillstack.core.request_fingerprint import part_name
 from hillstack.core.run_at_crash import RunAtCrash
 from hillstack.core.runner_pool import Runner
-from hillstack.messages.runner_ends import PartAtEnd, RunnerEndNotice
+from hillstack.messages.runner_ends import RunnerEndNotice
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import Job
 from hillstack.serving.metrics import FleetMetrics
+from hillstack.serving.part_notices import part_notices, part_runs, reported_part_runs
 from hillstack.serving.peers import PeerNotifier
 from hillstack.serving.permitted_sends import PermittedSends
 from hillstack.serving.request_names import (
@@ -46,8 +44,6 @@
 logger = logging.getLogger(__name__)
 
 PART_REASON = "runners ended while they worked on a part of this prompt"
-# Parts in one notice: they fit a datagram of 1,400 bytes, at about 15 bytes each.
-MAX_NOTICE_PARTS = 64
 # Longest wait of a request for the outcome of a trial of one of its parts.
 TRIAL_WAIT_SECONDS = 1.0
 TRIAL_CHECK_SECONDS = 0.02
@@ -92,7 +88,7 @@
         self._active = active
         # Parts of which a request of this node acquires a permit, or runs under one.
         self._trials: dict[int, Job] = {}
-        self._announced: set[int] = set()
+        self._fatal: list[int] = []
         # When this node last wrote a mark of a fatal part to the store.
         self._marked_at: dict[int, float] = {}
         self._revision = self._crashes.revision
@@ -188,32 +184,21 @@
 
     def record(self, runner_id: str, crashed_at: float, runs: Iterable[RunAtCrash]) -> None:
         """Record a crash that this node observed, under the parts of its runs."""
-        found: dict[int, PartRun] = {}
-        for run in runs:
-            if run.is_settled:
-                continue
-            for part in map(part_name, run.part_ids):
-                known = found.get(part)
-                if known is None or run.age > known.age:
-                    found[part] = PartRun(run.age, run.answering or 0.0)
-        self._crashes.record(runner_id, crashed_at, found)
+        self._crashes.record(runner_id, crashed_at, part_runs(runs))
         self._react()
 
     def observe(self, notice: RunnerEndNotice, ended_at: float) -> None:
         """Record the parts in a peer's notice of a crash."""
         if notice.parts:
-            runs = {
-                part.name: PartRun(part.age_ms / 1000, part.answering_ms / 1000)
-                for part in notice.parts
-            }
-            self._crashes.record(notice.runner_id, ended_at, runs)
-        self._react()
+            self._crashes.record(notice.runner_id, ended_at, reported_part_runs(notice))
+            self._react()
 
-    def observe_success(self, names: Iterable[int], now: float) -> None:
+    def observe_success(self, names: list[int], now: float) -> None:
         """Clear the parts with which runs have succeeded at a peer."""
         for name in names:
             self._crashes.clear(name, now)
-        self._react()
+        if names:
+            self._react()
 
     def retract(self, runner_id: str, contact_at: float) -> None:
         """Remove the crash of a runner that has not crashed."""
@@ -226,7 +211,7 @@
         return [
             notice
             for runner_id in runner_ids
-            for notice in _notices_of(runner_id, self._crashes.runs_at(runner_id), now)
+            for notice in part_notices(runner_id, self._crashes.runs_at(runner_id), now)
         ]
 
     def initial_notices(self, others: list[str]) -> list[RunnerEndNotice]:
@@ -336,15 +321,15 @@
 
     def _react(self) -> None:
         """Apply changed crashes: what they explain, and which parts are fatal."""
-        fatal = self._crashes.fatal_parts()
-        self._mark(fatal)
-        if self._crashes.revision == self._revision:
-            return
-        self._revision = self._crashes.revision
-        explained = self._crashes.explained_runners()
-        self._state.runner_crashes.set_explained_by_parts(explained)
-        self._state.crash_counts.set_explained_by_parts(explained)
-        self._announce(fatal)
+        if self._crashes.revision != self._revision:
+            self._revision = self._crashes.revision
+            explained = self._crashes.explained_runners()
+            self._state.runner_crashes.set_explained_by_parts(explained)
+            self._state.crash_counts.set_explained_by_parts(explained)
+            fatal = self._crashes.fatal_parts()
+            self._announce(fatal)
+            self._fatal = fatal
+        self._mark(self._fatal)
 
     def _mark(self, fatal: Iterable[int]) -> None:
         """Make sure that the store has a ledger of each fatal part, for nodes that start."""
@@ -360,13 +345,12 @@
 
     def _announce(self, fatal: list[int]) -> None:
         for part in fatal:
-            if part in self._announced:
+            if part in self._fatal:
                 continue
             self._metrics.runner_ends.labels("fatal_part").inc()
             crashes = self._crashes.crashes(part)
             fields = {"part_name": f"{part:016x}", "runners": list(crashes)}
             logger.warning("part ends runners", extra=fields)
-        self._announced = set(fatal)
 
 
 def _has_unused_permit(job: Job, part: int) -> bool:
@@ -388,26 +372,3 @@
     """Return the identifier of a part of a request, by its name."""
     ids = dict(zip(shared_part_names(job), shared_part_ids(job), strict=True))
     return ids.get(part, "")
-
-
-def _notices_of(
-    runner_id: str, crashes: Mapping[int, PartCrash], now: float
-) -> Iterable[RunnerEndNotice]:
-    """Yield the notices of one crash, one per datagram."""
-    parts = sorted(crashes)
-    for first in range(0, len(parts), MAX_NOTICE_PARTS):
-        named = parts[first : first + MAX_NOTICE_PARTS]
-        crashed_at = min(crashes[part].crashed_at for part in named)
-        yield RunnerEndNotice(
-            runner_id,
-            max(0, round((now - crashed_at) * 1000)),
-            [],
-            parts=[
-                PartAtEnd(
-                    part,
-                    round(crashes[part].run.age * 1000),
-                    round(crashes[part].run.answering * 1000),
-                )
-                for part in named
-            ],
-        )
