--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,7 +12,7 @@
 from tests.fleet.builders import HOST, MODEL
 from tests.fleet.deployment import NodeProcess
 from tests.soak.connections import CallerConnection, ConnectionBrokenError, WholeAnswer
-from tests.soak.fatal_requests import FatalRequests, is_varied
+from tests.soak.fatal_requests import FatalRequests, is_part, is_varied
 from tests.soak.observations import CallerRequest, Observations
 
 KINDS = ("safe", "once", "stream")
@@ -133,6 +133,11 @@
         if request.kind == "stream":
             headers |= {names.MODEL: MODEL, names.TOKEN_USAGE: "850,80"}
             headers |= {names.PROMPT_PARTS: self._prompt_parts(request)}
+        if is_part(request.fatal):
+            headers |= {names.MODEL: MODEL, names.TOKEN_USAGE: "950,80"}
+            headers |= {names.PROMPT_PARTS: f"a0:800,{request.fatal}:100,{self._count:x}:50"}
+            path = f"/{request.kind}/{request.request_id}"
+            return await connection.exchange(path, headers, request.request_id.encode())
         body = request.fatal or request.request_id
         query = f"?try={self._count}" if is_varied(request.fatal) else ""
         return await connection.exchange(f"/{request.kind}/x{query}", headers, body.encode())
--- a/tests/soak/fatal_requests.py
+++ b/tests/soak/fatal_requests.py
@@ -9,6 +9,7 @@
 FATAL_SHARE = 0.04
 PREFIX = "fatal"
 VARIED_PREFIX = "fatal.varied"
+PART_PREFIX = "fatal.part"
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +50,13 @@
         self.active.append(request)
         return request
 
+    def add_part(self, kind: str) -> FatalRequest:
+        """Add requests that share nothing but a prompt part to those that callers send."""
+        self._count += 1
+        request = FatalRequest(f"{PART_PREFIX}.{self._count}", kind)
+        self.active.append(request)
+        return request
+
     def draw(self, rng: Random) -> FatalRequest | None:
         """Return the fatal request that a caller sends next, or usually None."""
         if not self.active or rng.random() >= FATAL_SHARE:
@@ -62,6 +70,11 @@
     return name if name.startswith(PREFIX) else ""
 
 
+def is_part(name: str) -> bool:
+    """Return whether requests that end runners share only a prompt part of that name."""
+    return name.startswith(PART_PREFIX)
+
+
 def is_varied(name: str) -> bool:
     """Return whether the tries of a fatal request share only path, tenant and body."""
     return name.startswith(VARIED_PREFIX)
--- a/tests/soak/version_promises.py
+++ b/tests/soak/version_promises.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 
 from tests.fleet.builders import APPLICATION, ENGINES
-from tests.soak.fatal_requests import is_varied
+from tests.soak.fatal_requests import fatal_name_of, is_part, is_varied
 from tests.soak.observations import NODE_PREFIX, STORE, Observations, Rollout, RunnerCrash
 from tests.soak.software import CANARY_SHARE, CANARY_SLACK, is_decided
 from tests.soak.timed_promises import CONTACT_SECONDS
@@ -17,6 +17,9 @@
 MAX_ENDS_WITH_DISTURBED_NODES = 3
 # Maximum number of crashes under a request whose tries differ, once all nodes know of its third.
 MAX_LATER_ENDS = 3
+# The same for sends with a prompt part, once all nodes know of the fifth crash under it.
+ENDS_BEFORE_LIMIT = 5
+MAX_LATER_SENDS = 3
 
 
 def runners_ended(seen: Observations) -> Iterator[str]:
@@ -25,6 +28,9 @@
     for end in seen.runner_ends:
         by_request[end.fatal].append(end)
     for fatal, ends in by_request.items():
+        if is_part(fatal):
+            yield from _find_late_sends(fatal, ends, seen)
+            continue
         if is_varied(fatal):
             yield from _find_late_ends(fatal, ends)
             continue
@@ -35,6 +41,19 @@
             yield f"{fatal}: ended {len(ends)} runners: {times}"
 
 
+def _find_late_sends(part: str, ends: list[RunnerCrash], seen: Observations) -> Iterator[str]:
+    """Return a violation if too many requests with a part came long after its fifth crash."""
+    if len(ends) < ENDS_BEFORE_LIMIT:
+        return
+    known_at = sorted(end.at for end in ends)[ENDS_BEFORE_LIMIT - 1] + CONTACT_SECONDS
+    later = sum(
+        arrival.at > known_at and fatal_name_of(arrival.request_id) == part
+        for arrival in seen.arrivals
+    )
+    if later > MAX_LATER_SENDS:
+        yield f"{part}: sent {later} times later than the fifth crash, {len(ends)} in all"
+
+
 def _find_late_ends(fatal: str, ends: list[RunnerCrash]) -> Iterator[str]:
     """Return a violation if too many tries crashed runners long after the third crash."""
     if len(ends) <= MAX_ENDS_WITH_DISTURBED_NODES:
