Parts: none is fatal before requests without it succeed; one permit for a request

Cause: a part that all requests hold is at every crash, and so few runs succeeded that nothing cleared it. And requests with several suspected parts waited for each other's permits. Change: a part is fatal only if three runs without it have succeeded since its first crash, or another node's mark in the store says so; the trials of a part end only then; a request needs the permit of one part.

--- a/src/hillstack/core/part_crashes.py
+++ b/src/hillstack/core/part_crashes.py
@@ -6,6 +6,9 @@
 run with it, sent no earlier than those on the crashed runners, outlasts the age at which they
 crashed.
 
+Until some runs without a part have succeeded, the crashes say nothing about it: the runners may
+crash under all requests.
+
 Parts that remain may still occur only together. A part is fatal for a request if the request
 contains all candidates that could explain the crashes under the part instead. If one of them is not
 in the request, a single run of the request shows which of the two is the cause, so the part is a
@@ -17,7 +20,7 @@
 
 import enum
 import math
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass, replace
 
@@ -33,8 +36,8 @@
 # Tolerance for the order of events that peers report: the latency of a notice, some milliseconds.
 ORDER_SLACK_SECONDS = 0.02
 # Time without any send after the latest crash under a fatal part, by the number of its trials that
-# crashed a runner. No trial follows the third.
-TRIAL_PAUSES_SECONDS = (60.0, 60.0, 1_800.0)
+# crashed a runner; no trial follows the third.
+TRIAL_PAUSES_SECONDS = (10.0, 10.0, 60.0)
 # A run has outlasted the crashes under a part when its answer has been under way for this multiple
 # of the longest time at them, plus the margin.
 SURVIVAL_FACTOR = 2.0
@@ -50,6 +53,17 @@
 MAX_CRASHES_PER_PART = 16
 
 
+# Successful runs without a part, and none with it, from which the part may be fatal. Otherwise the
+# runners may crash under all requests.
+MIN_CONTRAST = 3
+# Latest successful runs that are stored, for comparison with the crashes.
+MAX_SUCCESSES = 64
+
+
+# Stands among the crashed runners in the ledger of a part that a node has found fatal.
+FATAL_MARK = "fatal"
+
+
 class PartSuspicion(enum.IntEnum):
     """How a request is treated for its parts.
 
@@ -118,6 +132,10 @@
         self._by_part: OrderedDict[int, dict[str, PartCrash]] = OrderedDict()
         self._parts_at: dict[str, set[int]] = {}
         self._cleared: OrderedDict[int, float] = OrderedDict()
+        # The latest successful runs: when they ended, and their parts.
+        self._successes: deque[tuple[float, frozenset[int]]] = deque(maxlen=MAX_SUCCESSES)
+        # Parts that a node has found fatal, according to the store.
+        self._confirmed: set[int] = set()
         # Runners that crashed under trials, which count toward the bound for good.
         self._trials: dict[int, frozenset[str]] = {}
         self.revision = 0
@@ -142,6 +160,22 @@
         while len(self._by_part) > MAX_PARTS:
             self._evict()
 
+    def record_success(self, parts: Collection[int], now: float) -> None:
+        """Record that a run of a request with these parts succeeded."""
+        self._successes.append((now, frozenset(parts)))
+
+    def confirm(self, part: int) -> None:
+        """Record that a node has found a part fatal, by successes that this one may lack."""
+        self._confirmed.add(part)
+
+    def must_be_served(self, part: int) -> bool:
+        """Return whether a suspected part is sent although its trials are used up.
+
+        Nothing shows that the part crashes runners, and not everything else as well.
+        """
+        is_used_up = len(self.trials(part)) >= len(TRIAL_PAUSES_SECONDS)
+        return is_used_up and not self._has_contrast(part)
+
     def record_trials(self, part: int, crashed: Collection[str]) -> None:
         """Record runners that crashed under trials of a part."""
         if crashed:
@@ -167,6 +201,7 @@
     def clear(self, part: int, now: float) -> bool:
         """Clear a part after a run with it survived; return whether it had crashes."""
         self._trials.pop(part, None)
+        self._confirmed.discard(part)
         if part not in self._by_part:
             return False
         self._remove(part)
@@ -223,15 +258,16 @@
     def explained_runners(self) -> frozenset[str]:
         """Return the runners whose crash a part explains, whatever else ran on them."""
         return frozenset(
-            runner_id
-            for crashes in self._by_part.values()
-            if is_fatal_count(crashes)
-            for runner_id in crashes
+            runner_id for part in self.fatal_parts() for runner_id in self._by_part[part]
         )
 
     def fatal_parts(self) -> list[int]:
         """Return the parts under which so many runners crashed that they may be fatal."""
-        return [part for part, crashes in self._by_part.items() if is_fatal_count(crashes)]
+        return [
+            part
+            for part, crashes in self._by_part.items()
+            if is_fatal_count(crashes) and self._has_contrast(part)
+        ]
 
     def retract(self, runner_id: str, contact_at: float = math.inf) -> None:
         """Remove a runner's crash under all parts, unless it crashed after a contact."""
@@ -259,10 +295,22 @@
         others.difference_update(parts)
         if any(len(self._by_part[other]) > len(crashes) for other in others):
             return PartSuspicion.NONE
-        if others or not is_fatal_count(crashes):
+        if others or not is_fatal_count(crashes) or not self._has_contrast(part):
             return PartSuspicion.SUSPECT
         return PartSuspicion.FATAL
 
+    def _has_contrast(self, part: int) -> bool:
+        """Return whether enough runs without a part have succeeded since the first crash under it.
+
+        Runs with the part have not, or it would be cleared.
+        """
+        if part in self._confirmed:
+            return True
+        crashes = self._by_part.get(part, {})
+        first = min((crash.crashed_at for crash in crashes.values()), default=math.inf)
+        without = sum(at >= first and part not in parts for at, parts in self._successes)
+        return without >= MIN_CONTRAST
+
     def _refused_until(self, part: int) -> float:
         trials = len(self.trials(part))
         last = _last_crash_at(self._by_part[part])
--- a/src/hillstack/serving/ledger_recorder.py
+++ b/src/hillstack/serving/ledger_recorder.py
@@ -50,10 +50,10 @@
         """
         await self._change(fingerprint, lambda ledger: ledger.with_outcome(outcome))
 
-    def mark(self, name: int, runner_id: str) -> None:
-        """Write a ledger with one crash unless there is one, so that nodes which start know it."""
-        marked = CrashLedger(frozenset({runner_id}))
-        self.start(self._change(name, lambda ledger: ledger or marked))
+    def mark(self, name: int, mark: str) -> None:
+        """Write a mark to a ledger, which counts as a crash, so that nodes which start know it."""
+        outcome = SendOutcome(crashed=frozenset({mark}))
+        self.start(self._change(name, lambda ledger: ledger.with_outcome(outcome)))
 
     def report_success(self, fingerprint: int) -> None:
         """Remove the ledger of a request after a successful run."""
--- a/src/hillstack/serving/part_crashes.py
+++ b/src/hillstack/serving/part_crashes.py
@@ -16,6 +16,7 @@
 
 from hillstack.core.crash_ledger import CrashLedger
 from hillstack.core.part_crashes import (
+    FATAL_MARK,
     NO_SUSPICION,
     REPEATED_RETENTION_SECONDS,
     SURVIVAL_MARGIN_SECONDS,
@@ -112,7 +113,7 @@
             self._judge_or_reject(job)
 
     async def prepare_send(self, job: Job) -> None:
-        """Check whether a request may be sent now, and acquire permits for its suspected parts.
+        """Check whether a request may be sent now, and acquire a permit if a part is suspected.
 
         Raises:
             RejectedError: The request has a fatal part, or one of whose trials it got no permit.
@@ -121,27 +122,36 @@
         latest = self._clock() + TRIAL_WAIT_SECONDS
         while self._is_active():
             verdict = self._judge_or_reject(job)
-            missing = [part for part in verdict.parts if not _has_unused_permit(job, part)]
-            if not missing:
-                if verdict.parts:
-                    job.suspect_rank = self._state.runner_crashes.place(verdict.parts[0])
+            if verdict.suspicion is PartSuspicion.NONE:
                 return
-            if not any(part in self._trials for part in missing):
-                await self._acquire(job, missing)
+            part = self._likeliest(verdict.parts)
+            if _has_unused_permit(job, part):
+                job.suspect_rank = self._state.runner_crashes.place(part)
+                return
+            if self._trials.get(part, job) is job:
+                if self._crashes.must_be_served(part):
+                    self._trials[part] = job
+                    return
+                await self._acquire(job, part)
             elif self._clock() >= latest:
                 raise job.give_up_error(Verdict.UNAVAILABLE, PART_REASON, TRIAL_RETRY_SECONDS)
             else:
                 await asyncio.sleep(TRIAL_CHECK_SECONDS)
 
-    async def _acquire(self, job: Job, parts: Iterable[int]) -> None:
-        for part in parts:
-            self._trials[part] = job
-        for part in parts:
-            permitted = job.part_permits.setdefault(part, PermittedSends())
-            await self._permits.acquire(job, part, permitted)
-            if not _has_unused_permit(job, part):
-                # The store has no ledger of the part, and this node no longer suspects it.
-                self._ledgers.update(part, None, self._clock())
+    def _likeliest(self, parts: Iterable[int]) -> int:
+        """Return the suspected part that needs the permit.
+
+        Only one does, so that requests with several suspected parts do not wait for each other.
+        """
+        return max(parts, key=lambda part: (len(self._crashes.crashes(part)), part))
+
+    async def _acquire(self, job: Job, part: int) -> None:
+        self._trials[part] = job
+        permitted = job.part_permits.setdefault(part, PermittedSends())
+        await self._permits.acquire(job, part, permitted)
+        if not _has_unused_permit(job, part):
+            # The store has no ledger of the part, and this node no longer suspects it.
+            self._ledgers.update(part, None, self._clock())
 
     def sent(self, job: Job, runner_id: str) -> None:
         """Record that a request is sent to a runner."""
@@ -169,6 +179,7 @@
         """Record that an answer was passed on; a success clears the parts of its request."""
         if not succeeded or not self._is_active():
             return
+        self._crashes.record_success(part_names_of(job), self._clock())
         for part, permitted in job.part_permits.items():
             self._permits.answered(part, permitted, succeeded=True)
         self._clear(job, [part for part in shared_part_names(job) if self._refutes(job, part)])
@@ -283,7 +294,7 @@
         return len(self._crashes.crashes(part)) > 1
 
     def _release_trials(self, job: Job) -> None:
-        if job.part_permits:
+        if self._trials:
             self._trials = {part: at for part, at in self._trials.items() if at is not job}
 
     def _refutes(self, job: Job, part: int) -> bool:
@@ -336,12 +347,13 @@
         now = self._clock()
         for part in fatal:
             is_due = now >= self._marked_at.get(part, -math.inf) + MARK_PAUSE_SECONDS
-            if self._services is None or not is_due or self._permits.has_ledger(part):
+            is_marked = FATAL_MARK in self._ledger(part).crashed
+            if self._services is None or not is_due or is_marked:
                 continue
             self._marked_at[part] = now
             nodes = {node.node_id for node in self._state.nodes.all()} | {self._state.node_id}
             if self._state.node_id in ranked(f"{part:016x}", nodes)[:CRASH_REPORTERS]:
-                self._services.recorder.mark(part, min(self._crashes.crashes(part)))
+                self._services.recorder.mark(part, FATAL_MARK)
 
     def _announce(self, fatal: list[int]) -> None:
         for part in fatal:
@@ -361,7 +373,7 @@
 def _with_ledgers(verdict: PartVerdict, ledgers: Mapping[int, CrashLedger]) -> PartVerdict:
     """Return a verdict together with that on parts of which only the ledgers are known."""
     for part, ledger in ledgers.items():
-        if ledger.is_exhausted(()):
+        if ledger.is_exhausted(()) and FATAL_MARK in ledger.crashed:
             return PartVerdict(PartSuspicion.FATAL, (part,), REPEATED_RETENTION_SECONDS)
     if not ledgers:
         return verdict
--- a/tests/fleet/test_part_crashes.py
+++ b/tests/fleet/test_part_crashes.py
@@ -6,6 +6,7 @@
     COMMON_CAUSE_SECONDS,
     MAX_CRASHES_PER_PART,
     MAX_PARTS,
+    MIN_CONTRAST,
     REPEATED_RETENTION_SECONDS,
     SINGLE_RETENTION_SECONDS,
     TRIAL_PAUSES_SECONDS,
@@ -18,6 +19,14 @@
 AGE = 0.1
 
 
+def record_with_successes() -> PartCrashes:
+    """Return a record in which enough runs with none of the parts have succeeded."""
+    record = PartCrashes()
+    for _ in range(MIN_CONTRAST):
+        record.record_success([], 100_000.0)
+    return record
+
+
 def crash(record: PartCrashes, number: int, *parts: int, at: float | None = None) -> None:
     """Record the crash of a runner, by default a second after the one before."""
     crashed_at = float(number) if at is None else at
@@ -29,13 +38,13 @@
 
 
 def test_a_single_crash_makes_no_part_suspect() -> None:
-    record = PartCrashes()
+    record = record_with_successes()
     crash(record, 1, FIRST, FATAL)
     assert suspicion(record, FIRST, FATAL) is PartSuspicion.NONE
 
 
 def test_a_part_is_suspect_after_two_crashes_and_fatal_after_three() -> None:
-    record = PartCrashes()
+    record = record_with_successes()
     crash(record, 1, FATAL)
     crash(record, 2, FATAL)
     assert suspicion(record, FATAL) is PartSuspicion.SUSPECT
@@ -45,7 +54,7 @@
 
 
 def test_a_part_is_not_fatal_after_crashes_with_a_common_cause() -> None:
-    record = PartCrashes()
+    record = record_with_successes()
     for number in range(8):
         crashed_at = 5.0 + number / 8 * COMMON_CAUSE_SECONDS
         record.record(f"i-{number}", crashed_at, {FATAL: PartRun(2.0)})
@@ -53,7 +62,7 @@
 
 
 def test_a_cleared_part_leaves_the_fatal_one_to_explain_the_crashes() -> None:
-    record = PartCrashes()
+    record = record_with_successes()
     for number in range(1, 4):
         crash(record, number, FIRST, FATAL)
     assert suspicion(record, FIRST) is PartSuspicion.SUSPECT
@@ -65,7 +74,7 @@
 
 
 def test_a_part_at_some_of_the_crashes_of_another_one_is_no_suspect() -> None:
-    record = PartCrashes()
+    record = record_with_successes()
     crash(record, 1, FIRST, FATAL)
     crash(record, 2, FIRST, FATAL)
     crash(record, 3, FATAL)
@@ -74,14 +83,14 @@
 
 
 def test_parts_that_only_occur_together_are_refused_together() -> None:
-    record = PartCrashes()
+    record = record_with_successes()
     for number in range(1, 4):
         crash(record, number, MIDDLE, FATAL)
     assert suspicion(record, MIDDLE, FATAL) is PartSuspicion.FATAL
 
 
 def test_two_fatal_parts_do_not_excuse_each_other() -> None:
-    record = PartCrashes()
+    record = record_with_successes()
     for number in range(1, 7):
         crash(record, number, FATAL if number % 2 else OTHER)
     crash(record, 7, FATAL, OTHER)
@@ -90,7 +99,7 @@
 
 
 def test_a_run_that_was_sent_before_the_crashed_ones_clears_nothing() -> None:
-    record = PartCrashes()
+    record = record_with_successes()
     crash(record, 5, FATAL)
     assert not record.is_evidence(FATAL, 5.0 - 2 * AGE)
     assert record.is_evidence(FATAL, 5.0)
@@ -98,7 +107,7 @@
 
 
 def test_a_run_survives_beyond_the_times_at_the_crashes() -> None:
-    record = PartCrashes()
+    record = record_with_successes()
     record.record("i-1", 5.0, {FATAL: PartRun(0.5, 0.2)})
     assert not record.has_survived(FATAL, 5.0, 0.9, 0.6)
     assert record.has_survived(FATAL, 5.0, 0.9, 0.7)
@@ -107,7 +116,7 @@
 
 
 def test_late_reports_of_a_crash_before_a_success_count_for_nothing() -> None:
-    record = PartCrashes()
+    record = record_with_successes()
     crash(record, 1, FATAL)
     record.clear(FATAL, 2.0)
     crash(record, 1, FATAL)
@@ -115,7 +124,7 @@
 
 
 def test_a_runner_that_has_not_crashed_is_removed_from_all_parts() -> None:
-    record = PartCrashes()
+    record = record_with_successes()
     for number in range(1, 4):
         crash(record, number, FIRST, FATAL)
     record.retract("i-3", contact_at=2.5)
@@ -129,7 +138,7 @@
 
 
 def test_a_fatal_part_is_tried_after_each_pause_and_no_more_after_the_third_trial() -> None:
-    record = PartCrashes()
+    record = record_with_successes()
     for number in range(1, 4):
         crash(record, number, FATAL)
     last = 3.0
@@ -147,7 +156,7 @@
 
 
 def test_the_crashes_are_bounded_in_number_and_in_age() -> None:
-    record = PartCrashes()
+    record = record_with_successes()
     for number in range(MAX_CRASHES_PER_PART + 4):
         crash(record, number, FATAL)
     assert len(record.crashes(FATAL)) == MAX_CRASHES_PER_PART
@@ -162,9 +171,47 @@
 
 
 def test_runs_at_a_crash_that_a_fatal_part_explains_are_known() -> None:
-    record = PartCrashes()
+    record = record_with_successes()
     crash(record, 1, FATAL)
     crash(record, 2, FATAL)
     assert record.explained_runners() == frozenset()
     crash(record, 3, FATAL)
     assert record.explained_runners() == {"i-1", "i-2", "i-3"}
+
+
+def test_no_part_is_fatal_while_no_request_without_it_succeeds() -> None:
+    record = PartCrashes()
+    for number in range(1, 9):
+        crash(record, number, FIRST)
+    assert suspicion(record, FIRST) is PartSuspicion.SUSPECT
+    for _ in range(MIN_CONTRAST):
+        record.record_success([FIRST], 10.0)
+        record.record_success([OTHER], 0.5)
+    assert suspicion(record, FIRST) is PartSuspicion.SUSPECT
+    for _ in range(MIN_CONTRAST):
+        record.record_success([OTHER], 10.0)
+    assert suspicion(record, FIRST) is PartSuspicion.FATAL
+
+
+def test_a_part_that_a_peer_has_found_fatal_needs_no_further_success() -> None:
+    record = PartCrashes()
+    for number in range(1, 4):
+        crash(record, number, FATAL)
+    record.confirm(FATAL)
+    assert suspicion(record, FATAL) is PartSuspicion.FATAL
+    record.clear(FATAL, 4.0)
+    for number in range(5, 9):
+        crash(record, number, FATAL)
+    assert suspicion(record, FATAL) is PartSuspicion.SUSPECT
+
+
+def test_used_up_trials_stop_a_part_only_if_requests_without_it_succeed() -> None:
+    record = PartCrashes()
+    for number in range(1, 4):
+        crash(record, number, FIRST)
+    assert not record.must_be_served(FIRST)
+    record.record_trials(FIRST, ["i-1", "i-2", "i-3"])
+    assert record.must_be_served(FIRST)
+    for _ in range(MIN_CONTRAST):
+        record.record_success([OTHER], 10.0)
+    assert not record.must_be_served(FIRST)
