--- a/tests/fleet/fatal_world.py
+++ b/tests/fleet/fatal_world.py
@@ -553,8 +553,14 @@
     def run(self, seconds: float) -> None:
         self.scheduler.run_until(self.scheduler.now + seconds)
 
-    def try_until_done(self, node: str, body: bytes, within: float = 3.0) -> Outcome:
-        outcome = self.send(node, body)
+    def try_until_done(
+        self,
+        node: str,
+        body: bytes,
+        within: float = 3.0,
+        parts: tuple[tuple[str, int], ...] = PARTS,
+    ) -> Outcome:
+        outcome = self.send(node, body, parts=parts)
         for _ in range(int(within / 0.005)):
             if outcome.task.done():
                 break
--- a/tests/fleet/part_traffic.py
+++ b/tests/fleet/part_traffic.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -70,6 +69,8 @@
     Attributes:
         sound_per_second: Rate of sound requests, which share path and first part.
         path: Path of all requests.
+        fatal_at: The node that gets all requests with fatal parts; empty for random nodes.
+        sound_at: The same for sound requests.
     """
 
     world: World
@@ -77,6 +78,8 @@
     fatal: list[FatalPart] = field(default_factory=lambda: [FatalPart()])
     sound_per_second: float = 40.0
     path: str = ""
+    fatal_at: str = ""
+    sound_at: str = ""
     sound: list[SoundRequest] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -142,6 +145,10 @@
         allowed = RejectedError, StreamCutError
         return [error for error in self._errors() if not isinstance(error, allowed)]
 
+    def read_errors(self) -> None:
+        """Read the errors of all requests, so that the loop does not report them."""
+        self._errors()
+
     def _errors(self) -> list[BaseException]:
         outcomes = [caller.outcome for caller in self._callers]
         outcomes += [sound.outcome for sound in self.sound]
@@ -156,7 +163,7 @@
         shared = [FIRST_PART, *(f"shared-{number}" for number in range(1, before))][:before]
         shared += [part.part_id, *(f"later-{number}" for number in range(part.after))]
         parts = self._parts(shared)
-        outcome = self._send(body, parts)
+        outcome = self._send(body, parts, self.fatal_at)
         self._callers.append(_Caller(body, parts, outcome))
 
     def _send_sound(self, now: float) -> None:
@@ -165,14 +172,14 @@
             FIRST_PART,
             *(f"shared-{number}" for number in range(1, self._rng.randrange(1, 4))),
         ]
-        outcome = self._send(b"short %d" % self._sent, self._parts(shared))
+        outcome = self._send(b"short %d" % self._sent, self._parts(shared), self.sound_at)
         self.sound.append(SoundRequest(now, outcome))
 
     def _parts(self, shared: list[str]) -> Parts:
         return tuple((part_id, 500) for part_id in [*shared, f"own-{self._sent}"])
 
-    def _send(self, body: bytes, parts: Parts) -> Outcome:
-        node = self._rng.choice(sorted(self.world.nodes))
+    def _send(self, body: bytes, parts: Parts, node: str) -> Outcome:
+        node = node or self._rng.choice(sorted(self.world.nodes))
         return self.world.send(node, body, path=self.path, parts=parts)
 
     def _advance(self, caller: _Caller, now: float) -> None:
@@ -186,7 +193,7 @@
         if now >= caller.next_at:
             caller.tries += 1
             caller.next_at = float("inf")
-            caller.outcome = self._send(caller.body, caller.parts)
+            caller.outcome = self._send(caller.body, caller.parts, self.fatal_at)
 
     def _restart_runners(self, now: float) -> None:
         for runner in self.world.runners.ended():
@@ -213,11 +220,3 @@
 
     def __call__(self) -> None:
         self.world.unlist_runner(self.runner_id)
-
-
-def read_errors(outcomes: list[Outcome]) -> None:
-    """Read the errors of failed requests, so that the loop does not report them."""
-    for outcome in outcomes:
-        task: asyncio.Task[object] = outcome.task
-        if task.done() and not task.cancelled():
-            task.exception()
--- a/tests/fleet/test_crash_ledger_store.py
+++ b/tests/fleet/test_crash_ledger_store.py
@@ -14,12 +14,13 @@
 from hillstack.platform.crash_ledgers import CrashLedgers
 from hillstack.platform.formats import to_event
 from hillstack.platform.store import MetadataStore
-from hillstack.serving.store_events import CrashLedgerChanged
+from hillstack.serving.store_events import CrashLedgerChanged, PartLedgerChanged
 from tests.fleet.builders import rev
 from tests.fleet.test_rollout_store import with_store
 
 FINGERPRINT = 0xAB
 KEY = f"{names.CRASH_LEDGERS_PREFIX}00000000000000ab"
+PART_KEY = f"{names.PART_LEDGERS_PREFIX}00000000000000ab"
 LEDGER = CrashLedger(frozenset({"i-1"}), frozenset({"node-1/1"}))
 
 
@@ -63,6 +64,26 @@
     assert to_event(StoredItem(names.CRASH_LEDGERS_PREFIX + "x", rev(6), None)) is None
 
 
+def test_a_ledger_of_a_part_is_stored_apart_and_without_a_lease() -> None:
+    async def scenario(emulated_store: FleetStore, store: MetadataStore, address: str) -> None:
+        ledgers = CrashLedgers(store, clock.seconds)
+        parts = CrashLedgers(store, clock.seconds, names.PART_LEDGERS_PREFIX, is_leased=False)
+        assert await ledgers.write(FINGERPRINT, LEDGER, NO_REVISION)
+        assert await parts.write(FINGERPRINT, CrashLedger(), NO_REVISION)
+        assert (await ledgers.read(FINGERPRINT)).ledger == LEDGER
+        leased = {item.key: item.lease for item in emulated_store.copy().items.values()}
+        assert leased[KEY]
+        assert not leased[PART_KEY]
+
+    with_store(scenario)
+
+
+def test_a_ledger_of_a_part_in_the_store_is_an_event() -> None:
+    written = StoredItem(PART_KEY, rev(3), b'{"crashed":["i-1"],"permits":["node-1/1"]}')
+    assert to_event(written) == PartLedgerChanged(FINGERPRINT, LEDGER)
+    assert to_event(StoredItem(PART_KEY, rev(4), None)) == PartLedgerChanged(FINGERPRINT, None)
+
+
 def test_known_ledgers_expire_and_are_bounded() -> None:
     known = KnownLedgers(retention_seconds=60.0)
     known.update(1, LEDGER, 0.0)
--- a/tests/fleet/test_fatal_parts.py
+++ b/tests/fleet/test_fatal_parts.py
@@ -8,16 +8,20 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
+from random import Random
 
 import pytest
 
-from tests.fleet.fatal_world import FATAL_PART, World
+from hillstack.core.part_crashes import TRIAL_PAUSES_SECONDS
+from hillstack.serving.types import RejectedError, Verdict
+from tests.fleet.fatal_world import FATAL_PART, NOTICE_SECONDS, Node, World
 from tests.fleet.part_traffic import (
     CONTACT_SECONDS,
+    FIRST_PART,
     MAX_LATE_SENDS,
     FatalPart,
     PartTraffic,
-    read_errors,
 )
 from tests.fleet.test_crash_permits import RestartedWorld
 
@@ -26,6 +30,39 @@
 # From this time after the fifth crash on they must be.
 SETTLED_SECONDS = 2 * CONTACT_SECONDS
 SEEDS = range(2)
+FATAL_PARTS = ((FIRST_PART, 500), (FATAL_PART, 500), ("own-new", 500))
+SOUND_PARTS = ((FIRST_PART, 500), ("own-new", 500))
+
+
+class LossyWorld(World):
+    """Each second notice is lost."""
+
+    sent = 0
+
+    def notice_seconds(self, source: str, node: Node) -> float | None:
+        self.sent += 1
+        return None if self.sent % 2 else NOTICE_SECONDS
+
+
+@dataclass
+class CrashLoop:
+    """Crashes one of the runners after each pause, whatever it runs."""
+
+    world: World
+    seed: int
+    pause: float
+
+    def __post_init__(self) -> None:
+        self._rng = Random(self.seed)
+        self._next_at = 1.0
+
+    def step(self, now: float) -> None:
+        if now < self._next_at:
+            return
+        self._next_at += self.pause
+        alive = [runner for runner in self.world.runners.by_id.values() if runner.is_alive]
+        if alive:
+            self._rng.choice(alive).crash()
 
 
 class SilentStoreWorld(World):
@@ -49,7 +86,7 @@
     try:
         yield traffic
     finally:
-        read_errors([sound.outcome for sound in traffic.sound])
+        traffic.read_errors()
         traffic.world.scheduler.close()
 
 
@@ -190,3 +227,49 @@
         first_crashes(traffic)
         traffic.run(14.0)
         assert_bounded(traffic)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_part_is_bounded_where_each_second_notice_is_lost(seed: int) -> None:
+    world = LossyWorld(10, 4, lists_later_nodes=True)
+    with playing(PartTraffic(world, seed)) as traffic:
+        first_crashes(traffic)
+        traffic.run(14.0)
+        assert_bounded(traffic)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_part_is_bounded_at_a_node_that_serves_nothing_else(seed: int) -> None:
+    world = World(10, 4, lists_later_nodes=True)
+    with playing(PartTraffic(world, seed)) as traffic:
+        first_crashes(traffic)
+        traffic.fatal_at, traffic.sound_at = "node-3", "node-0"
+        traffic.run(14.0)
+        assert_bounded(traffic)
+
+
+# Guards against a part in all requests that is taken for the cause while a whole service crashes.
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("pause", [0.4, 1.5])
+def test_requests_with_a_common_part_are_served_after_their_service_has_crashed(
+    seed: int, pause: float
+) -> None:
+    world = World(8, 4, lists_later_nodes=True)
+    with playing(PartTraffic(world, seed, [], sound_per_second=20.0)) as traffic:
+        crashes = CrashLoop(world, seed, pause)
+        traffic.run(10.0, crashes.step)
+        traffic.run(6.0)
+        assert traffic.served_share(12.0, 15.0) == 1.0
+
+
+def test_a_request_with_a_fatal_part_is_rejected_as_not_run_with_the_time_to_come_back() -> None:
+    world = World(8, 4, lists_later_nodes=True)
+    with playing(PartTraffic(world, 1)) as traffic:
+        traffic.run(5.0)
+        outcome = world.try_until_done("node-0", b"new", parts=FATAL_PARTS)
+        error = outcome.error
+        assert isinstance(error, RejectedError)
+        assert error.verdict is Verdict.UNAVAILABLE
+        assert error.retry_after is not None
+        assert 1.0 < error.retry_after <= max(TRIAL_PAUSES_SECONDS)
+        assert world.try_until_done("node-0", b"short new", parts=SOUND_PARTS).is_served
--- a/tests/fleet/test_fatal_requests.py
+++ b/tests/fleet/test_fatal_requests.py
@@ -503,6 +503,7 @@
         raise AssertionError
 
     monkeypatch.setattr("hillstack.serving.request_names.request_fingerprint", fail)
+    monkeypatch.setattr("hillstack.serving.request_names.part_name", fail)
     world = World(4, 1)
     assert all(world.try_until_done("node-0", b"short %d" % n).is_served for n in range(5))
 
