--- a/src/hillstack/serving/part_crashes.py
+++ b/src/hillstack/serving/part_crashes.py
@@ -58,6 +58,8 @@
 # Number of nodes that report a crash to a node that has just started, and that mark a fatal part.
 CRASH_REPORTERS = 3
 
+UNKNOWN_REVISION = -1
+
 ActiveAttempts = Mapping[str, tuple[Job, Runner]]
 
 
@@ -92,7 +94,8 @@
         self._fatal: list[int] = []
         # When this node last wrote a mark of a fatal part to the store.
         self._marked_at: dict[int, float] = {}
-        self._revision = self._crashes.revision
+        # The crashes that this node last reacted to.
+        self._revision = UNKNOWN_REVISION
         self.set_permits(None)
 
     def set_permits(self, services: PermitServices | None) -> None:
@@ -122,7 +125,7 @@
         latest = self._clock() + TRIAL_WAIT_SECONDS
         while self._is_active():
             verdict = self._judge_or_reject(job)
-            if verdict.suspicion is PartSuspicion.NONE:
+            if verdict.suspicion is PartSuspicion.NONE or self._services is None:
                 return
             part = self._likeliest(verdict.parts)
             if _has_unused_permit(job, part):
@@ -246,6 +249,8 @@
                 self._services.recorder.report_success(part)
         for attempt_id in list(self._active):
             self._check_survival(attempt_id)
+        # Successes and marks make parts fatal too, without a change of the crashes.
+        self._revision = UNKNOWN_REVISION
         self._react()
 
     def must_abort(self, job: Job) -> bool:
