--- a/tests/fleet/test_one_node_process.py
+++ b/tests/fleet/test_one_node_process.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from pathlib import Path
 
 import pytest
 
 from tests.fleet.brittle_fleet import BrittleFleet, allowed_falls
-from tests.fleet.deployment import Deployment
+from tests.fleet.deployment import Deployment, NodeProcess
+from tests.fleet.fatal_part_fleet import FATAL_ID, FatalPartFleet, PartCallers
 from tests.fleet.node_kills import KilledNodes, SteadyCallers
+from tests.fleet.part_traffic import CONTACT_SECONDS, MAX_LATE_SENDS
 from tests.fleet.test_node_process import play
 
 NODES = 4
@@ -24,6 +27,9 @@
 BEFORE_SECONDS = 3.0
 SECONDS = 4.0
 TURNS = 2
+# Requests per second that a runner takes: all of them take more than come.
+RUNNER_LIMIT = 70.0
+FATAL_PER_SECOND = 4.0
 # Of the requests at first tries in the seconds before.
 MIN_SERVED_SHARE = 0.75
 
@@ -66,14 +72,18 @@
 
 
 # Guards against requests that are rejected at the one node to which most connections go, while the
-# runners, brittle or not, have free places.
-@pytest.mark.parametrize("tolerated", [None, TOLERATED])
+# runners have free places: brittle runners, sound ones, and ones with a limit above the load.
+@pytest.mark.parametrize(
+    ("tolerated", "limit"), [(None, None), (TOLERATED, None), (None, RUNNER_LIMIT)]
+)
 def test_one_node_serves_as_large_a_share_as_all_nodes(
-    tmp_path: Path, tolerated: int | None
+    tmp_path: Path, tolerated: int | None, limit: float | None
 ) -> None:
     async def scenario(running: Deployment) -> None:
         fleet = BrittleFleet(running, RUNNERS, tolerated, WORK_SECONDS)
         await fleet.start()
+        for runner in fleet.all:
+            runner.faults.limit = limit
         nodes = OneNode(running, NODES)
         await nodes.start()
         _, before, *loaded = await in_turn(nodes)
@@ -82,3 +92,29 @@
         assert min(loaded) >= MIN_SERVED_SHARE * before, f"{loaded}, {before:.2f} before"
 
     play(tmp_path, scenario)
+
+
+def test_one_node_serves_beside_a_part_that_crashes_runners(tmp_path: Path) -> None:
+    async def scenario(running: Deployment) -> None:
+        fleet = FatalPartFleet(running, RUNNERS, None, WORK_SECONDS)
+        await fleet.start()
+        nodes = OneNode(running, NODES)
+        await nodes.start()
+
+        def open_nodes() -> list[NodeProcess]:
+            return [nodes.nodes[name] for name in sorted(nodes.open_nodes())]
+
+        callers = PartCallers(running, open_nodes)
+        for chosen in ("", "node-0", "node-1", ""):
+            nodes.chosen = chosen
+            await asyncio.gather(
+                callers.send(USUAL_PER_SECOND, SECONDS),
+                callers.send(FATAL_PER_SECOND, SECONDS, FATAL_ID),
+            )
+        await fleet.stop()
+        crashes = fleet.crashes()
+        assert fleet.late_sends() <= MAX_LATE_SENDS
+        share = callers.served_share(crashes[min(len(crashes), 5) - 1] + CONTACT_SECONDS)
+        assert share >= MIN_SERVED_SHARE, f"{share:.2f} served, {len(crashes)} crashes"
+
+    play(tmp_path, scenario)
