--- a/src/hillstack/core/part_crashes.py
+++ b/src/hillstack/core/part_crashes.py
@@ -51,15 +51,11 @@
 MAX_PARTS = 4_096
 # Crashes stored for a part: the first ones, and the latest one.
 MAX_CRASHES_PER_PART = 16
-
-
 # Successful runs without a part, and none with it, from which the part may be fatal. Otherwise the
 # runners may crash under all requests.
 MIN_CONTRAST = 3
 # Latest successful runs that are stored, for comparison with the crashes.
 MAX_SUCCESSES = 64
-
-
 # Stands among the crashed runners in the ledger of a part that a node has found fatal.
 FATAL_MARK = "fatal"
 
@@ -69,7 +65,7 @@
 
     Attributes:
         NONE: It is sent as any other.
-        SUSPECT: It needs a permit for each suspected part.
+        SUSPECT: It needs a permit, which is issued for one of its suspected parts.
         FATAL: It is not sent.
     """
 
@@ -285,6 +281,7 @@
         ]
         for part in old:
             self._remove(part)
+            self._confirmed.discard(part)
         return [part for part in old if self._trials.pop(part, None)]
 
     def _judge_part(self, part: int, parts: Collection[int]) -> PartSuspicion:
--- a/src/hillstack/serving/part_crashes.py
+++ b/src/hillstack/serving/part_crashes.py
@@ -58,6 +58,7 @@
 # Number of nodes that report a crash to a node that has just started, and that mark a fatal part.
 CRASH_REPORTERS = 3
 
+# A revision that ``PartCrashes`` never has.
 UNKNOWN_REVISION = -1
 
 ActiveAttempts = Mapping[str, tuple[Job, Runner]]
@@ -182,7 +183,8 @@
         """Record that an answer was passed on; a success clears the parts of its request."""
         if not succeeded or not self._is_active():
             return
-        self._crashes.record_success(part_names_of(job), self._clock())
+        if shared_part_names(job):
+            self._crashes.record_success(part_names_of(job), self._clock())
         for part, permitted in job.part_permits.items():
             self._permits.answered(part, permitted, succeeded=True)
         self._clear(job, [part for part in shared_part_names(job) if self._refutes(job, part)])
