Parts: few successes, long streams and resumed ones

- Requests with the part used up the trials of a part that sound ones hold too, and both were refused for good.
Now requests with fewer suspected parts go first, and a part without comparison is sent when its two ledger permits are used.
- The rest of a stream was a success, though shorter than the crashed runs.
Now it counts only if it is not.
- A stream had survived .25 s after its first bytes; crashes up to .5 s count, so now .5 s.
- Long runs under way count for the comparison; streams that had long answered go on elsewhere without a permit.

--- a/src/hillstack/core/part_crashes.py
+++ b/src/hillstack/core/part_crashes.py
@@ -24,6 +24,9 @@
 from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass, replace
 
+from hillstack.core.crash_ledger import MAX_LEDGER_CRASHES
+from hillstack.core.run_at_crash import SETTLED_SECONDS
+
 # Crashes from which a part is a suspect. With 1, each crash would make all parts of its runs
 # suspects, although most crashes have other causes.
 MIN_SUSPECT_CRASHES = 2
@@ -41,7 +44,7 @@
 # A run has outlasted the crashes under a part when its answer has been under way for this multiple
 # of the longest time at them, plus the margin.
 SURVIVAL_FACTOR = 2.0
-SURVIVAL_MARGIN_SECONDS = 0.25
+SURVIVAL_MARGIN_SECONDS = SETTLED_SECONDS
 # The same for the age of a run whose answer comes as a whole. The age includes the time in a queue.
 WHOLE_SURVIVAL_MARGIN_SECONDS = 1.0
 # Retention of parts with one crash, and of parts with several.
@@ -169,7 +172,7 @@
 
         Nothing shows that the part crashes runners, and not everything else as well.
         """
-        is_used_up = len(self.trials(part)) >= len(TRIAL_PAUSES_SECONDS)
+        is_used_up = len(self.trials(part)) >= MAX_LEDGER_CRASHES
         return is_used_up and not self._has_contrast(part)
 
     def record_trials(self, part: int, crashed: Collection[str]) -> None:
@@ -207,16 +210,22 @@
             self._cleared.popitem(last=False)
         return True
 
-    def is_evidence(self, part: int, sent_at: float) -> bool:
+    def is_evidence(self, part: int, sent_at: float, age: float = math.inf) -> bool:
         """Return whether the success of a run would clear a part.
 
         A run that was sent before the first of the crashed ones may have begun its answer before
         the part crashed runners.
+
+        Args:
+            part: Name of the part.
+            sent_at: When the request was sent.
+            age: Seconds that the run took, if it was the rest of a stream, which may be shorter
+                than the time after which runners crash.
         """
-        crashes = self._by_part.get(part)
-        if not crashes:
+        crashes = self._by_part.get(part, {}).values()
+        if not crashes or age < min(crash.run.age for crash in crashes):
             return False
-        return sent_at >= min(crash.began_at for crash in crashes.values())
+        return sent_at >= min(crash.began_at for crash in crashes)
 
     def has_survived(self, part: int, sent_at: float, age: float, answering: float | None) -> bool:
         """Return whether a run that is under way has outlasted the crashes under a part.
--- a/src/hillstack/serving/crash_logs.py
+++ b/src/hillstack/serving/crash_logs.py
@@ -6,11 +6,17 @@
 from collections import Counter
 from collections.abc import Iterable
 
+from hillstack.core.part_crashes import PartCrashes
 from hillstack.core.run_at_crash import RunAtCrash
 from hillstack.core.runner_crashes import FatalRequest, RunnerCrash
 from hillstack.core.runner_pool import Runner
 from hillstack.serving.job import Job
-from hillstack.serving.request_names import content_of, fingerprint_of
+from hillstack.serving.request_names import (
+    content_of,
+    fingerprint_of,
+    shared_part_ids,
+    shared_part_names,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -70,3 +76,17 @@
         "ages_ms": [round(age * 1000) for age in found.ages],
         "share": round(found.share, 3),
     }
+
+
+def log_part(message: str, job: Job, part: int, **fields: object) -> None:
+    """Log an event of a request that concerns one of its prompt parts, by the part's name."""
+    ids = dict(zip(shared_part_names(job), shared_part_ids(job), strict=True))
+    named = {"part": ids.get(part, ""), "part_name": f"{part:016x}"}
+    logger.info(message, extra={"request": job.request.request_id} | named | fields)
+
+
+def log_part_refused(job: Job, part: int, crashes: PartCrashes) -> None:
+    """Log that a request is not sent because of a fatal part, with the evidence."""
+    runners, trials = list(crashes.crashes(part)), sorted(crashes.trials(part))
+    message = "request with a fatal part not sent"
+    log_part(message, job, part, runners=runners, trials=trials)
--- a/src/hillstack/serving/part_crashes.py
+++ b/src/hillstack/serving/part_crashes.py
@@ -18,7 +18,6 @@
 from hillstack.core.part_crashes import (
     FATAL_MARK,
     NO_SUSPICION,
-    REPEATED_RETENTION_SECONDS,
     SURVIVAL_MARGIN_SECONDS,
     PartSuspicion,
     PartVerdict,
@@ -27,6 +26,7 @@
 from hillstack.core.run_at_crash import RunAtCrash
 from hillstack.core.runner_pool import Runner
 from hillstack.messages.runner_ends import RunnerEndNotice
+from hillstack.serving.crash_logs import log_part, log_part_refused
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import Job
 from hillstack.serving.metrics import FleetMetrics
@@ -36,10 +36,16 @@
 from hillstack.serving.request_names import (
     fingerprint_of,
     part_names_of,
-    shared_part_ids,
     shared_part_names,
 )
 from hillstack.serving.suspect_permits import PermitServices, SuspectPermits
+from hillstack.serving.suspected_parts import (
+    TrialOrder,
+    has_long_answered,
+    has_unused_permit,
+    is_resumed,
+    with_ledgers,
+)
 from hillstack.serving.types import Verdict
 
 logger = logging.getLogger(__name__)
@@ -50,6 +56,9 @@
 TRIAL_CHECK_SECONDS = 0.02
 # Retry delay while a trial is under way, which ends or settles in most cases within this time.
 TRIAL_RETRY_SECONDS = 1.0
+# Age from which a run that is still under way counts as a success for comparison: its runner has
+# outlasted the time in a queue and the beginning of the answer.
+LONG_RUN_SECONDS = 1.5
 # A check of a stream that is due a little early would find that it has not survived yet.
 SURVIVAL_CHECK_SECONDS = SURVIVAL_MARGIN_SECONDS + 0.01
 # Pause before a mark is written again that the store does not show. Longer than the attempts of
@@ -92,6 +101,9 @@
         self._active = active
         # Parts of which a request of this node acquires a permit, or runs under one.
         self._trials: dict[int, Job] = {}
+        self._order = TrialOrder()
+        # Attempts that were counted as successes while they were under way.
+        self._counted: set[str] = set()
         self._fatal: list[int] = []
         # When this node last wrote a mark of a fatal part to the store.
         self._marked_at: dict[int, float] = {}
@@ -126,21 +138,25 @@
         latest = self._clock() + TRIAL_WAIT_SECONDS
         while self._is_active():
             verdict = self._judge_or_reject(job)
-            if verdict.suspicion is PartSuspicion.NONE or self._services is None:
+            is_suspect = verdict.suspicion is not PartSuspicion.NONE
+            if not is_suspect or self._services is None or has_long_answered(job):
                 return
             part = self._likeliest(verdict.parts)
-            if _has_unused_permit(job, part):
+            if has_unused_permit(job, part):
                 job.suspect_rank = self._state.runner_crashes.place(part)
                 return
-            if self._trials.get(part, job) is job:
+            may_wait = self._clock() < latest
+            is_free = self._trials.get(part, job) is job
+            has_fewest = self._order.may_go(part, len(verdict.parts), self._clock())
+            if is_free and has_fewest and not (may_wait and len(verdict.parts) > 1):
                 if self._crashes.must_be_served(part):
                     self._trials[part] = job
                     return
                 await self._acquire(job, part)
-            elif self._clock() >= latest:
-                raise job.give_up_error(Verdict.UNAVAILABLE, PART_REASON, TRIAL_RETRY_SECONDS)
-            else:
+            elif may_wait:
                 await asyncio.sleep(TRIAL_CHECK_SECONDS)
+            else:
+                raise job.give_up_error(Verdict.UNAVAILABLE, PART_REASON, TRIAL_RETRY_SECONDS)
 
     def _likeliest(self, parts: Iterable[int]) -> int:
         """Return the suspected part that needs the permit.
@@ -153,25 +169,24 @@
         self._trials[part] = job
         permitted = job.part_permits.setdefault(part, PermittedSends())
         await self._permits.acquire(job, part, permitted)
-        if not _has_unused_permit(job, part):
+        if not has_unused_permit(job, part):
             # The store has no ledger of the part, and this node no longer suspects it.
             self._ledgers.update(part, None, self._clock())
 
     def sent(self, job: Job, runner_id: str) -> None:
         """Record that a request is sent to a runner."""
         for part, permitted in job.part_permits.items():
-            if not _has_unused_permit(job, part):
+            if not has_unused_permit(job, part):
                 continue
             permitted.sent(runner_id)
-            fields = {"request": job.request.request_id, "runner": runner_id}
-            logger.info("suspected part sent", extra=fields | {"part_name": f"{part:016x}"})
+            log_part("suspected part sent", job, part, runner=runner_id)
             self._metrics.runner_ends.labels("part_sent").inc()
 
     def started(self, attempt_id: str) -> None:
         """Record the first bytes of an attempt's answer; check later whether it survives."""
         if self._is_active():
             loop = asyncio.get_running_loop()
-            loop.call_later(SURVIVAL_CHECK_SECONDS, self._check_survival, attempt_id)
+            loop.call_later(SURVIVAL_CHECK_SECONDS, self._note_long_run, attempt_id)
 
     def finished(self, job: Job, runner_id: str, *, may_still_run: bool) -> None:
         """Record the end of an attempt."""
@@ -249,7 +264,10 @@
         for part in self._crashes.expire(now):
             if self._services is not None:
                 self._services.recorder.report_success(part)
-        for attempt_id in list(self._active):
+        self._counted.intersection_update(self._active)
+        for attempt_id, (job, _) in list(self._active.items()):
+            if now - job.sent_at > LONG_RUN_SECONDS:
+                self._note_long_run(attempt_id)
             self._check_survival(attempt_id)
         # Successes and marks make parts fatal too, without a change of the crashes.
         self._revision = UNKNOWN_REVISION
@@ -273,7 +291,7 @@
             return verdict
         unknown = [part for part in parts if not self._crashes.crashes(part)]
         listed = [part for part in unknown if self._permits.has_ledger(part)]
-        return _with_ledgers(verdict, {part: self._ledger(part) for part in listed})
+        return with_ledgers(verdict, {part: self._ledger(part) for part in listed})
 
     def _ledger(self, part: int) -> CrashLedger:
         return self._ledgers.get(part, self._clock()) or CrashLedger()
@@ -283,15 +301,7 @@
         if verdict.suspicion is not PartSuspicion.FATAL:
             return verdict
         self._metrics.runner_ends.labels("part_refused").inc()
-        part = verdict.parts[0]
-        fields = {
-            "request": job.request.request_id,
-            "part": _part_id(job, part),
-            "part_name": f"{part:016x}",
-            "runners": list(self._crashes.crashes(part)),
-            "trials": sorted(self._crashes.trials(part)),
-        }
-        logger.info("request with a fatal part not sent", extra=fields)
+        log_part_refused(job, verdict.parts[0], self._crashes)
         if self._state.runner_crashes.last_crash_under(fingerprint_of(job)) > -math.inf:
             # An earlier try of this request has run.
             job.may_have_run = True
@@ -307,9 +317,20 @@
     def _refutes(self, job: Job, part: int) -> bool:
         """Return whether a success of a request shows that a part does not crash runners."""
         if self._crashes.crashes(part):
-            return self._crashes.is_evidence(part, job.sent_at)
+            age = self._clock() - job.sent_at if is_resumed(job) else math.inf
+            return self._crashes.is_evidence(part, job.sent_at, age)
         return self._permits.has_ledger(part)
 
+    def _note_long_run(self, attempt_id: str) -> None:
+        """Count a run that is still under way after a while as a success for comparison."""
+        found = self._active.get(attempt_id)
+        if found is None or attempt_id in self._counted:
+            return
+        self._counted.add(attempt_id)
+        if shared_part_names(found[0]):
+            self._crashes.record_success(part_names_of(found[0]), self._clock())
+        self._check_survival(attempt_id)
+
     def _check_survival(self, attempt_id: str) -> None:
         """Clear the parts whose crashes a run under way has outlasted."""
         job, _ = self._active.get(attempt_id, (None, None))
@@ -332,8 +353,7 @@
             self._crashes.clear(part, now)
             if self._services is not None and self._permits.has_ledger(part):
                 self._services.recorder.report_success(part)
-            fields = {"request": job.request.request_id, "part": _part_id(job, part)}
-            logger.info("part cleared", extra=fields | {"part_name": f"{part:016x}"})
+            log_part("part cleared", job, part)
         self._peers.report_runner_crash(RunnerEndNotice("", 0, [], succeeded=parts))
         self._react()
 
@@ -370,24 +390,3 @@
             crashes = self._crashes.crashes(part)
             fields = {"part_name": f"{part:016x}", "runners": list(crashes)}
             logger.warning("part ends runners", extra=fields)
-
-
-def _has_unused_permit(job: Job, part: int) -> bool:
-    permitted = job.part_permits.get(part)
-    return permitted is not None and any(not send.runner_id for send in permitted.sends)
-
-
-def _with_ledgers(verdict: PartVerdict, ledgers: Mapping[int, CrashLedger]) -> PartVerdict:
-    """Return a verdict together with that on parts of which only the ledgers are known."""
-    for part, ledger in ledgers.items():
-        if ledger.is_exhausted(()) and FATAL_MARK in ledger.crashed:
-            return PartVerdict(PartSuspicion.FATAL, (part,), REPEATED_RETENTION_SECONDS)
-    if not ledgers:
-        return verdict
-    return PartVerdict(PartSuspicion.SUSPECT, tuple(sorted({*verdict.parts, *ledgers})))
-
-
-def _part_id(job: Job, part: int) -> str:
-    """Return the identifier of a part of a request, by its name."""
-    ids = dict(zip(shared_part_names(job), shared_part_ids(job), strict=True))
-    return ids.get(part, "")
--- a/tests/fleet/test_fatal_parts.py
+++ b/tests/fleet/test_fatal_parts.py
@@ -273,3 +273,29 @@
         assert error.retry_after is not None
         assert 1.0 < error.retry_after <= max(TRIAL_PAUSES_SECONDS)
         assert world.try_until_done("node-0", b"short new", parts=SOUND_PARTS).is_served
+
+
+# Requests that run for 2 s are all cut short by the crashes, so that nothing shows which is sound.
+def test_a_part_is_bounded_where_long_requests_come_seldom() -> None:
+    world = World(8, 2, application=True, lists_later_nodes=True)
+    world.runners.events[b"short"] = 100
+    part = FatalPart(per_second=0.0, before=0)
+    with playing(PartTraffic(world, 4, [part], sound_per_second=4.0)) as traffic:
+        traffic.run(3.0)
+        part.per_second = 1.0
+        traffic.run(17.0)
+        assert_bounded(traffic)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("per_second", [3.0, 8.0])
+def test_a_part_is_bounded_beside_few_long_streams(seed: int, per_second: float) -> None:
+    world = World(8, 4, lists_later_nodes=True)
+    world.runners.events[b"short"] = 100
+    part = FatalPart(per_second=0.0)
+    with playing(PartTraffic(world, seed, [part], sound_per_second=4.0)) as traffic:
+        traffic.run(3.0)
+        part.per_second = per_second
+        traffic.run(17.0)
+        assert_bounded(traffic)
+        assert_served(traffic, 12.0)
