--- a/src/hillstack/core/part_crashes.py
+++ b/src/hillstack/core/part_crashes.py
@@ -21,11 +21,17 @@
 import enum
 import math
 from collections import OrderedDict, deque
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 
+from hillstack.core.crash_counts import REPEATED_RETENTION_SECONDS, SINGLE_RETENTION_SECONDS
 from hillstack.core.crash_ledger import MAX_LEDGER_CRASHES
-from hillstack.core.run_at_crash import SETTLED_SECONDS
+from hillstack.core.run_at_crash import SETTLED_SECONDS, RunAtCrash
+from hillstack.core.runner_crashes import (
+    MAX_NOTICE_LATENCY_SECONDS,
+    ORDER_SLACK_SECONDS,
+    RACK_SECONDS,
+)
 
 # Crashes from which a part is a suspect. With 1, each crash would make all parts of its runs
 # suspects, although most crashes have other causes.
@@ -35,9 +41,7 @@
 MIN_INDEPENDENT_CRASHES = 2
 # Crashes within this time may have a common cause, such as the power of a rack. Includes the
 # latency of the notices that date them.
-COMMON_CAUSE_SECONDS = 0.35
-# Tolerance for the order of events that peers report: the latency of a notice, some milliseconds.
-ORDER_SLACK_SECONDS = 0.02
+COMMON_CAUSE_SECONDS = RACK_SECONDS + MAX_NOTICE_LATENCY_SECONDS
 # Time without any send after the latest crash under a fatal part, by the number of its trials that
 # crashed a runner; no trial follows the third.
 TRIAL_PAUSES_SECONDS = (10.0, 10.0, 60.0)
@@ -47,9 +51,6 @@
 SURVIVAL_MARGIN_SECONDS = SETTLED_SECONDS
 # The same for the age of a run whose answer comes as a whole. The age includes the time in a queue.
 WHOLE_SURVIVAL_MARGIN_SECONDS = 1.0
-# Retention of parts with one crash, and of parts with several.
-SINGLE_RETENTION_SECONDS = 3_600.0
-REPEATED_RETENTION_SECONDS = 6 * 3_600.0
 # Parts stored: those of 32 runners with 64 requests each, most of which share their parts.
 MAX_PARTS = 4_096
 # Crashes stored for a part: the first ones, and the latest one.
@@ -59,7 +60,8 @@
 MIN_CONTRAST = 3
 # Latest successful runs that are stored, for comparison with the crashes.
 MAX_SUCCESSES = 64
-# Stands among the crashed runners in the ledger of a part that a node has found fatal.
+# Stands among the crashed runners in the ledger of a part that a node has found fatal, by successes
+# that other nodes may lack.
 FATAL_MARK = "fatal"
 
 
@@ -77,25 +79,12 @@
     FATAL = 2
 
 
-@dataclass(frozen=True, slots=True)
-class PartRun:
-    """The oldest run with a part on a runner that crashed.
-
-    Attributes:
-        age: Seconds from the sending of the request to the crash.
-        answering: Seconds from the first bytes of the answer to the crash; 0 before them.
-    """
-
-    age: float
-    answering: float = 0.0
-
-
 @dataclass(frozen=True, slots=True)
 class PartCrash:
-    """The crash of a runner under a part, with times on this node's clock."""
+    """The crash of a runner, on this node's clock, and the oldest run there with a part."""
 
     crashed_at: float
-    run: PartRun
+    run: RunAtCrash
 
     @property
     def began_at(self) -> float:
@@ -133,9 +122,7 @@
         self._cleared: OrderedDict[int, float] = OrderedDict()
         # The latest successful runs: when they ended, and their parts.
         self._successes: deque[tuple[float, frozenset[int]]] = deque(maxlen=MAX_SUCCESSES)
-        # Parts that a node has found fatal, according to the store.
-        self._confirmed: set[int] = set()
-        # Runners that crashed under trials, which count toward the bound for good.
+        # Runners that crashed under trials, which count toward the bound for good, and the mark.
         self._trials: dict[int, frozenset[str]] = {}
         self.revision = 0
 
@@ -143,7 +130,7 @@
         """Return whether a crash is recorded under any part."""
         return bool(self._by_part)
 
-    def record(self, runner_id: str, crashed_at: float, runs: Mapping[int, PartRun]) -> None:
+    def record(self, runner_id: str, crashed_at: float, runs: Mapping[int, RunAtCrash]) -> None:
         """Record the crash of a runner under parts, or a further report of it."""
         for part, run in runs.items():
             if crashed_at <= self._cleared.get(part, -math.inf):
@@ -163,10 +150,6 @@
         """Record that a run of a request with these parts succeeded."""
         self._successes.append((now, frozenset(parts)))
 
-    def confirm(self, part: int) -> None:
-        """Record that a node has found a part fatal, by successes that this one may lack."""
-        self._confirmed.add(part)
-
     def must_be_served(self, part: int) -> bool:
         """Return whether a suspected part is sent although its trials are used up.
 
@@ -176,7 +159,7 @@
         return is_used_up and not self._has_contrast(part)
 
     def record_trials(self, part: int, crashed: Collection[str]) -> None:
-        """Record runners that crashed under trials of a part."""
+        """Record runners that crashed under trials of a part, or the mark of a node."""
         if crashed:
             self._trials[part] = self._trials.get(part, frozenset()).union(crashed)
 
@@ -197,18 +180,16 @@
         """Yield the crashed runners."""
         yield from self._parts_at
 
-    def clear(self, part: int, now: float) -> bool:
-        """Clear a part after a run with it survived; return whether it had crashes."""
+    def clear(self, part: int, now: float) -> None:
+        """Clear a part after a run with it survived."""
         self._trials.pop(part, None)
-        self._confirmed.discard(part)
         if part not in self._by_part:
-            return False
+            return
         self._remove(part)
         self._cleared[part] = now
         self._cleared.move_to_end(part)
         while len(self._cleared) > MAX_PARTS:
             self._cleared.popitem(last=False)
-        return True
 
     def is_evidence(self, part: int, sent_at: float, age: float = math.inf) -> bool:
         """Return whether the success of a run would clear a part.
@@ -240,7 +221,7 @@
             return False
         runs = [crash.run for crash in self._by_part[part].values()]
         if answering is not None:
-            longest = max(run.answering for run in runs)
+            longest = max(run.answering or 0.0 for run in runs)
             return answering > SURVIVAL_FACTOR * longest + SURVIVAL_MARGIN_SECONDS
         oldest = max(run.age for run in runs)
         return age > SURVIVAL_FACTOR * oldest + WHOLE_SURVIVAL_MARGIN_SECONDS
@@ -260,11 +241,9 @@
             return NO_SUSPICION
         return PartVerdict(PartSuspicion.SUSPECT, tuple(sorted(suspects)))
 
-    def explained_runners(self) -> frozenset[str]:
-        """Return the runners whose crash a part explains, whatever else ran on them."""
-        return frozenset(
-            runner_id for part in self.fatal_parts() for runner_id in self._by_part[part]
-        )
+    def explained_runners(self, fatal: Iterable[int]) -> frozenset[str]:
+        """Return the runners whose crash a fatal part explains, whatever else ran on them."""
+        return frozenset(runner_id for part in fatal for runner_id in self._by_part[part])
 
     def fatal_parts(self) -> list[int]:
         """Return the parts under which so many runners crashed that they may be fatal."""
@@ -290,7 +269,6 @@
         ]
         for part in old:
             self._remove(part)
-            self._confirmed.discard(part)
         return [part for part in old if self._trials.pop(part, None)]
 
     def _judge_part(self, part: int, parts: Collection[int]) -> PartSuspicion:
@@ -310,7 +288,7 @@
 
         Runs with the part have not, or it would be cleared.
         """
-        if part in self._confirmed:
+        if FATAL_MARK in self.trials(part):
             return True
         crashes = self._by_part.get(part, {})
         first = min((crash.crashed_at for crash in crashes.values()), default=math.inf)
--- a/src/hillstack/daemon/permit_services.py
+++ b/src/hillstack/daemon/permit_services.py
@@ -9,7 +9,7 @@
 from hillstack.daemon.path_monitor import ProbeResult, TargetProbe
 from hillstack.daemon.peer_link import PeerLink
 from hillstack.daemon.peer_permits import PeerPermits
-from hillstack.serving.crash_knowledge import CrashKnowledge, PartKnowledge
+from hillstack.serving.crash_knowledge import CrashKnowledge, Knowledge, PartKnowledge
 from hillstack.serving.crash_permits import CrashPermits
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.ledger_recorder import LedgerRecorder
@@ -51,18 +51,12 @@
         return result is ProbeResult.ANSWERED
 
     survival = RunSurvival(state.pool, clock, answers_call)
-    parts = PermitServices(
-        part_knowledge,
-        CrashPermits(part_ledgers, state.node_id, clock, is_isolated, peers),
-        peers,
-        LedgerRecorder(part_ledgers, asyncio.create_task),
-        survival,
-    )
-    return PermitServices(
-        knowledge,
-        CrashPermits(ledgers, state.node_id, clock, is_isolated, peers),
-        peers,
-        LedgerRecorder(ledgers, asyncio.create_task),
-        survival,
-        parts,
-    )
+
+    def make_services(
+        of: Knowledge, ledgers: LimitedLedgerStore, parts: PermitServices | None = None
+    ) -> PermitServices:
+        permits = CrashPermits(ledgers, state.node_id, clock, is_isolated, peers)
+        recorder = LedgerRecorder(ledgers, asyncio.create_task)
+        return PermitServices(of, permits, peers, recorder, survival, parts)
+
+    return make_services(knowledge, ledgers, make_services(part_knowledge, part_ledgers))
--- a/src/hillstack/serving/crash_logs.py
+++ b/src/hillstack/serving/crash_logs.py
@@ -85,6 +85,12 @@
     logger.info(message, extra={"request": job.request.request_id} | named | fields)
 
 
+def log_fatal_part(part: int, crashes: PartCrashes) -> None:
+    """Log that a part was found fatal."""
+    fields = {"part_name": f"{part:016x}", "runners": list(crashes.crashes(part))}
+    logger.warning("part ends runners", extra=fields)
+
+
 def log_part_refused(job: Job, part: int, crashes: PartCrashes) -> None:
     """Log that a request is not sent because of a fatal part, with the evidence."""
     runners, trials = list(crashes.crashes(part)), sorted(crashes.trials(part))
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable, Iterable
 
 from hillstack.core.cache_watch import CacheHolder
-from hillstack.core.crash_counts import CrashCounts
+from hillstack.core.crash_counts import REPEATED_RETENTION_SECONDS, CrashCounts
 from hillstack.core.crash_ledger import KnownLedgers
 from hillstack.core.freshness import Freshness
 from hillstack.core.node_directory import NodeDirectory, NodeEntry
-from hillstack.core.part_crashes import FATAL_MARK, REPEATED_RETENTION_SECONDS, PartCrashes
+from hillstack.core.part_crashes import PartCrashes
 from hillstack.core.part_index import PartIndex
 from hillstack.core.probations import Probations
 from hillstack.core.routing_table import EngineProfile, KvCacheStore, RoutingTable
@@ -202,8 +202,6 @@
             case PartLedgerChanged(part, ledger):
                 self.part_ledgers.update(part, ledger, now)
                 if ledger is not None:
-                    if FATAL_MARK in ledger.crashed:
-                        self.part_crashes.confirm(part)
                     self.part_crashes.record_trials(part, ledger.crashed)
 
     def note_proof(self, revision: StoreRevision, proved_at: float) -> None:
--- a/src/hillstack/serving/part_crashes.py
+++ b/src/hillstack/serving/part_crashes.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import math
 from collections.abc import Callable, Iterable, Mapping
 
@@ -26,7 +25,7 @@
 from hillstack.core.run_at_crash import RunAtCrash
 from hillstack.core.runner_pool import Runner
 from hillstack.messages.runner_ends import RunnerEndNotice
-from hillstack.serving.crash_logs import log_part, log_part_refused
+from hillstack.serving.crash_logs import log_fatal_part, log_part, log_part_refused
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import Job
 from hillstack.serving.metrics import FleetMetrics
@@ -48,8 +47,6 @@
 )
 from hillstack.serving.types import Verdict
 
-logger = logging.getLogger(__name__)
-
 PART_REASON = "runners ended while they worked on a part of this prompt"
 # Longest wait of a request for the outcome of a trial of one of its parts.
 TRIAL_WAIT_SECONDS = 1.0
@@ -186,7 +183,7 @@
         """Record the first bytes of an attempt's answer; check later whether it survives."""
         if self._is_active():
             loop = asyncio.get_running_loop()
-            loop.call_later(SURVIVAL_CHECK_SECONDS, self._note_long_run, attempt_id)
+            loop.call_later(SURVIVAL_CHECK_SECONDS, self._check_stream, attempt_id)
 
     def finished(self, job: Job, runner_id: str, *, may_still_run: bool) -> None:
         """Record the end of an attempt."""
@@ -198,8 +195,7 @@
         """Record that an answer was passed on; a success clears the parts of its request."""
         if not succeeded or not self._is_active():
             return
-        if shared_part_names(job):
-            self._crashes.record_success(part_names_of(job), self._clock())
+        self._record_success(job)
         for part, permitted in job.part_permits.items():
             self._permits.answered(part, permitted, succeeded=True)
         self._clear(job, [part for part in shared_part_names(job) if self._refutes(job, part)])
@@ -267,7 +263,7 @@
         self._counted.intersection_update(self._active)
         for attempt_id, (job, _) in list(self._active.items()):
             if now - job.sent_at > LONG_RUN_SECONDS:
-                self._note_long_run(attempt_id)
+                self._count_long_run(attempt_id)
             self._check_survival(attempt_id)
         # Successes and marks make parts fatal too, without a change of the crashes.
         self._revision = UNKNOWN_REVISION
@@ -321,15 +317,27 @@
             return self._crashes.is_evidence(part, job.sent_at, age)
         return self._permits.has_ledger(part)
 
-    def _note_long_run(self, attempt_id: str) -> None:
-        """Count a run that is still under way after a while as a success for comparison."""
+    def _check_stream(self, attempt_id: str) -> None:
+        """Check a stream whose answer began a while ago."""
+        if self._count_long_run(attempt_id):
+            self._check_survival(attempt_id)
+
+    def _count_long_run(self, attempt_id: str) -> bool:
+        """Count a run that is still under way as a success for comparison, once.
+
+        Returns:
+            Whether it is under way and was not counted before.
+        """
         found = self._active.get(attempt_id)
         if found is None or attempt_id in self._counted:
-            return
+            return False
         self._counted.add(attempt_id)
-        if shared_part_names(found[0]):
-            self._crashes.record_success(part_names_of(found[0]), self._clock())
-        self._check_survival(attempt_id)
+        self._record_success(found[0])
+        return True
+
+    def _record_success(self, job: Job) -> None:
+        if shared_part_names(job):
+            self._crashes.record_success(part_names_of(job), self._clock())
 
     def _check_survival(self, attempt_id: str) -> None:
         """Clear the parts whose crashes a run under way has outlasted."""
@@ -361,10 +369,10 @@
         """Apply changed crashes: what they explain, and which parts are fatal."""
         if self._crashes.revision != self._revision:
             self._revision = self._crashes.revision
-            explained = self._crashes.explained_runners()
+            fatal = self._crashes.fatal_parts()
+            explained = self._crashes.explained_runners(fatal)
             self._state.runner_crashes.set_explained_by_parts(explained)
             self._state.crash_counts.set_explained_by_parts(explained)
-            fatal = self._crashes.fatal_parts()
             self._announce(fatal)
             self._fatal = fatal
         self._mark(self._fatal)
@@ -387,6 +395,4 @@
             if part in self._fatal:
                 continue
             self._metrics.runner_ends.labels("fatal_part").inc()
-            crashes = self._crashes.crashes(part)
-            fields = {"part_name": f"{part:016x}", "runners": list(crashes)}
-            logger.warning("part ends runners", extra=fields)
+            log_fatal_part(part, self._crashes)
--- a/src/hillstack/serving/part_notices.py
+++ b/src/hillstack/serving/part_notices.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 
-from hillstack.core.part_crashes import PartCrash, PartRun
+from hillstack.core.part_crashes import PartCrash
 from hillstack.core.request_fingerprint import part_name
 from hillstack.core.run_at_crash import RunAtCrash
 from hillstack.messages.runner_ends import PartAtEnd, RunnerEndNotice
@@ -13,23 +13,23 @@
 MAX_NOTICE_PARTS = 64
 
 
-def part_runs(runs: Iterable[RunAtCrash]) -> dict[int, PartRun]:
+def part_runs(runs: Iterable[RunAtCrash]) -> dict[int, RunAtCrash]:
     """Return the oldest run with each shared part, of the runs that had not settled."""
-    found: dict[int, PartRun] = {}
+    found: dict[int, RunAtCrash] = {}
     for run in runs:
         if run.is_settled:
             continue
         for part in map(part_name, run.part_ids):
             known = found.get(part)
             if known is None or run.age > known.age:
-                found[part] = PartRun(run.age, run.answering or 0.0)
+                found[part] = run
     return found
 
 
-def reported_part_runs(notice: RunnerEndNotice) -> dict[int, PartRun]:
+def reported_part_runs(notice: RunnerEndNotice) -> dict[int, RunAtCrash]:
     """Return the oldest run with each part in a peer's notice."""
     return {
-        part.name: PartRun(part.age_ms / 1000, part.answering_ms / 1000) for part in notice.parts
+        part.name: RunAtCrash(part.age_ms / 1000, part.answering_ms / 1000) for part in notice.parts
     }
 
 
@@ -46,5 +46,5 @@
         yield RunnerEndNotice(runner_id, ended_ms_ago, [], parts=parts)
 
 
-def _part_at_end(name: int, run: PartRun) -> PartAtEnd:
-    return PartAtEnd(name, round(run.age * 1000), round(run.answering * 1000))
+def _part_at_end(name: int, run: RunAtCrash) -> PartAtEnd:
+    return PartAtEnd(name, round(run.age * 1000), round((run.answering or 0.0) * 1000))
--- a/src/hillstack/serving/permit_voter.py
+++ b/src/hillstack/serving/permit_voter.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from hillstack.core.part_crashes import REPEATED_RETENTION_SECONDS
+from hillstack.core.crash_counts import REPEATED_RETENTION_SECONDS
 from hillstack.core.peer_permits import PeerPermitRequest, PeerPermitVotes, Vote
 from hillstack.core.runner_crashes import RunnerCrashRecord, Suspicion
 from hillstack.serving.crash_knowledge import CrashKnowledge, PartKnowledge
--- a/src/hillstack/serving/suspect_permits.py
+++ b/src/hillstack/serving/suspect_permits.py
@@ -126,7 +126,7 @@
         """Remove the ledger of a name after a successful run."""
         if not succeeded or self._services is None:
             return
-        if not permitted.sends and (not self._ledgers or not self.has_ledger(name)):
+        if not permitted.sends and not self.has_ledger(name):
             return
         for send in permitted.sends:
             if send.peer_permit is not None:
--- a/src/hillstack/serving/suspected_parts.py
+++ b/src/hillstack/serving/suspected_parts.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Mapping
 
+from hillstack.core.crash_counts import REPEATED_RETENTION_SECONDS
 from hillstack.core.crash_ledger import CrashLedger
 from hillstack.core.part_crashes import (
     FATAL_MARK,
-    REPEATED_RETENTION_SECONDS,
     SURVIVAL_MARGIN_SECONDS,
     PartSuspicion,
     PartVerdict,
--- a/tests/fleet/crash_traffic.py
+++ b/tests/fleet/crash_traffic.py
@@ -8,13 +8,12 @@
 from random import Random
 
 from tests.fleet.fatal_world import Outcome, World
+from tests.fleet.runner_restarts import RESTART_SECONDS, RunnerRestarts
 
 # Time by which all nodes must know of a crash, and the sends that are allowed after it.
 CONTACT_SECONDS = 3.0
 CRASHES_BEFORE_LIMIT = 3
 MAX_LATE_SENDS = 3
-RESTART_SECONDS = 3.0
-DIRECTORY_SECONDS = 3.6
 STEP_SECONDS = 0.005
 
 # Returns the changes that distinguish a try from other tries of its content, by its number.
@@ -79,10 +78,7 @@
             FatalCaller(b"fatal %d" % number, now + self._rng.uniform(0.0, 1.0))
             for number in range(self.fatal)
         ]
-        self._restarts: list[tuple[float, str]] = []
-        self._removals: list[tuple[float, str]] = []
-        self._ended: set[str] = set()
-        self._started = 0
+        self._restarts = RunnerRestarts(self.world, self.restart_seconds)
 
     def run(self, seconds: float, each_step: Callable[[float], None] | None = None) -> None:
         """Run for some seconds of virtual time."""
@@ -90,7 +86,7 @@
         until = world.scheduler.now + seconds
         while world.scheduler.now < until:
             now = world.scheduler.now
-            self._restart_runners(now)
+            self._restarts.step(now)
             for caller in self.callers:
                 self._advance(caller, now)
             if self._rng.random() < self.others_per_second * STEP_SECONDS:
@@ -153,17 +149,3 @@
         caller.tries += 1
         send: Callable[..., Outcome] = functools.partial(self.world.send, self._any_node())
         return send(caller.body, **self.vary(caller.tries))
-
-    def _restart_runners(self, now: float) -> None:
-        for runner in self.world.runners.ended():
-            if runner.runner_id not in self._ended:
-                self._ended.add(runner.runner_id)
-                self._restarts.append((now + self.restart_seconds, runner.runner_id))
-                self._removals.append((now + DIRECTORY_SECONDS, runner.runner_id))
-        for due in [due for due in self._restarts if now >= due[0]]:
-            self._restarts.remove(due)
-            self._started += 1
-            self.world.start_runner(f"j-{self._started}")
-        for due in [due for due in self._removals if now >= due[0]]:
-            self._removals.remove(due)
-            self.world.unlist_runner(due[1])
--- a/tests/fleet/part_traffic.py
+++ b/tests/fleet/part_traffic.py
@@ -11,6 +11,7 @@
 
 from hillstack.serving.types import RejectedError, StreamCutError
 from tests.fleet.fatal_world import FATAL_PART, Outcome, World
+from tests.fleet.runner_restarts import RunnerRestarts
 
 # Time by which all nodes must know of a crash, and the sends that are allowed after it.
 CONTACT_SECONDS = 3.0
@@ -18,8 +19,6 @@
 MAX_LATE_SENDS = 3
 MAX_TRIES = 3
 RETRY_SECONDS = 0.3
-RESTART_SECONDS = 3.0
-DIRECTORY_SECONDS = 3.6
 STEP_SECONDS = 0.005
 FIRST_PART = "system"
 
@@ -87,9 +86,7 @@
         self._callers: list[_Caller] = []
         self._fatal_bodies: dict[bytes, str] = {}
         self._sent = 0
-        self._ended: set[str] = set()
-        self._due: list[tuple[float, Callable[[], None]]] = []
-        self._started = 0
+        self._restarts = RunnerRestarts(self.world)
 
     def run(self, seconds: float, each_step: Callable[[float], None] | None = None) -> None:
         """Run for some seconds of virtual time."""
@@ -97,7 +94,7 @@
         until = world.scheduler.now + seconds
         while world.scheduler.now < until:
             now = world.scheduler.now
-            self._restart_runners(now)
+            self._restarts.step(now)
             for part in self.fatal:
                 if self._rng.random() < part.per_second * STEP_SECONDS:
                     self._send_fatal(part)
@@ -136,10 +133,6 @@
         ]
         return sum(outcomes) / len(outcomes)
 
-    def rejections(self) -> list[RejectedError]:
-        """Return the rejections of the latest tries with a fatal part."""
-        return [error for error in self._errors() if isinstance(error, RejectedError)]
-
     def unexpected_errors(self) -> list[BaseException]:
         """Return the errors that no request may end with."""
         allowed = RejectedError, StreamCutError
@@ -194,29 +187,3 @@
             caller.tries += 1
             caller.next_at = float("inf")
             caller.outcome = self._send(caller.body, caller.parts, self.fatal_at)
-
-    def _restart_runners(self, now: float) -> None:
-        for runner in self.world.runners.ended():
-            if runner.runner_id not in self._ended:
-                self._ended.add(runner.runner_id)
-                self._due.append((now + RESTART_SECONDS, self._start_runner))
-                unlist = _Unlisting(self.world, runner.runner_id)
-                self._due.append((now + DIRECTORY_SECONDS, unlist))
-        for due in [due for due in self._due if now >= due[0]]:
-            self._due.remove(due)
-            due[1]()
-
-    def _start_runner(self) -> None:
-        self._started += 1
-        self.world.start_runner(f"j-{self._started}")
-
-
-@dataclass(frozen=True)
-class _Unlisting:
-    """Removes a crashed runner from the directory."""
-
-    world: World
-    runner_id: str
-
-    def __call__(self) -> None:
-        self.world.unlist_runner(self.runner_id)
--- a/tests/fleet/test_fatal_parts.py
+++ b/tests/fleet/test_fatal_parts.py
@@ -110,6 +110,14 @@
     return crashes[min(len(crashes), 5) - 1]
 
 
+def assert_stopped(traffic: PartTraffic, seconds: float = 14.0) -> None:
+    """Check both promises some seconds after the crashes that are allowed."""
+    fifth = first_crashes(traffic)
+    traffic.run(seconds)
+    assert_bounded(traffic)
+    assert_served(traffic, fifth + SETTLED_SECONDS)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("per_second", [1.0, 8.0])
 @pytest.mark.parametrize(("before", "after"), [(0, 0), (1, 0), (1, 2), (None, 1)])
@@ -119,30 +127,21 @@
     world = World(8, 4, lists_later_nodes=True)
     part = FatalPart(per_second=per_second, before=before, after=after)
     with playing(PartTraffic(world, seed, [part])) as traffic:
-        fifth = first_crashes(traffic)
-        traffic.run(14.0)
-        assert_bounded(traffic)
-        assert_served(traffic, fifth + SETTLED_SECONDS)
+        assert_stopped(traffic)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_part_of_requests_that_may_run_once_is_bounded_too(seed: int) -> None:
     world = World(8, 4, lists_later_nodes=True)
     with playing(PartTraffic(world, seed, path="/once/x")) as traffic:
-        fifth = first_crashes(traffic)
-        traffic.run(14.0)
-        assert_bounded(traffic)
-        assert_served(traffic, fifth + SETTLED_SECONDS)
+        assert_stopped(traffic)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_part_of_requests_without_cache_is_bounded_too(seed: int) -> None:
     world = World(8, 4, application=True, lists_later_nodes=True)
     with playing(PartTraffic(world, seed)) as traffic:
-        fifth = first_crashes(traffic)
-        traffic.run(14.0)
-        assert_bounded(traffic)
-        assert_served(traffic, fifth + SETTLED_SECONDS)
+        assert_stopped(traffic)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -211,10 +210,7 @@
     world = SilentStoreWorld(10, 4, lists_later_nodes=True)
     world.silent_from, world.silent_until = 0.0, 10.0
     with playing(PartTraffic(world, seed)) as traffic:
-        fifth = first_crashes(traffic)
-        traffic.run(20.0)
-        assert_bounded(traffic)
-        assert_served(traffic, fifth + SETTLED_SECONDS)
+        assert_stopped(traffic, 20.0)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
--- a/tests/fleet/test_part_crashes.py
+++ b/tests/fleet/test_part_crashes.py
@@ -2,18 +2,18 @@
 
 from __future__ import annotations
 
+from hillstack.core.crash_counts import REPEATED_RETENTION_SECONDS, SINGLE_RETENTION_SECONDS
 from hillstack.core.part_crashes import (
     COMMON_CAUSE_SECONDS,
+    FATAL_MARK,
     MAX_CRASHES_PER_PART,
     MAX_PARTS,
     MIN_CONTRAST,
-    REPEATED_RETENTION_SECONDS,
-    SINGLE_RETENTION_SECONDS,
     TRIAL_PAUSES_SECONDS,
     PartCrashes,
-    PartRun,
     PartSuspicion,
 )
+from hillstack.core.run_at_crash import RunAtCrash
 
 FIRST, MIDDLE, FATAL, OTHER = 1, 2, 3, 4
 AGE = 0.1
@@ -30,7 +30,7 @@
 def crash(record: PartCrashes, number: int, *parts: int, at: float | None = None) -> None:
     """Record the crash of a runner, by default a second after the one before."""
     crashed_at = float(number) if at is None else at
-    record.record(f"i-{number}", crashed_at, dict.fromkeys(parts, PartRun(AGE)))
+    record.record(f"i-{number}", crashed_at, dict.fromkeys(parts, RunAtCrash(AGE)))
 
 
 def suspicion(record: PartCrashes, *parts: int, now: float = 10.0) -> PartSuspicion:
@@ -57,7 +57,7 @@
     record = record_with_successes()
     for number in range(8):
         crashed_at = 5.0 + number / 8 * COMMON_CAUSE_SECONDS
-        record.record(f"i-{number}", crashed_at, {FATAL: PartRun(2.0)})
+        record.record(f"i-{number}", crashed_at, {FATAL: RunAtCrash(2.0)})
     assert suspicion(record, FATAL) is PartSuspicion.SUSPECT
 
 
@@ -115,7 +115,7 @@
 
 def test_a_run_survives_beyond_the_times_at_the_crashes() -> None:
     record = record_with_successes()
-    record.record("i-1", 5.0, {FATAL: PartRun(0.5, 0.2)})
+    record.record("i-1", 5.0, {FATAL: RunAtCrash(0.5, 0.2)})
     assert not record.has_survived(FATAL, 5.0, 1.5, 0.9)
     assert record.has_survived(FATAL, 5.0, 1.5, 1.0)
     assert not record.has_survived(FATAL, 5.0, 1.9, None)
@@ -181,9 +181,9 @@
     record = record_with_successes()
     crash(record, 1, FATAL)
     crash(record, 2, FATAL)
-    assert record.explained_runners() == frozenset()
+    assert record.explained_runners(record.fatal_parts()) == frozenset()
     crash(record, 3, FATAL)
-    assert record.explained_runners() == {"i-1", "i-2", "i-3"}
+    assert record.explained_runners(record.fatal_parts()) == {"i-1", "i-2", "i-3"}
 
 
 def test_no_part_is_fatal_while_no_request_without_it_succeeds() -> None:
@@ -204,7 +204,7 @@
     record = PartCrashes()
     for number in range(1, 4):
         crash(record, number, FATAL)
-    record.confirm(FATAL)
+    record.record_trials(FATAL, [FATAL_MARK])
     assert suspicion(record, FATAL) is PartSuspicion.FATAL
     record.clear(FATAL, 4.0)
     for number in range(5, 9):
--- a/tests/stateful/test_part_crashes.py
+++ b/tests/stateful/test_part_crashes.py
@@ -14,9 +14,9 @@
     MIN_CONTRAST,
     MIN_FATAL_CRASHES,
     PartCrashes,
-    PartRun,
     PartSuspicion,
 )
+from hillstack.core.run_at_crash import RunAtCrash
 
 FATAL = 0
 SOUND_PARTS = (1, 2, 3, 4)
@@ -57,7 +57,7 @@
         if self.must_be_stopped():
             self.suspect_crashes += 1
         self.crashes += 1
-        self.record.record(f"i-{self.crashes}", self.now, dict.fromkeys(parts, PartRun(0.05)))
+        self.record.record(f"i-{self.crashes}", self.now, dict.fromkeys(parts, RunAtCrash(0.05)))
 
     @rule(parts=Sound)
     def send_without_the_part(self, parts: set[int]) -> None:
