Places: a runner that signals while a request waits for its place gets no request

Ruled out: a signal that was not applied (the line "runner signal" precedes both), a hint of a peer.

Change: after the wait, a runner that no longer takes requests is not sent the request; the next choice leaves it out. The same holds for a wait on its limit.

Test: fails before with both signals, passes after.

--- a/src/hillstack/serving/runner_limits.py
+++ b/src/hillstack/serving/runner_limits.py
@@ -64,11 +64,16 @@
         self._clock = clock
 
     async def admits(self, job: Job, runner: Runner) -> bool:
-        """Charge an attempt to a runner's limit; return whether the limit has room.
+        """Charge an attempt to a runner's limit; return whether it may be sent to the runner.
 
         A runner whose limit has no room, or a brittle one without a free place, accepts no work of
-        this node for a while.
+        this node for a while. A runner may also leave, fail or ask for a backoff while this node
+        waits for another one's answer.
         """
+        return await self._reserve_send(job, runner) and _takes_requests(runner, self._clock())
+
+    async def _reserve_send(self, job: Job, runner: Runner) -> bool:
+        """Get a place at a brittle runner, and charge an attempt to the limit of a runner."""
         if not await self._has_place(job, runner):
             return False
         limit = runner.signals.limit
@@ -153,6 +158,13 @@
         logger.info("runner limit asked", extra=fields)
 
 
+def _takes_requests(runner: Runner, now: float) -> bool:
+    """Return whether a runner takes requests, whatever other requests did to its limit."""
+    return runner.will_accept(now) and now >= max(
+        runner.suspected_until, runner.signals.backoff_until
+    )
+
+
 def holds_back(limit: RunnerLimit, now: float) -> bool:
     """Return whether a limit currently keeps all requests of this node away from its runner."""
     return limit.in_force(now) is not None and now < limit.exhausted_until
--- a/tests/fleet/test_runner_limits.py
+++ b/tests/fleet/test_runner_limits.py
@@ -38,6 +38,7 @@
 from hillstack.platform import names
 from hillstack.platform.runner_signals import MAX_REQUESTS_PER_SECOND, parse_limit, parse_signals
 from hillstack.serving.metrics import FleetMetrics
+from hillstack.serving.ports import PlaceAnswer
 from hillstack.serving.runner_limits import (
     CALL_RANK,
     HOLDER_TIMEOUT_SECONDS,
@@ -296,6 +297,46 @@
     assert [(name, cost) for name, cost, _ in limited.limiter.taken] == [("i-1", 1.0)]
 
 
+class SignallingPlaces:
+    """Grants each place, and the runner of the first one signals meanwhile.
+
+    Attributes:
+        asked: The runners at which places were asked for.
+    """
+
+    def __init__(self, bench: Bench, signals: RunnerSignals) -> None:
+        self._bench = bench
+        self._signals = signals
+        self.asked: list[str] = []
+
+    async def take(self, runner: Runner, rejections_per_second: float) -> PlaceAnswer:
+        if not self.asked:
+            pool, now = self._bench.state.pool, self._bench.scheduler.now
+            pool.apply_signals(runner.runner_id, self._signals, "GET /other", now)
+        self.asked.append(runner.runner_id)
+        return PlaceAnswer(granted=True, issuer="node-2")
+
+
+# Guards against requests that reach a runner which has signalled while they waited for a place.
+@pytest.mark.parametrize(
+    "signals", [RunnerSignals(leaving=True), RunnerSignals(backoff_seconds=1.5)]
+)
+def test_a_runner_that_signals_while_a_request_waits_for_its_place_gets_no_request(
+    signals: RunnerSignals,
+) -> None:
+    bench = make_bench(i_1=answers(b"a"), i_2=answers(b"a"))
+    places = SignallingPlaces(bench, signals)
+    clock = bench.scheduler.clock
+    bench.pipeline._runner_limits = RunnerLimits(
+        bench.state.pool, FakeLimiter(), FleetMetrics(), clock, places
+    )
+    sink, error = bench.serve(make_request())
+    assert (sink.status, error) == (200, None)
+    signalled, other = places.asked
+    assert signalled != other
+    assert [dispatch.runner_id for dispatch in bench.client.dispatches] == [other]
+
+
 def test_without_room_a_request_goes_to_another_runner_at_once() -> None:
     bench = make_bench(i_1=answers(b"a"), i_2=answers(b"b"))
     limited = LimitedBench(bench, "i-1")
