--- a/tests/fleet/test_fatal_parts.py
+++ b/tests/fleet/test_fatal_parts.py
@@ -171,9 +171,11 @@
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-def test_a_part_is_bounded_after_all_nodes_were_restarted(seed: int) -> None:
+@pytest.mark.parametrize("per_second", [3.0, 40.0])
+def test_a_part_is_bounded_after_all_nodes_were_restarted(seed: int, per_second: float) -> None:
     world = RestartedWorld(10, 4, lists_later_nodes=True)
-    with playing(PartTraffic(world, seed)) as traffic:
+    part = FatalPart(per_second=per_second)
+    with playing(PartTraffic(world, seed, [part])) as traffic:
         fifth = first_crashes(traffic, 4.0)
         for _ in range(3):
             traffic.run(5.0)
