Parts: a node that knows one crash under a part still asks the part's ledger

A node that has just started and hears of one crash, its own trial's for example, knew less than the ledger, but took its own count of one, with which no part is a suspect. All requests that waited for the trial were sent at once.

Change: the ledger counts until a node itself knows enough crashes to suspect the part.

--- a/src/hillstack/serving/part_crashes.py
+++ b/src/hillstack/serving/part_crashes.py
@@ -16,6 +16,7 @@
 from hillstack.core.crash_ledger import CrashLedger
 from hillstack.core.part_crashes import (
     FATAL_MARK,
+    MIN_SUSPECT_CRASHES,
     NO_SUSPICION,
     SURVIVAL_MARGIN_SECONDS,
     PartSuspicion,
@@ -279,14 +280,14 @@
         return bool(self._crashes) or bool(self._ledgers)
 
     def _judge(self, job: Job) -> PartVerdict:
-        """Judge a request by the crashes that this node knows, or else by the ledgers."""
+        """Judge a request by the crashes known here, or by ledgers where those are too few."""
         now = self._clock()
         parts = part_names_of(job)
         verdict = self._crashes.judge(parts, now) if parts else NO_SUSPICION
         if verdict.suspicion is PartSuspicion.FATAL or not self._ledgers:
             return verdict
-        unknown = [part for part in parts if not self._crashes.crashes(part)]
-        listed = [part for part in unknown if self._permits.has_ledger(part)]
+        few = [part for part in parts if not self._is_suspect(part)]
+        listed = [part for part in few if self._permits.has_ledger(part)]
         return with_ledgers(verdict, {part: self._ledger(part) for part in listed})
 
     def _ledger(self, part: int) -> CrashLedger:
@@ -304,7 +305,7 @@
         raise job.give_up_error(Verdict.UNAVAILABLE, PART_REASON, verdict.retry_after)
 
     def _is_suspect(self, part: int) -> bool:
-        return len(self._crashes.crashes(part)) > 1
+        return len(self._crashes.crashes(part)) >= MIN_SUSPECT_CRASHES
 
     def _release_trials(self, job: Job) -> None:
         if self._trials:
