Parts: a part with used-up trials is held back until the nodes have seen what succeeds

A node that has just started has seen none yet, and one that knew no crash, but only the ledger, could never see them, since successes count from the first crash known.

Ruled out: permits beyond the bound, a ledger without the trials (it had two).

Change: such a part is rejected for two seconds first, with the rest of that time as Retry-After; if the ledger decides, all successes since the start count. The marks in the store are a module of their own.

--- a/src/hillstack/core/part_crashes.py
+++ b/src/hillstack/core/part_crashes.py
@@ -58,6 +58,9 @@
 # Successful runs without a part, and none with it, from which the part may be fatal. Otherwise the
 # runners may crash under all requests.
 MIN_CONTRAST = 3
+# How long a part whose trials are used up is held back for want of such runs. A node that has just
+# started sees them within this time if there are any; if there are none, all requests may crash.
+CONTRAST_WAIT_SECONDS = 2.0
 # Latest successful runs that are stored, for comparison with the crashes.
 MAX_SUCCESSES = 64
 # Stands among the crashed runners in the ledger of a part that a node has found fatal, by successes
@@ -124,6 +127,8 @@
         self._successes: deque[tuple[float, frozenset[int]]] = deque(maxlen=MAX_SUCCESSES)
         # Runners that crashed under trials, which count toward the bound for good, and the mark.
         self._trials: dict[int, frozenset[str]] = {}
+        # Parts whose trials are used up, without a contrast, and since when.
+        self._lacking_contrast: dict[int, float] = {}
         self.revision = 0
 
     def __bool__(self) -> bool:
@@ -150,13 +155,20 @@
         """Record that a run of a request with these parts succeeded."""
         self._successes.append((now, frozenset(parts)))
 
-    def must_be_served(self, part: int) -> bool:
-        """Return whether a suspected part is sent although its trials are used up.
+    def served_in_seconds(self, part: int, now: float) -> float | None:
+        """Return after how long a suspected part is sent although its trials are used up.
 
-        Nothing shows that the part crashes runners, and not everything else as well.
+        By then nothing has shown for some time that the part crashes runners, and not everything
+        else as well.
+
+        Returns:
+            The seconds until then; None if the part may be tried, or if something has shown it.
         """
-        is_used_up = len(self.trials(part)) >= MAX_LEDGER_CRASHES
-        return is_used_up and not self._has_contrast(part)
+        if len(self.trials(part)) < MAX_LEDGER_CRASHES or self._has_contrast(part):
+            self._lacking_contrast.pop(part, None)
+            return None
+        since = self._lacking_contrast.setdefault(part, now)
+        return max(0.0, since + CONTRAST_WAIT_SECONDS - now)
 
     def record_trials(self, part: int, crashed: Collection[str]) -> None:
         """Record runners that crashed under trials of a part, or the mark of a node."""
@@ -182,7 +194,7 @@
 
     def clear(self, part: int, now: float) -> None:
         """Clear a part after a run with it survived."""
-        self._trials.pop(part, None)
+        self._forget_trials(part)
         if part not in self._by_part:
             return
         self._remove(part)
@@ -269,7 +281,12 @@
         ]
         for part in old:
             self._remove(part)
-        return [part for part in old if self._trials.pop(part, None)]
+        return [part for part in old if self._forget_trials(part)]
+
+    def _forget_trials(self, part: int) -> bool:
+        """Forget the trials of a part; return whether there were any."""
+        self._lacking_contrast.pop(part, None)
+        return self._trials.pop(part, None) is not None
 
     def _judge_part(self, part: int, parts: Collection[int]) -> PartSuspicion:
         crashes = self._by_part.get(part, {})
@@ -286,12 +303,15 @@
     def _has_contrast(self, part: int) -> bool:
         """Return whether enough runs without a part have succeeded since the first crash under it.
 
-        Runs with the part have not, or it would be cleared.
+        Runs with the part have not, or it would be cleared. A node that knows too few of the
+        crashes to suspect the part started later than the first one.
         """
         if FATAL_MARK in self.trials(part):
             return True
         crashes = self._by_part.get(part, {})
-        first = min((crash.crashed_at for crash in crashes.values()), default=math.inf)
+        first = -math.inf
+        if len(crashes) >= MIN_SUSPECT_CRASHES:
+            first = min(crash.crashed_at for crash in crashes.values())
         without = sum(at >= first and part not in parts for at, parts in self._successes)
         return without >= MIN_CONTRAST
 
--- a/src/hillstack/serving/part_crashes.py
+++ b/src/hillstack/serving/part_crashes.py
@@ -15,7 +15,6 @@
 
 from hillstack.core.crash_ledger import CrashLedger
 from hillstack.core.part_crashes import (
-    FATAL_MARK,
     MIN_SUSPECT_CRASHES,
     NO_SUSPICION,
     SURVIVAL_MARGIN_SECONDS,
@@ -30,6 +29,7 @@
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import Job
 from hillstack.serving.metrics import FleetMetrics
+from hillstack.serving.part_marks import PartMarks
 from hillstack.serving.part_notices import part_notices, part_runs, reported_part_runs
 from hillstack.serving.peers import PeerNotifier
 from hillstack.serving.permitted_sends import PermittedSends
@@ -59,10 +59,7 @@
 LONG_RUN_SECONDS = 1.5
 # A check of a stream that is due a little early would find that it has not survived yet.
 SURVIVAL_CHECK_SECONDS = SURVIVAL_MARGIN_SECONDS + 0.01
-# Pause before a mark is written again that the store does not show. Longer than the attempts of
-# ``LedgerRecorder``.
-MARK_PAUSE_SECONDS = 6.0
-# Number of nodes that report a crash to a node that has just started, and that mark a fatal part.
+# Number of nodes that report a crash to a node that has just started.
 CRASH_REPORTERS = 3
 
 # A revision that ``PartCrashes`` never has.
@@ -103,8 +100,7 @@
         # Attempts that were counted as successes while they were under way.
         self._counted: set[str] = set()
         self._fatal: list[int] = []
-        # When this node last wrote a mark of a fatal part to the store.
-        self._marked_at: dict[int, float] = {}
+        self._marks = PartMarks(state, clock)
         # The crashes that this node last reacted to.
         self._revision = UNKNOWN_REVISION
         self.set_permits(None)
@@ -147,9 +143,12 @@
             is_free = self._trials.get(part, job) is job
             has_fewest = self._order.may_go(part, len(verdict.parts), self._clock())
             if is_free and has_fewest and not (may_wait and len(verdict.parts) > 1):
-                if self._crashes.must_be_served(part):
+                served_in = self._crashes.served_in_seconds(part, self._clock())
+                if served_in == 0:
                     self._trials[part] = job
                     return
+                if served_in is not None:
+                    raise job.give_up_error(Verdict.UNAVAILABLE, PART_REASON, served_in)
                 await self._acquire(job, part)
             elif may_wait:
                 await asyncio.sleep(TRIAL_CHECK_SECONDS)
@@ -376,20 +375,8 @@
             self._state.crash_counts.set_explained_by_parts(explained)
             self._announce(fatal)
             self._fatal = fatal
-        self._mark(self._fatal)
-
-    def _mark(self, fatal: Iterable[int]) -> None:
-        """Make sure that the store has a ledger of each fatal part, for nodes that start."""
-        now = self._clock()
-        for part in fatal:
-            is_due = now >= self._marked_at.get(part, -math.inf) + MARK_PAUSE_SECONDS
-            is_marked = FATAL_MARK in self._ledger(part).crashed
-            if self._services is None or not is_due or is_marked:
-                continue
-            self._marked_at[part] = now
-            nodes = {node.node_id for node in self._state.nodes.all()} | {self._state.node_id}
-            if self._state.node_id in ranked(f"{part:016x}", nodes)[:CRASH_REPORTERS]:
-                self._services.recorder.mark(part, FATAL_MARK)
+        if self._services is not None:
+            self._marks.ensure(self._services, self._fatal)
 
     def _announce(self, fatal: list[int]) -> None:
         for part in fatal:
--- a/tests/fleet/test_fatal_parts.py
+++ b/tests/fleet/test_fatal_parts.py
@@ -185,6 +185,20 @@
         assert_served(traffic, fifth + 15.0 + SETTLED_SECONDS)
 
 
+# Guards against nodes that send a part whose trials are used up because they have not yet seen any
+# request succeed.
+@pytest.mark.parametrize("pause", [0.5, 0.8, 1.2])
+def test_a_part_is_bounded_while_all_nodes_restart_in_series(pause: float) -> None:
+    world = RestartedWorld(10, 4, lists_later_nodes=True)
+    with playing(PartTraffic(world, 0, [FatalPart(per_second=8.0)])) as traffic:
+        traffic.run(0.4)
+        for _ in range(round(8.0 / pause)):
+            world.restart_all_nodes()
+            traffic.run(pause)
+        traffic.run(6.0)
+        assert_bounded(traffic)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_part_is_bounded_after_the_ledgers_were_lost(seed: int) -> None:
     world = World(10, 4, lists_later_nodes=True)
@@ -273,14 +287,26 @@
         assert world.try_until_done("node-0", b"short new", parts=SOUND_PARTS).is_served
 
 
-# Requests that run for 2 s are all cut short by the crashes, so that nothing shows which is sound.
-def test_a_part_is_bounded_where_long_requests_come_seldom() -> None:
-    world = World(8, 2, application=True, lists_later_nodes=True)
+# Requests that run for 2 s are nearly all cut short by the crashes, so that little shows which is
+# sound.
+@pytest.mark.parametrize(
+    ("nodes", "sound_per_second", "per_second", "seed"),
+    [
+        pytest.param(2, 4.0, 1.0, 4, id="few"),
+        pytest.param(2, 4.0, 3.0, 1, id="more"),
+        pytest.param(4, 2.0, 3.0, 0, id="many"),
+        pytest.param(4, 2.0, 3.0, 1, id="none-succeeds"),
+    ],
+)
+def test_a_part_is_bounded_where_long_requests_come_seldom(
+    nodes: int, sound_per_second: float, per_second: float, seed: int
+) -> None:
+    world = World(8, nodes, application=True, lists_later_nodes=True)
     world.runners.events[b"short"] = 100
     part = FatalPart(per_second=0.0, before=0)
-    with playing(PartTraffic(world, 4, [part], sound_per_second=4.0)) as traffic:
+    with playing(PartTraffic(world, seed, [part], sound_per_second)) as traffic:
         traffic.run(3.0)
-        part.per_second = 1.0
+        part.per_second = per_second
         traffic.run(17.0)
         assert_bounded(traffic)
 
--- a/tests/fleet/test_part_crashes.py
+++ b/tests/fleet/test_part_crashes.py
@@ -5,6 +5,7 @@
 from hillstack.core.crash_counts import REPEATED_RETENTION_SECONDS, SINGLE_RETENTION_SECONDS
 from hillstack.core.part_crashes import (
     COMMON_CAUSE_SECONDS,
+    CONTRAST_WAIT_SECONDS,
     FATAL_MARK,
     MAX_CRASHES_PER_PART,
     MAX_PARTS,
@@ -216,9 +217,31 @@
     record = PartCrashes()
     for number in range(1, 4):
         crash(record, number, FIRST)
-    assert not record.must_be_served(FIRST)
+    assert record.served_in_seconds(FIRST, 3.0) is None
     record.record_trials(FIRST, ["i-1", "i-2", "i-3"])
-    assert record.must_be_served(FIRST)
+    assert record.served_in_seconds(FIRST, 4.0) == CONTRAST_WAIT_SECONDS
+    assert record.served_in_seconds(FIRST, 4.5) == CONTRAST_WAIT_SECONDS - 0.5
+    assert record.served_in_seconds(FIRST, 4.0 + CONTRAST_WAIT_SECONDS) == 0
     for _ in range(MIN_CONTRAST):
         record.record_success([OTHER], 10.0)
-    assert not record.must_be_served(FIRST)
+    assert record.served_in_seconds(FIRST, 10.0) is None
+
+
+def test_used_up_trials_of_crashes_that_a_node_does_not_know_stop_a_part_too() -> None:
+    record = PartCrashes()
+    record.record_trials(FIRST, ["i-1", "i-2"])
+    for _ in range(MIN_CONTRAST):
+        record.record_success([OTHER], 1.0)
+    assert record.served_in_seconds(FIRST, 2.0) is None
+    crash(record, 3, FIRST, at=5.0)
+    assert record.served_in_seconds(FIRST, 6.0) is None
+
+
+def test_a_cleared_part_has_no_trials_to_use_up() -> None:
+    record = PartCrashes()
+    record.record_trials(FIRST, ["i-1", "i-2"])
+    assert record.served_in_seconds(FIRST, 1.0) == CONTRAST_WAIT_SECONDS
+    record.clear(FIRST, 2.0)
+    assert record.served_in_seconds(FIRST, 9.0) is None
+    record.record_trials(FIRST, ["i-3", "i-4"])
+    assert record.served_in_seconds(FIRST, 10.0) == CONTRAST_WAIT_SECONDS
