Parts: a ledger that the store has lost counts until its part is marked again

Nodes that knew the crashes wrote the mark again, up to 6 s later, and others never.

Ruled out: permits beyond the bound (none were asked for), successes with the part.

Change: a node keeps a ledger that the store has lost for 10 s, unless a success cleared the part; its trials are evidence that a permit is needed; each node that knows the mark writes it again within a second. Also in virtual time: nodes repeat their notices as processes do. Without that the marks were written too late or not at all.

--- a/src/hillstack/core/crash_ledger.py
+++ b/src/hillstack/core/crash_ledger.py
@@ -28,6 +28,9 @@
 # All ledgers that a node writes within this time share a lease, so some are stored this much
 # shorter.
 LEASE_REUSE_SECONDS = 10.0
+# How long a node keeps a ledger that the store has no longer, unless a success cleared its name. A
+# store that is restored from an older copy lacks ledgers until nodes have written them again.
+MISSING_LEDGER_SECONDS = 10.0
 # Maximum number of ledgers that a node knows. The oldest are forgotten first.
 MAX_KNOWN_LEDGERS = 4_096
 
@@ -116,19 +119,43 @@
         self._retention = retention_seconds
         # Each ledger with the time at which it expires.
         self._known: OrderedDict[int, tuple[CrashLedger, float]] = OrderedDict()
+        # Ledgers that the store has no longer.
+        self._missing: set[int] = set()
 
     def __bool__(self) -> bool:
         return bool(self._known)
 
     def update(self, fingerprint: int, ledger: CrashLedger | None, now: float) -> None:
         """Apply a change of the store; None if there is no ledger any more."""
-        self._known.pop(fingerprint, None)
+        self._remove(fingerprint)
         if ledger is not None:
             self._known[fingerprint] = ledger, now + self._retention
         while len(self._known) > MAX_KNOWN_LEDGERS:
-            self._known.popitem(last=False)
+            self._remove(next(iter(self._known)))
+
+    def note_missing(self, fingerprint: int, now: float) -> None:
+        """Keep a ledger only for a while that the store has no longer."""
+        ledger, expires_at = self._known.get(fingerprint, (None, -math.inf))
+        if ledger is not None:
+            self._known[fingerprint] = ledger, min(expires_at, now + MISSING_LEDGER_SECONDS)
+            self._missing.add(fingerprint)
+
+    def is_missing(self, fingerprint: int) -> bool:
+        """Return whether the store has a known ledger no longer."""
+        return fingerprint in self._missing
+
+    def expire(self, now: float) -> list[int]:
+        """Forget the ledgers that have expired; return their requests or parts."""
+        expired = [name for name, (_, expires_at) in self._known.items() if now >= expires_at]
+        for name in expired:
+            self._remove(name)
+        return expired
 
     def get(self, fingerprint: int, now: float) -> CrashLedger | None:
         """Return the ledger of a request, or None if it has none."""
         ledger, expires_at = self._known.get(fingerprint, (None, -math.inf))
         return ledger if now < expires_at else None
+
+    def _remove(self, fingerprint: int) -> None:
+        self._known.pop(fingerprint, None)
+        self._missing.discard(fingerprint)
--- a/src/hillstack/core/part_crashes.py
+++ b/src/hillstack/core/part_crashes.py
@@ -179,6 +179,15 @@
         """Return the runners that crashed under trials of a part."""
         return self._trials.get(part, frozenset())
 
+    def marked_parts(self) -> list[int]:
+        """Return the parts that some node has found fatal, according to their ledgers."""
+        return [part for part, crashed in self._trials.items() if FATAL_MARK in crashed]
+
+    def forget_ledger(self, part: int) -> None:
+        """Forget the trials of a part whose ledger is gone, if no crash under it is known."""
+        if part not in self._by_part:
+            self._forget_trials(part)
+
     def crashes(self, part: int) -> Mapping[str, PartCrash]:
         """Return the crashes under a part, by runner."""
         return self._by_part.get(part, {})
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -7,7 +7,7 @@
 
 from hillstack.core.cache_watch import CacheHolder
 from hillstack.core.crash_counts import REPEATED_RETENTION_SECONDS, CrashCounts
-from hillstack.core.crash_ledger import KnownLedgers
+from hillstack.core.crash_ledger import CrashLedger, KnownLedgers
 from hillstack.core.freshness import Freshness
 from hillstack.core.node_directory import NodeDirectory, NodeEntry
 from hillstack.core.part_crashes import PartCrashes
@@ -199,10 +199,11 @@
                 self.rollout_deciders[service] = decider
             case CrashLedgerChanged(fingerprint, ledger):
                 self.crash_ledgers.update(fingerprint, ledger, now)
-            case PartLedgerChanged(part, ledger):
+            case PartLedgerChanged(part, None):
+                self.part_ledgers.note_missing(part, now)
+            case PartLedgerChanged(part, CrashLedger() as ledger):
                 self.part_ledgers.update(part, ledger, now)
-                if ledger is not None:
-                    self.part_crashes.record_trials(part, ledger.crashed)
+                self.part_crashes.record_trials(part, ledger.crashed)
 
     def note_proof(self, revision: StoreRevision, proved_at: float) -> None:
         """Record an answer of the store: its revision, and when the store was asked."""
--- a/src/hillstack/serving/part_crashes.py
+++ b/src/hillstack/serving/part_crashes.py
@@ -29,7 +29,7 @@
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import Job
 from hillstack.serving.metrics import FleetMetrics
-from hillstack.serving.part_marks import PartMarks
+from hillstack.serving.part_ledger_upkeep import PartLedgerUpkeep
 from hillstack.serving.part_notices import part_notices, part_runs, reported_part_runs
 from hillstack.serving.peers import PeerNotifier
 from hillstack.serving.permitted_sends import PermittedSends
@@ -100,7 +100,7 @@
         # Attempts that were counted as successes while they were under way.
         self._counted: set[str] = set()
         self._fatal: list[int] = []
-        self._marks = PartMarks(state, clock)
+        self._upkeep = PartLedgerUpkeep(state, clock)
         # The crashes that this node last reacted to.
         self._revision = UNKNOWN_REVISION
         self.set_permits(None)
@@ -109,7 +109,7 @@
         """Set the permits for suspected parts."""
         self._services = services
         self._permits = SuspectPermits(
-            services, self._state.runner_crashes, self._ledgers, self._is_suspect, self._clock
+            services, self._state.runner_crashes, self._ledgers, self._has_evidence, self._clock
         )
 
     def check(self, job: Job) -> None:
@@ -223,7 +223,7 @@
     def observe_success(self, names: list[int], now: float) -> None:
         """Clear the parts with which runs have succeeded at a peer."""
         for name in names:
-            self._crashes.clear(name, now)
+            self._forget(name, now)
         if names:
             self._react()
 
@@ -257,6 +257,8 @@
         """Expire old crashes, clear parts whose runs survive, and repeat marks that were lost."""
         if not self._is_active():
             return
+        for part in self._ledgers.expire(now):
+            self._crashes.forget_ledger(part)
         for part in self._crashes.expire(now):
             if self._services is not None:
                 self._services.recorder.report_success(part)
@@ -306,6 +308,9 @@
     def _is_suspect(self, part: int) -> bool:
         return len(self._crashes.crashes(part)) >= MIN_SUSPECT_CRASHES
 
+    def _has_evidence(self, part: int) -> bool:
+        return self._is_suspect(part) or bool(self._crashes.trials(part))
+
     def _release_trials(self, job: Job) -> None:
         if self._trials:
             self._trials = {part: at for part, at in self._trials.items() if at is not job}
@@ -358,13 +363,18 @@
             return
         now = self._clock()
         for part in parts:
-            self._crashes.clear(part, now)
             if self._services is not None and self._permits.has_ledger(part):
                 self._services.recorder.report_success(part)
+            self._forget(part, now)
             log_part("part cleared", job, part)
         self._peers.report_runner_crash(RunnerEndNotice("", 0, [], succeeded=parts))
         self._react()
 
+    def _forget(self, part: int, now: float) -> None:
+        """Forget the crashes and the ledger of a part that does not crash runners."""
+        self._crashes.clear(part, now)
+        self._ledgers.update(part, None, now)
+
     def _react(self) -> None:
         """Apply changed crashes: what they explain, and which parts are fatal."""
         if self._crashes.revision != self._revision:
@@ -376,7 +386,8 @@
             self._announce(fatal)
             self._fatal = fatal
         if self._services is not None:
-            self._marks.ensure(self._services, self._fatal)
+            marked = {*self._fatal, *self._crashes.marked_parts()}
+            self._upkeep.write_marks(self._services, marked)
 
     def _announce(self, fatal: list[int]) -> None:
         for part in fatal:
--- a/src/hillstack/serving/part_marks.py
+++ b/src/hillstack/serving/part_ledger_upkeep.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 
 from hillstack.core.crash_ledger import CrashLedger
 from hillstack.core.part_crashes import FATAL_MARK
@@ -14,12 +14,14 @@
 # Pause before a mark is written again that the store does not show. Longer than the attempts of
 # ``LedgerRecorder``.
 MARK_PAUSE_SECONDS = 6.0
-# Number of nodes that write a mark.
-MARKING_NODES = 3
+# The same if the store has lost the mark, and so answers.
+LOST_MARK_PAUSE_SECONDS = 1.0
+# Number of nodes that write to the ledger of a part.
+WRITING_NODES = 3
 
 
-class PartMarks:
-    """Writes the marks of one node.
+class PartLedgerUpkeep:
+    """Writes marks of fatal parts for one node.
 
     Args:
         state: State of the node.
@@ -28,26 +30,29 @@
 
     def __init__(self, state: FleetState, clock: Callable[[], float]) -> None:
         self._state = state
+        self._ledgers = state.part_ledgers
         self._clock = clock
         # When this node last wrote the mark of a part.
         self._marked_at: dict[int, float] = {}
 
-    def ensure(self, services: PermitServices, parts: Iterable[int]) -> None:
-        """Write the marks that the store does not show, if this node is one of those that do."""
+    def write_marks(self, services: PermitServices, parts: Collection[int]) -> None:
+        """Mark parts as fatal where the store does not show it, for nodes that start later."""
         now = self._clock()
         for part in parts:
-            if not self._is_due(part, now):
+            if not self._is_mark_due(part, now):
                 continue
             self._marked_at[part] = now
-            if self._is_marking_node(part):
+            if self._is_writer(part):
                 services.recorder.mark(part, FATAL_MARK)
 
-    def _is_due(self, part: int, now: float) -> bool:
-        if now < self._marked_at.get(part, -math.inf) + MARK_PAUSE_SECONDS:
+    def _is_mark_due(self, part: int, now: float) -> bool:
+        is_lost = self._ledgers.is_missing(part)
+        pause = LOST_MARK_PAUSE_SECONDS if is_lost else MARK_PAUSE_SECONDS
+        if now < self._marked_at.get(part, -math.inf) + pause:
             return False
-        ledger = self._state.part_ledgers.get(part, now) or CrashLedger()
-        return FATAL_MARK not in ledger.crashed
+        ledger = self._ledgers.get(part, now) or CrashLedger()
+        return is_lost or FATAL_MARK not in ledger.crashed
 
-    def _is_marking_node(self, part: int) -> bool:
+    def _is_writer(self, part: int) -> bool:
         nodes = {node.node_id for node in self._state.nodes.all()} | {self._state.node_id}
-        return self._state.node_id in ranked(f"{part:016x}", nodes)[:MARKING_NODES]
+        return self._state.node_id in ranked(f"{part:016x}", nodes)[:WRITING_NODES]
--- a/tests/fleet/part_traffic.py
+++ b/tests/fleet/part_traffic.py
@@ -5,12 +5,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
 from hillstack.serving.types import RejectedError, StreamCutError
-from tests.fleet.fatal_world import FATAL_PART, Outcome, World
+from tests.fleet.fatal_world import FATAL_PART, Node, Outcome, World
 from tests.fleet.runner_restarts import RunnerRestarts
 
 # Time by which all nodes must know of a crash, and the sends that are allowed after it.
@@ -87,6 +88,8 @@
         self._fatal_bodies: dict[bytes, str] = {}
         self._sent = 0
         self._restarts = RunnerRestarts(self.world)
+        # The repeated notices of each node.
+        self._repeats: dict[Node, asyncio.Task[None]] = {}
 
     def run(self, seconds: float, each_step: Callable[[float], None] | None = None) -> None:
         """Run for some seconds of virtual time."""
@@ -95,6 +98,7 @@
         while world.scheduler.now < until:
             now = world.scheduler.now
             self._restarts.step(now)
+            self._repeat_notices()
             for part in self.fatal:
                 if self._rng.random() < part.per_second * STEP_SECONDS:
                     self._send_fatal(part)
@@ -106,6 +110,16 @@
                 each_step(now)
             world.run(STEP_SECONDS)
 
+    def _repeat_notices(self) -> None:
+        """Let each node repeat its notices, as it does in a process, until it is gone."""
+        world = self.world
+        nodes = set(world.nodes.values())
+        for node in self._repeats.keys() - nodes:
+            world.loop.call_soon(self._repeats.pop(node).cancel)
+        for node in nodes - self._repeats.keys():
+            repeat = node.pipeline.runner_crashes.run()
+            self._repeats[node] = world.scheduler.spawn(world.loop, repeat)
+
     def crashes(self, part_id: str = FATAL_PART) -> list[float]:
         """Return the times of the crashes of runners that ran requests with a part, in order."""
         bodies = {body for body, part in self._fatal_bodies.items() if part == part_id}
--- a/tests/fleet/test_crash_ledger_store.py
+++ b/tests/fleet/test_crash_ledger_store.py
@@ -5,7 +5,12 @@
 import pytest
 
 from hillstack import clock
-from hillstack.core.crash_ledger import MAX_KNOWN_LEDGERS, CrashLedger, KnownLedgers
+from hillstack.core.crash_ledger import (
+    MAX_KNOWN_LEDGERS,
+    MISSING_LEDGER_SECONDS,
+    CrashLedger,
+    KnownLedgers,
+)
 from hillstack.core.store_revision import NO_REVISION
 from hillstack.daemon.change_log import StoredItem
 from hillstack.emulator.fleet_store import FleetStore
@@ -84,6 +89,20 @@
     assert to_event(StoredItem(PART_KEY, rev(4), None)) == PartLedgerChanged(FINGERPRINT, None)
 
 
+def test_a_ledger_that_the_store_has_lost_is_known_for_a_while() -> None:
+    known = KnownLedgers(retention_seconds=60.0)
+    known.note_missing(1, 0.0)
+    assert not known
+    known.update(1, LEDGER, 0.0)
+    known.note_missing(1, 1.0)
+    assert known.is_missing(1)
+    assert known.get(1, 0.9 + MISSING_LEDGER_SECONDS) == LEDGER
+    assert known.get(1, 1.0 + MISSING_LEDGER_SECONDS) is None
+    known.update(1, LEDGER, 2.0)
+    assert not known.is_missing(1)
+    assert known.get(1, 1.0 + MISSING_LEDGER_SECONDS) == LEDGER
+
+
 def test_known_ledgers_expire_and_are_bounded() -> None:
     known = KnownLedgers(retention_seconds=60.0)
     known.update(1, LEDGER, 0.0)
--- a/tests/fleet/test_fatal_parts.py
+++ b/tests/fleet/test_fatal_parts.py
@@ -210,6 +210,22 @@
         assert_bounded(traffic)
 
 
+# Nodes that have started since know the crashes only from the ledger that is lost.
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_part_is_bounded_if_the_ledgers_are_lost_after_all_nodes_were_restarted(
+    seed: int,
+) -> None:
+    world = RestartedWorld(10, 4, lists_later_nodes=True)
+    with playing(PartTraffic(world, seed, [FatalPart(per_second=20.0)])) as traffic:
+        first_crashes(traffic)
+        for _ in range(2):
+            world.restart_all_nodes()
+            traffic.run(4.0)
+            world.lose_ledgers()
+            traffic.run(6.0)
+        assert_bounded(traffic)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_part_is_bounded_at_nodes_that_join(seed: int) -> None:
     world = RestartedWorld(10, 2, lists_later_nodes=True)
