Parts: permits of killed nodes no longer keep a sound part from being tried

Ruled out: a trial that holds the part in the node's memory (it ends with its job), peer permits (these expire).

Change: a permit in a ledger that has not changed for 3 s is removed, unless the part is fatal; one recorded crash stands for them, so that the part stays a suspect.

--- a/src/hillstack/core/crash_ledger.py
+++ b/src/hillstack/core/crash_ledger.py
@@ -144,6 +144,15 @@
         """Return whether the store has a known ledger no longer."""
         return fingerprint in self._missing
 
+    def unchanged_for(self, seconds: float, now: float) -> list[tuple[int, CrashLedger]]:
+        """Return the ledgers in the store whose latest change this node applied so long ago."""
+        latest_expiry = now + self._retention - seconds
+        return [
+            (name, ledger)
+            for name, (ledger, expires_at) in self._known.items()
+            if expires_at <= latest_expiry and name not in self._missing
+        ]
+
     def expire(self, now: float) -> list[int]:
         """Forget the ledgers that have expired; return their requests or parts."""
         expired = [name for name, (_, expires_at) in self._known.items() if now >= expires_at]
--- a/src/hillstack/serving/part_crashes.py
+++ b/src/hillstack/serving/part_crashes.py
@@ -267,6 +267,8 @@
             if now - job.sent_at > LONG_RUN_SECONDS:
                 self._count_long_run(attempt_id)
             self._check_survival(attempt_id)
+        if self._services is not None:
+            self._upkeep.remove_abandoned_permits(self._services, self._fatal)
         # Successes and marks make parts fatal too, without a change of the crashes.
         self._revision = UNKNOWN_REVISION
         self._react()
--- a/src/hillstack/serving/part_ledger_upkeep.py
+++ b/src/hillstack/serving/part_ledger_upkeep.py
@@ -1,11 +1,14 @@
-"""Marks of fatal parts in the store, so that nodes which start later know of them."""
+"""Keeps the ledgers of prompt parts in the store right: their marks, and permits without a holder.
+
+These ledgers have no lease, so what a node that was killed has left in them would stay.
+"""
 
 from __future__ import annotations
 
 import math
 from collections.abc import Callable, Collection
 
-from hillstack.core.crash_ledger import CrashLedger
+from hillstack.core.crash_ledger import CrashLedger, SendOutcome
 from hillstack.core.part_crashes import FATAL_MARK
 from hillstack.core.rendezvous import ranked
 from hillstack.serving.fleet_state import FleetState
@@ -16,12 +19,17 @@
 MARK_PAUSE_SECONDS = 6.0
 # The same if the store has lost the mark, and so answers.
 LOST_MARK_PAUSE_SECONDS = 1.0
+# Age of the latest change of a ledger from which its permits count as those of nodes that were
+# killed. A trial of that age has outlasted the crashes, or its node has recorded its outcome.
+ABANDONED_PERMIT_SECONDS = 3.0
+# Stands among the crashed runners in a ledger for the permits of nodes that were killed.
+ABANDONED_MARK = "abandoned"
 # Number of nodes that write to the ledger of a part.
 WRITING_NODES = 3
 
 
 class PartLedgerUpkeep:
-    """Writes marks of fatal parts for one node.
+    """Writes marks of fatal parts, and removes abandoned permits, for one node.
 
     Args:
         state: State of the node.
@@ -45,6 +53,22 @@
             if self._is_writer(part):
                 services.recorder.mark(part, FATAL_MARK)
 
+    def remove_abandoned_permits(self, services: PermitServices, fatal: Collection[int]) -> None:
+        """Remove permits whose holders have gone, except those of fatal parts.
+
+        Each of them may have crashed a runner. With all of them, a part that nobody has found fatal
+        would never be tried again; without any, it would no longer be a suspect. So one crash is
+        recorded for them.
+        """
+        now = self._clock()
+        for part, ledger in self._ledgers.unchanged_for(ABANDONED_PERMIT_SECONDS, now):
+            if not ledger.permits or FATAL_MARK in ledger.crashed or part in fatal:
+                continue
+            if self._is_writer(part):
+                crashed = frozenset() if ledger.crashed else frozenset({ABANDONED_MARK})
+                outcome = SendOutcome(ledger.permits, crashed)
+                services.recorder.start(services.recorder.record_outcome(part, outcome))
+
     def _is_mark_due(self, part: int, now: float) -> bool:
         is_lost = self._ledgers.is_missing(part)
         pause = LOST_MARK_PAUSE_SECONDS if is_lost else MARK_PAUSE_SECONDS
--- a/tests/fleet/test_crash_ledger_store.py
+++ b/tests/fleet/test_crash_ledger_store.py
@@ -103,6 +103,22 @@
     assert known.get(1, 1.0 + MISSING_LEDGER_SECONDS) == LEDGER
 
 
+def test_ledgers_that_have_not_changed_are_listed_until_they_expire() -> None:
+    known = KnownLedgers(retention_seconds=60.0)
+    known.update(1, LEDGER, 0.0)
+    known.update(2, LEDGER, 2.0)
+    known.update(3, LEDGER, 0.0)
+    known.note_missing(3, 0.0)
+    assert known.unchanged_for(3.0, 2.9) == []
+    assert known.unchanged_for(3.0, 3.0) == [(1, LEDGER)]
+    assert known.unchanged_for(3.0, 5.0) == [(1, LEDGER), (2, LEDGER)]
+    assert known.expire(9.9) == []
+    assert known.expire(MISSING_LEDGER_SECONDS) == [3]
+    assert known.expire(61.0) == [1]
+    assert known.expire(62.0) == [2]
+    assert not known
+
+
 def test_known_ledgers_expire_and_are_bounded() -> None:
     known = KnownLedgers(retention_seconds=60.0)
     known.update(1, LEDGER, 0.0)
--- a/tests/fleet/test_fatal_parts.py
+++ b/tests/fleet/test_fatal_parts.py
@@ -13,7 +13,12 @@
 
 import pytest
 
+from hillstack.core.crash_ledger import CrashLedger
 from hillstack.core.part_crashes import TRIAL_PAUSES_SECONDS
+from hillstack.core.request_fingerprint import part_name
+from hillstack.core.store_revision import StoreRevision
+from hillstack.serving.ledger_store import StoredLedger
+from hillstack.serving.store_events import PartLedgerChanged
 from hillstack.serving.types import RejectedError, Verdict
 from tests.fleet.fatal_world import FATAL_PART, NOTICE_SECONDS, Node, World
 from tests.fleet.part_traffic import (
@@ -226,6 +231,23 @@
         assert_bounded(traffic)
 
 
+# Guards against permits of killed nodes that keep a sound part from being tried, for hours.
+@pytest.mark.parametrize("crashed", [[], ["i-8"]])
+def test_a_sound_part_is_served_after_nodes_were_killed_during_its_trials(
+    crashed: list[str],
+) -> None:
+    world = World(8, 2, lists_later_nodes=True)
+    permits = frozenset({"node-7/1.0/1", "node-8/1.0/1"})
+    ledger = CrashLedger(frozenset(crashed), permits)
+    name = part_name(FIRST_PART)
+    world.part_ledgers[name] = StoredLedger(ledger, StoreRevision(0, 1))
+    for node in world.nodes.values():
+        node.state.apply(PartLedgerChanged(name, ledger), 0.0)
+    with playing(PartTraffic(world, 1, [], sound_per_second=5.0)) as traffic:
+        traffic.run(SETTLED_SECONDS + 3.0)
+        assert traffic.served_share(SETTLED_SECONDS, SETTLED_SECONDS + 2.0) == 1.0
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_part_is_bounded_at_nodes_that_join(seed: int) -> None:
     world = RestartedWorld(10, 2, lists_later_nodes=True)
