--- a/tests/fleet/test_fatal_parts.py
+++ b/tests/fleet/test_fatal_parts.py
@@ -248,6 +248,21 @@
         assert traffic.served_share(SETTLED_SECONDS, SETTLED_SECONDS + 2.0) == 1.0
 
 
+# Guards against a trial that waits for a permit again at each runner that is gone.
+def test_a_trial_that_a_runner_refuses_goes_to_another_one_under_the_same_permit() -> None:
+    world = World(8, 2, lists_later_nodes=True)
+    name = part_name(FIRST_PART)
+    ledger = CrashLedger(frozenset(), frozenset({"node-7/1.0/1"}))
+    world.part_ledgers[name] = StoredLedger(ledger, StoreRevision(0, 1))
+    for node in world.nodes.values():
+        node.state.apply(PartLedgerChanged(name, ledger), 0.0)
+    for number in range(3):
+        world.runners.by_id[f"i-{number}"].crash()
+    outcome = world.try_until_done("node-0", b"short new", within=2.5, parts=SOUND_PARTS)
+    world.scheduler.close()
+    assert outcome.is_served
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_part_is_bounded_at_nodes_that_join(seed: int) -> None:
     world = RestartedWorld(10, 2, lists_later_nodes=True)
