--- a/tests/fleet/test_fatal_parts_process.py
+++ b/tests/fleet/test_fatal_parts_process.py
@@ -13,7 +13,7 @@
 from tests.fleet.deployment import Deployment, NodeProcess
 from tests.fleet.fatal_part_fleet import FATAL_ID, FatalPartFleet, PartCallers
 from tests.fleet.node_kills import KilledNodes
-from tests.fleet.part_traffic import CONTACT_SECONDS, MAX_LATE_SENDS
+from tests.fleet.part_traffic import CONTACT_SECONDS, CRASHES_BEFORE_LIMIT, MAX_LATE_SENDS
 from tests.fleet.test_node_process import play
 from tests.processes.fault_proxy import FaultProxy, Mode
 
@@ -27,6 +27,8 @@
 PAUSE_SECONDS = 8.0
 KILL_PAUSE_SECONDS = 1.5
 MIN_SERVED_SHARE = 0.5
+# Least time in which sound requests are counted.
+COUNTED_SECONDS = 2.0
 
 
 @dataclass
@@ -52,17 +54,29 @@
             *(self.callers.send(fatal_per_second, seconds, part) for part in self.parts),
         )
 
-    def check(self, served_since: float = 0.0) -> None:
-        """Check what is promised; sound requests sent before a time need not be served."""
-        known_at = served_since
+    async def finish(self, served_since: float = 0.0) -> None:
+        """Send on until sound requests count, stop the runners, and check what is promised.
+
+        Args:
+            served_since: Sound requests sent before this time need not be served.
+        """
+        # A trial may have crashed a runner late, and sound requests count some time after it.
+        while time.monotonic() < self._known_at(served_since) + COUNTED_SECONDS:
+            await self.send(COUNTED_SECONDS)
+        await self.fleet.stop()
         for part in self.parts:
             crashes, late = self.fleet.crashes(part), self.fleet.late_sends(part)
             assert late <= MAX_LATE_SENDS, f"{late} late sends, {len(crashes)} crashes"
-            known_at = max(known_at, crashes[min(len(crashes), 5) - 1] + 2 * CONTACT_SECONDS)
-        share = self.callers.served_share(known_at)
+        share = self.callers.served_share(self._known_at(served_since))
         assert share >= MIN_SERVED_SHARE, f"{share:.2f} of the sound requests were served"
         assert not set(self.callers.statuses) & {500}
 
+    def _known_at(self, served_since: float) -> float:
+        """Return from when on sound requests must be served."""
+        crashes = [self.fleet.crashes(part) for part in self.parts]
+        last = [times[min(len(times), CRASHES_BEFORE_LIMIT) - 1] for times in crashes]
+        return max(served_since, *(at + 2 * CONTACT_SECONDS for at in last))
+
 
 async def start(
     running: Deployment, service: str = APPLICATION, store: str | None = None
@@ -88,8 +102,7 @@
     async def scenario(running: Deployment) -> None:
         played = await start(running, service)
         await played.send(SECONDS)
-        await played.fleet.stop()
-        played.check()
+        await played.finish()
 
     play(tmp_path, scenario)
 
@@ -99,8 +112,7 @@
         played = await start(running)
         played.parts = (f"{FATAL_ID}-1", f"{FATAL_ID}-2")
         await played.send(SECONDS, 3.0)
-        await played.fleet.stop()
-        played.check()
+        await played.finish()
 
     play(tmp_path, scenario)
 
@@ -117,8 +129,7 @@
             played.nodes.kill(name)
         killed_at = time.monotonic()
         await played.send(SECONDS / 2)
-        await played.fleet.stop()
-        played.check(killed_at + CONTACT_SECONDS)
+        await played.finish(killed_at + CONTACT_SECONDS)
 
     play(tmp_path, scenario)
 
@@ -133,8 +144,7 @@
         returned_at = time.monotonic()
         await played.send(PAUSE_SECONDS, 0.001)
         await played.send(SECONDS / 2)
-        await played.fleet.stop()
+        await played.finish(returned_at + CONTACT_SECONDS)
         proxy.close()
-        played.check(returned_at + CONTACT_SECONDS)
 
     play(tmp_path, scenario)
