--- a/tests/fleet/test_drawn_part_worlds.py
+++ b/tests/fleet/test_drawn_part_worlds.py
@@ -12,7 +12,7 @@
 
 from tests.fleet.drawn_part_world import DrawnPartPlay
 from tests.fleet.part_traffic import MAX_LATE_SENDS
-from tests.fleet.test_fatal_parts import MIN_SERVED_SHARE
+from tests.fleet.test_fatal_parts import MIN_SERVED_SHARE, playing
 
 SEEDS = (0, 1, 2, 3, 18, 134)
 # Length of the calm time at the end in which the sound requests are counted.
@@ -22,16 +22,12 @@
 def broken_promises(seed: int) -> list[str]:
     """Play a seed; return the promises that were broken."""
     play = DrawnPartPlay(seed)
-    traffic = play.traffic
-    try:
+    with playing(play.traffic) as traffic:
         play.run()
         now = play.world.scheduler.now
         late = traffic.late_sends()
         share = traffic.served_share(now - 1.0 - COUNTED_SECONDS, now - 1.0)
         crashes = [round(at, 1) for at in traffic.crashes()]
-    finally:
-        traffic.read_errors()
-        play.world.scheduler.close()
     broken = []
     if late > MAX_LATE_SENDS:
         broken.append(f"{late} late sends, crashes at {crashes}, troubles {play.troubles}")
--- a/tests/fleet/test_fatal_parts.py
+++ b/tests/fleet/test_fatal_parts.py
@@ -108,6 +108,14 @@
     assert share >= MIN_SERVED_SHARE, f"{share:.2f} of the sound requests were served"
 
 
+def store_ledger_of_first_part(world: World, ledger: CrashLedger) -> None:
+    """Store a ledger of the part that all requests share, as all nodes know."""
+    name = part_name(FIRST_PART)
+    world.part_ledgers[name] = StoredLedger(ledger, StoreRevision(0, 1))
+    for node in world.nodes.values():
+        node.state.apply(PartLedgerChanged(name, ledger), 0.0)
+
+
 def first_crashes(traffic: PartTraffic, seconds: float = 6.0) -> float:
     """Run until the crashes that are allowed have happened; return the time of the last one."""
     traffic.run(seconds)
@@ -239,10 +247,7 @@
     world = World(8, 2, lists_later_nodes=True)
     permits = frozenset({"node-7/1.0/1", "node-8/1.0/1"})
     ledger = CrashLedger(frozenset(crashed), permits)
-    name = part_name(FIRST_PART)
-    world.part_ledgers[name] = StoredLedger(ledger, StoreRevision(0, 1))
-    for node in world.nodes.values():
-        node.state.apply(PartLedgerChanged(name, ledger), 0.0)
+    store_ledger_of_first_part(world, ledger)
     with playing(PartTraffic(world, 1, [], sound_per_second=5.0)) as traffic:
         traffic.run(SETTLED_SECONDS + 3.0)
         assert traffic.served_share(SETTLED_SECONDS, SETTLED_SECONDS + 2.0) == 1.0
@@ -251,11 +256,8 @@
 # Guards against a trial that waits for a permit again at each runner that is gone.
 def test_a_trial_that_a_runner_refuses_goes_to_another_one_under_the_same_permit() -> None:
     world = World(8, 2, lists_later_nodes=True)
-    name = part_name(FIRST_PART)
     ledger = CrashLedger(frozenset(), frozenset({"node-7/1.0/1"}))
-    world.part_ledgers[name] = StoredLedger(ledger, StoreRevision(0, 1))
-    for node in world.nodes.values():
-        node.state.apply(PartLedgerChanged(name, ledger), 0.0)
+    store_ledger_of_first_part(world, ledger)
     for number in range(3):
         world.runners.by_id[f"i-{number}"].crash()
     outcome = world.try_until_done("node-0", b"short new", within=2.5, parts=SOUND_PARTS)
