--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 python3 -m compileall -q review target/deps/hillstack/emulator
-PYTHONPATH=target/deps:review python3 -c "import common.engine, common.nodes, common.platform"
+PYTHONPATH=target/deps:review python3 -c "import common.deployment"
