--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -6,7 +6,6 @@
 import logging
 import resource
 import signal
-from collections.abc import Coroutine
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -28,6 +27,7 @@
 from hillstack.core.token_leases import TokenLeases
 from hillstack.core.version_exposure import VersionExposure
 from hillstack.core.weights_versions import WeightsVersions
+from hillstack.daemon.background_tasks import BackgroundTasks
 from hillstack.daemon.cache_follower import CacheFollower
 from hillstack.daemon.change_log import ChangeLog
 from hillstack.daemon.connection_limiter import (
@@ -66,6 +66,7 @@
 from hillstack.errors import SettingsError
 from hillstack.http_server import make_server
 from hillstack.logs import dropped_lines, error_fields
+from hillstack.platform.answer_ends import AnswerEnds
 from hillstack.platform.cache_feed import HttpCacheFeed
 from hillstack.platform.connections import (
     idle_connections,
@@ -134,7 +135,6 @@
         self._lag = LoopLag(self._clock)
         self._stopping = False
         self._stop = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
         rng = Random()
         bounds = settings.bounds
         self._state = FleetState(
@@ -157,6 +157,7 @@
         self._state.bounds_enforced_from = times.entered_at + contact
         self._store_session = make_store_session()
         self._metrics = FleetMetrics()
+        self._tasks = BackgroundTasks(self._metrics.count_task_failure)
         self._state.store_era.handle_new(lambda _: self._metrics.store_restores.inc())
         store = MetadataStore(
             settings.store.address,
@@ -195,7 +196,8 @@
         self._runner_session = self._access.session
         self._state.handle_restarted(lambda runner: self._access.record_silent(runner.address))
         bodies = BodyReader(settings.answers.max_bytes, settings.answers.max_total_bytes)
-        runners = HttpRunnerClient(self._runner_session, signals, bodies)
+        ends = AnswerEnds(self._metrics)
+        runners = HttpRunnerClient(self._runner_session, signals, bodies, ends=ends)
         orders = HttpRunnerClient(
             self._access.direct_session, signals, order_session=self._access.order_session
         )
@@ -382,37 +384,38 @@
         if settings.listen.metrics_port is not None:
             self._add_gauges()
             address = f"{settings.node.address}:{settings.listen.metrics_port}"
-            self._start(serve_metrics(MetricsPage(self._metrics), address))
+            self._tasks.start("metrics", serve_metrics(MetricsPage(self._metrics), address))
         asyncio.get_running_loop().set_exception_handler(self._handle_loop_error)
         # Unlike ``serve``, ``_serve`` installs no signal handlers: the node decides when to stop.
         serving = [asyncio.create_task(server._serve(sockets)) for server, sockets in listening]
-        for work in (
-            self._sync.run(),
-            self._check.run(),
-            self._peers.run(),
-            self._peers.relay(),
-            self._follower.run(),
-            self._limits.run(),
-            self._shared_runner_limits.run(),
-            self._pipeline.runner_crashes.run(),
-            self._registry.run(),
-            self._access.run(),
-            self._places.run(),
-            self._streams.run(),
-            self._duty.maintain_lease(),
-            self._duty.run(),
-            self._observer.run(),
-            self._rollouts.run(),
-            RunnerMonitor(
-                self._state,
-                self._peers,
-                self._clock,
-                self._lag,
-                self._access.monitor,
-                self._metrics.suspended.inc,
-            ).run(),
+        monitor = RunnerMonitor(
+            self._state,
+            self._peers,
+            self._clock,
+            self._lag,
+            self._access.monitor,
+            self._metrics.suspended.inc,
+        )
+        for name, run in (
+            ("store_sync", self._sync.run),
+            ("store_check", self._check.run),
+            ("peers", self._peers.run),
+            ("peer_relay", self._peers.relay),
+            ("caches", self._follower.run),
+            ("tenant_limits", self._limits.run),
+            ("runner_limits", self._shared_runner_limits.run),
+            ("runner_crashes", self._pipeline.runner_crashes.run),
+            ("registry", self._registry.run),
+            ("runner_access", self._access.run),
+            ("runner_places", self._places.run),
+            ("stream_versions", self._streams.run),
+            ("weights_lease", self._duty.maintain_lease),
+            ("weights", self._duty.run),
+            ("rollout_reports", self._observer.run),
+            ("rollouts", self._rollouts.run),
+            ("runner_monitor", monitor.run),
         ):
-            self._start(work)
+            self._tasks.start(name, run())
         self._note_started()
         await self._stop.wait()
         await self._drain(callers)
@@ -545,11 +548,6 @@
             return
         logger.info("settings read again")
 
-    def _start(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        task.add_done_callback(_log_failure)
-        self._tasks.append(task)
-
     async def _drain(self, callers: uvicorn.Server) -> None:
         """Serve for a fixed time and until all requests are answered, then release the leases.
 
@@ -576,14 +574,7 @@
 
     async def _close(self) -> None:
         self._permits.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.cancel()
         self._link.close()
         await self._access.close()
         await self._store_session.close()
-
-
-def _log_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        logger.error("background task failed", exc_info=task.exception())
--- a/src/hillstack/platform/runners.py
+++ b/src/hillstack/platform/runners.py
@@ -23,6 +23,7 @@
     ConnectionLostError,
 )
 from hillstack.platform import names
+from hillstack.platform.answer_ends import AnswerEnds, is_unframed
 from hillstack.platform.bodies import OrderBody, ReportBody
 from hillstack.platform.connections import OutgoingCall, send_call
 from hillstack.platform.runner_identifiers import check_runner_process, instance_of
@@ -69,10 +70,13 @@
 class HttpRunnerAnswer:
     """An answer of a runner whose head has been received."""
 
-    def __init__(self, response: aiohttp.ClientResponse, peer: str, bodies: BodyReader) -> None:
+    def __init__(
+        self, response: aiohttp.ClientResponse, peer: str, bodies: BodyReader, ends: AnswerEnds
+    ) -> None:
         self._response = response
         self._peer = peer
         self._bodies = bodies
+        self._ends = ends
 
     @property
     def status(self) -> int:
@@ -97,16 +101,21 @@
     async def next_piece(self) -> bytes:
         """Return the next bytes of the body, or ``b""`` after the body has ended completely."""
         try:
-            return await self._response.content.readany()
+            piece = await self._response.content.readany()
         except (aiohttp.ClientError, OSError) as error:
             raise self._broken_error(error) from error
+        if not piece:
+            self._note_end()
+        return piece
 
     async def whole_body(self) -> bytes:
         """Return the whole body."""
         try:
-            return await self._bodies.read(self._response)
+            body = await self._bodies.read(self._response)
         except (aiohttp.ClientError, OSError) as error:
             raise self._broken_error(error) from error
+        self._note_end()
+        return body
 
     def close(self) -> None:
         """Release the connection if the answer is complete, else close it."""
@@ -115,6 +124,10 @@
         else:
             self._response.close()
 
+    def _note_end(self) -> None:
+        if is_unframed(self._response):
+            self._ends.note(self._response, self._peer)
+
     def _broken_error(self, error: Exception) -> BackendBrokenError:
         return _broken_error(error, "relay", self._peer)
 
@@ -127,6 +140,7 @@
         listener: Receives the signals in runners' answers; None to ignore them.
         bodies: Reads the bodies of answers to callers' requests that are no streams.
         order_session: HTTP session for orders; the other one by default.
+        ends: Records the ends of answers that end with their connection.
     """
 
     def __init__(
@@ -135,7 +149,9 @@
         listener: SignalListener | None = None,
         bodies: BodyReader | None = None,
         order_session: aiohttp.ClientSession | None = None,
+        ends: AnswerEnds | None = None,
     ) -> None:
+        self._ends = ends or AnswerEnds()
         self._session = session
         self._order_session = order_session or session
         self._bodies = bodies or BodyReader()
@@ -167,7 +183,7 @@
             raise _broken_error(error, "await answer", peer) from error
         self._signals.read(peer, response.status, response.headers, sent)
         self._check_executed(response, request, dispatch)
-        return HttpRunnerAnswer(response, peer, self._bodies)
+        return HttpRunnerAnswer(response, peer, self._bodies, self._ends)
 
     async def report(self, runner_id: str, address: str) -> RunnerReport:
         """Return the state that a runner reports; it may be some hundred milliseconds old.
--- a/src/hillstack/serving/metrics.py
+++ b/src/hillstack/serving/metrics.py
@@ -43,6 +43,12 @@
         )
         self.fetches = self._counter("cache_fetches", "Fetches of cached parts.", "distance")
         self.store_errors = self._counter("store_errors", "Failed calls to the store.", "step")
+        self._task_failures = self._counter(
+            "background_task_failures", "Failures of tasks that run beside requests.", "task"
+        )
+        self.unframed_answers = self._counter(
+            "unframed_answers", "Answers of runners that ended with their connection.", "end"
+        )
         self.orders = self._counter("weights_orders", "Orders for weights by outcome.", "outcome")
         self.unreadable_items = Counter(
             "hillstack_unreadable_items",
@@ -151,6 +157,10 @@
             registry=self.registry,
         )
 
+    def count_task_failure(self, task: str) -> None:
+        """Count a failure of a background task."""
+        self._task_failures.labels(task).inc()
+
     def count_limited(self, tenant: str, cost: float, *, admitted: bool) -> None:
         """Count a request of a tenant that has a limit."""
         label = self._tenant_label(tenant)
--- a/src/hillstack/serving/stream_versions.py
+++ b/src/hillstack/serving/stream_versions.py
@@ -13,6 +13,7 @@
 
 from hillstack.core.routing_table import RouteKind
 from hillstack.core.stream_origins import StreamOrigin, StreamOrigins
+from hillstack.logs import rounded_seconds
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import Job
 from hillstack.serving.ports import OriginSource
@@ -79,6 +80,13 @@
         job.software = await self._find_version(job)
         if job.software is not None and not self._has_runner(job, job.software):
             raise self._refusal(job, f"no runner of version {job.software} that began the stream")
+        fields: dict[str, object] = {
+            "request": job.request.request_id,
+            "resumes": job.request.resumes,
+            "software": job.software,
+            "copy_age_seconds": rounded_seconds(self._state.freshness.age(self._clock())),
+        }
+        logger.info("stream taken up", extra=fields)
 
     async def _find_version(self, job: Job) -> str | None:
         """Return the version that began a stream, or None if the service has one version only."""
