What other processes write is decoded in one place, with one error

Callers saw 404 for a route that had been added, at each running node and for good, and 503 at a node that started later, after one entry of the runners' directory with values nested 100,000 deep (CONFIG). The decoder raises RecursionError, which is outside its own hierarchy: the task that follows the store ended, and nothing noticed.

Class: a decoder's errors are not all of its own kind. Every decoder of outside bytes now goes through hillstack.decoding: items and pages of the store, reports, cache feeds, rollout statuses, answers of the etcd gateway and of engines, bodies of callers; messages of peers, events of engines and settings handle nesting too. Numbers in header fields have at most 18 digits (5,000 digits ended the request, or the connection); those that go into messages between nodes have 63 bits and no sign (a version of 31 digits ended the task that sends them). An entry names a port without leading zeros and an IPv6 address in brackets. A Last-Event-Id that is no whole number is answered 400: from its start, the stream would bring events twice.

--- a/src/hillstack/answer_bodies.py
+++ b/src/hillstack/answer_bodies.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 import aiohttp
 
 from hillstack.answer_limits import MAX_ANSWER_BYTES, MAX_STORE_ANSWER_BYTES, MAX_TOTAL_BYTES
+from hillstack.decoding import parse_json
 
 
 class AnswerTooLongError(aiohttp.ClientError):
@@ -82,4 +82,4 @@
         ValueError: The body is no JSON.
     """
     reader = BodyReader(MAX_STORE_ANSWER_BYTES, MAX_STORE_ANSWER_BYTES)
-    return json.loads(await reader.read(response))
+    return parse_json(await reader.read(response))
--- a/src/hillstack/backends/cache_events.py
+++ b/src/hillstack/backends/cache_events.py
@@ -129,7 +129,7 @@
         try:
             events = ormsgpack.unpackb(payload)[1]
             apply_events(self._index, self._engine_id, self._incarnation, events)
-        except (ValueError, TypeError, IndexError, KeyError) as error:
+        except (ValueError, TypeError, IndexError, KeyError, RecursionError) as error:
             fields = {"peer": self._events_address, "step": "decode events", "error": repr(error)}
             logger.warning("malformed event batch", extra=fields)
 
--- a/src/hillstack/config/fleet_settings.py
+++ b/src/hillstack/config/fleet_settings.py
@@ -193,7 +193,7 @@
         content = tomllib.loads(path.read_text())
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}", step="read settings") from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:
         raise SettingsError(f"{path}: not TOML: {error}", step="read settings") from error
     try:
         settings = msgspec.convert(content, FleetSettings, strict=False)
--- a/src/hillstack/config/settings.py
+++ b/src/hillstack/config/settings.py
@@ -146,7 +146,7 @@
         content: dict[str, Any] = tomllib.loads(path.read_text())
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}", step="read settings") from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:
         raise SettingsError(f"{path}: not TOML: {error}", step="read settings") from error
     for key, value in (overrides or {}).items():
         _override(content, key, value)
--- a/src/hillstack/core/cache_salt.py
+++ b/src/hillstack/core/cache_salt.py
@@ -5,6 +5,8 @@
 import functools
 from typing import NamedTuple
 
+from hillstack.decoding import parse_whole_number
+
 SHARED = "shared"
 
 
@@ -43,6 +45,7 @@
     """Return the salt with a text; None if it was not made by ``CacheSalt.text``."""
     rest, _, version = text.rpartition("|")
     isolation, separator, model = rest.rpartition("|")
-    if not separator or not version.isdecimal():
+    number = parse_whole_number(version)
+    if not separator or number is None:
         return None
-    return CacheSalt(isolation, model, int(version))
+    return CacheSalt(isolation, model, number)
--- a/src/hillstack/etcd/bundle_store.py
+++ b/src/hillstack/etcd/bundle_store.py
@@ -14,6 +14,7 @@
 from hillstack.config.signing import SignedBundle, parse_signed_bundle
 from hillstack.daemon.key_value import Put, ValueIs
 from hillstack.daemon.ports import KeyValue
+from hillstack.decoding import parse_json
 from hillstack.errors import (
     BundleError,
     PlatformOutcomeUnknownError,
@@ -44,7 +45,7 @@
         BundleError: The head is malformed.
     """
     try:
-        content = json.loads(value)
+        content = parse_json(value)
         return Head(int(content["version"]), str(content["digest"]))
     except (ValueError, KeyError, TypeError) as error:
         raise BundleError(f"malformed head: {error!r}", step="read head") from error
--- a/src/hillstack/etcd/key_value.py
+++ b/src/hillstack/etcd/key_value.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import base64
-import json
 import logging
 from collections.abc import AsyncIterator, Sequence
 from typing import Any
@@ -19,6 +18,7 @@
 from hillstack.answer_bodies import read_json
 from hillstack.core.store_revision import StoreRevision
 from hillstack.daemon.key_value import Condition, Entry, Put, RevisionIs
+from hillstack.decoding import parse_json
 from hillstack.errors import PlatformError, PlatformOutcomeUnknownError, PlatformUnavailableError
 
 logger = logging.getLogger(__name__)
@@ -126,7 +126,7 @@
                 if response.status != 200:
                     raise PlatformUnavailableError("refused", step="watch", peer=endpoint)
                 async for line in response.content:
-                    for event in json.loads(line).get("result", {}).get("events", []):
+                    for event in parse_json(line).get("result", {}).get("events", []):
                         yield base64.b64decode(event["kv"].get("value", ""))
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise PlatformError(repr(error), step="watch", peer=endpoint) from error
--- a/src/hillstack/gateway/completion_response.py
+++ b/src/hillstack/gateway/completion_response.py
@@ -16,6 +16,7 @@
 from hillstack.core.placement.base import Placement
 from hillstack.daemon.node import Node
 from hillstack.daemon.ports import Answer
+from hillstack.decoding import MalformedDataError, parse_json
 from hillstack.errors import BackendError, BackendRefusedError, CrossedAnswerError
 from hillstack.gateway.answers import read_whole, router_of, send_json
 from hillstack.gateway.completion_job import CompletionJob
@@ -281,8 +282,8 @@
 
 def _parse_answer(body: bytes, attempt: Attempt) -> dict[str, Any]:
     try:
-        answer = json.loads(body)
-    except ValueError as error:
+        answer = parse_json(body)
+    except MalformedDataError as error:
         raise BackendError(
             "the answer is not JSON", step="read answer", peer=attempt.backend_id
         ) from error
--- a/src/hillstack/gateway/parsing.py
+++ b/src/hillstack/gateway/parsing.py
@@ -4,7 +4,6 @@
 
 import hashlib
 import hmac
-import json
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -17,6 +16,7 @@
 from hillstack.config.settings import LimitsSection
 from hillstack.core.bundle_index import BundleIndex, ServedModel
 from hillstack.core.prompt import ChatMessage, render_chat
+from hillstack.decoding import MalformedDataError, parse_json
 from hillstack.gateway.errors import CallerError, ErrorAnswer, bad_request
 
 PRIORITY_HEADER = "x-priority"
@@ -149,8 +149,8 @@
         CallerError: The request is malformed or names no model of the bundle.
     """
     try:
-        content = json.loads(raw)
-    except (ValueError, RecursionError) as error:
+        content = parse_json(raw)
+    except MalformedDataError as error:
         raise bad_request("invalid_json", f"the body is not JSON: {error}") from error
     try:
         body = CompletionBody.model_validate(content)
--- a/src/hillstack/messages/codec.py
+++ b/src/hillstack/messages/codec.py
@@ -54,7 +54,7 @@
             raise CodecError("not authentic", step="decode", peer=peer)
         try:
             version, tag, fields = ormsgpack.unpackb(payload)
-        except (ValueError, TypeError) as error:
+        except (ValueError, TypeError, RecursionError) as error:
             raise CodecError("malformed frame", step="decode", peer=peer) from error
         if version != PROTOCOL_VERSION:
             raise CodecError(f"protocol version {version!r}", step="decode", peer=peer)
--- a/src/hillstack/messages/packing.py
+++ b/src/hillstack/messages/packing.py
@@ -45,7 +45,7 @@
         if not decompressor.eof:
             raise CodecError("truncated or too large", step="decode", peer=peer)
         message: Message = _decoder(kind).decode(decompressed)
-    except (ValueError, TypeError, zlib.error) as error:
+    except (ValueError, TypeError, RecursionError, zlib.error) as error:
         raise CodecError("malformed message", step="decode", peer=peer) from error
     if message.protocol != PROTOCOL_VERSION:
         raise CodecError(f"protocol version {message.protocol}", step="decode", peer=peer)
--- a/src/hillstack/platform/bodies.py
+++ b/src/hillstack/platform/bodies.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from hillstack.decoding import WholeNumber
+
 
 class ShareBody(msgspec.Struct):
     """A service of a route whose traffic is split, with its share of the requests."""
@@ -105,7 +107,7 @@
     """A model and the version of its weights."""
 
     name: str
-    version: int = 0
+    version: WholeNumber = 0
 
 
 class RunnerBody(msgspec.Struct):
@@ -127,7 +129,7 @@
     """The version of a model's weights that the operator wants served."""
 
     model: str
-    version: int
+    version: WholeNumber
 
 
 class RolloutOrderBody(msgspec.Struct):
@@ -195,7 +197,7 @@
     epoch: int
     next_token: int
     lost: bool = False
-    events: list[tuple[int, str, str, str, int, str]] = []
+    events: list[tuple[int, str, str, str, WholeNumber, str]] = []
     born: int = 0
 
 
@@ -209,7 +211,7 @@
 
     epoch: int
     next_token: int
-    held: list[tuple[str, str, int, str]] = []
+    held: list[tuple[str, str, WholeNumber, str]] = []
     born: int = 0
 
 
@@ -225,7 +227,7 @@
     """
 
     key: str
-    rev: int
+    rev: WholeNumber
     value: str = ""
     gone: bool = False
     created: int = 0
@@ -241,14 +243,14 @@
 
     items: list[StoreItem] = []
     more: bool = False
-    at: int = 0
+    at: WholeNumber = 0
 
 
 class WatchBody(msgspec.Struct):
     """Changes since a revision, and the revision up to which they are complete (``at``)."""
 
     events: list[StoreItem] = []
-    at: int = 0
+    at: WholeNumber = 0
 
 
 class LeaseBody(msgspec.Struct):
@@ -312,7 +314,7 @@
 class TxnBody(msgspec.Struct):
     """The revision of a transaction's last write."""
 
-    rev: int
+    rev: WholeNumber
 
 
 class ReportBody(msgspec.Struct):
@@ -326,7 +328,7 @@
 
     models: list[ModelVersion] = []
     busy: bool = False
-    seq: int = 0
+    seq: WholeNumber = 0
     queued: int = 0
     running: int = 0
-    born: int = 0
+    born: WholeNumber = 0
--- a/src/hillstack/platform/cache_feed.py
+++ b/src/hillstack/platform/cache_feed.py
@@ -5,13 +5,13 @@
 from typing import TypeVar
 
 import aiohttp
-import msgspec
 
 from hillstack.answer_limits import MAX_ANSWER_BYTES
 from hillstack.core.cache_watch import CacheHolder
 from hillstack.core.part_index import PromptPart
 from hillstack.core.runner_limit import AnswerKind
 from hillstack.daemon.cache_follower import CacheChanges, CacheEntry, CacheListing
+from hillstack.decoding import MalformedDataError, decode_json
 from hillstack.errors import BackendError, BackendRefusedError
 from hillstack.platform import names
 from hillstack.platform.bodies import CacheEventsBody, CacheListBody
@@ -92,8 +92,8 @@
             text = f"status {reply.status}"
             raise BackendRefusedError(text, step="cache feed", peer=call.address)
         try:
-            body = msgspec.json.decode(reply.body, type=kind)
-        except msgspec.MsgspecError as error:
+            body = decode_json(reply.body, kind)
+        except MalformedDataError as error:
             raise BackendError(str(error), step="decode cache feed", peer=call.address) from error
         if not holder.is_store:
             check_runner_process(holder.holder_id, body.born, "cache feed")
--- a/src/hillstack/platform/formats.py
+++ b/src/hillstack/platform/formats.py
@@ -7,8 +7,6 @@
 from collections.abc import Iterable
 from typing import TypeVar
 
-import msgspec
-
 from hillstack.core.crash_ledger import CrashLedger
 from hillstack.core.part_index import PromptPart
 from hillstack.core.prompt_shape import PromptShape
@@ -28,6 +26,7 @@
 from hillstack.core.store_revision import StoreRevision
 from hillstack.core.tenant_limits import LimitUnit, TenantLimit
 from hillstack.daemon.change_log import ListedKeys, StoredItem
+from hillstack.decoding import MalformedDataError, decode_json, parse_whole_number
 from hillstack.errors import PlatformError
 from hillstack.platform import names
 from hillstack.platform.bodies import (
@@ -72,6 +71,7 @@
 MAX_SLOTS = 2**31 - 1
 MAX_START_MS = 253_402_300_799_999
 MAX_PORT = 65_535
+IPV6 = 6
 RUNNER_STATES = frozenset({"ready", DRAINING})
 
 Body = TypeVar("Body")
@@ -160,15 +160,18 @@
         hint: The caller's estimate of the tokens that will be generated; empty if there is none.
             It is accurate at the median and usually far below the maximum.
     """
-    try:
-        _, _, output = usage.partition(",")
-        if hint.isdecimal():
-            output = str(min(int(output or hint), int(hint)))
-        fields = [entry.split(":") for entry in parts.split(",") if entry]
-        prompt_parts = tuple(PromptPart(part_id, int(tokens)) for part_id, tokens in fields)
-        return PromptShape(prompt_parts, int(output or 0)) if prompt_parts else None
-    except ValueError:
+    _, _, output_text = usage.partition(",")
+    output = parse_whole_number(output_text.strip() or "0")
+    prompt_parts = [_parse_part(entry) for entry in parts.split(",") if entry]
+    if output is None or not prompt_parts:
+        return None
+    known_parts = tuple(part for part in prompt_parts if part is not None)
+    if len(known_parts) < len(prompt_parts):
         return None
+    estimate = parse_whole_number(hint)
+    if estimate is not None:
+        output = min(output, estimate) if output_text.strip() else estimate
+    return PromptShape(known_parts, output)
 
 
 def parse_usage(usage: str) -> int | None:
@@ -176,16 +179,21 @@
 
     Returns None if the header is missing or can't be parsed.
     """
-    numbers = usage.split(",")
-    if len(numbers) != 2 or not all(number.strip().isdecimal() for number in numbers):
-        return None
-    return sum(int(number) for number in numbers)
+    numbers = [parse_whole_number(text.strip()) for text in usage.split(",")]
+    known = [number for number in numbers if number is not None]
+    return sum(known) if len(known) == len(numbers) == 2 else None
+
+
+def _parse_part(entry: str) -> PromptPart | None:
+    part_id, separator, tokens_text = entry.partition(":")
+    tokens = parse_whole_number(tokens_text.strip())
+    return PromptPart(part_id, tokens) if separator and tokens is not None else None
 
 
 def _decode(item: StoredItem, value: bytes, kind: type[Body]) -> Body:
     try:
-        return msgspec.json.decode(value, type=kind)
-    except msgspec.MsgspecError as error:
+        return decode_json(value, kind)
+    except MalformedDataError as error:
         raise PlatformError(str(error), step="decode item", peer=item.key) from error
 
 
@@ -236,13 +244,16 @@
 
 
 def _is_address(text: str) -> bool:
-    """Return whether a text is ``IP:PORT``."""
-    host, _, port = text.rpartition(":")
+    """Return whether a text is ``IP:PORT``, with an IPv6 address in brackets."""
+    host, _, port_text = text.rpartition(":")
+    is_bracketed = host.startswith("[") and host.endswith("]")
     try:
-        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+        address = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and 0 < int(port[:6]) <= MAX_PORT
+    port = parse_whole_number(port_text)
+    is_port = port is not None and 0 < port <= MAX_PORT and str(port) == port_text
+    return is_port and is_bracketed == (address.version == IPV6)
 
 
 def _rollout_order(service: str, item: StoredItem, value: bytes) -> RolloutOrder:
--- a/src/hillstack/platform/ingress.py
+++ b/src/hillstack/platform/ingress.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import functools
+import math
 from collections.abc import Callable
 from typing import Any, Protocol
 
 from starlette.types import Message, Receive, Scope, Send
 
+from hillstack.decoding import parse_whole_number
 from hillstack.platform import names
 from hillstack.platform.formats import parse_shape, parse_usage
 from hillstack.serving.types import (
@@ -44,6 +46,10 @@
         ...
 
 
+class InvalidHeaderError(ValueError):
+    """A header field of a request is missing, or can't be read."""
+
+
 class CallerDisconnectedError(Exception):
     """The caller closed its connection before its request was read completely."""
 
@@ -118,9 +124,10 @@
         if body is None:
             await self._answer(sink, PAYLOAD_TOO_LARGE, "body too large", scope, None)
             return
-        request = _to_serving_request(scope, body, arrived_at)
-        if request is None:
-            await self._answer(sink, 400, "no request identifier", scope, None)
+        try:
+            request = _to_serving_request(scope, body, arrived_at)
+        except InvalidHeaderError as error:
+            await self._answer(sink, 400, str(error), scope, None)
             return
         await self._serve_while_connected(request, receive, sink, scope)
 
@@ -223,12 +230,17 @@
             return
 
 
-def _to_serving_request(scope: Scope, body: bytes, arrived_at: float) -> ServingRequest | None:
-    """Convert an ASGI request to a ``ServingRequest``; None if it has no identifier."""
+def _to_serving_request(scope: Scope, body: bytes, arrived_at: float) -> ServingRequest:
+    """Convert an ASGI request to a ``ServingRequest``.
+
+    Raises:
+        InvalidHeaderError: It has no identifier, or a field on which the answer depends can't be
+            read.
+    """
     headers: dict[bytes, bytes] = dict(scope["headers"])
     request_id = headers.get(_header_name(names.REQUEST_ID))
     if request_id is None:
-        return None
+        raise InvalidHeaderError("no request identifier")
     target = scope["raw_path"].decode("latin-1")
     usage = _header_text(headers, _header_name(names.TOKEN_USAGE))
     query: bytes = scope["query_string"]
@@ -252,7 +264,7 @@
             _header_text(headers, _header_name(names.LENGTH_HINT)),
         ),
         tokens=parse_usage(usage),
-        last_event_id=_parse_integer(headers.get(_header_name(names.LAST_EVENT_ID))),
+        last_event_id=_parse_last_event_id(headers.get(_header_name(names.LAST_EVENT_ID))),
         resumes=_header_text(headers, _header_name(names.RESUMES)),
     )
 
@@ -284,10 +296,22 @@
     if text is None:
         return None
     try:
-        return max(0.0, float(text) / 1000)
+        milliseconds = float(text)
     except ValueError:
         return None
+    return max(0.0, milliseconds / 1000) if math.isfinite(milliseconds) else None
+
 
+def _parse_last_event_id(text: bytes | None) -> int | None:
+    """Return the identifier of the last event that a caller has; None if it has none.
 
-def _parse_integer(text: bytes | None) -> int | None:
-    return int(text) if text is not None and text.isdigit() else None
+    Raises:
+        InvalidHeaderError: It is no whole number. The stream can't go on after an unknown event,
+            and from the start the caller would get events twice.
+    """
+    if not text:
+        return None
+    number = parse_whole_number(text.strip())
+    if number is None:
+        raise InvalidHeaderError(f"{names.LAST_EVENT_ID} is no whole number")
+    return number
--- a/src/hillstack/platform/response_handler.py
+++ b/src/hillstack/platform/response_handler.py
@@ -19,6 +19,7 @@
 
 from hillstack import clock
 from hillstack.answer_bodies import AnswerTooLongError
+from hillstack.decoding import parse_whole_number
 from hillstack.framing_meter import MAX_FRAMING_BYTES, FramingMeter
 from hillstack.immediate_close import close_at_once, unsent_bytes
 from hillstack.platform import names
@@ -331,6 +332,7 @@
     """Return how long a connection may stay idle, from the ``Keep-Alive`` field of an answer."""
     for parameter in (announced or "").split(","):
         name, _, value = parameter.partition("=")
-        if name.strip().lower() == "timeout" and value.strip().isdecimal():
-            return min(MAX_IDLE_SECONDS, KEEP_ALIVE_SHARE * int(value))
+        seconds = parse_whole_number(value.strip())
+        if name.strip().lower() == "timeout" and seconds is not None:
+            return min(MAX_IDLE_SECONDS, KEEP_ALIVE_SHARE * seconds)
     return DEFAULT_IDLE_SECONDS
--- a/src/hillstack/platform/rollouts.py
+++ b/src/hillstack/platform/rollouts.py
@@ -9,6 +9,7 @@
 
 from hillstack.core.software_rollouts import RolloutOrder, RolloutRecord, RolloutStage
 from hillstack.daemon.change_log import StoredItem
+from hillstack.decoding import MalformedDataError, decode_json
 from hillstack.errors import PlatformError
 from hillstack.platform import names
 from hillstack.platform.bodies import RolloutRecordBody, RolloutStatusBody
@@ -101,7 +102,7 @@
     for item in items:
         service = item.key.removeprefix(names.ROLLOUT_STATUS_PREFIX)
         try:
-            body = msgspec.json.decode(item.value or b"", type=RolloutStatusBody)
-        except msgspec.MsgspecError as error:
+            body = decode_json(item.value or b"", RolloutStatusBody)
+        except MalformedDataError as error:
             raise PlatformError(str(error), step="read rollout status", peer=item.key) from error
         yield service, f"{body.state} {body.target_version}"
--- a/src/hillstack/platform/runners.py
+++ b/src/hillstack/platform/runners.py
@@ -16,6 +16,7 @@
     RunningRequests,
     WeightsOrder,
 )
+from hillstack.decoding import MalformedDataError, decode_json, parse_whole_number
 from hillstack.errors import (
     BackendBrokenError,
     BackendError,
@@ -199,8 +200,8 @@
             self._signals.read(runner_id, reply.status, reply.headers, sent)
             raise BackendStatusError(f"status {reply.status}", step="report", peer=runner_id)
         try:
-            body = msgspec.json.decode(reply.body, type=ReportBody)
-        except msgspec.MsgspecError as error:
+            body = decode_json(reply.body, ReportBody)
+        except MalformedDataError as error:
             raise BackendError(str(error), step="decode report", peer=runner_id) from error
         check_runner_process(runner_id, body.born, "report")
         self._signals.read(runner_id, reply.status, reply.headers, sent)
@@ -282,8 +283,7 @@
 
 
 def _weights_version(response: aiohttp.ClientResponse) -> int:
-    text = response.headers.get(names.VERSIONS, "")
-    return int(text) if text.isdigit() else 0
+    return parse_whole_number(response.headers.get(names.VERSIONS, "")) or 0
 
 
 def _headers(request: ServingRequest, dispatch: Dispatch) -> list[tuple[str, str]]:
--- a/src/hillstack/platform/store.py
+++ b/src/hillstack/platform/store.py
@@ -20,6 +20,7 @@
 from hillstack.core.store_revision import NO_REVISION, StoreRevision
 from hillstack.daemon.change_log import ListedKeys, StoreChange, StoredItem
 from hillstack.daemon.key_value import Condition, Entry, Put, RevisionIs
+from hillstack.decoding import MalformedDataError, decode_json
 from hillstack.errors import (
     HistoryLostError,
     OutdatedAnswerError,
@@ -369,8 +370,8 @@
 
     def _decode(self, answer: _Answer, kind: type[Body]) -> Body:
         try:
-            return msgspec.json.decode(answer.body, type=kind)
-        except msgspec.MsgspecError as error:
+            return decode_json(answer.body, kind)
+        except MalformedDataError as error:
             raise PlatformError(str(error), step="decode", peer=self._address) from error
 
     async def _call(
--- a/src/hillstack/serving/event_framing.py
+++ b/src/hillstack/serving/event_framing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hillstack.decoding import parse_whole_number
 from hillstack.errors import CrossedAnswerError
 
 EVENT_END = b"\n\n"
@@ -74,4 +75,4 @@
         return None
     end = events.find(b"\n", at)
     text = events[at + len(ID_FIELD) : end].strip()
-    return int(text) if text.isdigit() else None
+    return parse_whole_number(text)
