A background task that ends starts again, and a node is not ready while one keeps failing

Class: background work whose end nobody notices.

BackgroundTasks starts a task again after a pause that doubles up to 5 s, counts failures by task, and reports tasks that keep failing; the node then fails its readiness check and asks callers to go elsewhere. The crash monitor counted as stopping for good after any error; the two tasks of a region's relay end and start together; a rollout's decisions end with the renewal of their lease, and both start again. The project's own node runs its tasks the same way.

--- a/src/hillstack/daemon/background_tasks.py
+++ b/src/hillstack/daemon/background_tasks.py
@@ -1,31 +1,92 @@
-"""The tasks that a node runs beside its requests, for the life of the process."""
+"""The tasks that a node runs beside its requests, for the life of the process.
+
+A task that ends is started again. The node goes on serving with what it knows, and while a task
+keeps failing it reports that it is not ready, since it no longer keeps up with the fleet. It does
+not end the process: whatever made the task fail is likely to be there for the next process, too.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import logging
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from typing import Any
 
 logger = logging.getLogger(__name__)
 
+# Pause before the first start after a failure; it doubles with each further one.
+MIN_RESTART_SECONDS = 0.1
+MAX_RESTART_SECONDS = 5.0
+# A task is sound again after it has run for this long, longer than the longest pause.
+SOUND_SECONDS = 10.0
+# Failures, each less than the above after the previous one, from which a task keeps failing.
+MAX_FAILURES = 3
+
+Work = Callable[[], Coroutine[Any, Any, None]]
+
+
+class TaskEndedError(RuntimeError):
+    """A task that runs until it is cancelled has returned."""
+
+
+@dataclass(slots=True)
+class _Failures:
+    """The latest failures of a task.
+
+    Attributes:
+        count: Number of failures in a row.
+        last_at: When the task failed last.
+    """
+
+    count: int = 0
+    last_at: float = float("-inf")
+
+    def add(self, now: float) -> None:
+        is_in_a_row = now - self.last_at < SOUND_SECONDS
+        self.count = self.count + 1 if is_in_a_row else 1
+        self.last_at = now
+
+    def persist(self, now: float) -> bool:
+        return self.count >= MAX_FAILURES and now - self.last_at < SOUND_SECONDS
+
+    def restart_seconds(self) -> float:
+        return min(MAX_RESTART_SECONDS, MIN_RESTART_SECONDS * 2.0 ** (self.count - 1))
+
 
 class BackgroundTasks:
-    """Starts the background tasks of a node, and notices when one of them fails.
+    """Runs the background tasks of a node, and starts each again that ends.
 
     Args:
-        on_failure: Called with the name of a task that has failed.
+        clock: Monotonic seconds.
+        on_failure: Called with the name of a task that has ended.
     """
 
-    def __init__(self, on_failure: Callable[[str], None]) -> None:
+    def __init__(
+        self, clock: Callable[[], float], on_failure: Callable[[str], None] = lambda _: None
+    ) -> None:
+        self._clock = clock
         self._on_failure = on_failure
         self._tasks: list[asyncio.Task[None]] = []
+        self._failures: dict[str, _Failures] = {}
+
+    def start(self, name: str, run: Work, *, is_required: bool = True) -> None:
+        """Start a task that runs until it is cancelled.
+
+        Args:
+            name: Name of the task in logs and metrics.
+            run: The work, called for each start.
+            is_required: Whether the node is ready only while the task runs.
+        """
+        failures = _Failures()
+        if is_required:
+            self._failures[name] = failures
+        self._tasks.append(asyncio.create_task(self._supervise(name, run, failures), name=name))
 
-    def start(self, name: str, work: Coroutine[Any, Any, None]) -> None:
-        """Start a task."""
-        task = asyncio.create_task(work, name=name)
-        task.add_done_callback(self._note_end)
-        self._tasks.append(task)
+    def failing(self) -> list[str]:
+        """Return the required tasks that keep failing."""
+        now = self._clock()
+        return [name for name, failures in self._failures.items() if failures.persist(now)]
 
     async def cancel(self) -> None:
         """Cancel all tasks and wait until they have ended."""
@@ -33,9 +94,15 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def _note_end(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled() or task.exception() is None:
-            return
-        name = task.get_name()
-        logger.error("background task failed", extra={"task": name}, exc_info=task.exception())
-        self._on_failure(name)
+    async def _supervise(self, name: str, run: Work, failures: _Failures) -> None:
+        while True:
+            try:
+                await run()
+                raise TaskEndedError(f"{name} has returned")
+            except Exception as error:
+                failures.add(self._clock())
+                pause = failures.restart_seconds()
+                fields = {"task": name, "failures": failures.count, "restart_seconds": pause}
+                logger.error("background task failed", extra=fields, exc_info=error)
+                self._on_failure(name)
+            await asyncio.sleep(pause)
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -157,7 +157,7 @@
         self._state.bounds_enforced_from = times.entered_at + contact
         self._store_session = make_store_session()
         self._metrics = FleetMetrics()
-        self._tasks = BackgroundTasks(self._metrics.count_task_failure)
+        self._tasks = BackgroundTasks(self._clock, self._metrics.count_task_failure)
         self._state.store_era.handle_new(lambda _: self._metrics.store_restores.inc())
         store = MetadataStore(
             settings.store.address,
@@ -384,7 +384,8 @@
         if settings.listen.metrics_port is not None:
             self._add_gauges()
             address = f"{settings.node.address}:{settings.listen.metrics_port}"
-            self._tasks.start("metrics", serve_metrics(MetricsPage(self._metrics), address))
+            page = MetricsPage(self._metrics)
+            self._tasks.start("metrics", lambda: serve_metrics(page, address), is_required=False)
         asyncio.get_running_loop().set_exception_handler(self._handle_loop_error)
         # Unlike ``serve``, ``_serve`` installs no signal handlers: the node decides when to stop.
         serving = [asyncio.create_task(server._serve(sockets)) for server, sockets in listening]
@@ -415,7 +416,7 @@
             ("rollouts", self._rollouts.run),
             ("runner_monitor", monitor.run),
         ):
-            self._tasks.start(name, run())
+            self._tasks.start(name, run)
         self._note_started()
         await self._stop.wait()
         await self._drain(callers)
@@ -506,7 +507,11 @@
 
     def _should_leave(self) -> bool:
         """Return whether callers should go to another node."""
-        return self._stopping or not self._state.can_serve(self._clock())
+        return (
+            self._stopping
+            or not self._state.can_serve(self._clock())
+            or bool(self._tasks.failing())
+        )
 
     def _max_body_bytes(self) -> int:
         """Return the maximum size of a request's body; 4 MiB until the configuration is known."""
--- a/src/hillstack/daemon/node.py
+++ b/src/hillstack/daemon/node.py
@@ -18,6 +18,7 @@
 from hillstack.core.request_router import MAX_NOTIFIED_PEERS, CompletionRequest, RequestRouter
 from hillstack.core.rollout import BundleAdopter
 from hillstack.daemon.backend_watch import BackendWatch
+from hillstack.daemon.background_tasks import BackgroundTasks
 from hillstack.daemon.bundle_sync import BundleSync
 from hillstack.daemon.claim_coordinator import ClaimCoordinator
 from hillstack.daemon.metrics import RouterMetrics
@@ -106,7 +107,9 @@
             self._any_peer,
         )
         self._weights = WeightsDuty(self.control, fleet, environment)
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = BackgroundTasks(environment.clock)
+        # Tasks that end by themselves.
+        self._short_tasks: set[asyncio.Task[None]] = set()
 
     @property
     def backends(self) -> Backends:
@@ -137,18 +140,21 @@
 
     def is_ready(self) -> bool:
         """Return whether requests can be served."""
-        return self.router is not None and not self.stopping
+        return self.router is not None and not self.stopping and not self._tasks.failing()
 
     async def start(self) -> None:
         """Open sockets and start all tasks."""
         await self._environment.listen(self._on_peer_request, self._on_gossip)
         self._spawn(self._bundles.first_bundle(self.settings.peers.seeds))
-        self._spawn(self._bundles.poll())
-        self._spawn(self._bundles.watch())
-        self._spawn(self._backend_watch.run())
-        self._spawn(self._weights.run())
-        self._spawn(self._run_membership())
-        self._spawn(self._run_sync())
+        for name, run in (
+            ("bundle_poll", self._bundles.poll),
+            ("bundle_watch", self._bundles.watch),
+            ("backends", self._backend_watch.run),
+            ("weights", self._weights.run),
+            ("membership", self._run_membership),
+            ("member_sync", self._run_sync),
+        ):
+            self._tasks.start(name, run)
 
     async def leave(self) -> None:
         """Release duties and announce that this node leaves; it still serves requests."""
@@ -158,9 +164,10 @@
 
     async def stop(self) -> None:
         """Cancel all tasks and close all sockets."""
-        for task in self._tasks:
+        for task in self._short_tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*self._short_tasks, return_exceptions=True)
+        await self._tasks.cancel()
         await self._environment.close()
 
     def _own_member(self) -> Member:
@@ -175,9 +182,11 @@
         )
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Run work that ends by itself."""
         task = asyncio.create_task(work)
         task.add_done_callback(_log_failure)
-        self._tasks.append(task)
+        task.add_done_callback(self._short_tasks.discard)
+        self._short_tasks.add(task)
 
     def _on_bundle(self) -> None:
         bundle = self.bundle
--- a/src/hillstack/daemon/peer_exchange.py
+++ b/src/hillstack/daemon/peer_exchange.py
@@ -336,7 +336,10 @@
     async def relay(self) -> None:
         """Send heartbeats while this node relays, until cancelled."""
         if self._choice.topology.has_regions():
-            await asyncio.gather(self._relay.run(), self._crossing.run())
+            # If one of them fails, the other one ends too, so that both start again.
+            async with asyncio.TaskGroup() as running:
+                running.create_task(self._relay.run())
+                running.create_task(self._crossing.run())
         else:
             await self._relay.run()
 
--- a/src/hillstack/daemon/software_rollout_duty.py
+++ b/src/hillstack/daemon/software_rollout_duty.py
@@ -166,7 +166,7 @@
         renewal = asyncio.create_task(self.lease_renewer.run())
         renewal.add_done_callback(self._log_failure)
         try:
-            while self._decider.has_undecided_order():
+            while self._decider.has_undecided_order() and not renewal.done():
                 view = self._decider.observe()
                 key_revision = self._lease.key_revision()
                 if view is not None and key_revision is not None:
--- a/src/hillstack/daemon/store_sync.py
+++ b/src/hillstack/daemon/store_sync.py
@@ -24,6 +24,7 @@
 from hillstack.core.store_outage import OutageEvidence
 from hillstack.core.store_revision import NO_REVISION, StoreRevision
 from hillstack.daemon.change_log import ChangeLog, ListedKeys, StoreChange, StoredItem
+from hillstack.daemon.item_applier import ItemApplier
 from hillstack.daemon.store_polls import ChangesView, PolledStore, PollOutcome, StorePolls
 from hillstack.daemon.store_relay import RelayedChanges
 from hillstack.errors import (
@@ -166,6 +167,7 @@
     ) -> None:
         self._is_lagging = is_lagging
         self._outage = OutageEvidence(OUTAGE_SECONDS)
+        self._applier = ItemApplier(state, clock)
         self._store = store
         self._state = state
         self._log = log
@@ -253,7 +255,7 @@
         self._note_success()
         items = [change.item for change in snapshot.changes]
         self._note_era(snapshot.revision, [item.key for item in items])
-        self._apply(snapshot.changes)
+        self._applier.apply(snapshot.changes)
         self._log.load(items, snapshot.revision)
         self._retain([item.key for item in items], snapshot.revision)
         self._state.duty_known = True
@@ -547,7 +549,7 @@
 
     def _apply_polled(self, changes: ChangesView, started_at: float) -> StoreRevision:
         self._note_source(None)
-        self._apply(changes.changes)
+        self._applier.apply(changes.changes)
         self._log.apply([change.item for change in changes.changes], changes.revision)
         self._state.note_proof(changes.revision, started_at)
         return changes.revision
@@ -567,7 +569,7 @@
         self._apply_outage(relayed)
         if relayed.keys is not None:
             self._note_era(relayed.revision, relayed.keys)
-        self._apply(changes)
+        self._applier.apply(changes)
         self._log.apply(relayed.items, relayed.revision)
         if relayed.keys is not None:
             self._log.retain(relayed.keys, relayed.revision)
@@ -627,13 +629,6 @@
         self._source = node_id
         logger.info("store followed", extra={"by_way_of": node_id or "itself"})
 
-    def _apply(self, changes: Iterable[StoreChange]) -> None:
-        now = self._clock()
-        for change in changes:
-            if change.event is not None:
-                not_before = self._state.proofs.latest_before(change.item.revision)
-                self._state.apply(change.event, not_before, now)
-
     def _note_failure(self, error: PlatformError) -> None:
         now = self._clock()
         # At a start, requests no longer wait for the first read.
--- a/src/hillstack/serving/runner_crashes.py
+++ b/src/hillstack/serving/runner_crashes.py
@@ -518,9 +518,9 @@
             while True:
                 await asyncio.sleep(NOTICE_INTERVAL_SECONDS)
                 self._repeat_notices()
-        finally:
-            # The node is shutting down and closes its own connections and its socket for peers.
-            self._is_stopping = True
+        except asyncio.CancelledError:
+            self._is_stopping = True  # The node closes its connections and its socket for peers.
+            raise
 
     def _repeat_notices(self) -> None:
         self._refresh()
