An answer without a length is complete only if its process still runs

Callers got streams that end as complete before their last event (ORDER), and parts of bodies with a Content-Length of our own. The system closes the connections of a killed process in order, which is also how an answer without a length ends; the node then ended its own answer, which promises completeness. Class: an end that is called complete without proof.

The node asks the process over a new connection (through a peer, if only peers reach it): if it answers as the same process, what it closed itself counts as complete; otherwise the answer breaks off: a stream that may be resumed goes on elsewhere, others end without a last chunk, a body fails. Ruled out as alternatives: an answer without a length of our own looks complete to its caller all the same; breaking off all such answers fails sound ones, which runners of known deployments give.

In gateway/, answers of applications are confirmed by the application's status page, and an unframed answer that is reset no longer passes for complete, which aiohttp takes it for. Engines end with [DONE] or with JSON.

--- a/src/hillstack/answer_bodies.py
+++ b/src/hillstack/answer_bodies.py
@@ -13,11 +13,23 @@
 from hillstack.answer_limits import MAX_ANSWER_BYTES, MAX_STORE_ANSWER_BYTES, MAX_TOTAL_BYTES
 from hillstack.decoding import parse_json
 
+# Statuses of answers without a body.
+BODILESS_STATUSES = frozenset({204, 304})
+
 
 class AnswerTooLongError(aiohttp.ClientError):
     """An answer has more bytes than it may have; its connection is closed."""
 
 
+def is_unframed(response: aiohttp.ClientResponse) -> bool:
+    """Return whether only the end of its connection ends an answer."""
+    if response.method == "HEAD" or response.status in BODILESS_STATUSES:
+        return False
+    headers = response.headers
+    is_chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
+    return "Content-Length" not in headers and not is_chunked
+
+
 class BodyReader:
     """Reads whole bodies, each up to a size and all together up to another one.
 
--- a/src/hillstack/backends/http_client.py
+++ b/src/hillstack/backends/http_client.py
@@ -9,16 +9,20 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import AsyncIterator, Mapping
 from types import SimpleNamespace
+from typing import Any
 
 import aiohttp
 
+from hillstack.answer_bodies import is_unframed
 from hillstack.backends.status import fetch_load, fetch_status
 from hillstack.core.attempt import Attempt, AttemptState
 from hillstack.core.fleet import LoadReport
-from hillstack.daemon.ports import BackendStatus
+from hillstack.daemon.ports import Answer, BackendStatus
 from hillstack.errors import BackendBrokenError, BackendError, BackendRefusedError
+from hillstack.reset_aware import ResetAwareHandler
 
 MAX_KEEP_ALIVE_SECONDS = 15.0
 POLL_TIMEOUT_SECONDS = 2.0
@@ -98,6 +102,18 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise _backend_error(error, attempt, url) from error
 
+    async def confirm_end(self, answer: Answer, address: str, incarnation: str) -> None:
+        """Check that the whole body of an answer was received; see ``Backends.confirm_end``."""
+        if not isinstance(answer, aiohttp.ClientResponse) or not is_unframed(answer):
+            return
+        text = "the answer ended with its connection, and its process does not answer"
+        try:
+            status = await self.fetch_status(address)
+        except BackendError as error:
+            raise BackendBrokenError(text, step="read answer", peer=address) from error
+        if status.incarnation != incarnation:
+            raise BackendBrokenError(text, step="read answer", peer=address)
+
     async def fetch_status(self, address: str) -> BackendStatus:
         """Return the status of a back end.
 
@@ -143,6 +159,8 @@
             connector = aiohttp.TCPConnector(limit=0, force_close=True)
         else:
             connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=MAX_KEEP_ALIVE_SECONDS)
+        factory: Any = functools.partial(ResetAwareHandler, loop=connector._loop)
+        connector._factory = factory
         session = aiohttp.ClientSession(
             connector=connector,
             trace_configs=[trace],
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 import resource
 import signal
@@ -55,6 +56,7 @@
 from hillstack.daemon.peer_link import PeerLink
 from hillstack.daemon.permit_services import make_permit_services
 from hillstack.daemon.runner_access import RunnerAccess
+from hillstack.daemon.runner_check import RunnerCheck
 from hillstack.daemon.runner_monitor import RunnerMonitor
 from hillstack.daemon.runner_places import RunnerPlaces
 from hillstack.daemon.software_rollout_duty import SoftwareRolloutDuty
@@ -182,7 +184,8 @@
         runner_limits = RunnerLimits(
             self._state.pool, self._shared_runner_limits, self._metrics, self._clock, self._places
         )
-        probe = RateLimitedProbe(PathProbe(settings.node.id, signals), runner_limits)
+        path_probe = PathProbe(settings.node.id, signals)
+        probe = RateLimitedProbe(path_probe, runner_limits)
         self._access = RunnerAccess(
             self._state,
             zone,
@@ -196,7 +199,9 @@
         self._runner_session = self._access.session
         self._state.handle_restarted(lambda runner: self._access.record_silent(runner.address))
         bodies = BodyReader(settings.answers.max_bytes, settings.answers.max_total_bytes)
-        ends = AnswerEnds(self._metrics)
+        monitor, dialer = self._access.monitor, self._access.dialer
+        check = RunnerCheck(path_probe, runner_limits, dialer, monitor.is_lost)
+        ends = AnswerEnds(check, self._metrics)
         runners = HttpRunnerClient(self._runner_session, signals, bodies, ends=ends)
         orders = HttpRunnerClient(
             self._access.direct_session, signals, order_session=self._access.order_session
@@ -384,8 +389,8 @@
         if settings.listen.metrics_port is not None:
             self._add_gauges()
             address = f"{settings.node.address}:{settings.listen.metrics_port}"
-            page = MetricsPage(self._metrics)
-            self._tasks.start("metrics", lambda: serve_metrics(page, address), is_required=False)
+            work = functools.partial(serve_metrics, MetricsPage(self._metrics), address)
+            self._tasks.start("metrics", work, is_required=False)
         asyncio.get_running_loop().set_exception_handler(self._handle_loop_error)
         # Unlike ``serve``, ``_serve`` installs no signal handlers: the node decides when to stop.
         serving = [asyncio.create_task(server._serve(sockets)) for server, sockets in listening]
@@ -507,11 +512,8 @@
 
     def _should_leave(self) -> bool:
         """Return whether callers should go to another node."""
-        return (
-            self._stopping
-            or not self._state.can_serve(self._clock())
-            or bool(self._tasks.failing())
-        )
+        is_sound = self._state.can_serve(self._clock()) and not self._tasks.failing()
+        return self._stopping or not is_sound
 
     def _max_body_bytes(self) -> int:
         """Return the maximum size of a request's body; 4 MiB until the configuration is known."""
--- a/src/hillstack/daemon/path_monitor.py
+++ b/src/hillstack/daemon/path_monitor.py
@@ -50,12 +50,14 @@
 
     Attributes:
         SILENT: Nothing answered.
-        OTHER: Something answered, but not as the process that was called.
+        OTHER: Something answered with a failure.
+        OTHER_PROCESS: Another process answered than the one that was called.
         ANSWERED: The process answered.
     """
 
     SILENT = "silent"
     OTHER = "other"
+    OTHER_PROCESS = "other process"
     ANSWERED = "answered"
 
 
--- a/src/hillstack/daemon/ports.py
+++ b/src/hillstack/daemon/ports.py
@@ -79,6 +79,22 @@
         """Send a request; see ``hillstack.backends.http_client``."""
         ...
 
+    async def confirm_end(self, answer: Answer, address: str, incarnation: str) -> None:
+        """Check that the whole body of an answer was received.
+
+        An answer without a length ends with its connection, as the connections of a process do that
+        is killed. It is complete only if its process still runs.
+
+        Args:
+            answer: The answer, whose body has been read.
+            address: ``IP:PORT`` of the back end.
+            incarnation: The process to which the request was sent.
+
+        Raises:
+            BackendBrokenError: Nothing proves that the answer is complete.
+        """
+        ...
+
     async def fetch_status(self, address: str) -> BackendStatus:
         """Return a back end's status."""
         ...
--- a/src/hillstack/daemon/runner_access.py
+++ b/src/hillstack/daemon/runner_access.py
@@ -53,6 +53,7 @@
             a call names no call, so a late one over a used connection could pass for the order's.
         relay: Relays connections for other nodes.
         monitor: Finds out which paths are lost.
+        dialer: Opens connections to runners, and finds routes through peers.
     """
 
     def __init__(
@@ -82,6 +83,7 @@
             state, paths, targets, reach, metrics, clock, rng
         )
         self.monitor = PathMonitor(state, paths, targets, dialer, probe, self.record_silent, clock)
+        self.dialer = dialer
         log = ConnectionLog(metrics)
         connector = RunnerConnector(state.node_id, dialer, self.monitor, paths, log)
         self.session: aiohttp.ClientSession = make_runner_session(connector)
--- /dev/null
+++ b/src/hillstack/daemon/runner_check.py
@@ -0,0 +1,68 @@
+"""Checks whether the process of a runner still runs after it has closed a connection."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from hillstack.daemon.path_monitor import ProbeResult, TargetProbe
+from hillstack.daemon.relayed_link import RelayRoute
+
+# How long the check waits for room in the runner's request limit; then it is made regardless,
+# because without it a complete answer would be broken off.
+LIMIT_PATIENCE_SECONDS = 0.3
+# Peers that reached the runner this recently are tried without asking them again.
+ROUTE_AGE_SECONDS = 5.0
+RUNNING = frozenset({ProbeResult.ANSWERED, ProbeResult.OTHER})
+
+
+class CallLimits(Protocol):
+    """The request limits that runners announce."""
+
+    async def room_for_call(self, runner_id: str, patience_seconds: float) -> bool:
+        """Wait for room in a runner's limit, and use it; return whether there was any."""
+        ...
+
+
+class Routes(Protocol):
+    """The routes to runners through peers."""
+
+    async def routes(self, address: str, max_age: float) -> list[RelayRoute]:
+        """Return the routes through peers to an address, the best first."""
+        ...
+
+
+class RunnerCheck:
+    """Calls a runner over a new connection.
+
+    Args:
+        probe: Calls runners.
+        limits: Counts calls against the limits of runners.
+        routes: Finds peers that reach a runner which this node does not reach.
+        is_lost: Returns whether this node reaches an address through peers only.
+    """
+
+    def __init__(
+        self,
+        probe: TargetProbe,
+        limits: CallLimits,
+        routes: Routes,
+        is_lost: Callable[[str], bool],
+    ) -> None:
+        self._probe = probe
+        self._limits = limits
+        self._routes = routes
+        self._is_lost = is_lost
+
+    async def is_running(self, runner_id: str, address: str) -> bool:
+        """Return whether the process answers now.
+
+        False says that nothing proves it: the process may have ended, or it can't be reached.
+        """
+        await self._limits.room_for_call(runner_id, LIMIT_PATIENCE_SECONDS)
+        if not self._is_lost(address):
+            return await self._probe.probe(runner_id, address, None) in RUNNING
+        for route in await self._routes.routes(address, ROUTE_AGE_SECONDS):
+            if await self._probe.probe(runner_id, address, route) in RUNNING:
+                return True
+        return False
--- a/src/hillstack/errors.py
+++ b/src/hillstack/errors.py
@@ -87,6 +87,10 @@
     """The back end answered a call with a status other than success."""
 
 
+class OtherProcessError(BackendStatusError):
+    """The back end answered that it is another process than the one that was addressed."""
+
+
 class RunnerRestartedError(BackendError):
     """Another process with the same name answered, so the process that was addressed has ended."""
 
--- a/src/hillstack/gateway/applications.py
+++ b/src/hillstack/gateway/applications.py
@@ -220,12 +220,14 @@
     headers = job.headers | {"x-request-id": attempt.attempt_id}
     url = f"http://{backend.machine.address}{job.target}"
     remaining = max(0.001, job.deadline - node.clock())
+    incarnation = backend.incarnation
     limit = node.settings.limits.max_answer_bytes
     try:
         async with node.backends.send(
             attempt, job.method, url, job.body, headers, single_use=True, timeout=remaining
         ) as response:
             body = await read_whole(response, limit, attempt.backend_id)
+            await node.backends.confirm_end(response, backend.machine.address, incarnation)
             content_type = response.headers.get("content-type", "application/octet-stream")
             answer = StoredAnswer(response.status, content_type, body)
             _check_echo(job, attempt, response.headers.get("x-request-id"))
--- a/src/hillstack/platform/path_probe.py
+++ b/src/hillstack/platform/path_probe.py
@@ -8,7 +8,13 @@
 
 from hillstack.daemon.path_monitor import ProbeResult
 from hillstack.daemon.relayed_link import RelayRoute, open_relayed
-from hillstack.errors import BackendError, BackendStatusError, RelayError, RunnerRestartedError
+from hillstack.errors import (
+    BackendError,
+    BackendStatusError,
+    OtherProcessError,
+    RelayError,
+    RunnerRestartedError,
+)
 from hillstack.platform.connections import (
     SilenceAwareConnector,
     make_runner_session,
@@ -65,7 +71,9 @@
             client = HttpRunnerClient(session, self._listener)
             try:
                 await client.report(target_id, address)
-            except (RunnerRestartedError, BackendStatusError):
+            except (RunnerRestartedError, OtherProcessError):
+                return ProbeResult.OTHER_PROCESS
+            except BackendStatusError:
                 return ProbeResult.OTHER
             except BackendError:
                 return ProbeResult.SILENT
--- a/src/hillstack/platform/response_handler.py
+++ b/src/hillstack/platform/response_handler.py
@@ -15,7 +15,6 @@
 from typing import Any, Protocol
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 
 from hillstack import clock
 from hillstack.answer_bodies import AnswerTooLongError
@@ -24,6 +23,7 @@
 from hillstack.immediate_close import close_at_once, unsent_bytes
 from hillstack.platform import names
 from hillstack.platform.connection_log import ConnectionLog, UnfinishedRun
+from hillstack.reset_aware import ResetAwareHandler
 
 # If sent bytes stay unacknowledged for this long, the machine is down or cut off. Ordinary packet
 # loss is repaired sooner.
@@ -106,7 +106,7 @@
     unsent_bytes: int
 
 
-class StrictResponseHandler(ResponseHandler):
+class StrictResponseHandler(ResetAwareHandler):
     """The protocol of one connection; it checks answers and detects silence.
 
     Args:
@@ -242,25 +242,13 @@
         self._record_if_silent(exc)
         was_due, payload = self._is_answer_due(), self._payload
         self._log_unfinished_run(exc)
-        self._fail_answer(exc)
+        super().connection_lost(exc)
         # An answer without a length ends so; one with a length has failed by now.
         has_ended = exc is None and not self._awaiting_head
         has_ended = has_ended and payload is not None and payload.exception() is None
         if self._observer is not None and was_due and not has_ended:
             self._observer.handle_broken(self._address)
 
-    def _fail_answer(self, exc: BaseException | None) -> None:
-        payload = self._payload
-        if exc is None or payload is None or payload.is_eof():
-            super().connection_lost(exc)
-            return
-        error = aiohttp.ClientPayloadError(f"connection reset: {exc!r}")
-        error.__cause__ = exc
-        payload.set_exception(error)
-        super().connection_lost(exc)
-        # aiohttp has set an error of its own, which does not distinguish a reset from a time-out.
-        payload.set_exception(error)
-
     def close(self) -> None:
         """Close the connection; a silent peer is recorded first, so that no idle one is reused."""
         self._record_if_silent(None)
--- a/src/hillstack/platform/runners.py
+++ b/src/hillstack/platform/runners.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
 
 import aiohttp
 import msgspec
 from yarl import URL
 
-from hillstack.answer_bodies import BodyReader
+from hillstack.answer_bodies import BodyReader, is_unframed
 from hillstack.core.runner_limit import AnswerKind
 from hillstack.daemon.weights_orders import (
     OrderOutcome,
@@ -22,9 +23,10 @@
     BackendError,
     BackendStatusError,
     ConnectionLostError,
+    OtherProcessError,
 )
 from hillstack.platform import names
-from hillstack.platform.answer_ends import AnswerEnds, is_unframed
+from hillstack.platform.answer_ends import AnswerEnds
 from hillstack.platform.bodies import OrderBody, ReportBody
 from hillstack.platform.connections import OutgoingCall, send_call
 from hillstack.platform.runner_identifiers import check_runner_process, instance_of
@@ -72,12 +74,18 @@
     """An answer of a runner whose head has been received."""
 
     def __init__(
-        self, response: aiohttp.ClientResponse, peer: str, bodies: BodyReader, ends: AnswerEnds
+        self,
+        response: aiohttp.ClientResponse,
+        dispatch: Dispatch,
+        bodies: BodyReader,
+        ends: AnswerEnds,
     ) -> None:
         self._response = response
-        self._peer = peer
+        self._peer = dispatch.runner_id
+        self._address = dispatch.address
         self._bodies = bodies
         self._ends = ends
+        self._end: asyncio.Task[None] | None = None
 
     @property
     def status(self) -> int:
@@ -106,7 +114,7 @@
         except (aiohttp.ClientError, OSError) as error:
             raise self._broken_error(error) from error
         if not piece:
-            self._note_end()
+            await self._confirm_end()
         return piece
 
     async def whole_body(self) -> bytes:
@@ -115,19 +123,26 @@
             body = await self._bodies.read(self._response)
         except (aiohttp.ClientError, OSError) as error:
             raise self._broken_error(error) from error
-        self._note_end()
+        await self._confirm_end()
         return body
 
     def close(self) -> None:
         """Release the connection if the answer is complete, else close it."""
+        if self._end is not None:
+            self._end.cancel()
         if self._response.content.at_eof():
             self._response.release()
         else:
             self._response.close()
 
-    def _note_end(self) -> None:
-        if is_unframed(self._response):
-            self._ends.note(self._response, self._peer)
+    async def _confirm_end(self) -> None:
+        """Check that the answer is complete; may be cancelled and called again."""
+        if not is_unframed(self._response):
+            return
+        if self._end is None:
+            confirmation = self._ends.confirm(self._response, self._peer, self._address)
+            self._end = asyncio.create_task(confirmation)
+        await asyncio.shield(self._end)
 
     def _broken_error(self, error: Exception) -> BackendBrokenError:
         return _broken_error(error, "relay", self._peer)
@@ -141,7 +156,7 @@
         listener: Receives the signals in runners' answers; None to ignore them.
         bodies: Reads the bodies of answers to callers' requests that are no streams.
         order_session: HTTP session for orders; the other one by default.
-        ends: Records the ends of answers that end with their connection.
+        ends: Checks answers that end with their connection; by default they are complete.
     """
 
     def __init__(
@@ -184,7 +199,7 @@
             raise _broken_error(error, "await answer", peer) from error
         self._signals.read(peer, response.status, response.headers, sent)
         self._check_executed(response, request, dispatch)
-        return HttpRunnerAnswer(response, peer, self._bodies, self._ends)
+        return HttpRunnerAnswer(response, dispatch, self._bodies, self._ends)
 
     async def report(self, runner_id: str, address: str) -> RunnerReport:
         """Return the state that a runner reports; it may be some hundred milliseconds old.
@@ -198,7 +213,8 @@
         reply = await send_call(self._session, call)
         if reply.status != OK:
             self._signals.read(runner_id, reply.status, reply.headers, sent)
-            raise BackendStatusError(f"status {reply.status}", step="report", peer=runner_id)
+            error = OtherProcessError if reply.status == MISDIRECTED else BackendStatusError
+            raise error(f"status {reply.status}", step="report", peer=runner_id)
         try:
             body = decode_json(reply.body, ReportBody)
         except MalformedDataError as error:
--- a/src/hillstack/simulation/environment.py
+++ b/src/hillstack/simulation/environment.py
@@ -118,6 +118,9 @@
         content.put(None)
         yield SimAnswer(reply.status, reply.headers, content)
 
+    async def confirm_end(self, answer: Answer, address: str, incarnation: str) -> None:
+        """Do nothing: each simulated answer ends explicitly, or breaks off."""
+
     async def fetch_status(self, address: str) -> BackendStatus:
         """Return a back end's status page.
 
--- a/tests/unit/test_http_client.py
+++ b/tests/unit/test_http_client.py
@@ -11,6 +11,7 @@
 from hillstack.core.attempt import Attempt, AttemptState
 from hillstack.errors import BackendBrokenError, BackendRefusedError
 from hillstack.gateway.answers import read_whole
+from tests.fleet.test_connections import reset
 
 READ_TIMEOUT_SECONDS = 0.2
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 300000\r\n\r\n"
@@ -114,3 +115,62 @@
     with pytest.raises(BackendBrokenError):
         run_against(run_and_break, send_once)
     assert len(heads) == 1
+
+
+STATUS = b'{"incarnation":"p-1"}'
+UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\nhalf"
+
+
+def unframed(*, resets: bool = False, keeps_running: bool = True) -> Serve:
+    """Return an application whose answer ends with its connection."""
+    is_running = True
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal is_running
+        head = await reader.readuntil(b"\r\n\r\n")
+        if not is_running:
+            writer.transport.abort()
+        elif head.startswith(b"GET /status"):
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                + f"Content-Length: {len(STATUS)}\r\n\r\n".encode()
+                + STATUS
+            )
+        else:
+            is_running = keeps_running
+            writer.write(UNFRAMED)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        if resets:
+            reset(writer)
+        writer.close()
+
+    return serve
+
+
+def read_confirmed(incarnation: str = "p-1") -> Use:
+    async def use(client: BackendClient, attempt: Attempt, url: str) -> None:
+        address = url.removeprefix("http://").removesuffix("/")
+        async with client.send(attempt, "POST", url, b"", {}, single_use=True) as answer:
+            assert await read_whole(answer, 1_000, "backend") == b"half"
+            await client.confirm_end(answer, address, incarnation)
+
+    return use
+
+
+def test_an_unframed_answer_of_a_running_process_is_complete() -> None:
+    run_against(unframed(), read_confirmed())
+
+
+# Guards against a part of a body that passes for the whole: the system closes the connections of a
+# process that is killed as the process itself would.
+def test_an_unframed_answer_of_a_process_that_has_ended_is_broken() -> None:
+    with pytest.raises(BackendBrokenError):
+        run_against(unframed(keeps_running=False), read_confirmed())
+    with pytest.raises(BackendBrokenError):
+        run_against(unframed(), read_confirmed("an earlier process"))
+
+
+def test_an_unframed_answer_that_is_reset_is_broken() -> None:
+    with pytest.raises(BackendBrokenError):
+        run_against(unframed(resets=True), read_confirmed())
