--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -23,7 +23,6 @@
 from hillstack.core.relay_choice import RelayChoice
 from hillstack.core.rollout_judge import RolloutJudge
 from hillstack.core.shared_retry_budget import SharedRetryBudget
-from hillstack.core.stream_origins import StreamOrigins
 from hillstack.core.token_buckets import TokenBuckets
 from hillstack.core.token_leases import TokenLeases
 from hillstack.core.version_exposure import VersionExposure
@@ -51,7 +50,6 @@
 from hillstack.daemon.metrics_page import MetricsPage
 from hillstack.daemon.metrics_server import serve_metrics
 from hillstack.daemon.node_registry import NodeRegistry
-from hillstack.daemon.origin_exchange import OriginExchange
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.peer_link import PeerLink
 from hillstack.daemon.permit_services import make_permit_services
@@ -64,6 +62,7 @@
 from hillstack.daemon.store_check import StoreCheck
 from hillstack.daemon.store_relay import StoreRelay
 from hillstack.daemon.store_sync import StoreSync
+from hillstack.daemon.stream_services import make_stream_services
 from hillstack.daemon.weights_rollout_duty import WeightsRolloutDuty
 from hillstack.errors import SettingsError
 from hillstack.http_server import make_server
@@ -89,7 +88,6 @@
 from hillstack.serving.rollout_observer import RolloutObserver
 from hillstack.serving.runner_limits import RunnerLimits
 from hillstack.serving.signal_receiver import SignalReceiver
-from hillstack.serving.stream_versions import StreamVersions
 
 logger = logging.getLogger(__name__)
 
@@ -245,14 +243,9 @@
             self._state, leases, holders, limit_holder, self._link, self._clock, rng
         )
         own_address = f"{settings.node.address}:{settings.listen.peers_port}"
-        origins = StreamOrigins(self._clock())
-        self._streams = StreamVersions(
-            self._state,
-            origins,
-            OriginExchange(self._state, self._link, origins, own_address, self._clock),
-            self._clock,
+        self._streams = make_stream_services(
+            self._state, store, self._link, placement.versions, own_address, self._clock, rng
         )
-        placement.versions.handle_began(self._streams.began)
         self._pipeline = RequestPipeline(
             self._state,
             runners,
@@ -262,7 +255,7 @@
             self._metrics,
             self._observer,
             runner_limits,
-            self._streams,
+            self._streams.versions,
         )
         self._pipeline.runner_crashes.set_lag_source(self._lag.lag_free_since)
         permits = make_permit_services(
@@ -414,7 +407,8 @@
             ("registry", self._registry.run),
             ("runner_access", self._access.run),
             ("runner_places", self._places.run),
-            ("stream_versions", self._streams.run),
+            ("stream_versions", self._streams.versions.run),
+            ("stream_records", self._streams.recorder.run),
             ("weights_lease", self._duty.maintain_lease),
             ("weights", self._duty.run),
             ("rollout_reports", self._observer.run),
--- a/src/hillstack/daemon/origin_exchange.py
+++ b/src/hillstack/daemon/origin_exchange.py
@@ -97,7 +97,8 @@
                 task.cancel()
         software = next((a.software for a in answers if a.software is not None), None)
         is_mixed = any(answer.is_mixed for answer in answers)
-        return OriginFinding(software, is_mixed, has_answer=bool(answers) or not keepers)
+        knows_versions = any(answer.knows_versions for answer in answers)
+        return OriginFinding(software, is_mixed, knows_versions, was_asked=bool(keepers))
 
     async def _ask(self, node: NodeEntry, service: str, attempt_id: str) -> OriginAnswer | None:
         def send(number: int) -> None:
@@ -121,7 +122,7 @@
         report = unpack(payload, OriginReport, peer)
         now = self._clock()
         for attempt_id in report.attempts:
-            origin = StreamOrigin(attempt_id, report.service, report.software, now)
+            origin = StreamOrigin(attempt_id, report.service, report.software, now, is_local=False)
             self._origins.record(origin)
 
     def _take_question(self, payload: bytes, peer: str) -> None:
@@ -132,6 +133,7 @@
             question.number,
             self._origins.find(question.attempt_id, question.service, now),
             self._origins.is_mixed(question.service, now),
+            self._state.directory_known,
         )
         self._link.send(DatagramKind.ORIGIN_ANSWER, pack(answer), question.address)
 
--- a/src/hillstack/messages/origin_messages.py
+++ b/src/hillstack/messages/origin_messages.py
@@ -42,8 +42,11 @@
         number: Number of the question.
         software: The version; None if it is not known.
         is_mixed: Whether the receiver of the question knows of several recent versions.
+        knows_versions: Whether the receiver of the question has read which versions the service had
+            before its own start, so that it knows of all. An earlier build does not.
     """
 
     number: int
     software: str | None
     is_mixed: bool
+    knows_versions: bool = False
--- a/src/hillstack/platform/bodies.py
+++ b/src/hillstack/platform/bodies.py
@@ -173,6 +173,20 @@
     permits: list[str] = []
 
 
+class ServiceVersionsBody(msgspec.Struct):
+    """The software versions that may have begun streams of a service."""
+
+    versions: list[str]
+
+
+class StreamsBody(msgspec.Struct):
+    """The callers' tries that began streams at one software version of a service."""
+
+    service: str
+    software: str
+    attempts: list[str]
+
+
 class NodeBody(msgspec.Struct):
     """A hillstack node: the address for its peers, its zone and its link speed in Mbit/s."""
 
--- a/src/hillstack/platform/crash_ledgers.py
+++ b/src/hillstack/platform/crash_ledgers.py
@@ -13,6 +13,7 @@
 from hillstack.platform import names
 from hillstack.platform.bodies import CrashLedgerBody
 from hillstack.platform.formats import decode_crash_ledger
+from hillstack.platform.reused_lease import ReusedLease
 from hillstack.platform.store import MetadataStore
 from hillstack.serving.ledger_store import StoredLedger
 
@@ -39,11 +40,11 @@
     ) -> None:
         self._store = store
         self._prefix = prefix
-        self._is_leased = is_leased
-        self._clock = clock
-        self._lease_id = 0
-        self._lease_era = 0
-        self._lease_granted_at = float("-inf")
+        self._lease = (
+            ReusedLease(store, clock, MAX_RETENTION_SECONDS, LEASE_REUSE_SECONDS)
+            if is_leased
+            else None
+        )
 
     async def read(self, fingerprint: int) -> StoredLedger:
         """Return the ledger of a request; an empty one if there is none.
@@ -65,11 +66,12 @@
         """
         key = self._key(fingerprint)
         body = CrashLedgerBody(sorted(ledger.crashed), sorted(ledger.permits))
-        put = Put(key, msgspec.json.encode(body), await self._lease())
+        lease_id = NO_LEASE if self._lease is None else await self._lease.current()
+        put = Put(key, msgspec.json.encode(body), lease_id)
         revision = await self._store.transact([RevisionIs(key, expected)], [put])
-        if revision is None and expected == NO_REVISION:
+        if revision is None and expected == NO_REVISION and self._lease is not None:
             # The lease may have ended, in a restored store or after a long pause of this node.
-            self._lease_granted_at = float("-inf")
+            self._lease.discard()
         return revision is not None
 
     async def remove(self, fingerprint: int) -> None:
@@ -80,16 +82,5 @@
         """
         await self._store.remove(self._key(fingerprint))
 
-    async def _lease(self) -> int:
-        if not self._is_leased:
-            return NO_LEASE
-        now = self._clock()
-        is_usable = now - self._lease_granted_at < LEASE_REUSE_SECONDS
-        if not is_usable or self._lease_era != self._store.era:
-            self._lease_id = await self._store.grant_lease(MAX_RETENTION_SECONDS)
-            self._lease_era = self._store.era
-            self._lease_granted_at = now
-        return self._lease_id
-
     def _key(self, fingerprint: int) -> str:
         return f"{self._prefix}{fingerprint:016x}"
--- a/src/hillstack/platform/formats.py
+++ b/src/hillstack/platform/formats.py
@@ -38,6 +38,8 @@
     RouteBody,
     RunnerBody,
     ServiceBody,
+    ServiceVersionsBody,
+    StreamsBody,
     TenantBody,
     WeightsBody,
 )
@@ -55,7 +57,9 @@
     RolloutWithdrawn,
     RunnerListed,
     RunnerUnlisted,
+    ServiceVersionsRecorded,
     StoreEvent,
+    StreamsRecorded,
     WeightsNamed,
 )
 
@@ -120,8 +124,13 @@
     if key.startswith(names.PART_LEDGERS_PREFIX):
         found = _ledger_of(item, names.PART_LEDGERS_PREFIX)
         return PartLedgerChanged(*found) if found is not None else None
+    if key.startswith(names.SERVICE_VERSIONS_PREFIX):
+        return _service_versions(key[len(names.SERVICE_VERSIONS_PREFIX) :], item)
     if value is None:
         return None
+    if key.startswith(names.STREAMS_PREFIX):
+        streams = _decode(item, value, StreamsBody)
+        return StreamsRecorded(streams.service, streams.software, tuple(streams.attempts))
     if key.startswith(names.ROLLOUT_RECORDS_PREFIX):
         service = key[len(names.ROLLOUT_RECORDS_PREFIX) :]
         return RolloutRecorded(_rollout_record(service, item, value))
@@ -197,6 +206,21 @@
         raise PlatformError(str(error), step="decode item", peer=item.key) from error
 
 
+def _service_versions(service: str, item: StoredItem) -> ServiceVersionsRecorded:
+    if item.value is None:
+        return ServiceVersionsRecorded(service, None)
+    return ServiceVersionsRecorded(service, decode_service_versions(item))
+
+
+def decode_service_versions(item: StoredItem) -> frozenset[str]:
+    """Return the versions that an item of the store records of a service.
+
+    Raises:
+        PlatformError: The value can't be decoded.
+    """
+    return frozenset(_decode(item, item.value or b"", ServiceVersionsBody).versions)
+
+
 def _ledger_of(item: StoredItem, prefix: str) -> tuple[int, CrashLedger | None] | None:
     """Return the name in a ledger's key, and the ledger; None for a removed key without a name."""
     try:
--- a/src/hillstack/platform/names.py
+++ b/src/hillstack/platform/names.py
@@ -88,6 +88,8 @@
 ROLLOUT_RECORDS_PREFIX = "hillstack/rollouts/"
 CRASH_LEDGERS_PREFIX = "hillstack/crashes/"
 PART_LEDGERS_PREFIX = "hillstack/part-crashes/"
+SERVICE_VERSIONS_PREFIX = "hillstack/versions/"
+STREAMS_PREFIX = "hillstack/streams/"
 
 # Headers that apply to one connection only and are never forwarded. ``SET_BY_ROUTER`` holds the
 # headers that only the router may set, so a caller's values of them are dropped.
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -51,7 +51,10 @@
     RolloutWithdrawn,
     RunnerListed,
     RunnerUnlisted,
+    ServiceVersionsRecorded,
     StoreEvent,
+    StreamRecord,
+    StreamsRecorded,
     WeightsNamed,
 )
 from hillstack.serving.weights_log import bound_fields
@@ -158,6 +161,7 @@
         self._on_weights_named: Callable[[], None] = lambda: None
         self._on_restarted: Callable[[Runner], None] = lambda _: None
         self._on_listed: Callable[[str, str], None] = lambda service, software: None
+        self._on_stream_record: Callable[[StreamRecord], None] = lambda _: None
 
     def handle_weights_named(self, handler: Callable[[], None]) -> None:
         """Set the handler for weights versions that this node learns of from the store first."""
@@ -167,6 +171,10 @@
         """Set the handler for new runners, which gets their service and software version."""
         self._on_listed = handler
 
+    def handle_stream_records(self, handler: Callable[[StreamRecord], None]) -> None:
+        """Set the handler for what the store records of streams."""
+        self._on_stream_record = handler
+
     def handle_restarted(self, handler: Callable[[Runner], None]) -> None:
         """Set the handler for runner processes that another process has replaced."""
         self._on_restarted = handler
@@ -214,6 +222,8 @@
             case PartLedgerChanged(part, CrashLedger() as ledger):
                 self.part_ledgers.update(part, ledger, now)
                 self.part_crashes.record_trials(part, ledger.crashed)
+            case ServiceVersionsRecorded() | StreamsRecorded():
+                self._on_stream_record(event)
 
     def note_proof(self, revision: StoreRevision, proved_at: float) -> None:
         """Record an answer of the store: its revision, and when the store was asked."""
--- a/src/hillstack/serving/ports.py
+++ b/src/hillstack/serving/ports.py
@@ -121,12 +121,14 @@
     Attributes:
         software: The version; None if no node that was asked knows it.
         is_mixed: Whether one of them knows of several recent versions of the service.
-        has_answer: Whether one of them answered, or there was none to ask.
+        knows_versions: Whether one of them knows all recent versions of the service.
+        was_asked: Whether there was a node to ask.
     """
 
     software: str | None
     is_mixed: bool
-    has_answer: bool
+    knows_versions: bool
+    was_asked: bool
 
 
 class OriginSource(Protocol):
@@ -146,6 +148,28 @@
         ...
 
 
+class OriginRecords(Protocol):
+    """Records in the store which versions began streams."""
+
+    def record(self, origins: Iterable[StreamOrigin]) -> None:
+        """Record the origins of streams, soon and as far as the store accepts them."""
+        ...
+
+    def record_versions(self) -> None:
+        """Record the versions that are listed, soon, because there is a new one."""
+        ...
+
+
+class NoOriginRecords:
+    """Records nothing."""
+
+    def record(self, origins: Iterable[StreamOrigin]) -> None:
+        """Ignore the origins."""
+
+    def record_versions(self) -> None:
+        """Ignore the versions."""
+
+
 class ResponseSink(Protocol):
     """Receives the answer to the caller."""
 
--- a/src/hillstack/serving/store_events.py
+++ b/src/hillstack/serving/store_events.py
@@ -133,6 +133,32 @@
     ledger: CrashLedger | None
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceVersionsRecorded:
+    """The store records the software versions that may have begun streams of a service.
+
+    Attributes:
+        versions: The versions; None if there is no record any more.
+    """
+
+    service: str
+    versions: frozenset[str] | None
+
+
+@dataclass(frozen=True, slots=True)
+class StreamsRecorded:
+    """The store records streams that began at one version of a service.
+
+    Attributes:
+        attempts: The callers' tries that brought their first events.
+    """
+
+    service: str
+    software: str
+    attempts: tuple[str, ...]
+
+
+StreamRecord = ServiceVersionsRecorded | StreamsRecorded
 StoreEvent = (
     ConfigurationChanged
     | RunnerListed
@@ -147,6 +173,7 @@
     | RolloutDutyHeld
     | CrashLedgerChanged
     | PartLedgerChanged
+    | StreamRecord
 )
 
 
--- a/src/hillstack/serving/stream_versions.py
+++ b/src/hillstack/serving/stream_versions.py
@@ -16,13 +16,22 @@
 from hillstack.logs import rounded_seconds
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import Job
-from hillstack.serving.ports import OriginSource
+from hillstack.serving.ports import (
+    NoOriginRecords,
+    OriginFinding,
+    OriginRecords,
+    OriginSource,
+)
+from hillstack.serving.store_events import ServiceVersionsRecorded, StreamRecord
 from hillstack.serving.types import RejectedError, Verdict
 
 logger = logging.getLogger(__name__)
 
 # Interval of the check whether a service has runners of another version than before.
 CHECK_SECONDS = 0.5
+# The copy of the store is up to date while it is younger: twice the interval of two polls without
+# changes.
+CURRENT_SECONDS = 2.0
 
 
 class StreamVersions:
@@ -33,6 +42,7 @@
         origins: The origins of streams that this node knows.
         source: Reports origins to other nodes, and finds theirs.
         clock: Monotonic seconds.
+        records: Records origins in the store.
     """
 
     def __init__(
@@ -41,7 +51,9 @@
         origins: StreamOrigins,
         source: OriginSource,
         clock: Callable[[], float],
+        records: OriginRecords | None = None,
     ) -> None:
+        self._records = records or NoOriginRecords()
         self._state = state
         self._origins = origins
         self._source = source
@@ -49,7 +61,10 @@
         # Versions of the listed runners by service, and the generation of the pool.
         self._listed: dict[str, set[str]] = {}
         self._generation = -1
+        # Services with streams of several versions, whose earlier streams were reported.
+        self._mixed: set[str] = set()
         state.handle_listed(self._note_listed)
+        state.handle_stream_records(self._apply_record)
 
     async def run(self) -> None:
         """Check the versions of all services regularly until cancelled."""
@@ -67,6 +82,13 @@
         self._origins.record(origin)
         if self._origins.is_mixed(job.service, origin.began_at):
             self._source.report([origin])
+            if job.route.resumable:
+                self._records.record([origin])
+
+    def may_begin(self, job: Job, software: str) -> bool:
+        """Return whether a version may begin the stream of a request."""
+        is_resumable = job.route.kind is RouteKind.STREAM and job.route.resumable
+        return not is_resumable or self._origins.may_begin(job.service, software, self._clock())
 
     async def restrict(self, job: Job) -> None:
         """Restrict a stream that is taken up to the version that began it.
@@ -89,20 +111,32 @@
         logger.info("stream taken up", extra=fields)
 
     async def _find_version(self, job: Job) -> str | None:
-        """Return the version that began a stream, or None if the service has one version only."""
-        service, attempt_id, now = job.service, job.request.resumes, self._clock()
-        software = self._origins.find(attempt_id, service, now)
+        """Return the version that began a stream; None if its service has no versions.
+
+        A stream of unknown origin goes on only if its service has had one version, as far as a node
+        knows that has read the records of the store, and is told of the streams that began since,
+        or has an up-to-date copy of the store.
+        """
+        service, attempt_id = job.service, job.request.resumes
+        software = self._origins.find(attempt_id, service, self._clock())
         if software is not None:
             return software
-        is_mixed = self._origins.is_mixed(service, now)
-        if not is_mixed and self._origins.knows_all_versions(now):
-            return None
         finding = await self._source.find(service, attempt_id)
-        if finding.software is not None:
-            return finding.software
-        if is_mixed or finding.is_mixed or not finding.has_answer:
+        software = finding.software or self._origins.find(attempt_id, service, self._clock())
+        if software is not None:
+            return software
+        if finding.is_mixed or self._origins.is_mixed(service, self._clock()):
             raise self._refusal(job, "the version that began the stream is not known")
-        return None
+        if not self._knows_versions(finding):
+            raise self._refusal(job, "the versions that the service has had are not known")
+        return next(iter(self._origins.possible_versions(service, self._clock())), None)
+
+    def _knows_versions(self, finding: OriginFinding) -> bool:
+        """Return whether some node knows all versions that the service has had lately."""
+        if finding.knows_versions:
+            return True
+        is_current = self._state.freshness.age(self._clock()) <= CURRENT_SECONDS
+        return self._state.directory_known and (is_current or not finding.was_asked)
 
     def _note_listed(self, service: str, software: str) -> None:
         """Report the known streams of a service at once if a runner of another version comes."""
@@ -134,5 +168,29 @@
 
     def _apply_versions(self, service: str, listed: set[str]) -> None:
         now = self._clock()
-        if self._origins.note_versions(service, listed, now):
-            self._source.report(self._origins.of_service(service, now))
+        self._origins.note_versions(service, listed, now)
+        self._report_if_mixed(service)
+        if self._origins.unrecorded(service, now):
+            self._records.record_versions()
+
+    def _report_if_mixed(self, service: str) -> None:
+        """Report the known streams of a service if it has got a second version."""
+        now = self._clock()
+        if not self._origins.is_mixed(service, now):
+            self._mixed.discard(service)
+        elif service not in self._mixed:
+            self._mixed.add(service)
+            known = self._origins.of_service(service, now)
+            self._source.report(known)
+            self._records.record(origin for origin in known if origin.is_local)
+
+    def _apply_record(self, event: StreamRecord) -> None:
+        """Apply what the store records of streams."""
+        if isinstance(event, ServiceVersionsRecorded):
+            self._origins.apply_record(event.service, event.versions)
+            self._report_if_mixed(event.service)
+            return
+        now = self._clock()
+        for attempt_id in event.attempts:
+            origin = StreamOrigin(attempt_id, event.service, event.software, now, is_local=False)
+            self._origins.record(origin)
--- a/src/hillstack/serving/version_choice.py
+++ b/src/hillstack/serving/version_choice.py
@@ -74,12 +74,17 @@
         self._state = state
         self._rng = rng
         self._on_began: Callable[[Job, str], None] = lambda job, version: None
+        self._may_begin: Callable[[Job, str], bool] = lambda job, version: True
         self._on_canary: Callable[[str, str], None] = lambda service, version: None
 
     def handle_canaries(self, handler: Callable[[str, str], None]) -> None:
         """Set a handler that is called with service and version for each canary that is sent."""
         self._on_canary = handler
 
+    def handle_may_begin(self, handler: Callable[[Job, str], bool]) -> None:
+        """Set the function that returns whether a version may begin the stream of a request."""
+        self._may_begin = handler
+
     def handle_began(self, handler: Callable[[Job, str], None]) -> None:
         """Set a handler that is called with the version that brings a stream's first event."""
         self._on_began = handler
@@ -92,7 +97,7 @@
 
     def usable(self, job: Job, now: float) -> UsableRunners:
         """Return the runners for the next attempt; decide whether the request is a canary."""
-        accepting = self._state.pool.accepting(job.service, now)
+        accepting = self._that_may_begin(job, self._state.pool.accepting(job.service, now))
         if job.software is not None:
             same = _of_version(accepting, job.software)
             return UsableRunners(same, same)
@@ -113,7 +118,7 @@
 
     def accepting(self, job: Job, now: float) -> list[Runner]:
         """Return the runners that accept work and that the request may use."""
-        accepting = self._state.pool.accepting(job.service, now)
+        accepting = self._that_may_begin(job, self._state.pool.accepting(job.service, now))
         if job.software is not None:
             return _of_version(accepting, job.software)
         if not self._may_differ(job.service, now):
@@ -121,6 +126,16 @@
         by_access = self._by_access(job.service, accepting, now)
         return [*by_access.open, *by_access.canary] if job.is_canary else by_access.open
 
+    def _that_may_begin(self, job: Job, runners: list[Runner]) -> list[Runner]:
+        """Return the runners that may begin a stream, or all of them if none may."""
+        if job.software is not None or job.route.kind is not RouteKind.STREAM:
+            return runners
+        versions = {runner.entry.software for runner in runners}
+        allowed = {version for version in versions if self._may_begin(job, version)}
+        if len(allowed) in (0, len(versions)):
+            return runners
+        return [runner for runner in runners if runner.entry.software in allowed]
+
     def may_use(self, job: Job, runner: Runner, now: float) -> bool:
         """Return whether a request may use a runner with this version, if it accepts work."""
         if job.software is not None:
--- a/tests/fleet/node_kills.py
+++ b/tests/fleet/node_kills.py
@@ -7,7 +7,7 @@
 import signal
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -64,6 +64,19 @@
         self.nodes[name] = self.running.launch(name, **self.bounds)
         self._restarts.append(asyncio.create_task(self._wait_ready(name)))
 
+    async def kill_all(self, meanwhile: Callable[[], Awaitable[None]]) -> None:
+        """Kill all nodes at once, and start them again after something has been done."""
+        for node in self.nodes.values():
+            node.process.send_signal(signal.SIGKILL)
+        self.kills += len(self.nodes)
+        self.ready.clear()
+        for node in self.nodes.values():
+            node.process.wait()
+        await meanwhile()
+        for name in self.nodes:
+            self.nodes[name] = self.running.launch(name, **self.bounds)
+        await asyncio.gather(*(self._wait_ready(name) for name in self.nodes))
+
     async def _wait_ready(self, name: str) -> None:
         await self.running.wait_ready(self.nodes[name])
         self.ready.add(name)
--- a/tests/fleet/stream_callers.py
+++ b/tests/fleet/stream_callers.py
@@ -10,7 +10,7 @@
 
 from hillstack.platform import names
 from tests.fleet.builders import HOST, KEY, MODEL
-from tests.fleet.deployment import Deployment
+from tests.fleet.deployment import POLL_SECONDS, Deployment
 from tests.fleet.node_kills import KilledNodes
 
 MAX_TRIES = 4
@@ -44,12 +44,14 @@
     Attributes:
         events: Number of events in a complete stream.
         names_first_try: Whether a caller names the try that brought the first event.
+        waits_for_nodes: Whether a caller waits until a node is ready before each try.
     """
 
     running: Deployment
     nodes: KilledNodes
     events: int
     names_first_try: bool = True
+    waits_for_nodes: bool = False
     streams: list[ReceivedStream] = field(default_factory=list)
     _rng: Random = field(default_factory=lambda: Random(1))
 
@@ -68,6 +70,8 @@
         self.streams.append(stream)
         node = ""
         for attempt in range(MAX_TRIES):
+            while self.waits_for_nodes and not self.nodes.ready:  # noqa: ASYNC110
+                await asyncio.sleep(POLL_SECONDS)
             others = sorted(self.nodes.ready - {node}) or sorted(self.nodes.nodes)
             node = self._rng.choice(others)
             await self._try_once(stream, node, f"s-{number}-{attempt}")
--- a/tests/fleet/test_stream_origins.py
+++ b/tests/fleet/test_stream_origins.py
@@ -54,7 +54,7 @@
         self.reported.extend(origins)
 
     async def find(self, service: str, attempt_id: str) -> OriginFinding:
-        return OriginFinding(None, is_mixed=False, has_answer=True)
+        return OriginFinding(None, is_mixed=False, knows_versions=True, was_asked=True)
 
 
 # Guards against streams that are refused for up to .5 s after another version is listed, since the
@@ -126,15 +126,17 @@
 def test_an_unknown_origin_is_found_by_no_node() -> None:
     world = Exchanges(5)
     finding = world.find(world.network.nodes["node-1"], "s-1")
-    assert finding == OriginFinding(None, is_mixed=False, has_answer=True)
+    assert finding == OriginFinding(None, is_mixed=False, knows_versions=True, was_asked=True)
     world.network.close()
 
 
 def test_a_node_that_is_cut_off_gets_no_answer() -> None:
     world = Exchanges(5)
     node = world.network.nodes["node-1"]
+    assert world.find(node, "s-1").knows_versions
     node.cut = True
-    assert not world.find(node, "s-1").has_answer
+    finding = world.find(node, "s-1")
+    assert finding == OriginFinding(None, is_mixed=False, knows_versions=False, was_asked=True)
     world.network.close()
 
 
