A background task that ends with a cancelled call starts again

A task that waits for a call which something else cancels ends with CancelledError. It is no Exception, so the supervisor took it for its own end: the duty stayed undone for the life of the process, without a log line, a count or an effect on readiness. Class: background work whose end nobody notices.

Evidence: tests/fleet/test_background_tasks.py, the new case failed before (one start, nothing reported).

--- a/src/hillstack/daemon/background_tasks.py
+++ b/src/hillstack/daemon/background_tasks.py
@@ -94,11 +94,21 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def _run_once(self, name: str, run: Work) -> None:
+        try:
+            await run()
+        except asyncio.CancelledError as error:
+            task = asyncio.current_task()
+            if task is None or task.cancelling():
+                raise
+            # Something that the work waited for was cancelled, not the work itself.
+            raise TaskEndedError(f"{name} has ended with a cancelled call") from error
+        raise TaskEndedError(f"{name} has returned")
+
     async def _supervise(self, name: str, run: Work, failures: _Failures) -> None:
         while True:
             try:
-                await run()
-                raise TaskEndedError(f"{name} has returned")
+                await self._run_once(name, run)
             except Exception as error:
                 failures.add(self._clock())
                 pause = failures.restart_seconds()
--- a/tests/fleet/test_background_tasks.py
+++ b/tests/fleet/test_background_tasks.py
@@ -80,6 +80,25 @@
     assert bench.tasks.failing() == ["short"]
 
 
+# Guards against a task that ends unnoticed because a call that it waits for was cancelled: the
+# error is no ``Exception``, and looked like the end of the node.
+def test_a_task_that_ends_with_a_cancelled_call_starts_again(bench: Bench) -> None:
+    async def run() -> None:
+        bench.starts["sync"] += 1
+        call = asyncio.create_task(asyncio.sleep(1.0))
+        await asyncio.sleep(0.0)
+        call.cancel()
+        await call
+
+    async def begin() -> None:
+        bench.tasks.start("sync", run)
+
+    bench.scheduler.spawn(bench.loop, begin())
+    bench.scheduler.run_until(1.0)
+    assert bench.starts["sync"] >= MAX_FAILURES
+    assert bench.tasks.failing() == ["sync"]
+
+
 def test_a_task_that_keeps_failing_is_reported_until_it_has_run_for_a_while(bench: Bench) -> None:
     bench.start("sound")
     bench.fails.add("sync")
