A prompt with more tokens than any has counts as missing

Forty parts of 18 digits each in a caller's Prompt-Prefix made sums above 64 bits; msgspec raises OverflowError, and the task that reports loads to peers failed while the request ran. A node is not ready while this task keeps failing, so a caller's header could take nodes out of service. Class: numbers that overflow later, in messages between nodes.

--- a/src/hillstack/platform/formats.py
+++ b/src/hillstack/platform/formats.py
@@ -76,6 +76,8 @@
 MAX_START_MS = 253_402_300_799_999
 MAX_PORT = 65_535
 IPV6 = 6
+# Far more than any prompt has. The sums over all requests fit into the messages between nodes.
+MAX_REQUEST_TOKENS = 10**12
 RUNNER_STATES = frozenset({"ready", DRAINING})
 
 Body = TypeVar("Body")
@@ -180,7 +182,8 @@
     estimate = parse_whole_number(hint)
     if estimate is not None:
         output = min(output, estimate) if output_text.strip() else estimate
-    return PromptShape(known_parts, output)
+    shape = PromptShape(known_parts, output)
+    return shape if shape.total_tokens <= MAX_REQUEST_TOKENS else None
 
 
 def parse_usage(usage: str) -> int | None:
--- a/tests/fleet/test_outside_data.py
+++ b/tests/fleet/test_outside_data.py
@@ -199,6 +199,15 @@
     assert (request.patience_seconds == 0.0) == (text == "-5")
 
 
+# Guards against a caller's header that ends the task that reports loads to peers: the sum of the
+# parts did not fit into a message.
+@pytest.mark.parametrize("tokens", [10**MAX_DIGITS - 1, 10**12])
+def test_a_prompt_with_more_tokens_than_any_has_counts_as_missing(tokens: int) -> None:
+    parts = ",".join(f"p{number}:{tokens}" for number in range(40))
+    assert parse_shape(parts, "850,80") is None
+    assert parse_shape("a1:800", f"850,{tokens}") is None
+
+
 def test_an_event_with_an_identifier_of_many_digits_has_none() -> None:
     framing = EventFraming(None)
     event = f"id: {MANY_DIGITS}\ndata: x\n\n".encode()
