--- a/src/hillstack/backends/status.py
+++ b/src/hillstack/backends/status.py
@@ -34,7 +34,7 @@
             int(content.get("weights_version", 0)),
             bool(content.get("draining", False)),
         )
-    except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError) as error:
+    except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError) as error:
         raise BackendError(repr(error), step="read status", peer=address) from error
 
 
@@ -50,7 +50,14 @@
             response.raise_for_status()
             page = (await BodyReader().read(response)).decode()
         return parse_load(page)
-    except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError) as error:
+    except (
+        aiohttp.ClientError,
+        TimeoutError,
+        OSError,
+        ValueError,
+        KeyError,
+        OverflowError,
+    ) as error:
         raise BackendError(repr(error), step="read load", peer=address) from error
 
 
@@ -60,6 +67,7 @@
     Raises:
         KeyError: A required value is missing.
         ValueError: The metrics are malformed.
+        OverflowError: A number of requests is infinite.
     """
     values: dict[str, float] = {}
     for family in text_string_to_metric_families(page):
--- a/src/hillstack/platform/store.py
+++ b/src/hillstack/platform/store.py
@@ -239,9 +239,8 @@
             if error.status == NOT_FOUND:
                 return None
             raise
-        item = self._decode(answer, StoreItem)
-        revision = StoreRevision(answer.era, item.rev)
-        return Entry(item.key, base64.b64decode(item.value), revision)
+        item = _to_stored_item(self._decode(answer, StoreItem), answer.era)
+        return Entry(item.key, item.value or UNREADABLE_VALUE, item.revision)
 
     async def remove(self, key: str) -> None:
         """Remove a key if it exists."""
--- a/tests/fleet/test_outside_data.py
+++ b/tests/fleet/test_outside_data.py
@@ -19,6 +19,7 @@
 
 from hillstack.answer_bodies import read_json
 from hillstack.backends.cache_events import CacheEventSubscriber
+from hillstack.backends.status import fetch_load, fetch_status
 from hillstack.config.settings import load_settings
 from hillstack.core.cache_salt import parse_salt
 from hillstack.core.cache_watch import CacheHolder
@@ -80,6 +81,18 @@
     return await MetadataStore(address, session).changes(StoreRevision(0, 1), 0.0)
 
 
+async def store_item(session: aiohttp.ClientSession, address: str) -> object:
+    return await MetadataStore(address, session).get("key")
+
+
+async def engine_status(session: aiohttp.ClientSession, address: str) -> object:
+    return await fetch_status(session, address, 1.0)
+
+
+async def engine_load(session: aiohttp.ClientSession, address: str) -> object:
+    return await fetch_load(session, address, 1.0)
+
+
 async def untyped(session: aiohttp.ClientSession, address: str) -> object:
     async with session.get(f"http://{address}/") as response:
         return await read_json(response)
@@ -93,6 +106,9 @@
         (cache_changes, BackendError),
         (store_snapshot, PlatformError),
         (store_changes, PlatformError),
+        (store_item, PlatformError),
+        (engine_status, BackendError),
+        (engine_load, BackendError),
         (untyped, ValueError),
     ],
 )
@@ -118,6 +134,56 @@
     play(tmp_path, scenario)
 
 
+INFINITE_LOAD = """
+vllm:num_requests_running +Inf
+vllm:num_requests_waiting 0
+vllm:kv_cache_usage_perc 0
+"""
+
+
+# Guards against an answer of another type that ends the request or the task that reads it.
+@pytest.mark.parametrize(
+    ("call", "body"),
+    [
+        (engine_status, "[]"),
+        (engine_status, "5"),
+        (engine_status, '{"incarnation": "p-1", "weights_version": null}'),
+        (engine_load, INFINITE_LOAD),
+        (engine_load, INFINITE_LOAD.replace("+Inf", "NaN")),
+    ],
+)
+def test_an_answer_of_an_engine_with_other_types_is_an_error_of_the_back_end(
+    tmp_path: Path, call: Call, body: str
+) -> None:
+    async def scenario(running: Deployment) -> None:
+        async def answer(request: Request) -> Response:
+            return Response(body, media_type="application/json")
+
+        app = Starlette(routes=[Route("/{path:path}", answer)])
+        address = await running.serve(app)
+        async with make_runner_session() as session:
+            with pytest.raises(BackendError):
+                await call(session, address)
+
+    play(tmp_path, scenario)
+
+
+# Guards against a value without base64 that ends the task that reads one key: polls count it as an
+# unreadable one.
+def test_a_value_that_is_not_base64_is_an_unreadable_one(tmp_path: Path) -> None:
+    async def scenario(running: Deployment) -> None:
+        async def answer(request: Request) -> Response:
+            return Response('{"key": "k", "rev": 5, "value": "a"}', media_type="application/json")
+
+        app = Starlette(routes=[Route("/{path:path}", answer)])
+        address = await running.serve(app)
+        async with make_runner_session() as session:
+            entry = await MetadataStore(address, session).get("k")
+        assert entry is not None and entry.value == b""
+
+    play(tmp_path, scenario)
+
+
 @pytest.mark.parametrize("body", [nested_list(), nested_object(), MANY_DIGITS, ""])
 def test_a_rollout_status_that_cannot_be_decoded_is_an_error_of_the_platform(body: str) -> None:
     item = StoredItem(names.ROLLOUT_STATUS_PREFIX + ENGINES, rev(1), body.encode())
