A test of recent streams after a long outage of the store

What callers saw: nothing. While the store fails, later streams are dropped, so after 60 s at 100 streams a second the store gets streams that no caller takes up, and none of the last second.

--- a/tests/fleet/test_stream_recorder.py
+++ b/tests/fleet/test_stream_recorder.py
@@ -285,6 +285,21 @@
     assert len(world.records.attempts()) >= MAX_WAITING / 2
 
 
+# Guards against a queue that is full of streams whose callers have given up: the recent ones, which
+# may still be taken up, were dropped.
+def test_recent_streams_are_written_after_a_long_outage(world: RecordWorld) -> None:
+    mix(world)
+    node = world.nodes[0]
+    world.records.fails = True
+    for second in range(int(OUTAGE_SECONDS)):
+        node.begin(*(f"s-{second}-{number}" for number in range(100)))
+        world.run(1.0)
+    world.records.fails = False
+    world.run(5.0)
+    last = int(OUTAGE_SECONDS) - 1
+    assert {f"s-{last}-{number}" for number in range(100)} <= world.records.attempts()
+
+
 def test_a_version_that_can_not_be_recorded_costs_few_calls(world: RecordWorld) -> None:
     calls = len(world.records.calls)
     world.records.fails = True
