A request that leaves a stopped relay returns to its runner over the direct path

Callers: a stream that began through a relay, whose peer was stopped after the origin's own path to the runner worked again, went on at another runner. Only the stopped relay could end the first run, so two runners worked on the request.

Cause: the close of a relayed connection counted as the end of its run.

Now the connection records a run that is left so: an answer is due, the path is not lost, and the runner has sent bytes to this node itself since the relay last did. The next attempt goes to the same runner, over the direct connection, if the runner accepts it and has sent bytes lately; else to another one, as before. No message between nodes changes.

Evidence: test_stopped_relays.py, with relay, connector and pipeline over sockets; the relay's transports are paused, no process is stopped. With the record not passed to the pipeline, which is the behaviour before: i-1 and i-22 worked on one request. With it: i-1 only.

--- a/src/hillstack/daemon/runner_access.py
+++ b/src/hillstack/daemon/runner_access.py
@@ -85,7 +85,9 @@
         self.monitor = PathMonitor(state, paths, targets, dialer, probe, self.record_silent, clock)
         self.dialer = dialer
         log = ConnectionLog(metrics)
-        connector = RunnerConnector(state.node_id, dialer, self.monitor, paths, log)
+        connector = RunnerConnector(
+            state.node_id, dialer, self.monitor, paths, log, state.left_relayed_runs
+        )
         self.session: aiohttp.ClientSession = make_runner_session(connector)
         self.direct_session: aiohttp.ClientSession = make_runner_session(
             SilenceAwareConnector(self.monitor, log)
--- a/src/hillstack/platform/runner_connector.py
+++ b/src/hillstack/platform/runner_connector.py
@@ -10,6 +10,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from hillstack import clock
+from hillstack.core.relayed_runs import LeftRelayedRuns
 from hillstack.core.runner_paths import RunnerPaths
 from hillstack.daemon.path_dialer import PathDialer
 from hillstack.daemon.relayed_link import RelayRoute, open_relayed
@@ -34,6 +35,7 @@
         paths: Knows whether the direct path is lost; receives the contacts through the relay.
         relay_id: The peer that relays the connection.
         log: Records discarded answers and runs that were left.
+        left_runs: Records the runs that only a silent relay can end.
     """
 
     def __init__(
@@ -43,11 +45,13 @@
         paths: RunnerPaths,
         relay_id: str,
         log: ConnectionLog | None = None,
+        left_runs: LeftRelayedRuns | None = None,
     ) -> None:
         super().__init__(loop, silent, log=log, relay_id=relay_id)
         self._paths = paths
         self._relay_node_id = relay_id
         self._is_relay_closing = False
+        self._left_runs = left_runs or LeftRelayedRuns()
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes, and record that the relay works."""
@@ -60,6 +64,22 @@
             return False
         return self._paths.is_lost(self._address)
 
+    def close(self) -> None:
+        """Close the connection; a run that only the relay can end is recorded."""
+        request_id = self._expected_id
+        if request_id is not None and self.transport is not None and self._is_left_to_relay():
+            self._left_runs.add(request_id, self._address)
+        super().close()
+
+    def _is_left_to_relay(self) -> bool:
+        """Return whether a run goes on, and its runner has sent bytes since the relay last did.
+
+        The bytes came over this node's own connections.
+        """
+        if not self._is_answer_due() or self._paths.is_lost(self._address):
+            return False
+        return self._paths.contact_at(self._address) > self._received_at
+
     def retire(self) -> None:
         """Use the connection for no further request, because its relay is stopping."""
         self._is_relay_closing = True
@@ -75,6 +95,7 @@
         observer: Observes the paths of direct connections.
         paths: Which paths are lost.
         log: Records discarded answers and runs that were left.
+        left_runs: Records the runs that only a silent relay can end.
     """
 
     def __init__(
@@ -84,9 +105,11 @@
         observer: ConnectionObserver,
         paths: RunnerPaths,
         log: ConnectionLog | None = None,
+        left_runs: LeftRelayedRuns | None = None,
     ) -> None:
         super().__init__(observer, log)
         self._log = log
+        self._left_runs = left_runs or LeftRelayedRuns()
         self._node_id = node_id
         self._dialer = dialer
         self._paths = paths
@@ -105,7 +128,7 @@
 
     async def _open_relayed(self, route: RelayRoute) -> StrictResponseHandler:
         handler = RelayedResponseHandler(
-            self._loop, self.silent, self._paths, route.node_id, self._log
+            self._loop, self.silent, self._paths, route.node_id, self._log, self._left_runs
         )
 
         def retire() -> None:
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -15,6 +15,7 @@
 from hillstack.core.part_crashes import PartCrashes
 from hillstack.core.part_index import PartIndex
 from hillstack.core.probations import Probations
+from hillstack.core.relayed_runs import LeftRelayedRuns
 from hillstack.core.routing_table import EngineProfile, KvCacheStore, RoutingTable
 from hillstack.core.runner_crashes import RunnerCrashRecord
 from hillstack.core.runner_pool import Runner, RunnerEntry, RunnerPool
@@ -141,6 +142,7 @@
         self.arrivals = VersionArrivals()
         self.nodes = NodeDirectory()
         self.announcement_receipts = AnnouncementReceipts()
+        self.left_relayed_runs = LeftRelayedRuns()
         self._unavailable_until: dict[str, float] = {}
         self._holders: list[CacheHolder] = []
         self._holders_key: tuple[RoutingTable, int] | None = None
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -85,6 +85,7 @@
             accept the request now. While a runner is chosen, at first also those that are leaving
             according to peers (``RunnerPlacement.choose``).
         leaving: Those of the excluded runners that were not tried, but leave according to peers.
+        returns_to: Runner that the next attempt is sent to if it accepts the request; None for any.
         failure_answer: Failure answer of a runner, received before another runner was tried; passed
             on if no other runner answers.
         time_limit: Timeout after which work on the request ends.
@@ -132,6 +133,7 @@
     silent_since: float = 0.0
     excluded: set[str] = field(default_factory=set)
     leaving: set[str] = field(default_factory=set)
+    returns_to: str | None = None
     failure_answer: WholeAnswer | None = None
     time_limit: asyncio.Timeout | None = None
     has_waited: bool = False
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -41,6 +41,7 @@
     RunnerClient,
     TenantLimiter,
 )
+from hillstack.serving.returning_requests import choose_runner, note_failed_run
 from hillstack.serving.runner_crashes import RunnerCrashMonitor
 from hillstack.serving.runner_limits import RunnerLimits
 from hillstack.serving.signal_receiver import log_held_back
@@ -261,7 +262,7 @@
         most once here.
         """
         while True:
-            placed = self._placement.choose(job, self._clock())
+            placed = choose_runner(self._placement, self._state, job, self._clock())
             if placed is None or self._runner_limits is None:
                 return placed
             if await self._runner_limits.admits(job, placed.runner):
@@ -570,9 +571,7 @@
 
     def _handle_broken(self, job: Job, runner: Runner, error: BackendBrokenError) -> None:
         job.may_have_run = True
-        if job.sent_at >= runner.path_lost_at:
-            job.excluded.add(runner.runner_id)
-        self._state.pool.failed(runner, self._clock(), job.sent_at)
+        note_failed_run(self._state, job, runner, self._clock())
         if isinstance(error, ConnectionLostError):
             self.runner_crashes.lost(job, runner, self._clock())
         self._metrics.attempts.labels("broken").inc()
