--- a/src/hillstack/core/stream_origins.py
+++ b/src/hillstack/core/stream_origins.py
@@ -55,6 +55,8 @@
         self._versions: dict[str, dict[str, float]] = {}
         # The versions that the store records, by service.
         self._recorded: dict[str, frozenset[str]] = {}
+        # When this node learned that a version is recorded, by service and version.
+        self._recorded_since: dict[tuple[str, str], float] = {}
         # When a version was listed that was not recorded, by service and version.
         self._unrecorded_since: dict[tuple[str, str], float] = {}
 
@@ -85,14 +87,16 @@
                 self._unrecorded_since.setdefault((service, version), now)
         return self.is_mixed(service, now) and not was_mixed
 
-    def apply_record(self, service: str, versions: frozenset[str] | None) -> None:
+    def apply_record(self, service: str, versions: frozenset[str] | None, now: float = 0.0) -> None:
         """Apply the versions that the store records of a service; None if it has no record."""
+        before = self._recorded.pop(service, frozenset())
         if versions is None:
-            self._recorded.pop(service, None)
             return
         self._recorded[service] = versions
         for version in versions:
             self._unrecorded_since.pop((service, version), None)
+            if version not in before:
+                self._recorded_since[service, version] = now
 
     def recorded(self, service: str) -> frozenset[str]:
         """Return the versions that the store records of a service; none without a record."""
@@ -104,12 +108,22 @@
 
     def unrecorded(self, service: str, now: float) -> set[str]:
         """Return the recent versions of a service that the store does not record."""
-        return self._recent(service, now) - self._recorded.get(service, frozenset())
+        return self.recent(service, now) - self._recorded.get(service, frozenset())
 
     def outdated(self, service: str, now: float) -> set[str]:
-        """Return the recorded versions whose streams are over; empty if none is recent."""
-        recent = self._recent(service, now)
-        return set(self._recorded.get(service, ())) - recent if recent else set()
+        """Return the recorded versions whose streams are over; empty if none is recent.
+
+        A version that was recorded lately may have been listed and left while this node had no
+        up-to-date list.
+        """
+        recent = self.recent(service, now)
+        if not recent:
+            return set()
+        return {
+            version
+            for version in self._recorded.get(service, frozenset()) - recent
+            if now >= self._recorded_since.get((service, version), now) + STREAM_SECONDS
+        }
 
     def may_begin(self, service: str, version: str, now: float) -> bool:
         """Return whether a version may begin streams that can be taken up.
@@ -128,9 +142,10 @@
 
     def possible_versions(self, service: str, now: float) -> set[str]:
         """Return the versions whose streams may be taken up again."""
-        return self._recent(service, now) | self._recorded.get(service, frozenset())
+        return self.recent(service, now) | self._recorded.get(service, frozenset())
 
-    def _recent(self, service: str, now: float) -> set[str]:
+    def recent(self, service: str, now: float) -> set[str]:
+        """Return the versions that were listed as lately as streams last."""
         versions = self._versions.get(service, {})
         for version in [name for name, until in versions.items() if until <= now]:
             del versions[version]
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -105,6 +105,7 @@
 ACCEPT_FAILED = "socket.accept() out of system resource"
 # Descriptor limit assumed if the system sets none: the lowest usual default.
 DEFAULT_DESCRIPTORS = 1_024
+STORE_SYNC_TASK = "store_sync"
 # Interval of the check whether the last request is answered during a planned stop.
 STOP_CHECK_SECONDS = 0.05
 
@@ -396,7 +397,7 @@
             self._metrics.suspended.inc,
         )
         for name, run in (
-            ("store_sync", self._sync.run),
+            (STORE_SYNC_TASK, self._sync.run),
             ("store_check", self._check.run),
             ("peers", self._peers.run),
             ("peer_relay", self._peers.relay),
@@ -415,7 +416,8 @@
             ("rollouts", self._rollouts.run),
             ("runner_monitor", monitor.run),
         ):
-            self._tasks.start(name, run)
+            # Without the others, requests are still served by the configuration in force.
+            self._tasks.start(name, run, is_required=name == STORE_SYNC_TASK)
         self._note_started()
         await self._stop.wait()
         await self._drain(callers)
--- a/src/hillstack/daemon/item_applier.py
+++ b/src/hillstack/daemon/item_applier.py
@@ -7,6 +7,7 @@
 
 from hillstack.daemon.change_log import StoreChange
 from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.store_events import ConfigurationChanged
 
 logger = logging.getLogger(__name__)
 
@@ -24,12 +25,17 @@
         self._clock = clock
 
     def apply(self, changes: Iterable[StoreChange]) -> None:
-        """Apply changes in their order; one that fails is logged and has no further effect."""
+        """Apply changes in their order; one that fails is logged, and the others are applied.
+
+        A configuration is no such change: without it, the node does not follow the store.
+        """
         now = self._clock()
         for change in changes:
             try:
                 self._apply(change, now)
             except Exception as error:
+                if isinstance(change.event, ConfigurationChanged):
+                    raise
                 fields = {"peer": change.item.key, "revision": str(change.item.revision)}
                 logger.error("item not applied", extra=fields, exc_info=error)
 
--- a/src/hillstack/daemon/node.py
+++ b/src/hillstack/daemon/node.py
@@ -49,6 +49,8 @@
 SYNC_RETRY_SECONDS = 0.5
 SYNC_FAN_OUT = 2
 REFRESH_TIMEOUT_SECONDS = 1.0
+# Task without which the node does not follow the bundles in force.
+BUNDLE_TASK = "bundle_poll"
 MILLISECONDS = 1_000
 
 
@@ -147,14 +149,15 @@
         await self._environment.listen(self._on_peer_request, self._on_gossip)
         self._spawn(self._bundles.first_bundle(self.settings.peers.seeds))
         for name, run in (
-            ("bundle_poll", self._bundles.poll),
+            (BUNDLE_TASK, self._bundles.poll),
             ("bundle_watch", self._bundles.watch),
             ("backends", self._backend_watch.run),
             ("weights", self._weights.run),
             ("membership", self._run_membership),
             ("member_sync", self._run_sync),
         ):
-            self._tasks.start(name, run)
+            # Without the others, requests are still served by the bundle in force.
+            self._tasks.start(name, run, is_required=name == BUNDLE_TASK)
 
     async def leave(self) -> None:
         """Release duties and announce that this node leaves; it still serves requests."""
--- a/src/hillstack/daemon/origin_exchange.py
+++ b/src/hillstack/daemon/origin_exchange.py
@@ -27,6 +27,8 @@
 KEEPERS = 2
 # Several round trips between zones. A stream that is taken up waits for it before it is refused.
 ANSWER_SECONDS = 0.05
+# Versions in one answer; with two of them the stream's version is not known.
+MAX_VERSIONS = 2
 # Origins in one message, which then fits into a datagram: identifiers are some 16 bytes.
 MAX_REPORTED = 40
 
@@ -98,7 +100,8 @@
         software = next((a.software for a in answers if a.software is not None), None)
         is_mixed = any(answer.is_mixed for answer in answers)
         knows_versions = any(answer.knows_versions for answer in answers)
-        return OriginFinding(software, is_mixed, knows_versions, was_asked=bool(keepers))
+        versions = frozenset(name for answer in answers for name in answer.versions)
+        return OriginFinding(software, is_mixed, knows_versions, bool(keepers), versions)
 
     async def _ask(self, node: NodeEntry, service: str, attempt_id: str) -> OriginAnswer | None:
         def send(number: int) -> None:
@@ -134,6 +137,7 @@
             self._origins.find(question.attempt_id, question.service, now),
             self._origins.is_mixed(question.service, now),
             self._state.directory_known,
+            tuple(sorted(self._origins.possible_versions(question.service, now))[:MAX_VERSIONS]),
         )
         self._link.send(DatagramKind.ORIGIN_ANSWER, pack(answer), question.address)
 
--- a/src/hillstack/daemon/runner_check.py
+++ b/src/hillstack/daemon/runner_check.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Protocol
 
@@ -13,6 +14,8 @@
 LIMIT_PATIENCE_SECONDS = 0.3
 # Peers that reached the runner this recently are tried without asking them again.
 ROUTE_AGE_SECONDS = 5.0
+# Pause before the second call.
+REPEAT_SECONDS = 0.05
 RUNNING = frozenset({ProbeResult.ANSWERED, ProbeResult.OTHER})
 
 
@@ -61,8 +64,16 @@
         """
         await self._limits.room_for_call(runner_id, LIMIT_PATIENCE_SECONDS)
         if not self._is_lost(address):
-            return await self._probe.probe(runner_id, address, None) in RUNNING
+            return await self._answers(runner_id, address)
         for route in await self._routes.routes(address, ROUTE_AGE_SECONDS):
             if await self._probe.probe(runner_id, address, route) in RUNNING:
                 return True
         return False
+
+    async def _answers(self, runner_id: str, address: str) -> bool:
+        """Call a process up to twice: it resets a new connection while it has too many."""
+        result = await self._probe.probe(runner_id, address, None)
+        if result is ProbeResult.SILENT:
+            await asyncio.sleep(REPEAT_SECONDS)
+            result = await self._probe.probe(runner_id, address, None)
+        return result in RUNNING
--- a/src/hillstack/daemon/stream_recorder.py
+++ b/src/hillstack/daemon/stream_recorder.py
@@ -121,16 +121,19 @@
         self._segments: dict[tuple[str, str], StreamSegment] = {}
         self._segment_count = 0
         self._next_write_at = float("-inf")
-        # Services whose records the store may have lost in a restore from an older copy.
-        self._unverified: set[str] = set()
-        state.store_era.handle_new(lambda _: self._unverified.update(origins.services()))
+        # Records that the store may have lost in a restore from an older copy, by service.
+        self._unverified: dict[str, frozenset[str]] = {}
+        state.store_era.handle_new(lambda _: self._handle_restore())
         # Since when a difference between a record and the listed versions is known, by service.
         self._differs_since: dict[str, float] = {}
+        # Until when a service whose record was not accepted is left, by service.
+        self._paused_until: dict[str, float] = {}
 
     def record(self, origins: Iterable[StreamOrigin]) -> None:
         """Record the origins of streams, soon and as far as the store accepts them."""
         known = [o for o in origins if len(o.attempt_id) <= MAX_ATTEMPT_CHARACTERS]
-        self._waiting += known[: max(0, MAX_WAITING - len(self._waiting))]
+        # The latest ones are those whose callers are still there.
+        self._waiting = [*self._waiting, *known][-MAX_WAITING:]
         if self._waiting:
             self._has_streams.set()
 
@@ -148,11 +151,7 @@
     async def _run_versions(self) -> None:
         while True:
             self._versions_changed.clear()
-            try:
-                pause = await self._record_all_versions()
-            except PlatformError as error:
-                logger.info("versions not recorded", extra=error_fields(error))
-                pause = RETRY_SECONDS
+            pause = await self._record_all_versions()
             if pause < CHECK_SECONDS:
                 await asyncio.sleep(pause)
                 continue
@@ -163,6 +162,9 @@
     async def _run_streams(self) -> None:
         while True:
             await self._has_streams.wait()
+            if not self._state.directory_known:
+                await asyncio.sleep(MIN_WRITE_SECONDS)
+                continue
             self._has_streams.clear()
             await asyncio.sleep(max(0.0, self._next_write_at - self._clock()))
             waiting, self._waiting = self._waiting, []
@@ -175,17 +177,39 @@
 
     async def _record_all_versions(self) -> float:
         """Record what differs from the listed versions; return the seconds until more is due."""
-        if not self._state.directory_known:
+        table = self._state.table
+        if table is None or not self._state.directory_known:
             return CHECK_SECONDS
-        services = sorted(self._origins.services())
-        pauses = [await self._work_on_versions(service) for service in services]
+        # Only those of the configuration: another writer's entry may name any service.
+        services = sorted(self._origins.services() & table.services.keys())
+        pauses = [await self._try_versions(service) for service in services]
         return min(pauses, default=CHECK_SECONDS)
 
+    async def _try_versions(self, service: str) -> float:
+        """Record the versions of a service; a record that is not accepted affects no other."""
+        left = self._paused_until.get(service, float("-inf")) - self._clock()
+        if left > 0:
+            return left
+        try:
+            return await self._work_on_versions(service)
+        except PlatformError as error:
+            logger.info("versions not recorded", extra=error_fields(error) | {"service": service})
+            self._paused_until[service] = self._clock() + RETRY_SECONDS
+            return RETRY_SECONDS
+
+    def _handle_restore(self) -> None:
+        """Write again what the store may have lost in a restore from an older copy."""
+        now = self._clock()
+        for service in self._origins.services():
+            self._unverified[service] = self._origins.recorded(service)
+            if self._origins.is_mixed(service, now):
+                known = self._origins.of_service(service, now)
+                self.record(origin for origin in known if origin.is_local)
+
     async def _work_on_versions(self, service: str) -> float:
         now = self._clock()
         added, removed = self._origins.unrecorded(service, now), self._removable(service, now)
-        if service in self._unverified:
-            added = added | self._origins.recorded(service)
+        added = added | self._unverified.get(service, frozenset())
         if not added and not removed:
             self._differs_since.pop(service, None)
             return CHECK_SECONDS
@@ -193,8 +217,8 @@
         left = since + self._turn_seconds() - now
         if left > 0:
             return left
-        await self._write_versions(service, added, removed)
-        return TURN_SECONDS
+        is_written = await self._write_versions(service, added, removed)
+        return TURN_SECONDS if is_written else RETRY_SECONDS
 
     def _removable(self, service: str, now: float) -> set[str]:
         """Return the recorded versions that this node has not seen for as long as streams last."""
@@ -206,19 +230,23 @@
     def _turn_seconds(self) -> float:
         """Return how long this node leaves the write to other nodes."""
         order = self._state.nodes.relay_order(None)
-        place = order.index(self._state.node_id) if self._state.node_id in order else MAX_TURN
+        is_listed = self._state.node_id in order
+        place = order.index(self._state.node_id) if is_listed else len(order)
         return TURN_SECONDS * min(place, MAX_TURN)
 
-    async def _write_versions(self, service: str, added: set[str], removed: set[str]) -> None:
+    async def _write_versions(self, service: str, added: set[str], removed: set[str]) -> bool:
+        """Change a record; return False if another node has changed it at the same time."""
         stored = await self._store.read_versions(service)
-        versions = (stored.versions | added) - removed
+        listed = self._origins.recent(service, self._clock())
+        versions = (stored.versions - removed) | added | listed
         if versions != stored.versions:
             if not await self._store.write_versions(service, versions, stored.revision):
-                return
+                return False
             fields = {"service": service, "versions": sorted(versions)}
             logger.info("versions of a service recorded", extra=fields)
-        self._unverified.discard(service)
-        self._origins.apply_record(service, versions)
+        self._unverified.pop(service, None)
+        self._origins.apply_record(service, versions, self._clock())
+        return True
 
     async def _write_streams(self, waiting: Sequence[StreamOrigin]) -> None:
         nodes = len(self._state.nodes)
@@ -247,5 +275,5 @@
         return segment
 
     def _wait_again(self, origins: Sequence[StreamOrigin]) -> None:
-        self._waiting = [*origins, *self._waiting][:MAX_WAITING]
+        self._waiting = [*origins, *self._waiting][-MAX_WAITING:]
         self._has_streams.set()
--- a/src/hillstack/errors.py
+++ b/src/hillstack/errors.py
@@ -87,6 +87,10 @@
     """The back end answered a call with a status other than success."""
 
 
+class UnreadableAnswerError(BackendError):
+    """The back end answered, and the body of its answer can't be decoded."""
+
+
 class OtherProcessError(BackendStatusError):
     """The back end answered that it is another process than the one that was addressed."""
 
--- a/src/hillstack/messages/origin_messages.py
+++ b/src/hillstack/messages/origin_messages.py
@@ -44,9 +44,11 @@
         is_mixed: Whether the receiver of the question knows of several recent versions.
         knows_versions: Whether the receiver of the question has read which versions the service had
             before its own start, so that it knows of all. An earlier build does not.
+        versions: The recent versions that the receiver of the question knows.
     """
 
     number: int
     software: str | None
     is_mixed: bool
     knows_versions: bool = False
+    versions: tuple[str, ...] = ()
--- a/src/hillstack/platform/path_probe.py
+++ b/src/hillstack/platform/path_probe.py
@@ -14,6 +14,7 @@
     OtherProcessError,
     RelayError,
     RunnerRestartedError,
+    UnreadableAnswerError,
 )
 from hillstack.platform.connections import (
     SilenceAwareConnector,
@@ -73,7 +74,7 @@
                 await client.report(target_id, address)
             except (RunnerRestartedError, OtherProcessError):
                 return ProbeResult.OTHER_PROCESS
-            except BackendStatusError:
+            except (BackendStatusError, UnreadableAnswerError):
                 return ProbeResult.OTHER
             except BackendError:
                 return ProbeResult.SILENT
--- a/src/hillstack/platform/runners.py
+++ b/src/hillstack/platform/runners.py
@@ -20,10 +20,10 @@
 from hillstack.decoding import MalformedDataError, decode_json, parse_whole_number
 from hillstack.errors import (
     BackendBrokenError,
-    BackendError,
     BackendStatusError,
     ConnectionLostError,
     OtherProcessError,
+    UnreadableAnswerError,
 )
 from hillstack.platform import names
 from hillstack.platform.answer_ends import AnswerEnds
@@ -128,8 +128,9 @@
 
     def close(self) -> None:
         """Release the connection if the answer is complete, else close it."""
-        if self._end is not None:
-            self._end.cancel()
+        if self._end is not None and not self._end.cancel() and not self._end.cancelled():
+            # Retrieves the error of a check whose result nobody awaits any more.
+            self._end.exception()
         if self._response.content.at_eof():
             self._response.release()
         else:
@@ -218,7 +219,7 @@
         try:
             body = decode_json(reply.body, ReportBody)
         except MalformedDataError as error:
-            raise BackendError(str(error), step="decode report", peer=runner_id) from error
+            raise UnreadableAnswerError(str(error), step="decode report", peer=runner_id) from error
         check_runner_process(runner_id, body.born, "report")
         self._signals.read(runner_id, reply.status, reply.headers, sent)
         weights = {model.name: model.version for model in body.models}
--- a/src/hillstack/serving/ports.py
+++ b/src/hillstack/serving/ports.py
@@ -123,12 +123,14 @@
         is_mixed: Whether one of them knows of several recent versions of the service.
         knows_versions: Whether one of them knows all recent versions of the service.
         was_asked: Whether there was a node to ask.
+        versions: The recent versions that they know.
     """
 
     software: str | None
     is_mixed: bool
     knows_versions: bool
     was_asked: bool
+    versions: frozenset[str] = frozenset()
 
 
 class OriginSource(Protocol):
--- a/src/hillstack/serving/stream_versions.py
+++ b/src/hillstack/serving/stream_versions.py
@@ -125,11 +125,12 @@
         software = finding.software or self._origins.find(attempt_id, service, self._clock())
         if software is not None:
             return software
-        if finding.is_mixed or self._origins.is_mixed(service, self._clock()):
+        versions = self._origins.possible_versions(service, self._clock()) | finding.versions
+        if finding.is_mixed or len(versions) > 1:
             raise self._refusal(job, "the version that began the stream is not known")
         if not self._knows_versions(finding):
             raise self._refusal(job, "the versions that the service has had are not known")
-        return next(iter(self._origins.possible_versions(service, self._clock())), None)
+        return next(iter(versions), None)
 
     def _knows_versions(self, finding: OriginFinding) -> bool:
         """Return whether some node knows all versions that the service has had lately."""
@@ -187,7 +188,7 @@
     def _apply_record(self, event: StreamRecord) -> None:
         """Apply what the store records of streams."""
         if isinstance(event, ServiceVersionsRecorded):
-            self._origins.apply_record(event.service, event.versions)
+            self._origins.apply_record(event.service, event.versions, self._clock())
             self._report_if_mixed(event.service)
             return
         now = self._clock()
--- a/src/hillstack/serving/version_choice.py
+++ b/src/hillstack/serving/version_choice.py
@@ -97,15 +97,16 @@
 
     def usable(self, job: Job, now: float) -> UsableRunners:
         """Return the runners for the next attempt; decide whether the request is a canary."""
-        accepting = self._that_may_begin(job, self._state.pool.accepting(job.service, now))
+        accepting = self._state.pool.accepting(job.service, now)
         if job.software is not None:
             same = _of_version(accepting, job.software)
             return UsableRunners(same, same)
         if not self._may_differ(job.service, now):
+            accepting = self._that_may_begin(job, accepting)
             return UsableRunners(accepting, accepting)
         by_access = self._by_access(job.service, accepting, now)
         self._decide(job, by_access, now)
-        trusted = by_access.open
+        trusted = self._that_may_begin(job, by_access.open)
         if job.is_canary:
             canary_runners = self._canary_runners(job, by_access, now)
             if canary_runners:
@@ -118,13 +119,14 @@
 
     def accepting(self, job: Job, now: float) -> list[Runner]:
         """Return the runners that accept work and that the request may use."""
-        accepting = self._that_may_begin(job, self._state.pool.accepting(job.service, now))
+        accepting = self._state.pool.accepting(job.service, now)
         if job.software is not None:
             return _of_version(accepting, job.software)
         if not self._may_differ(job.service, now):
-            return accepting
+            return self._that_may_begin(job, accepting)
         by_access = self._by_access(job.service, accepting, now)
-        return [*by_access.open, *by_access.canary] if job.is_canary else by_access.open
+        usable = [*by_access.open, *by_access.canary] if job.is_canary else by_access.open
+        return self._that_may_begin(job, usable)
 
     def _that_may_begin(self, job: Job, runners: list[Runner]) -> list[Runner]:
         """Return the runners that may begin a stream, or all of them if none may."""
--- a/tests/fleet/test_stream_recorder.py
+++ b/tests/fleet/test_stream_recorder.py
@@ -159,6 +159,9 @@
     node.is_connected = False
     world.records.replace(ENGINES, {"v0"})
     world.run(5.0)
+    node.is_connected = True
+    world.records.replace(ENGINES, {"v0"})
+    world.run(5.0)
     assert all(versions for _, versions in world.records.writes)
     assert "v1" in world.records.versions()
 
