The pause before a task starts again does not overflow

2.0 ** 1024 raises OverflowError in the handler of the failure, so a task that had failed for some 85 minutes ended for good. Found by reading; the test failed before (1,025 starts, then none) and passes now.

--- a/src/hillstack/daemon/background_tasks.py
+++ b/src/hillstack/daemon/background_tasks.py
@@ -18,6 +18,8 @@
 # Pause before the first start after a failure; it doubles with each further one.
 MIN_RESTART_SECONDS = 0.1
 MAX_RESTART_SECONDS = 5.0
+# Enough to reach the longest pause; a float overflows after some more.
+MAX_DOUBLINGS = 6
 # A task is sound again after it has run for this long, longer than the longest pause.
 SOUND_SECONDS = 10.0
 # Failures, each less than the above after the previous one, from which a task keeps failing.
@@ -51,7 +53,8 @@
         return self.count >= MAX_FAILURES and now - self.last_at < SOUND_SECONDS
 
     def restart_seconds(self) -> float:
-        return min(MAX_RESTART_SECONDS, MIN_RESTART_SECONDS * 2.0 ** (self.count - 1))
+        doublings = min(self.count - 1, MAX_DOUBLINGS)
+        return min(MAX_RESTART_SECONDS, MIN_RESTART_SECONDS * 2.0**doublings)
 
 
 class BackgroundTasks:
--- a/tests/fleet/test_background_tasks.py
+++ b/tests/fleet/test_background_tasks.py
@@ -135,3 +135,15 @@
     bench.scheduler.run_until(20.0)
     assert bench.starts["sync"] == 1
     assert bench.failed == []
+
+
+# Guards against a pause that overflows after a thousand failures, which ended the task for good.
+def test_a_task_that_has_failed_for_hours_still_starts_again(bench: Bench) -> None:
+    bench.fails.add("sync")
+    bench.start("sync", 0.0)
+    hours = 3 * 3_600.0
+    bench.scheduler.run_until(hours)
+    starts = bench.starts["sync"]
+    assert starts > 1_024
+    bench.scheduler.run_until(hours + 2 * MAX_RESTART_SECONDS)
+    assert bench.starts["sync"] > starts
