--- a/src/hillstack/daemon/stream_recorder.py
+++ b/src/hillstack/daemon/stream_recorder.py
@@ -19,6 +19,7 @@
 from hillstack.errors import PlatformError
 from hillstack.logs import error_fields
 from hillstack.serving.fleet_state import FleetState
+from hillstack.serving.stream_versions import CURRENT_SECONDS
 
 logger = logging.getLogger(__name__)
 
@@ -33,8 +34,6 @@
 # Nodes record a new version in turn, each after this many seconds more than the one before.
 TURN_SECONDS = 0.1
 MAX_TURN = 9
-# A copy of the store that is older does not show that a version has left.
-CURRENT_SECONDS = 2.0
 # Streams and seconds after which another segment is begun, so that each write is short.
 MAX_SEGMENT_STREAMS = 200
 MAX_SEGMENT_SECONDS = 5.0
