A crash that is taken back takes its trials, ledger and mark with it

Callers saw, after nodes had been cut off from runners by resets, prompts with a shared part refused at all nodes, for up to 6 h ("runners ended while they worked on this request", Retry-After 58 s).

Cause: resets look like crashes. Proof that the runners live took back the crashes in the memory of nodes, but not the trials, the ledger in the store and the mark that were concluded from them; and a node that had been cut off did not ask the runners again.

Now a runner that has not crashed leaves the trials and the ledgers, a mark goes when fewer crashes are left than a verdict needs, and each node calls the listed runners that have crashed as far as it knows, also those that only a ledger names. The rejection for want of a part's permit names the part.

Ruled out: the requests themselves (the rejection was that of the part's permit); a lasting cut (no fault was left for 20 s).

--- a/src/hillstack/core/crash_counts.py
+++ b/src/hillstack/core/crash_counts.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
+from hillstack.core.run_at_crash import RunAtCrash
 from hillstack.core.runner_crashes import ORDER_SLACK_SECONDS
 
 # Crashes under one content name from which a request with that name is a suspect, even if no crash
@@ -77,6 +78,11 @@
     is_settled: bool = False
     latest_reported_at: float | None = None
 
+    @classmethod
+    def of(cls, runner_id: str, crashed_at: float, run: RunAtCrash) -> CrashedRun:
+        """Return the run of a request on a runner that crashed at this time."""
+        return cls(runner_id, crashed_at - run.age, crashed_at, run.is_settled)
+
     def reported_again(self, crashed_at: float) -> CrashedRun:
         """Return the run after a further report of the crash."""
         latest = self.crashed_at if self.latest_reported_at is None else self.latest_reported_at
--- a/src/hillstack/core/crash_ledger.py
+++ b/src/hillstack/core/crash_ledger.py
@@ -153,6 +153,10 @@
             if expires_at <= latest_expiry and name not in self._missing
         ]
 
+    def runner_ids(self) -> set[str]:
+        """Return the runners that crashed according to any ledger, and the marks of nodes."""
+        return set().union(*(ledger.crashed for ledger, _ in self._known.values()))
+
     def expire(self, now: float) -> list[int]:
         """Forget the ledgers that have expired; return their requests or parts."""
         expired = [name for name, (_, expires_at) in self._known.items() if now >= expires_at]
--- a/src/hillstack/core/part_crashes.py
+++ b/src/hillstack/core/part_crashes.py
@@ -26,6 +26,7 @@
 
 from hillstack.core.crash_counts import REPEATED_RETENTION_SECONDS, SINGLE_RETENTION_SECONDS
 from hillstack.core.crash_ledger import MAX_LEDGER_CRASHES
+from hillstack.core.part_trials import FATAL_MARK, PartTrials, UnfoundedParts
 from hillstack.core.run_at_crash import SETTLED_SECONDS, RunAtCrash
 from hillstack.core.runner_crashes import (
     MAX_NOTICE_LATENCY_SECONDS,
@@ -63,9 +64,6 @@
 CONTRAST_WAIT_SECONDS = 2.0
 # Latest successful runs that are stored, for comparison with the crashes.
 MAX_SUCCESSES = 64
-# Stands among the crashed runners in the ledger of a part that a node has found fatal, by successes
-# that other nodes may lack.
-FATAL_MARK = "fatal"
 
 
 class PartSuspicion(enum.IntEnum):
@@ -125,8 +123,7 @@
         self._cleared: OrderedDict[int, float] = OrderedDict()
         # The latest successful runs: when they ended, and their parts.
         self._successes: deque[tuple[float, frozenset[int]]] = deque(maxlen=MAX_SUCCESSES)
-        # Runners that crashed under trials, which count toward the bound for good, and the mark.
-        self._trials: dict[int, frozenset[str]] = {}
+        self._trials = PartTrials()
         # Parts whose trials are used up, without a contrast, and since when.
         self._lacking_contrast: dict[int, float] = {}
         self.revision = 0
@@ -172,16 +169,19 @@
 
     def record_trials(self, part: int, crashed: Collection[str]) -> None:
         """Record runners that crashed under trials of a part, or the mark of a node."""
-        if crashed:
-            self._trials[part] = self._trials.get(part, frozenset()).union(crashed)
+        self._trials.record(part, crashed)
 
     def trials(self, part: int) -> frozenset[str]:
         """Return the runners that crashed under trials of a part."""
-        return self._trials.get(part, frozenset())
+        return self._trials.get(part)
 
     def marked_parts(self) -> list[int]:
         """Return the parts that some node has found fatal, according to their ledgers."""
-        return [part for part, crashed in self._trials.items() if FATAL_MARK in crashed]
+        return self._trials.marked()
+
+    def take_unfounded(self) -> UnfoundedParts:
+        """Return the parts that retractions have left with too few crashes; remove their marks."""
+        return self._trials.take_unfounded(self._by_part, MIN_FATAL_CRASHES)
 
     def forget_ledger(self, part: int) -> None:
         """Forget the trials of a part whose ledger is gone, if no crash under it is known."""
@@ -201,6 +201,10 @@
         """Yield the crashed runners."""
         yield from self._parts_at
 
+    def trial_runner_ids(self) -> Iterator[str]:
+        """Yield the runners that crashed under trials."""
+        yield from self._trials.runner_ids()
+
     def clear(self, part: int, now: float) -> None:
         """Clear a part after a run with it survived."""
         self._forget_trials(part)
@@ -276,9 +280,11 @@
 
     def retract(self, runner_id: str, contact_at: float = math.inf) -> None:
         """Remove a runner's crash under all parts, unless it crashed after a contact."""
-        for part in list(self._parts_at.get(runner_id, ())):
+        known = list(self._parts_at.get(runner_id, ()))
+        for part in known:
             if self._by_part[part][runner_id].crashed_at <= contact_at:
                 self._remove_crash(part, runner_id)
+        self._trials.retract(runner_id, known, self._parts_at.get(runner_id, ()))
 
     def expire(self, now: float) -> list[int]:
         """Drop parts whose latest crash is older than the retention; return those with trials."""
@@ -295,7 +301,7 @@
     def _forget_trials(self, part: int) -> bool:
         """Forget the trials of a part; return whether there were any."""
         self._lacking_contrast.pop(part, None)
-        return self._trials.pop(part, None) is not None
+        return self._trials.forget(part)
 
     def _judge_part(self, part: int, parts: Collection[int]) -> PartSuspicion:
         crashes = self._by_part.get(part, {})
--- a/src/hillstack/core/runner_crashes.py
+++ b/src/hillstack/core/runner_crashes.py
@@ -20,6 +20,7 @@
 from itertools import combinations
 
 from hillstack.core.run_at_crash import RunAtCrash
+from hillstack.core.runner_contacts import RunnerContacts
 
 # Retention of crashes without a fatal request. A caller's next attempt, which would crash a second
 # runner, arrives within some seconds.
@@ -200,14 +201,16 @@
 
 
 class RunnerCrashRecord:
-    """Runner crashes and the requests that were running, bounded in number and in age."""
+    """Runner crashes and the requests that were running, bounded in number and in age.
+
+    Attributes:
+        contacts: Contacts with the runners that seemed to crash.
+    """
 
     def __init__(self) -> None:
         self._crashes: OrderedDict[str, RunnerCrash] = OrderedDict()
         self._cleared: OrderedDict[int, float] = OrderedDict()
-        self._last_contact: OrderedDict[str, float] = OrderedDict()
-        # Runners whose latest reported crash was refuted.
-        self._survivors: OrderedDict[str, None] = OrderedDict()
+        self.contacts = RunnerContacts()
         self._fatal: dict[int, FatalRequest] = {}
         # Verdicts that later reports of their crashes do not undo.
         self._settled_verdicts: dict[int, FatalRequest] = {}
@@ -293,7 +296,7 @@
         if now - crashed_at >= FATAL_CRASH_RETENTION_SECONDS:
             return
         self._settle_verdicts(now)
-        self._survivors.pop(runner_id, None)
+        self.contacts.forget_survival(runner_id)
         crash = self._crashes.get(runner_id)
         if crash is None:
             crash = RunnerCrash(runner_id, crashed_at, is_local=is_local)
@@ -307,22 +310,18 @@
 
     def was_contacted_after(self, runner_id: str, crashed_at: float) -> bool:
         """Return whether the runner was in contact after its supposed crash."""
-        return crashed_at <= self._last_contact.get(runner_id, float("-inf"))
+        return crashed_at <= self.contacts.latest(runner_id)
 
     def has_survived(self, runner_id: str) -> bool:
         """Return whether the latest reported crash of a runner was refuted by contact."""
-        return runner_id in self._survivors
+        return self.contacts.has_survived(runner_id)
 
     def record_contact(self, runner_id: str, contact_at: float) -> bool:
         """Record contact with a runner; return whether it refutes a report of the crash.
 
         The crash is dropped unless it was reported again for a time after the contact.
         """
-        known = self._last_contact.get(runner_id, float("-inf"))
-        self._last_contact[runner_id] = max(known, contact_at)
-        self._last_contact.move_to_end(runner_id)
-        while len(self._last_contact) > MAX_RECORDED_CRASHES:
-            self._last_contact.popitem(last=False)
+        self.contacts.record(runner_id, contact_at)
         crash = self._crashes.get(runner_id)
         if crash is None or crash.crashed_at > contact_at:
             return False
@@ -330,9 +329,7 @@
             crash.drop_reports_until(contact_at)
         else:
             del self._crashes[runner_id]
-            self._survivors[runner_id] = None
-            while len(self._survivors) > MAX_RECORDED_CRASHES:
-                self._survivors.popitem(last=False)
+            self.contacts.record_survival(runner_id, contact_at)
         self._is_classified = False
         return True
 
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -258,8 +258,9 @@
             runner_limits,
             self._streams.versions,
         )
-        self._pipeline.runner_crashes.set_lag_source(self._lag.lag_free_since)
-        permits = make_permit_services(
+        crashes = self._pipeline.runner_crashes
+        crashes.set_lag_source(self._lag.lag_free_since)
+        self._permits = make_permit_services(
             self._state,
             CrashLedgers(store, self._clock),
             CrashLedgers(store, self._clock, PART_LEDGERS_PREFIX, is_leased=False),
@@ -268,14 +269,13 @@
             self._peers.is_isolated,
             self._clock,
         )
-        self._permits = permits
-        self._pipeline.runner_crashes.set_permits(permits)
-        checks = CrashChecks(self._state, self._pipeline.runner_crashes, probe, self._clock)
-        self._peers.handle_runner_crashes(checks.observe)
-        self._access.monitor.handle_answered(self._pipeline.runner_crashes.refute)
+        crashes.set_permits(self._permits)
+        self._crash_checks = CrashChecks(self._state, crashes, check, self._clock)
+        self._peers.handle_runner_crashes(self._crash_checks.observe)
+        self._access.monitor.handle_answered(crashes.refute)
         # The order matters: the cache contents open the start gate of the new peer (``StartGate``),
         # so everything else that it decides from has to arrive before them.
-        self._peers.handle_new_peers(self._pipeline.runner_crashes.send_initial_state)
+        self._peers.handle_new_peers(crashes.send_initial_state)
         self._peers.handle_new_peers(self._peers.send_initial_state)
         self._peers.handle_new_peers(self._follower.send_initial_state)
         own = NodeEntry(
@@ -405,6 +405,7 @@
             ("tenant_limits", self._limits.run),
             ("runner_limits", self._shared_runner_limits.run),
             ("runner_crashes", self._pipeline.runner_crashes.run),
+            ("crash_checks", self._crash_checks.run),
             ("registry", self._registry.run),
             ("runner_access", self._access.run),
             ("runner_places", self._places.run),
--- a/src/hillstack/daemon/permit_services.py
+++ b/src/hillstack/daemon/permit_services.py
@@ -42,7 +42,9 @@
     ledgers = LimitedLedgerStore(store)
     knowledge = CrashKnowledge(state.runner_crashes, state.crash_ledgers, clock)
     part_ledgers = LimitedLedgerStore(part_store)
-    part_knowledge = PartKnowledge(state.part_crashes, state.part_ledgers, clock)
+    part_knowledge = PartKnowledge(
+        state.part_crashes, state.runner_crashes, state.part_ledgers, clock
+    )
     voter = PermitVoter(state.runner_crashes, knowledge, part_knowledge, clock)
     peers = PeerPermits(state, voter, link)
 
--- a/src/hillstack/daemon/runner_check.py
+++ b/src/hillstack/daemon/runner_check.py
@@ -70,6 +70,20 @@
                 return True
         return False
 
+    async def answers(self, runner_id: str, address: str) -> bool:
+        """Return whether the process answers a call now, which proves that it has not ended.
+
+        A runner whose limit has no room is not called.
+        """
+        if not await self._limits.room_for_call(runner_id, 0.0):
+            return False
+        if not self._is_lost(address):
+            return await self._probe.probe(runner_id, address, None) is ProbeResult.ANSWERED
+        for route in await self._routes.routes(address, ROUTE_AGE_SECONDS):
+            if await self._probe.probe(runner_id, address, route) is ProbeResult.ANSWERED:
+                return True
+        return False
+
     async def _answers(self, runner_id: str, address: str) -> bool:
         """Call a process up to twice: it resets a new connection while it has too many."""
         result = await self._probe.probe(runner_id, address, None)
--- a/src/hillstack/serving/crash_knowledge.py
+++ b/src/hillstack/serving/crash_knowledge.py
@@ -31,21 +31,28 @@
 
     Args:
         crashes: Crashes that this node knows.
+        record: Shows which runners have not crashed.
         ledgers: Ledgers that this node knows.
         clock: Monotonic seconds.
     """
 
     def __init__(
-        self, crashes: PartCrashes, ledgers: KnownLedgers, clock: Callable[[], float]
+        self,
+        crashes: PartCrashes,
+        record: RunnerCrashRecord,
+        ledgers: KnownLedgers,
+        clock: Callable[[], float],
     ) -> None:
         self._crashes = crashes
+        self._record = record
         self._ledgers = ledgers
         self._clock = clock
 
     def crashed(self, part: int) -> set[str]:
         """Return the runners that crashed under trials of a part."""
         ledger = self._ledgers.get(part, self._clock()) or CrashLedger()
-        return set(self._crashes.trials(part) | ledger.crashed)
+        stored = ledger.without_survivors(self._record.has_survived).crashed
+        return set(self._crashes.trials(part) | stored)
 
     def counted(self, part: int) -> set[str]:
         """Return no runner: crashes without a permit are no trials."""
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -223,7 +223,8 @@
                 self.part_ledgers.note_missing(part, now)
             case PartLedgerChanged(part, CrashLedger() as ledger):
                 self.part_ledgers.update(part, ledger, now)
-                self.part_crashes.record_trials(part, ledger.crashed)
+                known = ledger.without_survivors(self.runner_crashes.has_survived)
+                self.part_crashes.record_trials(part, known.crashed)
             case ServiceVersionsRecorded() | StreamsRecorded():
                 self._on_stream_record(event)
 
--- a/src/hillstack/serving/part_crashes.py
+++ b/src/hillstack/serving/part_crashes.py
@@ -13,7 +13,6 @@
 import math
 from collections.abc import Callable, Iterable, Mapping
 
-from hillstack.core.crash_ledger import CrashLedger
 from hillstack.core.part_crashes import (
     MIN_SUSPECT_CRASHES,
     NO_SUSPICION,
@@ -44,6 +43,7 @@
     has_long_answered,
     has_unused_permit,
     is_resumed,
+    known_ledger,
     with_ledgers,
 )
 from hillstack.serving.types import Verdict
@@ -109,7 +109,12 @@
         """Set the permits for suspected parts."""
         self._services = services
         self._permits = SuspectPermits(
-            services, self._state.runner_crashes, self._ledgers, self._has_evidence, self._clock
+            services,
+            self._state.runner_crashes,
+            self._ledgers,
+            self._has_evidence,
+            self._clock,
+            PART_REASON,
         )
 
     def check(self, job: Job) -> None:
@@ -268,7 +273,7 @@
                 self._count_long_run(attempt_id)
             self._check_survival(attempt_id)
         if self._services is not None:
-            self._upkeep.remove_abandoned_permits(self._services, self._fatal)
+            self._upkeep.correct_ledgers(self._services, self._fatal)
         # Successes and marks make parts fatal too, without a change of the crashes.
         self._revision = UNKNOWN_REVISION
         self._react()
@@ -291,10 +296,9 @@
             return verdict
         few = [part for part in parts if not self._is_suspect(part)]
         listed = [part for part in few if self._permits.has_ledger(part)]
-        return with_ledgers(verdict, {part: self._ledger(part) for part in listed})
-
-    def _ledger(self, part: int) -> CrashLedger:
-        return self._ledgers.get(part, self._clock()) or CrashLedger()
+        return with_ledgers(
+            verdict, {part: known_ledger(self._state, part, now) for part in listed}
+        )
 
     def _judge_or_reject(self, job: Job) -> PartVerdict:
         verdict = self._judge(job)
@@ -388,8 +392,7 @@
             self._announce(fatal)
             self._fatal = fatal
         if self._services is not None:
-            marked = {*self._fatal, *self._crashes.marked_parts()}
-            self._upkeep.write_marks(self._services, marked)
+            self._upkeep.write_marks(self._services, self._fatal)
 
     def _announce(self, fatal: list[int]) -> None:
         for part in fatal:
--- a/src/hillstack/serving/runner_crashes.py
+++ b/src/hillstack/serving/runner_crashes.py
@@ -464,10 +464,10 @@
             return
         crash = self._record.get(runner_id)
         for fingerprint, run in runs.items():
-            crashed = _crashed_run(runner_id, ended_at, run)
+            crashed = CrashedRun.of(runner_id, ended_at, run)
             if crash is not None and fingerprint in crash.runs:
                 known = crash.runs[fingerprint]
-                crashed = _crashed_run(runner_id, crash.crashed_at, known).reported_again(ended_at)
+                crashed = CrashedRun.of(runner_id, crash.crashed_at, known).reported_again(ended_at)
             self._counts.note(fingerprint, crashed)
             if run.content:
                 self._counts.note(run.content, crashed)
@@ -596,7 +596,12 @@
         The process may have crashed since it was called, so this proves no more than that time.
         """
         crash = self._record.get(runner_id)
-        if crash is not None and crash.crashed_at <= called_at:
+        if crash is None:
+            # Nodes that were killed had recorded the crash in a ledger.
+            self._record.contacts.record_survival(runner_id, called_at)
+            self._counts.retract(runner_id, called_at)
+            self._parts.retract(runner_id, called_at)
+        elif crash.crashed_at <= called_at:
             self._take_back(crash, called_at)
 
     def _reset_counts(self, names: Iterable[int]) -> None:
@@ -720,7 +725,3 @@
         # The runner did not leave: its next process was seen before its connections broke.
         return False
     return not runner.will_accept(now) or now < runner.loading_until
-
-
-def _crashed_run(runner_id: str, crashed_at: float, run: RunAtCrash) -> CrashedRun:
-    return CrashedRun(runner_id, crashed_at - run.age, crashed_at, run.is_settled)
--- a/src/hillstack/serving/suspect_permits.py
+++ b/src/hillstack/serving/suspect_permits.py
@@ -58,6 +58,7 @@
         ledgers: Names that have a ledger.
         is_suspect: Returns whether this node suspects a name.
         clock: Monotonic seconds.
+        reason: What callers are told if there is no permit.
     """
 
     def __init__(
@@ -67,12 +68,14 @@
         ledgers: KnownLedgers,
         is_suspect: Callable[[int], bool],
         clock: Callable[[], float],
+        reason: str = FATAL_REASON,
     ) -> None:
         self._services = services
         self._record = record
         self._ledgers = ledgers
         self._is_suspect = is_suspect
         self._clock = clock
+        self._reason = reason
 
     def has_ledger(self, name: int) -> bool:
         """Return whether a permit is needed according to the store."""
@@ -110,7 +113,7 @@
         if grant.permit is not None:
             permitted.sends.append(PermittedSend(grant.permit, grant.peer_permit))
         if not grant.may_send:
-            raise job.give_up_error(Verdict.UNAVAILABLE, FATAL_REASON, grant.retry_after)
+            raise job.give_up_error(Verdict.UNAVAILABLE, self._reason, grant.retry_after)
 
     def finished(
         self, job: Job, permitted: PermittedSends, runner_id: str, *, may_still_run: bool
--- a/src/hillstack/serving/suspected_parts.py
+++ b/src/hillstack/serving/suspected_parts.py
@@ -6,12 +6,9 @@
 
 from hillstack.core.crash_counts import REPEATED_RETENTION_SECONDS
 from hillstack.core.crash_ledger import CrashLedger
-from hillstack.core.part_crashes import (
-    FATAL_MARK,
-    SURVIVAL_MARGIN_SECONDS,
-    PartSuspicion,
-    PartVerdict,
-)
+from hillstack.core.part_crashes import SURVIVAL_MARGIN_SECONDS, PartSuspicion, PartVerdict
+from hillstack.core.part_trials import FATAL_MARK
+from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import Job
 
 # How long requests with more suspected parts give way to one with fewer.
@@ -60,6 +57,12 @@
     return permitted is not None and any(not send.runner_id for send in permitted.sends)
 
 
+def known_ledger(state: FleetState, part: int, now: float) -> CrashLedger:
+    """Return the ledger of a part that a node knows, without runners that have not crashed."""
+    ledger = state.part_ledgers.get(part, now) or CrashLedger()
+    return ledger.without_survivors(state.runner_crashes.has_survived)
+
+
 def with_ledgers(verdict: PartVerdict, ledgers: Mapping[int, CrashLedger]) -> PartVerdict:
     """Return a verdict together with that on parts of which only the ledgers are known."""
     for part, ledger in ledgers.items():
--- a/tests/fleet/fatal_world.py
+++ b/tests/fleet/fatal_world.py
@@ -591,7 +591,9 @@
         clock = world.scheduler.clock
         ledgers = LimitedLedgerStore(FakeLedgers(world, name))
         knowledge = CrashKnowledge(self.state.runner_crashes, self.state.crash_ledgers, clock)
-        parts = PartKnowledge(self.state.part_crashes, self.state.part_ledgers, clock)
+        parts = PartKnowledge(
+            self.state.part_crashes, self.state.runner_crashes, self.state.part_ledgers, clock
+        )
         voter = PermitVoter(self.state.runner_crashes, knowledge, parts, clock)
         self.link = FakeLink(world, name)
         self.peers = PeerPermits(self.state, voter, self.link)
--- a/tests/fleet/test_part_crashes.py
+++ b/tests/fleet/test_part_crashes.py
@@ -6,7 +6,6 @@
 from hillstack.core.part_crashes import (
     COMMON_CAUSE_SECONDS,
     CONTRAST_WAIT_SECONDS,
-    FATAL_MARK,
     MAX_CRASHES_PER_PART,
     MAX_PARTS,
     MIN_CONTRAST,
@@ -14,6 +13,7 @@
     PartCrashes,
     PartSuspicion,
 )
+from hillstack.core.part_trials import FATAL_MARK
 from hillstack.core.run_at_crash import RunAtCrash
 
 FIRST, MIDDLE, FATAL, OTHER = 1, 2, 3, 4
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -22,6 +22,8 @@
 EARLY_CLOSE_SHARE = 0.05
 PAUSE_SECONDS = 0.05
 EVENTS_PER_STREAM = 5
+# Parts of which the prompts of the streams contain one each.
+SHARED_PARTS = ("a0", "a1", "a2", "a3")
 # Each request whose number is a multiple of this is a slow stream, if it is a stream.
 SLOW_STREAM_PERIOD = 3
 # Start of the identifiers of slow streams, by which runners recognize them.
@@ -103,16 +105,47 @@
         finally:
             connection.close()
 
+    async def receive_stream(self, node: NodeProcess, key: str, part: str) -> CallerRequest:
+        """Send a sound request with a shared part over a new connection."""
+        self._count += 1
+        request = CallerRequest(
+            f"stream-{id(self):x}-{self._count}",
+            "stream",
+            node.name,
+            key,
+            time.monotonic(),
+            expected_events=EVENTS_PER_STREAM,
+        )
+        try:
+            connection = await CallerConnection.open(node.callers)
+        except ConnectionBrokenError:
+            self._observations.sent.append(request)
+            return request
+        try:
+            return await self._receive(connection, request, CLIENT_TIMEOUT_SECONDS, part)
+        finally:
+            connection.close()
+
     async def _call(
         self, connection: CallerConnection, node: NodeProcess, key: str, *, may_close_early: bool
     ) -> CallerRequest:
         request = replace(self._next_request(node, key), reused=connection.exchanges > 0)
         closes_early = may_close_early and self._rng.random() < EARLY_CLOSE_SHARE
         timeout_seconds = 0.1 * self._rng.random() if closes_early else CLIENT_TIMEOUT_SECONDS
+        return await self._receive(connection, request, timeout_seconds)
+
+    async def _receive(
+        self,
+        connection: CallerConnection,
+        request: CallerRequest,
+        timeout_seconds: float,
+        part: str = "",
+    ) -> CallerRequest:
+        """Send a request and record its outcome; the part of a stream's prompt may be drawn."""
         result = request
         try:
             async with asyncio.timeout(timeout_seconds):
-                answer = await self._exchange(connection, request)
+                answer = await self._exchange(connection, request, part)
             result = _answered(request, answer)
         except TimeoutError:
             connection.close()
@@ -127,7 +160,9 @@
             self._observations.sent.append(replace(result, ended_at=time.monotonic()))
         return result
 
-    async def _exchange(self, connection: CallerConnection, request: CallerRequest) -> WholeAnswer:
+    async def _exchange(
+        self, connection: CallerConnection, request: CallerRequest, part: str
+    ) -> WholeAnswer:
         headers = {
             "Host": HOST,
             names.REQUEST_ID: request.request_id,
@@ -136,7 +171,7 @@
         }
         if request.kind == "stream":
             headers |= {names.MODEL: MODEL, names.TOKEN_USAGE: "850,80"}
-            headers |= {names.PROMPT_PARTS: self._prompt_parts(request)}
+            headers |= {names.PROMPT_PARTS: self._prompt_parts(request, part)}
         if is_part(request.fatal):
             headers |= {names.MODEL: MODEL, names.TOKEN_USAGE: "950,80"}
             headers |= {names.PROMPT_PARTS: f"a0:800,{request.fatal}:100,{self._count:x}:50"}
@@ -146,12 +181,13 @@
         query = f"?try={self._count}" if is_varied(request.fatal) else ""
         return await connection.exchange(f"/{request.kind}/x{query}", headers, body.encode())
 
-    def _prompt_parts(self, request: CallerRequest) -> str:
+    def _prompt_parts(self, request: CallerRequest, part: str) -> str:
         if is_varied(request.fatal):
             return f"a0:800,{self._count:x}:50"
         if request.fatal:
             return "a0:800,f:50"
-        return f"a{self._rng.randrange(4):x}:800,{self._count:x}:50"
+        part = part or SHARED_PARTS[self._rng.randrange(len(SHARED_PARTS))]
+        return f"{part}:800,{self._count:x}:50"
 
     def _next_request(self, node: NodeProcess, key: str) -> CallerRequest:
         self._count += 1
--- a/tests/soak/recovery.py
+++ b/tests/soak/recovery.py
@@ -11,7 +11,7 @@
 import aiohttp
 
 from tests.fleet.deployment import NodeProcess
-from tests.soak.callers import Callers
+from tests.soak.callers import SHARED_PARTS, Callers
 from tests.soak.system import SystemUnderTest
 
 # Time for nodes that the last fault ended to restart, perhaps many at once on a busy machine.
@@ -59,6 +59,7 @@
             await asyncio.gather(
                 *(self._check_state(session, node) for node in nodes),
                 *(self._check_serving(node) for node in nodes),
+                *(self._check_part(node, part) for node in nodes for part in SHARED_PARTS),
                 self._check_weights(),
             )
 
@@ -116,15 +117,33 @@
     async def _check_serving(self, node: NodeProcess) -> None:
         ends_at = self._ready_at + SERVE_SECONDS
         served = 0
+        statuses: list[int | None] = []
         while served < CONSECUTIVE_ANSWERS and time.monotonic() < ends_at:
             answer = await self._callers.call_once(
                 node, self._system.keys()[0], may_close_early=False
             )
+            statuses.append(answer.status)
             served = served + 1 if answer.status == 200 else 0
         if served < CONSECUTIVE_ANSWERS:
-            self.violations.append(f"{node.name} does not answer successfully again")
+            self.violations.append(
+                f"{node.name} does not answer successfully again: answers {statuses}"
+            )
         self._record("served", time.monotonic() - self._ready_at)
 
+    async def _check_part(self, node: NodeProcess, part: str) -> None:
+        """Check that a node serves a stream with a part, whose runs broken paths may have ended."""
+        ends_at = self._ready_at + SERVE_SECONDS
+        statuses: list[int | None] = []
+        while 200 not in statuses:
+            if time.monotonic() >= ends_at:
+                text = f"{node.name} serves no stream with part {part}: answers {statuses}"
+                self.violations.append(text)
+                break
+            answer = await self._callers.receive_stream(node, self._system.keys()[0], part)
+            statuses.append(answer.status)
+            await asyncio.sleep(CHECK_SECONDS)
+        self._record("parts", time.monotonic() - self._ready_at)
+
     async def _wait_until_nothing_missing(
         self, find_missing: Callable[[], Awaitable[str]], ends_at: float, text: str
     ) -> float:
