Answers of the etcd gateway have typed bodies

An answer of another shape raised AttributeError, KeyError or TypeError in the task that had called: the errors that callers of the client handle are PlatformError. Bodies are now converted to types, with bounded numbers, and another shape is an error of the call; of a write, one of unknown outcome.

--- a/src/hillstack/decoding.py
+++ b/src/hillstack/decoding.py
@@ -48,6 +48,18 @@
         raise MalformedDataError(str(error)) from error
 
 
+def to_typed(value: Any, kind: type[Body]) -> Body:
+    """Convert plain values to a typed one; whole numbers may be texts, and bytes are base64.
+
+    Raises:
+        MalformedDataError: The values have another type.
+    """
+    try:
+        return msgspec.convert(value, kind, strict=False)
+    except (ValueError, RecursionError) as error:
+        raise MalformedDataError(str(error)) from error
+
+
 def parse_whole_number(text: str | bytes) -> int | None:
     """Return the number in a text of at most ``MAX_DIGITS`` decimal digits; None for others."""
     is_number = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
--- a/src/hillstack/etcd/key_value.py
+++ b/src/hillstack/etcd/key_value.py
@@ -11,21 +11,32 @@
 import base64
 import logging
 from collections.abc import AsyncIterator, Sequence
-from typing import Any
+from typing import Any, TypeVar
 
 import aiohttp
 
 from hillstack.answer_bodies import read_json
 from hillstack.core.store_revision import StoreRevision
 from hillstack.daemon.key_value import Condition, Entry, Put, RevisionIs
-from hillstack.decoding import parse_json
+from hillstack.decoding import parse_json, to_typed
 from hillstack.errors import PlatformError, PlatformOutcomeUnknownError, PlatformUnavailableError
+from hillstack.etcd.answers import (
+    Answer,
+    KeyValue,
+    LeaseAnswer,
+    RangeAnswer,
+    RenewalAnswer,
+    TransactionAnswer,
+    WatchLine,
+)
 
 logger = logging.getLogger(__name__)
 
 REJECTED_STATUSES = frozenset({429, 503})
 WATCH_LINE_LIMIT_BYTES = 64 * 1024 * 1024
 
+AnswerKind = TypeVar("AnswerKind", bound=Answer)
+
 
 class KeyValueClient:
     """Sends requests to one of several endpoints, and to the next if an endpoint is unavailable.
@@ -51,8 +62,9 @@
 
     async def get(self, key: str) -> Entry | None:
         """Return the entry of a key, or None if the key does not exist."""
-        answer = await self._call("/v3/kv/range", {"key": _encode(key)}, "read key")
-        entries = [self._entry(item) for item in answer.get("kvs", [])]
+        body = {"key": _encode(key)}
+        answer = await self._call("/v3/kv/range", body, "read key", RangeAnswer)
+        entries = [self._entry(item) for item in answer.kvs]
         return entries[0] if entries else None
 
     async def list_prefix(self, prefix: str, limit: int = 0) -> list[Entry]:
@@ -69,8 +81,8 @@
             "sort_target": "KEY",
             "limit": str(limit),
         }
-        answer = await self._call("/v3/kv/range", body, "list keys")
-        return [self._entry(item) for item in answer.get("kvs", [])]
+        answer = await self._call("/v3/kv/range", body, "list keys", RangeAnswer)
+        return [self._entry(item) for item in answer.kvs]
 
     async def transact(
         self, conditions: Sequence[Condition], puts: Sequence[Put]
@@ -88,24 +100,30 @@
             "compare": [_condition(condition) for condition in conditions],
             "success": [{"request_put": _put(put)} for put in puts],
         }
-        answer = await self._call("/v3/kv/txn", body, "transaction")
-        if not answer.get("succeeded", False):
+        answer = await self._call("/v3/kv/txn", body, "transaction", TransactionAnswer)
+        if not answer.succeeded:
             return None
-        return StoreRevision(self.era, int(answer["header"]["revision"]))
+        if answer.header.revision is None:
+            raise PlatformOutcomeUnknownError("no revision in the answer", step="transaction")
+        return StoreRevision(self.era, answer.header.revision)
 
     async def grant_lease(self, ttl_seconds: float) -> int:
         """Create a lease and return its identifier."""
-        answer = await self._call("/v3/lease/grant", {"TTL": str(int(ttl_seconds))}, "grant lease")
-        return int(answer["ID"])
+        body = {"TTL": str(int(ttl_seconds))}
+        answer = await self._call("/v3/lease/grant", body, "grant lease", LeaseAnswer)
+        if not answer.lease_id:
+            raise PlatformOutcomeUnknownError("no lease in the answer", step="grant lease")
+        return answer.lease_id
 
     async def keep_alive(self, lease_id: int) -> bool:
         """Renew a lease; return False if the lease has expired."""
-        answer = await self._call("/v3/lease/keepalive", {"ID": str(lease_id)}, "renew lease")
-        return int(answer.get("result", {}).get("TTL", 0)) > 0
+        body = {"ID": str(lease_id)}
+        answer = await self._call("/v3/lease/keepalive", body, "renew lease", RenewalAnswer)
+        return answer.result.ttl_seconds > 0
 
     async def revoke_lease(self, lease_id: int) -> None:
         """Revoke a lease, which also deletes the keys attached to the lease."""
-        await self._call("/v3/lease/revoke", {"ID": str(lease_id)}, "revoke lease")
+        await self._call("/v3/lease/revoke", {"ID": str(lease_id)}, "revoke lease", Answer)
 
     async def watch(self, key: str) -> AsyncIterator[bytes]:
         """Yield each new value of a key until the stream breaks.
@@ -126,24 +144,26 @@
                 if response.status != 200:
                     raise PlatformUnavailableError("refused", step="watch", peer=endpoint)
                 async for line in response.content:
-                    for event in parse_json(line).get("result", {}).get("events", []):
-                        yield base64.b64decode(event["kv"].get("value", ""))
+                    for event in to_typed(parse_json(line), WatchLine).result.events:
+                        yield event.kv.value
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise PlatformError(repr(error), step="watch", peer=endpoint) from error
 
-    async def _call(self, path: str, body: dict[str, Any], step: str) -> dict[str, Any]:
+    async def _call(
+        self, path: str, body: dict[str, Any], step: str, kind: type[AnswerKind]
+    ) -> AnswerKind:
         last: PlatformUnavailableError | None = None
         for _ in range(len(self._endpoints)):
             try:
-                return await self._call_endpoint(self._endpoints[0], path, body, step)
+                return await self._call_endpoint(self._endpoints[0], path, body, step, kind)
             except PlatformUnavailableError as error:
                 last = error
                 self._endpoints.append(self._endpoints.pop(0))
         raise last or PlatformUnavailableError("no endpoints configured", step=step)
 
     async def _call_endpoint(
-        self, endpoint: str, path: str, body: dict[str, Any], step: str
-    ) -> dict[str, Any]:
+        self, endpoint: str, path: str, body: dict[str, Any], step: str, kind: type[AnswerKind]
+    ) -> AnswerKind:
         url = f"http://{endpoint}{path}"
         revision_at_send = self._latest_revision
         try:
@@ -151,10 +171,11 @@
                 if response.status in REJECTED_STATUSES:
                     text = f"status {response.status}"
                     raise PlatformUnavailableError(text, step=step, peer=endpoint)
-                answer: dict[str, Any] = await read_json(response)
+                plain = await read_json(response)
                 if response.status != 200:
-                    text = f"status {response.status}: {answer.get('error')}"
+                    text = f"status {response.status}: {to_typed(plain, Answer).error}"
                     raise PlatformError(text, step=step, peer=endpoint)
+                answer = to_typed(plain, kind)
                 self._note_revision(answer, revision_at_send, endpoint)
                 return answer
         except aiohttp.ClientConnectorError as error:
@@ -163,7 +184,7 @@
             raise PlatformOutcomeUnknownError(repr(error), step=step, peer=endpoint) from error
 
     def _note_revision(
-        self, answer: dict[str, Any], revision_at_send: StoreRevision, endpoint: str
+        self, answer: Answer, revision_at_send: StoreRevision, endpoint: str
     ) -> None:
         """Record the cluster's revision; start a new era if the revision has decreased.
 
@@ -173,10 +194,9 @@
                 answer is compared with this revision because answers can arrive out of order.
             endpoint: Endpoint that sent the answer.
         """
-        reported = answer.get("header", {}).get("revision")
-        if reported is None:
+        number = answer.header.revision
+        if number is None:
             return
-        number = int(reported)
         if number < revision_at_send.number and revision_at_send.era == self._latest_revision.era:
             fields = {"before": revision_at_send.number, "revision": number, "peer": endpoint}
             logger.warning("key-value service was restored: revision decreased", extra=fields)
@@ -184,12 +204,10 @@
         elif number > self._latest_revision.number:
             self._latest_revision = StoreRevision(self._latest_revision.era, number)
 
-    def _entry(self, item: dict[str, Any]) -> Entry:
-        return Entry(
-            base64.b64decode(item["key"]).decode(),
-            base64.b64decode(item.get("value", "")),
-            StoreRevision(self.era, int(item["mod_revision"])),
-        )
+    def _entry(self, item: KeyValue) -> Entry:
+        # Keys of other writers may have any bytes; no key of this project is among them.
+        key = item.key.decode(errors="replace")
+        return Entry(key, item.value, StoreRevision(self.era, item.mod_revision))
 
 
 def prefix_end(prefix: str) -> str:
