Loads of weights and cache feeds that fail unexpectedly are logged

Both ran in tasks of their own: an error other than those of their calls ended them, was logged by the event loop only, and they began again at the next turn without a pause. Now it is logged as that of a background task, which the soak looks for, and they begin again after the pause of a runner that is not reached.

Failing before: both new tests (no line in the log).

--- a/src/hillstack/daemon/background_tasks.py
+++ b/src/hillstack/daemon/background_tasks.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -119,3 +119,11 @@
                 logger.error("background task failed", extra=fields, exc_info=error)
                 self._on_failure(name)
             await asyncio.sleep(pause)
+
+
+def has_failed(task: asyncio.Task[None], fields: Mapping[str, object]) -> bool:
+    """Return whether a task that was not started again has ended with an error, and log it."""
+    error = None if task.cancelled() else task.exception()
+    if error is not None:
+        logger.error("background task failed", extra=dict(fields), exc_info=error)
+    return error is not None
--- a/src/hillstack/daemon/cache_follower.py
+++ b/src/hillstack/daemon/cache_follower.py
@@ -214,6 +214,13 @@
                 reachable = False
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
+            except Exception as error:
+                # The contents may have been applied in part.
+                position = None
+                fields = {"task": "cache_feed", "holder": holder.holder_id}
+                logger.error("background task failed", extra=fields, exc_info=error)
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
             if not reachable:
                 logger.info("cache feed regained", extra={"holder": holder.holder_id})
             reachable = True
--- a/src/hillstack/daemon/weights_rollout_duty.py
+++ b/src/hillstack/daemon/weights_rollout_duty.py
@@ -10,6 +10,7 @@
 
 from hillstack.core.runner_pool import Runner
 from hillstack.core.weights_rollout import WeightsLoadPlan, WeightsLoadView
+from hillstack.daemon.background_tasks import has_failed
 from hillstack.daemon.duty_lease import DutyLease
 from hillstack.daemon.duty_progress import DutyProgress
 from hillstack.daemon.lease_renewer import AcquireSlot, Candidacy, LeaseRenewer
@@ -243,11 +244,13 @@
     def _start_load(self, runner: Runner, model: str) -> None:
         task = asyncio.create_task(self._load(runner, model))
         self._loading[runner.runner_id] = task
-        task.add_done_callback(lambda _: self._end_load(runner.runner_id))
+        task.add_done_callback(lambda ended: self._end_load(runner.runner_id, ended))
 
-    def _end_load(self, runner_id: str) -> None:
+    def _end_load(self, runner_id: str, task: asyncio.Task[None]) -> None:
         self._loading.pop(runner_id, None)
         self._ordered.discard(runner_id)
+        if has_failed(task, {"task": "weights_load", "runner": runner_id}):
+            self._paused_until[runner_id] = self._clock() + UNREACHABLE_PAUSE_SECONDS
 
     async def _load(self, runner: Runner, model: str) -> None:
         """Order one runner to load the newest version, until it serves it or the attempt fails."""
--- a/tests/fleet/test_cache_follower.py
+++ b/tests/fleet/test_cache_follower.py
@@ -14,6 +14,7 @@
 from hillstack.core.part_index import PartIndex, PromptPart
 from hillstack.core.routing_table import KvCacheStore
 from hillstack.daemon.cache_follower import (
+    RETRY_SECONDS,
     CacheChanges,
     CacheEntry,
     CacheFollower,
@@ -39,7 +40,7 @@
     held: dict[str, int] = field(default_factory=dict)
     pending: list[CacheEntry] = field(default_factory=list)
     gap: bool = False
-    failure: BackendError | None = None
+    failure: Exception | None = None
     lists: int = 0
     calls: int = 0
 
@@ -176,6 +177,23 @@
     assert bench.state.index.matched_tokens("i-1", SALT, [part], 2.0) == 4_000
 
 
+# Guards against a feed that nobody follows after an error of another kind than its calls raise.
+def test_a_feed_is_followed_again_after_any_error(
+    bench: Bench, caplog: pytest.LogCaptureFixture
+) -> None:
+    bench.run(1.0)
+    holder = bench.feed.holders["i-1"]
+    holder.failure = ValueError("not expected")
+    calls = holder.calls
+    bench.run(10 * RETRY_SECONDS)
+    assert calls < holder.calls <= calls + 11
+    assert "background task failed" in caplog.text
+    holder.failure = None
+    holder.held["a"] = 4_000
+    bench.run(2 * RETRY_SECONDS + 1.0)
+    assert bench.estimated("i-1", "a") == 4_000
+
+
 def test_a_restarted_holder_has_lost_its_contents(bench: Bench) -> None:
     bench.feed.holders["i-1"].held = {"a": 4_000}
     bench.run(1.0)
--- a/tests/fleet/test_weights_rollout_duty.py
+++ b/tests/fleet/test_weights_rollout_duty.py
@@ -8,12 +8,14 @@
 
 from hillstack.core.cache_sources import order_delay_seconds
 from hillstack.core.planned_stop import STOP_MARGIN_SECONDS
+from hillstack.core.runner_pool import Runner
 from hillstack.core.weights_rollout import START_DELAY_SECONDS
 from hillstack.daemon.lease_renewer import (
     RENEW_REFUSED_SECONDS,
     RENEW_RETRY_SECONDS,
     renewal_pause,
 )
+from hillstack.daemon.weights_rollout_duty import UNREACHABLE_PAUSE_SECONDS
 from hillstack.errors import PlatformOutcomeUnknownError, PlatformUnavailableError
 from hillstack.serving.store_events import WeightsNamed
 from tests.fleet.builders import MODEL
@@ -85,6 +87,31 @@
     bench.scheduler.close()
 
 
+# Guards against loads that end with an error of another kind, unlogged, and begin again at once.
+def test_a_load_that_fails_unexpectedly_is_logged_and_begun_again_later(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    bench = Bench(count=1)
+    node = bench.add_node("node-1")
+    bench.run(4.0)
+    advance = node.duty._advance
+    begun: list[float] = []
+
+    async def fail_twice(runner: Runner, model: str, version: int) -> int | None:
+        begun.append(bench.scheduler.now)
+        if len(begun) <= 2:
+            raise ValueError("not expected")
+        return await advance(runner, model, version)
+
+    monkeypatch.setattr(node.duty, "_advance", fail_twice)
+    bench.name_weights(2, node)
+    bench.run(9.0)
+    assert loaded_weights(bench) == {"i-0": 2}
+    assert begun[1] - begun[0] >= UNREACHABLE_PAUSE_SECONDS
+    assert caplog.text.count("background task failed") == 2
+    bench.scheduler.close()
+
+
 def test_only_one_node_orders_and_the_next_has_a_higher_fence() -> None:
     bench = Bench()
     first, second = bench.add_node("node-1"), bench.add_node("node-2")
