--- a/tests/fleet/test_earlier_messages.py
+++ b/tests/fleet/test_earlier_messages.py
@@ -38,6 +38,8 @@
     "peer_notices.WeightsNotice",
     "relay_batches.ZoneLoads",
     "rollout_reports.OutcomeCounts",
+    "reach_messages.TargetReach",
+    "runner_ends.PartAtEnd",
     "runner_ends.RequestAtEnd",
     "store_changes.NamedWeights",
 }
