A crash that is reported while a runner is called is not refuted

A check that fails unexpectedly is logged.

Failing before: test_a_crash_during_a_call_is_not_refuted_by_its_answer.

--- a/src/hillstack/core/part_crashes.py
+++ b/src/hillstack/core/part_crashes.py
@@ -280,11 +280,14 @@
 
     def retract(self, runner_id: str, contact_at: float = math.inf) -> None:
         """Remove a runner's crash under all parts, unless it crashed after a contact."""
-        known = list(self._parts_at.get(runner_id, ()))
-        for part in known:
-            if self._by_part[part][runner_id].crashed_at <= contact_at:
-                self._remove_crash(part, runner_id)
-        self._trials.retract(runner_id, known, self._parts_at.get(runner_id, ()))
+        parts = [
+            part
+            for part in self._parts_at.get(runner_id, ())
+            if self._by_part[part][runner_id].crashed_at <= contact_at
+        ]
+        for part in parts:
+            self._remove_crash(part, runner_id)
+        self._trials.retract(runner_id, parts, self._parts_at.get(runner_id, ()))
 
     def expire(self, now: float) -> list[int]:
         """Drop parts whose latest crash is older than the retention; return those with trials."""
--- a/src/hillstack/core/part_trials.py
+++ b/src/hillstack/core/part_trials.py
@@ -62,7 +62,7 @@
 
         Args:
             runner_id: The runner.
-            parts: Parts under which its crash was recorded.
+            parts: Parts under which its crash was recorded, and is retracted.
             kept: Parts under which it has crashed after the contact that refutes earlier reports.
         """
         for part, crashed in list(self._crashed.items()):
--- a/src/hillstack/daemon/crash_checks.py
+++ b/src/hillstack/daemon/crash_checks.py
@@ -10,11 +10,13 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Protocol
 
+from hillstack.daemon.background_tasks import has_failed
 from hillstack.errors import HillstackError
 from hillstack.logs import error_fields
 from hillstack.messages.runner_ends import RunnerEndNotice
@@ -119,6 +121,8 @@
         if runner_id in self._calls or len(self._calls) >= MAX_CALLS:
             return False
         task = asyncio.get_running_loop().create_task(self._call(runner_id))
+        fields = {"task": "crash_check", "runner": runner_id}
+        task.add_done_callback(functools.partial(has_failed, fields=fields))
         self._calls[runner_id] = task
         return True
 
--- a/src/hillstack/serving/part_crashes.py
+++ b/src/hillstack/serving/part_crashes.py
@@ -44,6 +44,7 @@
     has_unused_permit,
     is_resumed,
     known_ledger,
+    likeliest_part,
     with_ledgers,
 )
 from hillstack.serving.types import Verdict
@@ -140,7 +141,7 @@
             is_suspect = verdict.suspicion is not PartSuspicion.NONE
             if not is_suspect or self._services is None or has_long_answered(job):
                 return
-            part = self._likeliest(verdict.parts)
+            part = likeliest_part(verdict.parts, self._crashes)
             if has_unused_permit(job, part):
                 job.suspect_rank = self._state.runner_crashes.place(part)
                 return
@@ -160,13 +161,6 @@
             else:
                 raise job.give_up_error(Verdict.UNAVAILABLE, PART_REASON, TRIAL_RETRY_SECONDS)
 
-    def _likeliest(self, parts: Iterable[int]) -> int:
-        """Return the suspected part that needs the permit.
-
-        Only one does, so that requests with several suspected parts do not wait for each other.
-        """
-        return max(parts, key=lambda part: (len(self._crashes.crashes(part)), part))
-
     async def _acquire(self, job: Job, part: int) -> None:
         self._trials[part] = job
         permitted = job.part_permits.setdefault(part, PermittedSends())
@@ -222,6 +216,7 @@
     def observe(self, notice: RunnerEndNotice, ended_at: float) -> None:
         """Record the parts in a peer's notice of a crash."""
         if notice.parts:
+            self._state.runner_crashes.contacts.forget_survival(notice.runner_id)
             self._crashes.record(notice.runner_id, ended_at, reported_part_runs(notice))
             self._react()
 
@@ -237,6 +232,12 @@
         self._crashes.retract(runner_id, contact_at)
         self._react()
 
+    def refute(self, runner_id: str, contact_at: float) -> None:
+        """Remove a crash that no node has reported under a request, as far as this node knows."""
+        self.retract(runner_id, contact_at)
+        if not self._crashes.runs_at(runner_id):
+            self._state.runner_crashes.contacts.record_survival(runner_id, contact_at)
+
     def notices(self, runner_ids: Iterable[str]) -> list[RunnerEndNotice]:
         """Return the notices of the parts that crashes of runners may have been caused by."""
         now = self._clock()
--- a/src/hillstack/serving/suspected_parts.py
+++ b/src/hillstack/serving/suspected_parts.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from hillstack.core.crash_counts import REPEATED_RETENTION_SECONDS
 from hillstack.core.crash_ledger import CrashLedger
-from hillstack.core.part_crashes import SURVIVAL_MARGIN_SECONDS, PartSuspicion, PartVerdict
+from hillstack.core.part_crashes import (
+    SURVIVAL_MARGIN_SECONDS,
+    PartCrashes,
+    PartSuspicion,
+    PartVerdict,
+)
 from hillstack.core.part_trials import FATAL_MARK
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import Job
@@ -57,6 +62,14 @@
     return permitted is not None and any(not send.runner_id for send in permitted.sends)
 
 
+def likeliest_part(parts: Iterable[int], crashes: PartCrashes) -> int:
+    """Return the suspected part of a request that needs the permit.
+
+    Only one does, so that requests with several suspected parts do not wait for each other.
+    """
+    return max(parts, key=lambda part: (len(crashes.crashes(part)), part))
+
+
 def known_ledger(state: FleetState, part: int, now: float) -> CrashLedger:
     """Return the ledger of a part that a node knows, without runners that have not crashed."""
     ledger = state.part_ledgers.get(part, now) or CrashLedger()
--- a/tests/fleet/test_refuted_crashes.py
+++ b/tests/fleet/test_refuted_crashes.py
@@ -159,15 +159,39 @@
     assert record.marked_parts() == [PART]
 
 
-def test_a_crash_after_the_contact_stays_among_the_trials() -> None:
+def test_a_crash_after_the_contact_stays_with_its_trial_and_mark() -> None:
     record = PartCrashes()
     record.record("i-0", 5.0, {PART: RunAtCrash(0.1)})
-    record.record_trials(PART, ["i-0"])
+    record.record_trials(PART, ["i-0", FATAL_MARK])
     record.retract("i-0", 4.0)
-    assert record.trials(PART) == {"i-0"}
+    assert record.take_unfounded().marked == []
+    assert record.trials(PART) == {"i-0", FATAL_MARK}
     assert set(record.crashes(PART)) == {"i-0"}
 
 
+# Guards against proof of life from before a crash that only the parts of a notice report.
+def test_a_crash_during_a_call_is_not_refuted_by_its_answer() -> None:
+    world = World(3, 1)
+    node = world.nodes["node-0"]
+    node.state.apply(PartLedgerChanged(PART, CrashLedger(frozenset({"i-0"}))), 0.0)
+    world.run(1.0)
+    notice = RunnerEndNotice("i-0", 0, [], parts=[at_crash()])
+    crashes = node.pipeline.runner_crashes
+    world.loop.call_soon(crashes.observe, "peer", notice, 0.9)
+    world.loop.call_soon(crashes.refute, "i-0", 0.5)
+    world.run(0.1)
+    assert not node.state.runner_crashes.has_survived("i-0")
+    assert set(node.state.part_crashes.crashes(PART)) == {"i-0"}
+    world.loop.call_soon(crashes.refute, "i-0", 1.0)
+    world.run(0.1)
+    assert node.state.runner_crashes.has_survived("i-0")
+    later = RunnerEndNotice("i-0", 0, [], parts=[at_crash()])
+    world.loop.call_soon(crashes.observe, "peer", later, 1.2)
+    world.run(0.1)
+    assert not node.state.runner_crashes.has_survived("i-0")
+    world.scheduler.close()
+
+
 @dataclass
 class FakeCalls:
     """Answers the calls of runners that are alive, and records when each one was called."""
