Proof of life counts against what was known before it

Cause: a survivor was a flag without a time, and a part's crash had one time for all reports.

Ledgers, trials and crashes of parts now carry the time from which this node knows of them, and contact refutes what is older. A ledger is not removed for want of crashes. Marks go only at nodes that had recorded a crash.

--- a/src/hillstack/core/crash_ledger.py
+++ b/src/hillstack/core/crash_ledger.py
@@ -119,6 +119,8 @@
         self._retention = retention_seconds
         # Each ledger with the time at which it expires.
         self._known: OrderedDict[int, tuple[CrashLedger, float]] = OrderedDict()
+        # Since when this node knows that a ledger contains a runner, by ledger and runner.
+        self._named_at: dict[int, dict[str, float]] = {}
         # Ledgers that the store has no longer.
         self._missing: set[int] = set()
 
@@ -127,9 +129,11 @@
 
     def update(self, fingerprint: int, ledger: CrashLedger | None, now: float) -> None:
         """Apply a change of the store; None if there is no ledger any more."""
+        named_at = self._named_at.get(fingerprint, {})
         self._remove(fingerprint)
         if ledger is not None:
             self._known[fingerprint] = ledger, now + self._retention
+            self._named_at[fingerprint] = {name: named_at.get(name, now) for name in ledger.crashed}
         while len(self._known) > MAX_KNOWN_LEDGERS:
             self._remove(next(iter(self._known)))
 
@@ -153,9 +157,25 @@
             if expires_at <= latest_expiry and name not in self._missing
         ]
 
-    def runner_ids(self) -> set[str]:
-        """Return the runners that crashed according to any ledger, and the marks of nodes."""
-        return set().union(*(ledger.crashed for ledger, _ in self._known.values()))
+    def crashes(self, fingerprint: int, latest_contact: Callable[[str], float]) -> dict[str, float]:
+        """Return the crashed runners in a ledger, and since when this node knows of them.
+
+        Args:
+            fingerprint: The request or part.
+            latest_contact: Returns the time of the latest contact with a runner. Later contact than
+                the entry shows that the runner has not crashed, and leaves it out.
+        """
+        named_at = self._named_at.get(fingerprint, {})
+        return {name: at for name, at in named_at.items() if latest_contact(name) < at}
+
+    def survivors(self, fingerprint: int, latest_contact: Callable[[str], float]) -> set[str]:
+        """Return the runners in a ledger that have not crashed (see ``crashes``)."""
+        named_at = self._named_at.get(fingerprint, {})
+        return named_at.keys() - self.crashes(fingerprint, latest_contact).keys()
+
+    def names(self) -> list[int]:
+        """Return the requests or parts that have ledgers."""
+        return list(self._known)
 
     def expire(self, now: float) -> list[int]:
         """Forget the ledgers that have expired; return their requests or parts."""
@@ -171,4 +191,5 @@
 
     def _remove(self, fingerprint: int) -> None:
         self._known.pop(fingerprint, None)
+        self._named_at.pop(fingerprint, None)
         self._missing.discard(fingerprint)
--- a/src/hillstack/core/part_crashes.py
+++ b/src/hillstack/core/part_crashes.py
@@ -22,11 +22,12 @@
 import math
 from collections import OrderedDict, deque
 from collections.abc import Collection, Iterable, Iterator, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from hillstack.core.crash_counts import REPEATED_RETENTION_SECONDS, SINGLE_RETENTION_SECONDS
 from hillstack.core.crash_ledger import MAX_LEDGER_CRASHES
-from hillstack.core.part_trials import FATAL_MARK, PartTrials, UnfoundedParts
+from hillstack.core.part_crash import PartCrash
+from hillstack.core.part_trials import FATAL_MARK, PartTrials
 from hillstack.core.run_at_crash import SETTLED_SECONDS, RunAtCrash
 from hillstack.core.runner_crashes import (
     MAX_NOTICE_LATENCY_SECONDS,
@@ -80,19 +81,6 @@
     FATAL = 2
 
 
-@dataclass(frozen=True, slots=True)
-class PartCrash:
-    """The crash of a runner, on this node's clock, and the oldest run there with a part."""
-
-    crashed_at: float
-    run: RunAtCrash
-
-    @property
-    def began_at(self) -> float:
-        """When the run was sent."""
-        return self.crashed_at - self.run.age
-
-
 @dataclass(frozen=True, slots=True)
 class PartVerdict:
     """The judgement of a request by its parts.
@@ -141,7 +129,8 @@
             known = crashes.get(runner_id)
             if known is None and len(crashes) >= MAX_CRASHES_PER_PART:
                 self._remove_crash(part, max(crashes, key=lambda name: crashes[name].crashed_at))
-            crashes[runner_id] = _merge(known, PartCrash(crashed_at, run))
+            reported = PartCrash(crashed_at, run)
+            crashes[runner_id] = reported if known is None else known.merged(reported)
             self._parts_at.setdefault(runner_id, set()).add(part)
             self._by_part.move_to_end(part)
             self.revision += known is None
@@ -167,9 +156,11 @@
         since = self._lacking_contrast.setdefault(part, now)
         return max(0.0, since + CONTRAST_WAIT_SECONDS - now)
 
-    def record_trials(self, part: int, crashed: Collection[str]) -> None:
+    def record_trials(
+        self, part: int, crashed: Collection[str], known_since: float = -math.inf
+    ) -> None:
         """Record runners that crashed under trials of a part, or the mark of a node."""
-        self._trials.record(part, crashed)
+        self._trials.record(part, crashed, known_since)
 
     def trials(self, part: int) -> frozenset[str]:
         """Return the runners that crashed under trials of a part."""
@@ -179,8 +170,8 @@
         """Return the parts that some node has found fatal, according to their ledgers."""
         return self._trials.marked()
 
-    def take_unfounded(self) -> UnfoundedParts:
-        """Return the parts that retractions have left with too few crashes; remove their marks."""
+    def take_unfounded(self) -> list[int]:
+        """Remove and return the marks of parts that retractions have left with too few crashes."""
         return self._trials.take_unfounded(self._by_part, MIN_FATAL_CRASHES)
 
     def forget_ledger(self, part: int) -> None:
@@ -280,14 +271,16 @@
 
     def retract(self, runner_id: str, contact_at: float = math.inf) -> None:
         """Remove a runner's crash under all parts, unless it crashed after a contact."""
-        parts = [
-            part
-            for part in self._parts_at.get(runner_id, ())
-            if self._by_part[part][runner_id].crashed_at <= contact_at
-        ]
-        for part in parts:
-            self._remove_crash(part, runner_id)
-        self._trials.retract(runner_id, parts, self._parts_at.get(runner_id, ()))
+        known = list(self._parts_at.get(runner_id, ()))
+        for part in known:
+            left = self._by_part[part][runner_id].after_contact(contact_at)
+            if left is None:
+                self._remove_crash(part, runner_id)
+            else:
+                self._by_part[part][runner_id] = left
+        kept = self._parts_at.get(runner_id, set())
+        retracted = [part for part in known if part not in kept]
+        self._trials.retract(runner_id, contact_at, retracted, kept)
 
     def expire(self, now: float) -> list[int]:
         """Drop parts whose latest crash is older than the retention; return those with trials."""
@@ -384,14 +377,5 @@
     return later.crashed_at > earlier.crashed_at + COMMON_CAUSE_SECONDS
 
 
-def _merge(known: PartCrash | None, reported: PartCrash) -> PartCrash:
-    """Return a crash after a further report: the earliest time, and the oldest run."""
-    if known is None:
-        return reported
-    crashed_at = min(known.crashed_at, reported.crashed_at)
-    oldest = known.run if known.run.age >= reported.run.age else reported.run
-    return replace(known, crashed_at=crashed_at, run=oldest)
-
-
 def _last_crash_at(crashes: Mapping[str, PartCrash]) -> float:
     return max(crash.crashed_at for crash in crashes.values())
--- a/src/hillstack/core/runner_contacts.py
+++ b/src/hillstack/core/runner_contacts.py
@@ -9,7 +9,7 @@
 from collections import OrderedDict
 
 # Runners stored; those recorded the longest ago are forgotten first.
-MAX_RUNNERS = 64
+MAX_RUNNERS = 1_024
 
 
 class RunnerContacts:
--- a/src/hillstack/daemon/crash_checks.py
+++ b/src/hillstack/daemon/crash_checks.py
@@ -12,6 +12,7 @@
 import asyncio
 import functools
 import logging
+import math
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Protocol
@@ -29,6 +30,8 @@
 MAX_CALLS = 8
 # Interval of the loop that looks for runners to call.
 TICK_SECONDS = 0.1
+# Interval of looking up the counted crashes, of which there may be thousands.
+COUNT_SECONDS = 1.0
 # Pause after the first call that shows nothing; each later pause is twice as long.
 FIRST_PAUSE_SECONDS = 0.4
 MAX_PAUSE_SECONDS = 3.2
@@ -73,6 +76,10 @@
         self._clock = clock
         self._calls: dict[str, asyncio.Task[None]] = {}
         self._repetitions: dict[str, _Repetition] = {}
+        # Runners at the crashes that are counted, which are kept the longest, and when they were
+        # looked up.
+        self._counted: set[str] = set()
+        self._counted_at = -math.inf
 
     def observe(self, peer: str, notice: RunnerEndNotice, now: float) -> None:
         """Process a crash notice, and call its runner if requests of this node are at stake."""
@@ -109,11 +116,16 @@
 
     def _seemingly_crashed(self) -> Iterator[str]:
         """Yield the listed runners that have crashed, as far as this node knows."""
-        state = self._state
+        state, now = self._state, self._clock()
         known = {crash.runner_id for crash in state.runner_crashes.crashes()}
         known.update(state.part_crashes.runner_ids(), state.part_crashes.trial_runner_ids())
-        reported = state.crash_ledgers.runner_ids() | state.part_ledgers.runner_ids()
-        known.update(each for each in reported if not state.runner_crashes.has_survived(each))
+        latest_contact = state.runner_crashes.contacts.latest
+        for part in state.part_ledgers.names():
+            known.update(state.part_ledgers.crashes(part, latest_contact))
+        if now >= self._counted_at + COUNT_SECONDS:
+            self._counted_at = now
+            self._counted = {run.runner_id for _, run in state.crash_counts.repeated()}
+        known |= self._counted
         return (runner_id for runner_id in known if state.pool.get(runner_id) is not None)
 
     def _start_call(self, runner_id: str) -> bool:
--- a/src/hillstack/serving/crash_knowledge.py
+++ b/src/hillstack/serving/crash_knowledge.py
@@ -50,9 +50,8 @@
 
     def crashed(self, part: int) -> set[str]:
         """Return the runners that crashed under trials of a part."""
-        ledger = self._ledgers.get(part, self._clock()) or CrashLedger()
-        stored = ledger.without_survivors(self._record.has_survived).crashed
-        return set(self._crashes.trials(part) | stored)
+        stored = self._ledgers.crashes(part, self._record.contacts.latest)
+        return {*self._crashes.trials(part), *stored}
 
     def counted(self, part: int) -> set[str]:
         """Return no runner: crashes without a permit are no trials."""
--- a/src/hillstack/serving/crash_logs.py
+++ b/src/hillstack/serving/crash_logs.py
@@ -108,3 +108,9 @@
     runners, trials = list(crashes.crashes(part)), sorted(crashes.trials(part))
     message = "request with a fatal part not sent"
     log_part(message, job, part, runners=runners, trials=trials)
+
+
+def log_part_corrected(part: int, removed: str) -> None:
+    """Log that what was concluded from crashes that were none leaves the ledger of a part."""
+    fields = {"part_name": f"{part:016x}", "removed": removed}
+    logger.info("ledger of a part corrected", extra=fields)
--- a/src/hillstack/serving/fleet_state.py
+++ b/src/hillstack/serving/fleet_state.py
@@ -223,8 +223,9 @@
                 self.part_ledgers.note_missing(part, now)
             case PartLedgerChanged(part, CrashLedger() as ledger):
                 self.part_ledgers.update(part, ledger, now)
-                known = ledger.without_survivors(self.runner_crashes.has_survived)
-                self.part_crashes.record_trials(part, known.crashed)
+                crashes = self.part_ledgers.crashes(part, self.runner_crashes.contacts.latest)
+                for runner_id, named_at in crashes.items():
+                    self.part_crashes.record_trials(part, [runner_id], named_at)
             case ServiceVersionsRecorded() | StreamsRecorded():
                 self._on_stream_record(event)
 
--- a/src/hillstack/serving/part_crashes.py
+++ b/src/hillstack/serving/part_crashes.py
@@ -205,7 +205,7 @@
         for part, permitted in job.part_permits.items():
             crashed = self._crashes.crashes(part).keys()
             runners = {send.runner_id for send in permitted.sends}
-            self._crashes.record_trials(part, runners & crashed)
+            self._crashes.record_trials(part, runners & crashed, self._clock())
             self._permits.ended(part, permitted)
 
     def record(self, runner_id: str, crashed_at: float, runs: Iterable[RunAtCrash]) -> None:
@@ -216,7 +216,6 @@
     def observe(self, notice: RunnerEndNotice, ended_at: float) -> None:
         """Record the parts in a peer's notice of a crash."""
         if notice.parts:
-            self._state.runner_crashes.contacts.forget_survival(notice.runner_id)
             self._crashes.record(notice.runner_id, ended_at, reported_part_runs(notice))
             self._react()
 
@@ -232,12 +231,6 @@
         self._crashes.retract(runner_id, contact_at)
         self._react()
 
-    def refute(self, runner_id: str, contact_at: float) -> None:
-        """Remove a crash that no node has reported under a request, as far as this node knows."""
-        self.retract(runner_id, contact_at)
-        if not self._crashes.runs_at(runner_id):
-            self._state.runner_crashes.contacts.record_survival(runner_id, contact_at)
-
     def notices(self, runner_ids: Iterable[str]) -> list[RunnerEndNotice]:
         """Return the notices of the parts that crashes of runners may have been caused by."""
         now = self._clock()
--- a/src/hillstack/serving/part_ledger_upkeep.py
+++ b/src/hillstack/serving/part_ledger_upkeep.py
@@ -14,9 +14,9 @@
 from hillstack.core.crash_ledger import CrashLedger, SendOutcome
 from hillstack.core.part_trials import FATAL_MARK
 from hillstack.core.rendezvous import ranked
+from hillstack.serving.crash_logs import log_part_corrected
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.suspect_permits import PermitServices
-from hillstack.serving.suspected_parts import known_ledger
 
 # Pause before a mark is written again that the store does not show. Longer than the attempts of
 # ``LedgerRecorder``.
@@ -62,11 +62,9 @@
             fatal: Parts that this node has found fatal.
         """
         now = self._clock()
-        unfounded = self._crashes.take_unfounded()
-        for part in unfounded.marked:
+        for part in self._crashes.take_unfounded():
+            log_part_corrected(part, FATAL_MARK)
             services.recorder.report_survival(part, FATAL_MARK)
-        for part in unfounded.cleared:
-            self._remove_ledger(services, part, now)
         for part in {*fatal, *self._crashes.marked_parts()}:
             if not self._is_mark_due(part, now):
                 continue
@@ -74,13 +72,6 @@
             if self._is_writer(part):
                 services.recorder.mark(part, FATAL_MARK)
 
-    def _remove_ledger(self, services: PermitServices, part: int, now: float) -> None:
-        """Remove the ledger of a part under which no runner has crashed, with the permits in it."""
-        ledger = known_ledger(self._state, part, now)
-        if self._ledgers.get(part, now) is not None and not ledger.crashed:
-            self._ledgers.update(part, None, now)
-            services.recorder.report_success(part)
-
     def correct_ledgers(self, services: PermitServices, fatal: Collection[int]) -> None:
         """Remove abandoned permits, and runners that have not crashed."""
         self._remove_abandoned_permits(services, fatal)
@@ -108,11 +99,14 @@
         self._removed_at = {
             key: at for key, at in self._removed_at.items() if now < at + SURVIVOR_PAUSE_SECONDS
         }
-        has_survived = self._state.runner_crashes.has_survived
-        for part, ledger in self._ledgers.unchanged_for(0.0, now):
-            for runner_id in filter(has_survived, ledger.crashed):
+        latest_contact = self._state.runner_crashes.contacts.latest
+        for part, _ in self._ledgers.unchanged_for(0.0, now):
+            # A runner that has really crashed since then is known by notices.
+            crashed = self._crashes.crashes(part).keys()
+            for runner_id in self._ledgers.survivors(part, latest_contact) - crashed:
                 if (part, runner_id) not in self._removed_at and self._is_writer(part):
                     self._removed_at[part, runner_id] = now
+                    log_part_corrected(part, runner_id)
                     services.recorder.report_survival(part, runner_id)
 
     def _is_mark_due(self, part: int, now: float) -> bool:
--- a/src/hillstack/serving/part_notices.py
+++ b/src/hillstack/serving/part_notices.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 
-from hillstack.core.part_crashes import PartCrash
+from hillstack.core.part_crash import PartCrash
 from hillstack.core.request_fingerprint import part_name
 from hillstack.core.run_at_crash import RunAtCrash
 from hillstack.messages.runner_ends import PartAtEnd, RunnerEndNotice
--- a/src/hillstack/serving/runner_crashes.py
+++ b/src/hillstack/serving/runner_crashes.py
@@ -597,9 +597,9 @@
         """
         crash = self._record.get(runner_id)
         if crash is None:
-            # Nodes that were killed had recorded the crash in a ledger.
+            self._record.record_contact(runner_id, called_at)
             self._counts.retract(runner_id, called_at)
-            self._parts.refute(runner_id, called_at)
+            self._parts.retract(runner_id, called_at)
         elif crash.crashed_at <= called_at:
             self._take_back(crash, called_at)
 
--- a/src/hillstack/serving/suspected_parts.py
+++ b/src/hillstack/serving/suspected_parts.py
@@ -73,7 +73,8 @@
 def known_ledger(state: FleetState, part: int, now: float) -> CrashLedger:
     """Return the ledger of a part that a node knows, without runners that have not crashed."""
     ledger = state.part_ledgers.get(part, now) or CrashLedger()
-    return ledger.without_survivors(state.runner_crashes.has_survived)
+    survivors = state.part_ledgers.survivors(part, state.runner_crashes.contacts.latest)
+    return ledger.without_survivors(survivors.__contains__)
 
 
 def with_ledgers(verdict: PartVerdict, ledgers: Mapping[int, CrashLedger]) -> PartVerdict:
