Each answer that ends in the middle is logged with its cause

A cut was counted by requests{result="cut"} and not logged: nothing told whether a runner broke an answer off, the deadline passed, or this node had abandoned a run and could make no other attempt. The line "answer cut" and hillstack_cut_answers_total name it; "caller left" says whether the process was ending. No decision changes.

--- a/src/hillstack/serving/admission.py
+++ b/src/hillstack/serving/admission.py
@@ -31,6 +31,11 @@
         self._clock = clock
         self._accepting = True
 
+    @property
+    def is_accepting(self) -> bool:
+        """Whether requests are accepted."""
+        return self._accepting
+
     def stop_accepting(self) -> None:
         """Reject all further requests, because the node is shutting down."""
         self._accepting = False
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -14,6 +14,7 @@
 from hillstack.serving.event_framing import EventFraming
 from hillstack.serving.permitted_sends import PermittedSends
 from hillstack.serving.types import (
+    CutCause,
     Dispatch,
     HeaderList,
     RejectedError,
@@ -26,6 +27,12 @@
 
 logger = logging.getLogger(__name__)
 
+# Why an answer that has begun is cut, by the verdict on its request.
+CUT_CAUSES = {
+    Verdict.FAILED: CutCause.FAILED,
+    Verdict.TIMED_OUT: CutCause.TIMED_OUT,
+    Verdict.UNAVAILABLE: CutCause.NO_ATTEMPT,
+}
 # Retry delay if it is unknown when a runner will accept work: loading weights or a restart is over
 # by then.
 NO_RUNNER_RETRY_SECONDS = 0.5
@@ -85,6 +92,7 @@
             accept the request now. While a runner is chosen, at first also those that are leaving
             according to peers (``RunnerPlacement.choose``).
         leaving: Those of the excluded runners that were not tried, but leave according to peers.
+        failure: How the latest failed attempt failed; empty if none has.
         returns_to: Runner that the next attempt is sent to if it accepts the request; None for any.
         failure_answer: Failure answer of a runner, received before another runner was tried; passed
             on if no other runner answers.
@@ -134,6 +142,7 @@
     excluded: set[str] = field(default_factory=set)
     leaving: set[str] = field(default_factory=set)
     returns_to: str | None = None
+    failure: str = ""
     failure_answer: WholeAnswer | None = None
     time_limit: asyncio.Timeout | None = None
     has_waited: bool = False
@@ -213,7 +222,7 @@
             retry_after: Seconds until a runner is expected to accept work; None if not known.
         """
         if self.head_sent:
-            return StreamCutError(reason, step="relay")
+            return StreamCutError(reason, step="relay", cause=CUT_CAUSES[verdict])
         if self.may_have_run or (verdict is Verdict.TIMED_OUT and self.sends):
             final = Verdict.TIMED_OUT if verdict is Verdict.TIMED_OUT else Verdict.FAILED
             return RejectedError(final, reason, step="attempt")
--- a/src/hillstack/serving/metrics.py
+++ b/src/hillstack/serving/metrics.py
@@ -28,6 +28,9 @@
         self.registry = CollectorRegistry()
         self.requests = self._counter("requests", "Requests by result.", "result")
         self.attempts = self._counter("attempts", "Attempts by outcome.", "outcome")
+        self.cut_answers = self._counter(
+            "cut_answers", "Answers that ended in the middle, by cause.", "cause"
+        )
         self.tokens = self._counter("prompt_tokens", "Prompt tokens sent, by source.", "source")
         self.limited = Counter(
             "hillstack_limited_requests",
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -41,6 +41,7 @@
     RunnerClient,
     TenantLimiter,
 )
+from hillstack.serving.request_ends import RequestEnds
 from hillstack.serving.returning_requests import choose_runner, note_failed_run
 from hillstack.serving.runner_crashes import RunnerCrashMonitor
 from hillstack.serving.runner_limits import RunnerLimits
@@ -51,6 +52,7 @@
     SERVER_ERROR,
     SUCCESS,
     AttemptAbandonedError,
+    CutCause,
     Dispatch,
     RefusalCause,
     RejectedError,
@@ -116,6 +118,7 @@
         self._placement = placement
         self._clock = clock
         self._admission = RequestAdmission(state, clock)
+        self._ends = RequestEnds(state, self._metrics, clock)
         self._backoff_waits = BackoffWaits(state, placement)
         self.runner_crashes = RunnerCrashMonitor(state, placement, clock, self._metrics)
         self.active = 0
@@ -133,6 +136,7 @@
         """
         self.active += 1
         result = "error"
+        job: Job | None = None
         try:
             await self._state.start_gate.wait_for_first_read(_useful_patience(request))
             job = self._admission.admit(request)
@@ -140,14 +144,16 @@
             result = "served"
         except RejectedError as error:
             result = error.verdict.value
-            self._log_rejection(request, error)
+            self._ends.rejected(request, error)
             raise
-        except StreamCutError:
+        except StreamCutError as error:
             result = "cut"
+            assert job is not None
+            self._ends.cut(job, error)
             raise
         except asyncio.CancelledError:
             result = "left"
-            logger.info("caller left", extra={"request": request.request_id})
+            self._ends.left(request, accepting=self._admission.is_accepting)
             raise
         except Exception:
             logger.exception("request failed", extra={"request": request.request_id})
@@ -157,19 +163,6 @@
             self._metrics.requests.labels(result).inc()
             self._metrics.answer.observe(self._clock() - request.arrived_at)
 
-    def _log_rejection(self, request: ServingRequest, error: RejectedError) -> None:
-        now = self._clock()
-        fields = {
-            "request": request.request_id,
-            "verdict": error.verdict,
-            "step": error.step,
-            "held_ms": round((now - request.arrived_at) * 1000, 1),
-            "retry_after": error.retry_after,
-            "store_age_ms": round(min(self._state.freshness.age(now), 1e6) * 1000),
-            "configuration": self._state.table.version if self._state.table is not None else None,
-        }
-        logger.info("rejected: " + error.message, extra=fields)
-
     async def _run(self, job: Job, sink: ResponseSink) -> None:
         try:
             await self._run_in_time(job, sink)
@@ -185,7 +178,8 @@
             async with asyncio.timeout(DELIVERY_SECONDS):
                 await self._deliver(job, answer, sink)
         except TimeoutError:
-            raise StreamCutError("the caller does not read its answer", step="relay") from None
+            text = "the caller does not read its answer"
+            raise StreamCutError(text, step="relay", cause=CutCause.UNREAD) from None
 
     async def _run_in_time(self, job: Job, sink: ResponseSink) -> None:
         try:
@@ -571,6 +565,7 @@
 
     def _handle_broken(self, job: Job, runner: Runner, error: BackendBrokenError) -> None:
         job.may_have_run = True
+        job.failure = f"{error.step}: {error.message}"
         note_failed_run(self._state, job, runner, self._clock())
         if isinstance(error, ConnectionLostError):
             self.runner_crashes.lost(job, runner, self._clock())
--- a/src/hillstack/serving/types.py
+++ b/src/hillstack/serving/types.py
@@ -146,5 +146,29 @@
         self.retry_after = retry_after
 
 
+class CutCause(enum.StrEnum):
+    """Why an answer that has begun ends in the middle.
+
+    Attributes:
+        FAILED: The runner broke it off, or its request may crash runners.
+        NO_ATTEMPT: No further attempt could be made after the latest one had failed.
+        TIMED_OUT: The deadline passed.
+        UNREAD: The caller does not read it.
+    """
+
+    FAILED = "failed"
+    NO_ATTEMPT = "no_attempt"
+    TIMED_OUT = "timed_out"
+    UNREAD = "unread"
+
+
 class StreamCutError(HillstackError):
-    """A stream that has begun can't be completed; its connection must be cut."""
+    """A stream that has begun can't be completed; its connection must be cut.
+
+    Args:
+        cause: Why it ends.
+    """
+
+    def __init__(self, message: str, *, step: str, cause: CutCause) -> None:
+        super().__init__(message, step=step)
+        self.cause = cause
