A stream under way is given up only for an attempt that takes it up

Callers saw streams end in the middle beside changes of the configuration and stops (LOST), though their runners went on. Cause: a silent run was given up if another runner accepted work and the retry budget had an attempt left, as seen at that moment. If that runner then refused the request, or its weights were replaced before the attempt had begun, the stream ended.

Now the attempt is claimed from the retry budget before the run is given up; a stream that has begun is taken up only at weights that may begin for 1 s more; and one that no runner takes up waits for an attempt until its deadline, also at the runner that it has left.

Ruled out: two streams given up for one attempt (the budget is taken in the same step; its test passes before and after). The checks of runs move from the pipeline to run_supervision.

--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -27,6 +27,8 @@
 
 logger = logging.getLogger(__name__)
 
+# Sends of one request, refused ones included: each costs some ms and a unit of the retry budget.
+MAX_SENDS = 4
 # Why an answer that has begun is cut, by the verdict on its request.
 CUT_CAUSES = {
     Verdict.FAILED: CutCause.FAILED,
@@ -84,6 +86,9 @@
         sends: Attempts sent, including refused ones.
         runs: Attempts sent, without those that runners refused; limited by the route's
             ``max_attempts``.
+        max_sends: How many attempts may be sent; more for a stream that waits for a runner.
+        has_claimed_retry: Whether the next attempt was taken from the retry budget.
+        waits: How often a stream that had begun has waited for a runner.
         charged_cost: Cost charged to the tenant's limit.
         may_have_run: Whether some runner may have started to run the request.
         silent_since: Time from which the connection of the current attempt counts as silent: when
@@ -132,6 +137,9 @@
     framing: EventFraming
     sends: int = 0
     runs: int = 0
+    max_sends: int = MAX_SENDS
+    has_claimed_retry: bool = False
+    waits: int = 0
     charged_cost: float = 0.0
     may_have_run: bool = False
     head_sent: bool = False
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -20,7 +20,7 @@
 from hillstack.serving.abandoned_answers import end_attempt
 from hillstack.serving.admission import RequestAdmission
 from hillstack.serving.backoff_waits import BackoffWaits
-from hillstack.serving.begin_bounds import CHECK_SECONDS, begin_due
+from hillstack.serving.begin_bounds import CHECK_SECONDS
 from hillstack.serving.fleet_state import FleetState
 from hillstack.serving.job import (
     Job,
@@ -43,15 +43,15 @@
 )
 from hillstack.serving.request_ends import RequestEnds
 from hillstack.serving.returning_requests import choose_runner, note_failed_run
+from hillstack.serving.run_supervision import MIN_REMAINING_SECONDS, RunSupervisor
 from hillstack.serving.runner_crashes import RunnerCrashMonitor
 from hillstack.serving.runner_limits import RunnerLimits
 from hillstack.serving.signal_receiver import log_held_back
-from hillstack.serving.silent_attempts import is_path_lost, silence_reason
+from hillstack.serving.stream_continuation import wait_for_attempt
 from hillstack.serving.stream_versions import StreamVersions
 from hillstack.serving.types import (
     SERVER_ERROR,
     SUCCESS,
-    AttemptAbandonedError,
     CutCause,
     Dispatch,
     RefusalCause,
@@ -64,10 +64,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Sends of one request, refused ones included: each costs some ms and a unit of the retry budget.
-MAX_SENDS = 4
-# An attempt with less time left is useless: this is the round trip to a runner.
-MIN_REMAINING_SECONDS = 0.02
 # A timer may fire this much early, while the backoff is still in effect.
 BACKOFF_END_MARGIN_SECONDS = 0.002
 # An answer that a runner completes at the deadline is accepted this much later: twice the one-way
@@ -119,6 +115,7 @@
         self._clock = clock
         self._admission = RequestAdmission(state, clock)
         self._ends = RequestEnds(state, self._metrics, clock)
+        self._supervisor = RunSupervisor(state, placement, clock)
         self._backoff_waits = BackoffWaits(state, placement)
         self.runner_crashes = RunnerCrashMonitor(state, placement, clock, self._metrics)
         self.active = 0
@@ -219,9 +216,14 @@
 
     async def _attempt_until_done(self, job: Job, sink: ResponseSink) -> None:
         while True:
-            await self.runner_crashes.prepare_send(job)
-            placed = await self._place(job)
+            try:
+                await self.runner_crashes.prepare_send(job)
+                placed = await self._place(job)
+            except StreamCutError as error:
+                await wait_for_attempt(job, error)
+                continue
             job.sends += 1
+            job.has_claimed_retry = False
             try:
                 done = await self._attempt(job, placed, sink)
             except RunnerRefusedError as error:
@@ -233,8 +235,7 @@
                     return
 
     async def _place(self, job: Job) -> PlacedAttempt:
-        now = self._clock()
-        if job.sends and not self._claim_retry(job, now):
+        if job.sends and not self._supervisor.claim_retry(job):
             raise job.give_up_error(Verdict.UNAVAILABLE, "no further attempt allowed")
         placed = await self._choose(job)
         if placed is None and await self._wait_for_backoff(job, self._clock()):
@@ -300,13 +301,6 @@
             text = f"would wait {placed.waiting:.2f} s"
             raise RejectedError(Verdict.OVERLOADED, text, step="place", retry_after=retry_after)
 
-    def _claim_retry(self, job: Job, now: float) -> bool:
-        if not _has_send_left(job, now):
-            return False
-        if job.may_have_run and not job.may_run_again():
-            return False
-        return self._state.budget.try_retry(job.service, now)
-
     async def _attempt(self, job: Job, placed: PlacedAttempt, sink: ResponseSink) -> bool:
         """Send an attempt and relay its answer; return False if another attempt should follow."""
         now = self._clock()
@@ -393,7 +387,7 @@
         The attempt is abandoned if the runner is silent and another runner may be tried, or if its
         answer has not begun when newer weights are due.
         """
-        if dispatch.weights_version is None and not self._may_retry(job):
+        if dispatch.weights_version is None and not self._supervisor.may_retry(job):
             return await self._client.send(job.request, dispatch)
         sending = asyncio.ensure_future(self._client.send(job.request, dispatch))
         try:
@@ -401,47 +395,12 @@
                 await asyncio.wait({sending}, timeout=CHECK_SECONDS)
                 if sending.done():
                     return sending.result()
-                self._check_silence(job, placed.runner, "await answer")
-                self._check_weights(job, placed.runner, dispatch)
+                self._supervisor.check_silence(job, placed.runner, "await answer")
+                self._supervisor.check_weights(job, placed.runner, dispatch)
         except (Exception, asyncio.CancelledError):
             await end_attempt(sending)
             raise
 
-    def _check_weights(self, job: Job, runner: Runner, dispatch: Dispatch) -> None:
-        if self._clock() >= begin_due(self._state, job.request.model, dispatch):
-            text = "not begun before newer weights were due"
-            raise AttemptAbandonedError(text, step="await answer", peer=runner.runner_id)
-
-    def _check_silence(self, job: Job, runner: Runner, step: str) -> None:
-        """Abandon an attempt at a silent runner if another runner can serve the request.
-
-        Otherwise the attempt continues, because the runner may send again.
-        """
-        now = self._clock()
-        is_cut_off = is_path_lost(job, runner, now)
-        reason = silence_reason(job, runner, now)
-        if reason is None and not runner.has_ended and not is_cut_off:
-            return
-        if is_cut_off and self._may_retry(job):
-            text = "the path to the runner is lost"
-            raise AttemptAbandonedError(text, step=step, peer=runner.runner_id)
-        if self._may_try_other(job, runner):
-            if runner.has_ended:
-                text = "the runner has started again"
-                raise ConnectionLostError(text, step=step, peer=runner.runner_id)
-            raise AttemptAbandonedError(str(reason), step=step, peer=runner.runner_id)
-
-    def _may_try_other(self, job: Job, runner: Runner) -> bool:
-        """Return whether another runner can serve the request if this attempt is abandoned."""
-        return self._may_retry(job) and self._placement.has_alternative(job, runner, self._clock())
-
-    def _may_retry(self, job: Job) -> bool:
-        """Return whether the route and the retry budget allow another attempt."""
-        now = self._clock()
-        if not job.may_run_again() or not _has_send_left(job, now):
-            return False
-        return self._state.budget.allowed(job.service, now) >= 1.0
-
     async def _relay(
         self,
         job: Job,
@@ -454,7 +413,7 @@
         runner = placed.runner
         if answer.status in SUCCESS and not answer.signed:
             raise BackendBrokenError("unsigned answer", step="relay", peer=runner.runner_id)
-        if answer.status >= SERVER_ERROR and self._may_try_other(job, runner):
+        if answer.status >= SERVER_ERROR and self._supervisor.may_try_other(job, runner):
             job.excluded.add(runner.runner_id)
             self._metrics.attempts.labels("error").inc()
             log_outcome(job, runner, f"retry after status {answer.status}")
@@ -538,7 +497,7 @@
                 async with asyncio.timeout(CHECK_SECONDS):
                     return await answer.next_piece()
             except TimeoutError:
-                self._check_silence(job, placed.runner, "relay")
+                self._supervisor.check_silence(job, placed.runner, "relay")
 
     def _handle_refusal(self, job: Job, runner: Runner, error: RunnerRefusedError) -> None:
         now = self._clock()
@@ -575,11 +534,6 @@
             raise job.give_up_error(Verdict.FAILED, error.message) from error
 
 
-def _has_send_left(job: Job, now: float) -> bool:
-    """Return whether the number of sends and the remaining time allow another send."""
-    return job.sends < MAX_SENDS and job.deadline - now >= MIN_REMAINING_SECONDS
-
-
 def _useful_patience(request: ServingRequest) -> float:
     """Return how long a request may wait so that its caller still receives the answer."""
     if request.patience_seconds is None:
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -51,6 +51,10 @@
 # A request may start to run this much later than it is sent. This comes on top of the margin by
 # which ``fleet_node.VERSION_MARGIN_SECONDS`` shortens the platform's limit.
 VERSION_MARGIN_SECONDS = 0.3
+# A stream that has begun is taken up only at weights that may begin requests for this much longer:
+# an attempt that waits in the queue of a runner until newer weights are due is abandoned, and the
+# stream would end in the middle. A loaded runner begins within this time.
+TAKE_UP_MARGIN_SECONDS = 1.0
 # A request is sent with a fetch until this long before its attempt would be abandoned for the fetch
 # (``begin_bounds``): a runner without a queue begins in less time.
 FETCH_MARGIN_SECONDS = CHECK_SECONDS + 0.05
@@ -287,7 +291,8 @@
         """Return the oldest weights version that a runner may have; 0 for application servers."""
         if self._state.engine_of(job.service) is None:
             return 0
-        return self._state.versions.oldest_allowed(job.request.model, now + VERSION_MARGIN_SECONDS)
+        margin = VERSION_MARGIN_SECONDS + (TAKE_UP_MARGIN_SECONDS if job.head_sent else 0.0)
+        return self._state.versions.oldest_allowed(job.request.model, now + margin)
 
     def started(self, job: Job, placed: PlacedAttempt, attempt_id: str, now: float) -> None:
         """Record the first event of an attempt."""
