A planned stop answers the requests whose answer has not begun

Callers of a node that stops saw their connections close without an answer (LOST). Cause: .7 s before the grace period ends the servers were closed, and requests that no runner had answered were cancelled with the event loop. What their callers got depended on the iterations that the loop still made: 502, the server library's 500, or a closed connection.

Now they are answered before the servers close: 502 if they may have run, else 503, and complete answers whose bytes are still buffered are sent first. The stop moves to daemon/node_stop.

--- a/src/hillstack/daemon/connection_limiter.py
+++ b/src/hillstack/daemon/connection_limiter.py
@@ -116,3 +116,11 @@
     for connection in list(connections):
         if getattr(connection, "cycle", None) is not None or also_unused:
             connection.shutdown()
+
+
+def has_unsent_bytes(connections: Collection[CallerConnection]) -> bool:
+    """Return whether an answer on a connection is complete, but not sent completely."""
+    return any(
+        is_idle(connection) and connection.transport.get_write_buffer_size() > 0
+        for connection in connections
+    )
--- a/src/hillstack/daemon/fleet_node.py
+++ b/src/hillstack/daemon/fleet_node.py
@@ -19,7 +19,6 @@
 from hillstack.core.bucket_holders import BucketHolders
 from hillstack.core.freshness import Freshness
 from hillstack.core.node_directory import NodeEntry
-from hillstack.core.planned_stop import PlannedStop
 from hillstack.core.relay_choice import RelayChoice
 from hillstack.core.rollout_judge import RolloutJudge
 from hillstack.core.shared_retry_budget import SharedRetryBudget
@@ -32,7 +31,6 @@
 from hillstack.daemon.change_log import ChangeLog
 from hillstack.daemon.connection_limiter import (
     ConnectionLimiter,
-    close_idle_connections,
     max_caller_connections,
 )
 from hillstack.daemon.crash_checks import CrashChecks
@@ -50,6 +48,7 @@
 from hillstack.daemon.metrics_page import MetricsPage
 from hillstack.daemon.metrics_server import serve_metrics
 from hillstack.daemon.node_registry import NodeRegistry
+from hillstack.daemon.node_stop import NodeStop
 from hillstack.daemon.peer_exchange import PeerExchange
 from hillstack.daemon.peer_link import PeerLink
 from hillstack.daemon.permit_services import make_permit_services
@@ -106,8 +105,6 @@
 # Descriptor limit assumed if the system sets none: the lowest usual default.
 DEFAULT_DESCRIPTORS = 1_024
 STORE_SYNC_TASK = "store_sync"
-# Interval of the check whether the last request is answered during a planned stop.
-STOP_CHECK_SECONDS = 0.05
 
 
 class FleetNode:
@@ -553,28 +550,22 @@
         logger.info("settings read again")
 
     async def _drain(self, callers: uvicorn.Server) -> None:
-        """Serve for a fixed time and until all requests are answered, then release the leases.
-
-        The node stops serving shortly before the end of the grace period in any case.
-        """
+        """Serve for a fixed time and until all requests are answered, then release the leases."""
         self._stopping = True
-        started_at = self._clock()
-        logger.info("stopping", extra={"active": self._pipeline.active})
         self._duty.stop_acquiring()
         self._rollouts.stop_acquiring()
-        self._access.relay.stop_accepting()
-        stop = PlannedStop(self._settings.bounds.grace_seconds)
-        elapsed = 0.0
-        while not stop.is_over(elapsed, self._pipeline.active + self._access.relay.open_count):
-            if not stop.accepts(elapsed):
-                self._pipeline.stop_accepting()
-            close_idle_connections(
-                callers.server_state.connections, also_unused=stop.closes_unused(elapsed)
-            )
-            await asyncio.sleep(STOP_CHECK_SECONDS)
-            elapsed = self._clock() - started_at
-        await asyncio.gather(self._duty.release_on_stop(), self._rollouts.release_on_stop())
-        logger.info("drained", extra={"active": self._pipeline.active})
+
+        async def release_duties() -> None:
+            await asyncio.gather(self._duty.release_on_stop(), self._rollouts.release_on_stop())
+
+        stop = NodeStop(
+            self._pipeline,
+            self._access.relay,
+            lambda: callers.server_state.connections,
+            release_duties,
+            self._clock,
+        )
+        await stop.run(self._settings.bounds.grace_seconds)
 
     async def _close(self) -> None:
         self._permits.close()
--- a/src/hillstack/serving/admission.py
+++ b/src/hillstack/serving/admission.py
@@ -7,13 +7,11 @@
 from hillstack.core.routing_table import Route, RoutingTable, TenantEntry
 from hillstack.serving.event_framing import EventFraming
 from hillstack.serving.fleet_state import FleetState
-from hillstack.serving.job import Job
+from hillstack.serving.job import STOPPING_RETRY_SECONDS, Job
 from hillstack.serving.types import RejectedError, ServingRequest, Verdict
 
 # A node with stale data usually has fresh data after its next poll of the store.
 STALE_RETRY_SECONDS = 1.0
-# Another node accepts the request immediately.
-STOPPING_RETRY_SECONDS = 0.05
 # A node that has just started has read the whole store within a second.
 NOT_READY_RETRY_SECONDS = 1.0
 
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -29,6 +29,8 @@
 
 # Sends of one request, refused ones included: each costs some ms and a unit of the retry budget.
 MAX_SENDS = 4
+# Retry delay for a request that a stopping node rejects: another node accepts it immediately.
+STOPPING_RETRY_SECONDS = 0.05
 # Why an answer that has begun is cut, by the verdict on its request.
 CUT_CAUSES = {
     Verdict.FAILED: CutCause.FAILED,
@@ -78,7 +80,7 @@
     body: bytes
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Job:
     """A request in the pipeline.
 
@@ -120,6 +122,7 @@
         part_permits: The sends under permits for a suspected part, by the name of the part.
         answer_ready: Whether the whole answer has been received and is being delivered.
         is_fatal: Whether the request was found to crash runners and was aborted for this reason.
+        is_ending: Whether the request is given up because the process is about to end.
         canary_decided_for: Rollout order under which it was decided whether this is a canary.
         is_canary: Whether the next attempt goes to a version that is not trusted yet.
         software: Version of the runner that brought the first event of the stream, to which all
@@ -166,6 +169,7 @@
     part_permits: dict[int, PermittedSends] = field(default_factory=dict)
     answer_ready: bool = False
     is_fatal: bool = False
+    is_ending: bool = False
     canary_decided_for: StoreRevision | None = None
     is_canary: bool = False
     software: str | None = None
@@ -237,6 +241,13 @@
         wait = NO_RUNNER_RETRY_SECONDS if retry_after is None else retry_after
         return RejectedError(Verdict.UNAVAILABLE, reason, step="place", retry_after=wait)
 
+    def stopping_error(self) -> RejectedError | StreamCutError:
+        """Return the error that ends the request because the process is about to end."""
+        # An attempt under way may have run.
+        self.may_have_run = self.may_have_run or self.runs > 0
+        reason = "the node stops"
+        return self.give_up_error(Verdict.UNAVAILABLE, reason, STOPPING_RETRY_SECONDS)
+
 
 def attempt_fields(job: Job, placed: PlacedAttempt, dispatch: Dispatch) -> dict[str, object]:
     """Return the log fields of an attempt that is being sent."""
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -119,11 +119,24 @@
         self._backoff_waits = BackoffWaits(state, placement)
         self.runner_crashes = RunnerCrashMonitor(state, placement, clock, self._metrics)
         self.active = 0
+        self._jobs: set[Job] = set()
+
+    @property
+    def waiting(self) -> int:
+        """Requests being served whose answer has not begun."""
+        return sum(not job.head_sent for job in self._jobs)
 
     def stop_accepting(self) -> None:
         """Reject all further requests, because the node is shutting down."""
         self._admission.stop_accepting()
 
+    def end_waiting(self) -> None:
+        """Answer all requests whose answer has not begun, because the process is about to end."""
+        for job in self._jobs:
+            if not job.head_sent:
+                job.is_ending = True
+                job.expire_now()
+
     async def serve(self, request: ServingRequest, sink: ResponseSink) -> None:
         """Serve a request.
 
@@ -161,12 +174,15 @@
             self._metrics.answer.observe(self._clock() - request.arrived_at)
 
     async def _run(self, job: Job, sink: ResponseSink) -> None:
+        self._jobs.add(job)
         try:
             await self._run_in_time(job, sink)
         except RejectedError:
             if job.failure_answer is None:
                 raise
             await self._deliver_failure(job, job.failure_answer, sink)
+        finally:
+            self._jobs.discard(job)
 
     async def _deliver_failure(self, job: Job, answer: WholeAnswer, sink: ResponseSink) -> None:
         """Pass on the failure answer of a runner after all other attempts have failed."""
@@ -194,6 +210,8 @@
         except TimeoutError:
             if job.is_fatal:
                 raise self.runner_crashes.fatal_error(job) from None
+            if job.is_ending:
+                raise job.stopping_error() from None
             raise job.give_up_error(Verdict.TIMED_OUT, "the deadline passed") from None
         finally:
             self.runner_crashes.ended(job)
