The check of an answer's end goes on while nothing proves it

A whole answer without a length was cut (LOST) if two calls in a row of its runner were reset, as a runner with too many connections does, or if its path was lost and no peer had answered yet.

Ruled out: to believe an end without proof (a killed runner's answers end in the same way).

--- a/src/hillstack/daemon/path_monitor.py
+++ b/src/hillstack/daemon/path_monitor.py
@@ -50,17 +50,22 @@
 
     Attributes:
         SILENT: Nothing answered.
+        REFUSED: Nothing listens on the address.
         OTHER: Something answered with a failure.
         OTHER_PROCESS: Another process answered than the one that was called.
         ANSWERED: The process answered.
     """
 
     SILENT = "silent"
+    REFUSED = "refused"
     OTHER = "other"
     OTHER_PROCESS = "other process"
     ANSWERED = "answered"
 
 
+UNREACHED = frozenset({ProbeResult.SILENT, ProbeResult.REFUSED})
+
+
 class TargetProbe(Protocol):
     """Calls runners over new connections."""
 
@@ -215,7 +220,7 @@
         called_at = self._clock()
         result = await self._probe.probe(target.target_id, target.address, route)
         now = self._clock()
-        if result is ProbeResult.SILENT:
+        if result in UNREACHED:
             return False
         if route is None:
             self._paths.record_contact(target.address, now)
--- a/src/hillstack/platform/path_probe.py
+++ b/src/hillstack/platform/path_probe.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from typing import Any
 
 import aiohttp
@@ -76,6 +77,12 @@
                 return ProbeResult.OTHER_PROCESS
             except (BackendStatusError, UnreadableAnswerError):
                 return ProbeResult.OTHER
-            except BackendError:
-                return ProbeResult.SILENT
+            except BackendError as error:
+                return ProbeResult.REFUSED if _is_refused(error) else ProbeResult.SILENT
         return ProbeResult.ANSWERED
+
+
+def _is_refused(error: BackendError) -> bool:
+    """Return whether a call failed because nothing listens on the address."""
+    cause = error.__cause__
+    return isinstance(cause, OSError) and cause.errno == errno.ECONNREFUSED
