--- a/src/hillstack/serving/stream_continuation.py
+++ b/src/hillstack/serving/stream_continuation.py
@@ -42,6 +42,8 @@
         "pause_ms": round(pause * 1000),
     }
     logger.info("stream waits for a runner", extra=fields)
+    # The next try asks for a permit of its own.
+    job.permitted.will_not_be_sent()
     await asyncio.sleep(pause)
     # Runners that refused the request or were silent may accept it now.
     job.excluded.clear()
