--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -234,8 +234,8 @@
 
     async def _attempt_until_done(self, job: Job, sink: ResponseSink) -> None:
         while True:
+            await self.runner_crashes.prepare_send(job)
             try:
-                await self.runner_crashes.prepare_send(job)
                 placed = await self._place(job)
             except StreamCutError as error:
                 await wait_for_attempt(job, error)
