Only a stream whose run this node has given up waits for a runner

A stream that its runner broke off ends at once as before when no other runner takes it up: its caller takes it up sooner itself, and the tests of suspects expect it.

--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -100,6 +100,7 @@
             according to peers (``RunnerPlacement.choose``).
         leaving: Those of the excluded runners that were not tried, but leave according to peers.
         failure: How the latest failed attempt failed; empty if none has.
+        has_abandoned_run: Whether this node has abandoned a run of the request.
         returns_to: Runner that the next attempt is sent to if it accepts the request; None for any.
         failure_answer: Failure answer of a runner, received before another runner was tried; passed
             on if no other runner answers.
@@ -154,6 +155,7 @@
     leaving: set[str] = field(default_factory=set)
     returns_to: str | None = None
     failure: str = ""
+    has_abandoned_run: bool = False
     failure_answer: WholeAnswer | None = None
     time_limit: asyncio.Timeout | None = None
     has_waited: bool = False
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -52,6 +52,7 @@
 from hillstack.serving.types import (
     SERVER_ERROR,
     SUCCESS,
+    AttemptAbandonedError,
     CutCause,
     Dispatch,
     RefusalCause,
@@ -543,6 +544,7 @@
     def _handle_broken(self, job: Job, runner: Runner, error: BackendBrokenError) -> None:
         job.may_have_run = True
         job.failure = f"{error.step}: {error.message}"
+        job.has_abandoned_run |= isinstance(error, AttemptAbandonedError)
         note_failed_run(self._state, job, runner, self._clock())
         if isinstance(error, ConnectionLostError):
             self.runner_crashes.lost(job, runner, self._clock())
--- a/src/hillstack/serving/stream_continuation.py
+++ b/src/hillstack/serving/stream_continuation.py
@@ -1,8 +1,9 @@
-"""Keeps a stream that has begun until another runner takes it up.
+"""Keeps a stream whose run was abandoned until another runner takes it up.
 
-A stream whose run was abandoned or broken off can't be refused any more: without a further attempt
-its answer ends in the middle. So it waits until its deadline for an attempt that can be made, also
-at the runner whose run was abandoned.
+A stream that has begun can't be refused any more: without a further attempt its answer ends in the
+middle, although the runner of the abandoned run might have completed it. So it waits until its
+deadline for an attempt that can be made, also at that runner. A stream that its runner broke off is
+not kept: its caller takes it up sooner itself.
 """
 
 from __future__ import annotations
@@ -31,7 +32,8 @@
     Raises:
         StreamCutError: Waiting allows no further attempt.
     """
-    if error.cause is not CutCause.NO_ATTEMPT or not job.may_run_again():
+    is_kept = job.has_abandoned_run and error.cause is CutCause.NO_ATTEMPT
+    if not is_kept or not job.may_run_again():
         raise error
     pause = min(MAX_PAUSE_SECONDS, FIRST_PAUSE_SECONDS * 2**job.waits)
     job.waits += 1
