--- a/src/hillstack/daemon/node_stop.py
+++ b/src/hillstack/daemon/node_stop.py
@@ -95,7 +95,6 @@
         await self._serve(PlannedStop(grace_seconds))
         self._requests.stop_accepting()
         waiting = self._requests.waiting
-        self._requests.end_waiting()
         await asyncio.gather(self._release_duties(), self._send_answers())
         fields = {"active": self._requests.active, "ended_waiting": waiting}
         logger.info("drained", extra=fields)
@@ -112,9 +111,14 @@
             elapsed = self._clock() - started_at
 
     async def _send_answers(self) -> None:
-        """Wait until the last answers are sent; the process would discard what is buffered."""
+        """End the requests without an answer, and wait until all answers are sent.
+
+        What is still buffered when the process ends is lost.
+        """
         latest = self._clock() + SEND_SECONDS
         while self._clock() < latest:
             if not self._requests.waiting and not has_unsent_bytes(self._connections()):
                 return
+            # A step that a request takes meanwhile may extend its time limit again.
+            self._requests.end_waiting()
             await asyncio.sleep(SEND_CHECK_SECONDS)
