A run that can't be repeated is not given up when its path is lost

What callers saw: 502 for a request whose runner answered it, on routes to inference engines that may run a request once (unsafe, one attempt, streams that can't be resumed), beside a cut between the node and the runner.

Cause: the check of a lost path claimed a retry without asking whether the route allows another run. Before the head of the answer nothing is known to have run, so the budget granted the attempt; after the run was abandoned it counted as one that may have run, and no other could follow.

Evidence: test_a_run_that_can_not_be_repeated_is_not_given_up_on_a_lost_path failed for its three kinds of routes before (RejectedError: the path to the runner is lost) and passes now.

The other new tests show ends that are as they should be: a change of the configuration ends nothing under way, and the last run of a stream ends when newer weights are due. They passed before, too.

--- a/src/hillstack/serving/run_supervision.py
+++ b/src/hillstack/serving/run_supervision.py
@@ -61,7 +61,7 @@
         reason = silence_reason(job, runner, now)
         if reason is None and not runner.has_ended and not is_cut_off:
             return
-        if is_cut_off and self.claim_retry(job):
+        if is_cut_off and job.may_run_again() and self.claim_retry(job):
             text = "the path to the runner is lost"
             raise AttemptAbandonedError(text, step=step, peer=runner.runner_id)
         if self.may_try_other(job, runner) and self.claim_retry(job):
