Requests at the start gate are answered when their node stops

What callers would see: a closed connection without an answer, for a request read by a node that is stopped before its first read of the store: the gate held it for up to a second, and a planned stop neither counted nor ended it. Not seen in a deployment; found by listing what ends a request.

Cause: a planned stop ends the requests whose work has begun; one at the gate is not admitted yet. With the stop the gate opens, so it is refused at once, like all later requests.

Evidence: test_a_request_at_the_start_gate_is_answered_when_its_node_stops failed before (the request was still pending) and passes now.

--- a/src/hillstack/serving/admission.py
+++ b/src/hillstack/serving/admission.py
@@ -37,6 +37,8 @@
     def stop_accepting(self) -> None:
         """Reject all further requests, because the node is shutting down."""
         self._accepting = False
+        # Requests that wait at the gate are rejected now, not when the process ends.
+        self._state.start_gate.open()
 
     def admit(self, request: ServingRequest) -> Job:
         """Return the job for a request.
--- a/tests/fleet/test_ends_of_answers.py
+++ b/tests/fleet/test_ends_of_answers.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
+from typing import Any
+
 import pytest
 
 from hillstack.core.routing_table import RequestLimits, RouteKind, RoutingTable, TenantEntry
+from hillstack.serving.pipeline import RequestPipeline
+from hillstack.serving.start_gate import StartGate
 from hillstack.serving.store_events import ConfigurationChanged, WeightsNamed
-from hillstack.serving.types import CutCause, StreamCutError
+from hillstack.serving.types import CutCause, RejectedError, StreamCutError, Verdict
 from tests.fleet.builders import (
     ENGINES,
     MODEL,
@@ -17,7 +22,7 @@
     make_state,
     make_table,
 )
-from tests.fleet.fake_runners import Behaviour, answers, answers_after, hangs
+from tests.fleet.fake_runners import Behaviour, FakeSink, answers, answers_after, hangs
 from tests.fleet.test_cut_off_pipeline import LOST_AFTER_SECONDS, loses_path
 from tests.fleet.test_pipeline import (
     EVENTS,
@@ -25,6 +30,7 @@
     RESET,
     Bench,
     first_then,
+    make_bench,
     make_stream_bench,
     stream_request,
 )
@@ -110,6 +116,27 @@
     assert (sink.body, sink.finished) == (b"whole", True)
 
 
+# Guards against LOST: a request that waited for the first read of the store was not answered before
+# its process ended.
+def test_a_request_at_the_start_gate_is_answered_when_its_node_stops() -> None:
+    bench = make_bench(i_1=answers(b"x"))
+    bench.state.start_gate = StartGate()
+    loop = bench.scheduler.new_loop()
+    serving = bench.pipeline.serve(make_request(), FakeSink())
+    task: asyncio.Task[Any] = bench.scheduler.spawn(loop, serving)
+    bench.scheduler.at(0.1, lambda: stop(bench.pipeline))
+    bench.scheduler.run_until(0.2)
+    assert task.done()
+    error = task.exception()
+    assert isinstance(error, RejectedError) and error.verdict is Verdict.UNAVAILABLE
+    assert not bench.client.dispatches
+
+
+def stop(pipeline: RequestPipeline) -> None:
+    pipeline.stop_accepting()
+    pipeline.end_waiting()
+
+
 # Pins down the one decision that ends a stream under way without another attempt: its last run must
 # not begin on weights that are due to be replaced.
 def test_the_last_run_of_a_stream_ends_when_newer_weights_are_due() -> None:
