--- a/tests/fleet/test_ends_of_answers.py
+++ b/tests/fleet/test_ends_of_answers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import signal
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -22,8 +24,10 @@
     make_state,
     make_table,
 )
+from tests.fleet.deployment import Deployment, until
 from tests.fleet.fake_runners import Behaviour, FakeSink, answers, answers_after, hangs
 from tests.fleet.test_cut_off_pipeline import LOST_AFTER_SECONDS, loses_path
+from tests.fleet.test_node_process import play
 from tests.fleet.test_pipeline import (
     EVENTS,
     PARTS,
@@ -36,6 +40,8 @@
 )
 
 WHOLE = b"".join(EVENTS)
+# Enough that the stream outlasts the arrival of a configuration.
+STREAM_EVENTS = 60
 STREAM_ROUTE = make_route(RouteKind.STREAM, prefix="/gen/", service=ENGINES, resumable=True)
 
 
@@ -149,3 +155,23 @@
     assert isinstance(error, StreamCutError) and error.cause is CutCause.FAILED
     assert (sink.body, sink.finished) == (first, False)
     assert bench.scheduler.now >= 1.0
+
+
+# Guards against LOST: a reload and a change of the configuration ended answers under way.
+def test_a_reload_beside_a_new_configuration_ends_no_stream_of_a_process(tmp_path: Path) -> None:
+    async def scenario(running: Deployment) -> None:
+        runner = await running.add_runner("i-1", ENGINES)
+        runner.events = STREAM_EVENTS
+        node = await running.add_node("node-1")
+        call = asyncio.create_task(running.call(node, "/stream/x"))
+        await until(lambda: runner.ran == ["r-1"], "the stream runs")
+        running.send_signal(node, signal.SIGHUP)
+        running.configure(routes=[], tenants=[])
+        await running.call_until(node, "/safe/x", 404)
+        await until(lambda: "settings read again" in node.messages(), "reload")
+        assert not call.done()
+        answer = await call
+        assert answer.status == 200
+        assert answer.body.count(b"id: ") == STREAM_EVENTS
+
+    play(tmp_path, scenario)
