The soak finds requests that planned work cuts off at sound runners

The soak had no fault with slow runners beside planned work, and its check of lost requests covers planned stops only and is excused by a disturbance of any target.

The fault silence_runners (by name only) lets runners pause streams or answer late beside stops of nodes and changes of the configuration, in series and overlapping. Each request meets at most one silence, so that its answer can still arrive within its deadline. The check cut_off_in_planned_work covers stops and changes; only disturbances of the request's node, its runners or the store excuse it. A stop's grace time excuses nothing, since it outlasts each deadline.

The test of lost_in_planned_stops expected no violation at all beside a disturbance of another runner. The new check reports such a cut, so the test now expects exactly that report, and none beside the request's own runner.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -19,6 +19,7 @@
 from tests.soak.restart_faults import RESTART_FAULTS
 from tests.soak.restore_faults import RESTORE_FAULTS
 from tests.soak.signal_faults import SIGNAL_FAULTS
+from tests.soak.silence_faults import RUNNER_SILENCE_FAULTS
 from tests.soak.soak import SoakPlan, SoakResult, run
 from tests.soak.system import NODE_COUNT
 from tests.soak.upgrade_faults import UPGRADE_FAULTS
@@ -39,6 +40,7 @@
     + ANSWER_FAULTS
     + ODD_ENTRY_FAULTS
     + RELEASE_FAULTS
+    + RUNNER_SILENCE_FAULTS
 )
 
 
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -268,6 +268,8 @@
         rollouts: Rollout orders by target version.
         software: Version of each runner's software.
         resumed: Streams whose callers take them up again.
+        configured_at: When the store acknowledged each configuration.
+        runners_closed_at: When each runner that was ended for good closed its connections.
     """
 
     sent: list[CallerRequest] = field(default_factory=list)
@@ -293,6 +295,8 @@
     rollouts: dict[str, Rollout] = field(default_factory=dict)
     software: dict[str, str] = field(default_factory=dict)
     resumed: list[ResumedStream] = field(default_factory=list)
+    configured_at: list[float] = field(default_factory=list)
+    runners_closed_at: dict[str, float] = field(default_factory=dict)
 
     def record_abandoned(self, request_id: str, runner_id: str, at: float) -> None:
         """Record when the node closed its connection to a runner that hung with a request."""
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 
 from tests.soak.cut_promises import served_worse_at_cut_nodes
+from tests.soak.end_of_answer_promises import cut_off_in_planned_work
 from tests.soak.end_promises import ended_without_its_end
 from tests.soak.observations import CallerRequest, Observations, Run
 from tests.soak.run_promises import worked_on_by_two_runners
@@ -46,6 +47,7 @@
         *started_after_close(seen),
         *continued_after_close(seen),
         *lost_in_planned_stops(seen),
+        *cut_off_in_planned_work(seen),
         *overlong_stops(seen),
         *runners_ended(seen),
         *rollouts(seen),
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -129,6 +129,7 @@
         result.results = Counter(f"{s.kind} {_outcome(s)}" for s in sent)
         result.results |= _rollout_outcomes(system.observations)
         result.results |= _resumed_outcomes(system.observations)
+        result.results["met a silence"] = len(system.silenced)
         result.results["over kept connections"] = sum(s.reused for s in sent)
         await system.close()
     if result.violations:
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -47,6 +47,7 @@
     Stop,
 )
 from tests.soak.regions import LINK_PREFIX, REGION_OF_ZONE, Regions
+from tests.soak.runner_silence import RunnerSilence
 from tests.soak.software import CANARY_SHARE, CANARY_SLACK, Software, StatusRecordingStore
 from tests.soak.timed_promises import GRACE_SECONDS
 
@@ -101,6 +102,7 @@
         self.preempts = True
         # Request identifiers of the open streams.
         self.streams: set[str] = set()
+        self.silence: RunnerSilence | None = None
         observations.orders[runner_id] = self.orders
         observations.order_hosts[runner_id] = self.order_hosts
         observations.software[runner_id] = software
@@ -142,7 +144,13 @@
     def event_pause_seconds(self, request_id: str) -> float:
         """Return the pause between two events; long enough in some streams to see two runs."""
         is_slow = request_id.startswith(SLOW_STREAM_PREFIX)
-        return SLOW_EVENT_PAUSE_SECONDS if is_slow else super().event_pause_seconds(request_id)
+        pause = SLOW_EVENT_PAUSE_SECONDS if is_slow else super().event_pause_seconds(request_id)
+        return pause + (self.silence.stream_pause_seconds(request_id) if self.silence else 0.0)
+
+    async def _work(self, request: Request) -> bool:
+        if self.silence is not None:
+            await self.silence.delay_answer(request)
+        return await super()._work(request)
 
     def restart(self, born: int) -> None:
         """Start again under the same name; the new process's orders are recorded separately."""
@@ -192,6 +200,8 @@
         self.fatal = FatalRequests(FATAL_KEY)
         self.observations.most_runs = {"limited-key": MAX_LIMITED_RUNS}
         self.proxy = FaultProxy(own_host())
+        # Identifiers of the requests that met a silence of a runner.
+        self.silenced: set[str] = set()
         self.weights = 1
         self.regions = Regions(self.proxy, own_host()) if has_regions else None
         self._peers_ports: dict[str, int] = {}
@@ -440,9 +450,14 @@
         runners = [self.deployment.runners[runner_id] for runner_id in self._runner_states]
         return [r for r in runners if isinstance(r, ObservedRunner) and r.service == service]
 
+    def live_observed_runners(self) -> list[ObservedRunner]:
+        """Return the live runners of all services."""
+        return self.runners_of(ENGINES) + self.runners_of(APPLICATION)
+
     def end_runner(self, runner_id: str) -> None:
         """End a runner at once and for good, and remove its entry."""
         self.remove_runner(runner_id)
+        self.observations.runners_closed_at[runner_id] = time.monotonic()
         self.proxy.close_address(runner_id)
 
     async def restart_runner(self, runner_id: str, seconds: float) -> None:
@@ -562,6 +577,7 @@
     def _configure(self) -> None:
         tenants = [TenantBody("tenant-1", [*self._keys, FATAL_KEY]), LIMITED_TENANT]
         self.deployment.configure(tenants=tenants)
+        self.observations.configured_at.append(time.monotonic())
 
 
 def send(process: subprocess.Popen[bytes], number: signal.Signals) -> None:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -161,8 +161,11 @@
     assert find_violations(Observations([BROKEN], [RUN])) == []
     other = replace(STOPPING, target="node-2")
     assert find_violations(Observations([BROKEN], [RUN], troubles=[other])) == []
-    unplanned_disturbances = [STOPPING, Disturbance("i-2", 7.5, 8.0)]
-    assert find_violations(Observations([BROKEN], [RUN], troubles=unplanned_disturbances)) == []
+    of_other_runner = [STOPPING, Disturbance("i-2", 7.5, 8.0)]
+    (violation,) = find_violations(Observations([BROKEN], [RUN], troubles=of_other_runner))
+    assert "cut off" in violation and "lost" not in violation
+    of_own_runner = [STOPPING, Disturbance("i-1", 7.5, 8.0)]
+    assert find_violations(Observations([BROKEN], [RUN], troubles=of_own_runner)) == []
 
 
 def test_a_stop_that_outlasts_its_grace_time_is_found() -> None:
