A silent suspect under way is not given up for an attempt that needs a permit

Callers saw a suspected stream end in the middle (LOST): it was given up as silent, and the permit for its next attempt was refused. Its own run may be what the permit is refused for. The connection of a runner that crashed ends by itself, within the time-outs of the system.

tests/fleet/test_suspects_under_way.py fails without the change.

--- a/src/hillstack/serving/run_supervision.py
+++ b/src/hillstack/serving/run_supervision.py
@@ -64,6 +64,10 @@
         if is_cut_off and job.may_run_again() and self.claim_retry(job):
             text = "the path to the runner is lost"
             raise AttemptAbandonedError(text, step=step, peer=runner.runner_id)
+        if job.head_sent and job.is_suspect and not runner.has_ended:
+            # Another attempt needs a permit, which this run may keep it from. A crashed runner's
+            # connection ends by itself.
+            return
         if self.may_try_other(job, runner) and self.claim_retry(job):
             if runner.has_ended:
                 text = "the runner has started again"
