Review of the fixes: claims, sends, weights and ends of taken-up streams

The budget must allow two: one to be refused, one to return. - The margin of the weights was asked before a run is given up, and not where the next runner is chosen. - A send without a permit was booked on a permit that had been given back. - Repeated calls of the check of ends were charged once against a runner's limit.

--- a/src/hillstack/daemon/runner_check.py
+++ b/src/hillstack/daemon/runner_check.py
@@ -88,6 +88,7 @@
                 return False
             await asyncio.sleep(pause)
             pause *= 2
+            await self._limits.room_for_call(runner_id, LIMIT_PATIENCE_SECONDS)
 
     async def _call(self, runner_id: str, address: str) -> ProbeResult:
         """Call a process once, through peers if this node reaches it only so."""
@@ -98,7 +99,7 @@
             result = await self._probe.probe(runner_id, address, route)
             if result is ProbeResult.ANSWERED:
                 return result
-            if result not in UNREACHED:
+            if result not in UNREACHED and found is not ProbeResult.OTHER:
                 found = result
         return found
 
--- a/src/hillstack/serving/job.py
+++ b/src/hillstack/serving/job.py
@@ -29,6 +29,8 @@
 
 # Sends of one request, refused ones included: each costs some ms and a unit of the retry budget.
 MAX_SENDS = 4
+# Further sends of a stream whose run this node has abandoned.
+MAX_TAKE_UP_SENDS = 3
 # Retry delay for a request that a stopping node rejects: another node accepts it immediately.
 STOPPING_RETRY_SECONDS = 0.05
 # Why an answer that has begun is cut, by the verdict on its request.
@@ -100,7 +102,7 @@
             according to peers (``RunnerPlacement.choose``).
         leaving: Those of the excluded runners that were not tried, but leave according to peers.
         failure: How the latest failed attempt failed; empty if none has.
-        has_abandoned_run: Whether this node has abandoned a run of the request.
+        has_abandoned_run: Whether this node abandoned the latest run that failed.
         returns_to: Runner that the next attempt is sent to if it accepts the request; None for any.
         failure_answer: Failure answer of a runner, received before another runner was tried; passed
             on if no other runner answers.
@@ -185,7 +187,7 @@
 
     def extend_until(self, when: float, now: float) -> None:
         """Extend the time limit to a time on the node's clock; never shorten it."""
-        if self.time_limit is None or self.time_limit.expired():
+        if self.is_ending or self.time_limit is None or self.time_limit.expired():
             return
         loop_when = asyncio.get_running_loop().time() + when - now
         ends_at = self.time_limit.when()
--- a/src/hillstack/serving/permitted_sends.py
+++ b/src/hillstack/serving/permitted_sends.py
@@ -45,7 +45,7 @@
 
     def sent(self, runner_id: str) -> None:
         """Record that the request is sent under the latest permit."""
-        if self.sends and not self.sends[-1].runner_id:
+        if self.sends and not self.sends[-1].runner_id and not self.sends[-1].is_over:
             self.sends[-1].runner_id = runner_id
 
     def finished(self, runner_id: str, now: float, *, may_still_run: bool) -> None:
--- a/src/hillstack/serving/pipeline.py
+++ b/src/hillstack/serving/pipeline.py
@@ -544,7 +544,7 @@
     def _handle_broken(self, job: Job, runner: Runner, error: BackendBrokenError) -> None:
         job.may_have_run = True
         job.failure = f"{error.step}: {error.message}"
-        job.has_abandoned_run |= isinstance(error, AttemptAbandonedError)
+        job.has_abandoned_run = isinstance(error, AttemptAbandonedError)
         note_failed_run(self._state, job, runner, self._clock())
         if isinstance(error, ConnectionLostError):
             self.runner_crashes.lost(job, runner, self._clock())
--- a/src/hillstack/serving/placement.py
+++ b/src/hillstack/serving/placement.py
@@ -51,9 +51,9 @@
 # A request may start to run this much later than it is sent. This comes on top of the margin by
 # which ``fleet_node.VERSION_MARGIN_SECONDS`` shortens the platform's limit.
 VERSION_MARGIN_SECONDS = 0.3
-# A stream that has begun is taken up only at weights that may begin requests for this much longer:
-# an attempt that waits in the queue of a runner until newer weights are due is abandoned, and the
-# stream would end in the middle. A loaded runner begins within this time.
+# A stream that this node has abandoned is taken up only at weights that may begin requests for this
+# much longer: an attempt that waits in the queue of a runner until newer weights are due is
+# abandoned too, and the stream would end in the middle. A loaded runner begins within this time.
 TAKE_UP_MARGIN_SECONDS = 1.0
 # A request is sent with a fetch until this long before its attempt would be abandoned for the fetch
 # (``begin_bounds``): a runner without a queue begins in less time.
@@ -270,6 +270,17 @@
         """Return whether a runner other than this one would accept another attempt."""
         return any(other is not runner for other in self._runners_available_now(job, now))
 
+    def may_take_up(self, job: Job, runner: Runner, now: float) -> bool:
+        """Return whether another runner would accept a stream, with weights that stay allowed."""
+        later = now + TAKE_UP_MARGIN_SECONDS
+        oldest = self._oldest_allowed(job, later)
+        model = job.request.model
+        available = self._runners_available_now(job, now)
+        return any(
+            other is not runner and other.likely_weights(model, now) >= oldest
+            for other in available
+        )
+
     def _runners_available_now(self, job: Job, now: float) -> Iterator[Runner]:
         """Return the runners that accept another attempt of a request now."""
         oldest = self._oldest_allowed(job, now)
@@ -291,8 +302,7 @@
         """Return the oldest weights version that a runner may have; 0 for application servers."""
         if self._state.engine_of(job.service) is None:
             return 0
-        margin = VERSION_MARGIN_SECONDS + (TAKE_UP_MARGIN_SECONDS if job.head_sent else 0.0)
-        return self._state.versions.oldest_allowed(job.request.model, now + margin)
+        return self._state.versions.oldest_allowed(job.request.model, now + VERSION_MARGIN_SECONDS)
 
     def started(self, job: Job, placed: PlacedAttempt, attempt_id: str, now: float) -> None:
         """Record the first event of an attempt."""
@@ -405,7 +415,9 @@
         now: float,
     ) -> PlacedAttempt | None:
         model = job.request.model
-        oldest = self._state.versions.oldest_allowed(model, now + VERSION_MARGIN_SECONDS)
+        taken_up = job.head_sent and job.has_abandoned_run
+        begins_by = now + (TAKE_UP_MARGIN_SECONDS if taken_up else 0.0)
+        oldest = self._oldest_allowed(job, begins_by)
         other_zones = self._regions.other_zones()
         accepting: list[Runner] = []
         local: list[Candidate] = []
--- a/src/hillstack/serving/run_supervision.py
+++ b/src/hillstack/serving/run_supervision.py
@@ -19,6 +19,9 @@
 
 # An attempt with less time left is useless: this is the round trip to a runner.
 MIN_REMAINING_SECONDS = 0.02
+# Attempts that the retry budget must allow before a stream that has begun is abandoned: one that
+# another runner may refuse, and one to return to its runner.
+TAKE_UP_ATTEMPTS = 2.0
 
 
 class RunSupervisor:
@@ -61,19 +64,27 @@
         reason = silence_reason(job, runner, now)
         if reason is None and not runner.has_ended and not is_cut_off:
             return
-        if is_cut_off and job.may_run_again() and self.claim_retry(job):
+        if is_cut_off and self.may_retry(job) and self.claim_retry(job):
             text = "the path to the runner is lost"
             raise AttemptAbandonedError(text, step=step, peer=runner.runner_id)
         if job.head_sent and job.is_suspect and not runner.has_ended:
             # Another attempt needs a permit, which this run may keep it from. A crashed runner's
             # connection ends by itself.
             return
-        if self.may_try_other(job, runner) and self.claim_retry(job):
+        if self._may_abandon(job, runner, now) and self.claim_retry(job):
             if runner.has_ended:
                 text = "the runner has started again"
                 raise ConnectionLostError(text, step=step, peer=runner.runner_id)
             raise AttemptAbandonedError(str(reason), step=step, peer=runner.runner_id)
 
+    def _may_abandon(self, job: Job, runner: Runner, now: float) -> bool:
+        """Return whether a run may be abandoned for an attempt at another runner."""
+        if job.head_sent:
+            allowed = self._state.budget.allowed(job.service, now)
+            if allowed < TAKE_UP_ATTEMPTS or not self._placement.may_take_up(job, runner, now):
+                return False
+        return self.may_try_other(job, runner)
+
     def may_try_other(self, job: Job, runner: Runner) -> bool:
         """Return whether another runner can serve the request if this attempt is abandoned."""
         return self.may_retry(job) and self._placement.has_alternative(job, runner, self._clock())
--- a/src/hillstack/serving/stream_continuation.py
+++ b/src/hillstack/serving/stream_continuation.py
@@ -11,7 +11,7 @@
 import asyncio
 import logging
 
-from hillstack.serving.job import Job
+from hillstack.serving.job import MAX_SENDS, MAX_TAKE_UP_SENDS, Job
 from hillstack.serving.types import CutCause, StreamCutError
 
 logger = logging.getLogger(__name__)
@@ -44,9 +44,11 @@
         "pause_ms": round(pause * 1000),
     }
     logger.info("stream waits for a runner", extra=fields)
-    # The next try asks for a permit of its own.
+    # The next try asks for a permit of its own, and takes its attempt from the retry budget when it
+    # is made: the budget bounds what is sent within a window.
     job.permitted.will_not_be_sent()
+    job.has_claimed_retry = False
     await asyncio.sleep(pause)
     # Runners that refused the request or were silent may accept it now.
     job.excluded.clear()
-    job.max_sends = max(job.max_sends, job.sends + 1)
+    job.max_sends = min(MAX_SENDS + MAX_TAKE_UP_SENDS, max(job.max_sends, job.sends + 1))
--- a/tests/fleet/test_given_up_answers.py
+++ b/tests/fleet/test_given_up_answers.py
@@ -13,8 +13,9 @@
 import pytest
 
 from hillstack.core.shared_retry_budget import SharedRetryBudget
+from hillstack.serving.job import MAX_SENDS, MAX_TAKE_UP_SENDS
 from hillstack.serving.store_events import RunnerListed, WeightsNamed
-from hillstack.serving.types import Dispatch, RefusalCause, ServingRequest
+from hillstack.serving.types import Dispatch, RefusalCause, ServingRequest, StreamCutError
 from tests.fleet.builders import (
     ENGINES,
     MODEL,
@@ -100,3 +101,51 @@
     sink, error = bench.serve(stream_request(patience=5.0))
     assert error is None
     assert (sink.body, sink.heads, sink.finished) == (WHOLE, 1, True)
+
+
+def test_a_silent_stream_is_not_given_up_for_the_last_attempt_of_the_budget() -> None:
+    bench = make_stream_bench(i_1=answers(), i_22=answers())
+    bench.state.budget = SharedRetryBudget(0.0, 1.0 / 0.6, 10.0)
+    behave = silent_first(bench, refuses(RefusalCause.FULL))
+    bench.client.behaviours = dict.fromkeys(("i-1", "i-22"), behave)
+    sink, error = bench.serve(stream_request(patience=5.0))
+    assert error is None and sink.body == WHOLE
+
+
+def test_a_stream_that_was_given_up_does_not_go_to_weights_that_are_about_to_be_replaced() -> None:
+    bench = make_stream_bench(i_1=answers(), i_22=answers())
+    accepts_after = 2.0
+
+    async def behave(request: ServingRequest, dispatch: Dispatch) -> FakeAnswer:
+        if dispatch.runner_id == bench.client.dispatches[0].runner_id:
+            return await answers_rest(100.0)(request, dispatch)
+        if dispatch.weights_version == 1:
+            return await hangs()(request, dispatch)
+        is_full = bench.scheduler.now < accepts_after
+        others = refuses(RefusalCause.FULL) if is_full else answers_rest()
+        return await others(request, dispatch)
+
+    bench.client.behaviours = dict.fromkeys(("i-1", "i-22", "i-333"), behave)
+    bench.state.apply(WeightsNamed(MODEL, 2), 1.5 - VERSION_GRACE_SECONDS)
+    sink = FakeSink()
+    work = bench.pipeline.serve(stream_request(patience=5.0), sink)
+    task = bench.scheduler.spawn(bench.scheduler.new_loop(), work)
+    bench.scheduler.run_until(0.3)
+    newer = make_entry("i-333", ENGINES, weights=2)
+    bench.state.apply(RunnerListed(newer), bench.scheduler.now)
+    bench.scheduler.run_until(10.0)
+    assert task.exception() is None and sink.body == WHOLE
+
+
+def test_a_stream_that_no_runner_takes_up_is_sent_a_bounded_number_of_times() -> None:
+    bench = make_stream_bench(i_1=answers(), i_22=answers())
+
+    async def behave(request: ServingRequest, dispatch: Dispatch) -> FakeAnswer:
+        is_first = len(bench.client.dispatches) == 1
+        chosen = answers_rest(100.0) if is_first else refuses(RefusalCause.FULL)
+        return await chosen(request, dispatch)
+
+    bench.client.behaviours = dict.fromkeys(("i-1", "i-22"), behave)
+    _, error = bench.serve(stream_request(patience=5.0))
+    assert isinstance(error, StreamCutError)
+    assert len(bench.client.dispatches) <= MAX_SENDS + MAX_TAKE_UP_SENDS
--- a/tests/fleet/test_node_stop.py
+++ b/tests/fleet/test_node_stop.py
@@ -9,7 +9,11 @@
 
 from hillstack.daemon.connection_limiter import CallerConnection
 from hillstack.daemon.node_stop import SEND_SECONDS, NodeStop
+from hillstack.serving.types import Dispatch, RefusalCause, RejectedError, ServingRequest
 from hillstack.simulation.virtual_loop import Scheduler
+from tests.fleet.builders import make_request
+from tests.fleet.fake_runners import FakeAnswer, FakeSink, answers, hangs, refuses
+from tests.fleet.test_pipeline import make_bench
 
 GRACE_SECONDS = 8.0
 
@@ -100,3 +104,32 @@
     ends_at = stop(FakeRequests())
     took = stop(requests, FakeConnection(requests.scheduler, ends_at + late))
     assert took == pytest.approx(ends_at + min(late, SEND_SECONDS), abs=0.05)
+
+
+# Guards against LOST: a request that its runner refused in the iteration in which the stop ended it
+# was sent again, and ended with the process.
+@pytest.mark.parametrize("is_ended_first", [False, True])
+@pytest.mark.parametrize("iterations", range(10))
+def test_a_request_that_is_ended_is_not_sent_again(iterations: int, is_ended_first: bool) -> None:
+    bench = make_bench(i_1=answers(b"x"), i_22=answers(b"x"))
+
+    async def refuse_first(request: ServingRequest, dispatch: Dispatch) -> FakeAnswer:
+        is_first = len(bench.client.dispatches) == 1
+        behave = refuses(RefusalCause.FULL, after=0.5) if is_first else hangs()
+        return await behave(request, dispatch)
+
+    async def end_waiting() -> None:
+        await asyncio.sleep(0.5)
+        for _ in range(iterations):
+            await asyncio.sleep(0)
+        bench.pipeline.end_waiting()
+
+    bench.client.behaviours = dict.fromkeys(("i-1", "i-22"), refuse_first)
+    loop = bench.scheduler.new_loop()
+    works = [bench.pipeline.serve(make_request(patience=5.0), FakeSink()), end_waiting()]
+    if is_ended_first:
+        works.reverse()
+    tasks = [bench.scheduler.spawn(loop, work) for work in works]
+    bench.scheduler.run_until(1.0)
+    assert all(task.done() for task in tasks)
+    assert [type(task.exception()) for task in tasks].count(RejectedError) == 1
--- a/tests/fleet/test_runner_check.py
+++ b/tests/fleet/test_runner_check.py
@@ -30,8 +30,12 @@
         return self._results.pop(0) if len(self._results) > 1 else self._results[0]
 
 
-class Unlimited:
+class CountedCalls:
+    def __init__(self) -> None:
+        self.charged = 0
+
     async def room_for_call(self, runner_id: str, patience_seconds: float) -> bool:
+        self.charged += 1
         return True
 
 
@@ -52,7 +56,8 @@
     """Check a runner; return whether it runs, and how long the check took."""
     scheduler = Scheduler()
     routes = FakeRoutes(scheduler.clock, peers_known_at)
-    runner_check = RunnerCheck(probe, Unlimited(), routes, lambda _: is_lost)
+    calls = CountedCalls()
+    runner_check = RunnerCheck(probe, calls, routes, lambda _: is_lost)
     found: list[tuple[bool, float]] = []
 
     async def run() -> None:
@@ -60,6 +65,8 @@
 
     scheduler.spawn(scheduler.new_loop(), run())
     scheduler.run_until(10.0)
+    # Each call counts against the limit that the runner announces.
+    assert calls.charged >= len(probe.routes)
     return found[0]
 
 
