--- a/src/hillstack/serving/run_supervision.py
+++ b/src/hillstack/serving/run_supervision.py
@@ -79,7 +79,7 @@
 
     def _may_abandon(self, job: Job, runner: Runner, now: float) -> bool:
         """Return whether a run may be abandoned for an attempt at another runner."""
-        if job.head_sent:
+        if job.head_sent and not runner.has_ended:
             allowed = self._state.budget.allowed(job.service, now)
             if allowed < TAKE_UP_ATTEMPTS or not self._placement.may_take_up(job, runner, now):
                 return False
--- a/tests/fleet/test_given_up_answers.py
+++ b/tests/fleet/test_given_up_answers.py
@@ -149,3 +149,20 @@
     _, error = bench.serve(stream_request(patience=5.0))
     assert isinstance(error, StreamCutError)
     assert len(bench.client.dispatches) <= MAX_SENDS + MAX_TAKE_UP_SENDS
+
+
+def test_a_stream_of_a_process_that_has_ended_is_given_up_for_the_last_attempt() -> None:
+    bench = make_stream_bench(i_1=answers(), i_22=answers())
+    bench.state.budget = SharedRetryBudget(0.0, 1.0 / 0.6, 10.0)
+    behave = silent_first(bench, answers_rest())
+    bench.client.behaviours = dict.fromkeys(("i-1", "i-22"), behave)
+
+    async def end_first() -> None:
+        await asyncio.sleep(0.1)
+        first = bench.state.pool.get(bench.client.dispatches[0].runner_id)
+        assert first is not None
+        bench.state.note_restarted(first, bench.scheduler.now)
+
+    bench.scheduler.spawn(bench.scheduler.new_loop(), end_first())
+    sink, error = bench.serve(stream_request(patience=5.0), within=1.0)
+    assert error is None and sink.body == WHOLE
